--- /dev/null
+++ b/Makefile
@@ -0,0 +1,86 @@
+# corianderstep: `make demo` runs the main job, `make check` runs all tests.
+PACKAGES := libglib2.0-dev libsoup-3.0-dev libjson-c-dev liblog4c-dev \
+	    libmsgpack-dev libgsl-dev pkg-config
+LIBS	 := glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-c log4c msgpack gsl
+
+BUILD	 ?= build
+OPTIMIZE ?= -O2
+SANITIZE ?=
+CC	 := gcc
+# Expanded on use: pkg-config may be installed by the `deps` target.
+CFLAGS	  = -std=gnu11 -g $(OPTIMIZE) $(SANITIZE) -Wall -Wextra \
+	    -Wno-unused-parameter -Wshadow -Wstrict-prototypes \
+	    -Wmissing-prototypes -fno-omit-frame-pointer -I. \
+	    $(patsubst -I%,-isystem%,$(shell pkg-config --cflags $(LIBS)))
+LDLIBS	  = $(shell pkg-config --libs $(LIBS)) -lm
+
+# Folders that make up the library which every program links.
+CORE_DIRS := base platform config link shared request request/routing \
+	     job job/placement daemon lib
+CORE_SRC  := $(wildcard $(addsuffix /*.c,$(CORE_DIRS)))
+CORE_OBJ  := $(CORE_SRC:%.c=$(BUILD)/%.o)
+CORE_LIB  := $(BUILD)/libcorianderstep.a
+
+# One main file a program; a test file is a program too.
+PROG_SRC  := $(wildcard cli/*.c standin/*.c bench/*.c examples/*.c)
+PROGS	  := $(patsubst %.c,$(BUILD)/bin/%,$(notdir $(PROG_SRC)))
+TEST_SRC  := $(wildcard tests/test_*.c)
+TESTS	  := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
+TEST_LIB  := $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(TEST_SRC),\
+	     $(wildcard tests/*.c)))
+ALL_SRC	  := $(CORE_SRC) $(PROG_SRC) $(wildcard tests/*.c)
+ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench tests))
+
+.PHONY: all deps check demo bench format format-check lint clean programs
+all: deps
+	$(MAKE) --no-print-directory programs
+
+programs: $(PROGS) $(TESTS)
+
+# Installs what is missing; does nothing on a machine that has everything.
+deps:
+	@pkg-config --exists $(LIBS) 2>/dev/null || \
+		(apt-get update && apt-get install -y $(PACKAGES))
+
+check: all
+	tests/run_tests.sh $(BUILD)
+
+demo: all
+	demo/demo.sh $(BUILD)
+
+bench: all
+	bench/run_bench.sh $(BUILD)
+
+$(CORE_LIB): $(CORE_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+define PROGRAM_RULE
+$$(BUILD)/bin/$(notdir $(1:%.c=%)): $$(BUILD)/$(1:%.c=%.o) $$(CORE_LIB)
+	@mkdir -p $$(@D)
+	$$(CC) $$(CFLAGS) $$< $$(CORE_LIB) $$(LDLIBS) -o $$@
+endef
+$(foreach src,$(PROG_SRC),$(eval $(call PROGRAM_RULE,$(src))))
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB) $(CORE_LIB)
+	$(CC) $(CFLAGS) $< $(TEST_LIB) $(CORE_LIB) $(LDLIBS) -o $@
+
+format:
+	clang-format -i $(ALL_SRC) $(ALL_HDR)
+
+format-check:
+	clang-format --dry-run --Werror $(ALL_SRC) $(ALL_HDR)
+
+lint: deps
+	printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- $(CFLAGS) 2>/dev/null' lint
+
+clean:
+	rm -rf $(BUILD)
+
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/http_client.c
@@ -0,0 +1,180 @@
+#include "base/http_client.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "base/json_text.h"
+
+struct http_client {
+	SoupSession *session;
+	GHashTable *calls; /**< set of struct http_call in flight */
+};
+
+struct http_call {
+	struct http_client *client; /**< NULL once the client is freed */
+	SoupMessage *message;
+	GCancellable *cancellable;
+	guint timer;
+	gboolean is_sent;
+	gboolean is_cancelled;
+	http_reply_fn on_reply;
+	void *data;
+};
+
+struct http_client *http_client_new(guint max_connections,
+				    guint max_per_address)
+{
+	struct http_client *c = g_new0(struct http_client, 1);
+
+	c->session = soup_session_new_with_options(
+		"max-conns", (int)max_connections, "max-conns-per-host",
+		(int)max_per_address, "timeout", 0, "idle-timeout", 30, NULL);
+	c->calls = g_hash_table_new(NULL, NULL);
+	return c;
+}
+
+static void detach(struct http_call *call)
+{
+	call->is_cancelled = TRUE;
+	call->client = NULL;
+	g_cancellable_cancel(call->cancellable);
+}
+
+void http_client_free(struct http_client *c)
+{
+	GHashTableIter iter;
+	gpointer call;
+
+	g_hash_table_iter_init(&iter, c->calls);
+	while (g_hash_table_iter_next(&iter, &call, NULL))
+		detach(call);
+	g_hash_table_unref(c->calls);
+	soup_session_abort(c->session);
+	g_object_unref(c->session);
+	g_free(c);
+}
+
+static void call_free(struct http_call *call)
+{
+	if (call->client)
+		g_hash_table_remove(call->client->calls, call);
+	if (call->timer)
+		g_source_remove(call->timer);
+	g_signal_handlers_disconnect_by_data(call->message, call);
+	g_object_unref(call->message);
+	g_object_unref(call->cancellable);
+	g_free(call);
+}
+
+static void on_starting(SoupMessage *message, gpointer data)
+{
+	struct http_call *call = data;
+
+	call->is_sent = TRUE;
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	struct http_call *call = data;
+
+	call->timer = 0;
+	g_cancellable_cancel(call->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+static void parse_body(GBytes *bytes, struct json_text *t)
+{
+	struct finding_list findings;
+	gsize len = 0;
+	const char *text = g_bytes_get_data(bytes, &len);
+
+	finding_list_init(&findings);
+	json_text_parse(t, "body", text ? text : "", len, JSON_STRICT,
+			&findings);
+	finding_list_clear(&findings);
+}
+
+static void on_done(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct http_call *call = data;
+	struct http_reply reply = {.status = STATUS_OK};
+	struct json_text t = {0};
+	GError *error = NULL;
+	GBytes *bytes;
+
+	bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result,
+						  &error);
+	if (call->is_cancelled)
+		goto out;
+	if (bytes) {
+		reply.code = soup_message_get_status(call->message);
+		parse_body(bytes, &t);
+		reply.body = t.root;
+	} else {
+		reply.status = status_fail(call->is_sent ? STATUS_UNKNOWN
+							 : STATUS_UNAVAILABLE,
+					   "%s", error->message);
+	}
+	call->on_reply(&reply, call->data);
+out:
+	json_text_clear(&t);
+	g_clear_pointer(&bytes, g_bytes_unref);
+	g_clear_error(&error);
+	call_free(call);
+}
+
+static void set_headers(SoupMessage *message, const char *const *headers)
+{
+	SoupMessageHeaders *out = soup_message_get_request_headers(message);
+
+	for (guint i = 0; headers && headers[i]; i += 2)
+		soup_message_headers_replace(out, headers[i], headers[i + 1]);
+}
+
+static void set_body(SoupMessage *message, json_object *body)
+{
+	const char *text;
+	GBytes *bytes;
+
+	text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
+	bytes = g_bytes_new(text, strlen(text));
+	soup_message_set_request_body_from_bytes(message, "application/json",
+						 bytes);
+	g_bytes_unref(bytes);
+}
+
+struct http_call *http_client_send(struct http_client *c,
+				   const struct http_call_spec *spec)
+{
+	struct http_call *call = g_new0(struct http_call, 1);
+	char *uri = g_strdup_printf("http://%s%s", spec->address, spec->path);
+
+	call->client = c;
+	call->message = soup_message_new(spec->method, uri);
+	call->cancellable = g_cancellable_new();
+	call->on_reply = spec->on_reply;
+	call->data = spec->data;
+	set_headers(call->message, spec->headers);
+	if (spec->body)
+		set_body(call->message, spec->body);
+	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
+			 call);
+	call->timer = g_timeout_add(spec->timeout_ms, on_timeout, call);
+	g_hash_table_add(c->calls, call);
+	soup_session_send_and_read_async(c->session, call->message,
+					 G_PRIORITY_DEFAULT, call->cancellable,
+					 on_done, call);
+	g_free(uri);
+	return call;
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	call->is_cancelled = TRUE;
+	g_cancellable_cancel(call->cancellable);
+}
+
+guint http_client_in_flight(const struct http_client *c)
+{
+	return g_hash_table_size(c->calls);
+}
--- /dev/null
+++ b/base/http_client.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * HTTP calls with JSON bodies, by libsoup. The outcome tells apart calls that
+ * were certainly not sent from calls that may have taken effect.
+ */
+#ifndef BASE_HTTP_CLIENT_H
+#define BASE_HTTP_CLIENT_H
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+struct http_client;
+struct http_call;
+
+struct http_reply {
+	/**
+	 * STATUS_OK for any whole answer, STATUS_UNAVAILABLE when nothing was
+	 * sent, STATUS_UNKNOWN when it was sent and no whole answer came.
+	 */
+	enum status status;
+	guint code;	   /**< HTTP status code, 0 without an answer */
+	json_object *body; /**< NULL when absent or not JSON; not owned */
+};
+
+typedef void (*http_reply_fn)(const struct http_reply *reply, void *data);
+
+struct http_call_spec {
+	const char *method;
+	const char *address; /**< "IP:PORT" */
+	const char *path;    /**< with the query, escaped */
+	json_object *body;   /**< may be NULL; not taken over */
+	int64_t timeout_ms;
+	/** Pairs of header name and value, ends with NULL; may be NULL. */
+	const char *const *headers;
+	http_reply_fn on_reply;
+	void *data;
+};
+
+/**
+ * Returns a new client.
+ *
+ * @param max_connections	 of the client in all
+ * @param max_per_address	 to one address
+ */
+struct http_client *http_client_new(guint max_connections,
+				    guint max_per_address);
+
+/** Frees the client; calls in flight end without their callback. */
+void http_client_free(struct http_client *c);
+
+/**
+ * Sends a call. The callback comes exactly once, never from within this
+ * function, unless the call is cancelled.
+ */
+struct http_call *http_client_send(struct http_client *c,
+				   const struct http_call_spec *spec);
+
+/**
+ * Ends a call without its callback and closes its connection, so that a late
+ * answer can't meet another request.
+ */
+void http_call_cancel(struct http_call *call);
+
+/** Returns the number of calls in flight. */
+guint http_client_in_flight(const struct http_client *c);
+
+#endif
--- /dev/null
+++ b/base/json_text.c
@@ -0,0 +1,283 @@
+#include "base/json_text.h"
+
+#include <string.h>
+
+/* Walks a sound JSON text to note the line of each member. */
+struct scanner {
+	struct json_text *text;
+	struct finding_list *findings;
+	const char *at;
+	const char *end;
+	guint line;
+	gboolean has_duplicate;
+};
+
+static void scan_value(struct scanner *s, const char *path);
+
+static void skip_comment(struct scanner *s)
+{
+	gboolean is_block = s->at + 1 < s->end && s->at[1] == '*';
+
+	s->at += 2;
+	while (s->at < s->end) {
+		if (*s->at == '\n' && !is_block)
+			return;
+		if (*s->at == '\n')
+			s->line++;
+		if (is_block && s->at + 1 < s->end && s->at[0] == '*' &&
+		    s->at[1] == '/') {
+			s->at += 2;
+			return;
+		}
+		s->at++;
+	}
+}
+
+static void skip_blanks(struct scanner *s)
+{
+	while (s->at < s->end) {
+		if (*s->at == '/') {
+			skip_comment(s);
+			continue;
+		}
+		if (!g_ascii_isspace(*s->at))
+			return;
+		if (*s->at == '\n')
+			s->line++;
+		s->at++;
+	}
+}
+
+static char *scan_string(struct scanner *s)
+{
+	const char *start = ++s->at;
+	char *text;
+
+	while (s->at < s->end && *s->at != '"')
+		s->at += *s->at == '\\' ? 2 : 1;
+	s->at = MIN(s->at, s->end);
+	text = g_strndup(start, s->at - start);
+	s->at = MIN(s->at + 1, s->end);
+	return text;
+}
+
+static char *place_of(const struct json_text *t, const char *path, guint line)
+{
+	return g_strdup_printf("%s:%u: %s", t->name, line, path);
+}
+
+static void note_member(struct scanner *s, const char *path)
+{
+	char *place;
+
+	if (!g_hash_table_contains(s->text->lines, path)) {
+		g_hash_table_insert(s->text->lines, g_strdup(path),
+				    GUINT_TO_POINTER(s->line));
+		return;
+	}
+	place = place_of(s->text, path, s->line);
+	finding_list_add(s->findings, place, "each key once", "duplicate key");
+	g_free(place);
+	s->has_duplicate = TRUE;
+}
+
+static void scan_object(struct scanner *s, const char *path)
+{
+	s->at++;
+	for (skip_blanks(s); s->at < s->end && *s->at == '"'; skip_blanks(s)) {
+		char *key = scan_string(s);
+		char *child = path[0] ? g_strdup_printf("%s.%s", path, key)
+				      : g_strdup(key);
+
+		note_member(s, child);
+		skip_blanks(s);
+		s->at++; /* the colon */
+		scan_value(s, child);
+		g_free(child);
+		g_free(key);
+		skip_blanks(s);
+		if (s->at < s->end && *s->at == ',')
+			s->at++;
+	}
+	s->at++;
+}
+
+static void scan_array(struct scanner *s, const char *path)
+{
+	guint index = 0;
+
+	s->at++;
+	for (skip_blanks(s); s->at < s->end && *s->at != ']'; skip_blanks(s)) {
+		char *child = g_strdup_printf("%s[%u]", path, index++);
+
+		g_hash_table_insert(s->text->lines, g_strdup(child),
+				    GUINT_TO_POINTER(s->line));
+		scan_value(s, child);
+		g_free(child);
+		skip_blanks(s);
+		if (s->at < s->end && *s->at == ',')
+			s->at++;
+	}
+	s->at++;
+}
+
+static void scan_value(struct scanner *s, const char *path)
+{
+	skip_blanks(s);
+	if (s->at >= s->end)
+		return;
+	if (*s->at == '{') {
+		scan_object(s, path);
+	} else if (*s->at == '[') {
+		scan_array(s, path);
+	} else if (*s->at == '"') {
+		g_free(scan_string(s));
+	} else {
+		while (s->at < s->end && !strchr(",]}/ \t\r\n", *s->at))
+			s->at++;
+	}
+}
+
+static guint line_at(const char *text, gsize offset)
+{
+	guint line = 1;
+
+	for (gsize i = 0; i < offset; i++)
+		line += text[i] == '\n';
+	return line;
+}
+
+static gboolean only_blanks(const char *text, gsize from, gsize len)
+{
+	struct scanner s = {.at = text + from, .end = text + len};
+
+	skip_blanks(&s);
+	return s.at >= s.end;
+}
+
+static gboolean parse(struct json_text *t, const char *text, gsize len,
+		      enum json_dialect dialect, struct finding_list *findings)
+{
+	struct json_tokener *tokener = json_tokener_new_ex(JSON_MAX_DEPTH);
+	enum json_tokener_error error;
+	const char *problem = NULL;
+	gsize end;
+
+	if (dialect == JSON_STRICT)
+		json_tokener_set_flags(
+			tokener, JSON_TOKENER_STRICT |
+					 JSON_TOKENER_VALIDATE_UTF8 |
+					 JSON_TOKENER_ALLOW_TRAILING_CHARS);
+	t->root = json_tokener_parse_ex(tokener, text, (int)len);
+	error = json_tokener_get_error(tokener);
+	end = json_tokener_get_parse_end(tokener);
+	json_tokener_free(tokener);
+	if (error != json_tokener_success)
+		problem = error == json_tokener_continue
+				  ? "text ends early"
+				  : json_tokener_error_desc(error);
+	else if (!only_blanks(text, end, len))
+		problem = "text after the value";
+	else if (!t->root)
+		problem = "null is no value here";
+	if (problem) {
+		char *place = place_of(t, "", line_at(text, MIN(end, len)));
+
+		finding_list_add(findings, place, "one JSON value", "%s",
+				 problem);
+		g_free(place);
+	}
+	return !problem;
+}
+
+gboolean json_text_parse(struct json_text *t, const char *name,
+			 const char *text, gsize len, enum json_dialect dialect,
+			 struct finding_list *findings)
+{
+	struct scanner s = {
+		.text = t,
+		.findings = findings,
+		.at = text,
+		.end = text + len,
+		.line = 1,
+	};
+
+	memset(t, 0, sizeof(*t));
+	t->name = g_strdup(name);
+	t->lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (len > G_MAXINT || !parse(t, text, len, dialect, findings))
+		return FALSE;
+	scan_value(&s, "");
+	return !s.has_duplicate;
+}
+
+gboolean json_text_load(struct json_text *t, const char *file_name,
+			enum json_dialect dialect,
+			struct finding_list *findings)
+{
+	GError *error = NULL;
+	char *text = NULL;
+	gboolean is_good;
+	gsize len = 0;
+
+	memset(t, 0, sizeof(*t));
+	if (!g_file_get_contents(file_name, &text, &len, &error)) {
+		finding_list_add(findings, file_name, "a readable file", "%s",
+				 error->message);
+		g_error_free(error);
+		return FALSE;
+	}
+	is_good = json_text_parse(t, file_name, text, len, dialect, findings);
+	g_free(text);
+	return is_good;
+}
+
+void json_text_clear(struct json_text *t)
+{
+	g_clear_pointer(&t->name, g_free);
+	g_clear_pointer(&t->lines, g_hash_table_unref);
+	g_clear_pointer(&t->root, json_object_put);
+}
+
+static char *source_place(const char *path, const void *data)
+{
+	const struct json_text *t = data;
+	char *parent = g_strdup(path);
+	gpointer line = NULL;
+
+	/* A missing member takes the line of the member that lacks it. */
+	while (!g_hash_table_lookup_extended(t->lines, parent, NULL, &line)) {
+		char *dot = strrchr(parent, '.');
+
+		if (!dot)
+			break;
+		*dot = '\0';
+	}
+	g_free(parent);
+	return place_of(t, path, MAX(1, GPOINTER_TO_UINT(line)));
+}
+
+struct schema_source json_text_source(const struct json_text *t)
+{
+	struct schema_source source = {.place = source_place, .data = t};
+
+	return source;
+}
+
+gboolean json_text_decode_file(const char *file_name,
+			       const struct schema *schema, void *out,
+			       struct finding_list *findings)
+{
+	struct schema_source source;
+	gboolean is_good;
+	struct json_text t;
+
+	is_good = json_text_load(&t, file_name, JSON_WITH_COMMENTS, findings);
+	if (t.root) {
+		source = json_text_source(&t);
+		is_good &= schema_decode(schema, t.root, out, "", &source,
+					 findings);
+	}
+	json_text_clear(&t);
+	return is_good;
+}
--- /dev/null
+++ b/base/kernel.c
@@ -0,0 +1,141 @@
+#include "base/kernel.h"
+
+#include <glib-unix.h>
+#include <signal.h>
+
+#include "base/log.h"
+#include "base/util.h"
+
+#define IDLE_POLL_MS 20
+
+struct kernel {
+	GPtrArray *services; /**< of struct service */
+	GMainLoop *loop;
+	struct counters counters;
+	int64_t drain_timeout_ms;
+	int64_t drain_deadline_ms;
+	gboolean is_draining;
+};
+
+struct kernel *kernel_new(int64_t drain_timeout_ms)
+{
+	struct kernel *k = g_new0(struct kernel, 1);
+
+	k->services = g_ptr_array_new();
+	k->loop = g_main_loop_new(NULL, FALSE);
+	k->drain_timeout_ms = drain_timeout_ms;
+	counters_init(&k->counters);
+	return k;
+}
+
+void kernel_free(struct kernel *k)
+{
+	for (guint i = k->services->len; i > 0; i--) {
+		struct service *s = g_ptr_array_index(k->services, i - 1);
+
+		s->class->free(s);
+	}
+	g_ptr_array_unref(k->services);
+	g_main_loop_unref(k->loop);
+	counters_clear(&k->counters);
+	g_free(k);
+}
+
+void kernel_register(struct kernel *k, struct service *s)
+{
+	g_ptr_array_add(k->services, s);
+}
+
+struct service *kernel_find(const struct kernel *k, const char *name)
+{
+	for (guint i = 0; i < k->services->len; i++) {
+		struct service *s = g_ptr_array_index(k->services, i);
+
+		if (g_str_equal(s->class->name, name))
+			return s;
+	}
+	return NULL;
+}
+
+struct counters *kernel_counters(struct kernel *k)
+{
+	return &k->counters;
+}
+
+static gboolean all_idle(const struct kernel *k)
+{
+	for (guint i = 0; i < k->services->len; i++) {
+		struct service *s = g_ptr_array_index(k->services, i);
+
+		if (s->class->is_idle && !s->class->is_idle(s))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean on_idle_poll(gpointer data)
+{
+	struct kernel *k = data;
+	gboolean is_late = util_monotonic_ms() >= k->drain_deadline_ms;
+
+	if (!is_late && !all_idle(k))
+		return G_SOURCE_CONTINUE;
+	if (is_late) {
+		struct log_line line;
+
+		log_begin(&line, LOG_LEVEL_WARN, "drain_timeout");
+		log_end(&line);
+	}
+	g_main_loop_quit(k->loop);
+	return G_SOURCE_REMOVE;
+}
+
+void kernel_drain(struct kernel *k)
+{
+	struct log_line line;
+
+	if (k->is_draining)
+		return;
+	k->is_draining = TRUE;
+	k->drain_deadline_ms = util_monotonic_ms() + k->drain_timeout_ms;
+	log_begin(&line, LOG_LEVEL_INFO, "drain");
+	log_end(&line);
+	for (guint i = k->services->len; i > 0; i--) {
+		struct service *s = g_ptr_array_index(k->services, i - 1);
+
+		if (s->class->drain)
+			s->class->drain(s);
+	}
+	g_timeout_add(IDLE_POLL_MS, on_idle_poll, k);
+}
+
+gboolean kernel_is_draining(const struct kernel *k)
+{
+	return k->is_draining;
+}
+
+static gboolean on_stop_signal(gpointer data)
+{
+	kernel_drain(data);
+	return G_SOURCE_CONTINUE;
+}
+
+enum status kernel_run(struct kernel *k)
+{
+	enum status status = STATUS_OK;
+	guint sigterm = g_unix_signal_add(SIGTERM, on_stop_signal, k);
+	guint sigint = g_unix_signal_add(SIGINT, on_stop_signal, k);
+
+	for (guint i = 0; i < k->services->len; i++) {
+		struct service *s = g_ptr_array_index(k->services, i);
+
+		status = s->class->start ? s->class->start(s, k) : STATUS_OK;
+		if (status != STATUS_OK)
+			goto out;
+	}
+	g_main_loop_run(k->loop);
+out:
+	g_source_remove(sigterm);
+	g_source_remove(sigint);
+	return status;
+}
--- /dev/null
+++ b/base/kernel.h
@@ -0,0 +1,61 @@
+/**
+ * @file
+ * The micro-kernel of a process: services register and find each other by
+ * name, are started in order, drained on SIGTERM and freed in reverse.
+ */
+#ifndef BASE_KERNEL_H
+#define BASE_KERNEL_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "base/counters.h"
+#include "base/status.h"
+
+struct kernel;
+struct service;
+
+struct service_class {
+	const char *name;
+	/** Starts the service; others may be looked up by name. */
+	enum status (*start)(struct service *s, struct kernel *k);
+	/** Takes no new work from now on; may be NULL. */
+	void (*drain)(struct service *s);
+	/** Tells whether all accepted work is finished; may be NULL. */
+	gboolean (*is_idle)(const struct service *s);
+	void (*free)(struct service *s);
+};
+
+/** First member of every service. */
+struct service {
+	const struct service_class *class;
+};
+
+/** Returns a new kernel; free with kernel_free(). */
+struct kernel *kernel_new(int64_t drain_timeout_ms);
+
+/** Frees the kernel and its services, last registered first. */
+void kernel_free(struct kernel *k);
+
+/** Adds a service, which the kernel owns from now on. */
+void kernel_register(struct kernel *k, struct service *s);
+
+/** Returns the service of that name, or NULL. */
+struct service *kernel_find(const struct kernel *k, const char *name);
+
+/** Returns the counters of this process. */
+struct counters *kernel_counters(struct kernel *k);
+
+/**
+ * Starts all services and runs the main loop until SIGTERM or SIGINT has been
+ * received and all services are idle, or the drain timeout has run out.
+ */
+enum status kernel_run(struct kernel *k);
+
+/** Starts draining as SIGTERM does. */
+void kernel_drain(struct kernel *k);
+
+/** Tells whether draining has begun. */
+gboolean kernel_is_draining(const struct kernel *k);
+
+#endif
--- /dev/null
+++ b/base/log.c
@@ -0,0 +1,131 @@
+#include "base/log.h"
+
+#include <log4c.h>
+#include <string.h>
+
+#include "base/util.h"
+
+#define CATEGORY_NAME "corianderstep"
+
+static log4c_category_t *category;
+static char *node_name;
+static enum log_level minimum_level = LOG_LEVEL_INFO;
+
+static const struct {
+	const char *name;
+	int priority;
+} levels[] = {
+	[LOG_LEVEL_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
+	[LOG_LEVEL_INFO] = {"info", LOG4C_PRIORITY_INFO},
+	[LOG_LEVEL_WARN] = {"warn", LOG4C_PRIORITY_WARN},
+	[LOG_LEVEL_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
+};
+
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	return event->evt_msg;
+}
+
+static const log4c_layout_type_t line_layout = {
+	.name = "corianderstep_line",
+	.format = format_line,
+};
+
+void log_open(const char *node, enum log_level level)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	log4c_init();
+	log4c_layout_type_set(&line_layout);
+	layout = log4c_layout_get("corianderstep_lines");
+	log4c_layout_set_type(layout, &line_layout);
+	appender = log4c_appender_get("stderr");
+	log4c_appender_set_layout(appender, layout);
+	category = log4c_category_get(CATEGORY_NAME);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_priority(category, levels[level].priority);
+	g_free(node_name);
+	node_name = g_strdup(node);
+	minimum_level = level;
+}
+
+void log_close(void)
+{
+	if (!category)
+		return;
+	category = NULL;
+	g_clear_pointer(&node_name, g_free);
+	log4c_fini();
+}
+
+void log_begin(struct log_line *line, enum log_level level, const char *event)
+{
+	line->level = level;
+	line->text = NULL;
+	if (!category || level < minimum_level)
+		return;
+	line->text = g_string_sized_new(256);
+	log_int(line, "time_ms", util_wall_ms());
+	log_str(line, "level", levels[level].name);
+	log_str(line, "node", node_name);
+	log_str(line, "event", event);
+}
+
+static gboolean needs_quotes(const char *value)
+{
+	if (!value[0])
+		return TRUE;
+	for (const char *c = value; *c; c++) {
+		if (*c <= ' ' || *c == '"' || *c == '=' || *c == '\\')
+			return TRUE;
+	}
+	return FALSE;
+}
+
+void log_str(struct log_line *line, const char *key, const char *value)
+{
+	if (!line->text)
+		return;
+	if (line->text->len)
+		g_string_append_c(line->text, ' ');
+	g_string_append_printf(line->text, "%s=", key);
+	if (!value)
+		value = "";
+	if (needs_quotes(value)) {
+		char *escaped = g_strescape(value, NULL);
+
+		g_string_append_printf(line->text, "\"%s\"", escaped);
+		g_free(escaped);
+		return;
+	}
+	g_string_append(line->text, value);
+}
+
+void log_int(struct log_line *line, const char *key, int64_t value)
+{
+	if (!line->text)
+		return;
+	if (line->text->len)
+		g_string_append_c(line->text, ' ');
+	g_string_append_printf(line->text, "%s=%" G_GINT64_FORMAT, key, value);
+}
+
+void log_real(struct log_line *line, const char *key, double value)
+{
+	if (!line->text)
+		return;
+	g_string_append_printf(line->text, " %s=%.6g", key, value);
+}
+
+void log_end(struct log_line *line)
+{
+	if (!line->text)
+		return;
+	g_string_append_c(line->text, '\n');
+	log4c_category_log(category, levels[line->level].priority, "%s",
+			   line->text->str);
+	g_string_free(line->text, TRUE);
+	line->text = NULL;
+}
--- /dev/null
+++ b/base/util.c
@@ -0,0 +1,48 @@
+#include "base/util.h"
+
+#include <gio/gio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RANDOM_ID_WORDS 4
+#define RANDOM_ID_DIGITS 32
+
+int64_t util_monotonic_ms(void)
+{
+	return g_get_monotonic_time() / US_PER_MS;
+}
+
+int64_t util_wall_ms(void)
+{
+	return g_get_real_time() / US_PER_MS;
+}
+
+char *util_random_id(void)
+{
+	GString *id = g_string_sized_new(RANDOM_ID_DIGITS);
+
+	for (int i = 0; i < RANDOM_ID_WORDS; i++)
+		g_string_append_printf(id, "%08x", g_random_int());
+	return g_string_free(id, FALSE);
+}
+
+gboolean util_parse_endpoint(const char *text, char **host, uint16_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	guint64 number = 0;
+	char *head;
+
+	if (!colon)
+		return FALSE;
+	if (!g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &number,
+					NULL))
+		return FALSE;
+	head = g_strndup(text, colon - text);
+	if (!g_hostname_is_ip_address(head)) {
+		g_free(head);
+		return FALSE;
+	}
+	*host = head;
+	*port = (uint16_t)number;
+	return TRUE;
+}
--- /dev/null
+++ b/tests/run_tests.sh
@@ -0,0 +1,55 @@
+#!/bin/bash
+# Runs every test program, passes over what KNOWN-RED.txt names, and closes
+# with a line "N passed, N failed".
+set -u
+build=$1
+passed=0
+failed=0
+known=0
+logs=$build/test-logs
+mkdir -p "$logs"
+
+is_known() {
+	[ -f KNOWN-RED.txt ] && grep -q "^test: $1\$" KNOWN-RED.txt
+}
+
+count_result() {
+	local name=$1 result=$2
+	if is_known "$name"; then
+		if [ "$result" = ok ]; then
+			echo "FAILED $name: listed in KNOWN-RED.txt but passes"
+			failed=$((failed + 1))
+		else
+			echo "KNOWN RED $name"
+			known=$((known + 1))
+		fi
+	elif [ "$result" = ok ]; then
+		passed=$((passed + 1))
+	else
+		echo "FAILED $name"
+		failed=$((failed + 1))
+	fi
+}
+
+for test in "$build"/tests/test_*; do
+	[ -x "$test" ] && [ ! -d "$test" ] || continue
+	case $test in *.o | *.d) continue ;; esac
+	name=$(basename "$test")
+	log=$logs/$name.log
+	CS_BUILD=$build timeout 900 "$test" --tap -k >"$log" 2>&1
+	code=$?
+	while read -r result line; do
+		count_result "$name $line" "$result"
+	done < <(sed -nE 's/^(not )?ok [0-9]+ ([^ ]+).*/\1|\2/p' "$log" |
+		sed -e 's/^not |/bad /' -e 's/^|/ok /')
+	plan=$(sed -nE 's/^1\.\.([0-9]+)$/\1/p' "$log" | head -n 1)
+	seen=$(grep -cE '^(not )?ok [0-9]+' "$log")
+	if [ "$seen" != "${plan:-none}" ]; then
+		echo "FAILED $name: $seen of ${plan:-none} cases, exit code $code"
+		failed=$((failed + 1))
+	fi
+	grep -E '^(not ok|Bail out|.*ERROR)' "$log" | head -n 20
+done
+[ "$known" -gt 0 ] && echo "$known known red"
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
