--- /dev/null
+++ b/config/config_service.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * The service "config": the configuration in force in this process. Versions
+ * only rise.
+ */
+#ifndef CONFIG_CONFIG_SERVICE_H
+#define CONFIG_CONFIG_SERVICE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "base/kernel.h"
+#include "config/config_doc.h"
+
+#define CONFIG_SERVICE "config"
+
+struct config_service;
+
+typedef void (*config_fn)(const struct config_doc *doc, int64_t version,
+			  void *data);
+
+struct service *config_service_new(void);
+
+/** Returns the configuration in force, or NULL before there is one. */
+const struct config_doc *config_service_doc(const struct config_service *s);
+
+/** Returns the version in force, 0 before there is one. */
+int64_t config_service_version(const struct config_service *s);
+
+/** Registers a function to be called after each change. */
+void config_service_subscribe(struct config_service *s, config_fn fn,
+			      void *data);
+
+#endif
--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -50,6 +50,11 @@
 	fi
 	grep -E '^(not ok|Bail out|.*ERROR)' "$log" | head -n 20
 done
+if tests/check_faults.sh; then
+	passed=$((passed + 1))
+else
+	failed=$((failed + 1))
+fi
 [ "$known" -gt 0 ] && echo "$known known red"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
