--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -5,7 +5,7 @@
 #include "base/util.h"
 #include "daemon/settings_service.h"
 
-#define MAX_BODY_BYTES (4 * 1024 * 1024)
+#define MAX_BODY_BYTES ((gsize)4 << 20)
 #define MAX_CLIENT_CONNECTIONS 2000
 #define MAX_CONNECTIONS_PER_ADDRESS 64
 #define BEARER_PREFIX "Bearer "
