--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 LDLIBS	  = $(shell pkg-config --libs $(LIBS)) -lm
 
 # Folders that make up the library which every program links.
-CORE_DIRS := base platform config link shared request request/routing \
+CORE_DIRS := base client platform config link shared request request/routing \
 	     job job/placement daemon lib
 CORE_SRC  := $(wildcard $(addsuffix /*.c,$(CORE_DIRS)))
 CORE_OBJ  := $(CORE_SRC:%.c=$(BUILD)/%.o)
--- a/base/http_client.c
+++ b/base/http_client.c
@@ -97,9 +97,10 @@
 static void on_done(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct http_call *call = data;
-	struct http_reply reply = {.status = STATUS_OK};
-	struct json_text t = {0};
+	struct http_reply reply = { .status = STATUS_OK };
+	struct json_text t = { 0 };
 	GError *error = NULL;
+	char *text = NULL;
 	GBytes *bytes;
 
 	bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result,
@@ -110,6 +111,9 @@
 		reply.code = soup_message_get_status(call->message);
 		parse_body(bytes, &t);
 		reply.body = t.root;
+		text = g_strndup(g_bytes_get_data(bytes, NULL),
+				 g_bytes_get_size(bytes));
+		reply.text = text;
 	} else {
 		reply.status = status_fail(call->is_sent ? STATUS_UNKNOWN
 							 : STATUS_UNAVAILABLE,
@@ -118,6 +122,7 @@
 	call->on_reply(&reply, call->data);
 out:
 	json_text_clear(&t);
+	g_free(text);
 	g_clear_pointer(&bytes, g_bytes_unref);
 	g_clear_error(&error);
 	call_free(call);
--- a/base/json_text.c
+++ b/base/json_text.c
@@ -149,7 +149,7 @@
 
 static gboolean only_blanks(const char *text, gsize from, gsize len)
 {
-	struct scanner s = {.at = text + from, .end = text + len};
+	struct scanner s = { .at = text + from, .end = text + len };
 
 	skip_blanks(&s);
 	return s.at >= s.end;
@@ -259,7 +259,7 @@
 
 struct schema_source json_text_source(const struct json_text *t)
 {
-	struct schema_source source = {.place = source_place, .data = t};
+	struct schema_source source = { .place = source_place, .data = t };
 
 	return source;
 }
--- a/base/log.c
+++ b/base/log.c
@@ -15,10 +15,10 @@
 	const char *name;
 	int priority;
 } levels[] = {
-	[LOG_LEVEL_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
-	[LOG_LEVEL_INFO] = {"info", LOG4C_PRIORITY_INFO},
-	[LOG_LEVEL_WARN] = {"warn", LOG4C_PRIORITY_WARN},
-	[LOG_LEVEL_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
+	[LOG_LEVEL_DEBUG] = { "debug", LOG4C_PRIORITY_DEBUG },
+	[LOG_LEVEL_INFO] = { "info", LOG4C_PRIORITY_INFO },
+	[LOG_LEVEL_WARN] = { "warn", LOG4C_PRIORITY_WARN },
+	[LOG_LEVEL_ERROR] = { "error", LOG4C_PRIORITY_ERROR },
 };
 
 static const char *format_line(const log4c_layout_t *layout,
--- a/base/schema.c
+++ b/base/schema.c
@@ -292,7 +292,7 @@
 		       const struct schema_source *source,
 		       struct finding_list *findings)
 {
-	struct decoder d = {.source = source, .findings = findings};
+	struct decoder d = { .source = source, .findings = findings };
 
 	return decode_object(&d, schema, json, out, path);
 }
--- /dev/null
+++ b/cli/csctl.c
@@ -0,0 +1,301 @@
+/*
+ * For operators: checks and applies configurations, shows the state of the
+ * system and explains what it did.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/json_text.h"
+#include "client/command_line.h"
+#include "client/config_diff.h"
+#include "config/config_doc.h"
+
+#define HTTP_OK 200
+#define HTTP_ACCEPTED 202
+#define HTTP_CONFLICT 409
+#define NO_BASE_VERSION (-1)
+
+static struct {
+	gint64 base_version;
+	gboolean dry_run;
+	char *operator_name;
+} apply_options = { .base_version = NO_BASE_VERSION };
+
+static const GOptionEntry apply_entries[] = {
+	{ "base", 'b', 0, G_OPTION_ARG_INT64, &apply_options.base_version,
+	  "Version that the change was made from; default: the one in force",
+	  "N" },
+	{ "dry-run", 'n', 0, G_OPTION_ARG_NONE, &apply_options.dry_run,
+	  "Show what would change, write nothing", NULL },
+	{ "operator", 'o', 0, G_OPTION_ARG_STRING, &apply_options.operator_name,
+	  "Name shown to operators who race", "NAME" },
+	G_OPTION_ENTRY_NULL,
+};
+
+static char *explain_pool;
+
+static const GOptionEntry explain_entries[] = {
+	{ "pool", 0, 0, G_OPTION_ARG_STRING, &explain_pool,
+	  "Pool of the job, SERVICE.FAILURE_DOMAIN", "POOL" },
+	G_OPTION_ENTRY_NULL,
+};
+
+/* Loads a configuration; prints all findings when it is unsound. */
+static json_object *load_config(const char *file_name)
+{
+	struct finding_list findings;
+	struct config_doc doc = { 0 };
+	json_object *json = NULL;
+	struct json_text t;
+	char *text;
+
+	finding_list_init(&findings);
+	if (json_text_load(&t, file_name, JSON_WITH_COMMENTS, &findings)) {
+		struct schema_source source = json_text_source(&t);
+
+		if (config_doc_decode(t.root, &doc, &source, &findings))
+			json = json_object_get(t.root);
+	}
+	text = finding_list_text(&findings);
+	fputs(text, stderr);
+	if (!json)
+		fprintf(stderr, "%u findings\n", finding_list_count(&findings));
+	g_free(text);
+	config_doc_clear(&doc);
+	json_text_clear(&t);
+	finding_list_clear(&findings);
+	return json;
+}
+
+static enum exit_code run_check(struct command_context *context, int argc,
+				char **argv)
+{
+	json_object *json = load_config(argv[0]);
+
+	if (!json)
+		return EXIT_CODE_REFUSED;
+	printf("%s: sound\n", argv[0]);
+	json_object_put(json);
+	return EXIT_CODE_OK;
+}
+
+static gboolean is_good(const struct api_reply *reply)
+{
+	return reply->status == STATUS_OK &&
+	       (reply->code == HTTP_OK || reply->code == HTTP_ACCEPTED);
+}
+
+static json_object *apply_body(json_object *config, int64_t base_version)
+{
+	const char *name = apply_options.operator_name;
+	json_object *body = json_object_new_object();
+
+	json_object_object_add(body, "base_version",
+			       json_object_new_int64(base_version));
+	json_object_object_add(body, "config", json_object_get(config));
+	json_object_object_add(body, "dry_run",
+			       json_object_new_boolean(apply_options.dry_run));
+	json_object_object_add(
+		body, "operator",
+		json_object_new_string(name ? name : g_get_user_name()));
+	return body;
+}
+
+static void print_lost_race(const struct api_reply *reply)
+{
+	fprintf(stderr, "lost to version %" G_GINT64_FORMAT " by %s\n",
+		command_json_int(reply->body, "version"),
+		command_json_string(reply->body, "operator",
+				    "another operator"));
+}
+
+static enum exit_code send_config(struct command_context *context,
+				  json_object *config, int64_t base_version)
+{
+	json_object *body = apply_body(config, base_version);
+	struct api_reply reply;
+	enum exit_code code = EXIT_CODE_OK;
+
+	api_client_call(context->client, "POST", "/v1/config", body, &reply);
+	if (!is_good(&reply)) {
+		code = command_report_failure(&reply);
+		if (reply.code == HTTP_CONFLICT)
+			print_lost_race(&reply);
+	} else if (context->as_json) {
+		command_print_json(reply.body);
+	} else {
+		printf("%s, version %" G_GINT64_FORMAT "\n",
+		       command_json_string(reply.body, "answer", ""),
+		       command_json_int(reply.body, "version"));
+	}
+	api_reply_clear(&reply);
+	json_object_put(body);
+	return code;
+}
+
+static enum exit_code run_apply(struct command_context *context, int argc,
+				char **argv)
+{
+	json_object *config = load_config(argv[0]);
+	json_object *current = NULL;
+	struct api_reply reply;
+	enum exit_code code;
+	int64_t version;
+
+	if (!config)
+		return EXIT_CODE_REFUSED;
+	api_client_call(context->client, "GET", "/v1/config", NULL, &reply);
+	if (!is_good(&reply)) {
+		code = command_report_failure(&reply);
+		goto out;
+	}
+	version = command_json_int(reply.body, "version");
+	json_object_object_get_ex(reply.body, "config", &current);
+	if (!context->as_json) {
+		char *changes = config_diff_text(current, config);
+
+		printf("changes against version %" G_GINT64_FORMAT ":\n%s",
+		       version, changes);
+		g_free(changes);
+	}
+	if (apply_options.base_version != NO_BASE_VERSION)
+		version = apply_options.base_version;
+	code = send_config(context, config, version);
+out:
+	api_reply_clear(&reply);
+	json_object_put(config);
+	return code;
+}
+
+/* Calls one path at every server, as each has its own state. */
+static enum exit_code at_each_server(struct command_context *context,
+				     const char *method, const char *path)
+{
+	enum exit_code code = EXIT_CODE_OK;
+
+	for (char **s = context->servers; *s; s++) {
+		struct api_reply reply;
+
+		api_client_call_at(context->client, *s, method, path, NULL,
+				   &reply);
+		if (!is_good(&reply))
+			code = command_report_failure(&reply);
+		else if (reply.body)
+			command_print_json(reply.body);
+		else
+			fputs(reply.text, stdout);
+		api_reply_clear(&reply);
+	}
+	return code;
+}
+
+static enum exit_code run_status(struct command_context *context, int argc,
+				 char **argv)
+{
+	return at_each_server(context, "GET", "/v1/status");
+}
+
+static enum exit_code run_counters(struct command_context *context, int argc,
+				   char **argv)
+{
+	return at_each_server(context, "GET", "/v1/counters");
+}
+
+static enum exit_code run_drain(struct command_context *context, int argc,
+				char **argv)
+{
+	return at_each_server(context, "POST", "/v1/drain");
+}
+
+static enum exit_code print_reply(struct command_context *context,
+				  struct api_reply *reply)
+{
+	json_object *lines = NULL;
+
+	if (!is_good(reply))
+		return command_report_failure(reply);
+	if (context->as_json ||
+	    !json_object_object_get_ex(reply->body, "lines", &lines)) {
+		command_print_json(reply->body);
+		return EXIT_CODE_OK;
+	}
+	for (size_t i = 0; i < json_object_array_length(lines); i++)
+		puts(json_object_get_string(
+			json_object_array_get_idx(lines, i)));
+	return EXIT_CODE_OK;
+}
+
+static enum exit_code get_and_print(struct command_context *context,
+				    const char *path)
+{
+	struct api_reply reply;
+	enum exit_code code;
+
+	api_client_call(context->client, "GET", path, NULL, &reply);
+	code = print_reply(context, &reply);
+	api_reply_clear(&reply);
+	return code;
+}
+
+static enum exit_code run_explain(struct command_context *context, int argc,
+				  char **argv)
+{
+	static const char *const kinds[] = { "job", "request", "guarantee",
+					     NULL };
+	enum exit_code code;
+	char *id;
+	char *path;
+
+	if (!g_strv_contains(kinds, argv[0])) {
+		fprintf(stderr, "explain: job, request or guarantee\n");
+		return EXIT_CODE_USAGE;
+	}
+	id = g_uri_escape_string(argv[1], NULL, FALSE);
+	path = g_strdup_printf("/v1/explain/%s/%s?pool=%s", argv[0], id,
+			       explain_pool ? explain_pool : "");
+	code = get_and_print(context, path);
+	g_free(path);
+	g_free(id);
+	return code;
+}
+
+static enum exit_code run_config(struct command_context *context, int argc,
+				 char **argv)
+{
+	return get_and_print(context, "/v1/config");
+}
+
+static const struct subcommand subcommands[] = {
+	{ "check", "FILE", "Check a configuration, all findings together",
+	  "Needs no server. Exit code 1 when anything was found.", NULL, 1, 1,
+	  run_check },
+	{ "apply", "FILE", "Apply a configuration",
+	  "Shows what changes, then asks for acceptance against the version\n"
+	  "that the change was made from. Exit code 1 when another operator\n"
+	  "was first; look at the new version and apply again.",
+	  apply_entries, 1, 1, run_apply },
+	{ "config", "", "Print the configuration in force", NULL, NULL, 0, 0,
+	  run_config },
+	{ "status", "", "Print the state of each server given", NULL, NULL, 0,
+	  0, run_status },
+	{ "explain", "KIND ID", "Explain a job, request or guarantee",
+	  "KIND is job, request or guarantee.", explain_entries, 2, 2,
+	  run_explain },
+	{ "drain", "", "Shut each server given down gracefully", NULL, NULL, 0,
+	  0, run_drain },
+	{ "counters", "", "Print the counters of each server given", NULL, NULL,
+	  0, 0, run_counters },
+	{ 0 },
+};
+
+static const struct command_line_spec spec = {
+	.name = "csctl",
+	.summary = "Operates corianderstep.",
+	.subcommands = subcommands,
+};
+
+int main(int argc, char **argv)
+{
+	return command_line_main(&spec, argc, argv);
+}
--- a/config/config_doc.c
+++ b/config/config_doc.c
@@ -18,8 +18,8 @@
 #define MAX_QUEUED 100000
 #define MAX_RUN_MS (INT64_C(30) * 24 * 3600 * 1000)
 
-const char *const adjacency_names[] = {"none", "rack", "worker", NULL};
-const char *const job_class_names[] = {"urgent", "normal", "bulk", NULL};
+const char *const adjacency_names[] = { "none", "rack", "worker", NULL };
+const char *const job_class_names[] = { "urgent", "normal", "bulk", NULL };
 
 #define NAME_FIELD(type_, member)                                           \
 	{                                                                   \
@@ -51,28 +51,29 @@
 	INT_FIELD(struct shape, accelerators, 0, MAX_ACCELERATORS, 0),
 	INT_FIELD(struct shape, cores, 1, MAX_CORES, 1),
 	INT_FIELD(struct shape, memory_mb, 1, MAX_MEMORY_MB, 1024),
-	{.name = "adjacency",
-	 .type = FIELD_ENUM,
-	 .offset = offsetof(struct shape, adjacency),
-	 .names = adjacency_names},
-	{0},
+	{ .name = "adjacency",
+	  .type = FIELD_ENUM,
+	  .offset = offsetof(struct shape, adjacency),
+	  .names = adjacency_names },
+	{ 0 },
 };
 
-const struct schema shape_schema = {sizeof(struct shape), shape_fields};
+const struct schema shape_schema = { sizeof(struct shape), shape_fields };
 
 static const struct field_spec guaranteed_shape_fields[] = {
 	NAME_FIELD(struct guaranteed_shape, name),
 	POOL_FIELD(struct guaranteed_shape),
-	{.name = "shape",
-	 .type = FIELD_OBJECT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct guaranteed_shape, shape),
-	 .schema = &shape_schema},
-	{0},
+	{ .name = "shape",
+	  .type = FIELD_OBJECT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct guaranteed_shape, shape),
+	  .schema = &shape_schema },
+	{ 0 },
 };
 
 static const struct schema guaranteed_shape_schema = {
-	sizeof(struct guaranteed_shape), guaranteed_shape_fields};
+	sizeof(struct guaranteed_shape), guaranteed_shape_fields
+};
 
 static const struct field_spec client_account_fields[] = {
 	NAME_FIELD(struct client_account, name),
@@ -81,75 +82,75 @@
 	INT_FIELD(struct client_account, requests_per_s, 1, MAX_REQUESTS_PER_S,
 		  1000),
 	INT_FIELD(struct client_account, queued_requests, 1, MAX_QUEUED, 1000),
-	{.name = "token_sha256",
-	 .type = FIELD_STRING,
-	 .offset = offsetof(struct client_account, token_sha256),
-	 .min = SHA256_HEX_BYTES,
-	 .max = SHA256_HEX_BYTES},
+	{ .name = "token_sha256",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct client_account, token_sha256),
+	  .min = SHA256_HEX_BYTES,
+	  .max = SHA256_HEX_BYTES },
 	ARRAY_FIELD(struct client_account, guaranteed_shapes,
 		    guaranteed_shape_schema, MAX_SHAPES),
-	{0},
+	{ 0 },
 };
 
-const struct schema client_account_schema = {sizeof(struct client_account),
-					     client_account_fields};
+const struct schema client_account_schema = { sizeof(struct client_account),
+					      client_account_fields };
 
 static const struct field_spec job_spec_fields[] = {
 	NAME_FIELD(struct job_spec, name),
 	NAME_FIELD(struct job_spec, client_account),
 	POOL_FIELD(struct job_spec),
-	{.name = "class",
-	 .type = FIELD_ENUM,
-	 .offset = offsetof(struct job_spec, class),
-	 .names = job_class_names,
-	 .fallback = JOB_CLASS_NORMAL},
-	{.name = "shape",
-	 .type = FIELD_OBJECT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct job_spec, shape),
-	 .schema = &shape_schema},
+	{ .name = "class",
+	  .type = FIELD_ENUM,
+	  .offset = offsetof(struct job_spec, class),
+	  .names = job_class_names,
+	  .fallback = JOB_CLASS_NORMAL },
+	{ .name = "shape",
+	  .type = FIELD_OBJECT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct job_spec, shape),
+	  .schema = &shape_schema },
 	INT_FIELD(struct job_spec, expected_run_ms, 1, MAX_RUN_MS, 3600000),
-	{.name = "is_checkpointable",
-	 .type = FIELD_BOOL,
-	 .offset = offsetof(struct job_spec, is_checkpointable),
-	 .fallback = 1},
-	{0},
+	{ .name = "is_checkpointable",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct job_spec, is_checkpointable),
+	  .fallback = 1 },
+	{ 0 },
 };
 
-const struct schema job_spec_schema = {sizeof(struct job_spec),
-				       job_spec_fields};
+const struct schema job_spec_schema = { sizeof(struct job_spec),
+					job_spec_fields };
 
 static const struct field_spec service_spec_fields[] = {
 	NAME_FIELD(struct service_spec, name),
-	{.name = "failure_domains",
-	 .type = FIELD_STRINGS,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct service_spec, failure_domains),
-	 .min = 1,
-	 .max = MAX_DOMAINS},
-	{0},
+	{ .name = "failure_domains",
+	  .type = FIELD_STRINGS,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct service_spec, failure_domains),
+	  .min = 1,
+	  .max = MAX_DOMAINS },
+	{ 0 },
 };
 
-const struct schema service_spec_schema = {sizeof(struct service_spec),
-					   service_spec_fields};
+const struct schema service_spec_schema = { sizeof(struct service_spec),
+					    service_spec_fields };
 
 static const struct field_spec config_doc_fields[] = {
-	{.name = "format",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct config_doc, format),
-	 .min = CONFIG_FORMAT,
-	 .max = CONFIG_FORMAT},
+	{ .name = "format",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct config_doc, format),
+	  .min = CONFIG_FORMAT,
+	  .max = CONFIG_FORMAT },
 	ARRAY_FIELD(struct config_doc, services, service_spec_schema,
 		    MAX_SERVICES),
 	ARRAY_FIELD(struct config_doc, client_accounts, client_account_schema,
 		    MAX_ACCOUNTS),
 	ARRAY_FIELD(struct config_doc, jobs, job_spec_schema, MAX_JOBS),
-	{0},
+	{ 0 },
 };
 
-const struct schema config_doc_schema = {sizeof(struct config_doc),
-					 config_doc_fields};
+const struct schema config_doc_schema = { sizeof(struct config_doc),
+					  config_doc_fields };
 
 struct checker {
 	const struct config_doc *doc;
@@ -264,7 +265,7 @@
 			  const struct schema_source *source,
 			  struct finding_list *findings)
 {
-	struct checker c = {doc, source, findings};
+	struct checker c = { doc, source, findings };
 	guint before = finding_list_count(findings);
 	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTable *accounts = g_hash_table_new(g_str_hash, g_str_equal);
--- a/config/settings.c
+++ b/config/settings.c
@@ -13,8 +13,8 @@
 #define MAX_PLATFORM_TIMEOUT_MS 60000
 #define DEFAULT_LOG_LEVEL 1
 
-static const char *const log_level_names[] = {"debug", "info", "warn", "error",
-					      NULL};
+static const char *const log_level_names[] = { "debug", "info", "warn", "error",
+					       NULL };
 
 #define STRING_FIELD(member, required_, max_)                          \
 	{                                                              \
@@ -35,32 +35,32 @@
 	STRING_FIELD(platform, TRUE, ADDRESS_MAX_BYTES),
 	STRING_FIELD(operator_token, FALSE, SECRET_MAX_BYTES),
 	STRING_FIELD(link_secret, FALSE, SECRET_MAX_BYTES),
-	{.name = "seeds",
-	 .type = FIELD_STRINGS,
-	 .offset = offsetof(struct settings, seeds),
-	 .max = MAX_SEEDS},
-	{.name = "log_level",
-	 .type = FIELD_ENUM,
-	 .offset = offsetof(struct settings, log_level),
-	 .names = log_level_names,
-	 .fallback = DEFAULT_LOG_LEVEL},
-	{.name = "drain_timeout_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct settings, drain_timeout_ms),
-	 .min = 0,
-	 .max = MAX_DRAIN_TIMEOUT_MS,
-	 .fallback = DEFAULT_DRAIN_TIMEOUT_MS},
-	{.name = "platform_timeout_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct settings, platform_timeout_ms),
-	 .min = 10,
-	 .max = MAX_PLATFORM_TIMEOUT_MS,
-	 .fallback = DEFAULT_PLATFORM_TIMEOUT_MS},
-	{0},
+	{ .name = "seeds",
+	  .type = FIELD_STRINGS,
+	  .offset = offsetof(struct settings, seeds),
+	  .max = MAX_SEEDS },
+	{ .name = "log_level",
+	  .type = FIELD_ENUM,
+	  .offset = offsetof(struct settings, log_level),
+	  .names = log_level_names,
+	  .fallback = DEFAULT_LOG_LEVEL },
+	{ .name = "drain_timeout_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, drain_timeout_ms),
+	  .min = 0,
+	  .max = MAX_DRAIN_TIMEOUT_MS,
+	  .fallback = DEFAULT_DRAIN_TIMEOUT_MS },
+	{ .name = "platform_timeout_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, platform_timeout_ms),
+	  .min = 10,
+	  .max = MAX_PLATFORM_TIMEOUT_MS,
+	  .fallback = DEFAULT_PLATFORM_TIMEOUT_MS },
+	{ 0 },
 };
 
-const struct schema settings_schema = {sizeof(struct settings),
-				       settings_fields};
+const struct schema settings_schema = { sizeof(struct settings),
+					settings_fields };
 
 static void check_address(const char *file_name, const char *path,
 			  const char *address, struct finding_list *findings)
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -19,12 +19,12 @@
 			      char **argv, struct options *o)
 {
 	const GOptionEntry entries[] = {
-		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings_file,
-		 "Settings file, JSON with comments", "FILE"},
-		{"check", 'c', 0, G_OPTION_ARG_NONE, &o->check_only,
-		 "Check the settings and exit", NULL},
-		{"version", 'V', 0, G_OPTION_ARG_NONE, &o->show_version,
-		 "Print the version and exit", NULL},
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings_file,
+		  "Settings file, JSON with comments", "FILE" },
+		{ "check", 'c', 0, G_OPTION_ARG_NONE, &o->check_only,
+		  "Check the settings and exit", NULL },
+		{ "version", 'V', 0, G_OPTION_ARG_NONE, &o->show_version,
+		  "Print the version and exit", NULL },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -85,8 +85,8 @@
 
 int daemon_main(const struct daemon_spec *spec, int argc, char **argv)
 {
-	struct options o = {0};
-	struct settings s = {0};
+	struct options o = { 0 };
+	struct settings s = { 0 };
 	int code = EXIT_FAILURE;
 
 	if (!parse_options(spec, argc, argv, &o))
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -12,27 +12,27 @@
 };
 
 static const struct field_spec sample_fields[] = {
-	{.name = "name",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct sample, name),
-	 .min = 1,
-	 .max = 8},
-	{.name = "count",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct sample, count),
-	 .min = 0,
-	 .max = 10,
-	 .fallback = 3},
-	{.name = "tags",
-	 .type = FIELD_STRINGS,
-	 .offset = offsetof(struct sample, tags),
-	 .max = 2},
-	{0},
+	{ .name = "name",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct sample, name),
+	  .min = 1,
+	  .max = 8 },
+	{ .name = "count",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct sample, count),
+	  .min = 0,
+	  .max = 10,
+	  .fallback = 3 },
+	{ .name = "tags",
+	  .type = FIELD_STRINGS,
+	  .offset = offsetof(struct sample, tags),
+	  .max = 2 },
+	{ 0 },
 };
 
-static const struct schema sample_schema = {sizeof(struct sample),
-					    sample_fields};
+static const struct schema sample_schema = { sizeof(struct sample),
+					     sample_fields };
 
 struct json_case {
 	const char *text;
@@ -41,28 +41,29 @@
 };
 
 static const struct json_case json_cases[] = {
-	{"{\"name\":\"a\"}", JSON_STRICT, ""},
-	{"{\"name\":\"a\"} // end\n", JSON_WITH_COMMENTS, ""},
-	{"/* a */ {\"name\":\"a\",\n\"count\":11}", JSON_WITH_COMMENTS,
-	 "t:2: count: value out of range (allowed: 0 to 10)\n"},
-	{"{\"name\":\"a\",\n\"name\":\"b\"}", JSON_STRICT,
-	 "t:2: name: duplicate key (allowed: each key once)\n"},
-	{"{\"count\":\"x\",\n\"other\":1}", JSON_STRICT,
-	 "t:2: other: unknown member (allowed: name, count, tags)\n"
-	 "t:1: name: missing\n"
-	 "t:1: count: wrong type (allowed: an integer)\n"},
-	{"{\"name\":\"far too long\",\"tags\":[\"a\",\"b\",\"c\"]}",
-	 JSON_STRICT,
-	 "t:1: name: length in bytes (allowed: 1 to 8)\n"
-	 "t:1: tags: count of elements (allowed: 0 to 2)\n"},
-	{"{\"name\":\"a\"", JSON_STRICT,
-	 "t:1: : text ends early (allowed: one JSON value)\n"},
-	{"{\"name\":\"a\"} x", JSON_STRICT,
-	 "t:1: : text after the value (allowed: one JSON value)\n"},
-	{"", JSON_STRICT, "t:1: : text ends early (allowed: one JSON value)\n"},
-	{"[1]", JSON_STRICT, "t:1: : wrong type (allowed: an object)\n"},
-	{"{\"name\":\"a\\u0000b\"}", JSON_STRICT,
-	 "t:1: name: bad text (allowed: UTF-8 without NUL)\n"},
+	{ "{\"name\":\"a\"}", JSON_STRICT, "" },
+	{ "{\"name\":\"a\"} // end\n", JSON_WITH_COMMENTS, "" },
+	{ "/* a */ {\"name\":\"a\",\n\"count\":11}", JSON_WITH_COMMENTS,
+	  "t:2: count: value out of range (allowed: 0 to 10)\n" },
+	{ "{\"name\":\"a\",\n\"name\":\"b\"}", JSON_STRICT,
+	  "t:2: name: duplicate key (allowed: each key once)\n" },
+	{ "{\"count\":\"x\",\n\"other\":1}", JSON_STRICT,
+	  "t:2: other: unknown member (allowed: name, count, tags)\n"
+	  "t:1: name: missing\n"
+	  "t:1: count: wrong type (allowed: an integer)\n" },
+	{ "{\"name\":\"far too long\",\"tags\":[\"a\",\"b\",\"c\"]}",
+	  JSON_STRICT,
+	  "t:1: name: length in bytes (allowed: 1 to 8)\n"
+	  "t:1: tags: count of elements (allowed: 0 to 2)\n" },
+	{ "{\"name\":\"a\"", JSON_STRICT,
+	  "t:1: : text ends early (allowed: one JSON value)\n" },
+	{ "{\"name\":\"a\"} x", JSON_STRICT,
+	  "t:1: : text after the value (allowed: one JSON value)\n" },
+	{ "", JSON_STRICT,
+	  "t:1: : text ends early (allowed: one JSON value)\n" },
+	{ "[1]", JSON_STRICT, "t:1: : wrong type (allowed: an object)\n" },
+	{ "{\"name\":\"a\\u0000b\"}", JSON_STRICT,
+	  "t:1: name: bad text (allowed: UTF-8 without NUL)\n" },
 };
 
 static void test_json_findings(void)
@@ -70,7 +71,7 @@
 	for (guint i = 0; i < G_N_ELEMENTS(json_cases); i++) {
 		const struct json_case *c = &json_cases[i];
 		struct finding_list findings;
-		struct sample sample = {0};
+		struct sample sample = { 0 };
 		struct schema_source source;
 		struct json_text t;
 		char *text;
@@ -96,9 +97,9 @@
 	gboolean is_good;
 	uint16_t port;
 } address_cases[] = {
-	{"127.0.0.1:80", TRUE, 80}, {"127.0.0.1:70000", FALSE, 0},
-	{"localhost:80", FALSE, 0}, {"127.0.0.1", FALSE, 0},
-	{":80", FALSE, 0},
+	{ "127.0.0.1:80", TRUE, 80 }, { "127.0.0.1:70000", FALSE, 0 },
+	{ "localhost:80", FALSE, 0 }, { "127.0.0.1", FALSE, 0 },
+	{ ":80", FALSE, 0 },
 };
 
 static void test_addresses(void)
