--- /dev/null
+++ b/config/config_service.c
@@ -0,0 +1,163 @@
+#include "config/config_service.h"
+
+#include "base/json_text.h"
+#include "base/log.h"
+#include "config/config_head.h"
+#include "config/config_routes.h"
+#include "config/config_version.h"
+#include "daemon/platform_service.h"
+
+#define POLL_MS 500
+
+struct subscriber {
+	config_fn fn;
+	void *data;
+};
+
+struct config_service {
+	struct service base;
+	struct kernel *kernel;
+	struct config_routes *routes;
+	struct config_version current;
+	GArray *subscribers;	  /**< of struct subscriber */
+	int64_t fetching_version; /**< 0 when no body is being read */
+	gboolean is_reading;
+	guint timer;
+};
+
+enum status config_service_offer(struct config_service *s, int64_t version,
+				 json_object *body, const char *source)
+{
+	struct finding_list findings;
+	struct log_line line;
+	enum status status;
+
+	finding_list_init(&findings);
+	status = config_version_offer(&s->current, version, body, &findings);
+	if (status == STATUS_CONFLICT)
+		goto out;
+	log_begin(&line, status == STATUS_OK ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR,
+		  status == STATUS_OK ? "config_in_force" : "config_unsound");
+	log_int(&line, "config_version", version);
+	log_str(&line, "source", source);
+	log_int(&line, "findings", finding_list_count(&findings));
+	log_end(&line);
+	if (status != STATUS_OK)
+		goto out;
+	for (guint i = 0; i < s->subscribers->len; i++) {
+		const struct subscriber *sub =
+			&g_array_index(s->subscribers, struct subscriber, i);
+
+		sub->fn(&s->current.doc, version, sub->data);
+	}
+out:
+	finding_list_clear(&findings);
+	return status;
+}
+
+static void on_body(const struct platform_result *result, void *data)
+{
+	struct config_service *s = data;
+	int64_t version = s->fetching_version;
+
+	s->fetching_version = 0;
+	if (result->status == STATUS_OK && result->object)
+		config_service_offer(s, version, result->object, "object");
+}
+
+static void on_head(const struct platform_result *result, void *data)
+{
+	struct config_service *s = data;
+	struct finding_list findings;
+	struct config_head head = {0};
+
+	s->is_reading = FALSE;
+	if (result->status != STATUS_OK)
+		return;
+	finding_list_init(&findings);
+	if (schema_decode(&config_head_schema, result->rows[0].value, &head, "",
+			  NULL, &findings) &&
+	    head.version > s->current.version && !s->fetching_version) {
+		s->fetching_version = head.version;
+		platform_object_get(platform_of(s->kernel), head.object,
+				    on_body, s);
+	}
+	config_head_clear(&head);
+	finding_list_clear(&findings);
+}
+
+static gboolean on_poll(gpointer data)
+{
+	struct config_service *s = data;
+
+	if (s->is_reading || s->fetching_version)
+		return G_SOURCE_CONTINUE;
+	s->is_reading = TRUE;
+	platform_read(platform_of(s->kernel), CONFIG_TABLE, CONFIG_HEAD_KEY,
+		      on_head, s);
+	return G_SOURCE_CONTINUE;
+}
+
+static enum status config_service_start(struct service *base, struct kernel *k)
+{
+	struct config_service *s = (struct config_service *)base;
+
+	s->kernel = k;
+	s->routes = config_routes_new(k, s);
+	s->timer = g_timeout_add(POLL_MS, on_poll, s);
+	on_poll(s);
+	return STATUS_OK;
+}
+
+static void config_service_free(struct service *base)
+{
+	struct config_service *s = (struct config_service *)base;
+
+	if (s->timer)
+		g_source_remove(s->timer);
+	if (s->kernel)
+		platform_forget(platform_of(s->kernel), s);
+	g_clear_pointer(&s->routes, config_routes_free);
+	config_version_clear(&s->current);
+	g_array_unref(s->subscribers);
+	g_free(s);
+}
+
+static const struct service_class config_service_class = {
+	.name = CONFIG_SERVICE,
+	.start = config_service_start,
+	.free = config_service_free,
+};
+
+struct service *config_service_new(void)
+{
+	struct config_service *s = g_new0(struct config_service, 1);
+
+	s->base.class = &config_service_class;
+	s->subscribers = g_array_new(FALSE, FALSE, sizeof(struct subscriber));
+	config_version_init(&s->current);
+	return &s->base;
+}
+
+const struct config_doc *config_service_doc(const struct config_service *s)
+{
+	return s->current.version > 0 ? &s->current.doc : NULL;
+}
+
+int64_t config_service_version(const struct config_service *s)
+{
+	return s->current.version;
+}
+
+json_object *config_service_body(const struct config_service *s)
+{
+	return s->current.body;
+}
+
+void config_service_subscribe(struct config_service *s, config_fn fn,
+			      void *data)
+{
+	struct subscriber sub = {fn, data};
+
+	g_array_append_val(s->subscribers, sub);
+}
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -7,9 +7,11 @@
 #define CONFIG_CONFIG_SERVICE_H
 
 #include <glib.h>
+#include <json-c/json.h>
 #include <stdint.h>
 
 #include "base/kernel.h"
+#include "base/status.h"
 #include "config/config_doc.h"
 
 #define CONFIG_SERVICE "config"
@@ -27,6 +29,18 @@
 /** Returns the version in force, 0 before there is one. */
 int64_t config_service_version(const struct config_service *s);
 
+/** Returns the body in force as it was accepted, or NULL; not owned. */
+json_object *config_service_body(const struct config_service *s);
+
+/**
+ * Puts an accepted configuration in force, if it is newer.
+ *
+ * @param body		not taken over
+ * @param source	where it came from, for the log
+ */
+enum status config_service_offer(struct config_service *s, int64_t version,
+				 json_object *body, const char *source);
+
 /** Registers a function to be called after each change. */
 void config_service_subscribe(struct config_service *s, config_fn fn,
 			      void *data);
--- /dev/null
+++ b/config/config_writer.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * Carries out the acceptance of one configuration with the platform.
+ */
+#ifndef CONFIG_CONFIG_WRITER_H
+#define CONFIG_CONFIG_WRITER_H
+
+#include <json-c/json.h>
+
+#include "config/config_acceptance.h"
+#include "platform/platform.h"
+
+/** Called once when the outcome is known or given up. */
+typedef void (*config_writer_fn)(const struct config_acceptance *result,
+				 json_object *body, void *data);
+
+/**
+ * Starts an acceptance.
+ *
+ * @param body	the configuration, checked; not taken over
+ */
+void config_writer_start(struct platform *p, int64_t base_version,
+			 const char *operator_name, json_object *body,
+			 gboolean is_dry_run, config_writer_fn fn, void *data);
+
+#endif
