Pool leases: rows with rising epochs, renewed and taken by compare-and-set

A lost answer is resolved by reading back; a row whose incarnation is ours is ours. Ruled out: comparing wall clocks of two VMs. Conclusion: thin version, every process takes itself for the first candidate until membership stands; tests follow.

--- /dev/null
+++ b/shared/pool_lease_service.c
@@ -0,0 +1,318 @@
+#include "shared/pool_lease.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "base/util.h"
+#include "config/config_service.h"
+#include "daemon/platform_service.h"
+#include "daemon/settings_service.h"
+#include "shared/lease_protocol.h"
+#include "shared/pool_share.h"
+
+#define TICK_MS 100
+
+struct subscriber {
+	pool_lease_fn fn;
+	void *data;
+};
+
+struct pool_lease_service {
+	struct service base;
+	struct kernel *kernel;
+	GPtrArray *leases;  /**< of struct pool_lease */
+	GPtrArray *pools;   /**< of char *, their names, sorted */
+	GPtrArray *members; /**< of char *, live candidates */
+	GArray *subscribers;
+	guint timer;
+};
+
+struct pool_lease {
+	struct pool_lease_service *service;
+	char *pool;
+	struct lease_protocol protocol;
+	enum pool_role role; /**< as last told to subscribers */
+	int64_t epoch;
+};
+
+static const char *const role_names[] = {"none", "holder", "caretaker"};
+
+static struct pool_lease *find_lease(const struct pool_lease_service *s,
+				     const char *pool)
+{
+	for (guint i = 0; i < s->leases->len; i++) {
+		struct pool_lease *l = g_ptr_array_index(s->leases, i);
+
+		if (g_str_equal(l->pool, pool))
+			return l;
+	}
+	return NULL;
+}
+
+static void pool_lease_free(gpointer data)
+{
+	struct pool_lease *l = data;
+
+	platform_forget(platform_of(l->service->kernel), l);
+	lease_protocol_clear(&l->protocol);
+	g_free(l->pool);
+	g_free(l);
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static void add_pool(struct pool_lease_service *s, const char *pool)
+{
+	const struct settings *settings = settings_of(s->kernel);
+	struct pool_lease *l;
+
+	if (find_lease(s, pool))
+		return;
+	l = g_new0(struct pool_lease, 1);
+	l->service = s;
+	l->pool = g_strdup(pool);
+	lease_protocol_init(&l->protocol, settings->node,
+			    incarnation_of(s->kernel), settings->http,
+			    util_monotonic_ms());
+	if (kernel_is_draining(s->kernel))
+		lease_protocol_drain(&l->protocol);
+	g_ptr_array_add(s->leases, l);
+	g_ptr_array_add(s->pools, l->pool);
+	g_ptr_array_sort(s->pools, compare_names);
+}
+
+static void add_service_pool(struct pool_lease_service *s, const char *service)
+{
+	char *pool = g_strdup_printf("%s.%s", service,
+				     settings_of(s->kernel)->failure_domain);
+
+	add_pool(s, pool);
+	g_free(pool);
+}
+
+/* Adds the pools that a configuration has in this failure domain. */
+static void on_config(const struct config_doc *doc, int64_t version, void *data)
+{
+	struct pool_lease_service *s = data;
+	const char *domain = settings_of(s->kernel)->failure_domain;
+
+	for (guint i = 0; i < doc->services->len; i++) {
+		const struct service_spec *spec =
+			&g_array_index(doc->services, struct service_spec, i);
+
+		if (g_ptr_array_find_with_equal_func(spec->failure_domains,
+						     domain, g_str_equal, NULL))
+			add_service_pool(s, spec->name);
+	}
+}
+
+static void on_read(const struct platform_result *result, void *data)
+{
+	struct pool_lease *l = data;
+	struct finding_list findings;
+	struct lease_row row = {0};
+	enum status status = result->status;
+	int64_t version = TABLE_ABSENT;
+
+	finding_list_init(&findings);
+	if (status == STATUS_OK) {
+		version = result->rows[0].version;
+		if (!schema_decode(&lease_row_schema, result->rows[0].value,
+				   &row, "", NULL, &findings))
+			status = STATUS_INVALID;
+	}
+	lease_protocol_on_read(&l->protocol, util_monotonic_ms(), status,
+			       version, status == STATUS_OK ? &row : NULL);
+	lease_row_clear(&row);
+	finding_list_clear(&findings);
+}
+
+static void on_commit(const struct platform_result *result, void *data)
+{
+	struct pool_lease *l = data;
+	int64_t version = 0;
+
+	if (result->status == STATUS_OK)
+		version = result->rows[0].version;
+	lease_protocol_on_commit(&l->protocol, util_monotonic_ms(),
+				 result->status, version);
+}
+
+static void commit(struct pool_lease *l)
+{
+	json_object *value =
+		schema_encode(&lease_row_schema, &l->protocol.writing);
+	struct table_write write = {
+		.table = LEASE_TABLE,
+		.key = l->pool,
+		.expected_version = l->protocol.expected_version,
+		.value = value,
+	};
+
+	platform_commit(platform_of(l->service->kernel), &write, 1, on_commit,
+			l);
+	json_object_put(value);
+}
+
+static void tell_role(struct pool_lease *l, int64_t now_ms)
+{
+	struct pool_lease_service *s = l->service;
+	struct log_line line;
+	int64_t epoch;
+	enum pool_role role = lease_protocol_role(&l->protocol, now_ms, &epoch);
+
+	if (role == l->role && (epoch == l->epoch || role == POOL_ROLE_NONE))
+		return;
+	l->role = role;
+	l->epoch = epoch;
+	log_begin(&line, LOG_LEVEL_INFO, "lease_role");
+	log_str(&line, "pool", l->pool);
+	log_str(&line, "role", role_names[role]);
+	log_int(&line, "epoch", epoch);
+	log_int(&line, "rank", l->protocol.rank);
+	log_end(&line);
+	for (guint i = 0; i < s->subscribers->len; i++) {
+		const struct subscriber *sub =
+			&g_array_index(s->subscribers, struct subscriber, i);
+
+		sub->fn(l->pool, role, epoch, sub->data);
+	}
+}
+
+static void tick_lease(struct pool_lease *l, int64_t now_ms)
+{
+	struct pool_lease_service *s = l->service;
+
+	lease_protocol_set_rank(&l->protocol, now_ms,
+				pool_share_rank(s->pools, s->members, l->pool,
+						settings_of(s->kernel)->node));
+	tell_role(l, now_ms);
+	switch (lease_protocol_step(&l->protocol, now_ms)) {
+	case LEASE_CALL_READ:
+		platform_read(platform_of(s->kernel), LEASE_TABLE, l->pool,
+			      on_read, l);
+		break;
+	case LEASE_CALL_COMMIT:
+		commit(l);
+		break;
+	case LEASE_CALL_NONE:
+		break;
+	}
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct pool_lease_service *s = data;
+	int64_t now_ms = util_monotonic_ms();
+
+	for (guint i = 0; i < s->leases->len; i++)
+		tick_lease(g_ptr_array_index(s->leases, i), now_ms);
+	return G_SOURCE_CONTINUE;
+}
+
+static enum status pool_lease_service_start(struct service *base,
+					    struct kernel *k)
+{
+	struct pool_lease_service *s = (struct pool_lease_service *)base;
+	struct config_service *config;
+
+	s->kernel = k;
+	g_ptr_array_add(s->members, g_strdup(settings_of(k)->node));
+	add_service_pool(s, settings_of(k)->service);
+	config = (struct config_service *)kernel_find(k, CONFIG_SERVICE);
+	if (config)
+		config_service_subscribe(config, on_config, s);
+	s->timer = g_timeout_add(TICK_MS, on_tick, s);
+	return STATUS_OK;
+}
+
+static void pool_lease_service_drain(struct service *base)
+{
+	struct pool_lease_service *s = (struct pool_lease_service *)base;
+
+	for (guint i = 0; i < s->leases->len; i++) {
+		struct pool_lease *l = g_ptr_array_index(s->leases, i);
+
+		lease_protocol_drain(&l->protocol);
+	}
+	on_tick(s);
+}
+
+static gboolean pool_lease_service_is_idle(const struct service *base)
+{
+	const struct pool_lease_service *s =
+		(const struct pool_lease_service *)base;
+
+	for (guint i = 0; i < s->leases->len; i++) {
+		const struct pool_lease *l = g_ptr_array_index(s->leases, i);
+
+		if (!lease_protocol_is_released(&l->protocol))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void pool_lease_service_free(struct service *base)
+{
+	struct pool_lease_service *s = (struct pool_lease_service *)base;
+
+	if (s->timer)
+		g_source_remove(s->timer);
+	g_ptr_array_unref(s->pools);
+	g_ptr_array_unref(s->members);
+	g_ptr_array_unref(s->leases);
+	g_array_unref(s->subscribers);
+	g_free(s);
+}
+
+static const struct service_class pool_lease_service_class = {
+	.name = POOL_LEASE_SERVICE,
+	.start = pool_lease_service_start,
+	.drain = pool_lease_service_drain,
+	.is_idle = pool_lease_service_is_idle,
+	.free = pool_lease_service_free,
+};
+
+struct service *pool_lease_service_new(void)
+{
+	struct pool_lease_service *s = g_new0(struct pool_lease_service, 1);
+
+	s->base.class = &pool_lease_service_class;
+	s->leases = g_ptr_array_new_with_free_func(pool_lease_free);
+	s->pools = g_ptr_array_new();
+	s->members = g_ptr_array_new_with_free_func(g_free);
+	s->subscribers = g_array_new(FALSE, FALSE, sizeof(struct subscriber));
+	return &s->base;
+}
+
+enum pool_role pool_lease_role(const struct pool_lease_service *s,
+			       const char *pool, int64_t now_ms, int64_t *epoch)
+{
+	const struct pool_lease *l = find_lease(s, pool);
+
+	*epoch = 0;
+	if (!l)
+		return POOL_ROLE_NONE;
+	return lease_protocol_role(&l->protocol, now_ms, epoch);
+}
+
+const char *pool_lease_holder(const struct pool_lease_service *s,
+			      const char *pool)
+{
+	const struct pool_lease *l = find_lease(s, pool);
+
+	if (!l || lease_row_is_released(&l->protocol.row))
+		return NULL;
+	return l->protocol.row.address;
+}
+
+void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
+			  void *data)
+{
+	struct subscriber sub = {fn, data};
+
+	g_array_append_val(s->subscribers, sub);
+}
