--- a/config/config_acceptance.c
+++ b/config/config_acceptance.c
@@ -6,7 +6,7 @@
 			    const char *operator_name, const char *commit_id,
 			    gboolean is_dry_run)
 {
-	*a = (struct config_acceptance){0};
+	*a = (struct config_acceptance){ 0 };
 	a->base_version = base_version;
 	a->operator_name = g_strdup(operator_name);
 	a->commit_id = g_strdup(commit_id);
@@ -20,7 +20,7 @@
 	g_free(a->commit_id);
 	g_free(a->winner);
 	config_head_clear(&a->next);
-	*a = (struct config_acceptance){0};
+	*a = (struct config_acceptance){ 0 };
 }
 
 static void finish(struct config_acceptance *a, enum acceptance_outcome outcome)
--- a/config/config_head.c
+++ b/config/config_head.c
@@ -3,17 +3,17 @@
 #define NAME_MAX_BYTES 256
 
 #define CHANGE_FIELDS(type_)                                               \
-	{.name = "version",                                                \
-	 .type = FIELD_INT,                                                \
-	 .is_required = TRUE,                                              \
-	 .offset = offsetof(type_, version),                               \
-	 .min = 1,                                                         \
-	 .max = INT64_MAX},                                                \
-		{.name = "operator",                                       \
-		 .type = FIELD_STRING,                                     \
-		 .is_required = TRUE,                                      \
-		 .offset = offsetof(type_, operator_name),                 \
-		 .max = NAME_MAX_BYTES},                                   \
+	{ .name = "version",                                               \
+	  .type = FIELD_INT,                                               \
+	  .is_required = TRUE,                                             \
+	  .offset = offsetof(type_, version),                              \
+	  .min = 1,                                                        \
+	  .max = INT64_MAX },                                              \
+		{ .name = "operator",                                      \
+		  .type = FIELD_STRING,                                    \
+		  .is_required = TRUE,                                     \
+		  .offset = offsetof(type_, operator_name),                \
+		  .max = NAME_MAX_BYTES },                                 \
 	{                                                                  \
 		.name = "commit_id", .type = FIELD_STRING,                 \
 		.is_required = TRUE, .offset = offsetof(type_, commit_id), \
@@ -22,30 +22,30 @@
 
 static const struct field_spec change_fields[] = {
 	CHANGE_FIELDS(struct config_change),
-	{0},
+	{ 0 },
 };
 
-static const struct schema change_schema = {sizeof(struct config_change),
-					    change_fields};
+static const struct schema change_schema = { sizeof(struct config_change),
+					     change_fields };
 
 static const struct field_spec head_fields[] = {
 	CHANGE_FIELDS(struct config_head),
-	{.name = "object",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct config_head, object),
-	 .min = 1,
-	 .max = NAME_MAX_BYTES},
-	{.name = "recent",
-	 .type = FIELD_ARRAY,
-	 .offset = offsetof(struct config_head, recent),
-	 .max = CONFIG_HEAD_RECENT,
-	 .schema = &change_schema},
-	{0},
+	{ .name = "object",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct config_head, object),
+	  .min = 1,
+	  .max = NAME_MAX_BYTES },
+	{ .name = "recent",
+	  .type = FIELD_ARRAY,
+	  .offset = offsetof(struct config_head, recent),
+	  .max = CONFIG_HEAD_RECENT,
+	  .schema = &change_schema },
+	{ 0 },
 };
 
-const struct schema config_head_schema = {sizeof(struct config_head),
-					  head_fields};
+const struct schema config_head_schema = { sizeof(struct config_head),
+					   head_fields };
 
 void config_head_clear(struct config_head *h)
 {
--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -22,27 +22,27 @@
 };
 
 static const struct field_spec config_post_fields[] = {
-	{.name = "base_version",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct config_post, base_version),
-	 .max = INT64_MAX},
-	{.name = "config",
-	 .type = FIELD_JSON,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct config_post, config)},
-	{.name = "dry_run",
-	 .type = FIELD_BOOL,
-	 .offset = offsetof(struct config_post, is_dry_run)},
-	{.name = "operator",
-	 .type = FIELD_STRING,
-	 .offset = offsetof(struct config_post, operator_name),
-	 .max = OPERATOR_MAX_BYTES},
-	{0},
+	{ .name = "base_version",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct config_post, base_version),
+	  .max = INT64_MAX },
+	{ .name = "config",
+	  .type = FIELD_JSON,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct config_post, config) },
+	{ .name = "dry_run",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct config_post, is_dry_run) },
+	{ .name = "operator",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct config_post, operator_name),
+	  .max = OPERATOR_MAX_BYTES },
+	{ 0 },
 };
 
-static const struct schema config_post_schema = {sizeof(struct config_post),
-						 config_post_fields};
+static const struct schema config_post_schema = { sizeof(struct config_post),
+						  config_post_fields };
 
 /** A POST whose outcome is awaited. */
 struct pending_post {
@@ -57,13 +57,13 @@
 };
 
 static const struct answer answers[] = {
-	[ACCEPTANCE_ACCEPTED] = {SOUP_STATUS_OK, "accepted", NULL},
-	[ACCEPTANCE_VALID] = {SOUP_STATUS_OK, "valid", NULL},
-	[ACCEPTANCE_CONFLICT] = {SOUP_STATUS_CONFLICT, "conflict", NULL},
-	[ACCEPTANCE_UNAVAILABLE] = {SOUP_STATUS_SERVICE_UNAVAILABLE, "not run",
-				    "store-unavailable"},
-	[ACCEPTANCE_UNKNOWN] = {SOUP_STATUS_GATEWAY_TIMEOUT, "unknown",
-				"store-answer-lost"},
+	[ACCEPTANCE_ACCEPTED] = { SOUP_STATUS_OK, "accepted", NULL },
+	[ACCEPTANCE_VALID] = { SOUP_STATUS_OK, "valid", NULL },
+	[ACCEPTANCE_CONFLICT] = { SOUP_STATUS_CONFLICT, "conflict", NULL },
+	[ACCEPTANCE_UNAVAILABLE] = { SOUP_STATUS_SERVICE_UNAVAILABLE, "not run",
+				     "store-unavailable" },
+	[ACCEPTANCE_UNKNOWN] = { SOUP_STATUS_GATEWAY_TIMEOUT, "unknown",
+				 "store-answer-lost" },
 };
 
 static void add_string(json_object *body, const char *name, const char *value)
@@ -105,7 +105,7 @@
 static gboolean check_post(json_object *json, struct config_post *post,
 			   struct finding_list *findings)
 {
-	struct config_doc doc = {0};
+	struct config_doc doc = { 0 };
 	gboolean is_good;
 
 	is_good = schema_decode(&config_post_schema, json, post, "", NULL,
@@ -119,7 +119,7 @@
 static void handle_post(struct http_request *request, void *data)
 {
 	struct config_routes *r = data;
-	struct config_post post = {0};
+	struct config_post post = { 0 };
 	struct finding_list findings;
 	struct pending_post *pending;
 	json_object *json;
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -69,7 +69,7 @@
 {
 	struct config_service *s = data;
 	struct finding_list findings;
-	struct config_head head = {0};
+	struct config_head head = { 0 };
 
 	s->is_reading = FALSE;
 	if (result->status != STATUS_OK)
@@ -157,7 +157,7 @@
 void config_service_subscribe(struct config_service *s, config_fn fn,
 			      void *data)
 {
-	struct subscriber sub = {fn, data};
+	struct subscriber sub = { fn, data };
 
 	g_array_append_val(s->subscribers, sub);
 }
--- a/config/config_version.c
+++ b/config/config_version.c
@@ -7,7 +7,7 @@
 
 void config_version_init(struct config_version *v)
 {
-	*v = (struct config_version){.is_newer = is_higher};
+	*v = (struct config_version){ .is_newer = is_higher };
 }
 
 void config_version_clear(struct config_version *v)
@@ -23,7 +23,7 @@
 				 json_object *body,
 				 struct finding_list *findings)
 {
-	struct config_doc doc = {0};
+	struct config_doc doc = { 0 };
 
 	if (!v->is_newer(version, v->version))
 		return status_fail(STATUS_CONFLICT,
--- a/config/config_writer.c
+++ b/config/config_writer.c
@@ -26,7 +26,7 @@
 {
 	struct config_writer *w = data;
 	struct finding_list findings;
-	struct config_head head = {0};
+	struct config_head head = { 0 };
 	enum status status = result->status;
 	int64_t row_version = TABLE_ABSENT;
 
--- a/shared/lease_protocol.c
+++ b/shared/lease_protocol.c
@@ -30,7 +30,7 @@
 			 const char *incarnation, const char *address,
 			 int64_t now_ms)
 {
-	*p = (struct lease_protocol){.rules = &lease_rules_default};
+	*p = (struct lease_protocol){ .rules = &lease_rules_default };
 	p->node = g_strdup(node);
 	p->incarnation = g_strdup(incarnation);
 	p->address = g_strdup(address);
@@ -47,7 +47,7 @@
 	g_free(p->address);
 	lease_row_clear(&p->row);
 	lease_row_clear(&p->writing);
-	*p = (struct lease_protocol){0};
+	*p = (struct lease_protocol){ 0 };
 }
 
 static gboolean is_ours(const struct lease_protocol *p)
--- a/shared/lease_row.c
+++ b/shared/lease_row.c
@@ -14,22 +14,22 @@
 	TEXT_FIELD(holder),
 	TEXT_FIELD(incarnation),
 	TEXT_FIELD(address),
-	{.name = "epoch",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct lease_row, epoch),
-	 .max = INT64_MAX},
-	{.name = "ttl_ms",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct lease_row, ttl_ms),
-	 .max = MAX_TTL_MS},
+	{ .name = "epoch",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct lease_row, epoch),
+	  .max = INT64_MAX },
+	{ .name = "ttl_ms",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct lease_row, ttl_ms),
+	  .max = MAX_TTL_MS },
 	TEXT_FIELD(commit_id),
-	{0},
+	{ 0 },
 };
 
-const struct schema lease_row_schema = {sizeof(struct lease_row),
-					lease_row_fields};
+const struct schema lease_row_schema = { sizeof(struct lease_row),
+					 lease_row_fields };
 
 void lease_row_clear(struct lease_row *r)
 {
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -35,7 +35,7 @@
 	int64_t epoch;
 };
 
-static const char *const role_names[] = {"none", "holder", "caretaker"};
+static const char *const role_names[] = { "none", "holder", "caretaker" };
 
 static struct pool_lease *find_lease(const struct pool_lease_service *s,
 				     const char *pool)
@@ -113,7 +113,7 @@
 {
 	struct pool_lease *l = data;
 	struct finding_list findings;
-	struct lease_row row = {0};
+	struct lease_row row = { 0 };
 	enum status status = result->status;
 	int64_t version = TABLE_ABSENT;
 
@@ -312,7 +312,7 @@
 void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
 			  void *data)
 {
-	struct subscriber sub = {fn, data};
+	struct subscriber sub = { fn, data };
 
 	g_array_append_val(s->subscribers, sub);
 }
