Callers' tokens: one check for requests and jobs

Cause: requests and the job interface both have to check who calls. Ruled out: a copy in each; mutual TLS (docs/design/security.md). Change: config/bearer_token, also used for the operators' token. Conclusion: the table of cases passes; the services call it next.

--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -1,14 +1,12 @@
 #include "daemon/http_service.h"
 
-#include <string.h>
-
 #include "base/util.h"
+#include "config/bearer_token.h"
 #include "daemon/settings_service.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
 #define MAX_CLIENT_CONNECTIONS 2000
 #define MAX_CONNECTIONS_PER_ADDRESS 64
-#define BEARER_PREFIX "Bearer "
 
 struct http_service {
 	struct service base;
@@ -107,29 +105,14 @@
 	return find(k)->client;
 }
 
-/* Compares in a time that does not depend on where the texts differ. */
-static gboolean same_secret(const char *a, const char *b)
-{
-	size_t len = strlen(a);
-	unsigned char differences = 0;
-
-	if (strlen(b) != len)
-		return FALSE;
-	for (size_t i = 0; i < len; i++)
-		differences |= (unsigned char)(a[i] ^ b[i]);
-	return differences == 0;
-}
-
 gboolean http_service_allow_operator(const struct kernel *k,
 				     struct http_request *r)
 {
 	const char *token = settings_of(k)->operator_token;
-	const char *header = http_request_header(r, "Authorization");
+	const char *given =
+		bearer_token_of(http_request_header(r, "Authorization"));
 
-	if (!token)
-		return TRUE;
-	if (header && g_str_has_prefix(header, BEARER_PREFIX) &&
-	    same_secret(header + strlen(BEARER_PREFIX), token))
+	if (!token || (given && bearer_token_equal(given, token)))
 		return TRUE;
 	http_request_reply_text(r, SOUP_STATUS_UNAUTHORIZED,
 				"operator token missing or wrong\n");
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -3,6 +3,7 @@
 
 #include "base/json_text.h"
 #include "client/config_diff.h"
+#include "config/bearer_token.h"
 #include "lib/cs_plan.h"
 
 static const char *const domains[] = { "a", "b", NULL };
@@ -135,11 +136,44 @@
 	}
 }
 
+/* SHA-256 of "abc", as FIPS 180-4 has it. */
+#define ABC_SHA256 \
+	"ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
+
+static const struct {
+	const char *token_sha256;
+	const char *authorization;
+	gboolean is_allowed;
+} token_cases[] = {
+	{ NULL, NULL, TRUE },
+	{ NULL, "Bearer other", TRUE },
+	{ ABC_SHA256, "Bearer abc", TRUE },
+	{ ABC_SHA256, NULL, FALSE },
+	{ ABC_SHA256, "abc", FALSE },
+	{ ABC_SHA256, "Bearer abd", FALSE },
+	{ ABC_SHA256, "Bearer ", FALSE },
+	{ ABC_SHA256, "Bearer " ABC_SHA256, FALSE },
+};
+
+static void test_account_tokens(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(token_cases); i++) {
+		struct client_account a = {
+			.token_sha256 = (char *)token_cases[i].token_sha256,
+		};
+
+		g_assert_cmpint(
+			bearer_token_allows(&a, token_cases[i].authorization),
+			==, token_cases[i].is_allowed);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/plan/findings", test_plan_findings);
 	g_test_add_func("/plan/stable-order", test_plan_stable_order);
 	g_test_add_func("/plan/config-diff", test_config_diff);
+	g_test_add_func("/plan/account-tokens", test_account_tokens);
 	return g_test_run();
 }
