Counters of processor time, memory and HTTP traffic of a process

Cause: docs/CAPACITY.md needs slopes measured on the real processes. Ruled out: reading loopback's interface counters, which mix all processes. Change: gauges cs_process_* and cs_http_client_*_bytes (libsoup's metrics) at /v1/counters. Conclusion: a measurement reads them over HTTP.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -8,6 +8,7 @@
 struct http_client {
 	SoupSession *session;
 	GHashTable *calls; /**< set of struct http_call in flight */
+	struct http_traffic traffic;
 };
 
 struct http_call {
@@ -94,6 +95,21 @@
 	finding_list_clear(&findings);
 }
 
+static void count_traffic(struct http_call *call)
+{
+	SoupMessageMetrics *m = soup_message_get_metrics(call->message);
+	struct http_traffic *t;
+
+	if (!m || !call->client)
+		return;
+	t = &call->client->traffic;
+	t->sent_bytes += soup_message_metrics_get_request_header_bytes_sent(m) +
+			 soup_message_metrics_get_request_body_bytes_sent(m);
+	t->received_bytes +=
+		soup_message_metrics_get_response_header_bytes_received(m) +
+		soup_message_metrics_get_response_body_bytes_received(m);
+}
+
 static void on_done(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct http_call *call = data;
@@ -105,6 +121,7 @@
 
 	bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result,
 						  &error);
+	count_traffic(call);
 	if (call->is_cancelled)
 		goto out;
 	if (bytes) {
@@ -159,6 +176,7 @@
 	call->cancellable = g_cancellable_new();
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
+	soup_message_add_flags(call->message, SOUP_MESSAGE_COLLECT_METRICS);
 	set_headers(call->message, spec->headers);
 	if (spec->body)
 		set_body(call->message, spec->body);
@@ -179,6 +197,11 @@
 	g_cancellable_cancel(call->cancellable);
 }
 
+struct http_traffic http_client_traffic(const struct http_client *c)
+{
+	return c->traffic;
+}
+
 guint http_client_in_flight(const struct http_client *c)
 {
 	return g_hash_table_size(c->calls);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -65,6 +65,14 @@
  */
 void http_call_cancel(struct http_call *call);
 
+/** Bytes of headers and bodies of all answered calls. */
+struct http_traffic {
+	uint64_t sent_bytes;
+	uint64_t received_bytes;
+};
+
+struct http_traffic http_client_traffic(const struct http_client *c);
+
 /** Returns the number of calls in flight. */
 guint http_client_in_flight(const struct http_client *c);
 
--- /dev/null
+++ b/base/process_usage.h
@@ -0,0 +1,13 @@
+/**
+ * @file
+ * Processor time and memory of this process, as gauges.
+ */
+#ifndef BASE_PROCESS_USAGE_H
+#define BASE_PROCESS_USAGE_H
+
+#include "base/counters.h"
+
+/** Reads the usage of this process into gauges named cs_process_*. */
+void process_usage_update(struct counters *counters);
+
+#endif
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -1,5 +1,6 @@
 #include "daemon/http_service.h"
 
+#include "base/process_usage.h"
 #include "base/util.h"
 #include "config/bearer_token.h"
 #include "daemon/settings_service.h"
@@ -20,6 +21,19 @@
 	return (struct http_service *)kernel_find(k, HTTP_SERVICE);
 }
 
+static void update_traffic(struct http_service *s)
+{
+	struct counters *counters = kernel_counters(s->kernel);
+	struct http_traffic traffic = http_client_traffic(s->client);
+
+	counter_set(counters_gauge(counters, "cs_http_client_sent_bytes",
+				   "Bytes sent by calls of this process"),
+		    (int64_t)traffic.sent_bytes);
+	counter_set(counters_gauge(counters, "cs_http_client_received_bytes",
+				   "Bytes received by calls of this process"),
+		    (int64_t)traffic.received_bytes);
+}
+
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -27,6 +41,8 @@
 
 	if (!http_service_allow_operator(s->kernel, r))
 		return;
+	process_usage_update(kernel_counters(s->kernel));
+	update_traffic(s);
 	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
