Links between the processes: msgpack frames over TCP with a proved identity

Links go one way: a process sends on those it opened, so that a network cut in one direction stays visible as such. Ruled out: hand-written msgpack decoders per message.

--- /dev/null
+++ b/link/link_inbound.c
@@ -0,0 +1,121 @@
+#include "link/link_inbound.h"
+
+#include "base/util.h"
+#include "link/message.h"
+
+#define HANDSHAKE_TIMEOUT_MS 2000
+
+struct link_inbound {
+	struct link_inbound_spec spec;
+	struct link_connection *connection;
+	struct link_identity identity;
+	char *nonce;
+	gboolean is_proved;
+	guint timer;
+};
+
+static void end(struct link_inbound *i)
+{
+	i->spec.on_ended(i, i->spec.data);
+}
+
+static void on_closed(void *data)
+{
+	struct link_inbound *i = data;
+
+	i->connection = NULL;
+	end(i);
+}
+
+static gboolean on_handshake_timeout(gpointer data)
+{
+	struct link_inbound *i = data;
+
+	i->timer = 0;
+	if (!i->is_proved)
+		end(i);
+	return G_SOURCE_REMOVE;
+}
+
+static void send_welcome(struct link_inbound *i, const char *nonce)
+{
+	struct link_hello welcome = { 0 };
+	json_object *json;
+
+	link_identity_copy(&welcome.identity, i->spec.identity);
+	welcome.nonce = util_random_id();
+	welcome.mac = link_identity_mac(&welcome.identity, i->spec.secret,
+					"accept", nonce);
+	json = schema_encode(&link_hello_schema, &welcome);
+	link_connection_send(i->connection, MESSAGE_WELCOME, json);
+	json_object_put(json);
+	schema_clear(&link_hello_schema, &welcome);
+}
+
+static void take_hello(struct link_inbound *i, uint8_t type, json_object *body)
+{
+	struct link_hello hello = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	i->is_proved = type == MESSAGE_HELLO &&
+		       schema_decode(&link_hello_schema, body, &hello, "", NULL,
+				     &findings);
+	i->is_proved =
+		i->is_proved &&
+		link_hello_is_genuine(&hello, i->spec.secret, "open", i->nonce);
+	if (i->is_proved) {
+		link_identity_copy(&i->identity, &hello.identity);
+		send_welcome(i, hello.nonce);
+	}
+	schema_clear(&link_hello_schema, &hello);
+	finding_list_clear(&findings);
+	if (!i->is_proved)
+		end(i);
+}
+
+static void on_frame(uint8_t type, json_object *body, void *data)
+{
+	struct link_inbound *i = data;
+
+	if (!i->is_proved) {
+		take_hello(i, type, body);
+		return;
+	}
+	if (type == MESSAGE_PING)
+		link_connection_send(i->connection, MESSAGE_ACK, body);
+	i->spec.on_frame(&i->identity, type, body, i->spec.data);
+}
+
+static void send_challenge(struct link_inbound *i)
+{
+	struct link_challenge challenge = { i->nonce };
+	json_object *json = schema_encode(&link_challenge_schema, &challenge);
+
+	link_connection_send(i->connection, MESSAGE_CHALLENGE, json);
+	json_object_put(json);
+}
+
+struct link_inbound *link_inbound_new(const struct link_inbound_spec *spec,
+				      GSocketConnection *stream)
+{
+	struct link_inbound *i = g_new0(struct link_inbound, 1);
+
+	i->spec = *spec;
+	i->nonce = util_random_id();
+	i->timer = g_timeout_add(HANDSHAKE_TIMEOUT_MS, on_handshake_timeout, i);
+	i->connection = link_connection_new(stream, spec->traffic, on_frame,
+					    on_closed, i);
+	send_challenge(i);
+	return i;
+}
+
+void link_inbound_free(struct link_inbound *i)
+{
+	if (i->timer)
+		g_source_remove(i->timer);
+	g_clear_pointer(&i->connection, link_connection_close);
+	link_identity_clear(&i->identity);
+	g_free(i->nonce);
+	g_free(i);
+}
--- /dev/null
+++ b/link/link_inbound.h
@@ -0,0 +1,32 @@
+/**
+ * @file
+ * A link that another process has opened to this one.
+ */
+#ifndef LINK_LINK_INBOUND_H
+#define LINK_LINK_INBOUND_H
+
+#include <gio/gio.h>
+#include <json-c/json.h>
+
+#include "link/link_connection.h"
+#include "link/link_identity.h"
+
+struct link_inbound;
+
+struct link_inbound_spec {
+	const struct link_identity *identity; /**< of this process */
+	const char *secret;
+	struct link_traffic *traffic;
+	/** Called for each frame of a process that proved its identity. */
+	void (*on_frame)(const struct link_identity *from, uint8_t type,
+			 json_object *body, void *data);
+	/** Called when the link has ended; frees it. */
+	void (*on_ended)(struct link_inbound *i, void *data);
+	void *data;
+};
+
+struct link_inbound *link_inbound_new(const struct link_inbound_spec *spec,
+				      GSocketConnection *stream);
+void link_inbound_free(struct link_inbound *i);
+
+#endif
--- /dev/null
+++ b/link/link_service.c
@@ -0,0 +1,297 @@
+#include "link/link_service.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "daemon/settings_service.h"
+#include "link/link_inbound.h"
+#include "link/link_peer.h"
+#include "shared/pool_lease.h"
+
+#define MAX_INBOUND 512
+/** Turns of the main loop that let closed connections end. */
+#define CLOSING_TURNS 64
+
+struct handler {
+	link_handler fn;
+	void *data;
+};
+
+struct up_subscriber {
+	link_up_fn fn;
+	void *data;
+};
+
+struct link_service {
+	struct service base;
+	struct link_identity self;
+	const char *secret;
+	GSocketService *listener;
+	GPtrArray *peers;	/**< of struct link_peer */
+	GHashTable *inbound;	/**< set of struct link_inbound */
+	GArray *up_subscribers; /**< of struct up_subscriber */
+	struct handler handlers[MESSAGE_TYPE_COUNT];
+	struct link_traffic traffic;
+};
+
+static void on_frame(const struct link_identity *from, uint8_t type,
+		     json_object *body, void *data)
+{
+	struct link_service *s = data;
+	const struct handler *h;
+
+	if (type >= MESSAGE_TYPE_COUNT)
+		return;
+	h = &s->handlers[type];
+	if (h->fn)
+		h->fn(from, body, h->data);
+}
+
+static void on_ended(struct link_inbound *i, void *data)
+{
+	struct link_service *s = data;
+
+	g_hash_table_remove(s->inbound, i);
+}
+
+static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
+			    GObject *source, gpointer data)
+{
+	struct link_service *s = data;
+	struct link_inbound_spec spec = {
+		.identity = &s->self,
+		.secret = s->secret,
+		.traffic = &s->traffic,
+		.on_frame = on_frame,
+		.on_ended = on_ended,
+		.data = s,
+	};
+
+	if (g_hash_table_size(s->inbound) < MAX_INBOUND)
+		g_hash_table_add(s->inbound, link_inbound_new(&spec, stream));
+	return TRUE;
+}
+
+static void on_peer_up(struct link_peer *peer, void *data)
+{
+	struct link_service *s = data;
+	const struct link_identity *to = link_peer_identity(peer);
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "link_up");
+	log_str(&line, "peer", to->node);
+	log_str(&line, "incarnation", to->incarnation);
+	log_str(&line, "address", link_peer_address(peer));
+	log_end(&line);
+	for (guint i = 0; i < s->up_subscribers->len; i++) {
+		const struct up_subscriber *sub = &g_array_index(
+			s->up_subscribers, struct up_subscriber, i);
+
+		sub->fn(to, sub->data);
+	}
+}
+
+static void set_self(struct link_service *s, const struct kernel *k)
+{
+	const struct settings *settings = settings_of(k);
+
+	s->self.node = g_strdup(settings->node);
+	s->self.incarnation = g_strdup(incarnation_of(k));
+	s->self.vm = g_strdup(settings->vm);
+	s->self.failure_domain = g_strdup(settings->failure_domain);
+	s->self.http = g_strdup(settings->http);
+	s->self.link = g_strdup(settings->link);
+	s->self.role = kernel_find(k, POOL_LEASE_SERVICE) ? LINK_ROLE_SCHEDULER
+							  : LINK_ROLE_GATEWAY;
+	s->secret = settings->link_secret ? settings->link_secret : "";
+}
+
+static enum status listen_on(struct link_service *s, const char *address)
+{
+	enum status status = STATUS_OK;
+	GSocketAddress *inet = NULL;
+	GError *error = NULL;
+	char *host = NULL;
+	uint16_t port;
+
+	if (!util_parse_endpoint(address, &host, &port))
+		return status_fail(STATUS_INVALID, "bad address %s", address);
+	inet = g_inet_socket_address_new_from_string(host, port);
+	if (!g_socket_listener_add_address(
+		    G_SOCKET_LISTENER(s->listener), inet, G_SOCKET_TYPE_STREAM,
+		    G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
+		status = status_fail(STATUS_UNAVAILABLE, "listen %s: %s",
+				     address, error->message);
+		g_error_free(error);
+	}
+	g_object_unref(inet);
+	g_free(host);
+	return status;
+}
+
+static enum status link_service_start(struct service *base, struct kernel *k)
+{
+	struct link_service *s = (struct link_service *)base;
+	enum status status;
+
+	set_self(s, k);
+	status = listen_on(s, s->self.link);
+	if (status != STATUS_OK)
+		return status;
+	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
+	g_socket_service_start(s->listener);
+	return STATUS_OK;
+}
+
+static void link_service_free(struct service *base)
+{
+	struct link_service *s = (struct link_service *)base;
+
+	g_socket_service_stop(s->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(s->listener));
+	g_ptr_array_unref(s->peers);
+	g_hash_table_unref(s->inbound);
+	for (guint i = 0; i < CLOSING_TURNS; i++)
+		g_main_context_iteration(NULL, FALSE);
+	g_object_unref(s->listener);
+	g_array_unref(s->up_subscribers);
+	link_identity_clear(&s->self);
+	g_free(s);
+}
+
+static const struct service_class link_service_class = {
+	.name = LINK_SERVICE,
+	.start = link_service_start,
+	.free = link_service_free,
+};
+
+struct service *link_service_new(void)
+{
+	struct link_service *s = g_new0(struct link_service, 1);
+
+	s->base.class = &link_service_class;
+	s->listener = g_socket_service_new();
+	s->peers =
+		g_ptr_array_new_with_free_func((GDestroyNotify)link_peer_free);
+	s->inbound = g_hash_table_new_full(
+		NULL, NULL, (GDestroyNotify)link_inbound_free, NULL);
+	s->up_subscribers =
+		g_array_new(FALSE, FALSE, sizeof(struct up_subscriber));
+	return &s->base;
+}
+
+const struct link_identity *link_service_self(const struct link_service *s)
+{
+	return &s->self;
+}
+
+void link_service_handle(struct link_service *s, enum message_type type,
+			 link_handler handler, void *data)
+{
+	s->handlers[type] = (struct handler){ handler, data };
+}
+
+void link_service_on_up(struct link_service *s, link_up_fn fn, void *data)
+{
+	struct up_subscriber sub = { fn, data };
+
+	g_array_append_val(s->up_subscribers, sub);
+}
+
+static gboolean has_peer(const struct link_service *s, const char *address)
+{
+	for (guint i = 0; i < s->peers->len; i++) {
+		if (g_str_equal(link_peer_address(s->peers->pdata[i]), address))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static void add_peer(struct link_service *s, const char *address)
+{
+	struct link_peer_spec spec = {
+		.address = address,
+		.identity = &s->self,
+		.secret = s->secret,
+		.traffic = &s->traffic,
+		.on_up = on_peer_up,
+		.data = s,
+	};
+
+	g_ptr_array_add(s->peers, link_peer_new(&spec));
+}
+
+void link_service_set_targets(struct link_service *s,
+			      const GPtrArray *addresses)
+{
+	for (guint i = s->peers->len; i > 0; i--) {
+		const char *address = link_peer_address(s->peers->pdata[i - 1]);
+
+		if (!g_ptr_array_find_with_equal_func(
+			    (GPtrArray *)addresses, address, g_str_equal, NULL))
+			g_ptr_array_remove_index(s->peers, i - 1);
+	}
+	for (guint i = 0; i < addresses->len; i++) {
+		const char *address = addresses->pdata[i];
+
+		if (!g_str_equal(address, s->self.link) &&
+		    !has_peer(s, address))
+			add_peer(s, address);
+	}
+}
+
+enum status link_service_send(struct link_service *s, const char *node,
+			      enum message_type type, json_object *body)
+{
+	for (guint i = 0; i < s->peers->len; i++) {
+		const struct link_identity *to =
+			link_peer_identity(s->peers->pdata[i]);
+
+		if (to && g_str_equal(to->node, node))
+			return link_peer_send(s->peers->pdata[i], type, body);
+	}
+	return status_fail(STATUS_UNAVAILABLE, "no link to %s", node);
+}
+
+static void broadcast(struct link_service *s, gboolean is_own_domain,
+		      enum message_type type, json_object *body)
+{
+	for (guint i = 0; i < s->peers->len; i++) {
+		const struct link_identity *to =
+			link_peer_identity(s->peers->pdata[i]);
+
+		if (to && g_str_equal(to->failure_domain,
+				      s->self.failure_domain) == is_own_domain)
+			link_peer_send(s->peers->pdata[i], type, body);
+	}
+}
+
+void link_service_broadcast_domain(struct link_service *s,
+				   enum message_type type, json_object *body)
+{
+	broadcast(s, TRUE, type, body);
+}
+
+void link_service_broadcast_bridges(struct link_service *s,
+				    enum message_type type, json_object *body)
+{
+	broadcast(s, FALSE, type, body);
+}
+
+GPtrArray *link_service_peers(const struct link_service *s)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < s->peers->len; i++) {
+		const struct link_identity *to =
+			link_peer_identity(s->peers->pdata[i]);
+
+		if (to)
+			g_ptr_array_add(out, (gpointer)to);
+	}
+	return out;
+}
+
+const struct link_traffic *link_service_traffic(const struct link_service *s)
+{
+	return &s->traffic;
+}
--- /dev/null
+++ b/link/message.h
@@ -0,0 +1,23 @@
+/**
+ * @file
+ * Types of the frames between the system's processes.
+ */
+#ifndef LINK_MESSAGE_H
+#define LINK_MESSAGE_H
+
+enum message_type {
+	MESSAGE_CHALLENGE = 1, /**< struct link_challenge */
+	MESSAGE_HELLO,	       /**< struct link_hello */
+	MESSAGE_WELCOME,       /**< struct link_hello */
+	MESSAGE_PING,	       /**< empty; answered on the same connection */
+	MESSAGE_ACK,	       /**< empty */
+	/* The types below are handled by services. */
+	MESSAGE_FIRST_OF_SERVICES = 16,
+	MESSAGE_HEARTBEAT = 16, /**< struct heartbeat */
+	MESSAGE_CONFIG_DELTA,	/**< struct config_delta */
+	MESSAGE_CONFIG_BODY,	/**< struct config_whole */
+	MESSAGE_CONFIG_REQUEST, /**< struct config_request */
+	MESSAGE_TYPE_COUNT = 64,
+};
+
+#endif
