Membership: heartbeats, evidence of others, suspicion before death

Change: member_record (identity, state and status, each part with its own version), heartbeat, member_table (pure) and the service membership; vm_list turns the platform's lagging list into hints. Full mesh within a failure domain; two members of each domain of a pair hold the links across. A record is told again only after a change, from a number kept per link. pool_lease ranks candidates by the live schedulers and hears holders by heartbeats. Ruled out: timeouts by the VM list (it lags); gossip with random peers (not deterministic, slower within a small domain).

--- /dev/null
+++ b/shared/member_table.c
@@ -0,0 +1,414 @@
+#include "shared/member_table.h"
+
+#include <string.h>
+
+#include "shared/pool_share.h"
+
+/** Time without a step after which this process must have been paused. */
+#define PAUSE_MS INT64_C(1500)
+#define NEVER_MS (-MEMBER_FORGET_MS)
+
+static void member_free(gpointer data)
+{
+	struct member *m = data;
+
+	member_record_clear(&m->record);
+	g_free(m);
+}
+
+static gint compare_members(gconstpointer a, gconstpointer b)
+{
+	const struct member *x = *(const struct member *const *)a;
+	const struct member *y = *(const struct member *const *)b;
+
+	return strcmp(x->record.identity.node, y->record.identity.node);
+}
+
+static struct member *add(struct member_table *t,
+			  const struct member_record *record, int64_t now_ms)
+{
+	struct member *m = g_new0(struct member, 1);
+
+	member_record_copy(&m->record, record);
+	m->heard_ms = NEVER_MS;
+	m->indirect_ms = now_ms;
+	m->suspect_ms = now_ms;
+	m->ended_ms = now_ms;
+	m->change = ++t->changes;
+	g_ptr_array_add(t->members, m);
+	g_ptr_array_sort(t->members, compare_members);
+	return m;
+}
+
+void member_table_init(struct member_table *t, const struct link_identity *self,
+		       int64_t generation, int64_t now_ms)
+{
+	struct member_record record = { .generation = generation };
+
+	*t = (struct member_table){ .rules = &member_rules_default };
+	t->members = g_ptr_array_new_with_free_func(member_free);
+	t->step_ms = now_ms;
+	record.identity = *self;
+	t->self = add(t, &record, now_ms);
+}
+
+void member_table_clear(struct member_table *t)
+{
+	g_clear_pointer(&t->members, g_ptr_array_unref);
+}
+
+struct member *member_table_find(const struct member_table *t, const char *node)
+{
+	for (guint i = 0; i < t->members->len; i++) {
+		struct member *m = g_ptr_array_index(t->members, i);
+
+		if (g_str_equal(m->record.identity.node, node))
+			return m;
+	}
+	return NULL;
+}
+
+static gboolean is_near(const struct member_table *t, const struct member *m)
+{
+	return g_str_equal(m->record.identity.failure_domain,
+			   t->self->record.identity.failure_domain);
+}
+
+static gboolean has_ended(const struct member *m)
+{
+	return m->record.state == MEMBER_DEAD || m->record.state == MEMBER_LEFT;
+}
+
+gboolean member_is_live(const struct member *m)
+{
+	return m->record.state == MEMBER_ALIVE ||
+	       m->record.state == MEMBER_SUSPECT;
+}
+
+static int64_t silence_ms(const struct member *m, int64_t now_ms)
+{
+	return now_ms - MAX(m->heard_ms, m->indirect_ms);
+}
+
+static void set_state(struct member_table *t, struct member *m, int64_t now_ms,
+		      enum member_state state)
+{
+	m->record.state = state;
+	m->change = ++t->changes;
+	if (state == MEMBER_SUSPECT)
+		m->suspect_ms = now_ms;
+	if (has_ended(m))
+		m->ended_ms = now_ms;
+}
+
+/* What others say of this process is answered by a higher version. */
+static void refute(struct member_table *t, const struct member_record *said)
+{
+	struct member_record *own = &t->self->record;
+
+	if (said->generation < own->generation)
+		return;
+	if (!g_str_equal(said->identity.incarnation,
+			 own->identity.incarnation)) {
+		own->generation = said->generation + 1;
+		own->state_version = 0;
+		t->self->change = ++t->changes;
+		return;
+	}
+	if (!t->rules->is_newer_state(said, own))
+		return;
+	own->state_version = said->state_version + 1;
+	t->self->change = ++t->changes;
+}
+
+/* A member that is heard of here is not lost, whatever others say. */
+static gboolean contradicts(const struct member_table *t,
+			    const struct member *m,
+			    const struct member_record *record, int64_t now_ms)
+{
+	return record->generation == m->record.generation && is_near(t, m) &&
+	       (record->state == MEMBER_SUSPECT ||
+		record->state == MEMBER_DEAD) &&
+	       silence_ms(m, now_ms) < MEMBER_SUSPECT_MS;
+}
+
+void member_table_merge(struct member_table *t, int64_t now_ms,
+			const struct member_record *record)
+{
+	struct member *m = member_table_find(t, record->identity.node);
+	gboolean is_next;
+
+	if (!m) {
+		add(t, record, now_ms);
+		return;
+	}
+	if (m == t->self) {
+		refute(t, record);
+		return;
+	}
+	if (contradicts(t, m, record, now_ms))
+		return;
+	is_next = record->generation > m->record.generation;
+	if (!member_record_merge(&m->record, record, t->rules))
+		return;
+	if (is_next)
+		m->indirect_ms = now_ms;
+	set_state(t, m, now_ms, (enum member_state)m->record.state);
+}
+
+static void take_evidence(struct member_table *t, int64_t now_ms,
+			  const struct heartbeat *h)
+{
+	for (guint i = 0; i < h->heard->len; i++) {
+		const struct heard_member *heard =
+			&g_array_index(h->heard, struct heard_member, i);
+		struct member *m = member_table_find(t, heard->node);
+
+		if (m && heard->generation == m->record.generation)
+			m->indirect_ms =
+				MAX(m->indirect_ms, now_ms - heard->age_ms);
+	}
+}
+
+void member_table_on_heartbeat(struct member_table *t, int64_t now_ms,
+			       const struct link_identity *from,
+			       const struct heartbeat *h)
+{
+	struct member_record record = {
+		.identity = *from,
+		.generation = h->generation,
+		.state = h->state,
+		.state_version = h->state_version,
+		.config_version = h->config_version,
+		.status_version = h->status_version,
+	};
+	struct member *m;
+
+	member_table_merge(t, now_ms, &record);
+	m = member_table_find(t, from->node);
+	if (m && m != t->self && m->record.generation == h->generation) {
+		m->heard_ms = now_ms;
+		if (m->record.state == MEMBER_SUSPECT ||
+		    m->record.state == MEMBER_DEAD)
+			set_state(t, m, now_ms, MEMBER_ALIVE);
+	}
+	take_evidence(t, now_ms, h);
+	for (guint i = 0; i < h->records->len; i++)
+		member_table_merge(
+			t, now_ms,
+			&g_array_index(h->records, struct member_record, i));
+}
+
+static void step_member(struct member_table *t, struct member *m,
+			int64_t now_ms)
+{
+	gboolean is_silent = silence_ms(m, now_ms) >= MEMBER_SUSPECT_MS;
+
+	switch ((enum member_state)m->record.state) {
+	case MEMBER_ALIVE:
+		if (is_silent)
+			set_state(t, m, now_ms,
+				  m->hint == VM_HINT_LEAVING ? MEMBER_LEFT
+							     : MEMBER_SUSPECT);
+		break;
+	case MEMBER_SUSPECT:
+		if (!is_silent)
+			set_state(t, m, now_ms, MEMBER_ALIVE);
+		else if (m->hint == VM_HINT_ABSENT ||
+			 now_ms - m->suspect_ms >= MEMBER_DEAD_MS)
+			set_state(t, m, now_ms, MEMBER_DEAD);
+		break;
+	case MEMBER_LEAVING:
+		if (is_silent)
+			set_state(t, m, now_ms, MEMBER_LEFT);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Silence while this process itself did not run says nothing of others. */
+static void forgive_pause(struct member_table *t, int64_t now_ms)
+{
+	int64_t pause_ms = now_ms - t->step_ms;
+
+	if (pause_ms < PAUSE_MS)
+		return;
+	for (guint i = 0; i < t->members->len; i++) {
+		struct member *m = g_ptr_array_index(t->members, i);
+
+		m->heard_ms += pause_ms;
+		m->indirect_ms += pause_ms;
+		m->suspect_ms += pause_ms;
+	}
+}
+
+void member_table_step(struct member_table *t, int64_t now_ms)
+{
+	forgive_pause(t, now_ms);
+	t->step_ms = now_ms;
+	for (guint i = t->members->len; i > 0; i--) {
+		struct member *m = g_ptr_array_index(t->members, i - 1);
+
+		if (m == t->self)
+			continue;
+		if (has_ended(m) && now_ms - m->ended_ms >= MEMBER_FORGET_MS)
+			g_ptr_array_remove_index(t->members, i - 1);
+		else if (is_near(t, m))
+			step_member(t, m, now_ms);
+	}
+}
+
+void member_table_set_status(struct member_table *t, int64_t config_version)
+{
+	struct member_record *own = &t->self->record;
+
+	if (own->config_version == config_version)
+		return;
+	own->config_version = config_version;
+	own->status_version++;
+}
+
+void member_table_leave(struct member_table *t)
+{
+	struct member_record *own = &t->self->record;
+
+	if (own->state == MEMBER_LEAVING)
+		return;
+	own->state = MEMBER_LEAVING;
+	own->state_version++;
+	t->self->change = ++t->changes;
+}
+
+static void add_heard(const struct member_table *t, const struct member *m,
+		      int64_t now_ms, GArray *out)
+{
+	struct heard_member heard = {
+		.node = g_strdup(m->record.identity.node),
+		.generation = m->record.generation,
+		.age_ms = MAX(now_ms - m->heard_ms, 0),
+	};
+
+	g_array_append_val(out, heard);
+}
+
+static void add_record(const struct member *m, GArray *out)
+{
+	struct member_record record = { 0 };
+
+	member_record_copy(&record, &m->record);
+	g_array_append_val(out, record);
+}
+
+void member_table_heartbeat(const struct member_table *t, int64_t now_ms,
+			    int64_t since, gboolean with_heard,
+			    struct heartbeat *out)
+{
+	const struct member_record *own = &t->self->record;
+
+	out->generation = own->generation;
+	out->state = own->state;
+	out->state_version = own->state_version;
+	out->config_version = own->config_version;
+	out->status_version = own->status_version;
+	out->pools = g_array_new(FALSE, TRUE, sizeof(struct heartbeat_pool));
+	out->heard = g_array_new(FALSE, TRUE, sizeof(struct heard_member));
+	out->records = g_array_new(FALSE, TRUE, sizeof(struct member_record));
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+
+		if (m == t->self)
+			continue;
+		if (with_heard && is_near(t, m) &&
+		    now_ms - m->heard_ms < MEMBER_SUSPECT_MS)
+			add_heard(t, m, now_ms, out->heard);
+		if (m->change > since)
+			add_record(m, out->records);
+	}
+}
+
+GPtrArray *member_table_live(const struct member_table *t, enum link_role role,
+			     const char *failure_domain)
+{
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < t->members->len; i++) {
+		struct member *m = g_ptr_array_index(t->members, i);
+
+		if (member_is_live(m) && m->record.identity.role == role &&
+		    g_str_equal(m->record.identity.failure_domain,
+				failure_domain))
+			g_ptr_array_add(out, m);
+	}
+	return out;
+}
+
+/* Tells whether a member is among the first of its domain for a key. */
+static gboolean is_among_first(const struct member_table *t,
+			       const struct member *m, const char *key,
+			       guint count)
+{
+	uint64_t score = pool_share_score(key, m->record.identity.node);
+	guint before = 0;
+
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *other = g_ptr_array_index(t->members, i);
+
+		if (other != m && member_is_live(other) &&
+		    g_str_equal(other->record.identity.failure_domain,
+				m->record.identity.failure_domain) &&
+		    pool_share_score(key, other->record.identity.node) > score)
+			before++;
+	}
+	return before < count;
+}
+
+gboolean member_table_is_elected(const struct member_table *t, const char *task,
+				 guint count)
+{
+	return is_among_first(t, t->self, task, count);
+}
+
+/* The same key on both sides, whichever asks. */
+static char *pair_key(const char *a, const char *b)
+{
+	return strcmp(a, b) < 0 ? g_strdup_printf("%s|%s", a, b)
+				: g_strdup_printf("%s|%s", b, a);
+}
+
+static gboolean is_bridged(const struct member_table *t, const struct member *m)
+{
+	char *key = pair_key(t->self->record.identity.failure_domain,
+			     m->record.identity.failure_domain);
+	gboolean is_ours = is_among_first(t, t->self, key, MEMBER_BRIDGES) &&
+			   is_among_first(t, m, key, MEMBER_BRIDGES);
+
+	g_free(key);
+	return is_ours;
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+GPtrArray *member_table_targets(const struct member_table *t)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+		gboolean is_target;
+
+		if (m == t->self || m->record.state == MEMBER_LEFT)
+			continue;
+		if (is_near(t, m))
+			is_target = TRUE;
+		else
+			is_target = member_is_live(m) && is_bridged(t, m);
+		if (is_target)
+			g_ptr_array_add(out, g_strdup(m->record.identity.link));
+	}
+	g_ptr_array_sort(out, compare_names);
+	return out;
+}
--- /dev/null
+++ b/shared/membership_service.c
@@ -0,0 +1,305 @@
+#include "shared/membership_service.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "config/config_service.h"
+#include "daemon/platform_service.h"
+#include "daemon/settings_service.h"
+#include "link/link_service.h"
+#include "shared/pool_lease.h"
+#include "shared/vm_list.h"
+
+#define TICK_MS 250
+/** Ticks from one heartbeat to the next, within the domain and across. */
+#define NEAR_TICKS (MEMBER_HEARTBEAT_MS / TICK_MS)
+#define BRIDGE_TICKS (2 * NEAR_TICKS)
+#define VM_LIST_MS 10000
+
+struct subscriber {
+	membership_fn fn;
+	void *data;
+};
+
+struct membership_service {
+	struct service base;
+	struct kernel *kernel;
+	struct link_service *link;
+	struct member_table table;
+	GHashTable *sent;    /**< node to the last change sent on its link */
+	GHashTable *states;  /**< node to the state last logged */
+	GArray *subscribers; /**< of struct subscriber */
+	int64_t ticks;
+	gboolean is_listing;
+	guint tick_timer;
+	guint list_timer;
+};
+
+static void on_link_up(const struct link_identity *to, void *data)
+{
+	struct membership_service *s = data;
+
+	g_hash_table_remove(s->sent, to->node);
+}
+
+static void on_heartbeat(const struct link_identity *from, json_object *body,
+			 void *data)
+{
+	struct membership_service *s = data;
+	struct heartbeat h = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (!schema_decode(&heartbeat_schema, body, &h, "", NULL, &findings))
+		goto out;
+	member_table_on_heartbeat(&s->table, util_monotonic_ms(), from, &h);
+	for (guint i = 0; i < s->subscribers->len; i++) {
+		const struct subscriber *sub =
+			&g_array_index(s->subscribers, struct subscriber, i);
+
+		sub->fn(from, &h, sub->data);
+	}
+out:
+	schema_clear(&heartbeat_schema, &h);
+	finding_list_clear(&findings);
+}
+
+static void send_heartbeat(struct membership_service *s,
+			   const struct link_identity *to, gboolean is_near)
+{
+	struct pool_lease_service *leases;
+	struct heartbeat h = { 0 };
+	int64_t *since = g_hash_table_lookup(s->sent, to->node);
+	json_object *body;
+
+	member_table_heartbeat(&s->table, util_monotonic_ms(),
+			       since ? *since : 0, is_near, &h);
+	leases = (struct pool_lease_service *)kernel_find(s->kernel,
+							  POOL_LEASE_SERVICE);
+	if (leases && is_near)
+		pool_lease_describe(leases, h.pools);
+	body = schema_encode(&heartbeat_schema, &h);
+	if (link_service_send(s->link, to->node, MESSAGE_HEARTBEAT, body) ==
+	    STATUS_OK) {
+		since = g_new(int64_t, 1);
+		*since = s->table.changes;
+		g_hash_table_replace(s->sent, g_strdup(to->node), since);
+	}
+	json_object_put(body);
+	schema_clear(&heartbeat_schema, &h);
+}
+
+static void send_heartbeats(struct membership_service *s, gboolean to_bridges)
+{
+	GPtrArray *peers = link_service_peers(s->link);
+	const char *own = link_service_self(s->link)->failure_domain;
+
+	for (guint i = 0; i < peers->len; i++) {
+		const struct link_identity *to = g_ptr_array_index(peers, i);
+		gboolean is_near = g_str_equal(to->failure_domain, own);
+
+		if (is_near || to_bridges)
+			send_heartbeat(s, to, is_near);
+	}
+	g_ptr_array_unref(peers);
+}
+
+static gboolean is_known_link(const struct member_table *t, const char *address)
+{
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+
+		if (g_str_equal(m->record.identity.link, address))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Members that the table names, and seeds that are no member yet. */
+static void update_targets(struct membership_service *s)
+{
+	const GPtrArray *seeds = settings_of(s->kernel)->seeds;
+	GPtrArray *targets = member_table_targets(&s->table);
+
+	for (guint i = 0; seeds && i < seeds->len; i++) {
+		if (!is_known_link(&s->table, seeds->pdata[i]))
+			g_ptr_array_add(targets, g_strdup(seeds->pdata[i]));
+	}
+	link_service_set_targets(s->link, targets);
+	g_ptr_array_unref(targets);
+}
+
+static void log_states(struct membership_service *s)
+{
+	for (guint i = 0; i < s->table.members->len; i++) {
+		const struct member *m = g_ptr_array_index(s->table.members, i);
+		const char *state = member_state_names[m->record.state];
+		const char *node = m->record.identity.node;
+		struct log_line line;
+
+		if (g_strcmp0(g_hash_table_lookup(s->states, node), state) == 0)
+			continue;
+		g_hash_table_replace(s->states, g_strdup(node),
+				     (gpointer)state);
+		log_begin(&line, LOG_LEVEL_INFO, "member");
+		log_str(&line, "member", node);
+		log_str(&line, "state", state);
+		log_str(&line, "incarnation", m->record.identity.incarnation);
+		log_int(&line, "generation", m->record.generation);
+		log_end(&line);
+	}
+}
+
+static int64_t config_version(const struct membership_service *s)
+{
+	const struct config_service *config;
+
+	config = (const struct config_service *)kernel_find(s->kernel,
+							    CONFIG_SERVICE);
+	return config ? config_service_version(config) : 0;
+}
+
+static void count_traffic(struct membership_service *s)
+{
+	struct counters *c = kernel_counters(s->kernel);
+	const struct link_traffic *t = link_service_traffic(s->link);
+
+	counter_set(counters_gauge(c, "link_sent_bytes", "sent on links"),
+		    t->sent_bytes);
+	counter_set(
+		counters_gauge(c, "link_received_bytes", "received on links"),
+		t->received_bytes);
+	counter_set(counters_gauge(c, "link_sent_frames", "sent on links"),
+		    t->sent_frames);
+	counter_set(
+		counters_gauge(c, "link_received_frames", "received on links"),
+		t->received_frames);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct membership_service *s = data;
+
+	member_table_set_status(&s->table, config_version(s));
+	member_table_step(&s->table, util_monotonic_ms());
+	log_states(s);
+	if (s->ticks % NEAR_TICKS == 0) {
+		update_targets(s);
+		send_heartbeats(s, s->ticks % BRIDGE_TICKS == 0);
+		count_traffic(s);
+	}
+	s->ticks++;
+	return G_SOURCE_CONTINUE;
+}
+
+static void on_vm_list(const struct platform_result *result, void *data)
+{
+	struct membership_service *s = data;
+
+	s->is_listing = FALSE;
+	if (result->status == STATUS_OK && result->object)
+		vm_list_hint(result->object, &s->table);
+}
+
+static gboolean on_list_timer(gpointer data)
+{
+	struct membership_service *s = data;
+
+	if (!s->is_listing) {
+		s->is_listing = TRUE;
+		platform_vm_list(platform_of(s->kernel), on_vm_list, s);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static enum status membership_service_start(struct service *base,
+					    struct kernel *k)
+{
+	struct membership_service *s = (struct membership_service *)base;
+
+	s->kernel = k;
+	s->link = (struct link_service *)kernel_find(k, LINK_SERVICE);
+	member_table_init(&s->table, link_service_self(s->link), util_wall_ms(),
+			  util_monotonic_ms());
+	link_service_handle(s->link, MESSAGE_HEARTBEAT, on_heartbeat, s);
+	link_service_on_up(s->link, on_link_up, s);
+	s->tick_timer = g_timeout_add(TICK_MS, on_tick, s);
+	s->list_timer = g_timeout_add(VM_LIST_MS, on_list_timer, s);
+	on_tick(s);
+	on_list_timer(s);
+	return STATUS_OK;
+}
+
+static void membership_service_drain(struct service *base)
+{
+	struct membership_service *s = (struct membership_service *)base;
+
+	member_table_leave(&s->table);
+	send_heartbeats(s, TRUE);
+}
+
+static void membership_service_free(struct service *base)
+{
+	struct membership_service *s = (struct membership_service *)base;
+
+	if (s->tick_timer)
+		g_source_remove(s->tick_timer);
+	if (s->list_timer)
+		g_source_remove(s->list_timer);
+	if (s->kernel)
+		platform_forget(platform_of(s->kernel), s);
+	member_table_clear(&s->table);
+	g_hash_table_unref(s->sent);
+	g_hash_table_unref(s->states);
+	g_array_unref(s->subscribers);
+	g_free(s);
+}
+
+static const struct service_class membership_service_class = {
+	.name = MEMBERSHIP_SERVICE,
+	.start = membership_service_start,
+	.drain = membership_service_drain,
+	.free = membership_service_free,
+};
+
+struct service *membership_service_new(void)
+{
+	struct membership_service *s = g_new0(struct membership_service, 1);
+
+	s->base.class = &membership_service_class;
+	s->sent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->subscribers = g_array_new(FALSE, FALSE, sizeof(struct subscriber));
+	return &s->base;
+}
+
+struct membership_service *membership_of(const struct kernel *k)
+{
+	return (struct membership_service *)kernel_find(k, MEMBERSHIP_SERVICE);
+}
+
+const struct member_table *
+membership_service_table(const struct membership_service *s)
+{
+	return &s->table;
+}
+
+guint membership_service_count_live(const struct membership_service *s,
+				    enum link_role role,
+				    const char *failure_domain)
+{
+	GPtrArray *live = member_table_live(&s->table, role, failure_domain);
+	guint count = MAX(live->len, 1);
+
+	g_ptr_array_unref(live);
+	return count;
+}
+
+void membership_service_subscribe(struct membership_service *s,
+				  membership_fn fn, void *data)
+{
+	struct subscriber sub = { fn, data };
+
+	g_array_append_val(s->subscribers, sub);
+}
--- /dev/null
+++ b/shared/membership_service.h
@@ -0,0 +1,43 @@
+/**
+ * @file
+ * The service "membership": which processes of the system live, by heartbeats
+ * over the links, what others hear, and the platform's lagging list of VMs.
+ */
+#ifndef SHARED_MEMBERSHIP_SERVICE_H
+#define SHARED_MEMBERSHIP_SERVICE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "base/kernel.h"
+#include "shared/member_table.h"
+
+#define MEMBERSHIP_SERVICE "membership"
+
+struct membership_service;
+
+/** Called for each heartbeat, after the members have taken it in. */
+typedef void (*membership_fn)(const struct link_identity *from,
+			      const struct heartbeat *heartbeat, void *data);
+
+struct service *membership_service_new(void);
+
+/** Returns the service of a kernel, or NULL when the process has none. */
+struct membership_service *membership_of(const struct kernel *k);
+
+/** Returns the members as this process sees them. */
+const struct member_table *
+membership_service_table(const struct membership_service *s);
+
+/**
+ * Returns the number of live members of a role in a failure domain, this
+ * process included; at least 1, so that limits can be divided by it.
+ */
+guint membership_service_count_live(const struct membership_service *s,
+				    enum link_role role,
+				    const char *failure_domain);
+
+void membership_service_subscribe(struct membership_service *s,
+				  membership_fn fn, void *data);
+
+#endif
--- a/shared/pool_lease.h
+++ b/shared/pool_lease.h
@@ -41,6 +41,13 @@
 const char *pool_lease_holder(const struct pool_lease_service *s,
 			      const char *pool);
 
+/** Takes note of what a peer says of a pool's lease. */
+void pool_lease_heard(struct pool_lease_service *s, const char *pool,
+		      int64_t epoch, gboolean is_holder);
+
+/** Adds this process's part in each lease; of struct heartbeat_pool. */
+void pool_lease_describe(const struct pool_lease_service *s, GArray *out);
+
 void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
 			  void *data);
 
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -8,6 +8,7 @@
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
 #include "shared/lease_protocol.h"
+#include "shared/membership_service.h"
 #include "shared/pool_share.h"
 
 #define TICK_MS 100
@@ -203,16 +204,48 @@
 	}
 }
 
+/* The candidates: live schedulers of this failure domain. */
+static void update_members(struct pool_lease_service *s)
+{
+	const struct settings *settings = settings_of(s->kernel);
+	const struct membership_service *membership = membership_of(s->kernel);
+	GPtrArray *live;
+
+	if (!membership)
+		return;
+	live = member_table_live(membership_service_table(membership),
+				 LINK_ROLE_SCHEDULER, settings->failure_domain);
+	g_ptr_array_set_size(s->members, 0);
+	for (guint i = 0; i < live->len; i++) {
+		const struct member *m = g_ptr_array_index(live, i);
+
+		g_ptr_array_add(s->members, g_strdup(m->record.identity.node));
+	}
+	g_ptr_array_unref(live);
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct pool_lease_service *s = data;
 	int64_t now_ms = util_monotonic_ms();
 
+	update_members(s);
 	for (guint i = 0; i < s->leases->len; i++)
 		tick_lease(g_ptr_array_index(s->leases, i), now_ms);
 	return G_SOURCE_CONTINUE;
 }
 
+static void on_heartbeat(const struct link_identity *from,
+			 const struct heartbeat *h, void *data)
+{
+	for (guint i = 0; i < h->pools->len; i++) {
+		const struct heartbeat_pool *p =
+			&g_array_index(h->pools, struct heartbeat_pool, i);
+
+		pool_lease_heard(data, p->pool, p->epoch, p->is_holder != 0);
+	}
+}
+
 static enum status pool_lease_service_start(struct service *base,
 					    struct kernel *k)
 {
@@ -225,6 +258,8 @@
 	config = (struct config_service *)kernel_find(k, CONFIG_SERVICE);
 	if (config)
 		config_service_subscribe(config, on_config, s);
+	if (membership_of(k))
+		membership_service_subscribe(membership_of(k), on_heartbeat, s);
 	s->timer = g_timeout_add(TICK_MS, on_tick, s);
 	return STATUS_OK;
 }
@@ -309,6 +344,34 @@
 	return l->protocol.row.address;
 }
 
+void pool_lease_heard(struct pool_lease_service *s, const char *pool,
+		      int64_t epoch, gboolean is_holder)
+{
+	struct pool_lease *l = find_lease(s, pool);
+
+	if (l)
+		lease_protocol_heard(&l->protocol, util_monotonic_ms(), epoch,
+				     is_holder);
+}
+
+void pool_lease_describe(const struct pool_lease_service *s, GArray *out)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	for (guint i = 0; i < s->leases->len; i++) {
+		const struct pool_lease *l = g_ptr_array_index(s->leases, i);
+		struct heartbeat_pool p = { 0 };
+		enum pool_role role;
+
+		role = lease_protocol_role(&l->protocol, now_ms, &p.epoch);
+		if (p.epoch == 0)
+			continue;
+		p.pool = g_strdup(l->pool);
+		p.is_holder = role == POOL_ROLE_HOLDER;
+		g_array_append_val(out, p);
+	}
+}
+
 void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
 			  void *data)
 {
