Configurations spread as changes over the links; GET /v1/status

Change: config_delta (pure: entities set and removed, digest of the result), config_spread (pushed to the domain and over the bridges, asked for when a heartbeat tells of a newer version, whole body when no chain of changes leads there). Two members of each domain poll the table every 500 ms, the others every 20 s. Service status for operators.

--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -89,7 +89,7 @@
 	log_end(&line);
 	if (a->outcome == ACCEPTANCE_ACCEPTED)
 		config_service_offer(post->routes->service, a->next.version,
-				     config, "operator");
+				     config, CONFIG_FROM_STORE);
 	add_string(body, "answer", answer->answer);
 	add_string(body, "reason", answer->reason);
 	json_object_object_add(
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -2,12 +2,17 @@
 
 #include "base/json_text.h"
 #include "base/log.h"
+#include "base/util.h"
 #include "config/config_head.h"
 #include "config/config_routes.h"
+#include "config/config_spread.h"
 #include "config/config_version.h"
 #include "daemon/platform_service.h"
 
+/** From one reading of the head to the next, by those that poll for all. */
 #define POLL_MS 500
+/** The same for the others, in case that no push reaches them. */
+#define SLOW_POLL_MS INT64_C(20000)
 
 struct subscriber {
 	config_fn fn;
@@ -18,16 +23,22 @@
 	struct service base;
 	struct kernel *kernel;
 	struct config_routes *routes;
+	struct config_spread *spread; /**< NULL without links */
 	struct config_version current;
 	GArray *subscribers;	  /**< of struct subscriber */
 	int64_t fetching_version; /**< 0 when no body is being read */
+	int64_t read_ms;	  /**< of the last reading of the head */
 	gboolean is_reading;
 	guint timer;
 };
 
+static const char *const origin_names[] = { "store", "near", "far" };
+
 enum status config_service_offer(struct config_service *s, int64_t version,
-				 json_object *body, const char *source)
+				 json_object *body, enum config_origin origin)
 {
+	json_object *base = json_object_get(s->current.body);
+	int64_t base_version = s->current.version;
 	struct finding_list findings;
 	struct log_line line;
 	enum status status;
@@ -39,7 +50,7 @@
 	log_begin(&line, status == STATUS_OK ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR,
 		  status == STATUS_OK ? "config_in_force" : "config_unsound");
 	log_int(&line, "config_version", version);
-	log_str(&line, "source", source);
+	log_str(&line, "origin", origin_names[origin]);
 	log_int(&line, "findings", finding_list_count(&findings));
 	log_end(&line);
 	if (status != STATUS_OK)
@@ -50,7 +61,11 @@
 
 		sub->fn(&s->current.doc, version, sub->data);
 	}
+	if (s->spread)
+		config_spread_push(s->spread, origin, base, base_version, body,
+				   version);
 out:
+	json_object_put(base);
 	finding_list_clear(&findings);
 	return status;
 }
@@ -62,7 +77,8 @@
 
 	s->fetching_version = 0;
 	if (result->status == STATUS_OK && result->object)
-		config_service_offer(s, version, result->object, "object");
+		config_service_offer(s, version, result->object,
+				     CONFIG_FROM_STORE);
 }
 
 static void on_head(const struct platform_result *result, void *data)
@@ -86,13 +102,23 @@
 	finding_list_clear(&findings);
 }
 
+static gboolean is_poll_due(const struct config_service *s, int64_t now_ms)
+{
+	if (s->is_reading || s->fetching_version)
+		return FALSE;
+	return !s->spread || config_spread_is_poller(s->spread) ||
+	       now_ms - s->read_ms >= SLOW_POLL_MS;
+}
+
 static gboolean on_poll(gpointer data)
 {
 	struct config_service *s = data;
+	int64_t now_ms = util_monotonic_ms();
 
-	if (s->is_reading || s->fetching_version)
+	if (!is_poll_due(s, now_ms))
 		return G_SOURCE_CONTINUE;
 	s->is_reading = TRUE;
+	s->read_ms = now_ms;
 	platform_read(platform_of(s->kernel), CONFIG_TABLE, CONFIG_HEAD_KEY,
 		      on_head, s);
 	return G_SOURCE_CONTINUE;
@@ -104,6 +130,7 @@
 
 	s->kernel = k;
 	s->routes = config_routes_new(k, s);
+	s->spread = config_spread_new(k, s);
 	s->timer = g_timeout_add(POLL_MS, on_poll, s);
 	on_poll(s);
 	return STATUS_OK;
@@ -118,6 +145,7 @@
 	if (s->kernel)
 		platform_forget(platform_of(s->kernel), s);
 	g_clear_pointer(&s->routes, config_routes_free);
+	g_clear_pointer(&s->spread, config_spread_free);
 	config_version_clear(&s->current);
 	g_array_unref(s->subscribers);
 	g_free(s);
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -18,6 +18,13 @@
 
 struct config_service;
 
+/** How a configuration came to this process. */
+enum config_origin {
+	CONFIG_FROM_STORE, /**< read or written here: to domain and bridges */
+	CONFIG_FROM_NEAR,  /**< from this domain: to the bridges */
+	CONFIG_FROM_FAR,   /**< over a bridge: to the domain */
+};
+
 typedef void (*config_fn)(const struct config_doc *doc, int64_t version,
 			  void *data);
 
@@ -33,13 +40,13 @@
 json_object *config_service_body(const struct config_service *s);
 
 /**
- * Puts an accepted configuration in force, if it is newer.
+ * Puts an accepted configuration in force, if it is newer, and passes it on.
  *
  * @param body		not taken over
- * @param source	where it came from, for the log
+ * @param origin	where it came from, which decides where it goes
  */
 enum status config_service_offer(struct config_service *s, int64_t version,
-				 json_object *body, const char *source);
+				 json_object *body, enum config_origin origin);
 
 /** Registers a function to be called after each change. */
 void config_service_subscribe(struct config_service *s, config_fn fn,
--- /dev/null
+++ b/config/config_spread.c
@@ -0,0 +1,218 @@
+#include "config/config_spread.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "config/config_delta.h"
+#include "link/link_service.h"
+#include "shared/membership_service.h"
+
+/** Members of a domain that poll the table for all. */
+#define POLLERS 2
+#define POLL_TASK "config-poll"
+/** Changes kept for peers that lag. */
+#define MAX_HISTORY 16
+/** Time to wait for a push before asking for what a heartbeat told of. */
+#define REQUEST_MS INT64_C(500)
+
+struct config_spread {
+	struct kernel *kernel;
+	struct config_service *service;
+	struct link_service *link;
+	struct membership_service *membership;
+	GPtrArray *history; /**< of encoded deltas, oldest first */
+	GArray *bases;	    /**< of int64_t, their base versions */
+	int64_t requested_ms;
+};
+
+static enum config_origin origin_of(const struct config_spread *s,
+				    const struct link_identity *from)
+{
+	const char *own = link_service_self(s->link)->failure_domain;
+
+	return g_str_equal(from->failure_domain, own) ? CONFIG_FROM_NEAR
+						      : CONFIG_FROM_FAR;
+}
+
+static void send_request(struct config_spread *s, const char *node)
+{
+	struct config_request request = { config_service_version(s->service) };
+	json_object *body = schema_encode(&config_request_schema, &request);
+
+	s->requested_ms = util_monotonic_ms();
+	link_service_send(s->link, node, MESSAGE_CONFIG_REQUEST, body);
+	json_object_put(body);
+}
+
+static void take_delta(struct config_spread *s,
+		       const struct link_identity *from,
+		       const struct config_delta *d)
+{
+	json_object *body = NULL;
+
+	if (d->version <= config_service_version(s->service))
+		return;
+	if (d->base_version == config_service_version(s->service) &&
+	    config_delta_apply(d, config_service_body(s->service), &body) ==
+		    STATUS_OK) {
+		config_service_offer(s->service, d->version, body,
+				     origin_of(s, from));
+		json_object_put(body);
+		return;
+	}
+	send_request(s, from->node);
+}
+
+static void on_delta(const struct link_identity *from, json_object *json,
+		     void *data)
+{
+	struct config_delta d = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (schema_decode(&config_delta_schema, json, &d, "", NULL, &findings))
+		take_delta(data, from, &d);
+	schema_clear(&config_delta_schema, &d);
+	finding_list_clear(&findings);
+}
+
+static void on_whole(const struct link_identity *from, json_object *json,
+		     void *data)
+{
+	struct config_spread *s = data;
+	struct config_whole w = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (schema_decode(&config_whole_schema, json, &w, "", NULL, &findings))
+		config_service_offer(s->service, w.version, w.config,
+				     origin_of(s, from));
+	schema_clear(&config_whole_schema, &w);
+	finding_list_clear(&findings);
+}
+
+static void send_whole(struct config_spread *s, const char *node)
+{
+	struct config_whole w = {
+		.version = config_service_version(s->service),
+		.config = config_service_body(s->service),
+	};
+	json_object *body = schema_encode(&config_whole_schema, &w);
+
+	link_service_send(s->link, node, MESSAGE_CONFIG_BODY, body);
+	json_object_put(body);
+}
+
+/* Answers by the changes since the peer's version, or by the whole body. */
+static void answer_request(struct config_spread *s, const char *node,
+			   int64_t have_version)
+{
+	guint first = 0;
+
+	while (first < s->bases->len &&
+	       g_array_index(s->bases, int64_t, first) != have_version)
+		first++;
+	if (first == s->bases->len) {
+		send_whole(s, node);
+		return;
+	}
+	for (guint i = first; i < s->history->len; i++)
+		link_service_send(s->link, node, MESSAGE_CONFIG_DELTA,
+				  g_ptr_array_index(s->history, i));
+}
+
+static void on_request(const struct link_identity *from, json_object *json,
+		       void *data)
+{
+	struct config_spread *s = data;
+	struct config_request request = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (schema_decode(&config_request_schema, json, &request, "", NULL,
+			  &findings) &&
+	    request.have_version < config_service_version(s->service))
+		answer_request(s, from->node, request.have_version);
+	finding_list_clear(&findings);
+}
+
+static void on_heartbeat(const struct link_identity *from,
+			 const struct heartbeat *h, void *data)
+{
+	struct config_spread *s = data;
+
+	if (h->config_version > config_service_version(s->service) &&
+	    util_monotonic_ms() - s->requested_ms >= REQUEST_MS)
+		send_request(s, from->node);
+}
+
+static void put_json(gpointer data)
+{
+	json_object_put(data);
+}
+
+struct config_spread *config_spread_new(struct kernel *k,
+					struct config_service *service)
+{
+	struct link_service *link =
+		(struct link_service *)kernel_find(k, LINK_SERVICE);
+	struct config_spread *s;
+
+	if (!link || !membership_of(k))
+		return NULL;
+	s = g_new0(struct config_spread, 1);
+	s->kernel = k;
+	s->service = service;
+	s->link = link;
+	s->membership = membership_of(k);
+	s->history =
+		g_ptr_array_new_with_free_func((GDestroyNotify)json_object_put);
+	s->bases = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	link_service_handle(link, MESSAGE_CONFIG_DELTA, on_delta, s);
+	link_service_handle(link, MESSAGE_CONFIG_BODY, on_whole, s);
+	link_service_handle(link, MESSAGE_CONFIG_REQUEST, on_request, s);
+	membership_service_subscribe(s->membership, on_heartbeat, s);
+	return s;
+}
+
+void config_spread_free(struct config_spread *s)
+{
+	g_ptr_array_unref(s->history);
+	g_array_unref(s->bases);
+	g_free(s);
+}
+
+static void keep(struct config_spread *s, json_object *delta, int64_t base)
+{
+	if (s->history->len == MAX_HISTORY) {
+		g_ptr_array_remove_index(s->history, 0);
+		g_array_remove_index(s->bases, 0);
+	}
+	g_ptr_array_add(s->history, json_object_get(delta));
+	g_array_append_val(s->bases, base);
+}
+
+void config_spread_push(struct config_spread *s, enum config_origin origin,
+			json_object *base, int64_t base_version,
+			json_object *body, int64_t version)
+{
+	struct config_delta d = { 0 };
+	json_object *json;
+
+	config_delta_make(base, base_version, body, version, &d);
+	json = schema_encode(&config_delta_schema, &d);
+	schema_clear(&config_delta_schema, &d);
+	keep(s, json, base_version);
+	if (origin != CONFIG_FROM_NEAR)
+		link_service_broadcast_domain(s->link, MESSAGE_CONFIG_DELTA,
+					      json);
+	if (origin != CONFIG_FROM_FAR)
+		link_service_broadcast_bridges(s->link, MESSAGE_CONFIG_DELTA,
+					       json);
+	json_object_put(json);
+}
+
+gboolean config_spread_is_poller(const struct config_spread *s)
+{
+	return member_table_is_elected(membership_service_table(s->membership),
+				       POLL_TASK, POLLERS);
+}
--- a/shared/pool_lease.h
+++ b/shared/pool_lease.h
@@ -22,6 +22,16 @@
 				  renews and stops, starts nothing */
 };
 
+extern const char *const pool_role_names[];
+
+/** A pool's lease as operators see it. */
+struct pool_status {
+	char *pool;
+	int64_t role; /**< enum pool_role, of this process */
+	int64_t epoch;
+	char *holder; /**< node, NULL when none is known */
+};
+
 /** Called on each change of role or epoch. */
 typedef void (*pool_lease_fn)(const char *pool, enum pool_role role,
 			      int64_t epoch, void *data);
@@ -48,6 +58,10 @@
 /** Adds this process's part in each lease; of struct heartbeat_pool. */
 void pool_lease_describe(const struct pool_lease_service *s, GArray *out);
 
+/** Adds all pools of this process; of struct pool_status. */
+void pool_lease_status(const struct pool_lease_service *s, int64_t now_ms,
+		       GArray *out);
+
 void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
 			  void *data);
 
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -36,7 +36,7 @@
 	int64_t epoch;
 };
 
-static const char *const role_names[] = { "none", "holder", "caretaker" };
+const char *const pool_role_names[] = { "none", "holder", "caretaker", NULL };
 
 static struct pool_lease *find_lease(const struct pool_lease_service *s,
 				     const char *pool)
@@ -171,7 +171,7 @@
 	l->epoch = epoch;
 	log_begin(&line, LOG_LEVEL_INFO, "lease_role");
 	log_str(&line, "pool", l->pool);
-	log_str(&line, "role", role_names[role]);
+	log_str(&line, "role", pool_role_names[role]);
 	log_int(&line, "epoch", epoch);
 	log_int(&line, "rank", l->protocol.rank);
 	log_end(&line);
@@ -372,6 +372,21 @@
 	}
 }
 
+void pool_lease_status(const struct pool_lease_service *s, int64_t now_ms,
+		       GArray *out)
+{
+	for (guint i = 0; i < s->leases->len; i++) {
+		const struct pool_lease *l = g_ptr_array_index(s->leases, i);
+		struct pool_status status = { .pool = g_strdup(l->pool) };
+
+		status.role = lease_protocol_role(&l->protocol, now_ms,
+						  &status.epoch);
+		if (!lease_row_is_released(&l->protocol.row))
+			status.holder = g_strdup(l->protocol.row.holder);
+		g_array_append_val(out, status);
+	}
+}
+
 void pool_lease_subscribe(struct pool_lease_service *s, pool_lease_fn fn,
 			  void *data)
 {
--- /dev/null
+++ b/shared/status_service.h
@@ -0,0 +1,15 @@
+/**
+ * @file
+ * The service "status": answers GET /v1/status with what this process knows of
+ * itself, the members, the configuration and the leases.
+ */
+#ifndef SHARED_STATUS_SERVICE_H
+#define SHARED_STATUS_SERVICE_H
+
+#include "base/kernel.h"
+
+#define STATUS_SERVICE "status"
+
+struct service *status_service_new(void);
+
+#endif
