Platform client, stand-ins and test harness

Cause: the other parts need a platform, runners, workers and a way to cut processes off from each other before they can be tested as processes.

Change: platform/platform.c with the one table of kinds and platform/http_platform.c, the client over HTTP; stand-ins for the platform, runners, workers and a TCP relay, with what they share in standin/common; tests/cluster.[ch] starts programs, calls them and asserts that no log holds a sanitizer's report. The HTTP client looks for no proxy any more: the library's default resolver loads two modules and none of our calls leaves by a proxy.

Conclusion: a call's outcome is told apart as nothing sent, sent without an answer, conflict and done, for a platform that is down, slow, too slow, cut off or loses its answer.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # Folders that make up the library which every program links.
 CORE_DIRS := base platform config link shared request request/routing \
-	     job job/placement daemon lib
+	     job job/placement daemon lib standin/common
 CORE_SRC  := $(wildcard $(addsuffix /*.c,$(CORE_DIRS)))
 CORE_OBJ  := $(CORE_SRC:%.c=$(BUILD)/%.o)
 CORE_LIB  := $(BUILD)/libcorianderstep.a
--- a/base/http_client.c
+++ b/base/http_client.c
@@ -28,7 +28,8 @@
 
 	c->session = soup_session_new_with_options(
 		"max-conns", (int)max_connections, "max-conns-per-host",
-		(int)max_per_address, "timeout", 0, "idle-timeout", 30, NULL);
+		(int)max_per_address, "timeout", 0, "idle-timeout", 30,
+		"proxy-resolver", NULL, NULL);
 	c->calls = g_hash_table_new(NULL, NULL);
 	return c;
 }
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,349 @@
+#include <glib.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "platform/platform.h"
+#include "tests/cluster.h"
+
+#define TIMEOUT_MS INT64_C(300)
+
+struct fixture {
+	struct cluster *cluster;
+	char *address;
+	struct counters counters;
+	struct platform *platform;
+};
+
+/* What came of a call, copied from its result. */
+struct outcome {
+	gboolean is_done;
+	enum status status;
+	guint row_count;
+	int64_t version; /* of the first row */
+	char *text;	 /* keys and values of all rows, or the object */
+};
+
+static void fixture_set_up(struct fixture *f, gconstpointer data)
+{
+	struct cluster_process *p;
+	struct platform_spec spec = {
+		.kind = "http",
+		.failure_domain = "tov-a",
+		.timeout_ms = TIMEOUT_MS,
+		.counters = &f->counters,
+	};
+
+	f->cluster = cluster_new();
+	p = cluster_spawn(f->cluster, "cs-standin-platform", "platform", NULL);
+	f->address = cluster_listening(p, 0);
+	counters_init(&f->counters);
+	spec.address = f->address;
+	f->platform = platform_new(&spec);
+	g_assert_nonnull(f->platform);
+}
+
+static void fixture_tear_down(struct fixture *f, gconstpointer data)
+{
+	platform_free(f->platform);
+	counters_clear(&f->counters);
+	g_free(f->address);
+	cluster_free(f->cluster);
+}
+
+static void on_result(const struct platform_result *r, void *data)
+{
+	struct outcome *o = data;
+	GString *text = g_string_new(NULL);
+
+	g_assert_false(o->is_done);
+	o->is_done = TRUE;
+	o->status = r->status;
+	o->row_count = r->row_count;
+	o->version = r->row_count ? r->rows[0].version : 0;
+	for (guint i = 0; i < r->row_count; i++) {
+		g_string_append(text, r->rows[i].key);
+		if (r->rows[i].value)
+			g_string_append_printf(
+				text, "=%s",
+				json_object_get_string(r->rows[i].value));
+		g_string_append_c(text, ' ');
+	}
+	if (r->object)
+		g_string_append(text,
+				json_object_to_json_string_ext(
+					r->object, JSON_C_TO_STRING_PLAIN));
+	if (r->conflict_key)
+		g_string_append(text, r->conflict_key);
+	o->text = g_string_free(text, FALSE);
+}
+
+static gboolean is_done(void *data)
+{
+	return ((struct outcome *)data)->is_done;
+}
+
+static void wait_for(struct outcome *o)
+{
+	g_assert_false(o->is_done); /* never from within the call */
+	g_assert_true(cluster_wait(is_done, o, CLUSTER_CALL_TIMEOUT_MS));
+}
+
+static struct outcome commit(struct fixture *f, const struct table_write *w,
+			     guint count)
+{
+	struct outcome o = {0};
+
+	platform_commit(f->platform, w, count, on_result, &o);
+	wait_for(&o);
+	return o;
+}
+
+static enum status put(struct fixture *f, const char *key, int64_t expected,
+		       const char *value, int64_t *version)
+{
+	json_object *json = value ? json_object_new_string(value) : NULL;
+	struct table_write w = {"t", key, expected, json};
+	struct outcome o = commit(f, &w, 1);
+
+	json_object_put(json);
+	g_free(o.text);
+	if (version)
+		*version = o.version;
+	return o.status;
+}
+
+static struct outcome get(struct fixture *f, const char *key)
+{
+	struct outcome o = {0};
+
+	platform_read(f->platform, "t", key, on_result, &o);
+	wait_for(&o);
+	return o;
+}
+
+static void assert_row(struct fixture *f, const char *key, const char *text)
+{
+	struct outcome o = get(f, key);
+
+	g_assert_cmpint(o.status, ==, text ? STATUS_OK : STATUS_NOT_FOUND);
+	if (text)
+		g_assert_cmpstr(o.text, ==, text);
+	g_free(o.text);
+}
+
+/* What a row's version is expected to be. */
+enum expected {
+	EXPECT_ABSENT,
+	EXPECT_NEVER,
+	EXPECT_FIRST, /* that of the first write */
+	EXPECT_LAST,  /* that of the last write */
+};
+
+static const struct {
+	enum expected expected;
+	enum status status;
+	const char *value;
+	const char *row; /* after it, NULL when it does not exist */
+} set_cases[] = {
+	{EXPECT_NEVER, STATUS_CONFLICT, "x", NULL},
+	{EXPECT_ABSENT, STATUS_OK, "x", "a/b c=x "},
+	{EXPECT_ABSENT, STATUS_CONFLICT, "y", "a/b c=x "},
+	{EXPECT_FIRST, STATUS_OK, "y", "a/b c=y "},
+	{EXPECT_FIRST, STATUS_CONFLICT, NULL, "a/b c=y "},
+	{EXPECT_LAST, STATUS_OK, NULL, NULL},
+	{EXPECT_LAST, STATUS_CONFLICT, "z", NULL},
+	{EXPECT_ABSENT, STATUS_OK, "z", "a/b c=z "},
+	{EXPECT_FIRST, STATUS_CONFLICT, "y", "a/b c=z "},
+};
+
+static void test_compare_and_set(struct fixture *f, gconstpointer data)
+{
+	int64_t versions[] = {[EXPECT_ABSENT] = 0, [EXPECT_NEVER] = 5, 0, 0};
+
+	for (guint i = 0; i < G_N_ELEMENTS(set_cases); i++) {
+		int64_t version = 0;
+
+		g_assert_cmpint(put(f, "a/b c", versions[set_cases[i].expected],
+				    set_cases[i].value, &version),
+				==, set_cases[i].status);
+		assert_row(f, "a/b c", set_cases[i].row);
+		if (set_cases[i].status != STATUS_OK)
+			continue;
+		g_assert_cmpint(version, >, versions[EXPECT_LAST]);
+		versions[EXPECT_LAST] = version;
+		if (!versions[EXPECT_FIRST])
+			versions[EXPECT_FIRST] = version;
+	}
+}
+
+static void test_all_or_nothing(struct fixture *f, gconstpointer data)
+{
+	json_object *json = json_object_new_string("v");
+	struct table_write bad[] = {{"t", "a", 0, json}, {"u", "b", 9, json}};
+	struct table_write good[] = {{"t", "a", 0, json}, {"u", "b", 0, json}};
+	struct outcome o = commit(f, bad, 2);
+
+	g_assert_cmpint(o.status, ==, STATUS_CONFLICT);
+	g_assert_cmpstr(o.text, ==, "b");
+	g_free(o.text);
+	assert_row(f, "a", NULL);
+	o = commit(f, good, 2);
+	g_assert_cmpint(o.status, ==, STATUS_OK);
+	g_assert_cmpuint(o.row_count, ==, 2);
+	g_free(o.text);
+	assert_row(f, "a", "a=v ");
+	json_object_put(json);
+}
+
+static void test_scan(struct fixture *f, gconstpointer data)
+{
+	struct outcome o = {0};
+
+	put(f, "p/2", 0, "2", NULL);
+	put(f, "p/1", 0, "1", NULL);
+	put(f, "q/1", 0, "3", NULL);
+	platform_scan(f->platform, "t", "p/", on_result, &o);
+	wait_for(&o);
+	g_assert_cmpstr(o.text, ==, "p/1=1 p/2=2 ");
+	g_free(o.text);
+}
+
+static void test_objects(struct fixture *f, gconstpointer data)
+{
+	json_object *json = json_object_new_string("v");
+	struct outcome o = {0};
+	struct outcome missing = {0};
+
+	platform_object_put(f->platform, "a/b", json, on_result, &o);
+	wait_for(&o);
+	g_free(o.text);
+	o.is_done = FALSE;
+	platform_object_get(f->platform, "a/b", on_result, &o);
+	platform_object_get(f->platform, "c", on_result, &missing);
+	wait_for(&o);
+	g_assert_cmpstr(o.text, ==, "\"v\"");
+	if (!missing.is_done)
+		wait_for(&missing);
+	g_assert_cmpint(missing.status, ==, STATUS_NOT_FOUND);
+	g_free(o.text);
+	g_free(missing.text);
+	json_object_put(json);
+}
+
+static void test_vm_list(struct fixture *f, gconstpointer data)
+{
+	struct outcome o = {0};
+
+	cluster_control(f->cluster, f->address,
+			"{\"add_vms\":[{\"vm\":\"w1\"}]}");
+	platform_vm_list(f->platform, on_result, &o);
+	wait_for(&o);
+	g_assert_cmpstr(o.text, ==, "{\"vms\":[{\"vm\":\"w1\"}]}");
+	g_free(o.text);
+}
+
+/* What a call tells of a platform in trouble, and what is true after it. */
+struct trouble_case {
+	const char *path;
+	const char *trouble;
+	const char *recovery;
+	enum status write;
+	enum status read;
+	gboolean has_effect;
+};
+
+static const struct trouble_case trouble_cases[] = {
+	{"/platform/down", "{\"mode\":\"down\"}", "{\"mode\":\"ok\"}",
+	 STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE},
+	{"/platform/cut", "{\"cut\":[\"tov-a\",\"tov-b\"]}", "{\"cut\":[]}",
+	 STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE},
+	{"/platform/cut-other", "{\"cut\":[\"tov-b\"]}", "{\"cut\":[]}",
+	 STATUS_OK, STATUS_OK, TRUE},
+	{"/platform/slow", "{\"mode\":\"slow\",\"slow_ms\":50}",
+	 "{\"mode\":\"ok\"}", STATUS_OK, STATUS_OK, TRUE},
+	{"/platform/too-slow", "{\"mode\":\"slow\",\"slow_ms\":600}",
+	 "{\"mode\":\"ok\"}", STATUS_UNKNOWN, STATUS_UNAVAILABLE, TRUE},
+	{"/platform/lost-answer", "{\"lose_answers\":1}", "{}", STATUS_UNKNOWN,
+	 STATUS_OK, TRUE},
+	{"/platform/lost-answer-of-table",
+	 "{\"lose_answers\":1,\"lose_table\":\"t\"}", "{}", STATUS_UNKNOWN,
+	 STATUS_OK, TRUE},
+	{"/platform/lost-answer-of-other-table",
+	 "{\"lose_answers\":1,\"lose_table\":\"u\"}", "{}", STATUS_OK,
+	 STATUS_OK, TRUE},
+};
+
+static void test_trouble(struct fixture *f, gconstpointer data)
+{
+	const struct trouble_case *tc = data;
+	struct outcome o;
+
+	g_assert_cmpint(put(f, "before", 0, "x", NULL), ==, STATUS_OK);
+	cluster_control(f->cluster, f->address, tc->trouble);
+	g_assert_cmpint(put(f, "a", 0, "v", NULL), ==, tc->write);
+	o = get(f, "before");
+	g_assert_cmpint(o.status, ==, tc->read);
+	g_free(o.text);
+	cluster_control(f->cluster, f->address, tc->recovery);
+	cluster_sleep(2 * TIMEOUT_MS); /* a late write may still land */
+	assert_row(f, "a", tc->has_effect ? "a=v " : NULL);
+}
+
+static void test_nothing_there(struct fixture *f, gconstpointer data)
+{
+	char *address = cluster_address();
+	struct platform_spec spec = {.kind = "http",
+				     .address = address,
+				     .failure_domain = "tov-a",
+				     .timeout_ms = TIMEOUT_MS,
+				     .counters = &f->counters};
+	struct platform *kept = f->platform;
+
+	f->platform = platform_new(&spec);
+	g_assert_cmpint(put(f, "a", 0, "v", NULL), ==, STATUS_UNAVAILABLE);
+	platform_free(f->platform);
+	spec.kind = "none";
+	g_assert_null(platform_new(&spec));
+	f->platform = kept;
+	g_free(address);
+}
+
+static void test_forget(struct fixture *f, gconstpointer data)
+{
+	struct outcome forgotten = {0};
+	struct outcome kept = {0};
+
+	platform_read(f->platform, "t", "a", on_result, &forgotten);
+	platform_read(f->platform, "t", "a", on_result, &kept);
+	platform_forget(f->platform, &forgotten);
+	wait_for(&kept);
+	cluster_sleep(50);
+	g_assert_false(forgotten.is_done);
+	g_free(kept.text);
+}
+
+static const struct {
+	const char *path;
+	void (*test)(struct fixture *f, gconstpointer data);
+} cases[] = {
+	{"/platform/compare-and-set", test_compare_and_set},
+	{"/platform/all-or-nothing", test_all_or_nothing},
+	{"/platform/scan", test_scan},
+	{"/platform/objects", test_objects},
+	{"/platform/vm-list", test_vm_list},
+	{"/platform/nothing-there", test_nothing_there},
+	{"/platform/forget", test_forget},
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_test_add(cases[i].path, struct fixture, NULL, fixture_set_up,
+			   cases[i].test, fixture_tear_down);
+	for (guint i = 0; i < G_N_ELEMENTS(trouble_cases); i++)
+		g_test_add(trouble_cases[i].path, struct fixture,
+			   &trouble_cases[i], fixture_set_up, test_trouble,
+			   fixture_tear_down);
+	return g_test_run();
+}
