--- a/standin/cs-standin-platform.c
+++ b/standin/cs-standin-platform.c
@@ -88,92 +88,92 @@
 	GPtrArray *remove_vms;
 };
 
-static const char *const mode_names[] = {"ok", "down", "slow", NULL};
+static const char *const mode_names[] = { "ok", "down", "slow", NULL };
 
 static const struct field_spec write_fields[] = {
-	{.name = "table",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct write_body, table),
-	 .min = 1,
-	 .max = KEY_MAX_BYTES},
-	{.name = "key",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct write_body, key),
-	 .min = 1,
-	 .max = KEY_MAX_BYTES},
-	{.name = "expected_version",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct write_body, expected_version),
-	 .max = VERSION_MAX},
-	{.name = "value",
-	 .type = FIELD_JSON,
-	 .offset = offsetof(struct write_body, value)},
-	{0},
+	{ .name = "table",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct write_body, table),
+	  .min = 1,
+	  .max = KEY_MAX_BYTES },
+	{ .name = "key",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct write_body, key),
+	  .min = 1,
+	  .max = KEY_MAX_BYTES },
+	{ .name = "expected_version",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct write_body, expected_version),
+	  .max = VERSION_MAX },
+	{ .name = "value",
+	  .type = FIELD_JSON,
+	  .offset = offsetof(struct write_body, value) },
+	{ 0 },
 };
 
-static const struct schema write_schema = {sizeof(struct write_body),
-					   write_fields};
+static const struct schema write_schema = { sizeof(struct write_body),
+					    write_fields };
 
 static const struct field_spec commit_fields[] = {
-	{.name = "writes",
-	 .type = FIELD_ARRAY,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct commit_body, writes),
-	 .min = 1,
-	 .max = MAX_WRITES,
-	 .schema = &write_schema},
-	{0},
+	{ .name = "writes",
+	  .type = FIELD_ARRAY,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct commit_body, writes),
+	  .min = 1,
+	  .max = MAX_WRITES,
+	  .schema = &write_schema },
+	{ 0 },
 };
 
-static const struct schema commit_schema = {sizeof(struct commit_body),
-					    commit_fields};
+static const struct schema commit_schema = { sizeof(struct commit_body),
+					     commit_fields };
 
 #define CONTROL_UNSET INT64_C(-1)
 
 static const struct field_spec control_fields[] = {
-	{.name = "mode",
-	 .type = FIELD_ENUM,
-	 .offset = offsetof(struct control_body, mode),
-	 .names = mode_names,
-	 .fallback = CONTROL_UNSET},
-	{.name = "slow_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, slow_ms),
-	 .max = MAX_SLOW_MS,
-	 .fallback = CONTROL_UNSET},
-	{.name = "lose_answers",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, lose_answers),
-	 .max = INT32_MAX,
-	 .fallback = CONTROL_UNSET},
-	{.name = "lose_table",
-	 .type = FIELD_STRING,
-	 .offset = offsetof(struct control_body, lose_table),
-	 .max = KEY_MAX_BYTES},
-	{.name = "vm_lag_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, vm_lag_ms),
-	 .max = MAX_SLOW_MS,
-	 .fallback = CONTROL_UNSET},
-	{.name = "cut",
-	 .type = FIELD_STRINGS,
-	 .offset = offsetof(struct control_body, cut),
-	 .max = MAX_VMS},
-	{.name = "add_vms",
-	 .type = FIELD_JSON,
-	 .offset = offsetof(struct control_body, add_vms)},
-	{.name = "remove_vms",
-	 .type = FIELD_STRINGS,
-	 .offset = offsetof(struct control_body, remove_vms),
-	 .max = MAX_VMS},
-	{0},
+	{ .name = "mode",
+	  .type = FIELD_ENUM,
+	  .offset = offsetof(struct control_body, mode),
+	  .names = mode_names,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "slow_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, slow_ms),
+	  .max = MAX_SLOW_MS,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "lose_answers",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, lose_answers),
+	  .max = INT32_MAX,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "lose_table",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct control_body, lose_table),
+	  .max = KEY_MAX_BYTES },
+	{ .name = "vm_lag_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, vm_lag_ms),
+	  .max = MAX_SLOW_MS,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "cut",
+	  .type = FIELD_STRINGS,
+	  .offset = offsetof(struct control_body, cut),
+	  .max = MAX_VMS },
+	{ .name = "add_vms",
+	  .type = FIELD_JSON,
+	  .offset = offsetof(struct control_body, add_vms) },
+	{ .name = "remove_vms",
+	  .type = FIELD_STRINGS,
+	  .offset = offsetof(struct control_body, remove_vms),
+	  .max = MAX_VMS },
+	{ 0 },
 };
 
-static const struct schema control_schema = {sizeof(struct control_body),
-					     control_fields};
+static const struct schema control_schema = { sizeof(struct control_body),
+					      control_fields };
 
 static void row_free(gpointer data)
 {
@@ -335,7 +335,7 @@
 
 static void handle_commit(struct store *s, struct http_request *r)
 {
-	struct commit_body body = {0};
+	struct commit_body body = { 0 };
 	const struct write_body *conflict;
 	int64_t version = 0;
 	json_object *rows;
@@ -452,7 +452,7 @@
 
 static void handle_control(struct store *s, struct http_request *r)
 {
-	struct control_body body = {0};
+	struct control_body body = { 0 };
 	gboolean has_cut;
 
 	if (!standin_decode(r, &control_schema, &body))
@@ -546,16 +546,16 @@
 }
 
 static struct route call_routes[] = {
-	{"GET", "/table/", handle_read, NULL},
-	{"POST", "/commit", handle_commit, NULL},
-	{"GET", "/object/", handle_object_get, NULL},
-	{"PUT", "/object/", handle_object_put, NULL},
-	{"GET", "/vms", handle_vms, NULL},
+	{ "GET", "/table/", handle_read, NULL },
+	{ "POST", "/commit", handle_commit, NULL },
+	{ "GET", "/object/", handle_object_get, NULL },
+	{ "PUT", "/object/", handle_object_put, NULL },
+	{ "GET", "/vms", handle_vms, NULL },
 };
 
 static struct route control_routes[] = {
-	{"POST", "/control", handle_control, NULL},
-	{"GET", "/control/writes", handle_writes, NULL},
+	{ "POST", "/control", handle_control, NULL },
+	{ "GET", "/control/writes", handle_writes, NULL },
 };
 
 static void add_routes(struct http_server *server, struct store *s,
@@ -570,9 +570,9 @@
 
 int main(int argc, char **argv)
 {
-	struct standin_options o = {0};
-	struct standin_vm vm = {0};
-	struct store s = {0};
+	struct standin_options o = { 0 };
+	struct standin_vm vm = { 0 };
+	struct store s = { 0 };
 	struct http_server *server;
 	int code = EXIT_FAILURE;
 
--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -27,8 +27,8 @@
 	MODE_CUT_DOWN, /* from the target to the connecting side */
 };
 
-static const char *const mode_names[] = {"pass",   "silent",   "refuse",
-					 "cut_up", "cut_down", NULL};
+static const char *const mode_names[] = { "pass",   "silent",	"refuse",
+					  "cut_up", "cut_down", NULL };
 
 enum direction {
 	DIRECTION_UP,
@@ -265,29 +265,29 @@
 };
 
 static const struct field_spec control_fields[] = {
-	{.name = "mode",
-	 .type = FIELD_ENUM,
-	 .offset = offsetof(struct control_body, mode),
-	 .names = mode_names,
-	 .fallback = CONTROL_UNSET},
-	{.name = "delay_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, delay_ms),
-	 .max = MAX_DELAY_MS,
-	 .fallback = CONTROL_UNSET},
-	{.name = "silence_open",
-	 .type = FIELD_BOOL,
-	 .offset = offsetof(struct control_body, silence_open)},
-	{.name = "route",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, route),
-	 .max = MAX_ROUTES,
-	 .fallback = ALL_ROUTES},
-	{0},
+	{ .name = "mode",
+	  .type = FIELD_ENUM,
+	  .offset = offsetof(struct control_body, mode),
+	  .names = mode_names,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "delay_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, delay_ms),
+	  .max = MAX_DELAY_MS,
+	  .fallback = CONTROL_UNSET },
+	{ .name = "silence_open",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct control_body, silence_open) },
+	{ .name = "route",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, route),
+	  .max = MAX_ROUTES,
+	  .fallback = ALL_ROUTES },
+	{ 0 },
 };
 
-static const struct schema control_schema = {sizeof(struct control_body),
-					     control_fields};
+static const struct schema control_schema = { sizeof(struct control_body),
+					      control_fields };
 
 static void change_route(struct route *r, const struct control_body *body)
 {
@@ -313,7 +313,7 @@
 
 static void handle_control(struct http_request *r, void *data)
 {
-	struct control_body body = {0};
+	struct control_body body = { 0 };
 
 	if (!standin_decode(r, &control_schema, &body))
 		return;
@@ -415,11 +415,11 @@
 	char *control = NULL;
 	char **route_texts = NULL;
 	const GOptionEntry entries[] = {
-		{"control", 0, 0, G_OPTION_ARG_STRING, &control,
-		 "Address of the control interface", "IP:PORT"},
-		{"route", 0, 0, G_OPTION_ARG_STRING_ARRAY, &route_texts,
-		 "Where to listen and where to connect; may be repeated",
-		 "IP:PORT=IP:PORT"},
+		{ "control", 0, 0, G_OPTION_ARG_STRING, &control,
+		  "Address of the control interface", "IP:PORT" },
+		{ "route", 0, 0, G_OPTION_ARG_STRING_ARRAY, &route_texts,
+		  "Where to listen and where to connect; may be repeated",
+		  "IP:PORT=IP:PORT" },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
--- a/standin/cs-standin-runner.c
+++ b/standin/cs-standin-runner.c
@@ -52,23 +52,23 @@
 };
 
 static const struct field_spec run_fields[] = {
-	{.name = "request_id",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct run_body, request_id),
-	 .min = 1,
-	 .max = ID_MAX_BYTES},
-	{.name = "work_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct run_body, work_ms),
-	 .max = MAX_WORK_MS},
-	{.name = "payload",
-	 .type = FIELD_JSON,
-	 .offset = offsetof(struct run_body, payload)},
-	{0},
+	{ .name = "request_id",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct run_body, request_id),
+	  .min = 1,
+	  .max = ID_MAX_BYTES },
+	{ .name = "work_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct run_body, work_ms),
+	  .max = MAX_WORK_MS },
+	{ .name = "payload",
+	  .type = FIELD_JSON,
+	  .offset = offsetof(struct run_body, payload) },
+	{ 0 },
 };
 
-static const struct schema run_schema = {sizeof(struct run_body), run_fields};
+static const struct schema run_schema = { sizeof(struct run_body), run_fields };
 
 #define CONTROL_FLAG(name_, member)                              \
 	{                                                        \
@@ -78,20 +78,20 @@
 	}
 
 static const struct field_spec control_fields[] = {
-	{.name = "delay_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, delay_ms),
-	 .max = MAX_WORK_MS,
-	 .fallback = CONTROL_UNSET},
+	{ .name = "delay_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, delay_ms),
+	  .max = MAX_WORK_MS,
+	  .fallback = CONTROL_UNSET },
 	CONTROL_FLAG("silent", is_silent),
 	CONTROL_FLAG("leaving", is_leaving),
 	CONTROL_FLAG("fail", is_failing),
 	CONTROL_FLAG("wrong_id", has_wrong_id),
-	{0},
+	{ 0 },
 };
 
-static const struct schema control_schema = {sizeof(struct control_body),
-					     control_fields};
+static const struct schema control_schema = { sizeof(struct control_body),
+					      control_fields };
 
 static void add_slots(json_object *json, const struct runner *r)
 {
@@ -204,7 +204,7 @@
 static void handle_run(struct http_request *request, void *data)
 {
 	struct runner *r = data;
-	struct run_body body = {0};
+	struct run_body body = { 0 };
 
 	if (!standin_decode(request, &run_schema, &body))
 		return;
@@ -240,7 +240,7 @@
 static void handle_control(struct http_request *request, void *data)
 {
 	struct runner *r = data;
-	struct control_body body = {0};
+	struct control_body body = { 0 };
 
 	if (!standin_decode(request, &control_schema, &body))
 		return;
@@ -294,10 +294,10 @@
 
 int main(int argc, char **argv)
 {
-	struct standin_options o = {0};
+	struct standin_options o = { 0 };
 	gint slots = DEFAULT_SLOTS;
 	const GOptionEntry entries[] = {
-		{"slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots", "N"},
+		{ "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots", "N" },
 		G_OPTION_ENTRY_NULL,
 	};
 	struct standin_vm *vms;
--- a/standin/cs-standin-worker.c
+++ b/standin/cs-standin-worker.c
@@ -28,8 +28,9 @@
 	TASK_STOPPED,
 };
 
-static const char *const state_names[] = {"reserved", "running", "checkpointed",
-					  "done",     "failed",	 "stopped"};
+static const char *const state_names[] = { "reserved",	   "running",
+					   "checkpointed", "done",
+					   "failed",	   "stopped" };
 
 struct size {
 	int64_t accelerators;
@@ -156,7 +157,7 @@
 	    c->cores > w->free.cores || c->memory_mb > w->free.memory_mb)
 		return "full";
 	t = task_add(w, c->task, TASK_RESERVED);
-	t->size = (struct size){c->accelerators, c->cores, c->memory_mb};
+	t->size = (struct size){ c->accelerators, c->cores, c->memory_mb };
 	t->lease_until_ms = lease_until_ms;
 	w->free.accelerators -= c->accelerators;
 	w->free.cores -= c->cores;
@@ -236,11 +237,12 @@
 	return NULL;
 }
 
-static const char *const op_names[] = {
-	"reserve", "start", "release", "checkpoint", "throttle", "stop", NULL};
+static const char *const op_names[] = { "reserve",    "start",	  "release",
+					"checkpoint", "throttle", "stop",
+					NULL };
 
-static const command_fn op_functions[] = {reserve,    start,	release,
-					  checkpoint, throttle, stop};
+static const command_fn op_functions[] = { reserve,    start,	 release,
+					   checkpoint, throttle, stop };
 
 #define COMMAND_SIZE(name_, max_)                                             \
 	{                                                                     \
@@ -249,80 +251,80 @@
 	}
 
 static const struct field_spec command_fields[] = {
-	{.name = "op",
-	 .type = FIELD_ENUM,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct command_body, op),
-	 .names = op_names},
-	{.name = "task",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct command_body, task),
-	 .min = 1,
-	 .max = NAME_MAX_BYTES},
+	{ .name = "op",
+	  .type = FIELD_ENUM,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct command_body, op),
+	  .names = op_names },
+	{ .name = "task",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct command_body, task),
+	  .min = 1,
+	  .max = NAME_MAX_BYTES },
 	COMMAND_SIZE(accelerators, MAX_SIZE),
 	COMMAND_SIZE(cores, MAX_SIZE),
 	COMMAND_SIZE(memory_mb, MAX_SIZE),
 	COMMAND_SIZE(run_ms, MAX_TIME_MS),
-	{0},
+	{ 0 },
 };
 
-static const struct schema command_schema = {sizeof(struct command_body),
-					     command_fields};
+static const struct schema command_schema = { sizeof(struct command_body),
+					      command_fields };
 
 static const struct field_spec commands_fields[] = {
-	{.name = "pool",
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct commands_body, pool),
-	 .min = 1,
-	 .max = NAME_MAX_BYTES},
-	{.name = "epoch",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct commands_body, epoch),
-	 .max = INT64_MAX},
-	{.name = "holder",
-	 .type = FIELD_STRING,
-	 .offset = offsetof(struct commands_body, holder),
-	 .max = NAME_MAX_BYTES},
-	{.name = "lease_ms",
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct commands_body, lease_ms),
-	 .max = MAX_TIME_MS},
-	{.name = "commands",
-	 .type = FIELD_ARRAY,
-	 .offset = offsetof(struct commands_body, commands),
-	 .max = MAX_COMMANDS,
-	 .schema = &command_schema},
-	{0},
+	{ .name = "pool",
+	  .type = FIELD_STRING,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct commands_body, pool),
+	  .min = 1,
+	  .max = NAME_MAX_BYTES },
+	{ .name = "epoch",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct commands_body, epoch),
+	  .max = INT64_MAX },
+	{ .name = "holder",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct commands_body, holder),
+	  .max = NAME_MAX_BYTES },
+	{ .name = "lease_ms",
+	  .type = FIELD_INT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct commands_body, lease_ms),
+	  .max = MAX_TIME_MS },
+	{ .name = "commands",
+	  .type = FIELD_ARRAY,
+	  .offset = offsetof(struct commands_body, commands),
+	  .max = MAX_COMMANDS,
+	  .schema = &command_schema },
+	{ 0 },
 };
 
-static const struct schema commands_schema = {sizeof(struct commands_body),
-					      commands_fields};
+static const struct schema commands_schema = { sizeof(struct commands_body),
+					       commands_fields };
 
 #define CONTROL_UNSET INT64_C(-1)
 
 static const struct field_spec control_fields[] = {
-	{.name = "fail_tasks",
-	 .type = FIELD_BOOL,
-	 .offset = offsetof(struct control_body, is_failing),
-	 .fallback = CONTROL_UNSET},
-	{.name = "silent",
-	 .type = FIELD_BOOL,
-	 .offset = offsetof(struct control_body, is_silent),
-	 .fallback = CONTROL_UNSET},
-	{.name = "delay_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct control_body, delay_ms),
-	 .max = MAX_TIME_MS,
-	 .fallback = CONTROL_UNSET},
-	{0},
+	{ .name = "fail_tasks",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct control_body, is_failing),
+	  .fallback = CONTROL_UNSET },
+	{ .name = "silent",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct control_body, is_silent),
+	  .fallback = CONTROL_UNSET },
+	{ .name = "delay_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct control_body, delay_ms),
+	  .max = MAX_TIME_MS,
+	  .fallback = CONTROL_UNSET },
+	{ 0 },
 };
 
-static const struct schema control_schema = {sizeof(struct control_body),
-					     control_fields};
+static const struct schema control_schema = { sizeof(struct control_body),
+					      control_fields };
 
 static json_object *encode_task(const struct task *t, int64_t now_ms)
 {
@@ -460,7 +462,7 @@
 
 static void handle_commands_now(struct worker *w, struct http_request *r)
 {
-	struct commands_body body = {0};
+	struct commands_body body = { 0 };
 	json_object *json;
 
 	if (!standin_decode(r, &commands_schema, &body))
@@ -530,7 +532,7 @@
 static void handle_control(struct http_request *r, void *data)
 {
 	struct worker *w = data;
-	struct control_body body = {0};
+	struct control_body body = { 0 };
 
 	if (!standin_decode(r, &control_schema, &body))
 		return;
@@ -554,10 +556,10 @@
 	const char *prefix;
 	http_handler handler;
 } routes[] = {
-	{"POST", "/commands", handle_commands},
-	{"GET", "/report", handle_report},
-	{"POST", "/control", handle_control},
-	{"GET", "/history", handle_history},
+	{ "POST", "/commands", handle_commands },
+	{ "GET", "/report", handle_report },
+	{ "POST", "/control", handle_control },
+	{ "GET", "/history", handle_history },
 };
 
 static gboolean worker_open(struct worker *w, const struct standin_options *o,
@@ -596,21 +598,21 @@
 
 int main(int argc, char **argv)
 {
-	struct standin_options o = {0};
-	struct size size = {8, 64, 131072};
+	struct standin_options o = { 0 };
+	struct size size = { 8, 64, 131072 };
 	gint64 report_lag_ms = DEFAULT_REPORT_LAG_MS;
 	const GOptionEntry entries[] = {
-		{"accelerators", 0, 0, G_OPTION_ARG_INT64, &size.accelerators,
-		 "Accelerators of a worker", "N"},
-		{"cores", 0, 0, G_OPTION_ARG_INT64, &size.cores,
-		 "Cores of a worker", "N"},
-		{"memory-mb", 0, 0, G_OPTION_ARG_INT64, &size.memory_mb,
-		 "Memory of a worker", "MB"},
-		{"report-lag-ms", 0, 0, G_OPTION_ARG_INT64, &report_lag_ms,
-		 "Time between two reports", "MS"},
+		{ "accelerators", 0, 0, G_OPTION_ARG_INT64, &size.accelerators,
+		  "Accelerators of a worker", "N" },
+		{ "cores", 0, 0, G_OPTION_ARG_INT64, &size.cores,
+		  "Cores of a worker", "N" },
+		{ "memory-mb", 0, 0, G_OPTION_ARG_INT64, &size.memory_mb,
+		  "Memory of a worker", "MB" },
+		{ "report-lag-ms", 0, 0, G_OPTION_ARG_INT64, &report_lag_ms,
+		  "Time between two reports", "MS" },
 		G_OPTION_ENTRY_NULL,
 	};
-	struct workers all = {0};
+	struct workers all = { 0 };
 	struct standin_vm *vms;
 	int code = EXIT_FAILURE;
 
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -15,8 +15,8 @@
 #define DEFAULT_PLATFORM_TIMEOUT_MS 500
 #define DEFAULT_BUILD "build"
 
-static const char *const sanitizer_reports[] = {"ERROR: AddressSanitizer",
-						"runtime error"};
+static const char *const sanitizer_reports[] = { "ERROR: AddressSanitizer",
+						 "runtime error" };
 
 static void process_free(gpointer data)
 {
@@ -247,7 +247,7 @@
 
 char *cluster_log_value(struct cluster_process *p, const char *key, guint index)
 {
-	struct log_search s = {.process = p, .key = key, .index = index};
+	struct log_search s = { .process = p, .key = key, .index = index };
 
 	g_assert_true(cluster_wait(find_log_value, &s, LISTEN_TIMEOUT_MS));
 	return s.value;
@@ -303,7 +303,7 @@
 				  int64_t timeout_ms)
 {
 	json_object *json = body ? json_tokener_parse(body) : NULL;
-	struct call_wait wait = {0};
+	struct call_wait wait = { 0 };
 	struct http_call_spec spec = {
 		.method = method,
 		.address = address,
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -16,7 +16,7 @@
 #define CLUSTER_CALL_TIMEOUT_MS 5000
 
 /** Arguments of a program, as cluster_spawn() takes them. */
-#define CLUSTER_ARGS(...) ((const char *const[]){__VA_ARGS__, NULL})
+#define CLUSTER_ARGS(...) ((const char *const[]){ __VA_ARGS__, NULL })
 
 struct cluster {
 	char *dir; /**< temporary folder with settings and logs */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -91,7 +91,7 @@
 static struct outcome commit(struct fixture *f, const struct table_write *w,
 			     guint count)
 {
-	struct outcome o = {0};
+	struct outcome o = { 0 };
 
 	platform_commit(f->platform, w, count, on_result, &o);
 	wait_for(&o);
@@ -102,7 +102,7 @@
 		       const char *value, int64_t *version)
 {
 	json_object *json = value ? json_object_new_string(value) : NULL;
-	struct table_write w = {"t", key, expected, json};
+	struct table_write w = { "t", key, expected, json };
 	struct outcome o = commit(f, &w, 1);
 
 	json_object_put(json);
@@ -114,7 +114,7 @@
 
 static struct outcome get(struct fixture *f, const char *key)
 {
-	struct outcome o = {0};
+	struct outcome o = { 0 };
 
 	platform_read(f->platform, "t", key, on_result, &o);
 	wait_for(&o);
@@ -145,20 +145,20 @@
 	const char *value;
 	const char *row; /* after it, NULL when it does not exist */
 } set_cases[] = {
-	{EXPECT_NEVER, STATUS_CONFLICT, "x", NULL},
-	{EXPECT_ABSENT, STATUS_OK, "x", "a/b c=x "},
-	{EXPECT_ABSENT, STATUS_CONFLICT, "y", "a/b c=x "},
-	{EXPECT_FIRST, STATUS_OK, "y", "a/b c=y "},
-	{EXPECT_FIRST, STATUS_CONFLICT, NULL, "a/b c=y "},
-	{EXPECT_LAST, STATUS_OK, NULL, NULL},
-	{EXPECT_LAST, STATUS_CONFLICT, "z", NULL},
-	{EXPECT_ABSENT, STATUS_OK, "z", "a/b c=z "},
-	{EXPECT_FIRST, STATUS_CONFLICT, "y", "a/b c=z "},
+	{ EXPECT_NEVER, STATUS_CONFLICT, "x", NULL },
+	{ EXPECT_ABSENT, STATUS_OK, "x", "a/b c=x " },
+	{ EXPECT_ABSENT, STATUS_CONFLICT, "y", "a/b c=x " },
+	{ EXPECT_FIRST, STATUS_OK, "y", "a/b c=y " },
+	{ EXPECT_FIRST, STATUS_CONFLICT, NULL, "a/b c=y " },
+	{ EXPECT_LAST, STATUS_OK, NULL, NULL },
+	{ EXPECT_LAST, STATUS_CONFLICT, "z", NULL },
+	{ EXPECT_ABSENT, STATUS_OK, "z", "a/b c=z " },
+	{ EXPECT_FIRST, STATUS_CONFLICT, "y", "a/b c=z " },
 };
 
 static void test_compare_and_set(struct fixture *f, gconstpointer data)
 {
-	int64_t versions[] = {[EXPECT_ABSENT] = 0, [EXPECT_NEVER] = 5, 0, 0};
+	int64_t versions[] = { [EXPECT_ABSENT] = 0, [EXPECT_NEVER] = 5, 0, 0 };
 
 	for (guint i = 0; i < G_N_ELEMENTS(set_cases); i++) {
 		int64_t version = 0;
@@ -179,8 +179,10 @@
 static void test_all_or_nothing(struct fixture *f, gconstpointer data)
 {
 	json_object *json = json_object_new_string("v");
-	struct table_write bad[] = {{"t", "a", 0, json}, {"u", "b", 9, json}};
-	struct table_write good[] = {{"t", "a", 0, json}, {"u", "b", 0, json}};
+	struct table_write bad[] = { { "t", "a", 0, json },
+				     { "u", "b", 9, json } };
+	struct table_write good[] = { { "t", "a", 0, json },
+				      { "u", "b", 0, json } };
 	struct outcome o = commit(f, bad, 2);
 
 	g_assert_cmpint(o.status, ==, STATUS_CONFLICT);
@@ -197,7 +199,7 @@
 
 static void test_scan(struct fixture *f, gconstpointer data)
 {
-	struct outcome o = {0};
+	struct outcome o = { 0 };
 
 	put(f, "p/2", 0, "2", NULL);
 	put(f, "p/1", 0, "1", NULL);
@@ -211,8 +213,8 @@
 static void test_objects(struct fixture *f, gconstpointer data)
 {
 	json_object *json = json_object_new_string("v");
-	struct outcome o = {0};
-	struct outcome missing = {0};
+	struct outcome o = { 0 };
+	struct outcome missing = { 0 };
 
 	platform_object_put(f->platform, "a/b", json, on_result, &o);
 	wait_for(&o);
@@ -232,7 +234,7 @@
 
 static void test_vm_list(struct fixture *f, gconstpointer data)
 {
-	struct outcome o = {0};
+	struct outcome o = { 0 };
 
 	cluster_control(f->cluster, f->address,
 			"{\"add_vms\":[{\"vm\":\"w1\"}]}");
@@ -253,24 +255,24 @@
 };
 
 static const struct trouble_case trouble_cases[] = {
-	{"/platform/down", "{\"mode\":\"down\"}", "{\"mode\":\"ok\"}",
-	 STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE},
-	{"/platform/cut", "{\"cut\":[\"tov-a\",\"tov-b\"]}", "{\"cut\":[]}",
-	 STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE},
-	{"/platform/cut-other", "{\"cut\":[\"tov-b\"]}", "{\"cut\":[]}",
-	 STATUS_OK, STATUS_OK, TRUE},
-	{"/platform/slow", "{\"mode\":\"slow\",\"slow_ms\":50}",
-	 "{\"mode\":\"ok\"}", STATUS_OK, STATUS_OK, TRUE},
-	{"/platform/too-slow", "{\"mode\":\"slow\",\"slow_ms\":600}",
-	 "{\"mode\":\"ok\"}", STATUS_UNKNOWN, STATUS_UNAVAILABLE, TRUE},
-	{"/platform/lost-answer", "{\"lose_answers\":1}", "{}", STATUS_UNKNOWN,
-	 STATUS_OK, TRUE},
-	{"/platform/lost-answer-of-table",
-	 "{\"lose_answers\":1,\"lose_table\":\"t\"}", "{}", STATUS_UNKNOWN,
-	 STATUS_OK, TRUE},
-	{"/platform/lost-answer-of-other-table",
-	 "{\"lose_answers\":1,\"lose_table\":\"u\"}", "{}", STATUS_OK,
-	 STATUS_OK, TRUE},
+	{ "/platform/down", "{\"mode\":\"down\"}", "{\"mode\":\"ok\"}",
+	  STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE },
+	{ "/platform/cut", "{\"cut\":[\"tov-a\",\"tov-b\"]}", "{\"cut\":[]}",
+	  STATUS_UNKNOWN, STATUS_UNAVAILABLE, FALSE },
+	{ "/platform/cut-other", "{\"cut\":[\"tov-b\"]}", "{\"cut\":[]}",
+	  STATUS_OK, STATUS_OK, TRUE },
+	{ "/platform/slow", "{\"mode\":\"slow\",\"slow_ms\":50}",
+	  "{\"mode\":\"ok\"}", STATUS_OK, STATUS_OK, TRUE },
+	{ "/platform/too-slow", "{\"mode\":\"slow\",\"slow_ms\":600}",
+	  "{\"mode\":\"ok\"}", STATUS_UNKNOWN, STATUS_UNAVAILABLE, TRUE },
+	{ "/platform/lost-answer", "{\"lose_answers\":1}", "{}", STATUS_UNKNOWN,
+	  STATUS_OK, TRUE },
+	{ "/platform/lost-answer-of-table",
+	  "{\"lose_answers\":1,\"lose_table\":\"t\"}", "{}", STATUS_UNKNOWN,
+	  STATUS_OK, TRUE },
+	{ "/platform/lost-answer-of-other-table",
+	  "{\"lose_answers\":1,\"lose_table\":\"u\"}", "{}", STATUS_OK,
+	  STATUS_OK, TRUE },
 };
 
 static void test_trouble(struct fixture *f, gconstpointer data)
@@ -292,11 +294,11 @@
 static void test_nothing_there(struct fixture *f, gconstpointer data)
 {
 	char *address = cluster_address();
-	struct platform_spec spec = {.kind = "http",
-				     .address = address,
-				     .failure_domain = "tov-a",
-				     .timeout_ms = TIMEOUT_MS,
-				     .counters = &f->counters};
+	struct platform_spec spec = { .kind = "http",
+				      .address = address,
+				      .failure_domain = "tov-a",
+				      .timeout_ms = TIMEOUT_MS,
+				      .counters = &f->counters };
 	struct platform *kept = f->platform;
 
 	f->platform = platform_new(&spec);
@@ -310,8 +312,8 @@
 
 static void test_forget(struct fixture *f, gconstpointer data)
 {
-	struct outcome forgotten = {0};
-	struct outcome kept = {0};
+	struct outcome forgotten = { 0 };
+	struct outcome kept = { 0 };
 
 	platform_read(f->platform, "t", "a", on_result, &forgotten);
 	platform_read(f->platform, "t", "a", on_result, &kept);
@@ -326,13 +328,13 @@
 	const char *path;
 	void (*test)(struct fixture *f, gconstpointer data);
 } cases[] = {
-	{"/platform/compare-and-set", test_compare_and_set},
-	{"/platform/all-or-nothing", test_all_or_nothing},
-	{"/platform/scan", test_scan},
-	{"/platform/objects", test_objects},
-	{"/platform/vm-list", test_vm_list},
-	{"/platform/nothing-there", test_nothing_there},
-	{"/platform/forget", test_forget},
+	{ "/platform/compare-and-set", test_compare_and_set },
+	{ "/platform/all-or-nothing", test_all_or_nothing },
+	{ "/platform/scan", test_scan },
+	{ "/platform/objects", test_objects },
+	{ "/platform/vm-list", test_vm_list },
+	{ "/platform/nothing-there", test_nothing_there },
+	{ "/platform/forget", test_forget },
 };
 
 int main(int argc, char **argv)
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -23,82 +23,85 @@
 	"{\"op\":\"" op "\",\"task\":\"" task "\",\"run_ms\":30}"
 
 static const struct step epoch_steps[] = {
-	{"POST", "/commands", COMMANDS(7, 5000, COMMAND("reserve", "j/0/1")),
-	 200, "\"status\":\"ok\"", 0},
-	{"POST", "/commands", COMMANDS(6, 5000, COMMAND("stop", "j/0/1")), 409,
-	 "\"epoch\":7", 0},
-	{"POST", "/commands", COMMANDS(9, 5000, COMMAND("start", "j/0/1")), 200,
-	 "\"status\":\"ok\"", 0},
-	{"POST", "/commands", COMMANDS(7, 5000, COMMAND("stop", "j/0/1")), 409,
-	 "\"epoch\":9", 50},
-	{"GET", "/report", NULL, 200, "\"state\":\"running\"", 0},
+	{ "POST", "/commands", COMMANDS(7, 5000, COMMAND("reserve", "j/0/1")),
+	  200, "\"status\":\"ok\"", 0 },
+	{ "POST", "/commands", COMMANDS(6, 5000, COMMAND("stop", "j/0/1")), 409,
+	  "\"epoch\":7", 0 },
+	{ "POST", "/commands", COMMANDS(9, 5000, COMMAND("start", "j/0/1")),
+	  200, "\"status\":\"ok\"", 0 },
+	{ "POST", "/commands", COMMANDS(7, 5000, COMMAND("stop", "j/0/1")), 409,
+	  "\"epoch\":9", 50 },
+	{ "GET", "/report", NULL, 200, "\"state\":\"running\"", 0 },
 };
 
 static const struct step repeat_steps[] = {
-	{"POST", "/commands",
-	 COMMANDS(1, 5000,
-		  COMMAND("reserve", "j/0/1") "," COMMAND("reserve", "j/0/1")),
-	 200,
-	 "{\"task\":\"j/0/1\",\"status\":\"ok\"},"
-	 "{\"task\":\"j/0/1\",\"status\":\"ok\"}",
-	 0},
-	{"POST", "/commands", COMMANDS(1, 5000, COMMAND("reserve", "k/0/1")),
-	 200, "\"reason\":\"full\"", 0},
-	{"POST", "/commands",
-	 COMMANDS(1, 5000, SHORT("start", "j/0/1") "," SHORT("start", "j/0/1")),
-	 200,
-	 "{\"task\":\"j/0/1\",\"status\":\"ok\"},"
-	 "{\"task\":\"j/0/1\",\"status\":\"ok\"}",
-	 100},
-	{"POST", "/commands", COMMANDS(1, 5000, SHORT("start", "j/0/1")), 200,
-	 "\"status\":\"ok\"", 50},
-	{"GET", "/history", NULL, 200, "\"event\":\"done\"} ] }", 0},
-	{"POST", "/commands",
-	 COMMANDS(1, 5000,
+	{ "POST", "/commands",
+	  COMMANDS(1, 5000,
+		   COMMAND("reserve", "j/0/1") "," COMMAND("reserve", "j/0/1")),
+	  200,
+	  "{\"task\":\"j/0/1\",\"status\":\"ok\"},"
+	  "{\"task\":\"j/0/1\",\"status\":\"ok\"}",
+	  0 },
+	{ "POST", "/commands", COMMANDS(1, 5000, COMMAND("reserve", "k/0/1")),
+	  200, "\"reason\":\"full\"", 0 },
+	{ "POST", "/commands",
+	  COMMANDS(1, 5000,
+		   SHORT("start", "j/0/1") "," SHORT("start", "j/0/1")),
+	  200,
+	  "{\"task\":\"j/0/1\",\"status\":\"ok\"},"
+	  "{\"task\":\"j/0/1\",\"status\":\"ok\"}",
+	  100 },
+	{ "POST", "/commands", COMMANDS(1, 5000, SHORT("start", "j/0/1")), 200,
+	  "\"status\":\"ok\"", 50 },
+	{ "GET", "/history", NULL, 200, "\"event\":\"done\"} ] }", 0 },
+	{ "POST", "/commands",
+	  COMMANDS(
+		  1, 5000,
 		  SHORT("stop", "late/0/1") "," COMMAND("reserve", "late/0/1")),
-	 200, "\"reason\":\"ended\"", 0},
+	  200, "\"reason\":\"ended\"", 0 },
 };
 
 static const struct step lapse_steps[] = {
-	{"POST", "/commands",
-	 COMMANDS(1, 500,
-		  COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
-	 200, "\"status\":\"ok\"", 250},
-	{"POST", "/commands", COMMANDS(1, 500, ""), 200, "", 300},
-	{"GET", "/report", NULL, 200, "\"state\":\"running\"", 400},
-	{"GET", "/history", NULL, 200, "\"event\":\"lapsed\"", 0},
-	{"POST", "/commands", COMMANDS(1, 500, COMMAND("reserve", "k/0/1")),
-	 200, "\"status\":\"ok\"", 700},
-	{"GET", "/report", NULL, 200, "\"accelerators\":8", 0},
-	{"POST", "/commands", COMMANDS(1, 500, COMMAND("start", "k/0/1")), 200,
-	 "\"reason\":\"ended\"", 0},
+	{ "POST", "/commands",
+	  COMMANDS(1, 500,
+		   COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
+	  200, "\"status\":\"ok\"", 250 },
+	{ "POST", "/commands", COMMANDS(1, 500, ""), 200, "", 300 },
+	{ "GET", "/report", NULL, 200, "\"state\":\"running\"", 400 },
+	{ "GET", "/history", NULL, 200, "\"event\":\"lapsed\"", 0 },
+	{ "POST", "/commands", COMMANDS(1, 500, COMMAND("reserve", "k/0/1")),
+	  200, "\"status\":\"ok\"", 700 },
+	{ "GET", "/report", NULL, 200, "\"accelerators\":8", 0 },
+	{ "POST", "/commands", COMMANDS(1, 500, COMMAND("start", "k/0/1")), 200,
+	  "\"reason\":\"ended\"", 0 },
 };
 
 static const struct step failing_steps[] = {
-	{"POST", "/control", "{\"fail_tasks\":true}", 200, "", 0},
-	{"POST", "/commands",
-	 COMMANDS(1, 5000,
-		  COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
-	 200, "\"status\":\"ok\"", 150},
-	{"GET", "/report", NULL, 200, "\"state\":\"failed\"", 0},
-	{"POST", "/commands",
-	 "{\"pool\":\"other.tov-a\",\"epoch\":1,"
-	 "\"lease_ms\":1}",
-	 400, "", 0},
-	{"POST", "/commands", "{\"pool\":1}", 400, "wrong type", 0},
+	{ "POST", "/control", "{\"fail_tasks\":true}", 200, "", 0 },
+	{ "POST", "/commands",
+	  COMMANDS(1, 5000,
+		   COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
+	  200, "\"status\":\"ok\"", 150 },
+	{ "GET", "/report", NULL, 200, "\"state\":\"failed\"", 0 },
+	{ "POST", "/commands",
+	  "{\"pool\":\"other.tov-a\",\"epoch\":1,"
+	  "\"lease_ms\":1}",
+	  400, "", 0 },
+	{ "POST", "/commands", "{\"pool\":1}", 400, "wrong type", 0 },
 };
 
 static const struct step checkpoint_steps[] = {
-	{"POST", "/commands",
-	 COMMANDS(1, 5000,
-		  COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
-	 200, "\"status\":\"ok\"", 0},
-	{"POST", "/commands", COMMANDS(1, 5000, COMMAND("throttle", "j/0/1")),
-	 200, "\"status\":\"ok\"", 50},
-	{"GET", "/report", NULL, 200, "\"remaining_ms\":119", 0},
-	{"POST", "/commands", COMMANDS(1, 5000, COMMAND("checkpoint", "j/0/1")),
-	 200, "\"status\":\"ok\"", 50},
-	{"GET", "/report", NULL, 200, "\"state\":\"checkpointed\"", 0},
+	{ "POST", "/commands",
+	  COMMANDS(1, 5000,
+		   COMMAND("reserve", "j/0/1") "," COMMAND("start", "j/0/1")),
+	  200, "\"status\":\"ok\"", 0 },
+	{ "POST", "/commands", COMMANDS(1, 5000, COMMAND("throttle", "j/0/1")),
+	  200, "\"status\":\"ok\"", 50 },
+	{ "GET", "/report", NULL, 200, "\"remaining_ms\":119", 0 },
+	{ "POST", "/commands",
+	  COMMANDS(1, 5000, COMMAND("checkpoint", "j/0/1")), 200,
+	  "\"status\":\"ok\"", 50 },
+	{ "GET", "/report", NULL, 200, "\"state\":\"checkpointed\"", 0 },
 };
 
 /* json-c writes blanks and escapes slashes; compare without them. */
@@ -142,13 +145,13 @@
 };
 
 static const struct worker_case worker_cases[] = {
-	{"/standins/worker-epoch", epoch_steps, G_N_ELEMENTS(epoch_steps)},
-	{"/standins/worker-repeat", repeat_steps, G_N_ELEMENTS(repeat_steps)},
-	{"/standins/worker-lapse", lapse_steps, G_N_ELEMENTS(lapse_steps)},
-	{"/standins/worker-failing", failing_steps,
-	 G_N_ELEMENTS(failing_steps)},
-	{"/standins/worker-checkpoint", checkpoint_steps,
-	 G_N_ELEMENTS(checkpoint_steps)},
+	{ "/standins/worker-epoch", epoch_steps, G_N_ELEMENTS(epoch_steps) },
+	{ "/standins/worker-repeat", repeat_steps, G_N_ELEMENTS(repeat_steps) },
+	{ "/standins/worker-lapse", lapse_steps, G_N_ELEMENTS(lapse_steps) },
+	{ "/standins/worker-failing", failing_steps,
+	  G_N_ELEMENTS(failing_steps) },
+	{ "/standins/worker-checkpoint", checkpoint_steps,
+	  G_N_ELEMENTS(checkpoint_steps) },
 };
 
 static void test_worker(const void *data)
@@ -166,24 +169,25 @@
 }
 
 static const struct step runner_steps[] = {
-	{"POST", "/run",
-	 "{\"request_id\":\"a\",\"work_ms\":5,\"payload\":{\"key\":\"k\"}}",
-	 200,
-	 "\"request_id\":\"a\",\"result\":{\"request_id\":\"a\","
-	 "\"payload\":{\"key\":\"k\"}}",
-	 0},
-	{"GET", "/runs", NULL, 200, "{\"runs\":{\"a\":1},\"keys\":{\"k\":1}}",
-	 0},
-	{"POST", "/control", "{\"wrong_id\":true}", 200, "", 0},
-	{"POST", "/run", "{\"request_id\":\"b\"}", 200, "\"request_id\":\"a\",",
-	 0},
-	{"POST", "/control", "{\"wrong_id\":false,\"fail\":true}", 200, "", 0},
-	{"POST", "/run", "{\"request_id\":\"c\"}", 500, "", 0},
-	{"POST", "/control", "{\"fail\":false,\"leaving\":true}", 200, "", 0},
-	{"POST", "/run", "{\"request_id\":\"d\"}", 503,
-	 "\"reason\":\"leaving\"", 0},
-	{"GET", "/health", NULL, 200, "\"is_leaving\":true", 0},
-	{"GET", "/runs", NULL, 200, "\"c\":1", 0},
+	{ "POST", "/run",
+	  "{\"request_id\":\"a\",\"work_ms\":5,\"payload\":{\"key\":\"k\"}}",
+	  200,
+	  "\"request_id\":\"a\",\"result\":{\"request_id\":\"a\","
+	  "\"payload\":{\"key\":\"k\"}}",
+	  0 },
+	{ "GET", "/runs", NULL, 200, "{\"runs\":{\"a\":1},\"keys\":{\"k\":1}}",
+	  0 },
+	{ "POST", "/control", "{\"wrong_id\":true}", 200, "", 0 },
+	{ "POST", "/run", "{\"request_id\":\"b\"}", 200,
+	  "\"request_id\":\"a\",", 0 },
+	{ "POST", "/control", "{\"wrong_id\":false,\"fail\":true}", 200, "",
+	  0 },
+	{ "POST", "/run", "{\"request_id\":\"c\"}", 500, "", 0 },
+	{ "POST", "/control", "{\"fail\":false,\"leaving\":true}", 200, "", 0 },
+	{ "POST", "/run", "{\"request_id\":\"d\"}", 503,
+	  "\"reason\":\"leaving\"", 0 },
+	{ "GET", "/health", NULL, 200, "\"is_leaving\":true", 0 },
+	{ "GET", "/runs", NULL, 200, "\"c\":1", 0 },
 };
 
 static void test_runner(void)
@@ -227,7 +231,7 @@
 	struct cluster_process *p =
 		cluster_spawn(c, "cs-standin-runner", "runner", NULL);
 	char *address = cluster_listening(p, 0);
-	struct slot_count n = {0};
+	struct slot_count n = { 0 };
 
 	for (int i = 0; i < 10; i++) {
 		json_object *body = json_object_new_object();
@@ -282,7 +286,7 @@
 	struct cluster_process *p =
 		cluster_spawn(c, "cs-standin-platform", "platform", NULL);
 	char *address = cluster_listening(p, 0);
-	struct vm_wait wait = {c, address, 10};
+	struct vm_wait wait = { c, address, 10 };
 
 	cluster_spawn(c, "cs-standin-worker", "workers",
 		      CLUSTER_ARGS("--count", "10", "--platform", address,
@@ -318,17 +322,17 @@
 	const char *control;
 	enum status status;
 } relay_cases[] = {
-	{"{}", STATUS_OK},
-	{"{\"mode\":\"silent\"}", STATUS_UNKNOWN},
-	{"{\"mode\":\"pass\"}", STATUS_OK},
-	{"{\"mode\":\"cut_up\"}", STATUS_UNKNOWN},
-	{"{\"mode\":\"cut_down\"}", STATUS_UNKNOWN},
-	{"{\"mode\":\"pass\",\"delay_ms\":20}", STATUS_OK},
-	{"{\"silence_open\":true}", STATUS_UNKNOWN},
-	{"{}", STATUS_OK},
-	{"{\"delay_ms\":300}", STATUS_UNKNOWN},
-	{"{\"mode\":\"refuse\",\"delay_ms\":0}", STATUS_UNKNOWN},
-	{"{\"mode\":\"pass\"}", STATUS_OK},
+	{ "{}", STATUS_OK },
+	{ "{\"mode\":\"silent\"}", STATUS_UNKNOWN },
+	{ "{\"mode\":\"pass\"}", STATUS_OK },
+	{ "{\"mode\":\"cut_up\"}", STATUS_UNKNOWN },
+	{ "{\"mode\":\"cut_down\"}", STATUS_UNKNOWN },
+	{ "{\"mode\":\"pass\",\"delay_ms\":20}", STATUS_OK },
+	{ "{\"silence_open\":true}", STATUS_UNKNOWN },
+	{ "{}", STATUS_OK },
+	{ "{\"delay_ms\":300}", STATUS_UNKNOWN },
+	{ "{\"mode\":\"refuse\",\"delay_ms\":0}", STATUS_UNKNOWN },
+	{ "{\"mode\":\"pass\"}", STATUS_OK },
 };
 
 static void test_relay(void)
@@ -338,7 +342,7 @@
 		cluster_spawn(c, "cs-standin-runner", "runner", NULL);
 	char *target = cluster_listening(p, 0);
 	char *route = g_strdup_printf("127.0.0.1:0=%s", target);
-	struct relay r = {.cluster = c};
+	struct relay r = { .cluster = c };
 
 	p = cluster_spawn(c, "cs-standin-relay", "relay",
 			  CLUSTER_ARGS("--route", route));
