Pool of cells, guarantee plan, job queue and first baselines

Change: job/pool.c keeps racks, workers and what runs on them; each guaranteed shape is planned slot by slot on real workers (job/guarantee_plan.c), and this plan is the proof that it can be reclaimed. job/job_queue.c decides which job starts next, with reservation and backfill and run times corrected per account and family. Placement policies first_fit and backfill stand in one table. Header changes: pool_assign() and place() take now_ms, pool_job has a family, pool_is_running(), pool_check_books() and pool_visits() are new.

--- a/job/placement/placement.h
+++ b/job/placement/placement.h
@@ -10,8 +10,16 @@
 
 struct placement_policy;
 
+/** In which order jobs wait. */
+enum queue_discipline {
+	QUEUE_FIFO,	/**< by arrival; the first one blocks the others */
+	QUEUE_BACKFILL, /**< by arrival; later ones may fill gaps in time */
+	QUEUE_FAIR,	/**< guarantees first, then by share, with backfill */
+};
+
 struct placement_policy_class {
 	const char *name;
+	enum queue_discipline discipline; /**< of the queue that it goes with */
 	/**
 	 * Chooses workers for a whole job.
 	 *
@@ -20,7 +28,8 @@
 	 *		(can never run on this pool)
 	 */
 	enum status (*place)(struct placement_policy *p, struct pool *pool,
-			     const struct pool_job *job, struct placement *out);
+			     const struct pool_job *job, int64_t now_ms,
+			     struct placement *out);
 	void (*free)(struct placement_policy *p);
 };
 
@@ -30,7 +39,13 @@
 };
 
 /** Name of the policy in use. */
-#define PLACEMENT_POLICY_DEFAULT "cells"
+#define PLACEMENT_POLICY_DEFAULT "first_fit"
+
+enum status placement_policy_place(struct placement_policy *p,
+				   struct pool *pool,
+				   const struct pool_job *job, int64_t now_ms,
+				   struct placement *out);
+void placement_policy_free(struct placement_policy *p);
 
 /** Returns a new policy by name, or NULL for an unknown name. */
 struct placement_policy *placement_policy_new(const char *name);
--- /dev/null
+++ b/job/pool.c
@@ -0,0 +1,711 @@
+#include "job/pool.h"
+
+#include <string.h>
+
+#include "base/util.h"
+#include "job/guarantee_plan.h"
+#include "job/pool_state.h"
+
+/* Workers with accelerators come last when only cores are needed. */
+#define CORES_KEY_WITH_ACCELERATORS 256
+
+void placement_init(struct placement *p)
+{
+	p->workers = g_ptr_array_new_with_free_func(g_free);
+	p->preempt = g_ptr_array_new_with_free_func(g_free);
+	p->is_guaranteed = FALSE;
+	p->reason = g_strdup("");
+	p->runner_up = g_strdup("");
+}
+
+void placement_clear(struct placement *p)
+{
+	g_ptr_array_unref(p->workers);
+	g_ptr_array_unref(p->preempt);
+	g_free(p->reason);
+	g_free(p->runner_up);
+	memset(p, 0, sizeof(*p));
+}
+
+static void rack_cell_free(gpointer data)
+{
+	struct rack_cell *r = data;
+
+	g_ptr_array_unref(r->workers);
+	g_free(r->name);
+	g_free(r);
+}
+
+static void worker_cell_destroy(gpointer data)
+{
+	struct worker_cell *w = data;
+
+	g_ptr_array_unref(w->jobs);
+	g_free(w->name);
+	g_free(w->address);
+	g_free(w);
+}
+
+static void guarantee_free(gpointer data)
+{
+	struct guarantee *g = data;
+
+	g_free(g->client_account);
+	g_free(g->name);
+	g_free(g->slots);
+	g_free(g);
+}
+
+static void running_job_free(gpointer data)
+{
+	struct running_job *r = data;
+
+	g_free((char *)r->job.id);
+	g_free((char *)r->job.client_account);
+	g_free((char *)r->job.family);
+	g_ptr_array_unref(r->workers);
+	g_free(r->slots);
+	g_free(r);
+}
+
+static guint shape_hash(gconstpointer key)
+{
+	const struct shape *s = key;
+	uint64_t h = s->members;
+
+	h = h * 31 + s->accelerators;
+	h = h * 1031 + s->cores;
+	h = h * 1000003 + s->memory_mb;
+	return (guint)(h * 3 + s->adjacency);
+}
+
+static gboolean shape_equal(gconstpointer a, gconstpointer b)
+{
+	const struct shape *x = a;
+	const struct shape *y = b;
+
+	return x->members == y->members && x->accelerators == y->accelerators &&
+	       x->cores == y->cores && x->memory_mb == y->memory_mb &&
+	       x->adjacency == y->adjacency;
+}
+
+struct account_use *pool_account_use(struct pool *pool, const char *account)
+{
+	struct account_use *use = g_hash_table_lookup(pool->uses, account);
+
+	if (use)
+		return use;
+	use = g_new0(struct account_use, 1);
+	g_hash_table_insert(pool->uses, g_strdup(account), use);
+	return use;
+}
+
+struct pool *pool_new(const char *name)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pool->name = g_strdup(name);
+	pool->workers = g_ptr_array_new_with_free_func(worker_cell_destroy);
+	pool->racks = g_ptr_array_new_with_free_func(rack_cell_free);
+	pool->workers_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	pool->racks_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	pool->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   running_job_free);
+	pool->guarantees = g_ptr_array_new_with_free_func(guarantee_free);
+	pool->by_account =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
+	pool->uses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool->reserved = g_ptr_array_new();
+	pool->most_members =
+		g_hash_table_new_full(shape_hash, shape_equal, g_free, g_free);
+	cell_index_init(&pool->open);
+	cell_index_init(&pool->free);
+	cell_index_init(&pool->cores);
+	cell_index_init(&pool->unplanned);
+	cell_index_init(&pool->racks_free);
+	cell_index_init(&pool->racks_unplanned);
+	return pool;
+}
+
+void pool_free(struct pool *pool)
+{
+	cell_index_clear(&pool->open);
+	cell_index_clear(&pool->free);
+	cell_index_clear(&pool->cores);
+	cell_index_clear(&pool->unplanned);
+	cell_index_clear(&pool->racks_free);
+	cell_index_clear(&pool->racks_unplanned);
+	g_hash_table_unref(pool->most_members);
+	g_ptr_array_unref(pool->reserved);
+	g_free(pool->reserved_for);
+	g_hash_table_unref(pool->uses);
+	g_hash_table_unref(pool->by_account);
+	g_ptr_array_unref(pool->guarantees);
+	g_hash_table_unref(pool->jobs);
+	g_hash_table_unref(pool->racks_by_name);
+	g_hash_table_unref(pool->workers_by_name);
+	g_ptr_array_unref(pool->racks);
+	g_ptr_array_unref(pool->workers);
+	g_free(pool->name);
+	g_free(pool);
+}
+
+struct worker_cell *pool_worker(const struct pool *pool, const char *name)
+{
+	return g_hash_table_lookup(pool->workers_by_name, name);
+}
+
+struct running_job *pool_running_job(const struct pool *pool, const char *id)
+{
+	return g_hash_table_lookup(pool->jobs, id);
+}
+
+GPtrArray *pool_guarantees_of(const struct pool *pool, const char *account)
+{
+	return g_hash_table_lookup(pool->by_account, account);
+}
+
+uint64_t pool_visits(const struct pool *pool)
+{
+	return pool->visits;
+}
+
+struct resources worker_cell_open(const struct worker_cell *w)
+{
+	struct resources r = worker_cell_unplanned(w);
+	struct resources now = worker_cell_free(w);
+
+	r = resources_minus(r, w->borrowed);
+	r = resources_minus(r, w->stopping);
+	return (struct resources){MIN(r.accelerators, now.accelerators),
+				  MIN(r.cores, now.cores),
+				  MIN(r.memory_mb, now.memory_mb)};
+}
+
+static void refresh_rack(struct pool *pool, struct rack_cell *rack)
+{
+	rack->free_accelerators = 0;
+	rack->unplanned_accelerators = 0;
+	for (guint i = 0; i < rack->workers->len; i++) {
+		const struct worker_cell *w = rack->workers->pdata[i];
+
+		rack->free_accelerators +=
+			MAX(worker_cell_free(w).accelerators, 0);
+		rack->unplanned_accelerators +=
+			MAX(worker_cell_unplanned(w).accelerators, 0);
+	}
+	cell_index_set(&pool->racks_free, rack->index, rack->free_accelerators);
+	cell_index_set(&pool->racks_unplanned, rack->index,
+		       rack->unplanned_accelerators);
+}
+
+static int64_t cores_key(const struct worker_cell *w)
+{
+	struct resources open = worker_cell_open(w);
+	int64_t key = MIN(open.cores, CORES_KEY_WITH_ACCELERATORS - 1);
+
+	if (key > 0 && w->capacity.accelerators > 0)
+		key += CORES_KEY_WITH_ACCELERATORS;
+	return key;
+}
+
+void pool_refresh_worker(struct pool *pool, struct worker_cell *w)
+{
+	gboolean is_in = w->is_usable;
+	int64_t absent = -1;
+
+	cell_index_set(&pool->open, w->index,
+		       is_in ? worker_cell_open(w).accelerators : absent);
+	cell_index_set(&pool->free, w->index,
+		       is_in ? worker_cell_free(w).accelerators : absent);
+	cell_index_set(&pool->cores, w->index, is_in ? cores_key(w) : absent);
+	cell_index_set(&pool->unplanned, w->index,
+		       is_in ? worker_cell_unplanned(w).accelerators : absent);
+	refresh_rack(pool, w->rack);
+}
+
+static struct rack_cell *find_rack(struct pool *pool, const char *name)
+{
+	struct rack_cell *rack = g_hash_table_lookup(pool->racks_by_name, name);
+
+	if (rack)
+		return rack;
+	rack = g_new0(struct rack_cell, 1);
+	rack->name = g_strdup(name);
+	rack->index = pool->racks->len;
+	rack->workers = g_ptr_array_new();
+	g_ptr_array_add(pool->racks, rack);
+	g_hash_table_insert(pool->racks_by_name, rack->name, rack);
+	return rack;
+}
+
+static struct worker_cell *new_worker(struct pool *pool,
+				      const struct worker_spec *spec)
+{
+	struct worker_cell *w = g_new0(struct worker_cell, 1);
+
+	w->name = g_strdup(spec->name);
+	w->index = pool->workers->len;
+	w->is_usable = TRUE;
+	w->jobs = g_ptr_array_new();
+	g_ptr_array_add(pool->workers, w);
+	g_hash_table_insert(pool->workers_by_name, w->name, w);
+	w->rack = find_rack(pool, spec->rack);
+	g_ptr_array_add(w->rack->workers, w);
+	return w;
+}
+
+static void change_rack(struct pool *pool, struct worker_cell *w,
+			const char *name)
+{
+	struct rack_cell *old = w->rack;
+
+	if (g_str_equal(old->name, name))
+		return;
+	g_ptr_array_remove(old->workers, w);
+	refresh_rack(pool, old);
+	w->rack = find_rack(pool, name);
+	g_ptr_array_add(w->rack->workers, w);
+	guarantee_plan_drop_worker(pool, w);
+}
+
+void pool_add_worker(struct pool *pool, const struct worker_spec *spec)
+{
+	struct worker_cell *w = pool_worker(pool, spec->name);
+
+	if (!w)
+		w = new_worker(pool, spec);
+	change_rack(pool, w, spec->rack);
+	g_free(w->address);
+	w->address = g_strdup(spec->address);
+	w->capacity = (struct resources){spec->accelerators, spec->cores,
+					 spec->memory_mb};
+	if (!resources_fit(w->committed, w->capacity))
+		guarantee_plan_drop_worker(pool, w);
+	pool->version++;
+	pool->is_plan_stale = TRUE;
+	g_hash_table_remove_all(pool->most_members);
+	pool_refresh_worker(pool, w);
+	guarantee_plan_repair(pool);
+}
+
+void pool_set_worker_usable(struct pool *pool, const char *worker,
+			    gboolean is_usable)
+{
+	struct worker_cell *w = pool_worker(pool, worker);
+
+	if (!w || w->is_usable == is_usable)
+		return;
+	w->is_usable = is_usable;
+	if (is_usable)
+		pool->version++;
+	else
+		guarantee_plan_drop_worker(pool, w);
+	pool->is_plan_stale = TRUE;
+	g_hash_table_remove_all(pool->most_members);
+	pool_refresh_worker(pool, w);
+	guarantee_plan_repair(pool);
+}
+
+/* Books a member's use on its worker and in its slot. */
+static void book(struct pool *pool, struct running_job *r, guint member,
+		 gboolean is_added)
+{
+	struct worker_cell *w = r->workers->pdata[member];
+	struct resources need = resources_of_member(&r->job.shape);
+	struct slot *slot = r->slots ? r->slots[member] : NULL;
+
+	if (!is_added)
+		need = (struct resources){-need.accelerators, -need.cores,
+					  -need.memory_mb};
+	if (r->is_stopping)
+		w->stopping = resources_plus(w->stopping, need);
+	else
+		w->used = resources_plus(w->used, need);
+	if (!r->is_stopping && !r->is_guaranteed)
+		w->borrowed = resources_plus(w->borrowed, need);
+	if (slot)
+		slot->used = resources_plus(slot->used, need);
+	pool_refresh_worker(pool, w);
+}
+
+static void book_account(struct pool *pool, const struct running_job *r,
+			 int64_t sign)
+{
+	struct account_use *use;
+	int64_t n = sign * shape_accelerators(&r->job.shape);
+
+	if (r->is_stopping)
+		return;
+	use = pool_account_use(pool, r->job.client_account);
+	if (r->is_guaranteed)
+		use->guaranteed += n;
+	else
+		use->borrowed += n;
+}
+
+static void book_all(struct pool *pool, struct running_job *r,
+		     gboolean is_added)
+{
+	for (guint i = 0; i < r->workers->len; i++)
+		book(pool, r, i, is_added);
+	book_account(pool, r, is_added ? 1 : -1);
+}
+
+static void set_stopping(struct pool *pool, struct running_job *r,
+			 gboolean is_stopping)
+{
+	book_all(pool, r, FALSE);
+	r->is_stopping = is_stopping;
+	book_all(pool, r, TRUE);
+}
+
+/* Marks jobs as being stopped; returns those that were not before. */
+static GPtrArray *stop_jobs(struct pool *pool, const GPtrArray *ids)
+{
+	GPtrArray *stopped = g_ptr_array_new();
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct running_job *r = pool_running_job(pool, ids->pdata[i]);
+
+		if (!r || r->is_stopping)
+			continue;
+		set_stopping(pool, r, TRUE);
+		g_ptr_array_add(stopped, r);
+	}
+	return stopped;
+}
+
+static enum status resolve_workers(const struct pool *pool,
+				   const struct placement *placement,
+				   GPtrArray *workers)
+{
+	for (guint i = 0; i < placement->workers->len; i++) {
+		const char *name = placement->workers->pdata[i];
+		struct worker_cell *w = pool_worker(pool, name);
+
+		if (!w)
+			return status_fail(STATUS_NOT_FOUND,
+					   "unknown worker %s", name);
+		g_ptr_array_add(workers, w);
+	}
+	return STATUS_OK;
+}
+
+/* Tells whether the job fits once the preempted jobs are gone. */
+static gboolean has_room(struct pool *pool, const struct pool_job *job,
+			 GPtrArray *workers)
+{
+	struct resources need = resources_of_member(&job->shape);
+
+	pool->trial_id++;
+	for (guint i = 0; i < workers->len; i++) {
+		struct worker_cell *w = workers->pdata[i];
+
+		if (w->trial_id != pool->trial_id) {
+			w->trial_id = pool->trial_id;
+			w->scratch = resources_minus(w->capacity, w->used);
+		}
+		w->scratch = resources_minus(w->scratch, need);
+		if (!resources_fit((struct resources){0, 0, 0}, w->scratch))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void insert_job(struct pool *pool, struct running_job *r)
+{
+	g_hash_table_insert(pool->jobs, (gpointer)r->job.id, r);
+	for (guint i = 0; i < r->workers->len; i++) {
+		struct worker_cell *w = r->workers->pdata[i];
+
+		g_ptr_array_add(w->jobs, r);
+	}
+	book_all(pool, r, TRUE);
+}
+
+static struct running_job *new_running_job(const struct pool_job *job,
+					   GPtrArray *workers, int64_t now_ms)
+{
+	struct running_job *r = g_new0(struct running_job, 1);
+
+	r->job = *job;
+	r->job.id = g_strdup(job->id);
+	r->job.client_account = g_strdup(job->client_account);
+	r->job.family = g_strdup(job->family);
+	r->started_ms = now_ms;
+	r->workers = g_ptr_array_ref(workers);
+	return r;
+}
+
+enum status pool_assign(struct pool *pool, const struct pool_job *job,
+			const struct placement *placement, int64_t now_ms)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	struct running_job *r = new_running_job(job, workers, now_ms);
+	GPtrArray *stopped = NULL;
+	enum status status = resolve_workers(pool, placement, workers);
+
+	if (status != STATUS_OK)
+		goto fail;
+	status = STATUS_CONFLICT;
+	if (pool_running_job(pool, job->id)) {
+		status_fail(status, "job %s is assigned already", job->id);
+		goto fail;
+	}
+	if (placement->is_guaranteed) {
+		r->is_guaranteed = TRUE;
+		r->slots = g_new0(struct slot *, MAX(workers->len, 1));
+		if (!guarantee_plan_bind(pool, job, workers, r->slots)) {
+			status_fail(status, "job %s is not within a guarantee",
+				    job->id);
+			goto fail;
+		}
+	}
+	stopped = stop_jobs(pool, placement->preempt);
+	if (!has_room(pool, job, workers)) {
+		status =
+			status_fail(STATUS_FULL, "no room for job %s", job->id);
+		goto fail;
+	}
+	insert_job(pool, r);
+	status = STATUS_OK;
+	goto out;
+fail:
+	for (guint i = 0; stopped && i < stopped->len; i++)
+		set_stopping(pool, stopped->pdata[i], FALSE);
+	running_job_free(r);
+out:
+	if (stopped)
+		g_ptr_array_unref(stopped);
+	g_ptr_array_unref(workers);
+	return status;
+}
+
+/* Takes emptied slots off workers that are not usable any more. */
+static void leave_lost_slots(struct pool *pool, const struct running_job *r)
+{
+	for (guint i = 0; r->slots && i < r->workers->len; i++) {
+		struct slot *slot = r->slots[i];
+
+		if (slot->worker && !slot->worker->is_usable &&
+		    !slot_is_used(slot))
+			guarantee_plan_set(pool, slot, NULL);
+	}
+}
+
+void pool_release(struct pool *pool, const char *job_id)
+{
+	struct running_job *r = pool_running_job(pool, job_id);
+
+	if (!r)
+		return;
+	book_all(pool, r, FALSE);
+	for (guint i = 0; i < r->workers->len; i++) {
+		struct worker_cell *w = r->workers->pdata[i];
+
+		g_ptr_array_remove_fast(w->jobs, r);
+	}
+	pool->version++;
+	leave_lost_slots(pool, r);
+	pool->is_plan_stale |= r->is_guaranteed;
+	g_hash_table_remove(pool->jobs, job_id);
+	guarantee_plan_repair(pool);
+}
+
+gboolean pool_is_running(const struct pool *pool, const char *job_id)
+{
+	const struct running_job *r = pool_running_job(pool, job_id);
+
+	return r && !r->is_stopping;
+}
+
+/* Returns how many members fit into a list of empty workers. */
+static int64_t members_of(const GPtrArray *workers, struct resources need,
+			  gboolean with_lost)
+{
+	int64_t n = 0;
+
+	for (guint i = 0; i < workers->len; i++) {
+		const struct worker_cell *w = workers->pdata[i];
+
+		if (w->is_usable || with_lost)
+			n += resources_times(w->capacity, need);
+	}
+	return n;
+}
+
+static int64_t count_most(const struct pool *pool, const struct shape *shape,
+			  gboolean with_lost)
+{
+	struct resources need = resources_of_member(shape);
+	int64_t most = 0;
+
+	if (shape->adjacency == ADJACENCY_NONE)
+		return members_of(pool->workers, need, with_lost);
+	if (shape->adjacency == ADJACENCY_WORKER) {
+		for (guint i = 0; i < pool->workers->len; i++) {
+			const struct worker_cell *w = pool->workers->pdata[i];
+
+			if (w->is_usable || with_lost)
+				most = MAX(most,
+					   resources_times(w->capacity, need));
+		}
+		return most;
+	}
+	for (guint i = 0; i < pool->racks->len; i++) {
+		const struct rack_cell *r = pool->racks->pdata[i];
+
+		most = MAX(most, members_of(r->workers, need, with_lost));
+	}
+	return most;
+}
+
+/* Returns how many members the empty pool can hold, as last counted. */
+static int64_t most_members(const struct pool *pool, const struct shape *shape)
+{
+	int64_t *most = g_hash_table_lookup(pool->most_members, shape);
+
+	if (most)
+		return *most;
+	most = g_new(int64_t, 1);
+	*most = count_most(pool, shape, FALSE);
+	g_hash_table_insert(pool->most_members,
+			    g_memdup2(shape, sizeof(*shape)), most);
+	return *most;
+}
+
+gboolean pool_known_workers_fit(const struct pool *pool,
+				const struct shape *shape)
+{
+	return count_most(pool, shape, TRUE) >= shape->members;
+}
+
+gboolean pool_could_fit(const struct pool *pool, const struct shape *shape,
+			char **reason)
+{
+	static const char *const places[] = {"the pool", "any one rack",
+					     "any one worker"};
+	int64_t most = most_members(pool, shape);
+
+	if (most >= shape->members)
+		return TRUE;
+	*reason = g_strdup_printf(
+		"%s can hold %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
+		" members even when empty",
+		places[shape->adjacency], most, shape->members);
+	return FALSE;
+}
+
+static int compare_guarantees(gconstpointer a, gconstpointer b)
+{
+	const struct guarantee *x = *(const struct guarantee *const *)a;
+	const struct guarantee *y = *(const struct guarantee *const *)b;
+	int64_t size_x = shape_accelerators(&x->shape);
+	int64_t size_y = shape_accelerators(&y->shape);
+	gboolean is_near_x = x->shape.adjacency != ADJACENCY_NONE;
+	gboolean is_near_y = y->shape.adjacency != ADJACENCY_NONE;
+
+	if (is_near_x != is_near_y)
+		return is_near_y - is_near_x;
+	if (x->size.accelerators != y->size.accelerators)
+		return x->size.accelerators > y->size.accelerators ? -1 : 1;
+	if (size_x != size_y)
+		return size_x > size_y ? -1 : 1;
+	return (x->size.cores < y->size.cores) -
+	       (x->size.cores > y->size.cores);
+}
+
+static void add_guarantee(struct pool *pool, const struct client_account *a,
+			  const struct guaranteed_shape *shape)
+{
+	struct guarantee *g = g_new0(struct guarantee, 1);
+	GPtrArray *list;
+
+	g->client_account = g_strdup(a->name);
+	g->name = g_strdup(shape->name);
+	g->shape = shape->shape;
+	g->size = resources_of_member(&g->shape);
+	g->slots = g_new0(struct slot, g->shape.members);
+	for (int64_t i = 0; i < g->shape.members; i++)
+		g->slots[i].guarantee = g;
+	pool->unheld += g->shape.members;
+	g_ptr_array_add(pool->guarantees, g);
+	list = pool_guarantees_of(pool, g->client_account);
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(pool->by_account, g->client_account, list);
+	}
+	g_ptr_array_add(list, g);
+}
+
+static void drop_guarantees(struct pool *pool)
+{
+	g_hash_table_remove_all(pool->by_account);
+	g_ptr_array_set_size(pool->guarantees, 0);
+	pool->unheld = 0;
+	for (guint i = 0; i < pool->workers->len; i++) {
+		struct worker_cell *w = pool->workers->pdata[i];
+
+		w->committed = (struct resources){0, 0, 0};
+		pool_refresh_worker(pool, w);
+	}
+}
+
+/* Finds new slots for a guaranteed job, or makes it borrowed. */
+static void rebind_job(struct pool *pool, struct running_job *r)
+{
+	g_free(r->slots);
+	r->slots = g_new0(struct slot *, r->workers->len);
+	r->is_guaranteed =
+		guarantee_plan_bind(pool, &r->job, r->workers, r->slots);
+	if (!r->is_guaranteed)
+		g_clear_pointer(&r->slots, g_free);
+}
+
+static int compare_started(gconstpointer a, gconstpointer b)
+{
+	const struct running_job *x = a;
+	const struct running_job *y = b;
+
+	if (x->started_ms != y->started_ms)
+		return x->started_ms < y->started_ms ? -1 : 1;
+	return strcmp(x->job.id, y->job.id);
+}
+
+void pool_set_guarantees(struct pool *pool, const struct config_doc *doc)
+{
+	GList *jobs = g_hash_table_get_values(pool->jobs);
+
+	jobs = g_list_sort(jobs, compare_started);
+	drop_guarantees(pool);
+	for (guint i = 0; i < doc->client_accounts->len; i++) {
+		const struct client_account *a = &g_array_index(
+			doc->client_accounts, struct client_account, i);
+
+		for (guint k = 0; k < a->guaranteed_shapes->len; k++) {
+			const struct guaranteed_shape *s =
+				&g_array_index(a->guaranteed_shapes,
+					       struct guaranteed_shape, k);
+
+			if (g_str_equal(s->pool, pool->name))
+				add_guarantee(pool, a, s);
+		}
+	}
+	g_ptr_array_sort(pool->guarantees, compare_guarantees);
+	for (GList *l = jobs; l; l = l->next) {
+		struct running_job *r = l->data;
+
+		if (!r->is_guaranteed)
+			continue;
+		g_clear_pointer(&r->slots, g_free);
+		book_all(pool, r, FALSE);
+		rebind_job(pool, r);
+		book_all(pool, r, TRUE);
+	}
+	g_list_free(jobs);
+	pool->is_plan_stale = TRUE;
+	guarantee_plan_repair(pool);
+}
--- a/job/pool.h
+++ b/job/pool.h
@@ -29,7 +29,8 @@
 struct pool_job {
 	const char *id;
 	const char *client_account;
-	int64_t class; /**< enum job_class */
+	const char *family; /**< jobs that resemble each other, may be NULL */
+	int64_t class;	    /**< enum job_class */
 	struct shape shape;
 	int64_t expected_run_ms;
 	gboolean is_checkpointable;
@@ -60,13 +61,25 @@
 /** Takes the guaranteed shapes of this pool from a configuration. */
 void pool_set_guarantees(struct pool *pool, const struct config_doc *doc);
 
-/** Takes a placement as done: its resources are in use from now on. */
+/**
+ * Takes a placement as done: its resources are in use from now on. The jobs
+ * that it preempts count as being stopped until they are released; the job may
+ * be started once all of them are.
+ *
+ * @return	STATUS_OK, STATUS_NOT_FOUND for an unknown worker,
+ *		STATUS_FULL when the workers have no room, STATUS_CONFLICT when
+ *		the id is in use or the job is not within its account's
+ *		guarantees on these workers (it may be assigned as borrowed)
+ */
 enum status pool_assign(struct pool *pool, const struct pool_job *job,
-			const struct placement *placement);
+			const struct placement *placement, int64_t now_ms);
 
-/** Frees what a job uses; unknown ids are ignored. */
+/** Frees what a job uses or used until it stopped; ignores unknown ids. */
 void pool_release(struct pool *pool, const char *job_id);
 
+/** Tells whether a job is assigned and not being stopped. */
+gboolean pool_is_running(const struct pool *pool, const char *job_id);
+
 /** Tells whether a job could run on the pool with nothing else in it. */
 gboolean pool_could_fit(const struct pool *pool, const struct shape *shape,
 			char **reason);
@@ -79,4 +92,14 @@
 gboolean pool_check_guarantees(const struct pool *pool,
 			       struct finding_list *findings);
 
+/**
+ * Checks the books: no worker is oversubscribed, counters agree with the jobs
+ * and guaranteed jobs are within their slots. Adds a finding for each fault.
+ */
+gboolean pool_check_books(const struct pool *pool,
+			  struct finding_list *findings);
+
+/** Returns the number of cells that decisions have looked at. */
+uint64_t pool_visits(const struct pool *pool);
+
 #endif
--- /dev/null
+++ b/job/reservation.c
@@ -0,0 +1,163 @@
+#include "job/reservation.h"
+
+/* A job that runs over its time is taken to go on for this part of it. */
+#define OVERRUN_PART 4
+
+struct release {
+	int64_t end_ms;
+	struct worker_cell *worker;
+	struct resources amount;
+};
+
+void reservation_clear(struct pool *pool)
+{
+	for (guint i = 0; i < pool->reserved->len; i++) {
+		struct worker_cell *w = pool->reserved->pdata[i];
+
+		w->reserved_from_ms = 0;
+	}
+	g_ptr_array_set_size(pool->reserved, 0);
+	g_clear_pointer(&pool->reserved_for, g_free);
+}
+
+gboolean reservation_allows(const struct pool *pool,
+			    const struct worker_cell *w,
+			    const struct pool_job *job, int64_t now_ms)
+{
+	if (w->reserved_from_ms == 0 || job->class == JOB_CLASS_URGENT)
+		return TRUE;
+	if (now_ms + job->expected_run_ms <= w->reserved_from_ms)
+		return TRUE;
+	return g_str_equal(job->id, pool->reserved_for);
+}
+
+static int64_t expected_end_ms(const struct running_job *r, int64_t now_ms)
+{
+	int64_t end_ms = r->started_ms + r->job.expected_run_ms;
+
+	if (r->is_stopping)
+		return now_ms;
+	if (end_ms > now_ms)
+		return end_ms;
+	return now_ms + MAX((now_ms - r->started_ms) / OVERRUN_PART, 1);
+}
+
+static gint compare_release(gconstpointer a, gconstpointer b)
+{
+	const struct release *x = a;
+	const struct release *y = b;
+
+	if (x->end_ms != y->end_ms)
+		return x->end_ms < y->end_ms ? -1 : 1;
+	return (x->worker->index > y->worker->index) -
+	       (x->worker->index < y->worker->index);
+}
+
+static GArray *list_releases(struct pool *pool, int64_t now_ms)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct release));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, pool->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct running_job *r = value;
+		struct release e = {expected_end_ms(r, now_ms), NULL,
+				    resources_of_member(&r->job.shape)};
+
+		for (guint i = 0; i < r->workers->len; i++) {
+			e.worker = r->workers->pdata[i];
+			g_array_append_val(list, e);
+			pool->visits++;
+		}
+	}
+	g_array_sort(list, compare_release);
+	return list;
+}
+
+/* Members that fit on the job's kind of cell, counted as space is freed. */
+struct counting {
+	const struct shape *shape;
+	struct resources need;
+	int64_t in_pool;
+	int64_t *in_rack;
+};
+
+/* Takes note of room on a worker; returns the room by now in its cell. */
+static int64_t count_room(struct counting *c, struct worker_cell *w,
+			  struct resources amount)
+{
+	int64_t before = resources_times(w->scratch, c->need);
+	int64_t now;
+
+	w->scratch = resources_plus(w->scratch, amount);
+	now = resources_times(w->scratch, c->need);
+	c->in_pool += now - before;
+	c->in_rack[w->rack->index] += now - before;
+	if (c->shape->adjacency == ADJACENCY_NONE)
+		return c->in_pool;
+	if (c->shape->adjacency == ADJACENCY_RACK)
+		return c->in_rack[w->rack->index];
+	return now;
+}
+
+static void reserve(struct pool *pool, struct worker_cell *w, int64_t from_ms)
+{
+	w->reserved_from_ms = from_ms;
+	g_ptr_array_add(pool->reserved, w);
+}
+
+/* Reserves what the job would take: all of a near cell, or enough workers. */
+static void reserve_cell(struct pool *pool, const struct counting *c,
+			 struct worker_cell *last, int64_t from_ms)
+{
+	const GPtrArray *list = pool->workers;
+	int64_t need = c->shape->members;
+
+	if (c->shape->adjacency == ADJACENCY_WORKER) {
+		reserve(pool, last, from_ms);
+		return;
+	}
+	if (c->shape->adjacency == ADJACENCY_RACK)
+		list = last->rack->workers;
+	for (guint i = 0; i < list->len && need > 0; i++) {
+		struct worker_cell *w = list->pdata[i];
+		int64_t n = resources_times(w->scratch, c->need);
+
+		if (n > 0)
+			reserve(pool, w, from_ms);
+		need -= n;
+	}
+}
+
+void reservation_plan(struct pool *pool, const struct pool_job *job,
+		      int64_t now_ms)
+{
+	struct counting c = {.shape = &job->shape,
+			     .need = resources_of_member(&job->shape)};
+	GArray *releases = list_releases(pool, now_ms);
+
+	reservation_clear(pool);
+	pool->reserved_for = g_strdup(job->id);
+	c.in_rack = g_new0(int64_t, MAX(pool->racks->len, 1));
+	for (guint i = 0; i < pool->workers->len; i++) {
+		struct worker_cell *w = pool->workers->pdata[i];
+
+		w->scratch = (struct resources){0, 0, 0};
+		count_room(&c, w, worker_cell_free(w));
+		pool->visits++;
+	}
+	for (guint i = 0; i < releases->len; i++) {
+		const struct release *e =
+			&g_array_index(releases, struct release, i);
+
+		if (!e->worker->is_usable)
+			continue;
+		if (count_room(&c, e->worker, e->amount) < c.shape->members)
+			continue;
+		reserve_cell(pool, &c, e->worker, MAX(e->end_ms, now_ms + 1));
+		break;
+	}
+	g_free(c.in_rack);
+	g_array_unref(releases);
+}
--- /dev/null
+++ b/tests/test_pool.c
@@ -0,0 +1,379 @@
+#include <glib.h>
+#include <string.h>
+
+#include "job/job_queue.h"
+#include "job/pool.h"
+
+#define RACK_WORKERS 2
+#define WORKERS 4
+
+static struct pool *new_pool(void)
+{
+	struct pool *pool = pool_new("salkhi.tov-a");
+
+	for (guint i = 0; i < WORKERS; i++) {
+		char *name = g_strdup_printf("w%u", i);
+		char *rack = g_strdup_printf("r%u", i / RACK_WORKERS);
+		struct worker_spec spec = {name, rack, "127.0.0.1:1",
+					   8,	 64,   131072};
+
+		pool_add_worker(pool, &spec);
+		g_free(name);
+		g_free(rack);
+	}
+	return pool;
+}
+
+static struct pool_job job_of(const char *id, const char *account,
+			      int64_t members, int64_t accelerators,
+			      int64_t adjacency)
+{
+	return (struct pool_job){
+		.id = id,
+		.client_account = account,
+		.family = "f",
+		.class = JOB_CLASS_NORMAL,
+		.shape = {members, accelerators, 1, 1024, adjacency},
+		.expected_run_ms = 60000,
+		.is_checkpointable = TRUE};
+}
+
+/* Guarantees of two accounts, one shape each. */
+static void set_guarantees(struct pool *pool, const struct shape *a,
+			   const struct shape *b)
+{
+	struct config_doc doc = {0};
+	struct client_account accounts[2] = {{.name = "a"}, {.name = "b"}};
+	struct guaranteed_shape shapes[2] = {{"s", "salkhi.tov-a", *a},
+					     {"s", "salkhi.tov-a", *b}};
+
+	doc.client_accounts =
+		g_array_new(FALSE, FALSE, sizeof(struct client_account));
+	for (guint i = 0; i < 2; i++) {
+		accounts[i].guaranteed_shapes = g_array_new(
+			FALSE, FALSE, sizeof(struct guaranteed_shape));
+		g_array_append_val(accounts[i].guaranteed_shapes, shapes[i]);
+		g_array_append_val(doc.client_accounts, accounts[i]);
+	}
+	pool_set_guarantees(pool, &doc);
+	for (guint i = 0; i < 2; i++)
+		g_array_unref(accounts[i].guaranteed_shapes);
+	g_array_unref(doc.client_accounts);
+}
+
+static char *faults_of(const struct pool *pool)
+{
+	struct finding_list findings;
+	char *text;
+
+	finding_list_init(&findings);
+	pool_check_books(pool, &findings);
+	pool_check_guarantees(pool, &findings);
+	text = finding_list_text(&findings);
+	finding_list_clear(&findings);
+	return text;
+}
+
+struct fit_case {
+	struct shape shape;
+	const char *reason; /* NULL when it fits */
+};
+
+static const struct fit_case fit_cases[] = {
+	{{4, 8, 1, 1024, ADJACENCY_NONE}, NULL},
+	{{5, 8, 1, 1024, ADJACENCY_NONE},
+	 "the pool can hold 4 of 5 members even when empty"},
+	{{2, 8, 1, 1024, ADJACENCY_RACK}, NULL},
+	{{3, 8, 1, 1024, ADJACENCY_RACK},
+	 "any one rack can hold 2 of 3 members even when empty"},
+	{{8, 1, 1, 1024, ADJACENCY_WORKER}, NULL},
+	{{9, 1, 1, 1024, ADJACENCY_WORKER},
+	 "any one worker can hold 8 of 9 members even when empty"},
+	{{1, 0, 65, 1024, ADJACENCY_NONE},
+	 "the pool can hold 0 of 1 members even when empty"},
+};
+
+static void test_could_fit(void)
+{
+	struct pool *pool = new_pool();
+
+	for (guint i = 0; i < G_N_ELEMENTS(fit_cases); i++) {
+		char *reason = NULL;
+		gboolean fits =
+			pool_could_fit(pool, &fit_cases[i].shape, &reason);
+
+		g_assert_cmpint(fits, ==, fit_cases[i].reason == NULL);
+		g_assert_cmpstr(reason, ==, fit_cases[i].reason);
+		g_free(reason);
+	}
+	pool_free(pool);
+}
+
+struct guarantee_case {
+	struct shape a;
+	struct shape b;
+	const char *lost; /* a worker, or NULL */
+	gboolean is_held;
+};
+
+static const struct guarantee_case guarantee_cases[] = {
+	{{2, 8, 8, 1024, 1}, {2, 8, 8, 1024, 1}, NULL, TRUE},
+	{{2, 8, 8, 1024, 1}, {2, 8, 8, 1024, 1}, "w0", FALSE},
+	{{2, 8, 8, 1024, 1}, {2, 4, 8, 1024, 1}, "w0", TRUE},
+	{{3, 4, 8, 1024, 1}, {2, 8, 8, 1024, 1}, NULL, TRUE},
+	{{3, 4, 8, 1024, 1}, {3, 8, 8, 1024, 0}, NULL, FALSE},
+	{{2, 8, 8, 1024, 0}, {2, 8, 8, 1024, 1}, NULL, TRUE},
+	{{8, 1, 1, 1024, 2}, {3, 8, 8, 1024, 0}, NULL, TRUE},
+	{{8, 1, 1, 1024, 2}, {3, 8, 8, 1024, 0}, "w3", FALSE},
+};
+
+static void test_guarantees_held(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(guarantee_cases); i++) {
+		const struct guarantee_case *c = &guarantee_cases[i];
+		struct pool *pool = new_pool();
+		char *faults;
+
+		set_guarantees(pool, &c->a, &c->b);
+		if (c->lost)
+			pool_set_worker_usable(pool, c->lost, FALSE);
+		faults = faults_of(pool);
+		g_assert_cmpint(faults[0] == '\0', ==, c->is_held);
+		g_free(faults);
+		if (c->lost)
+			pool_set_worker_usable(pool, c->lost, TRUE);
+		faults = faults_of(pool);
+		g_assert_cmpint(faults[0] == '\0', ==, c->is_held || c->lost);
+		g_free(faults);
+		pool_free(pool);
+	}
+}
+
+static enum status assign(struct pool *pool, const struct pool_job *job,
+			  const char *workers, const char *preempt,
+			  gboolean is_guaranteed)
+{
+	struct placement p;
+	char **names = g_strsplit(workers, " ", -1);
+	enum status status;
+
+	placement_init(&p);
+	for (guint i = 0; names[i]; i++)
+		g_ptr_array_add(p.workers, g_strdup(names[i]));
+	if (preempt)
+		g_ptr_array_add(p.preempt, g_strdup(preempt));
+	p.is_guaranteed = is_guaranteed;
+	status = pool_assign(pool, job, &p, 1000);
+	placement_clear(&p);
+	g_strfreev(names);
+	return status;
+}
+
+static void assert_sound(const struct pool *pool)
+{
+	char *faults = faults_of(pool);
+
+	g_assert_cmpstr(faults, ==, "");
+	g_free(faults);
+}
+
+enum { SMALL, BIG, OTHER };
+
+struct assign_step {
+	guint job;
+	const char *workers;
+	const char *preempt;
+	gboolean is_guaranteed;
+	enum status status;
+	const char *running; /* afterwards, in order of the jobs */
+	const char *release; /* afterwards, or NULL */
+};
+
+static const struct assign_step assign_steps[] = {
+	{SMALL, "w9", NULL, FALSE, STATUS_NOT_FOUND, "", NULL},
+	{SMALL, "w0", NULL, FALSE, STATUS_OK, "small", NULL},
+	{SMALL, "w1", NULL, FALSE, STATUS_CONFLICT, "small", NULL},
+	{BIG, "w0 w1", NULL, TRUE, STATUS_FULL, "small", NULL},
+	{OTHER, "w2 w3", NULL, TRUE, STATUS_CONFLICT, "small", NULL},
+	{BIG, "w0 w1", "small", TRUE, STATUS_OK, "big", "small"},
+	{OTHER, "w2 w3", NULL, FALSE, STATUS_OK, "big other", "big"},
+	{BIG, "w2 w3", "other", TRUE, STATUS_OK, "big", "big"},
+	{SMALL, "w2", NULL, FALSE, STATUS_OK, "small", "unknown"},
+};
+
+static void assert_running(const struct pool *pool, const struct pool_job *jobs,
+			   const char *expected)
+{
+	GString *running = g_string_new(NULL);
+
+	for (guint i = SMALL; i <= OTHER; i++) {
+		if (!pool_is_running(pool, jobs[i].id))
+			continue;
+		g_string_append_printf(running, "%s%s", running->len ? " " : "",
+				       jobs[i].id);
+	}
+	g_assert_cmpstr(running->str, ==, expected);
+	g_string_free(running, TRUE);
+}
+
+static void test_assign(void)
+{
+	const struct shape rack_pair = {2, 8, 8, 8192, ADJACENCY_RACK};
+	const struct pool_job jobs[] = {
+		job_of("small", "b", 1, 4, ADJACENCY_NONE),
+		job_of("big", "a", 2, 8, ADJACENCY_RACK),
+		job_of("other", "c", 2, 8, ADJACENCY_RACK),
+	};
+	struct pool *pool = new_pool();
+
+	set_guarantees(pool, &rack_pair, &rack_pair);
+	for (guint i = 0; i < G_N_ELEMENTS(assign_steps); i++) {
+		const struct assign_step *s = &assign_steps[i];
+		enum status status = assign(pool, &jobs[s->job], s->workers,
+					    s->preempt, s->is_guaranteed);
+
+		g_assert_cmpint(status, ==, s->status);
+		assert_running(pool, jobs, s->running);
+		if (s->release)
+			pool_release(pool, s->release);
+		assert_sound(pool);
+	}
+	pool_free(pool);
+}
+
+/* A guaranteed job that dies with its worker gives its slot back elsewhere. */
+static void test_lost_worker_in_use(void)
+{
+	struct shape one = {1, 8, 8, 8192, ADJACENCY_NONE};
+	struct pool_job job = job_of("j", "a", 1, 8, ADJACENCY_NONE);
+	struct pool *pool = new_pool();
+	enum status status;
+
+	set_guarantees(pool, &one, &one);
+	status = assign(pool, &job, "w3", NULL, TRUE);
+	g_assert_cmpint(status, ==, STATUS_OK);
+	assert_sound(pool);
+	pool_set_worker_usable(pool, "w3", FALSE);
+	assert_sound(pool);
+	pool_release(pool, "j");
+	assert_sound(pool);
+	status = assign(pool, &job, "w0", NULL, TRUE);
+	g_assert_cmpint(status, ==, STATUS_OK);
+	pool_free(pool);
+}
+
+struct queue_case {
+	const char *policy;
+	const char *started; /* in order */
+};
+
+/* Four jobs: the second has to wait for all of the pool. */
+static const struct queue_case queue_cases[] = {
+	{"first_fit", "j0"},
+	{"backfill", "j0 j2"},
+};
+
+static void decide_all(struct job_queue *q, struct pool *pool,
+		       struct placement_policy *policy, GString *started)
+{
+	struct job_decision d;
+	enum status status;
+
+	do {
+		job_decision_init(&d);
+		status = job_queue_decide(q, pool, policy, 1000, &d);
+		if (status == STATUS_OK)
+			g_string_append_printf(started, "%s%s",
+					       started->len ? " " : "",
+					       d.job_id);
+		job_decision_clear(&d);
+	} while (status != STATUS_NOT_FOUND);
+}
+
+static void test_queue_order(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(queue_cases); i++) {
+		struct pool *pool = new_pool();
+		struct placement_policy *policy =
+			placement_policy_new(queue_cases[i].policy);
+		struct job_queue *q = job_queue_new(policy->class->discipline);
+		GString *started = g_string_new(NULL);
+		struct pool_job jobs[] = {
+			job_of("j0", "a", 1, 8, ADJACENCY_NONE),
+			job_of("j1", "a", 4, 8, ADJACENCY_NONE),
+			job_of("j2", "b", 1, 8, ADJACENCY_NONE),
+			job_of("j3", "b", 2, 8, ADJACENCY_NONE),
+		};
+
+		jobs[2].expected_run_ms = 100;
+		jobs[3].expected_run_ms = 70000;
+		for (guint k = 0; k < G_N_ELEMENTS(jobs); k++)
+			job_queue_submit(q, &jobs[k], k);
+		decide_all(q, pool, policy, started);
+		g_assert_cmpstr(started->str, ==, queue_cases[i].started);
+		g_assert_nonnull(job_queue_reason(q, "j1"));
+		g_string_free(started, TRUE);
+		job_queue_free(q);
+		placement_policy_free(policy);
+		pool_free(pool);
+	}
+}
+
+static void test_queue_cancel(void)
+{
+	struct job_queue *q = job_queue_new(QUEUE_FIFO);
+	struct pool_job job = job_of("j", "a", 1, 8, ADJACENCY_NONE);
+	enum status status = job_queue_submit(q, &job, 1);
+	gboolean is_cancelled;
+
+	g_assert_cmpint(status, ==, STATUS_OK);
+	status = job_queue_submit(q, &job, 2);
+	g_assert_cmpint(status, ==, STATUS_CONFLICT);
+	is_cancelled = job_queue_cancel(q, "j");
+	g_assert_true(is_cancelled);
+	is_cancelled = job_queue_cancel(q, "j");
+	g_assert_false(is_cancelled);
+	status = job_queue_submit(q, &job, 2);
+	g_assert_cmpint(status, ==, STATUS_OK);
+	job_queue_free(q);
+}
+
+static void test_queue_refuse(void)
+{
+	struct pool *pool = new_pool();
+	struct placement_policy *policy = placement_policy_new("first_fit");
+	struct job_queue *q = job_queue_new(QUEUE_FIFO);
+	struct pool_job never = job_of("never", "a", 5, 8, ADJACENCY_NONE);
+	struct pool_job later = job_of("later", "a", 1, 8, ADJACENCY_NONE);
+	struct job_decision d;
+	enum status status;
+
+	job_queue_submit(q, &never, 1);
+	job_queue_submit(q, &later, 2);
+	job_decision_init(&d);
+	status = job_queue_decide(q, pool, policy, 5, &d);
+	g_assert_cmpint(status, ==, STATUS_REFUSED);
+	g_assert_cmpstr(d.job_id, ==, "never");
+	job_decision_clear(&d);
+	job_decision_init(&d);
+	status = job_queue_decide(q, pool, policy, 5, &d);
+	g_assert_cmpint(status, ==, STATUS_OK);
+	g_assert_cmpstr(d.job_id, ==, "later");
+	job_decision_clear(&d);
+	job_queue_free(q);
+	placement_policy_free(policy);
+	pool_free(pool);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pool/could-fit", test_could_fit);
+	g_test_add_func("/pool/guarantees-held", test_guarantees_held);
+	g_test_add_func("/pool/assign", test_assign);
+	g_test_add_func("/pool/lost-worker-in-use", test_lost_worker_in_use);
+	g_test_add_func("/queue/order", test_queue_order);
+	g_test_add_func("/queue/cancel", test_queue_cancel);
+	g_test_add_func("/queue/refuse", test_queue_refuse);
+	return g_test_run();
+}
