--- /dev/null
+++ b/daemon/vm_watch.h
@@ -0,0 +1,36 @@
+/**
+ * @file
+ * Follows the platform's list of VMs for one service: which endpoints there
+ * are, and which entry processes share them. The last list stays in force
+ * while the platform can't be reached.
+ */
+#ifndef DAEMON_VM_WATCH_H
+#define DAEMON_VM_WATCH_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "platform/platform.h"
+#include "request/endpoint_table.h"
+
+struct vm_watch;
+
+struct vm_watch_spec {
+	struct platform *platform;
+	struct endpoint_table *endpoints;
+	const char *service;
+	const char *failure_domain;
+	const char *vm; /**< that this process runs on */
+	/** Called after each list that was read. */
+	void (*on_change)(void *data);
+	void *data;
+};
+
+/** Texts of the spec are not owned and outlive the watch. */
+struct vm_watch *vm_watch_new(const struct vm_watch_spec *spec);
+void vm_watch_free(struct vm_watch *w);
+
+/** Returns how many live entry VMs the service has, at least one. */
+uint32_t vm_watch_gateways(const struct vm_watch *w);
+
+#endif
--- /dev/null
+++ b/request/endpoint_table.c
@@ -0,0 +1,273 @@
+#include "request/endpoint_table.h"
+
+#include <string.h>
+
+#define LATENCY_WEIGHT 8
+#define NO_TIME INT64_C(-1)
+/** What is tried on an endpoint that has told nothing lately. */
+#define PROBE_LIMIT 1u
+/** An endpoint that returns gets one more slot after each such time. */
+#define RETURN_STEP_MS INT64_C(1000)
+
+static void endpoint_free(gpointer data)
+{
+	struct endpoint *e = data;
+
+	g_free(e->name);
+	g_free(e->address);
+	g_free(e->failure_domain);
+	g_free(e);
+}
+
+struct endpoint_table *endpoint_table_new(const char *failure_domain)
+{
+	struct endpoint_table *t = g_new0(struct endpoint_table, 1);
+
+	t->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   endpoint_free);
+	t->endpoints = g_ptr_array_new();
+	for (int i = 0; i < ENDPOINT_REACH_COUNT; i++)
+		t->open[i] = g_ptr_array_new();
+	t->failure_domain = g_strdup(failure_domain);
+	t->gateway_count = 1;
+	return t;
+}
+
+void endpoint_table_free(struct endpoint_table *t)
+{
+	g_hash_table_unref(t->by_name);
+	g_ptr_array_unref(t->endpoints);
+	for (int i = 0; i < ENDPOINT_REACH_COUNT; i++)
+		g_ptr_array_unref(t->open[i]);
+	g_free(t->failure_domain);
+	g_free(t);
+}
+
+static void open_remove(struct endpoint_table *t, struct endpoint *e)
+{
+	GPtrArray *open = t->open[e->reach];
+	struct endpoint *last;
+
+	if (e->open_index < 0)
+		return;
+	last = g_ptr_array_index(open, open->len - 1);
+	open->pdata[e->open_index] = last;
+	last->open_index = e->open_index;
+	g_ptr_array_set_size(open, (gint)open->len - 1);
+	e->open_index = -1;
+}
+
+static void open_add(struct endpoint_table *t, struct endpoint *e)
+{
+	GPtrArray *open = t->open[e->reach];
+
+	if (e->open_index >= 0)
+		return;
+	e->open_index = (int32_t)open->len;
+	g_ptr_array_add(open, e);
+}
+
+static uint32_t return_limit(const struct endpoint *e, int64_t now_ms)
+{
+	int64_t steps;
+
+	if (e->returned_ms == NO_TIME)
+		return ENDPOINT_MAX_CONNECTIONS;
+	steps = (now_ms - e->returned_ms) / RETURN_STEP_MS;
+	return (uint32_t)CLAMP(steps + 1, 1, ENDPOINT_MAX_CONNECTIONS);
+}
+
+uint32_t endpoint_limit(const struct endpoint_table *t,
+			const struct endpoint *e, int64_t now_ms)
+{
+	uint32_t most = MAX(ENDPOINT_MAX_CONNECTIONS / t->gateway_count, 1);
+	uint32_t limit = e->share;
+
+	if (e->state != ENDPOINT_LIVE)
+		return 0;
+	if (e->report_ms == NO_TIME ||
+	    now_ms - e->report_ms > ENDPOINT_REPORT_FRESH_MS)
+		limit = MAX(limit, PROBE_LIMIT);
+	else if (e->slots > e->others_busy)
+		limit = MAX(limit, e->slots - e->others_busy);
+	limit = MIN(limit, return_limit(e, now_ms));
+	return MIN(MIN(limit, e->slots), most);
+}
+
+gboolean endpoint_table_has_room(struct endpoint_table *t, struct endpoint *e,
+				 int64_t now_ms)
+{
+	if (e->in_flight < endpoint_limit(t, e, now_ms)) {
+		open_add(t, e);
+		return TRUE;
+	}
+	open_remove(t, e);
+	return FALSE;
+}
+
+/* Spreads the slots over all entry processes so that the sum is exact. */
+static void set_share(const struct endpoint_table *t, struct endpoint *e)
+{
+	uint32_t turn;
+
+	if (e->reach == ENDPOINT_REMOTE) {
+		e->share = 0;
+		return;
+	}
+	turn = (g_str_hash(e->name) + t->gateway_rank) % t->gateway_count;
+	e->share = e->slots / t->gateway_count;
+	if (turn < e->slots % t->gateway_count)
+		e->share++;
+}
+
+void endpoint_table_set_gateways(struct endpoint_table *t, uint32_t count,
+				 uint32_t rank)
+{
+	t->gateway_count = MAX(count, 1);
+	t->gateway_rank = rank;
+	for (guint i = 0; i < t->endpoints->len; i++)
+		set_share(t, g_ptr_array_index(t->endpoints, i));
+}
+
+void endpoint_table_set_state(struct endpoint_table *t, struct endpoint *e,
+			      enum endpoint_state state, int64_t now_ms)
+{
+	if (e->state == state)
+		return;
+	if (e->state == ENDPOINT_EJECTED)
+		t->ejected_count--;
+	if (e->state == ENDPOINT_LEAVING)
+		t->live_count[e->reach]++;
+	e->state = state;
+	if (state == ENDPOINT_EJECTED)
+		t->ejected_count++;
+	if (state == ENDPOINT_LEAVING)
+		t->live_count[e->reach]--;
+	endpoint_table_has_room(t, e, now_ms);
+}
+
+static struct endpoint *add_endpoint(struct endpoint_table *t,
+				     const struct endpoint_spec *spec)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->name = g_strdup(spec->name);
+	e->address = g_strdup(spec->address);
+	e->failure_domain = g_strdup(spec->failure_domain);
+	e->reach = g_str_equal(spec->failure_domain, t->failure_domain)
+			   ? ENDPOINT_LOCAL
+			   : ENDPOINT_REMOTE;
+	e->slots = ENDPOINT_SLOTS;
+	e->report_ms = NO_TIME;
+	e->returned_ms = NO_TIME;
+	e->open_index = -1;
+	e->index = (int32_t)t->endpoints->len;
+	t->live_count[e->reach]++;
+	g_ptr_array_add(t->endpoints, e);
+	g_hash_table_insert(t->by_name, e->name, e);
+	set_share(t, e);
+	return e;
+}
+
+static void drop_endpoint(struct endpoint_table *t, struct endpoint *e)
+{
+	struct endpoint *last;
+
+	open_remove(t, e);
+	last = g_ptr_array_index(t->endpoints, t->endpoints->len - 1);
+	t->endpoints->pdata[e->index] = last;
+	last->index = e->index;
+	g_ptr_array_set_size(t->endpoints, (gint)t->endpoints->len - 1);
+	g_hash_table_remove(t->by_name, e->name);
+}
+
+void endpoint_table_list_begin(struct endpoint_table *t)
+{
+	for (guint i = 0; i < t->endpoints->len; i++)
+		((struct endpoint *)t->endpoints->pdata[i])->is_listed = FALSE;
+}
+
+void endpoint_table_list_add(struct endpoint_table *t,
+			     const struct endpoint_spec *spec)
+{
+	struct endpoint *e = endpoint_table_find(t, spec->name);
+
+	/* A VM that was replaced under its name is another endpoint. */
+	if (e && !g_str_equal(e->address, spec->address)) {
+		if (e->in_flight > 0)
+			return;
+		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+		drop_endpoint(t, e);
+		e = NULL;
+	}
+	if (!e)
+		e = add_endpoint(t, spec);
+	e->is_listed = TRUE;
+	if (spec->is_leaving)
+		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+	else
+		endpoint_table_has_room(t, e, 0);
+}
+
+void endpoint_table_list_end(struct endpoint_table *t)
+{
+	for (guint i = t->endpoints->len; i > 0; i--) {
+		struct endpoint *e = g_ptr_array_index(t->endpoints, i - 1);
+
+		if (e->is_listed)
+			continue;
+		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+		if (e->in_flight == 0)
+			drop_endpoint(t, e);
+	}
+}
+
+struct endpoint *endpoint_table_find(const struct endpoint_table *t,
+				     const char *name)
+{
+	return g_hash_table_lookup(t->by_name, name);
+}
+
+void endpoint_table_sent(struct endpoint_table *t, struct endpoint *e,
+			 int64_t now_ms)
+{
+	e->in_flight++;
+	endpoint_table_has_room(t, e, now_ms);
+}
+
+void endpoint_table_ended(struct endpoint_table *t, struct endpoint *e,
+			  int64_t now_ms)
+{
+	e->in_flight--;
+	endpoint_table_has_room(t, e, now_ms);
+}
+
+void endpoint_table_report(struct endpoint_table *t, struct endpoint *e,
+			   uint32_t slots, uint32_t slots_busy, int64_t now_ms)
+{
+	uint32_t own = e->in_flight > 0 ? e->in_flight - 1 : 0;
+
+	e->slots = slots;
+	e->others_busy = slots_busy > own ? slots_busy - own : 0;
+	e->report_ms = now_ms;
+	set_share(t, e);
+	endpoint_table_has_room(t, e, now_ms);
+}
+
+void endpoint_table_refresh(struct endpoint_table *t, int64_t now_ms)
+{
+	for (guint i = 0; i < t->endpoints->len; i++)
+		endpoint_table_has_room(t, t->endpoints->pdata[i], now_ms);
+}
+
+uint32_t endpoint_table_capacity(const struct endpoint_table *t)
+{
+	uint32_t slots = t->live_count[ENDPOINT_LOCAL] * ENDPOINT_SLOTS;
+
+	return MAX(slots / t->gateway_count, 1);
+}
+
+uint32_t endpoint_busy(const struct endpoint *e)
+{
+	return e->in_flight + e->others_busy;
+}
