Requests: pure decisions, claims and dispatch

The HTTP server now counts a request as pending until its answer is sent whole, so that a drain doesn't cut one short. Ruled out: a mark "first attempt" alone. Deleting the row of a refused claim: an earlier attempt could then claim from absent after "not run".

--- a/base/http_server.c
+++ b/base/http_server.c
@@ -24,9 +24,12 @@
 	GHashTable *query;
 	char *rest;
 	struct json_text text;
-	gboolean is_finished;
+	gboolean is_finished; /**< sent whole, or the connection is gone */
+	gboolean is_answered;
 };
 
+static void request_free(struct http_request *r);
+
 static void route_free(gpointer data)
 {
 	struct route *r = data;
@@ -58,6 +61,8 @@
 	struct http_request *r = data;
 
 	r->is_finished = TRUE;
+	if (r->is_answered)
+		request_free(r);
 }
 
 static struct http_request *request_new(struct http_server *s,
@@ -243,13 +248,15 @@
 static void reply(struct http_request *r, guint code, const char *type,
 		  const char *body)
 {
-	if (!r->is_finished) {
-		soup_server_message_set_status(r->message, code, NULL);
-		soup_server_message_set_response(
-			r->message, type, SOUP_MEMORY_COPY, body, strlen(body));
-		soup_server_message_unpause(r->message);
+	r->is_answered = TRUE;
+	if (r->is_finished) {
+		request_free(r);
+		return;
 	}
-	request_free(r);
+	soup_server_message_set_status(r->message, code, NULL);
+	soup_server_message_set_response(r->message, type, SOUP_MEMORY_COPY,
+					 body, strlen(body));
+	soup_server_message_unpause(r->message);
 }
 
 void http_request_reply(struct http_request *r, guint code, json_object *body)
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -37,7 +37,7 @@
 /** Returns the port that the server listens on. */
 uint16_t http_server_port(const struct http_server *s);
 
-/** Returns the number of requests that are not answered yet. */
+/** Returns the number of requests whose answers are not sent whole yet. */
 guint http_server_pending(const struct http_server *s);
 
 /** Returns what follows the route's prefix in the path. */
--- a/daemon/claim_store.c
+++ b/daemon/claim_store.c
@@ -144,8 +144,7 @@
 		for (guint i = 0; i < batch->len; i++) {
 			struct pending_write *w = g_ptr_array_index(batch, i);
 
-			finish(w, result->status,
-			       find_version(result, w->key));
+			finish(w, result->status, find_version(result, w->key));
 		}
 	}
 	g_ptr_array_unref(batch);
--- a/daemon/claims.c
+++ b/daemon/claims.c
@@ -326,7 +326,7 @@
 }
 
 static struct driver *driver_new(struct claims *c, const char *key,
-				 const char *request_id, gboolean is_first,
+				 const char *request_id, int64_t attempt,
 				 int64_t deadline_ms)
 {
 	struct driver *d = g_new0(struct driver, 1);
@@ -337,7 +337,7 @@
 		.incarnation = c->spec.incarnation,
 		.address = c->spec.address,
 		.commit_id = commit_id,
-		.is_first = is_first,
+		.attempt = attempt,
 	};
 
 	d->claims = c;
@@ -366,7 +366,7 @@
 }
 
 struct claim_handle *claims_begin(struct claims *c, const char *key,
-				  const char *request_id, gboolean is_first,
+				  const char *request_id, int64_t attempt,
 				  int64_t deadline_ms,
 				  const struct claim_events *events, void *data)
 {
@@ -374,7 +374,7 @@
 	struct driver *d = g_hash_table_lookup(c->by_key, key);
 
 	if (!d)
-		d = driver_new(c, key, request_id, is_first, deadline_ms);
+		d = driver_new(c, key, request_id, attempt, deadline_ms);
 	h->driver = d;
 	h->events = events;
 	h->data = data;
@@ -395,9 +395,9 @@
 {
 	struct driver *d = h->driver;
 
-	if (!d->claim.is_first) {
-		run_step(d, claim_write(&d->claim, CLAIM_NOT_RUN, reason,
-					NULL));
+	if (!claim_is_first(&d->claim)) {
+		run_step(d,
+			 claim_write(&d->claim, CLAIM_NOT_RUN, reason, NULL));
 		return;
 	}
 	set_answer(d, ANSWER_NOT_RUN, reason, NULL);
--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -50,9 +50,10 @@
  * Begins with one request's claim. Events come later, never from within.
  *
  * @param key	"ACCOUNT/KEY"
+ * @param attempt	number given by the caller, 0 for none
  */
 struct claim_handle *claims_begin(struct claims *c, const char *key,
-				  const char *request_id, gboolean is_first,
+				  const char *request_id, int64_t attempt,
 				  int64_t deadline_ms,
 				  const struct claim_events *events,
 				  void *data);
--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -13,8 +13,8 @@
 	VM_ENTRY,
 };
 
-static const char *const role_names[] = {"endpoint", "worker", "entry", NULL};
-static const char *const state_names[] = {"live", "leaving", NULL};
+static const char *const role_names[] = { "endpoint", "worker", "entry", NULL };
+static const char *const state_names[] = { "live", "leaving", NULL };
 
 struct vm {
 	char *vm;
@@ -43,56 +43,55 @@
 #define NAME_BYTES 128
 #define MAX_VMS 100000
 
-#define TEXT_FIELD(member_, required_)                          \
-	{                                                       \
-		.name = #member_, .type = FIELD_STRING,         \
-		.is_required = (required_),                     \
+#define TEXT_FIELD(member_, required_)                            \
+	{                                                         \
+		.name = #member_, .type = FIELD_STRING,           \
+		.is_required = (required_),                       \
 		.offset = offsetof(struct vm, member_), .min = 0, \
-		.max = NAME_BYTES                               \
+		.max = NAME_BYTES                                 \
 	}
-#define INT_FIELD(member_)                               \
-	{                                                \
-		.name = #member_, .type = FIELD_INT,     \
-		.offset = offsetof(struct vm, member_), \
-		.max = INT32_MAX                         \
+#define INT_FIELD(member_)                                               \
+	{                                                                \
+		.name = #member_, .type = FIELD_INT,                     \
+		.offset = offsetof(struct vm, member_), .max = INT32_MAX \
 	}
 
 static const struct field_spec vm_fields[] = {
 	TEXT_FIELD(vm, TRUE),
-	{.name = "role",
-	 .type = FIELD_ENUM,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct vm, role),
-	 .names = role_names},
+	{ .name = "role",
+	  .type = FIELD_ENUM,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct vm, role),
+	  .names = role_names },
 	TEXT_FIELD(service, TRUE),
 	TEXT_FIELD(failure_domain, TRUE),
 	TEXT_FIELD(rack, FALSE),
-	{.name = "state",
-	 .type = FIELD_ENUM,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct vm, state),
-	 .names = state_names},
+	{ .name = "state",
+	  .type = FIELD_ENUM,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct vm, state),
+	  .names = state_names },
 	TEXT_FIELD(address, TRUE),
 	INT_FIELD(accelerators),
 	INT_FIELD(cores),
 	INT_FIELD(memory_mb),
-	{0},
+	{ 0 },
 };
 
-static const struct schema vm_schema = {sizeof(struct vm), vm_fields};
+static const struct schema vm_schema = { sizeof(struct vm), vm_fields };
 
 static const struct field_spec vm_list_fields[] = {
-	{.name = "vms",
-	 .type = FIELD_ARRAY,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct vm_list, vms),
-	 .max = MAX_VMS,
-	 .schema = &vm_schema},
-	{0},
+	{ .name = "vms",
+	  .type = FIELD_ARRAY,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct vm_list, vms),
+	  .max = MAX_VMS,
+	  .schema = &vm_schema },
+	{ 0 },
 };
 
-static const struct schema vm_list_schema = {sizeof(struct vm_list),
-					     vm_list_fields};
+static const struct schema vm_list_schema = { sizeof(struct vm_list),
+					      vm_list_fields };
 
 static void take_endpoint(struct vm_watch *w, const struct vm *vm)
 {
@@ -137,7 +136,7 @@
 static void on_list(const struct platform_result *result, void *data)
 {
 	struct vm_watch *w = data;
-	struct vm_list list = {0};
+	struct vm_list list = { 0 };
 	struct finding_list findings;
 	struct log_line line;
 	char *text;
--- a/request/admission.c
+++ b/request/admission.c
@@ -69,8 +69,8 @@
 					    account_free);
 	a->slots = 1;
 	if (options->has_no_limits) {
-		struct admission_account_spec all = {.name = EVERYONE,
-						     .share = 1};
+		struct admission_account_spec all = { .name = EVERYONE,
+						      .share = 1 };
 
 		admission_set_account(a, &all, 0);
 	}
@@ -140,8 +140,8 @@
 
 	if (account->requests_per_s == 0)
 		return TRUE;
-	account->tokens += most * (double)(now_ms - account->tokens_ms) /
-			   (double)MS_PER_S;
+	account->tokens +=
+		most * (double)(now_ms - account->tokens_ms) / (double)MS_PER_S;
 	account->tokens = MIN(account->tokens, most);
 	account->tokens_ms = now_ms;
 	if (account->tokens < 1)
@@ -230,7 +230,7 @@
 static struct admission_item *shed_for(struct admission *a,
 				       const struct admission_item *item)
 {
-	for (int class = REQUEST_BULK; class >= (int)item->class; class--) {
+	for (int class = REQUEST_BULK; class >= (int)item->class; class --) {
 		struct admission_account *worst = longest_line(a, class);
 		struct admission_item *last;
 
@@ -371,8 +371,7 @@
 		if (!item)
 			return NULL;
 		unlink_item(a, item);
-		if (a->options.has_no_limits ||
-		    can_finish(a, item, 0, now_ms))
+		if (a->options.has_no_limits || can_finish(a, item, 0, now_ms))
 			break;
 		g_ptr_array_add(late, item);
 	}
--- a/request/admission.h
+++ b/request/admission.h
@@ -33,8 +33,8 @@
 
 /** Switches for the baselines of the bench. */
 struct admission_options {
-	gboolean has_no_limits;	  /**< first come, first served, unbounded */
-	int64_t max_queued;	  /**< of all accounts and classes */
+	gboolean has_no_limits; /**< first come, first served, unbounded */
+	int64_t max_queued;	/**< of all accounts and classes */
 };
 
 struct admission *admission_new(const struct admission_options *options);
--- a/request/claim.c
+++ b/request/claim.c
@@ -2,15 +2,14 @@
 
 #define TEXT_MAX_BYTES 256
 
-static const char *const claim_state_names[] = {"claimed", "done", "not run",
-						"unknown", NULL};
+static const char *const claim_state_names[] = { "claimed", "done", "not run",
+						 "unknown", NULL };
 
-#define TEXT_FIELD(member_)                                              \
-	{                                                                \
-		.name = #member_, .type = FIELD_STRING,                  \
-		.is_required = TRUE,                                     \
-		.offset = offsetof(struct claim_row, member_), .min = 1, \
-		.max = TEXT_MAX_BYTES                                    \
+#define TEXT_FIELD(member_)                                                  \
+	{                                                                    \
+		.name = #member_, .type = FIELD_STRING, .is_required = TRUE, \
+		.offset = offsetof(struct claim_row, member_), .min = 1,     \
+		.max = TEXT_MAX_BYTES                                        \
 	}
 
 static const struct field_spec claim_row_fields[] = {
@@ -18,30 +17,39 @@
 	TEXT_FIELD(node),
 	TEXT_FIELD(incarnation),
 	TEXT_FIELD(address),
-	{.name = "state",
-	 .type = FIELD_ENUM,
-	 .is_required = TRUE,
-	 .offset = offsetof(struct claim_row, state),
-	 .names = claim_state_names},
-	{.name = "result",
-	 .type = FIELD_JSON,
-	 .offset = offsetof(struct claim_row, result)},
+	{ .name = "state",
+	  .type = FIELD_ENUM,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct claim_row, state),
+	  .names = claim_state_names },
+	{ .name = "attempt",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct claim_row, attempt),
+	  .max = INT32_MAX },
+	{ .name = "result",
+	  .type = FIELD_JSON,
+	  .offset = offsetof(struct claim_row, result) },
 	TEXT_FIELD(commit_id),
-	{0},
+	{ 0 },
 };
 
-const struct schema claim_row_schema = {sizeof(struct claim_row),
-					claim_row_fields};
+const struct schema claim_row_schema = { sizeof(struct claim_row),
+					 claim_row_fields };
 
 void claim_init(struct claim *c, const struct claim_spec *spec)
 {
-	*c = (struct claim){.is_first = spec->is_first};
+	*c = (struct claim){ .version = TABLE_ABSENT };
 	c->own.request_id = g_strdup(spec->request_id);
 	c->own.node = g_strdup(spec->node);
 	c->own.incarnation = g_strdup(spec->incarnation);
 	c->own.address = g_strdup(spec->address);
 	c->own.commit_id = g_strdup(spec->commit_id);
-	c->version = TABLE_ABSENT;
+	c->own.attempt = spec->attempt;
+}
+
+gboolean claim_is_first(const struct claim *c)
+{
+	return c->own.attempt == 1;
 }
 
 void claim_clear(struct claim *c)
@@ -73,14 +81,14 @@
  */
 static enum claim_step answer_unclaimed(struct claim *c)
 {
-	if (c->is_first)
+	if (claim_is_first(c))
 		return answer(c, ANSWER_NOT_RUN, REASON_PLATFORM_DOWN);
 	return answer(c, ANSWER_UNKNOWN, REASON_CLAIM_UNREACHABLE);
 }
 
 enum claim_step claim_begin(struct claim *c)
 {
-	if (c->is_first) {
+	if (claim_is_first(c)) {
 		c->phase = CLAIM_PHASE_READY;
 		return CLAIM_STEP_READY;
 	}
@@ -160,10 +168,30 @@
 	return CLAIM_STEP_ASK;
 }
 
+/*
+ * The key was refused. Attempts with numbers know whether by an earlier one.
+ * The others go by the order of first reads: a refusal that came after this
+ * one's read bars it, and with it all that were read before.
+ */
+static enum claim_step on_refused(struct claim *c, const struct claim_row *row,
+				  int64_t version)
+{
+	gboolean is_ordered = c->own.attempt > 0 && row->attempt > 0;
+	gboolean is_barred = is_ordered ? row->attempt >= c->own.attempt
+					: c->phase != CLAIM_PHASE_ARRIVAL;
+
+	if (c->is_background || is_barred)
+		return answer(c, ANSWER_NOT_RUN, REASON_SUPERSEDED);
+	if (c->phase == CLAIM_PHASE_CHECKING)
+		return write_again(c, version);
+	c->version = version;
+	c->phase = CLAIM_PHASE_READY;
+	return CLAIM_STEP_READY;
+}
+
 /* The row of another attempt tells how this one ends. */
-static enum claim_step on_foreign_row(struct claim *c,
-				      const struct claim_row *row,
-				      int64_t version)
+static enum claim_step
+on_foreign_row(struct claim *c, const struct claim_row *row, int64_t version)
 {
 	switch ((enum claim_state)row->state) {
 	case CLAIM_CLAIMED:
@@ -179,11 +207,7 @@
 	case CLAIM_NOT_RUN:
 		break;
 	}
-	if (c->phase != CLAIM_PHASE_ARRIVAL)
-		return answer(c, ANSWER_NOT_RUN, REASON_SUPERSEDED);
-	c->version = version;
-	c->phase = CLAIM_PHASE_READY;
-	return CLAIM_STEP_READY;
+	return on_refused(c, row, version);
 }
 
 static enum claim_step on_row(struct claim *c, const struct claim_row *row,
@@ -219,7 +243,7 @@
 enum claim_step claim_on_read(struct claim *c, enum status status,
 			      const struct table_row *row)
 {
-	struct claim_row decoded = {0};
+	struct claim_row decoded = { 0 };
 	struct finding_list findings;
 	enum claim_step step;
 
--- a/request/claim.h
+++ b/request/claim.h
@@ -4,10 +4,11 @@
  * row in the table "claims". Pure: the caller carries out the step that each
  * function returns and reports its outcome by the next one.
  *
- * An attempt reads the row's version when it arrives, unless the caller says
- * that there was no attempt before, and later writes the row by compare-and-
- * set from that version. Whoever writes first decides: a claim excludes every
- * other run, a refusal every earlier attempt that is still waiting somewhere.
+ * Whoever writes the row first decides: a claim excludes every other run, a
+ * refusal excludes every earlier attempt that still waits somewhere. Callers
+ * number their attempts, so that each knows which are earlier. An attempt
+ * without a number goes by the row's version at its arrival instead; it is
+ * barred only by what was written later.
  */
 #ifndef REQUEST_CLAIM_H
 #define REQUEST_CLAIM_H
@@ -35,8 +36,9 @@
 	char *request_id;
 	char *node;
 	char *incarnation;
-	char *address; /**< HTTP address of the claimant */
-	int64_t state; /**< enum claim_state */
+	char *address;	 /**< HTTP address of the claimant */
+	int64_t state;	 /**< enum claim_state */
+	int64_t attempt; /**< number given by the caller, 0 for none */
 	json_object *result;
 	char *commit_id; /**< the same in all writes of one attempt */
 };
@@ -44,12 +46,12 @@
 extern const struct schema claim_row_schema;
 
 enum claim_step {
-	CLAIM_STEP_READ,  /**< read the row, then claim_on_read() */
-	CLAIM_STEP_WRITE, /**< claim_row_value() from version, then
-			       claim_on_write() */
-	CLAIM_STEP_ASK,	  /**< ask the claimant, then claim_on_peer() */
-	CLAIM_STEP_WAIT,  /**< wait a while, then claim_on_waited() */
-	CLAIM_STEP_READY, /**< may wait for its turn, then claim_write() */
+	CLAIM_STEP_READ,   /**< read the row, then claim_on_read() */
+	CLAIM_STEP_WRITE,  /**< claim_row_value() from version, then
+				claim_on_write() */
+	CLAIM_STEP_ASK,	   /**< ask the claimant, then claim_on_peer() */
+	CLAIM_STEP_WAIT,   /**< wait a while, then claim_on_waited() */
+	CLAIM_STEP_READY,  /**< may wait for its turn, then claim_write() */
 	CLAIM_STEP_LANDED, /**< the row is as wanted */
 	CLAIM_STEP_ANSWER, /**< answer as in answer, reason and result */
 };
@@ -76,7 +78,6 @@
 	struct claim_row own; /**< what this attempt writes */
 	int64_t version;      /**< of the row that the next write replaces */
 	enum claim_phase phase;
-	gboolean is_first;	/**< no attempt was made before */
 	gboolean is_in_doubt;	/**< a write may still take effect */
 	gboolean is_background; /**< the caller has its answer already */
 	char *peer_address;	/**< of the claimant to ask */
@@ -93,12 +94,15 @@
 	const char *incarnation;
 	const char *address;
 	const char *commit_id;
-	gboolean is_first;
+	int64_t attempt; /**< number given by the caller, 0 for none */
 };
 
 void claim_init(struct claim *c, const struct claim_spec *spec);
 void claim_clear(struct claim *c);
 
+/** Tells whether no earlier attempt of the key was made. */
+gboolean claim_is_first(const struct claim *c);
+
 /** Begins an attempt. */
 enum claim_step claim_begin(struct claim *c);
 
--- a/request/decision_log.c
+++ b/request/decision_log.c
@@ -9,14 +9,14 @@
 	guint next;
 };
 
-#define TEXT_FIELD(member_)                                    \
-	{                                                      \
-		.name = #member_, .type = FIELD_STRING,        \
+#define TEXT_FIELD(member_)                                  \
+	{                                                    \
+		.name = #member_, .type = FIELD_STRING,      \
 		.offset = offsetof(struct decision, member_) \
 	}
-#define INT_FIELD(member_)                                     \
-	{                                                      \
-		.name = #member_, .type = FIELD_INT,           \
+#define INT_FIELD(member_)                                   \
+	{                                                    \
+		.name = #member_, .type = FIELD_INT,         \
 		.offset = offsetof(struct decision, member_) \
 	}
 
@@ -27,11 +27,11 @@
 	TEXT_FIELD(runner_up),	TEXT_FIELD(choice),
 	INT_FIELD(attempts),	INT_FIELD(config_version),
 	INT_FIELD(arrival_ms),	INT_FIELD(waited_ms),
-	INT_FIELD(total_ms),	{0},
+	INT_FIELD(total_ms),	{ 0 },
 };
 
-static const struct schema decision_schema = {sizeof(struct decision),
-					      decision_fields};
+static const struct schema decision_schema = { sizeof(struct decision),
+					       decision_fields };
 
 struct decision_log *decision_log_new(guint size)
 {
--- a/request/endpoint_table.h
+++ b/request/endpoint_table.h
@@ -41,8 +41,8 @@
 	int64_t report_ms;    /**< time of the last report, -1 for none */
 	int64_t latency_us;   /**< moving average of whole answers */
 	/* Kept by request/outlier.c. */
-	uint32_t failures;	/**< in a row */
-	uint32_t ejections;	/**< lately */
+	uint32_t failures;  /**< in a row */
+	uint32_t ejections; /**< lately */
 	int64_t ejected_until_ms;
 	int64_t returned_ms; /**< end of the last ejection, -1 for none */
 	double slowness;     /**< moving average of latency over the mean */
@@ -54,12 +54,12 @@
 };
 
 struct endpoint_table {
-	GHashTable *by_name;	      /**< name to struct endpoint, owned */
-	GPtrArray *endpoints;	      /**< all */
+	GHashTable *by_name;  /**< name to struct endpoint, owned */
+	GPtrArray *endpoints; /**< all */
 	GPtrArray *open[ENDPOINT_REACH_COUNT]; /**< those that have room */
-	char *failure_domain;	      /**< of this process */
-	uint32_t gateway_count;	      /**< entry processes of the domain */
-	uint32_t gateway_rank;	      /**< of this process among them */
+	char *failure_domain;		       /**< of this process */
+	uint32_t gateway_count; /**< entry processes of the domain */
+	uint32_t gateway_rank;	/**< of this process among them */
 	uint32_t ejected_count;
 	uint32_t live_count[ENDPOINT_REACH_COUNT]; /**< not leaving */
 	uint64_t inspections; /**< endpoints looked at by choices */
--- a/request/outlier.h
+++ b/request/outlier.h
@@ -20,7 +20,8 @@
 enum outlier_event {
 	OUTLIER_OK,
 	OUTLIER_FAILED,	 /**< error, lost or crossed answer */
-	OUTLIER_REFUSED, /**< no connection: set aside at once, beyond the cap */
+	OUTLIER_REFUSED, /**< no connection: set aside at once, beyond the cap
+			  */
 };
 
 /**
--- a/request/request.c
+++ b/request/request.c
@@ -2,6 +2,7 @@
 
 #define NAME_MAX_BYTES 64
 #define KEY_MAX_BYTES 128
+#define MAX_ATTEMPTS 1000000
 
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
@@ -11,9 +12,9 @@
 #define HTTP_UNAVAILABLE 503
 #define HTTP_GATEWAY_TIMEOUT 504
 
-const char *const request_class_names[] = {"spot", "bulk", NULL};
+const char *const request_class_names[] = { "spot", "bulk", NULL };
 
-static const char *const answer_names[] = {"done", "not run", "unknown"};
+static const char *const answer_names[] = { "done", "not run", "unknown" };
 
 struct reason_text {
 	const char *name;
@@ -22,84 +23,75 @@
 };
 
 static const struct reason_text reasons[REASON_COUNT] = {
-	[REASON_NONE] = {"", "", 0},
-	[REASON_INVALID] = {"invalid", "the request breaks its schema",
-			    HTTP_BAD_REQUEST},
-	[REASON_NO_CONFIGURATION] = {"no_configuration",
-				     "no configuration is in force yet", 0},
-	[REASON_UNKNOWN_ACCOUNT] = {"unknown_account",
-				    "no such client account", HTTP_NOT_FOUND},
-	[REASON_UNKNOWN_SERVICE] = {"unknown_service",
-				    "the service is not served here",
-				    HTTP_NOT_FOUND},
-	[REASON_BAD_TOKEN] = {"bad_token", "token missing or wrong",
-			      HTTP_UNAUTHORIZED},
-	[REASON_RATE_LIMIT] = {"rate_limit",
-			       "the client account's rate is used up",
-			       HTTP_TOO_MANY},
-	[REASON_QUEUE_FULL] = {"queue_full",
-			       "the client account's queue is full",
-			       HTTP_TOO_MANY},
-	[REASON_SHED] = {"shed", "dropped in favour of other work", 0},
-	[REASON_DEADLINE] = {"deadline", "can't finish before the deadline", 0},
-	[REASON_NO_ENDPOINT] = {"no_endpoint", "no endpoint can take it", 0},
-	[REASON_DRAINING] = {"draining", "this entry process is stopping", 0},
-	[REASON_REFUSED] = {"refused", "all endpoints tried refused it", 0},
-	[REASON_PLATFORM_DOWN] = {"platform_down",
-				  "the claim could not be written", 0},
-	[REASON_SUPERSEDED] = {"superseded",
-			       "a later attempt of this key was refused", 0},
-	[REASON_LOST_ANSWER] = {"lost_answer",
-				"sent to an endpoint, no whole answer came", 0},
-	[REASON_CROSSED_ANSWER] = {"crossed_answer",
-				   "the endpoint answered another request", 0},
-	[REASON_RUN_FAILED] = {"run_failed", "the endpoint failed it", 0},
-	[REASON_CLAIMANT_GONE] = {"claimant_gone",
-				  "claimed by a process that has ended", 0},
-	[REASON_CLAIMED_ELSEWHERE] = {"claimed_elsewhere",
-				      "another process works on it", 0},
-	[REASON_CLAIM_UNREACHABLE] = {"claim_unreachable",
-				      "an earlier attempt can't be ruled out",
-				      0},
-	[REASON_RESULT_NOT_KEPT] = {"result_not_kept",
-				    "it ran, its result is no longer known", 0},
+	[REASON_NONE] = { "", "", 0 },
+	[REASON_INVALID] = { "invalid", "the request breaks its schema",
+			     HTTP_BAD_REQUEST },
+	[REASON_NO_CONFIGURATION] = { "no_configuration",
+				      "no configuration is in force yet", 0 },
+	[REASON_UNKNOWN_ACCOUNT] = { "unknown_account",
+				     "no such client account", HTTP_NOT_FOUND },
+	[REASON_UNKNOWN_SERVICE] = { "unknown_service",
+				     "the service is not served here",
+				     HTTP_NOT_FOUND },
+	[REASON_BAD_TOKEN] = { "bad_token", "token missing or wrong",
+			       HTTP_UNAUTHORIZED },
+	[REASON_RATE_LIMIT] = { "rate_limit",
+				"the client account's rate is used up",
+				HTTP_TOO_MANY },
+	[REASON_QUEUE_FULL] = { "queue_full",
+				"the client account's queue is full",
+				HTTP_TOO_MANY },
+	[REASON_SHED] = { "shed", "dropped in favour of other work", 0 },
+	[REASON_DEADLINE] = { "deadline", "can't finish before the deadline",
+			      0 },
+	[REASON_NO_ENDPOINT] = { "no_endpoint", "no endpoint can take it", 0 },
+	[REASON_DRAINING] = { "draining", "this entry process is stopping", 0 },
+	[REASON_REFUSED] = { "refused", "all endpoints tried refused it", 0 },
+	[REASON_PLATFORM_DOWN] = { "platform_down",
+				   "the claim could not be written", 0 },
+	[REASON_SUPERSEDED] = { "superseded",
+				"a later attempt of this key was refused", 0 },
+	[REASON_LOST_ANSWER] = { "lost_answer",
+				 "sent to an endpoint, no whole answer came",
+				 0 },
+	[REASON_CROSSED_ANSWER] = { "crossed_answer",
+				    "the endpoint answered another request",
+				    0 },
+	[REASON_RUN_FAILED] = { "run_failed", "the endpoint failed it", 0 },
+	[REASON_CLAIMANT_GONE] = { "claimant_gone",
+				   "claimed by a process that has ended", 0 },
+	[REASON_CLAIMED_ELSEWHERE] = { "claimed_elsewhere",
+				       "another process works on it", 0 },
+	[REASON_CLAIM_UNREACHABLE] = { "claim_unreachable",
+				       "an earlier attempt can't be ruled out",
+				       0 },
+	[REASON_RESULT_NOT_KEPT] = { "result_not_kept",
+				     "it ran, its result is no longer known",
+				     0 },
 };
 
-#define MEMBER(member_) .name = #member_, \
-			.offset = offsetof(struct request_spec, member_)
+#define MEMBER(member_) \
+	.name = #member_, .offset = offsetof(struct request_spec, member_)
 
 static const struct field_spec request_fields[] = {
-	{MEMBER(client_account),
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .min = 1,
-	 .max = NAME_MAX_BYTES},
-	{MEMBER(service),
-	 .type = FIELD_STRING,
-	 .is_required = TRUE,
-	 .min = 1,
-	 .max = NAME_MAX_BYTES},
-	{MEMBER(class),
-	 .type = FIELD_ENUM,
-	 .is_required = TRUE,
-	 .names = request_class_names},
-	{MEMBER(deadline_ms),
-	 .type = FIELD_INT,
-	 .is_required = TRUE,
-	 .min = 1,
-	 .max = REQUEST_MAX_DEADLINE_MS},
-	{MEMBER(is_repeatable), .type = FIELD_BOOL, .is_required = TRUE},
-	{MEMBER(is_first_attempt), .type = FIELD_BOOL},
-	{MEMBER(idempotency_key),
-	 .type = FIELD_STRING,
-	 .min = 1,
-	 .max = KEY_MAX_BYTES},
-	{MEMBER(payload), .type = FIELD_JSON, .is_required = TRUE},
-	{0},
+	{ MEMBER(client_account), .type = FIELD_STRING, .is_required = TRUE,
+	  .min = 1, .max = NAME_MAX_BYTES },
+	{ MEMBER(service), .type = FIELD_STRING, .is_required = TRUE, .min = 1,
+	  .max = NAME_MAX_BYTES },
+	{ MEMBER(class), .type = FIELD_ENUM, .is_required = TRUE,
+	  .names = request_class_names },
+	{ MEMBER(deadline_ms), .type = FIELD_INT, .is_required = TRUE, .min = 1,
+	  .max = REQUEST_MAX_DEADLINE_MS },
+	{ MEMBER(is_repeatable), .type = FIELD_BOOL, .is_required = TRUE },
+	{ MEMBER(attempt), .type = FIELD_INT, .max = MAX_ATTEMPTS },
+	{ MEMBER(idempotency_key), .type = FIELD_STRING, .min = 1,
+	  .max = KEY_MAX_BYTES },
+	{ MEMBER(payload), .type = FIELD_JSON, .is_required = TRUE },
+	{ 0 },
 };
 
-const struct schema request_spec_schema = {sizeof(struct request_spec),
-					   request_fields};
+const struct schema request_spec_schema = { sizeof(struct request_spec),
+					    request_fields };
 
 gboolean request_spec_decode(json_object *json, struct request_spec *spec,
 			     struct finding_list *findings)
--- a/request/request.h
+++ b/request/request.h
@@ -60,10 +60,11 @@
 	int64_t deadline_ms; /**< from its arrival */
 	int64_t is_repeatable;
 	/**
-	 * The caller has never sent this idempotency key before, so that a
-	 * refusal needs no look at the table to be certain.
+	 * Of this idempotency key, numbered by the caller from 1; 0 when it
+	 * does not count them. A refused first attempt is certainly the whole
+	 * truth about the key, and a later one can rule out earlier ones.
 	 */
-	int64_t is_first_attempt;
+	int64_t attempt;
 	char *idempotency_key;
 	json_object *payload;
 };
--- a/request/routing/routing.c
+++ b/request/routing/routing.c
@@ -69,7 +69,7 @@
 		    const struct routing_query *q, GRand *rand,
 		    struct routing_choice *out)
 {
-	*out = (struct routing_choice){.reason = "none has room"};
+	*out = (struct routing_choice){ .reason = "none has room" };
 	p->class->choose(p, t, ENDPOINT_LOCAL, q, rand, out);
 	if (out->endpoint || !q->may_spill)
 		return;
--- /dev/null
+++ b/tests/test_requests.c
@@ -0,0 +1,597 @@
+#include <glib.h>
+#include <string.h>
+
+#include "base/json_text.h"
+#include "request/admission.h"
+#include "request/decision_log.h"
+#include "request/endpoint_table.h"
+#include "request/outlier.h"
+#include "request/request.h"
+#include "request/retry_budget.h"
+#include "request/routing/routing.h"
+#include "request/run_reply.h"
+
+#define SEED 4
+#define REQUEST_HEAD "{\"client_account\":\"a\",\"service\":\"s\","
+
+static json_object *parse(const char *text)
+{
+	struct finding_list findings;
+	struct json_text t;
+	json_object *json;
+
+	finding_list_init(&findings);
+	json_text_parse(&t, "body", text, strlen(text), JSON_STRICT, &findings);
+	json = json_object_get(t.root);
+	json_text_clear(&t);
+	finding_list_clear(&findings);
+	return json;
+}
+
+static const struct {
+	const char *body;
+	const char *findings;
+} body_cases[] = {
+	{ REQUEST_HEAD "\"class\":\"spot\",\"deadline_ms\":2000,"
+		       "\"is_repeatable\":true,\"payload\":{}}",
+	  "" },
+	{ REQUEST_HEAD "\"class\":\"bulk\",\"deadline_ms\":1,"
+		       "\"is_repeatable\":false,\"idempotency_key\":\"k\","
+		       "\"payload\":{}}",
+	  "" },
+	{ REQUEST_HEAD "\"class\":\"bulk\",\"deadline_ms\":1,"
+		       "\"is_repeatable\":false,\"payload\":{}}",
+	  "idempotency_key: missing, as is_repeatable is false (allowed: 1 "
+	  "to 128 bytes, the same on a retry)\n" },
+	{ REQUEST_HEAD "\"class\":\"huge\",\"deadline_ms\":-1,"
+		       "\"is_repeatable\":1,\"payload\":{}}",
+	  "class: unknown value (allowed: spot, bulk)\n"
+	  "deadline_ms: value out of range (allowed: 1 to 3600000)\n"
+	  "is_repeatable: wrong type (allowed: true or false)\n" },
+	{ "[]", "body: wrong type (allowed: an object)\n" },
+};
+
+static void test_bodies(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(body_cases); i++) {
+		json_object *json = parse(body_cases[i].body);
+		struct request_spec spec = { 0 };
+		struct finding_list findings;
+		gboolean is_good;
+		char *text;
+
+		finding_list_init(&findings);
+		is_good = request_spec_decode(json, &spec, &findings);
+		text = finding_list_text(&findings);
+		g_assert_cmpstr(text, ==, body_cases[i].findings);
+		g_assert_cmpint(is_good, ==, text[0] == '\0');
+		g_free(text);
+		finding_list_clear(&findings);
+		request_spec_clear(&spec);
+		json_object_put(json);
+	}
+}
+
+static const struct {
+	enum status status;
+	guint code;
+	const char *body;
+	enum run_outcome outcome;
+	gboolean is_not_started;
+} reply_cases[] = {
+	{ STATUS_OK, 200,
+	  "{\"request_id\":\"r\",\"result\":{},\"slots\":8,\"slots_busy\":1}",
+	  RUN_DONE, FALSE },
+	{ STATUS_OK, 200, "{\"request_id\":\"other\",\"result\":{}}",
+	  RUN_CROSSED, FALSE },
+	{ STATUS_OK, 200, "{\"result\":{}}", RUN_CROSSED, FALSE },
+	{ STATUS_OK, 200, "{\"request_id\":\"r\"}", RUN_FAILED, FALSE },
+	{ STATUS_OK, 200, "[]", RUN_FAILED, FALSE },
+	{ STATUS_OK, 500, "{\"request_id\":\"r\"}", RUN_FAILED, FALSE },
+	{ STATUS_OK, 503, "{\"request_id\":\"r\",\"reason\":\"busy\"}",
+	  RUN_BUSY, TRUE },
+	{ STATUS_OK, 503, "{\"request_id\":\"r\",\"reason\":\"leaving\"}",
+	  RUN_LEAVING, TRUE },
+	/* A refusal of another request says nothing of this one. */
+	{ STATUS_OK, 503, "{\"request_id\":\"other\",\"reason\":\"busy\"}",
+	  RUN_CROSSED, FALSE },
+	{ STATUS_OK, 503, "{\"request_id\":\"r\",\"reason\":\"tired\"}",
+	  RUN_FAILED, FALSE },
+	{ STATUS_UNAVAILABLE, 0, NULL, RUN_UNSENT, TRUE },
+	{ STATUS_UNKNOWN, 0, NULL, RUN_LOST, FALSE },
+};
+
+static void test_replies(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(reply_cases); i++) {
+		const char *text = reply_cases[i].body;
+		json_object *body = text ? parse(text) : NULL;
+		struct run_reply reply;
+
+		run_reply_judge(reply_cases[i].status, reply_cases[i].code,
+				body, "r", &reply);
+		g_assert_cmpint(reply.outcome, ==, reply_cases[i].outcome);
+		g_assert_cmpint(run_outcome_is_not_started(reply.outcome), ==,
+				reply_cases[i].is_not_started);
+		json_object_put(body);
+	}
+}
+
+static void list_endpoints(struct endpoint_table *t, guint count,
+			   const char *failure_domain)
+{
+	for (guint i = 0; i < count; i++) {
+		char *name = g_strdup_printf("%s-%u", failure_domain, i);
+		struct endpoint_spec spec = {
+			.name = name,
+			.address = "127.0.0.1:1",
+			.failure_domain = failure_domain,
+		};
+
+		endpoint_table_list_add(t, &spec);
+		g_free(name);
+	}
+}
+
+static struct endpoint_table *make_table(guint local, guint remote)
+{
+	struct endpoint_table *t = endpoint_table_new("tov-a");
+
+	endpoint_table_list_begin(t);
+	list_endpoints(t, local, "tov-a");
+	list_endpoints(t, remote, "tov-b");
+	endpoint_table_list_end(t);
+	return t;
+}
+
+/* Whatever their number, all shares together are the slots. */
+static void test_shares(void)
+{
+	for (uint32_t gateways = 1; gateways <= 12; gateways++) {
+		guint sums[50] = { 0 };
+		guint most = 0;
+
+		for (uint32_t rank = 0; rank < gateways; rank++) {
+			struct endpoint_table *t = make_table(50, 0);
+			struct endpoint *e;
+
+			endpoint_table_set_gateways(t, gateways, rank);
+			for (guint i = 0; i < 50; i++) {
+				e = g_ptr_array_index(t->endpoints, i);
+				sums[i] += e->share;
+				most = MAX(most, endpoint_limit(t, e, 0));
+			}
+			endpoint_table_free(t);
+		}
+		for (guint i = 0; i < 50; i++)
+			g_assert_cmpuint(sums[i], ==, ENDPOINT_SLOTS);
+		most *= gateways;
+		g_assert_cmpuint(most, <=, ENDPOINT_MAX_CONNECTIONS);
+	}
+}
+
+static const struct {
+	uint32_t gateways;
+	uint32_t in_flight; /* with the one that reports */
+	uint32_t busy;	    /* without it */
+	uint32_t limit;
+	int64_t age_ms;
+} limit_cases[] = {
+	{ 8, 1, 0, 8, 0 },   /* nobody else there: unused shares are free */
+	{ 8, 1, 8, 1, 0 },   /* full by others: only the own share */
+	{ 8, 1, 5, 3, 0 },   /* what others leave */
+	{ 8, 3, 5, 5, 0 },   /* own requests don't count as others' */
+	{ 8, 1, 0, 1, 501 }, /* the report is too old */
+	{ 1, 1, 8, 8, 0 },   /* alone: all slots are its share */
+	{ 16, 1, 0, 4, 0 },  /* as many as keep to 64 connections */
+};
+
+static void test_limits(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(limit_cases); i++) {
+		struct endpoint_table *t = make_table(1, 0);
+		struct endpoint *e = g_ptr_array_index(t->endpoints, 0);
+
+		endpoint_table_set_gateways(t, limit_cases[i].gateways, 0);
+		for (uint32_t n = 0; n < limit_cases[i].in_flight; n++)
+			endpoint_table_sent(t, e, 0);
+		endpoint_table_report(t, e, ENDPOINT_SLOTS, limit_cases[i].busy,
+				      0);
+		endpoint_table_ended(t, e, 0);
+		g_assert_cmpuint(endpoint_limit(t, e, limit_cases[i].age_ms),
+				 ==, limit_cases[i].limit);
+		endpoint_table_free(t);
+	}
+}
+
+/* Each sign of leaving stops new work at once, in every policy. */
+static void test_leaving(void)
+{
+	const char *const *names = routing_policy_names();
+	GRand *rand = g_rand_new_with_seed(SEED);
+
+	for (guint i = 0; names[i]; i++) {
+		struct routing_policy *p = routing_policy_new(names[i]);
+		struct endpoint_table *t = make_table(2, 0);
+		struct routing_query q = { .now_ms = 0 };
+		struct routing_choice choice;
+		struct endpoint_spec leaving = { "tov-a-0", "127.0.0.1:1",
+						 "tov-a", TRUE };
+
+		endpoint_table_list_begin(t);
+		endpoint_table_list_add(t, &leaving);
+		endpoint_table_list_end(t);
+		routing_choose(p, t, &q, rand, &choice);
+		g_assert_null(choice.endpoint);
+		endpoint_table_free(t);
+		g_free(p);
+	}
+	g_rand_free(rand);
+}
+
+static const struct {
+	guint local;
+	guint remote;
+	gboolean may_spill;
+	const char *domain; /* of the choice, NULL for none */
+} spill_cases[] = {
+	{ 2, 2, FALSE, "tov-a" }, { 2, 2, TRUE, "tov-a" },
+	{ 0, 2, FALSE, NULL },	  { 0, 2, TRUE, "tov-b" },
+	{ 0, 0, TRUE, NULL },
+};
+
+static void test_spill(void)
+{
+	const char *const *names = routing_policy_names();
+	GRand *rand = g_rand_new_with_seed(SEED);
+
+	for (guint n = 0; names[n]; n++) {
+		struct routing_policy *p = routing_policy_new(names[n]);
+
+		for (guint i = 0; i < G_N_ELEMENTS(spill_cases); i++) {
+			struct endpoint_table *t = make_table(
+				spill_cases[i].local, spill_cases[i].remote);
+			struct routing_query q = {
+				.may_spill = spill_cases[i].may_spill
+			};
+			struct routing_choice c;
+
+			routing_choose(p, t, &q, rand, &c);
+			g_assert_cmpstr(c.endpoint ? c.endpoint->failure_domain
+						   : NULL,
+					==, spill_cases[i].domain);
+			endpoint_table_free(t);
+		}
+		g_free(p);
+	}
+	g_rand_free(rand);
+}
+
+/* A retry goes elsewhere, and of two the emptier endpoint is chosen. */
+static void test_choice(void)
+{
+	struct routing_policy *p = routing_policy_new("power_of_two");
+	struct endpoint_table *t = make_table(2, 0);
+	struct endpoint *a = endpoint_table_find(t, "tov-a-0");
+	struct endpoint *b = endpoint_table_find(t, "tov-a-1");
+	struct routing_query q = { .tried = { b }, .tried_count = 1 };
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct routing_choice c;
+
+	a->others_busy = 5;
+	for (int i = 0; i < 20; i++) {
+		routing_choose(p, t, &q, rand, &c);
+		g_assert_true(!c.endpoint || c.endpoint == a);
+	}
+	q.tried_count = 0;
+	for (int i = 0; i < 20; i++) {
+		routing_choose(p, t, &q, rand, &c);
+		g_assert_true(c.runner_up == NULL || c.endpoint == b);
+	}
+	g_rand_free(rand);
+	endpoint_table_free(t);
+	g_free(p);
+}
+
+struct offer {
+	const char *account;
+	enum request_class class;
+	enum reason reason;
+	int64_t deadline_ms;
+};
+
+#define FAR 100000
+
+static const struct offer offers[] = {
+	{ "none", REQUEST_SPOT, REASON_UNKNOWN_ACCOUNT, FAR },
+	{ "small", REQUEST_BULK, REASON_NONE, FAR },
+	{ "small", REQUEST_BULK, REASON_NONE, FAR },
+	{ "small", REQUEST_BULK, REASON_QUEUE_FULL, FAR },
+	/* The limits of one account are not those of another. */
+	{ "large", REQUEST_BULK, REASON_NONE, FAR },
+	{ "large", REQUEST_SPOT, REASON_DEADLINE, 0 },
+	{ "large", REQUEST_SPOT, REASON_NONE, FAR },
+	/* Four are queued: a spot request takes the place of bulk. */
+	{ "large", REQUEST_SPOT, REASON_NONE, FAR },
+	{ "small", REQUEST_SPOT, REASON_NONE, FAR },
+	{ "small", REQUEST_SPOT, REASON_RATE_LIMIT, FAR },
+};
+
+static struct admission *make_admission(void)
+{
+	const struct admission_options options = { .max_queued = 4 };
+	const struct admission_account_spec accounts[] = {
+		{ .name = "small",
+		  .share = 1,
+		  .requests_per_s = 4,
+		  .queued_requests = 2 },
+		{ .name = "large", .share = 2, .queued_requests = 100 },
+	};
+	struct admission *a = admission_new(&options);
+
+	for (guint i = 0; i < G_N_ELEMENTS(accounts); i++)
+		admission_set_account(a, &accounts[i], 0);
+	return a;
+}
+
+static void test_offers(void)
+{
+	struct admission *a = make_admission();
+	struct admission_item items[G_N_ELEMENTS(offers)] = { 0 };
+	guint shed_count = 0;
+
+	for (guint i = 0; i < G_N_ELEMENTS(offers); i++) {
+		struct admission_item *shed = NULL;
+
+		items[i].class = offers[i].class;
+		items[i].deadline_ms = offers[i].deadline_ms;
+		g_assert_cmpint(admission_offer(a, &items[i], offers[i].account,
+						0, &shed),
+				==, offers[i].reason);
+		if (!shed)
+			continue;
+		shed_count++;
+		g_assert_cmpint(shed->class, ==, REQUEST_BULK);
+	}
+	g_assert_cmpuint(shed_count, ==, 2);
+	g_assert_cmpuint(admission_queued(a), ==, 4);
+	admission_free(a);
+}
+
+static void offer_many(struct admission *a, struct admission_item *items,
+		       guint count, const char *account,
+		       enum request_class class)
+{
+	struct admission_item *shed;
+
+	for (guint i = 0; i < count; i++) {
+		items[i] = (struct admission_item){ .class = class,
+						    .deadline_ms = FAR };
+		g_assert_cmpint(
+			admission_offer(a, &items[i], account, 0, &shed), ==,
+			REASON_NONE);
+	}
+}
+
+/* Of 60 taken, an account with twice the share gets twice as many. */
+static void test_fair_share(void)
+{
+	const struct admission_options options = { 0 };
+	const struct admission_account_spec accounts[] = {
+		{ .name = "one", .share = 1, .queued_requests = 500 },
+		{ .name = "two", .share = 2, .queued_requests = 500 },
+	};
+	struct admission *a = admission_new(&options);
+	struct admission_item one[500];
+	struct admission_item two[50];
+	GPtrArray *late = g_ptr_array_new();
+	guint taken_two = 0;
+
+	admission_set_account(a, &accounts[0], 0);
+	admission_set_account(a, &accounts[1], 0);
+	offer_many(a, one, 500, "one", REQUEST_SPOT);
+	offer_many(a, two, 50, "two", REQUEST_SPOT);
+	for (int i = 0; i < 60; i++) {
+		struct admission_item *item = admission_next(a, 0, late);
+
+		taken_two += item >= two && item < two + 50;
+		admission_done(a, item, 10);
+	}
+	g_assert_cmpuint(taken_two, >=, 38);
+	g_assert_cmpuint(taken_two, <=, 42);
+	g_ptr_array_unref(late);
+	admission_free(a);
+}
+
+/* Spot goes first, and bulk still gets its least part of the slots. */
+static void test_class_order(void)
+{
+	const struct admission_options options = { 0 };
+	const struct admission_account_spec account = {
+		.name = "a", .share = 1, .queued_requests = 100
+	};
+	struct admission *a = admission_new(&options);
+	struct admission_item spot[100];
+	struct admission_item bulk[100];
+	GPtrArray *late = g_ptr_array_new();
+	guint taken[REQUEST_CLASS_COUNT] = { 0 };
+
+	admission_set_account(a, &account, 0);
+	admission_set_capacity(a, 40);
+	offer_many(a, bulk, 100, "a", REQUEST_BULK);
+	offer_many(a, spot, 30, "a", REQUEST_SPOT);
+	for (int i = 0; i < 34; i++)
+		taken[admission_next(a, 0, late)->class]++;
+	g_assert_cmpuint(taken[REQUEST_SPOT], ==, 30);
+	g_assert_cmpuint(taken[REQUEST_BULK], ==, 4);
+	/* Bulk alone leaves a quarter of the slots to spot requests. */
+	while (admission_next(a, 0, late))
+		taken[REQUEST_BULK]++;
+	g_assert_cmpuint(taken[REQUEST_BULK], ==, 30);
+	g_ptr_array_unref(late);
+	admission_free(a);
+}
+
+static const struct {
+	int64_t deadline_ms;
+	enum reason reason; /* of the offer */
+	gboolean is_late;   /* when its turn comes at 200 ms */
+} late_cases[] = {
+	{ FAR, REASON_NONE, FALSE },
+	{ 350, REASON_NONE, TRUE },
+	{ 150, REASON_DEADLINE, FALSE },
+};
+
+/* What can't finish in time is refused on arrival or when its turn comes. */
+static void test_late(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(late_cases); i++) {
+		struct admission *a = make_admission();
+		struct admission_item before[2];
+		struct admission_item item = {
+			.deadline_ms = late_cases[i].deadline_ms
+		};
+		GPtrArray *late = g_ptr_array_new();
+		struct admission_item *shed;
+
+		offer_many(a, before, 2, "large", REQUEST_SPOT);
+		/* One took 100 ms, the other is still running. */
+		admission_done(a, admission_next(a, 0, late), 100);
+		admission_next(a, 0, late);
+		g_assert_cmpint(admission_offer(a, &item, "large", 0, &shed),
+				==, late_cases[i].reason);
+		g_assert_cmpint(admission_next(a, 200, late) == &item, ==,
+				late_cases[i].deadline_ms == FAR);
+		g_assert_cmpint(late->len, ==, late_cases[i].is_late);
+		g_ptr_array_unref(late);
+		admission_free(a);
+	}
+}
+
+/* Retries stay a tenth of first attempts, beside a small constant rate. */
+static void test_retry_budget(void)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct retry_budget b;
+	guint retries = 0;
+
+	retry_budget_init(&b, 0);
+	for (int64_t ms = 0; ms < 10000; ms++) {
+		retry_budget_first(&b);
+		retries += retry_budget_take(&b, ms);
+	}
+	g_assert_cmpuint(retries, >=, 1000);
+	g_assert_cmpuint(retries, <=, 1000 + 3 * 10 + 3);
+	for (uint32_t i = 1; i < 20; i++) {
+		g_assert_cmpint(retry_delay_ms(i, rand), >=, 0);
+		g_assert_cmpint(retry_delay_ms(i, rand), <=, 200);
+	}
+	g_rand_free(rand);
+}
+
+/* Failing endpoints are set aside, but never more than a fifth of all. */
+static void test_outlier_cap(void)
+{
+	struct endpoint_table *t = make_table(50, 0);
+	struct outlier_policy o = { 0 };
+
+	for (int round = 0; round < 5; round++) {
+		for (guint i = 0; i < 50; i++)
+			outlier_record(&o, t, t->endpoints->pdata[i],
+				       OUTLIER_FAILED, REQUEST_SPOT, 0, 0);
+	}
+	g_assert_cmpuint(t->ejected_count, ==, 10);
+	/* Refused connections are certain: no cap holds for them. */
+	for (guint i = 0; i < 50; i++)
+		outlier_record(&o, t, t->endpoints->pdata[i], OUTLIER_REFUSED,
+			       REQUEST_SPOT, 0, 0);
+	g_assert_cmpuint(t->ejected_count, ==, 50);
+	endpoint_table_free(t);
+}
+
+static void test_outlier_return(void)
+{
+	struct endpoint_table *t = make_table(10, 0);
+	struct endpoint *e = t->endpoints->pdata[0];
+	struct outlier_policy o = { 0 };
+
+	outlier_record(&o, t, e, OUTLIER_REFUSED, REQUEST_SPOT, 0, 0);
+	g_assert_cmpuint(endpoint_limit(t, e, 0), ==, 0);
+	outlier_return(t, 1999);
+	g_assert_cmpint(e->state, ==, ENDPOINT_EJECTED);
+	outlier_return(t, 2000);
+	g_assert_cmpuint(endpoint_limit(t, e, 2000), ==, 1);
+	g_assert_cmpuint(endpoint_limit(t, e, 5000), ==, 4);
+	g_assert_cmpuint(endpoint_limit(t, e, 9000), ==, ENDPOINT_SLOTS);
+	endpoint_table_free(t);
+}
+
+/* After its return, one failure sends it out for twice the time. */
+static void test_outlier_again(void)
+{
+	struct endpoint_table *t = make_table(10, 0);
+	struct endpoint *e = t->endpoints->pdata[0];
+	struct outlier_policy o = { 0 };
+	gboolean is_out;
+
+	outlier_record(&o, t, e, OUTLIER_REFUSED, REQUEST_SPOT, 0, 0);
+	outlier_return(t, 2000);
+	is_out =
+		outlier_record(&o, t, e, OUTLIER_FAILED, REQUEST_SPOT, 0, 9000);
+	g_assert_true(is_out);
+	g_assert_cmpint(e->ejected_until_ms, ==, 13000);
+	endpoint_table_free(t);
+}
+
+static void test_outlier_slow(void)
+{
+	struct endpoint_table *t = make_table(10, 0);
+	struct endpoint *slow = t->endpoints->pdata[0];
+	struct outlier_policy o = { 0 };
+
+	for (int round = 0; round < 20; round++) {
+		for (guint i = 0; i < 10; i++)
+			outlier_record(&o, t, t->endpoints->pdata[i],
+				       OUTLIER_OK, REQUEST_SPOT,
+				       i ? 10000 : 1000000, 0);
+	}
+	g_assert_cmpint(slow->state, ==, ENDPOINT_EJECTED);
+	g_assert_cmpuint(t->ejected_count, ==, 1);
+	endpoint_table_free(t);
+}
+
+static void test_decisions(void)
+{
+	struct decision_log *log = decision_log_new(2);
+
+	decision_set(&decision_log_add(log, "a")->state, "queued");
+	decision_log_add(log, "b");
+	g_assert_cmpstr(decision_log_find(log, "a")->state, ==, "queued");
+	decision_log_add(log, "c");
+	g_assert_null(decision_log_find(log, "a"));
+	g_assert_nonnull(decision_log_find(log, "b"));
+	decision_log_free(log);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/requests/bodies", test_bodies);
+	g_test_add_func("/requests/run-replies", test_replies);
+	g_test_add_func("/requests/endpoint-shares", test_shares);
+	g_test_add_func("/requests/endpoint-limits", test_limits);
+	g_test_add_func("/requests/endpoint-leaving", test_leaving);
+	g_test_add_func("/requests/spill-over", test_spill);
+	g_test_add_func("/requests/choice", test_choice);
+	g_test_add_func("/requests/admission-offers", test_offers);
+	g_test_add_func("/requests/admission-fair-share", test_fair_share);
+	g_test_add_func("/requests/admission-classes", test_class_order);
+	g_test_add_func("/requests/admission-late", test_late);
+	g_test_add_func("/requests/retry-budget", test_retry_budget);
+	g_test_add_func("/requests/outlier-cap", test_outlier_cap);
+	g_test_add_func("/requests/outlier-return", test_outlier_return);
+	g_test_add_func("/requests/outlier-again", test_outlier_again);
+	g_test_add_func("/requests/outlier-slow", test_outlier_slow);
+	g_test_add_func("/requests/decision-log", test_decisions);
+	return g_test_run();
+}
