--- a/config/config_spread.c
+++ b/config/config_spread.c
@@ -164,8 +164,7 @@
 	s->service = service;
 	s->link = link;
 	s->membership = membership_of(k);
-	s->history =
-		g_ptr_array_new_with_free_func((GDestroyNotify)json_object_put);
+	s->history = g_ptr_array_new_with_free_func(put_json);
 	s->bases = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	link_service_handle(link, MESSAGE_CONFIG_DELTA, on_delta, s);
 	link_service_handle(link, MESSAGE_CONFIG_BODY, on_whole, s);
