Seeded exploration of the lease protocol, with planted faults

Change: tests/explorer (events in virtual time, trace of a failing seed) and lease_world (3 candidates with clocks of different rates, a table that is down, cut, late or loses answers, pauses, crashes, 2 workers with lost, doubled and late commands). After every event: one holder at a time, one incarnation acting per epoch, no worker obeying an older epoch, the row's epoch never falling; a holder within 2.5 s once all faults are over. Ruled out: a first form with a fault every 0.75 s on average kept the table down nearly always and found neither the expiry nor the margin fault. Conclusion: the planted faults are in the test and must be found.

--- /dev/null
+++ b/tests/lease_world.c
@@ -0,0 +1,427 @@
+#include "tests/lease_world.h"
+
+#include "platform/platform.h"
+
+#define PROCESSES 3
+#define WORKERS 2
+#define TICK_MS 100
+#define TIMEOUT_MS 1000
+#define LONGEST_CALL_MS 6000
+#define LONGEST_COMMAND_MS 3000
+#define LONGEST_PAUSE_MS 9000
+#define LONGEST_OUTAGE_MS 12000
+/** From one fault to the next, at most; each seed has its own. */
+#define MIN_FAULT_MS 1000
+#define MAX_FAULT_MS 12000
+/** From a release to the next holder, without faults. */
+#define LONGEST_HANDOVER_MS (LEASE_POLL_MS + 2 * LEASE_RENEW_MS)
+/** Clock rates differ by at most this, in parts of a thousand, each way. */
+#define RATE_PERMILLE 55
+
+struct world;
+
+struct process {
+	struct world *world;
+	guint index;
+	guint life; /* counts incarnations */
+	struct lease_protocol protocol;
+	int64_t offset_ms;
+	int64_t rate_permille;
+	int64_t paused_until_ms;
+	int64_t cut_until_ms; /* from the table */
+};
+
+struct worker {
+	int64_t highest_epoch;
+	int64_t obeyed_epoch;
+};
+
+struct world {
+	struct explorer *e;
+	struct lease_plant plant;
+	struct process processes[PROCESSES];
+	struct worker workers[WORKERS];
+	int64_t row_version;
+	struct lease_row row;
+	int64_t next_version;
+	int64_t table_epoch;
+	int64_t down_until_ms;
+	GHashTable *actors; /* epoch to the incarnation that acted with it */
+	int64_t fault_ms;
+	int64_t held_ms; /* when there was a holder last */
+	gboolean is_healed;
+};
+
+/* A call to the table on its way. */
+struct call {
+	struct process *process;
+	guint life;
+	enum lease_call kind;
+	struct lease_row writing;
+	int64_t expected_version;
+	gboolean is_answered;
+	enum status status;
+	int64_t version;
+	struct lease_row row;
+	gboolean has_row;
+	guint holders; /* events that still refer to it */
+};
+
+struct command {
+	struct world *world;
+	guint worker;
+	int64_t epoch;
+};
+
+static int64_t local_ms(const struct process *p)
+{
+	return p->offset_ms + p->world->e->now_ms * p->rate_permille / 1000;
+}
+
+static gboolean is_paused(const struct process *p)
+{
+	return p->world->e->now_ms < p->paused_until_ms;
+}
+
+static void start_process(struct process *p)
+{
+	char *node = g_strdup_printf("p%u", p->index);
+	char *incarnation = g_strdup_printf("p%u.%u", p->index, p->life);
+
+	p->offset_ms = explorer_range(p->world->e, 0, 1000000);
+	p->rate_permille = 1000 + explorer_range(p->world->e, -RATE_PERMILLE,
+						 RATE_PERMILLE + 1);
+	lease_protocol_init(&p->protocol, node, incarnation, "a", local_ms(p));
+	p->protocol.rules = &p->world->plant.rules;
+	lease_protocol_set_rank(&p->protocol, local_ms(p), p->index);
+	g_free(node);
+	g_free(incarnation);
+}
+
+static void call_unref(gpointer data)
+{
+	struct call *c = data;
+
+	if (--c->holders > 0)
+		return;
+	lease_row_clear(&c->writing);
+	lease_row_clear(&c->row);
+	g_free(c);
+}
+
+static void finish_call(struct call *c, enum status status)
+{
+	struct process *p = c->process;
+
+	if (c->is_answered || c->life != p->life)
+		return;
+	c->is_answered = TRUE;
+	explorer_note(p->world->e, "p%u %s -> %s", p->index,
+		      c->kind == LEASE_CALL_READ ? "read" : "commit",
+		      status_name(status));
+	if (c->kind == LEASE_CALL_READ)
+		lease_protocol_on_read(&p->protocol, local_ms(p), status,
+				       c->version, c->has_row ? &c->row : NULL);
+	else
+		lease_protocol_on_commit(&p->protocol, local_ms(p), status,
+					 c->version);
+}
+
+/* Waits while the process is paused. */
+static void deliver(struct call *c, explorer_fn again)
+{
+	struct world *w = c->process->world;
+
+	c->holders++;
+	explorer_after(w->e, c->process->paused_until_ms - w->e->now_ms, again,
+		       c, call_unref);
+}
+
+static void on_answer(void *data)
+{
+	struct call *c = data;
+
+	if (is_paused(c->process))
+		deliver(c, on_answer);
+	else
+		finish_call(c, c->status);
+}
+
+static void on_timeout(void *data)
+{
+	struct call *c = data;
+
+	if (is_paused(c->process))
+		deliver(c, on_timeout);
+	else
+		finish_call(c, c->kind == LEASE_CALL_READ ? STATUS_UNAVAILABLE
+							  : STATUS_UNKNOWN);
+}
+
+static enum status apply_commit(struct world *w, struct call *c)
+{
+	if (c->expected_version != w->row_version)
+		return STATUS_CONFLICT;
+	if (c->writing.epoch < w->table_epoch)
+		explorer_fail(w->e, "epoch of the row falls");
+	w->table_epoch = c->writing.epoch;
+	w->row_version = ++w->next_version;
+	lease_row_copy(&w->row, &c->writing);
+	c->version = w->row_version;
+	explorer_note(w->e, "table: %s epoch %" G_GINT64_FORMAT,
+		      w->row.holder[0] ? w->row.incarnation : "released",
+		      w->row.epoch);
+	return STATUS_OK;
+}
+
+/* The call reaches the table. */
+static void on_effect(void *data)
+{
+	struct call *c = data;
+	struct world *w = c->process->world;
+
+	if (w->e->now_ms < w->down_until_ms ||
+	    w->e->now_ms < c->process->cut_until_ms)
+		return;
+	if (c->kind == LEASE_CALL_COMMIT) {
+		c->status = apply_commit(w, c);
+	} else {
+		c->version = w->row_version;
+		c->has_row = w->row_version != TABLE_ABSENT;
+		c->status = c->has_row ? STATUS_OK : STATUS_NOT_FOUND;
+		if (c->has_row)
+			lease_row_copy(&c->row, &w->row);
+	}
+	if (!w->is_healed && explorer_chance(w->e, 0.05))
+		return; /* the answer is lost */
+	c->holders++;
+	explorer_after(w->e, explorer_delay(w->e, TIMEOUT_MS), on_answer, c,
+		       call_unref);
+}
+
+static void start_call(struct process *p, enum lease_call kind)
+{
+	struct world *w = p->world;
+	struct call *c = g_new0(struct call, 1);
+	int64_t longest_ms = w->is_healed ? 20 : LONGEST_CALL_MS;
+
+	c->process = p;
+	c->life = p->life;
+	c->kind = kind;
+	c->expected_version = p->protocol.expected_version;
+	if (kind == LEASE_CALL_COMMIT)
+		lease_row_copy(&c->writing, &p->protocol.writing);
+	c->holders = 1;
+	if (!explorer_chance(w->e, w->is_healed ? 0 : 0.05)) {
+		c->holders++;
+		explorer_after(w->e, explorer_delay(w->e, longest_ms),
+			       on_effect, c, call_unref);
+	}
+	explorer_after(w->e, TIMEOUT_MS, on_timeout, c, call_unref);
+}
+
+static void on_command(void *data)
+{
+	struct command *c = data;
+	struct world *w = c->world;
+	struct worker *worker = &w->workers[c->worker];
+
+	if (c->epoch < worker->highest_epoch && !w->plant.workers_ignore_epochs)
+		return;
+	worker->highest_epoch = MAX(worker->highest_epoch, c->epoch);
+	if (c->epoch < worker->obeyed_epoch)
+		explorer_fail(w->e,
+			      "worker %u obeys epoch %" G_GINT64_FORMAT
+			      " after %" G_GINT64_FORMAT,
+			      c->worker, c->epoch, worker->obeyed_epoch);
+	worker->obeyed_epoch = c->epoch;
+}
+
+static void send_command(struct process *p, guint worker, int64_t epoch)
+{
+	guint copies = explorer_chance(p->world->e, 0.1)   ? 0
+		       : explorer_chance(p->world->e, 0.1) ? 2
+							   : 1;
+
+	for (guint i = 0; i < copies; i++) {
+		struct command *c = g_new0(struct command, 1);
+
+		c->world = p->world;
+		c->worker = worker;
+		c->epoch = epoch;
+		explorer_after(p->world->e,
+			       explorer_delay(p->world->e, LONGEST_COMMAND_MS),
+			       on_command, c, g_free);
+	}
+}
+
+static void act(struct process *p, int64_t epoch)
+{
+	struct world *w = p->world;
+	const char *actor =
+		g_hash_table_lookup(w->actors, GINT_TO_POINTER((gint)epoch));
+
+	if (!actor)
+		g_hash_table_insert(w->actors, GINT_TO_POINTER((gint)epoch),
+				    g_strdup(p->protocol.incarnation));
+	else if (!g_str_equal(actor, p->protocol.incarnation))
+		explorer_fail(w->e,
+			      "%s and %s act with epoch %" G_GINT64_FORMAT,
+			      actor, p->protocol.incarnation, epoch);
+	for (guint i = 0; i < WORKERS; i++)
+		send_command(p, i, epoch);
+}
+
+static void on_tick(void *data)
+{
+	struct process *p = data;
+	int64_t epoch;
+	enum lease_call kind;
+
+	explorer_after(p->world->e, TICK_MS, on_tick, p, NULL);
+	if (is_paused(p))
+		return;
+	if (lease_protocol_role(&p->protocol, local_ms(p), &epoch) ==
+	    POOL_ROLE_HOLDER)
+		act(p, epoch);
+	kind = lease_protocol_step(&p->protocol, local_ms(p));
+	if (kind != LEASE_CALL_NONE)
+		start_call(p, kind);
+}
+
+static void restart(struct process *p)
+{
+	lease_protocol_clear(&p->protocol);
+	p->life++;
+	start_process(p);
+}
+
+static void on_fault(void *data)
+{
+	struct world *w = data;
+	struct process *p = &w->processes[explorer_range(w->e, 0, PROCESSES)];
+
+	if (w->is_healed)
+		return;
+	switch (explorer_range(w->e, 0, 5)) {
+	case 0:
+		p->paused_until_ms = w->e->now_ms +
+				     explorer_range(w->e, 0, LONGEST_PAUSE_MS);
+		explorer_note(w->e, "p%u pauses", p->index);
+		break;
+	case 1:
+		explorer_note(w->e, "p%u crashes and starts anew", p->index);
+		restart(p);
+		break;
+	case 2:
+		w->down_until_ms = w->e->now_ms +
+				   explorer_range(w->e, 0, LONGEST_OUTAGE_MS);
+		explorer_note(w->e, "table down");
+		break;
+	case 3:
+		p->cut_until_ms = w->e->now_ms +
+				  explorer_range(w->e, 0, LONGEST_OUTAGE_MS);
+		explorer_note(w->e, "p%u cut from the table", p->index);
+		break;
+	default:
+		lease_protocol_set_rank(&p->protocol, local_ms(p),
+					(guint)explorer_range(w->e, 0, 3));
+		break;
+	}
+	explorer_after(w->e, explorer_range(w->e, 0, w->fault_ms), on_fault, w,
+		       NULL);
+}
+
+static void *world_new(struct explorer *e, const void *plant)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->e = e;
+	if (plant)
+		w->plant = *(const struct lease_plant *)plant;
+	else
+		w->plant.rules = lease_rules_default;
+	w->actors = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	for (guint i = 0; i < PROCESSES; i++) {
+		w->processes[i].world = w;
+		w->processes[i].index = i;
+		start_process(&w->processes[i]);
+		explorer_after(e, explorer_range(e, 0, TICK_MS), on_tick,
+			       &w->processes[i], NULL);
+	}
+	w->fault_ms = explorer_range(e, MIN_FAULT_MS, MAX_FAULT_MS);
+	explorer_after(e, w->fault_ms, on_fault, w, NULL);
+	return w;
+}
+
+static guint count_holders(const struct world *w)
+{
+	guint holders = 0;
+
+	for (guint i = 0; i < PROCESSES; i++) {
+		const struct process *p = &w->processes[i];
+		int64_t epoch;
+
+		if (!is_paused(p) &&
+		    lease_protocol_role(&p->protocol, local_ms(p), &epoch) ==
+			    POOL_ROLE_HOLDER)
+			holders++;
+	}
+	return holders;
+}
+
+static void world_check(void *data)
+{
+	struct world *w = data;
+	guint holders = count_holders(w);
+
+	if (holders > 0)
+		w->held_ms = w->e->now_ms;
+	if (holders > 1)
+		explorer_fail(w->e, "two holders at once");
+}
+
+static void world_heal(void *data)
+{
+	struct world *w = data;
+
+	w->is_healed = TRUE;
+	w->down_until_ms = 0;
+	for (guint i = 0; i < PROCESSES; i++) {
+		struct process *p = &w->processes[i];
+
+		p->paused_until_ms = 0;
+		p->cut_until_ms = 0;
+		lease_protocol_set_rank(&p->protocol, local_ms(p), i);
+	}
+}
+
+static void world_check_settled(void *data)
+{
+	struct world *w = data;
+
+	if (w->e->now_ms - w->held_ms > LONGEST_HANDOVER_MS)
+		explorer_fail(w->e, "no holder though all faults are over");
+}
+
+static void world_free(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++)
+		lease_protocol_clear(&w->processes[i].protocol);
+	lease_row_clear(&w->row);
+	g_hash_table_unref(w->actors);
+	g_free(w);
+}
+
+const struct explorer_world lease_world = {
+	.name = "lease",
+	.new = world_new,
+	.check = world_check,
+	.heal = world_heal,
+	.check_settled = world_check_settled,
+	.free = world_free,
+	.faulty_ms = 60000,
+	.settle_ms = 20000,
+};
--- /dev/null
+++ b/tests/test_explore.c
@@ -0,0 +1,93 @@
+#include <glib.h>
+#include <string.h>
+
+#include "tests/explorer.h"
+#include "tests/lease_world.h"
+
+/** Interleavings of the protocols as they are. */
+#define SEEDS 2000
+/** Seeds among which a planted fault must be found. */
+#define PLANT_SEEDS 2000
+
+static void explore(const struct explorer_world *world)
+{
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		char *violation = explorer_run(world, seed, NULL);
+
+		if (violation)
+			g_error("%s", violation);
+	}
+}
+
+static void test_lease(void)
+{
+	explore(&lease_world);
+}
+
+static int64_t from_answer(int64_t sent_ms, int64_t answered_ms)
+{
+	return answered_ms;
+}
+
+static int64_t over_without_margin(int64_t seen_ms, int64_t ttl_ms)
+{
+	return seen_ms + ttl_ms;
+}
+
+static int64_t same_epoch(int64_t epoch)
+{
+	return epoch > 0 ? epoch : 1;
+}
+
+struct plant_case {
+	const char *name;
+	const struct explorer_world *world;
+	const void *plant;
+	const char *violation; /* a part of what must be found */
+};
+
+static void test_plants(void)
+{
+	struct lease_plant plants[] = {
+		{ .rules = lease_rules_default },
+		{ .rules = lease_rules_default },
+		{ .rules = lease_rules_default },
+		{ .rules = lease_rules_default },
+	};
+	const struct plant_case cases[] = {
+		{ "expiry counted from the answer", &lease_world, &plants[0],
+		  "two holders at once" },
+		{ "no margin for clock rates", &lease_world, &plants[1],
+		  "two holders at once" },
+		{ "epoch not raised on takeover", &lease_world, &plants[2],
+		  "act with epoch" },
+		{ "worker's epoch check removed", &lease_world, &plants[3],
+		  "obeys epoch" },
+	};
+
+	plants[0].rules.valid_from = from_answer;
+	plants[1].rules.over_at = over_without_margin;
+	plants[2].rules.next_epoch = same_epoch;
+	plants[3].workers_ignore_epochs = TRUE;
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *violation = NULL;
+		guint32 seed = 0;
+
+		while (!violation && seed < PLANT_SEEDS)
+			violation = explorer_run(cases[i].world, ++seed,
+						 cases[i].plant);
+		g_test_message("%s: seed %u", cases[i].name, seed);
+		if (!violation || !strstr(violation, cases[i].violation))
+			g_error("%s: %s", cases[i].name,
+				violation ? violation : "not found");
+		g_free(violation);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/explore/lease", test_lease);
+	g_test_add_func("/explore/plants", test_plants);
+	return g_test_run();
+}
