Seeded exploration of configuration versions and of membership

Change: config_world (operators who race, lost and late answers, pushes lost, doubled and out of order) and member_world (one-way cuts, pauses, restarts with an older clock, lost, doubled and late heartbeats). After every event no version falls; at the end every outcome told to an operator is true, every process has the last version, and every member sees every other one alive.

--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -360,15 +360,18 @@
 
 	for (guint i = 0; i < s->leases->len; i++) {
 		const struct pool_lease *l = g_ptr_array_index(s->leases, i);
-		struct heartbeat_pool p = { 0 };
+		struct heartbeat_pool *p;
 		enum pool_role role;
+		int64_t epoch;
 
-		role = lease_protocol_role(&l->protocol, now_ms, &p.epoch);
-		if (p.epoch == 0)
+		role = lease_protocol_role(&l->protocol, now_ms, &epoch);
+		if (epoch == 0)
 			continue;
-		p.pool = g_strdup(l->pool);
-		p.is_holder = role == POOL_ROLE_HOLDER;
-		g_array_append_val(out, p);
+		g_array_set_size(out, out->len + 1);
+		p = &g_array_index(out, struct heartbeat_pool, out->len - 1);
+		p->pool = g_strdup(l->pool);
+		p->epoch = epoch;
+		p->is_holder = role == POOL_ROLE_HOLDER;
 	}
 }
 
@@ -377,13 +380,15 @@
 {
 	for (guint i = 0; i < s->leases->len; i++) {
 		const struct pool_lease *l = g_ptr_array_index(s->leases, i);
-		struct pool_status status = { .pool = g_strdup(l->pool) };
+		struct pool_status *status;
 
-		status.role = lease_protocol_role(&l->protocol, now_ms,
-						  &status.epoch);
+		g_array_set_size(out, out->len + 1);
+		status = &g_array_index(out, struct pool_status, out->len - 1);
+		status->pool = g_strdup(l->pool);
+		status->role = lease_protocol_role(&l->protocol, now_ms,
+						   &status->epoch);
 		if (!lease_row_is_released(&l->protocol.row))
-			status.holder = g_strdup(l->protocol.row.holder);
-		g_array_append_val(out, status);
+			status->holder = g_strdup(l->protocol.row.holder);
 	}
 }
 
--- /dev/null
+++ b/tests/config_world.c
@@ -0,0 +1,414 @@
+#include "tests/config_world.h"
+
+#include "config/config_version.h"
+#include "platform/platform.h"
+
+#define PROCESSES 3
+#define OPERATORS 2
+#define POLL_MS 500
+#define POST_MS 1500
+#define TIMEOUT_MS 1000
+#define READ_BACK_MS 250
+#define LONGEST_CALL_MS 6000
+#define LONGEST_PUSH_MS 8000
+#define LONGEST_OUTAGE_MS 6000
+
+struct process {
+	struct world *world;
+	guint index;
+	struct config_version current;
+	int64_t last_version;
+	gboolean is_reading;
+};
+
+/* An operator's attempt; kept until the end to check what was said of it. */
+struct attempt {
+	struct world *world;
+	struct config_acceptance acceptance;
+	json_object *body;
+	int64_t calls; /* the number of the call whose answer is awaited */
+	gboolean is_finished;
+};
+
+struct world {
+	struct explorer *e;
+	struct config_plant plant;
+	struct process processes[PROCESSES];
+	GPtrArray *attempts;
+	GPtrArray *accepted; /* commit id of version i + 1 */
+	GHashTable *objects; /* name to body */
+	int64_t row_version;
+	struct config_head head;
+	int64_t down_until_ms;
+	gboolean is_healed;
+};
+
+/* An operator's call to the store on its way. */
+struct call {
+	struct attempt *attempt;
+	int64_t number;
+	enum acceptance_call kind;
+	enum status status;
+	int64_t row_version;
+	struct config_head head;
+	guint holders;
+};
+
+struct push {
+	struct process *process;
+	int64_t version;
+	json_object *body;
+};
+
+static gboolean always(int64_t version, int64_t in_force)
+{
+	return TRUE;
+}
+
+static void copy_head(struct config_head *to, const struct config_head *from)
+{
+	json_object *json = schema_encode(&config_head_schema, from);
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	config_head_clear(to);
+	if (from->version > 0)
+		schema_decode(&config_head_schema, json, to, "", NULL,
+			      &findings);
+	finding_list_clear(&findings);
+	json_object_put(json);
+}
+
+static void call_unref(gpointer data)
+{
+	struct call *c = data;
+
+	if (--c->holders > 0)
+		return;
+	config_head_clear(&c->head);
+	g_free(c);
+}
+
+static void push_free(gpointer data)
+{
+	struct push *p = data;
+
+	json_object_put(p->body);
+	g_free(p);
+}
+
+static void on_push(void *data)
+{
+	struct push *p = data;
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	config_version_offer(&p->process->current, p->version, p->body,
+			     &findings);
+	finding_list_clear(&findings);
+}
+
+static void send_push(struct world *w, guint to, int64_t version,
+		      json_object *body)
+{
+	struct push *p = g_new0(struct push, 1);
+
+	p->process = &w->processes[to];
+	p->version = version;
+	p->body = json_object_get(body);
+	explorer_after(w->e, explorer_delay(w->e, LONGEST_PUSH_MS), on_push, p,
+		       push_free);
+}
+
+/* Pushes are lost, doubled and overtake each other. */
+static void push_to_all(struct world *w, int64_t version, json_object *body)
+{
+	for (guint i = 0; i < PROCESSES; i++) {
+		if (!explorer_chance(w->e, 0.2))
+			send_push(w, i, version, body);
+		if (explorer_chance(w->e, 0.2))
+			send_push(w, i, version, body);
+	}
+}
+
+/* Reads head and body at one moment; the answer may come late. */
+static void on_poll(void *data)
+{
+	struct process *p = data;
+	struct world *w = p->world;
+
+	explorer_after(w->e, POLL_MS, on_poll, p, NULL);
+	if (w->e->now_ms < w->down_until_ms || w->head.version == 0)
+		return;
+	send_push(w, p->index, w->head.version,
+		  g_hash_table_lookup(w->objects, w->head.object));
+}
+
+static void advance(struct attempt *a);
+
+static void finish_call(struct call *c, enum status status)
+{
+	struct attempt *a = c->attempt;
+
+	if (c->number != a->calls || a->is_finished)
+		return;
+	a->calls++;
+	if (c->kind == ACCEPTANCE_PUT_BODY)
+		config_acceptance_on_put(&a->acceptance, status);
+	else if (c->kind == ACCEPTANCE_COMMIT_HEAD)
+		config_acceptance_on_commit(&a->acceptance, status);
+	else
+		config_acceptance_on_read(&a->acceptance, status,
+					  c->row_version, &c->head);
+	advance(a);
+}
+
+static void on_answer(void *data)
+{
+	struct call *c = data;
+
+	finish_call(c, c->status);
+}
+
+static void on_timeout(void *data)
+{
+	struct call *c = data;
+
+	finish_call(c, c->kind == ACCEPTANCE_READ_HEAD ||
+				       c->kind == ACCEPTANCE_READ_BACK
+			       ? STATUS_UNAVAILABLE
+			       : STATUS_UNKNOWN);
+}
+
+static enum status commit(struct world *w, struct attempt *a)
+{
+	const struct config_head *next = &a->acceptance.next;
+
+	if (a->acceptance.expected_row_version != w->row_version &&
+	    !w->plant.ignore_base)
+		return STATUS_CONFLICT;
+	w->row_version++;
+	copy_head(&w->head, next);
+	explorer_note(w->e, "head: version %" G_GINT64_FORMAT " by %s",
+		      next->version, next->commit_id);
+	if (next->version != (int64_t)w->accepted->len + 1)
+		explorer_fail(w->e, "accepted versions do not rise by one");
+	g_ptr_array_add(w->accepted, g_strdup(next->commit_id));
+	return STATUS_OK;
+}
+
+static void on_effect(void *data)
+{
+	struct call *c = data;
+	struct world *w = c->attempt->world;
+
+	if (w->e->now_ms < w->down_until_ms)
+		return;
+	c->status = STATUS_OK;
+	if (c->kind == ACCEPTANCE_PUT_BODY)
+		g_hash_table_insert(
+			w->objects,
+			g_strdup(c->attempt->acceptance.next.object),
+			json_object_get(c->attempt->body));
+	else if (c->kind == ACCEPTANCE_COMMIT_HEAD)
+		c->status = commit(w, c->attempt);
+	else
+		copy_head(&c->head, &w->head);
+	c->row_version = w->row_version;
+	if (c->kind >= ACCEPTANCE_COMMIT_HEAD && explorer_chance(w->e, 0.2))
+		return; /* the answer is lost */
+	c->holders++;
+	explorer_after(w->e, explorer_delay(w->e, TIMEOUT_MS), on_answer, c,
+		       call_unref);
+}
+
+static void finish(struct attempt *a)
+{
+	struct world *w = a->world;
+
+	a->is_finished = TRUE;
+	explorer_note(w->e, "%s ends with outcome %d", a->acceptance.commit_id,
+		      a->acceptance.outcome);
+	if (a->acceptance.outcome == ACCEPTANCE_ACCEPTED)
+		push_to_all(w, a->acceptance.next.version, a->body);
+}
+
+static void advance(struct attempt *a)
+{
+	struct world *w = a->world;
+	struct call *c;
+	int64_t delay_ms = 0;
+
+	if (a->acceptance.call == ACCEPTANCE_FINISHED) {
+		finish(a);
+		return;
+	}
+	c = g_new0(struct call, 1);
+	c->attempt = a;
+	c->number = a->calls;
+	c->kind = a->acceptance.call;
+	c->holders = 1;
+	if (c->kind == ACCEPTANCE_READ_BACK)
+		delay_ms = READ_BACK_MS;
+	if (!explorer_chance(w->e, 0.05)) {
+		c->holders++;
+		explorer_after(w->e,
+			       delay_ms + explorer_delay(w->e, LONGEST_CALL_MS),
+			       on_effect, c, call_unref);
+	}
+	explorer_after(w->e, delay_ms + TIMEOUT_MS, on_timeout, c, call_unref);
+}
+
+static json_object *make_body(guint number)
+{
+	char *text =
+		g_strdup_printf("{\"format\":1,\"services\":[{\"name\":\"s%u\","
+				"\"failure_domains\":[\"a\"]}]}",
+				number);
+	json_object *body = json_tokener_parse(text);
+
+	g_free(text);
+	return body;
+}
+
+static void on_post(void *data)
+{
+	struct world *w = data;
+	struct attempt *a;
+	char *commit_id;
+
+	if (w->is_healed)
+		return;
+	explorer_after(w->e, explorer_range(w->e, 0, POST_MS), on_post, w,
+		       NULL);
+	if (explorer_chance(w->e, 0.1))
+		w->down_until_ms = w->e->now_ms +
+				   explorer_range(w->e, 0, LONGEST_OUTAGE_MS);
+	a = g_new0(struct attempt, 1);
+	commit_id = g_strdup_printf("c%u", w->attempts->len);
+	a->world = w;
+	a->body = make_body(w->attempts->len);
+	config_acceptance_init(&a->acceptance, w->processes[0].current.version,
+			       "o", commit_id, FALSE);
+	g_ptr_array_add(w->attempts, a);
+	g_free(commit_id);
+	advance(a);
+}
+
+static void attempt_free(gpointer data)
+{
+	struct attempt *a = data;
+
+	config_acceptance_clear(&a->acceptance);
+	json_object_put(a->body);
+	g_free(a);
+}
+
+static void body_free(gpointer data)
+{
+	json_object_put(data);
+}
+
+static void *world_new(struct explorer *e, const void *plant)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->e = e;
+	if (plant)
+		w->plant = *(const struct config_plant *)plant;
+	w->attempts = g_ptr_array_new_with_free_func(attempt_free);
+	w->accepted = g_ptr_array_new_with_free_func(g_free);
+	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   body_free);
+	for (guint i = 0; i < PROCESSES; i++) {
+		struct process *p = &w->processes[i];
+
+		p->world = w;
+		p->index = i;
+		config_version_init(&p->current);
+		if (w->plant.ignore_versions)
+			p->current.is_newer = always;
+		explorer_after(e, explorer_range(e, 0, POLL_MS), on_poll, p,
+			       NULL);
+	}
+	for (guint i = 0; i < OPERATORS; i++)
+		explorer_after(e, 0, on_post, w, NULL);
+	return w;
+}
+
+static void world_check(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++) {
+		struct process *p = &w->processes[i];
+
+		if (p->current.version < p->last_version)
+			explorer_fail(w->e, "version falls on process %u", i);
+		p->last_version = p->current.version;
+		if (p->current.version > (int64_t)w->accepted->len)
+			explorer_fail(w->e, "version in force not accepted");
+	}
+}
+
+static void world_heal(void *data)
+{
+	struct world *w = data;
+
+	w->is_healed = TRUE;
+	w->down_until_ms = 0;
+}
+
+static gboolean was_accepted(const struct world *w, const struct attempt *a)
+{
+	return g_ptr_array_find_with_equal_func(
+		w->accepted, a->acceptance.commit_id, g_str_equal, NULL);
+}
+
+/* What operators were told is true, also after late writes. */
+static void world_check_settled(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < w->attempts->len; i++) {
+		const struct attempt *a = g_ptr_array_index(w->attempts, i);
+		enum acceptance_outcome outcome = a->acceptance.outcome;
+
+		if (outcome == ACCEPTANCE_ACCEPTED && !was_accepted(w, a))
+			explorer_fail(w->e, "%s was told accepted and is not",
+				      a->acceptance.commit_id);
+		if ((outcome == ACCEPTANCE_CONFLICT ||
+		     outcome == ACCEPTANCE_UNAVAILABLE) &&
+		    was_accepted(w, a))
+			explorer_fail(w->e, "%s was told refused and is not",
+				      a->acceptance.commit_id);
+	}
+	for (guint i = 0; i < PROCESSES; i++) {
+		if (w->processes[i].current.version != w->head.version)
+			explorer_fail(w->e, "process %u lags", i);
+	}
+}
+
+static void world_free(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++)
+		config_version_clear(&w->processes[i].current);
+	g_ptr_array_unref(w->attempts);
+	g_ptr_array_unref(w->accepted);
+	g_hash_table_unref(w->objects);
+	config_head_clear(&w->head);
+	g_free(w);
+}
+
+const struct explorer_world config_world = {
+	.name = "config",
+	.new = world_new,
+	.check = world_check,
+	.heal = world_heal,
+	.check_settled = world_check_settled,
+	.free = world_free,
+	.faulty_ms = 20000,
+	.settle_ms = 60000,
+};
--- /dev/null
+++ b/tests/member_world.c
@@ -0,0 +1,279 @@
+#include "tests/member_world.h"
+
+#define PROCESSES 4
+#define STEP_MS 250
+#define STEPS_PER_HEARTBEAT (MEMBER_HEARTBEAT_MS / STEP_MS)
+#define LONGEST_MESSAGE_MS 2500
+#define LONGEST_FAULT_MS 9000
+#define FAULT_MS 3000
+#define LOST 0.1
+#define DOUBLED 0.1
+
+struct process {
+	struct world *world;
+	guint index;
+	guint life;
+	struct link_identity identity;
+	struct member_table table;
+	int64_t steps;
+	int64_t paused_until_ms;
+	/* What it knew of each member, to see that no version falls. */
+	struct member_record known[PROCESSES];
+};
+
+struct world {
+	struct explorer *e;
+	struct member_plant plant;
+	struct process processes[PROCESSES];
+	int64_t cut_until_ms[PROCESSES][PROCESSES]; /* from, to */
+	gboolean is_healed;
+};
+
+struct message {
+	struct world *world;
+	guint to;
+	guint to_life;
+	struct link_identity from;
+	struct heartbeat heartbeat;
+};
+
+static void message_free(gpointer data)
+{
+	struct message *m = data;
+
+	link_identity_clear(&m->from);
+	schema_clear(&heartbeat_schema, &m->heartbeat);
+	g_free(m);
+}
+
+static void set_identity(struct process *p)
+{
+	link_identity_clear(&p->identity);
+	p->identity.node = g_strdup_printf("n%u", p->index);
+	p->identity.incarnation = g_strdup_printf("n%u.%u", p->index, p->life);
+	p->identity.vm = g_strdup_printf("vm%u", p->index);
+	p->identity.failure_domain = g_strdup("a");
+	p->identity.http = g_strdup("127.0.0.1:1");
+	p->identity.link = g_strdup_printf("127.0.0.1:%u", 10 + p->index);
+	p->identity.role = LINK_ROLE_SCHEDULER;
+}
+
+/* The clock of a replaced VM may be behind that of the one before. */
+static void start_process(struct process *p)
+{
+	struct world *w = p->world;
+
+	set_identity(p);
+	member_table_init(&p->table, &p->identity,
+			  explorer_range(w->e, 1, 1000), w->e->now_ms);
+	p->table.rules = &w->plant.rules;
+	for (guint i = 0; i < PROCESSES; i++)
+		member_record_clear(&p->known[i]);
+}
+
+static void on_message(void *data)
+{
+	struct message *m = data;
+	struct process *p = &m->world->processes[m->to];
+	struct explorer *e = m->world->e;
+
+	if (e->now_ms < p->paused_until_ms) {
+		struct message *later = g_new0(struct message, 1);
+
+		*later = *m;
+		*m = (struct message){ 0 };
+		explorer_after(e, p->paused_until_ms - e->now_ms, on_message,
+			       later, message_free);
+		return;
+	}
+	if (m->to_life == p->life)
+		member_table_on_heartbeat(&p->table, e->now_ms, &m->from,
+					  &m->heartbeat);
+}
+
+static void send_copy(struct process *p, guint to)
+{
+	struct world *w = p->world;
+	struct message *m = g_new0(struct message, 1);
+
+	m->world = w;
+	m->to = to;
+	m->to_life = w->processes[to].life;
+	link_identity_copy(&m->from, &p->identity);
+	/* All is told each time: lost messages are not sent again. */
+	member_table_heartbeat(&p->table, w->e->now_ms, 0, TRUE, &m->heartbeat);
+	explorer_after(w->e,
+		       w->is_healed ? 1
+				    : explorer_delay(w->e, LONGEST_MESSAGE_MS),
+		       on_message, m, message_free);
+}
+
+static void send_heartbeats(struct process *p)
+{
+	struct world *w = p->world;
+
+	for (guint to = 0; to < PROCESSES; to++) {
+		if (to == p->index ||
+		    w->e->now_ms < w->cut_until_ms[p->index][to])
+			continue;
+		if (w->is_healed || !explorer_chance(w->e, LOST))
+			send_copy(p, to);
+		if (!w->is_healed && explorer_chance(w->e, DOUBLED))
+			send_copy(p, to);
+	}
+}
+
+static void on_step(void *data)
+{
+	struct process *p = data;
+
+	explorer_after(p->world->e, STEP_MS, on_step, p, NULL);
+	if (p->world->e->now_ms < p->paused_until_ms)
+		return;
+	member_table_step(&p->table, p->world->e->now_ms);
+	member_table_set_status(&p->table, p->world->e->now_ms / 5000);
+	if (p->steps++ % STEPS_PER_HEARTBEAT == 0)
+		send_heartbeats(p);
+}
+
+static void on_fault(void *data)
+{
+	struct world *w = data;
+	guint a = (guint)explorer_range(w->e, 0, PROCESSES);
+	guint b = (guint)explorer_range(w->e, 0, PROCESSES);
+	int64_t until_ms =
+		w->e->now_ms + explorer_range(w->e, 0, LONGEST_FAULT_MS);
+	struct process *p = &w->processes[a];
+
+	if (w->is_healed)
+		return;
+	explorer_after(w->e, explorer_range(w->e, 0, FAULT_MS), on_fault, w,
+		       NULL);
+	switch (explorer_range(w->e, 0, 3)) {
+	case 0:
+		explorer_note(w->e, "n%u pauses", a);
+		p->paused_until_ms = until_ms;
+		break;
+	case 1:
+		explorer_note(w->e, "n%u starts anew", a);
+		member_table_clear(&p->table);
+		p->life++;
+		start_process(p);
+		break;
+	default:
+		explorer_note(w->e, "n%u cut towards n%u", a, b);
+		w->cut_until_ms[a][b] = until_ms;
+		break;
+	}
+}
+
+static void *world_new(struct explorer *e, const void *plant)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->e = e;
+	w->plant.rules = member_rules_default;
+	if (plant)
+		w->plant = *(const struct member_plant *)plant;
+	for (guint i = 0; i < PROCESSES; i++) {
+		w->processes[i].world = w;
+		w->processes[i].index = i;
+		start_process(&w->processes[i]);
+		explorer_after(e, explorer_range(e, 0, MEMBER_HEARTBEAT_MS),
+			       on_step, &w->processes[i], NULL);
+	}
+	explorer_after(e, FAULT_MS, on_fault, w, NULL);
+	return w;
+}
+
+static void check_record(struct process *p, guint index,
+			 const struct member_record *now)
+{
+	struct member_record *before = &p->known[index];
+	struct explorer *e = p->world->e;
+
+	if (now->generation < before->generation)
+		explorer_fail(e, "generation falls");
+	if (now->generation == before->generation) {
+		if (now->state_version < before->state_version)
+			explorer_fail(e, "version of a state falls");
+		if (now->status_version < before->status_version)
+			explorer_fail(e, "version of a status falls");
+	}
+	*before = *now;
+	before->identity = (struct link_identity){ 0 };
+}
+
+static void world_check(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++) {
+		struct process *p = &w->processes[i];
+
+		for (guint j = 0; j < PROCESSES; j++) {
+			const struct member *m;
+
+			m = member_table_find(&p->table,
+					      w->processes[j].identity.node);
+			if (m)
+				check_record(p, j, &m->record);
+		}
+		if (!member_is_live(p->table.self))
+			explorer_fail(w->e, "a member is dead to itself");
+	}
+}
+
+static void world_heal(void *data)
+{
+	struct world *w = data;
+
+	w->is_healed = TRUE;
+	for (guint i = 0; i < PROCESSES; i++) {
+		w->processes[i].paused_until_ms = 0;
+		for (guint j = 0; j < PROCESSES; j++)
+			w->cut_until_ms[i][j] = 0;
+	}
+}
+
+static void world_check_settled(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++) {
+		for (guint j = 0; j < PROCESSES; j++) {
+			const struct process *other = &w->processes[j];
+			const struct member *m = member_table_find(
+				&w->processes[i].table, other->identity.node);
+
+			if (!m || m->record.state != MEMBER_ALIVE ||
+			    !g_str_equal(m->record.identity.incarnation,
+					 other->identity.incarnation))
+				explorer_fail(w->e,
+					      "n%u does not see n%u alive", i,
+					      j);
+		}
+	}
+}
+
+static void world_free(void *data)
+{
+	struct world *w = data;
+
+	for (guint i = 0; i < PROCESSES; i++) {
+		member_table_clear(&w->processes[i].table);
+		link_identity_clear(&w->processes[i].identity);
+	}
+	g_free(w);
+}
+
+const struct explorer_world member_world = {
+	.name = "member",
+	.new = world_new,
+	.check = world_check,
+	.heal = world_heal,
+	.check_settled = world_check_settled,
+	.free = world_free,
+	.faulty_ms = 60000,
+	.settle_ms = 15000,
+};
--- /dev/null
+++ b/tests/member_world.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * Members of one failure domain that send each other heartbeats, among faults.
+ */
+#ifndef TESTS_MEMBER_WORLD_H
+#define TESTS_MEMBER_WORLD_H
+
+#include "shared/member_table.h"
+#include "tests/explorer.h"
+
+/** A fault planted into the merging of records. */
+struct member_plant {
+	struct member_rules rules;
+};
+
+extern const struct explorer_world member_world;
+
+#endif
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -1,11 +1,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "tests/config_world.h"
 #include "tests/explorer.h"
 #include "tests/lease_world.h"
+#include "tests/member_world.h"
 
 /** Interleavings of the protocols as they are. */
-#define SEEDS 2000
+#define SEEDS 700
 /** Seeds among which a planted fault must be found. */
 #define PLANT_SEEDS 2000
 
@@ -24,6 +26,16 @@
 	explore(&lease_world);
 }
 
+static void test_config(void)
+{
+	explore(&config_world);
+}
+
+static void test_members(void)
+{
+	explore(&member_world);
+}
+
 static int64_t from_answer(int64_t sent_ms, int64_t answered_ms)
 {
 	return answered_ms;
@@ -39,6 +51,12 @@
 	return epoch > 0 ? epoch : 1;
 }
 
+static gboolean always_newer(const struct member_record *a,
+			     const struct member_record *b)
+{
+	return TRUE;
+}
+
 struct plant_case {
 	const char *name;
 	const struct explorer_world *world;
@@ -54,6 +72,12 @@
 		{ .rules = lease_rules_default },
 		{ .rules = lease_rules_default },
 	};
+	static const struct config_plant versions_ignored = {
+		.ignore_versions = TRUE,
+	};
+	static const struct config_plant base_ignored = { .ignore_base = TRUE };
+	struct member_plant states = { member_rules_default };
+	struct member_plant statuses = { member_rules_default };
 	const struct plant_case cases[] = {
 		{ "expiry counted from the answer", &lease_world, &plants[0],
 		  "two holders at once" },
@@ -63,11 +87,21 @@
 		  "act with epoch" },
 		{ "worker's epoch check removed", &lease_world, &plants[3],
 		  "obeys epoch" },
+		{ "version compare removed", &config_world, &versions_ignored,
+		  "version falls" },
+		{ "head written without its version", &config_world,
+		  &base_ignored, "accepted versions do not rise" },
+		{ "state compare removed", &member_world, &states,
+		  "version of a state falls" },
+		{ "status compare removed", &member_world, &statuses,
+		  "version of a status falls" },
 	};
 
 	plants[0].rules.valid_from = from_answer;
 	plants[1].rules.over_at = over_without_margin;
 	plants[2].rules.next_epoch = same_epoch;
+	states.rules.is_newer_state = always_newer;
+	statuses.rules.is_newer_status = always_newer;
 	plants[3].workers_ignore_epochs = TRUE;
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
 		char *violation = NULL;
@@ -88,6 +122,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/explore/lease", test_lease);
+	g_test_add_func("/explore/config", test_config);
+	g_test_add_func("/explore/members", test_members);
 	g_test_add_func("/explore/plants", test_plants);
 	return g_test_run();
 }
