--- a/job/placement/placement.c
+++ b/job/placement/placement.c
@@ -7,8 +7,8 @@
 };
 
 static const struct policy_entry policies[] = {
-	{&first_fit_policy},
-	{&backfill_policy},
+	{ &first_fit_policy },
+	{ &backfill_policy },
 };
 
 struct placement_policy *placement_policy_new(const char *name)
