Default policy cells, quota baseline, property test of guarantees

Cause: a guaranteed shape has to be reclaimable at any moment, whatever others have borrowed; a count of accelerators can't show that. Change: policy cells places work within a guarantee into the guarantee's slots, which move to where the least borrowed work has to stop, and borrows by best fit away from planned slots. Policy quota counts accelerators as a baseline. Urgent work beyond its guarantee stops borrowed work that is not urgent. Conclusion: the plan of slots is kept as the proof of the promise.

--- a/job/placement/placement.c
+++ b/job/placement/placement.c
@@ -1,13 +1,17 @@
 #include "job/placement/placement.h"
 
+#include "job/placement/cells.h"
 #include "job/placement/first_fit.h"
+#include "job/placement/quota.h"
 
 struct policy_entry {
 	const struct placement_policy_class *class;
 };
 
 static const struct policy_entry policies[] = {
+	{&cells_policy},
 	{&first_fit_policy},
+	{&quota_policy},
 	{&backfill_policy},
 };
 
--- a/job/placement/placement.h
+++ b/job/placement/placement.h
@@ -39,7 +39,7 @@
 };
 
 /** Name of the policy in use. */
-#define PLACEMENT_POLICY_DEFAULT "first_fit"
+#define PLACEMENT_POLICY_DEFAULT "cells"
 
 enum status placement_policy_place(struct placement_policy *p,
 				   struct pool *pool,
--- /dev/null
+++ b/tests/test_pool_property.c
@@ -0,0 +1,423 @@
+/*
+ * Random operations on small pools. After each one: the books agree, every
+ * guarantee that can be held by any plan at all is held, and the policy can
+ * really place each idle guarantee by stopping borrowed work alone.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "job/guarantee_plan.h"
+#include "job/job_queue.h"
+#include "job/pool_state.h"
+
+#define SEEDS 1500
+#define OPERATIONS 120
+#define ACCOUNTS 3
+#define MAX_SHAPES 2
+/* Plans that the test's own search tries before it says nothing. */
+#define SEARCH_STEPS 300000
+
+struct world {
+	GRand *rand;
+	struct pool *pool;
+	struct job_queue *queue;
+	struct placement_policy *policy;
+	GPtrArray *alive;    /* of char *, ids of jobs assigned or waiting */
+	GPtrArray *stopping; /* of char *, ids of jobs to be released */
+	int64_t now_ms;
+	guint next_id;
+	guint64 reclaims;
+	guint64 preempted;
+};
+
+static const char *const account_names[ACCOUNTS] = {"a", "b", "c"};
+
+static struct shape random_shape(GRand *rand, gint32 max_members)
+{
+	static const int64_t sizes[] = {1, 2, 4, 8};
+	struct shape s = {
+		.members = g_rand_int_range(rand, 1, max_members + 1),
+		.accelerators = sizes[g_rand_int_range(rand, 0, 4)],
+		.cores = g_rand_int_range(rand, 1, 9),
+		.memory_mb = 1024,
+		.adjacency = g_rand_int_range(rand, 0, ADJACENCY_COUNT),
+	};
+
+	if (s.adjacency == ADJACENCY_WORKER)
+		s.accelerators = MIN(s.accelerators, 2);
+	return s;
+}
+
+static void add_workers(struct world *w)
+{
+	gint32 count = g_rand_int_range(w->rand, 4, 9);
+	gint32 in_rack = g_rand_int_range(w->rand, 2, 4);
+
+	for (gint32 i = 0; i < count; i++) {
+		char *name = g_strdup_printf("w%d", i);
+		char *rack = g_strdup_printf("r%d", i / in_rack);
+		struct worker_spec spec = {name,
+					   rack,
+					   "127.0.0.1:1",
+					   g_rand_boolean(w->rand) ? 8 : 4,
+					   32,
+					   65536};
+
+		pool_add_worker(w->pool, &spec);
+		g_free(name);
+		g_free(rack);
+	}
+}
+
+static GArray *random_shapes(GRand *rand)
+{
+	GArray *shapes =
+		g_array_new(FALSE, TRUE, sizeof(struct guaranteed_shape));
+	gint32 count = g_rand_int_range(rand, 0, MAX_SHAPES + 1);
+
+	for (gint32 i = 0; i < count; i++) {
+		struct guaranteed_shape g = {"s", "p.d", random_shape(rand, 3)};
+
+		g_array_append_val(shapes, g);
+	}
+	return shapes;
+}
+
+static void set_random_guarantees(struct world *w)
+{
+	struct client_account accounts[ACCOUNTS] = {0};
+	struct config_doc doc = {0};
+
+	for (guint i = 0; i < ACCOUNTS; i++) {
+		accounts[i].name = (char *)account_names[i];
+		accounts[i].guaranteed_shapes = random_shapes(w->rand);
+	}
+	doc.client_accounts =
+		g_array_new(FALSE, TRUE, sizeof(struct client_account));
+	g_array_append_vals(doc.client_accounts, accounts, ACCOUNTS);
+	pool_set_guarantees(w->pool, &doc);
+	for (guint i = 0; i < ACCOUNTS; i++)
+		g_array_unref(accounts[i].guaranteed_shapes);
+	g_array_unref(doc.client_accounts);
+}
+
+static void world_init(struct world *w, guint32 seed)
+{
+	memset(w, 0, sizeof(*w));
+	w->rand = g_rand_new_with_seed(seed);
+	w->pool = pool_new("p.d");
+	w->policy = placement_policy_new("cells");
+	w->queue = job_queue_new(w->policy->class->discipline);
+	w->alive = g_ptr_array_new_with_free_func(g_free);
+	w->stopping = g_ptr_array_new_with_free_func(g_free);
+	add_workers(w);
+	set_random_guarantees(w);
+}
+
+static void world_clear(struct world *w)
+{
+	g_ptr_array_unref(w->alive);
+	g_ptr_array_unref(w->stopping);
+	job_queue_free(w->queue);
+	placement_policy_free(w->policy);
+	pool_free(w->pool);
+	g_rand_free(w->rand);
+}
+
+/* An independent search for any plan; -1 when it ran out of steps. */
+struct feasibility {
+	const struct pool *pool;
+	struct resources *room;	 /* by worker */
+	struct worker_cell **at; /* of the slots of the present guarantee */
+	int64_t steps;
+};
+
+static gboolean is_near(const struct guarantee *g, const struct worker_cell *a,
+			const struct worker_cell *b)
+{
+	if (g->shape.adjacency == ADJACENCY_NONE)
+		return TRUE;
+	return g->shape.adjacency == ADJACENCY_RACK ? a->rack == b->rack
+						    : a == b;
+}
+
+static gboolean may_hold(const struct guarantee *g, int64_t k,
+			 struct worker_cell **at, const struct worker_cell *w)
+{
+	for (int64_t i = 0; i < g->shape.members; i++) {
+		const struct slot *s = &g->slots[i];
+
+		if (slot_is_used(s) && !is_near(g, s->worker, w))
+			return FALSE;
+		if (i < k && !slot_is_used(s) && !is_near(g, at[i], w))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static int feasible(struct feasibility *f, guint i, int64_t k)
+{
+	const struct guarantee *g;
+	struct worker_cell **at = f->at + (gsize)i * GANG_MAX_MEMBERS;
+
+	if (i == f->pool->guarantees->len)
+		return 1;
+	g = f->pool->guarantees->pdata[i];
+	if (k == g->shape.members)
+		return feasible(f, i + 1, 0);
+	if (slot_is_used(&g->slots[k]))
+		return feasible(f, i, k + 1);
+	for (guint n = 0; n < f->pool->workers->len; n++) {
+		struct worker_cell *w = f->pool->workers->pdata[n];
+		int found;
+
+		if (--f->steps < 0)
+			return -1;
+		if (!w->is_usable || !resources_fit(g->size, f->room[n]) ||
+		    !may_hold(g, k, at, w))
+			continue;
+		at[k] = w;
+		f->room[n] = resources_minus(f->room[n], g->size);
+		found = feasible(f, i, k + 1);
+		f->room[n] = resources_plus(f->room[n], g->size);
+		if (found != 0)
+			return found;
+	}
+	return 0;
+}
+
+static int any_plan(const struct pool *pool)
+{
+	struct feasibility f = {.pool = pool, .steps = SEARCH_STEPS};
+	int found;
+
+	f.room = g_new0(struct resources, pool->workers->len);
+	f.at = g_new0(struct worker_cell *,
+		      (gsize)(pool->guarantees->len + 1) * GANG_MAX_MEMBERS);
+	for (guint i = 0; i < pool->workers->len; i++)
+		f.room[i] = ((struct worker_cell *)pool->workers->pdata[i])
+				    ->capacity;
+	for (guint i = 0; i < pool->guarantees->len; i++) {
+		const struct guarantee *g = pool->guarantees->pdata[i];
+
+		for (int64_t k = 0; k < g->shape.members; k++) {
+			const struct slot *s = &g->slots[k];
+
+			if (slot_is_used(s))
+				f.room[s->worker->index] = resources_minus(
+					f.room[s->worker->index], g->size);
+		}
+	}
+	found = feasible(&f, 0, 0);
+	g_free(f.room);
+	g_free(f.at);
+	return found;
+}
+
+static gboolean is_idle_and_held(const struct guarantee *g)
+{
+	for (int64_t i = 0; i < g->shape.members; i++) {
+		if (!g->slots[i].worker || slot_is_used(&g->slots[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static void assert_preempts_borrowed(struct world *w, const struct placement *p)
+{
+	for (guint i = 0; i < p->preempt->len; i++) {
+		const struct running_job *r =
+			pool_running_job(w->pool, p->preempt->pdata[i]);
+
+		g_assert_nonnull(r);
+		g_assert_false(r->is_guaranteed);
+	}
+}
+
+/* The policy places each idle guarantee now, and stops only borrowed work. */
+static void assert_reclaimable(struct world *w)
+{
+	for (guint i = 0; i < w->pool->guarantees->len; i++) {
+		const struct guarantee *g = w->pool->guarantees->pdata[i];
+		struct pool_job job = {.id = "probe",
+				       .client_account = g->client_account,
+				       .class = JOB_CLASS_URGENT,
+				       .shape = g->shape,
+				       .expected_run_ms = 1000};
+		struct placement p;
+		enum status status;
+
+		if (!is_idle_and_held(g))
+			continue;
+		placement_init(&p);
+		status = placement_policy_place(w->policy, w->pool, &job,
+						w->now_ms, &p);
+		g_assert_cmpint(status, ==, STATUS_OK);
+		g_assert_true(p.is_guaranteed);
+		assert_preempts_borrowed(w, &p);
+		w->reclaims++;
+		placement_clear(&p);
+	}
+}
+
+static void assert_sound(struct world *w)
+{
+	struct finding_list findings;
+	char *text;
+	gboolean is_held;
+
+	finding_list_init(&findings);
+	pool_check_books(w->pool, &findings);
+	text = finding_list_text(&findings);
+	g_assert_cmpstr(text, ==, "");
+	g_free(text);
+	is_held = pool_check_guarantees(w->pool, &findings);
+	if (!is_held) {
+		int found = any_plan(w->pool);
+
+		g_assert_cmpint(found, !=, 1);
+	}
+	finding_list_clear(&findings);
+	assert_reclaimable(w);
+}
+
+static gpointer pick(struct world *w, const GPtrArray *list)
+{
+	if (list->len == 0)
+		return NULL;
+	return list->pdata[g_rand_int_range(w->rand, 0, (gint32)list->len)];
+}
+
+static void submit(struct world *w)
+{
+	char *id = g_strdup_printf("j%u", w->next_id++);
+	struct pool_job job = {
+		.id = id,
+		.client_account =
+			account_names[g_rand_int_range(w->rand, 0, ACCOUNTS)],
+		.class = g_rand_int_range(w->rand, 0, JOB_CLASS_COUNT),
+		.shape = random_shape(w->rand, 4),
+		.expected_run_ms = g_rand_int_range(w->rand, 1, 10000),
+		.is_checkpointable = g_rand_boolean(w->rand)};
+	const struct guarantee *g = pick(w, w->pool->guarantees);
+
+	if (g && g_rand_boolean(w->rand)) {
+		job.client_account = g->client_account;
+		job.shape = g->shape;
+	}
+	job_queue_submit(w->queue, &job, w->now_ms);
+	g_ptr_array_add(w->alive, id);
+}
+
+/* Ends, cancels or kills a job, whatever it does now. */
+static void end_job(struct world *w)
+{
+	char *id = pick(w, w->alive);
+
+	if (!id)
+		return;
+	job_queue_cancel(w->queue, id);
+	pool_release(w->pool, id);
+	g_ptr_array_remove_fast(w->alive, id);
+}
+
+static void stop_done(struct world *w)
+{
+	char *id = pick(w, w->stopping);
+
+	if (!id)
+		return;
+	pool_release(w->pool, id);
+	g_ptr_array_remove_fast(w->stopping, id);
+}
+
+static void flip_worker(struct world *w)
+{
+	const struct worker_cell *cell = pick(w, w->pool->workers);
+	gboolean is_usable = !cell->is_usable;
+
+	pool_set_worker_usable(w->pool, cell->name, is_usable);
+	for (guint i = 0; !is_usable && i < cell->jobs->len;) {
+		const struct running_job *r = cell->jobs->pdata[i];
+
+		if (g_rand_boolean(w->rand))
+			pool_release(w->pool, r->job.id);
+		else
+			i++;
+	}
+}
+
+static void run_operation(struct world *w)
+{
+	gint32 n = g_rand_int_range(w->rand, 0, 100);
+
+	if (n < 50)
+		submit(w);
+	else if (n < 75)
+		end_job(w);
+	else if (n < 92)
+		stop_done(w);
+	else if (n < 99)
+		flip_worker(w);
+	else
+		set_random_guarantees(w);
+}
+
+static void note_preempted(struct world *w, const struct placement *p)
+{
+	for (guint i = 0; i < p->preempt->len; i++) {
+		g_ptr_array_add(w->stopping, g_strdup(p->preempt->pdata[i]));
+		w->preempted++;
+	}
+}
+
+static void decide(struct world *w)
+{
+	enum status status;
+
+	do {
+		struct job_decision d;
+
+		job_decision_init(&d);
+		status = job_queue_decide(w->queue, w->pool, w->policy,
+					  w->now_ms, &d);
+		if (status == STATUS_OK) {
+			note_preempted(w, &d.placement);
+			assert_sound(w);
+		}
+		job_decision_clear(&d);
+	} while (status != STATUS_NOT_FOUND);
+}
+
+static void test_guarantees_hold(void)
+{
+	guint64 reclaims = 0;
+	guint64 preempted = 0;
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		struct world w;
+
+		world_init(&w, seed);
+		for (guint i = 0; i < OPERATIONS; i++) {
+			w.now_ms += g_rand_int_range(w.rand, 1, 1000);
+			run_operation(&w);
+			assert_sound(&w);
+			decide(&w);
+		}
+		reclaims += w.reclaims;
+		preempted += w.preempted;
+		world_clear(&w);
+	}
+	g_test_message("%" G_GUINT64_FORMAT " reclaims, %" G_GUINT64_FORMAT
+		       " jobs preempted",
+		       reclaims, preempted);
+	g_assert_cmpuint(reclaims, >, SEEDS * OPERATIONS / 2);
+	g_assert_cmpuint(preempted, >, SEEDS);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/pool/property-guarantees-hold", test_guarantees_hold);
+	return g_test_run();
+}
