--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -1,14 +1,13 @@
 #include "daemon/http_service.h"
 
-#include <string.h>
-
+#include "base/process_usage.h"
 #include "base/util.h"
+#include "config/bearer_token.h"
 #include "daemon/settings_service.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
 #define MAX_CLIENT_CONNECTIONS 2000
 #define MAX_CONNECTIONS_PER_ADDRESS 64
-#define BEARER_PREFIX "Bearer "
 
 struct http_service {
 	struct service base;
@@ -22,6 +21,19 @@
 	return (struct http_service *)kernel_find(k, HTTP_SERVICE);
 }
 
+static void update_traffic(struct http_service *s)
+{
+	struct counters *counters = kernel_counters(s->kernel);
+	struct http_traffic traffic = http_client_traffic(s->client);
+
+	counter_set(counters_gauge(counters, "cs_http_client_sent_bytes",
+				   "Bytes sent by calls of this process"),
+		    (int64_t)traffic.sent_bytes);
+	counter_set(counters_gauge(counters, "cs_http_client_received_bytes",
+				   "Bytes received by calls of this process"),
+		    (int64_t)traffic.received_bytes);
+}
+
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -29,6 +41,8 @@
 
 	if (!http_service_allow_operator(s->kernel, r))
 		return;
+	process_usage_update(kernel_counters(s->kernel));
+	update_traffic(s);
 	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
@@ -107,29 +121,14 @@
 	return find(k)->client;
 }
 
-/* Compares in a time that does not depend on where the texts differ. */
-static gboolean same_secret(const char *a, const char *b)
-{
-	size_t len = strlen(a);
-	unsigned char differences = 0;
-
-	if (strlen(b) != len)
-		return FALSE;
-	for (size_t i = 0; i < len; i++)
-		differences |= (unsigned char)(a[i] ^ b[i]);
-	return differences == 0;
-}
-
 gboolean http_service_allow_operator(const struct kernel *k,
 				     struct http_request *r)
 {
 	const char *token = settings_of(k)->operator_token;
-	const char *header = http_request_header(r, "Authorization");
+	const char *given =
+		bearer_token_of(http_request_header(r, "Authorization"));
 
-	if (!token)
-		return TRUE;
-	if (header && g_str_has_prefix(header, BEARER_PREFIX) &&
-	    same_secret(header + strlen(BEARER_PREFIX), token))
+	if (!token || (given && bearer_token_equal(given, token)))
 		return TRUE;
 	http_request_reply_text(r, SOUP_STATUS_UNAUTHORIZED,
 				"operator token missing or wrong\n");
