--- a/job/cell_index.c
+++ b/job/cell_index.c
@@ -93,7 +93,7 @@
 {
 	int64_t key = CLAMP(least_key, 0, CELL_INDEX_MAX_KEY);
 
-	return (struct cell_cursor){key_from(ix, (int)key), 0};
+	return (struct cell_cursor){ key_from(ix, (int)key), 0 };
 }
 
 gboolean cell_index_next(const struct cell_index *ix, struct cell_cursor *c,
--- a/job/guarantee_plan.c
+++ b/job/guarantee_plan.c
@@ -499,8 +499,8 @@
 gboolean guarantee_plan_bind(struct pool *pool, const struct pool_job *job,
 			     GPtrArray *workers, struct slot **slots)
 {
-	struct binding b = {pool, job, resources_of_member(&job->shape),
-			    workers, slots};
+	struct binding b = { pool, job, resources_of_member(&job->shape),
+			     workers, slots };
 	GPtrArray *list = pool_guarantees_of(pool, job->client_account);
 	gboolean is_bound;
 
--- a/job/job_queue.c
+++ b/job/job_queue.c
@@ -464,7 +464,7 @@
 			     struct placement_policy *policy, int64_t now_ms,
 			     struct job_decision *out)
 {
-	struct deciding d = {q, pool, policy, now_ms, out};
+	struct deciding d = { q, pool, policy, now_ms, out };
 
 	if (q->full_version != pool->version) {
 		q->full_version = pool->version;
--- a/job/placement/borrow.c
+++ b/job/placement/borrow.c
@@ -20,7 +20,7 @@
 {
 	s->pool->visits++;
 	if (!w->is_usable || !reservation_allows(s->pool, w, s->job, s->now_ms))
-		return (struct resources){0, 0, 0};
+		return (struct resources){ 0, 0, 0 };
 	return s->room == BORROW_OPEN ? worker_cell_open(w)
 				      : worker_cell_free(w);
 }
@@ -85,9 +85,9 @@
 static GPtrArray *find_one_worker(const struct search *s)
 {
 	int64_t members = s->job->shape.members;
-	struct resources need = {s->need.accelerators * members,
-				 s->need.cores * members,
-				 s->need.memory_mb * members};
+	struct resources need = { s->need.accelerators * members,
+				  s->need.cores * members,
+				  s->need.memory_mb * members };
 	struct worker_cell *w = find_worker(s, need);
 
 	return w ? repeat(w, members) : NULL;
@@ -179,8 +179,8 @@
 		       int64_t now_ms, enum borrow_room room,
 		       const char **runner_up)
 {
-	struct search s = {pool,   job,	 resources_of_member(&job->shape),
-			   now_ms, room, runner_up};
+	struct search s = { pool,   job,  resources_of_member(&job->shape),
+			    now_ms, room, runner_up };
 	struct worker_cell *w;
 
 	if (job->shape.adjacency == ADJACENCY_WORKER)
--- a/job/placement/cells.c
+++ b/job/placement/cells.c
@@ -26,7 +26,8 @@
 {
 	static const char *const reasons[] = {
 		"borrowed: best fit outside of planned slots",
-		"borrowed: best fit, over planned slots"};
+		"borrowed: best fit, over planned slots"
+	};
 
 	for (enum borrow_room r = BORROW_OPEN; r < BORROW_ROOM_COUNT; r++) {
 		const char *runner_up = "";
@@ -132,7 +133,8 @@
 	static const char *const reasons[] = {
 		"no room: too few workers have space for a member each",
 		"no room: no rack has space for all members",
-		"no room: no worker has space for all members"};
+		"no room: no worker has space for all members"
+	};
 
 	return reasons[job->shape.adjacency];
 }
@@ -141,7 +143,7 @@
 			       const struct pool_job *job, int64_t now_ms,
 			       struct placement *out)
 {
-	struct attempt a = {pool, job, now_ms, out};
+	struct attempt a = { pool, job, now_ms, out };
 
 	if (try_own(&a) || try_borrow(&a) || try_urgent(&a))
 		return STATUS_OK;
--- a/job/placement/own.c
+++ b/job/placement/own.c
@@ -237,7 +237,7 @@
 
 static gboolean is_snug(const struct choice *c, const struct pool_job *job)
 {
-	struct resources size = {0, 0, 0};
+	struct resources size = { 0, 0, 0 };
 
 	for (guint i = 0; i < c->slots->len; i++) {
 		const struct slot *s = c->slots->pdata[i];
--- a/job/placement/placement.c
+++ b/job/placement/placement.c
@@ -9,10 +9,10 @@
 };
 
 static const struct policy_entry policies[] = {
-	{&cells_policy},
-	{&first_fit_policy},
-	{&quota_policy},
-	{&backfill_policy},
+	{ &cells_policy },
+	{ &first_fit_policy },
+	{ &quota_policy },
+	{ &backfill_policy },
 };
 
 struct placement_policy *placement_policy_new(const char *name)
--- a/job/placement/reclaim.c
+++ b/job/placement/reclaim.c
@@ -3,18 +3,18 @@
 /* Urgent jobs are stopped only where no other will do. */
 #define URGENT_WEIGHT 1000
 
-static const struct resources nothing = {0, 0, 0};
+static const struct resources nothing = { 0, 0, 0 };
 
 void reclaim_init(struct reclaim *r, struct pool *pool,
 		  const struct pool_job *job, int64_t now_ms,
 		  may_stop_fn may_stop, const void *data)
 {
-	*r = (struct reclaim){.pool = pool,
-			      .job = job,
-			      .now_ms = now_ms,
-			      .may_stop = may_stop,
-			      .data = data,
-			      .victims = g_ptr_array_new()};
+	*r = (struct reclaim){ .pool = pool,
+			       .job = job,
+			       .now_ms = now_ms,
+			       .may_stop = may_stop,
+			       .data = data,
+			       .victims = g_ptr_array_new() };
 }
 
 void reclaim_clear(struct reclaim *r)
--- a/job/pool.c
+++ b/job/pool.c
@@ -179,9 +179,9 @@
 
 	r = resources_minus(r, w->borrowed);
 	r = resources_minus(r, w->stopping);
-	return (struct resources){MIN(r.accelerators, now.accelerators),
-				  MIN(r.cores, now.cores),
-				  MIN(r.memory_mb, now.memory_mb)};
+	return (struct resources){ MIN(r.accelerators, now.accelerators),
+				   MIN(r.cores, now.cores),
+				   MIN(r.memory_mb, now.memory_mb) };
 }
 
 static void refresh_rack(struct pool *pool, struct rack_cell *rack)
@@ -280,8 +280,8 @@
 	change_rack(pool, w, spec->rack);
 	g_free(w->address);
 	w->address = g_strdup(spec->address);
-	w->capacity = (struct resources){spec->accelerators, spec->cores,
-					 spec->memory_mb};
+	w->capacity = (struct resources){ spec->accelerators, spec->cores,
+					  spec->memory_mb };
 	if (!resources_fit(w->committed, w->capacity))
 		guarantee_plan_drop_worker(pool, w);
 	pool->version++;
@@ -318,8 +318,8 @@
 	struct slot *slot = r->slots ? r->slots[member] : NULL;
 
 	if (!is_added)
-		need = (struct resources){-need.accelerators, -need.cores,
-					  -need.memory_mb};
+		need = (struct resources){ -need.accelerators, -need.cores,
+					   -need.memory_mb };
 	if (r->is_stopping)
 		w->stopping = resources_plus(w->stopping, need);
 	else
@@ -409,7 +409,7 @@
 			w->scratch = resources_minus(w->capacity, w->used);
 		}
 		w->scratch = resources_minus(w->scratch, need);
-		if (!resources_fit((struct resources){0, 0, 0}, w->scratch))
+		if (!resources_fit((struct resources){ 0, 0, 0 }, w->scratch))
 			return FALSE;
 	}
 	return TRUE;
@@ -586,8 +586,8 @@
 gboolean pool_could_fit(const struct pool *pool, const struct shape *shape,
 			char **reason)
 {
-	static const char *const places[] = {"the pool", "any one rack",
-					     "any one worker"};
+	static const char *const places[] = { "the pool", "any one rack",
+					      "any one worker" };
 	int64_t most = most_members(pool, shape);
 
 	if (most >= shape->members)
@@ -649,7 +649,7 @@
 	for (guint i = 0; i < pool->workers->len; i++) {
 		struct worker_cell *w = pool->workers->pdata[i];
 
-		w->committed = (struct resources){0, 0, 0};
+		w->committed = (struct resources){ 0, 0, 0 };
 		pool_refresh_worker(pool, w);
 	}
 }
--- a/job/pool_state.h
+++ b/job/pool_state.h
@@ -103,7 +103,7 @@
 	struct resources r = resources_minus(w->capacity, w->used);
 
 	if (!w->is_usable)
-		return (struct resources){0, 0, 0};
+		return (struct resources){ 0, 0, 0 };
 	return resources_minus(r, w->stopping);
 }
 
@@ -112,7 +112,7 @@
 worker_cell_unplanned(const struct worker_cell *w)
 {
 	if (!w->is_usable)
-		return (struct resources){0, 0, 0};
+		return (struct resources){ 0, 0, 0 };
 	return resources_minus(w->capacity, w->committed);
 }
 
--- a/job/reservation.c
+++ b/job/reservation.c
@@ -62,8 +62,8 @@
 	g_hash_table_iter_init(&iter, pool->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct running_job *r = value;
-		struct release e = {expected_end_ms(r, now_ms), NULL,
-				    resources_of_member(&r->job.shape)};
+		struct release e = { expected_end_ms(r, now_ms), NULL,
+				     resources_of_member(&r->job.shape) };
 
 		for (guint i = 0; i < r->workers->len; i++) {
 			e.worker = r->workers->pdata[i];
@@ -133,8 +133,8 @@
 void reservation_plan(struct pool *pool, const struct pool_job *job,
 		      int64_t now_ms)
 {
-	struct counting c = {.shape = &job->shape,
-			     .need = resources_of_member(&job->shape)};
+	struct counting c = { .shape = &job->shape,
+			      .need = resources_of_member(&job->shape) };
 	GArray *releases = list_releases(pool, now_ms);
 
 	reservation_clear(pool);
@@ -143,7 +143,7 @@
 	for (guint i = 0; i < pool->workers->len; i++) {
 		struct worker_cell *w = pool->workers->pdata[i];
 
-		w->scratch = (struct resources){0, 0, 0};
+		w->scratch = (struct resources){ 0, 0, 0 };
 		count_room(&c, w, worker_cell_free(w));
 		pool->visits++;
 	}
--- a/job/resources.h
+++ b/job/resources.h
@@ -19,21 +19,23 @@
 /** Returns what one member of a shape takes. */
 static inline struct resources resources_of_member(const struct shape *s)
 {
-	return (struct resources){s->accelerators, s->cores, s->memory_mb};
+	return (struct resources){ s->accelerators, s->cores, s->memory_mb };
 }
 
 static inline struct resources resources_plus(struct resources a,
 					      struct resources b)
 {
-	return (struct resources){a.accelerators + b.accelerators,
-				  a.cores + b.cores, a.memory_mb + b.memory_mb};
+	return (struct resources){ a.accelerators + b.accelerators,
+				   a.cores + b.cores,
+				   a.memory_mb + b.memory_mb };
 }
 
 static inline struct resources resources_minus(struct resources a,
 					       struct resources b)
 {
-	return (struct resources){a.accelerators - b.accelerators,
-				  a.cores - b.cores, a.memory_mb - b.memory_mb};
+	return (struct resources){ a.accelerators - b.accelerators,
+				   a.cores - b.cores,
+				   a.memory_mb - b.memory_mb };
 }
 
 /** Tells whether @need is no more than @room in every kind. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -14,8 +14,8 @@
 	for (guint i = 0; i < WORKERS; i++) {
 		char *name = g_strdup_printf("w%u", i);
 		char *rack = g_strdup_printf("r%u", i / RACK_WORKERS);
-		struct worker_spec spec = {name, rack, "127.0.0.1:1",
-					   8,	 64,   131072};
+		struct worker_spec spec = { name, rack, "127.0.0.1:1",
+					    8,	  64,	131072 };
 
 		pool_add_worker(pool, &spec);
 		g_free(name);
@@ -28,24 +28,25 @@
 			      int64_t members, int64_t accelerators,
 			      int64_t adjacency)
 {
-	return (struct pool_job){
-		.id = id,
-		.client_account = account,
-		.family = "f",
-		.class = JOB_CLASS_NORMAL,
-		.shape = {members, accelerators, 1, 1024, adjacency},
-		.expected_run_ms = 60000,
-		.is_checkpointable = TRUE};
+	return (struct pool_job){ .id = id,
+				  .client_account = account,
+				  .family = "f",
+				  .class = JOB_CLASS_NORMAL,
+				  .shape = { members, accelerators, 1, 1024,
+					     adjacency },
+				  .expected_run_ms = 60000,
+				  .is_checkpointable = TRUE };
 }
 
 /* Guarantees of two accounts, one shape each. */
 static void set_guarantees(struct pool *pool, const struct shape *a,
 			   const struct shape *b)
 {
-	struct config_doc doc = {0};
-	struct client_account accounts[2] = {{.name = "a"}, {.name = "b"}};
-	struct guaranteed_shape shapes[2] = {{"s", "salkhi.tov-a", *a},
-					     {"s", "salkhi.tov-a", *b}};
+	struct config_doc doc = { 0 };
+	struct client_account accounts[2] = { { .name = "a" },
+					      { .name = "b" } };
+	struct guaranteed_shape shapes[2] = { { "s", "salkhi.tov-a", *a },
+					      { "s", "salkhi.tov-a", *b } };
 
 	doc.client_accounts =
 		g_array_new(FALSE, FALSE, sizeof(struct client_account));
@@ -80,17 +81,17 @@
 };
 
 static const struct fit_case fit_cases[] = {
-	{{4, 8, 1, 1024, ADJACENCY_NONE}, NULL},
-	{{5, 8, 1, 1024, ADJACENCY_NONE},
-	 "the pool can hold 4 of 5 members even when empty"},
-	{{2, 8, 1, 1024, ADJACENCY_RACK}, NULL},
-	{{3, 8, 1, 1024, ADJACENCY_RACK},
-	 "any one rack can hold 2 of 3 members even when empty"},
-	{{8, 1, 1, 1024, ADJACENCY_WORKER}, NULL},
-	{{9, 1, 1, 1024, ADJACENCY_WORKER},
-	 "any one worker can hold 8 of 9 members even when empty"},
-	{{1, 0, 65, 1024, ADJACENCY_NONE},
-	 "the pool can hold 0 of 1 members even when empty"},
+	{ { 4, 8, 1, 1024, ADJACENCY_NONE }, NULL },
+	{ { 5, 8, 1, 1024, ADJACENCY_NONE },
+	  "the pool can hold 4 of 5 members even when empty" },
+	{ { 2, 8, 1, 1024, ADJACENCY_RACK }, NULL },
+	{ { 3, 8, 1, 1024, ADJACENCY_RACK },
+	  "any one rack can hold 2 of 3 members even when empty" },
+	{ { 8, 1, 1, 1024, ADJACENCY_WORKER }, NULL },
+	{ { 9, 1, 1, 1024, ADJACENCY_WORKER },
+	  "any one worker can hold 8 of 9 members even when empty" },
+	{ { 1, 0, 65, 1024, ADJACENCY_NONE },
+	  "the pool can hold 0 of 1 members even when empty" },
 };
 
 static void test_could_fit(void)
@@ -117,14 +118,14 @@
 };
 
 static const struct guarantee_case guarantee_cases[] = {
-	{{2, 8, 8, 1024, 1}, {2, 8, 8, 1024, 1}, NULL, TRUE},
-	{{2, 8, 8, 1024, 1}, {2, 8, 8, 1024, 1}, "w0", FALSE},
-	{{2, 8, 8, 1024, 1}, {2, 4, 8, 1024, 1}, "w0", TRUE},
-	{{3, 4, 8, 1024, 1}, {2, 8, 8, 1024, 1}, NULL, TRUE},
-	{{3, 4, 8, 1024, 1}, {3, 8, 8, 1024, 0}, NULL, FALSE},
-	{{2, 8, 8, 1024, 0}, {2, 8, 8, 1024, 1}, NULL, TRUE},
-	{{8, 1, 1, 1024, 2}, {3, 8, 8, 1024, 0}, NULL, TRUE},
-	{{8, 1, 1, 1024, 2}, {3, 8, 8, 1024, 0}, "w3", FALSE},
+	{ { 2, 8, 8, 1024, 1 }, { 2, 8, 8, 1024, 1 }, NULL, TRUE },
+	{ { 2, 8, 8, 1024, 1 }, { 2, 8, 8, 1024, 1 }, "w0", FALSE },
+	{ { 2, 8, 8, 1024, 1 }, { 2, 4, 8, 1024, 1 }, "w0", TRUE },
+	{ { 3, 4, 8, 1024, 1 }, { 2, 8, 8, 1024, 1 }, NULL, TRUE },
+	{ { 3, 4, 8, 1024, 1 }, { 3, 8, 8, 1024, 0 }, NULL, FALSE },
+	{ { 2, 8, 8, 1024, 0 }, { 2, 8, 8, 1024, 1 }, NULL, TRUE },
+	{ { 8, 1, 1, 1024, 2 }, { 3, 8, 8, 1024, 0 }, NULL, TRUE },
+	{ { 8, 1, 1, 1024, 2 }, { 3, 8, 8, 1024, 0 }, "w3", FALSE },
 };
 
 static void test_guarantees_held(void)
@@ -190,15 +191,15 @@
 };
 
 static const struct assign_step assign_steps[] = {
-	{SMALL, "w9", NULL, FALSE, STATUS_NOT_FOUND, "", NULL},
-	{SMALL, "w0", NULL, FALSE, STATUS_OK, "small", NULL},
-	{SMALL, "w1", NULL, FALSE, STATUS_CONFLICT, "small", NULL},
-	{BIG, "w0 w1", NULL, TRUE, STATUS_FULL, "small", NULL},
-	{OTHER, "w2 w3", NULL, TRUE, STATUS_CONFLICT, "small", NULL},
-	{BIG, "w0 w1", "small", TRUE, STATUS_OK, "big", "small"},
-	{OTHER, "w2 w3", NULL, FALSE, STATUS_OK, "big other", "big"},
-	{BIG, "w2 w3", "other", TRUE, STATUS_OK, "big", "big"},
-	{SMALL, "w2", NULL, FALSE, STATUS_OK, "small", "unknown"},
+	{ SMALL, "w9", NULL, FALSE, STATUS_NOT_FOUND, "", NULL },
+	{ SMALL, "w0", NULL, FALSE, STATUS_OK, "small", NULL },
+	{ SMALL, "w1", NULL, FALSE, STATUS_CONFLICT, "small", NULL },
+	{ BIG, "w0 w1", NULL, TRUE, STATUS_FULL, "small", NULL },
+	{ OTHER, "w2 w3", NULL, TRUE, STATUS_CONFLICT, "small", NULL },
+	{ BIG, "w0 w1", "small", TRUE, STATUS_OK, "big", "small" },
+	{ OTHER, "w2 w3", NULL, FALSE, STATUS_OK, "big other", "big" },
+	{ BIG, "w2 w3", "other", TRUE, STATUS_OK, "big", "big" },
+	{ SMALL, "w2", NULL, FALSE, STATUS_OK, "small", "unknown" },
 };
 
 static void assert_running(const struct pool *pool, const struct pool_job *jobs,
@@ -218,7 +219,7 @@
 
 static void test_assign(void)
 {
-	const struct shape rack_pair = {2, 8, 8, 8192, ADJACENCY_RACK};
+	const struct shape rack_pair = { 2, 8, 8, 8192, ADJACENCY_RACK };
 	const struct pool_job jobs[] = {
 		job_of("small", "b", 1, 4, ADJACENCY_NONE),
 		job_of("big", "a", 2, 8, ADJACENCY_RACK),
@@ -244,7 +245,7 @@
 /* A guaranteed job that dies with its worker gives its slot back elsewhere. */
 static void test_lost_worker_in_use(void)
 {
-	struct shape one = {1, 8, 8, 8192, ADJACENCY_NONE};
+	struct shape one = { 1, 8, 8, 8192, ADJACENCY_NONE };
 	struct pool_job job = job_of("j", "a", 1, 8, ADJACENCY_NONE);
 	struct pool *pool = new_pool();
 	enum status status;
@@ -269,8 +270,8 @@
 
 /* Four jobs: the second has to wait for all of the pool. */
 static const struct queue_case queue_cases[] = {
-	{"first_fit", "j0"},
-	{"backfill", "j0 j2"},
+	{ "first_fit", "j0" },
+	{ "backfill", "j0 j2" },
 };
 
 static void decide_all(struct job_queue *q, struct pool *pool,
--- a/tests/test_pool_property.c
+++ b/tests/test_pool_property.c
@@ -30,11 +30,11 @@
 	guint64 preempted;
 };
 
-static const char *const account_names[ACCOUNTS] = {"a", "b", "c"};
+static const char *const account_names[ACCOUNTS] = { "a", "b", "c" };
 
 static struct shape random_shape(GRand *rand, gint32 max_members)
 {
-	static const int64_t sizes[] = {1, 2, 4, 8};
+	static const int64_t sizes[] = { 1, 2, 4, 8 };
 	struct shape s = {
 		.members = g_rand_int_range(rand, 1, max_members + 1),
 		.accelerators = sizes[g_rand_int_range(rand, 0, 4)],
@@ -56,12 +56,12 @@
 	for (gint32 i = 0; i < count; i++) {
 		char *name = g_strdup_printf("w%d", i);
 		char *rack = g_strdup_printf("r%d", i / in_rack);
-		struct worker_spec spec = {name,
-					   rack,
-					   "127.0.0.1:1",
-					   g_rand_boolean(w->rand) ? 8 : 4,
-					   32,
-					   65536};
+		struct worker_spec spec = { name,
+					    rack,
+					    "127.0.0.1:1",
+					    g_rand_boolean(w->rand) ? 8 : 4,
+					    32,
+					    65536 };
 
 		pool_add_worker(w->pool, &spec);
 		g_free(name);
@@ -76,7 +76,8 @@
 	gint32 count = g_rand_int_range(rand, 0, MAX_SHAPES + 1);
 
 	for (gint32 i = 0; i < count; i++) {
-		struct guaranteed_shape g = {"s", "p.d", random_shape(rand, 3)};
+		struct guaranteed_shape g = { "s", "p.d",
+					      random_shape(rand, 3) };
 
 		g_array_append_val(shapes, g);
 	}
@@ -85,8 +86,8 @@
 
 static void set_random_guarantees(struct world *w)
 {
-	struct client_account accounts[ACCOUNTS] = {0};
-	struct config_doc doc = {0};
+	struct client_account accounts[ACCOUNTS] = { 0 };
+	struct config_doc doc = { 0 };
 
 	for (guint i = 0; i < ACCOUNTS; i++) {
 		accounts[i].name = (char *)account_names[i];
@@ -188,7 +189,7 @@
 
 static int any_plan(const struct pool *pool)
 {
-	struct feasibility f = {.pool = pool, .steps = SEARCH_STEPS};
+	struct feasibility f = { .pool = pool, .steps = SEARCH_STEPS };
 	int found;
 
 	f.room = g_new0(struct resources, pool->workers->len);
@@ -239,11 +240,11 @@
 {
 	for (guint i = 0; i < w->pool->guarantees->len; i++) {
 		const struct guarantee *g = w->pool->guarantees->pdata[i];
-		struct pool_job job = {.id = "probe",
-				       .client_account = g->client_account,
-				       .class = JOB_CLASS_URGENT,
-				       .shape = g->shape,
-				       .expected_run_ms = 1000};
+		struct pool_job job = { .id = "probe",
+					.client_account = g->client_account,
+					.class = JOB_CLASS_URGENT,
+					.shape = g->shape,
+					.expected_run_ms = 1000 };
 		struct placement p;
 		enum status status;
 
@@ -298,7 +299,8 @@
 		.class = g_rand_int_range(w->rand, 0, JOB_CLASS_COUNT),
 		.shape = random_shape(w->rand, 4),
 		.expected_run_ms = g_rand_int_range(w->rand, 1, 10000),
-		.is_checkpointable = g_rand_boolean(w->rand)};
+		.is_checkpointable = g_rand_boolean(w->rand)
+	};
 	const struct guarantee *g = pick(w, w->pool->guarantees);
 
 	if (g && g_rand_boolean(w->rand)) {
