Scheduler: gangs under leases, recovery from rows and reports, caretaker

Cause: nothing carried a placement out over real workers. Change: job/gang holds the life of one attempt, job/scheduler one pool under one epoch (calls to workers batched and level-triggered, rows by compare-and-set with read back, recovery before any decision), job/caretaker what goes on without table and holder; daemon/pool_runner and daemon/job_service carry it, csschedd runs it; daemon/job_api takes callers' jobs. Each service may tell its status, GET /v1/status composes them. Names of tasks hold the gang's size, so that reports alone tell whole gangs from parts.

--- a/base/kernel.c
+++ b/base/kernel.c
@@ -57,6 +57,22 @@
 	return NULL;
 }
 
+json_object *kernel_status(const struct kernel *k)
+{
+	json_object *json = json_object_new_object();
+
+	json_object_object_add(json, "is_draining",
+			       json_object_new_boolean(k->is_draining));
+	for (guint i = 0; i < k->services->len; i++) {
+		const struct service *s = g_ptr_array_index(k->services, i);
+
+		if (s->class->status)
+			json_object_object_add(json, s->class->name,
+					       s->class->status(s));
+	}
+	return json;
+}
+
 struct counters *kernel_counters(struct kernel *k)
 {
 	return &k->counters;
--- a/base/kernel.h
+++ b/base/kernel.h
@@ -7,6 +7,7 @@
 #define BASE_KERNEL_H
 
 #include <glib.h>
+#include <json-c/json.h>
 #include <stdint.h>
 
 #include "base/counters.h"
@@ -23,6 +24,8 @@
 	void (*drain)(struct service *s);
 	/** Tells whether all accepted work is finished; may be NULL. */
 	gboolean (*is_idle)(const struct service *s);
+	/** Returns what operators see of the service; may be NULL. */
+	json_object *(*status)(const struct service *s);
 	void (*free)(struct service *s);
 };
 
@@ -46,6 +49,9 @@
 /** Returns the counters of this process. */
 struct counters *kernel_counters(struct kernel *k);
 
+/** Returns the status of all services by name; free with put. */
+json_object *kernel_status(const struct kernel *k);
+
 /**
  * Starts all services and runs the main loop until SIGTERM or SIGINT has been
  * received and all services are idle, or the drain timeout has run out.
--- /dev/null
+++ b/daemon/pool_runner.c
@@ -0,0 +1,435 @@
+#include "daemon/pool_runner.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "base/util.h"
+#include "daemon/http_service.h"
+#include "daemon/platform_service.h"
+#include "daemon/settings_service.h"
+#include "job/placement/placement.h"
+#include "job/worker_contact.h"
+#include "shared/pool_lease.h"
+
+#define COMMANDS_PATH "/commands"
+
+struct pool_runner {
+	struct kernel *kernel;
+	char *pool;
+	char *key_prefix;
+	struct scheduler *scheduler;
+	enum pool_role role; /**< as the scheduler has it */
+	int64_t epoch;
+	GHashTable *worker_calls; /**< set of struct worker_request */
+	GHashTable *row_calls;	  /**< set of struct row_request */
+	gboolean is_scanning;
+	gboolean is_asked; /**< the scheduler waits for the scan */
+	guint64 scans;	   /**< counts them, to know the last one */
+	int64_t next_scan_ms;
+	struct counter *renewals;
+	struct counter *commands;
+};
+
+/** One call to a worker in flight. */
+struct worker_request {
+	struct pool_runner *runner;
+	struct http_call *http; /**< NULL when it was not sent */
+	guint unsent_source;	/**< that tells so, 0 when it was sent */
+	char *worker;
+	int64_t call_id;
+};
+
+/** One call to the platform in flight. */
+struct row_request {
+	struct pool_runner *runner;
+	char *id; /**< of the job, NULL for a scan */
+	int64_t call_id;
+	guint64 scan; /**< number of the scan */
+};
+
+static struct worker_request *
+worker_request_new(struct pool_runner *p, const char *worker, int64_t call_id)
+{
+	struct worker_request *c = g_new0(struct worker_request, 1);
+
+	c->runner = p;
+	c->worker = g_strdup(worker);
+	c->call_id = call_id;
+	g_hash_table_add(p->worker_calls, c);
+	return c;
+}
+
+static void worker_request_free(struct worker_request *c)
+{
+	g_hash_table_remove(c->runner->worker_calls, c);
+	g_free(c->worker);
+	g_free(c);
+}
+
+static struct row_request *row_request_new(struct pool_runner *p,
+					   const char *id, int64_t call_id)
+{
+	struct row_request *c = g_new0(struct row_request, 1);
+
+	c->runner = p;
+	c->id = g_strdup(id);
+	c->call_id = call_id;
+	g_hash_table_add(p->row_calls, c);
+	return c;
+}
+
+static void row_request_free(struct row_request *c)
+{
+	g_hash_table_remove(c->runner->row_calls, c);
+	g_free(c->id);
+	g_free(c);
+}
+
+static void log_bad_body(const struct pool_runner *p, const char *what,
+			 const struct finding_list *findings)
+{
+	char *text = finding_list_text(findings);
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_ERROR, "bad_body");
+	log_str(&line, "pool", p->pool);
+	log_str(&line, "from", what);
+	log_str(&line, "findings", text);
+	log_end(&line);
+	g_free(text);
+}
+
+static enum worker_answer decode_answer(struct worker_request *c,
+					const struct http_reply *reply,
+					struct worker_report *report)
+{
+	struct finding_list findings;
+	gboolean is_good;
+
+	if (reply->status == STATUS_OK && reply->code == SOUP_STATUS_CONFLICT)
+		return WORKER_STALE_EPOCH;
+	if (reply->status != STATUS_OK || reply->code != SOUP_STATUS_OK)
+		return WORKER_FAILED;
+	finding_list_init(&findings);
+	is_good = worker_report_decode(report, reply->body, &findings);
+	if (!is_good)
+		log_bad_body(c->runner, c->worker, &findings);
+	finding_list_clear(&findings);
+	return is_good ? WORKER_ANSWERED : WORKER_FAILED;
+}
+
+static void on_worker_reply(const struct http_reply *reply, void *data)
+{
+	struct worker_request *c = data;
+	struct worker_report report = { 0 };
+	enum worker_answer answer = decode_answer(c, reply, &report);
+
+	scheduler_on_worker(c->runner->scheduler, c->worker, c->call_id, answer,
+			    &report, util_monotonic_ms());
+	worker_report_clear(&report);
+	worker_request_free(c);
+}
+
+static gboolean on_unsent(gpointer data)
+{
+	struct worker_request *c = data;
+
+	c->unsent_source = 0;
+	scheduler_on_worker(c->runner->scheduler, c->worker, c->call_id,
+			    WORKER_FAILED, NULL, util_monotonic_ms());
+	worker_request_free(c);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean has_role(const struct pool_runner *p, int64_t now_ms)
+{
+	const struct pool_lease_service *lease =
+		(const struct pool_lease_service *)kernel_find(
+			p->kernel, POOL_LEASE_SERVICE);
+	int64_t epoch;
+	enum pool_role role = pool_lease_role(lease, p->pool, now_ms, &epoch);
+
+	return role == p->role && epoch == p->epoch;
+}
+
+static void call_worker(const char *worker, const char *address,
+			int64_t call_id, const struct worker_call *call,
+			void *data)
+{
+	struct pool_runner *p = data;
+	struct worker_request *c = worker_request_new(p, worker, call_id);
+	json_object *body;
+	struct http_call_spec spec = {
+		.method = "POST",
+		.address = address,
+		.path = COMMANDS_PATH,
+		.timeout_ms = WORKER_CALL_TIMEOUT_MS,
+		.on_reply = on_worker_reply,
+	};
+
+	/* A process that was paused must not act before it has noticed. */
+	if (!has_role(p, util_monotonic_ms())) {
+		c->unsent_source = g_idle_add(on_unsent, c);
+		return;
+	}
+	body = schema_encode(&worker_call_schema, call);
+	spec.body = body;
+	spec.data = c;
+	c->http = http_client_send(http_client_of(p->kernel), &spec);
+	json_object_put(body);
+	counter_add(p->renewals, 1);
+	counter_add(p->commands, call->commands->len);
+}
+
+static void on_written(const struct platform_result *result, void *data)
+{
+	struct row_request *c = data;
+	int64_t version = 0;
+
+	if (result->status == STATUS_OK)
+		version = result->rows[0].version;
+	scheduler_on_written(c->runner->scheduler, c->id, c->call_id,
+			     result->status, version, util_monotonic_ms());
+	row_request_free(c);
+}
+
+static void write_row(const char *id, int64_t call_id,
+		      const struct job_record *r, int64_t expected_version,
+		      void *data)
+{
+	struct pool_runner *p = data;
+	char *key = job_record_key(p->pool, id);
+	struct table_write write = {
+		.table = JOBS_TABLE,
+		.key = key,
+		.expected_version = expected_version,
+		.value = r ? job_record_encode(r) : NULL,
+	};
+
+	platform_commit(platform_of(p->kernel), &write, 1, on_written,
+			row_request_new(p, id, call_id));
+	json_object_put(write.value);
+	g_free(key);
+}
+
+static gboolean decode_row(const struct pool_runner *p,
+			   const struct table_row *row, struct job_record *r)
+{
+	struct finding_list findings;
+	gboolean is_good;
+
+	finding_list_init(&findings);
+	is_good = job_record_decode(r, row->value, &findings);
+	if (!is_good)
+		log_bad_body(p, row->key, &findings);
+	finding_list_clear(&findings);
+	return is_good;
+}
+
+static void on_read(const struct platform_result *result, void *data)
+{
+	struct row_request *c = data;
+	struct job_record r = { 0 };
+	enum status status = result->status;
+	int64_t version = 0;
+
+	if (status == STATUS_OK) {
+		version = result->rows[0].version;
+		if (!decode_row(c->runner, &result->rows[0], &r))
+			status = STATUS_INVALID;
+	}
+	scheduler_on_read(c->runner->scheduler, c->id, c->call_id, status,
+			  version, &r, util_monotonic_ms());
+	job_record_clear(&r);
+	row_request_free(c);
+}
+
+static void read_row(const char *id, int64_t call_id, void *data)
+{
+	struct pool_runner *p = data;
+	char *key = job_record_key(p->pool, id);
+
+	platform_read(platform_of(p->kernel), JOBS_TABLE, key, on_read,
+		      row_request_new(p, id, call_id));
+	g_free(key);
+}
+
+/* Hands a row to the scheduler unless it has that version already. */
+static void take_row(struct pool_runner *p, const struct table_row *row)
+{
+	const char *id = row->key + strlen(p->key_prefix);
+	struct job_record r = { 0 };
+
+	if (!g_str_has_prefix(row->key, p->key_prefix) ||
+	    !scheduler_is_news(p->scheduler, id, row->version))
+		return;
+	if (decode_row(p, row, &r) && g_str_equal(r.id, id))
+		scheduler_on_row(p->scheduler, row->version, &r,
+				 util_monotonic_ms());
+	job_record_clear(&r);
+}
+
+static int64_t scan_period_ms(guint rows)
+{
+	int64_t period_ms =
+		rows * POOL_ROW_BYTES * MS_PER_S / POOL_SCAN_BYTES_PER_S;
+
+	return MAX(period_ms, POOL_SCAN_MIN_MS);
+}
+
+static void on_scanned(const struct platform_result *result, void *data)
+{
+	struct row_request *c = data;
+	struct pool_runner *p = c->runner;
+	int64_t now_ms = util_monotonic_ms();
+	gboolean is_asked = p->is_asked;
+	gboolean is_last = c->scan == p->scans;
+
+	row_request_free(c);
+	if (!is_last)
+		return;
+	p->is_scanning = FALSE;
+	p->is_asked = FALSE;
+	p->next_scan_ms = now_ms + scan_period_ms(result->row_count);
+	for (guint i = 0; result->status == STATUS_OK && i < result->row_count;
+	     i++)
+		take_row(p, &result->rows[i]);
+	if (is_asked)
+		scheduler_on_scanned(p->scheduler, result->status, now_ms);
+}
+
+static void start_scan(struct pool_runner *p)
+{
+	struct row_request *c = row_request_new(p, NULL, 0);
+
+	p->is_scanning = TRUE;
+	c->scan = ++p->scans;
+	platform_scan(platform_of(p->kernel), JOBS_TABLE, p->key_prefix,
+		      on_scanned, c);
+}
+
+/* What a scan began with may be older than the role: it is begun anew. */
+static void scan_rows(void *data)
+{
+	struct pool_runner *p = data;
+
+	p->is_asked = TRUE;
+	p->is_scanning = FALSE;
+	p->scans++;
+	p->next_scan_ms = 0;
+}
+
+static const struct scheduler_ops ops = {
+	.call_worker = call_worker,
+	.write_row = write_row,
+	.read_row = read_row,
+	.scan_rows = scan_rows,
+};
+
+struct pool_runner *pool_runner_new(struct kernel *k, const char *pool)
+{
+	struct pool_runner *p = g_new0(struct pool_runner, 1);
+	struct scheduler_spec spec = {
+		.pool = pool,
+		.node = settings_of(k)->node,
+		.incarnation = incarnation_of(k),
+		.policy = PLACEMENT_POLICY_DEFAULT,
+		.ops = &ops,
+		.data = p,
+	};
+
+	p->kernel = k;
+	p->pool = g_strdup(pool);
+	p->key_prefix = g_strdup_printf("%s/", pool);
+	p->worker_calls = g_hash_table_new(NULL, NULL);
+	p->row_calls = g_hash_table_new(NULL, NULL);
+	p->renewals = counters_counter(kernel_counters(k), "cs_worker_calls",
+				       "Calls to workers");
+	p->commands = counters_counter(kernel_counters(k), "cs_worker_commands",
+				       "Commands to workers");
+	p->scheduler = scheduler_new(&spec);
+	return p;
+}
+
+static void drop_calls(struct pool_runner *p)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, p->worker_calls);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		struct worker_request *c = item;
+
+		if (c->unsent_source)
+			g_source_remove(c->unsent_source);
+		else
+			http_call_cancel(c->http);
+		g_free(c->worker);
+		g_free(c);
+	}
+	g_hash_table_iter_init(&iter, p->row_calls);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		struct row_request *c = item;
+
+		platform_forget(platform_of(p->kernel), c);
+		g_free(c->id);
+		g_free(c);
+	}
+}
+
+void pool_runner_free(struct pool_runner *p)
+{
+	drop_calls(p);
+	g_hash_table_unref(p->worker_calls);
+	g_hash_table_unref(p->row_calls);
+	scheduler_free(p->scheduler);
+	g_free(p->key_prefix);
+	g_free(p->pool);
+	g_free(p);
+}
+
+const char *pool_runner_pool(const struct pool_runner *p)
+{
+	return p->pool;
+}
+
+struct scheduler *pool_runner_scheduler(struct pool_runner *p)
+{
+	return p->scheduler;
+}
+
+void pool_runner_tick(struct pool_runner *p)
+{
+	const struct pool_lease_service *lease =
+		(const struct pool_lease_service *)kernel_find(
+			p->kernel, POOL_LEASE_SERVICE);
+	int64_t now_ms = util_monotonic_ms();
+
+	p->role = pool_lease_role(lease, p->pool, now_ms, &p->epoch);
+	scheduler_set_role(p->scheduler, p->role, p->epoch, now_ms);
+	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning &&
+	    now_ms >= p->next_scan_ms)
+		start_scan(p);
+	scheduler_tick(p->scheduler, now_ms, util_wall_ms());
+}
+
+static void on_poked(const struct platform_result *result, void *data)
+{
+	struct row_request *c = data;
+
+	if (result->status == STATUS_OK)
+		take_row(c->runner, &result->rows[0]);
+	row_request_free(c);
+}
+
+void pool_runner_poke(struct pool_runner *p, const char *id)
+{
+	char *key;
+
+	if (p->role != POOL_ROLE_HOLDER)
+		return;
+	key = job_record_key(p->pool, id);
+	platform_read(platform_of(p->kernel), JOBS_TABLE, key, on_poked,
+		      row_request_new(p, id, 0));
+	g_free(key);
+}
--- /dev/null
+++ b/daemon/pool_runner.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * Runs the scheduler of one pool: carries its calls to the workers and to the
+ * platform, and the answers back.
+ */
+#ifndef DAEMON_POOL_RUNNER_H
+#define DAEMON_POOL_RUNNER_H
+
+#include "base/kernel.h"
+#include "job/scheduler.h"
+
+/** Shortest period in which the rows are read. */
+#define POOL_SCAN_MIN_MS INT64_C(2000)
+/** Of a row on the wire. */
+#define POOL_ROW_BYTES INT64_C(700)
+/** That a holder may spend on reading rows. */
+#define POOL_SCAN_BYTES_PER_S INT64_C(4000)
+
+struct pool_runner;
+
+/** Returns a new runner; the pool's role is asked of the lease service. */
+struct pool_runner *pool_runner_new(struct kernel *k, const char *pool);
+void pool_runner_free(struct pool_runner *p);
+
+const char *pool_runner_pool(const struct pool_runner *p);
+struct scheduler *pool_runner_scheduler(struct pool_runner *p);
+
+/** Takes the present role and acts on what is due. */
+void pool_runner_tick(struct pool_runner *p);
+
+/** Reads one row, because it has just been written. */
+void pool_runner_poke(struct pool_runner *p, const char *id);
+
+#endif
--- /dev/null
+++ b/job/job_record.h
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * A job's row in the table "jobs", key POOL/ID: what was asked for, and how
+ * far it came. Written by compare-and-set only.
+ */
+#ifndef JOB_JOB_RECORD_H
+#define JOB_JOB_RECORD_H
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdint.h>
+
+#include "base/finding.h"
+#include "base/schema.h"
+#include "config/config_doc.h"
+#include "job/pool.h"
+
+#define JOBS_TABLE "jobs"
+#define JOB_ID_MAX_BYTES 128
+#define JOB_MAX_RUN_MS (INT64_C(30) * 24 * 3600 * 1000)
+
+enum job_state {
+	JOB_QUEUED,
+	JOB_COMMITTED, /**< the placement is recorded; members may start */
+	JOB_RUNNING,   /**< all members were started */
+	JOB_DONE,
+	JOB_FAILED,
+	JOB_REFUSED, /**< can never run */
+	JOB_CANCELLED,
+	JOB_STATE_COUNT,
+};
+
+struct job_record {
+	char *id;
+	char *pool;
+	char *client_account;
+	char *family;  /**< name in the configuration, "" for none */
+	int64_t class; /**< enum job_class */
+	struct shape shape;
+	int64_t run_ms;		 /**< work to do, as declared */
+	int64_t expected_run_ms; /**< for planning */
+	int64_t is_checkpointable;
+	int64_t is_cancelled; /**< the caller asked to stop it */
+	int64_t state;	      /**< enum job_state */
+	int64_t attempt;      /**< of the last commitment, 0 before it */
+	int64_t epoch;	      /**< that the last commitment was made under */
+	int64_t failures;     /**< attempts in which a task failed */
+	int64_t remaining_ms; /**< work left after the last checkpoint */
+	int64_t submitted_ms; /**< wall clock, as the next two */
+	int64_t started_ms;
+	int64_t ended_ms;
+	GPtrArray *placement; /**< of char *, the worker of each member */
+	char *reason;	      /**< why it is in this state */
+	char *commit_id;      /**< random id of the last write */
+};
+
+extern const struct schema job_record_schema;
+extern const char *const job_state_names[];
+
+/**
+ * Decodes a row.
+ *
+ * @param r	a zeroed struct; job_record_clear() it in any case
+ * @return	TRUE when nothing was found
+ */
+gboolean job_record_decode(struct job_record *r, json_object *json,
+			   struct finding_list *findings);
+
+/** Encodes a row; free with json_object_put(). */
+json_object *job_record_encode(const struct job_record *r);
+
+void job_record_clear(struct job_record *r);
+
+/** Copies a row into a zeroed struct. */
+void job_record_copy(struct job_record *to, const struct job_record *from);
+
+/** Sets the state and its reason. */
+void job_record_set_state(struct job_record *r, enum job_state state,
+			  const char *reason);
+
+/** Returns the key of a row; free it. */
+char *job_record_key(const char *pool, const char *id);
+
+/** Tells whether the job has ended for good. */
+gboolean job_record_is_ended(const struct job_record *r);
+
+/** Tells whether two rows ask for the same work. */
+gboolean job_record_same_request(const struct job_record *a,
+				 const struct job_record *b);
+
+/** Returns the job as the pool knows it; valid as long as the row. */
+struct pool_job job_record_pool_job(const struct job_record *r);
+
+#endif
--- /dev/null
+++ b/job/scheduler_state.h
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * The state of a scheduler, shared by the files scheduler*.c only.
+ */
+#ifndef JOB_SCHEDULER_STATE_H
+#define JOB_SCHEDULER_STATE_H
+
+#include "job/caretaker.h"
+#include "job/job_entry.h"
+#include "job/job_queue.h"
+#include "job/placement/placement.h"
+#include "job/scheduler.h"
+#include "job/worker_contact.h"
+
+/** Which member of which job a task is. */
+struct member_ref {
+	struct job_entry *entry;
+	guint member;
+};
+
+struct scheduler {
+	char *pool_name;
+	char *node;
+	char *incarnation;
+	const struct scheduler_ops *ops;
+	void *data;
+
+	enum scheduler_phase phase;
+	enum pool_role role;
+	int64_t epoch;
+	char *writer; /**< prefix of commit ids, of this time as holder */
+	int64_t terms;
+	int64_t calls; /**< made so far, for their ids */
+
+	struct pool *pool;
+	struct placement_policy *policy;
+	struct job_queue *queue;
+	const struct config_doc *doc;
+	int64_t config_version;
+	gboolean needs_decision;
+
+	GHashTable *workers;  /**< name to struct worker_contact */
+	GHashTable *entries;  /**< job id to struct job_entry */
+	gboolean has_workers; /**< the platform's list was read */
+	guint listed_workers;
+
+	gboolean is_scanned;
+	int64_t recovery_since_ms;
+	int64_t recoveries;
+	int64_t recovery_ms;
+
+	struct caretaker *caretaker;
+	int64_t wall_offset_ms; /**< wall clock less monotonic clock */
+	int64_t next_decision_ms;
+};
+
+/* scheduler.c */
+
+/** Acts on what a gang's state asks for since it was last followed. */
+void scheduler_follow(struct scheduler *s, struct job_entry *e, int64_t now_ms);
+
+/** Ends each public event: decides and sends what is due. */
+void scheduler_finish_event(struct scheduler *s, int64_t now_ms);
+
+/** Stops deciding because a newer holder was met. */
+void scheduler_set_fenced(struct scheduler *s, const char *where);
+
+/** Queues a job. */
+void scheduler_queue(struct scheduler *s, struct job_entry *e);
+
+/** Makes the attempt recorded in the row known to its workers' contacts. */
+void scheduler_recover_gang(struct scheduler *s, struct job_entry *e,
+			    int64_t now_ms);
+
+/* scheduler_workers.c */
+
+struct worker_contact *scheduler_contact(struct scheduler *s, const char *name);
+void scheduler_add_tasks(struct scheduler *s, struct job_entry *e,
+			 int64_t now_ms);
+void scheduler_remove_tasks(struct scheduler *s, struct job_entry *e);
+void scheduler_mark_due(struct scheduler *s, const struct job_entry *e);
+void scheduler_check_workers(struct scheduler *s, int64_t now_ms);
+void scheduler_send_calls(struct scheduler *s, int64_t now_ms);
+int64_t scheduler_lease_ms(const struct scheduler *s);
+
+/* scheduler_rows.c */
+
+/** Writes a row if that is due. */
+void scheduler_write(struct scheduler *s, struct job_entry *e, int64_t now_ms);
+
+/** Sets what the row ought to say, to be written. */
+void scheduler_set_state(struct scheduler *s, struct job_entry *e,
+			 enum job_state state, const char *reason);
+
+#endif
--- /dev/null
+++ b/job/scheduler_workers.c
@@ -0,0 +1,407 @@
+/*
+ * The workers of a scheduler: one call in flight to each, which carries all
+ * commands that are due and renews all leases on the worker.
+ */
+#include "job/scheduler_state.h"
+
+#include "base/log.h"
+#include "job/task_name.h"
+
+struct worker_contact *scheduler_contact(struct scheduler *s, const char *name)
+{
+	return g_hash_table_lookup(s->workers, name);
+}
+
+int64_t scheduler_lease_ms(const struct scheduler *s)
+{
+	return worker_lease_ms(s->listed_workers);
+}
+
+static struct worker_contact *add_contact(struct scheduler *s, const char *name,
+					  const char *address, int64_t now_ms)
+{
+	struct worker_contact *c = worker_contact_new(name, address, now_ms);
+
+	g_hash_table_insert(s->workers, c->name, c);
+	return c;
+}
+
+/* A worker that a row names and the platform's list has not. */
+static struct worker_contact *add_unlisted(struct scheduler *s,
+					   const char *name, int64_t now_ms)
+{
+	struct worker_contact *c = add_contact(s, name, NULL, now_ms);
+
+	c->is_lost = TRUE;
+	c->unlisted_ms = now_ms;
+	return c;
+}
+
+void scheduler_add_tasks(struct scheduler *s, struct job_entry *e,
+			 int64_t now_ms)
+{
+	for (guint i = 0; i < e->gang->members->len; i++) {
+		const struct gang_member *m =
+			&g_array_index(e->gang->members, struct gang_member, i);
+		struct worker_contact *c = scheduler_contact(s, m->worker);
+		struct member_ref *ref = g_new0(struct member_ref, 1);
+
+		if (!c)
+			c = add_unlisted(s, m->worker, now_ms);
+		ref->entry = e;
+		ref->member = i;
+		g_hash_table_insert(c->tasks, g_strdup(m->task), ref);
+	}
+}
+
+void scheduler_remove_tasks(struct scheduler *s, struct job_entry *e)
+{
+	for (guint i = 0; e->gang && i < e->gang->members->len; i++) {
+		const struct gang_member *m =
+			&g_array_index(e->gang->members, struct gang_member, i);
+		struct worker_contact *c = scheduler_contact(s, m->worker);
+
+		if (c)
+			g_hash_table_remove(c->tasks, m->task);
+	}
+}
+
+void scheduler_mark_due(struct scheduler *s, const struct job_entry *e)
+{
+	enum worker_op ops[2];
+
+	for (guint i = 0; i < e->gang->members->len; i++) {
+		const struct gang_member *m =
+			&g_array_index(e->gang->members, struct gang_member, i);
+		struct worker_contact *c = scheduler_contact(s, m->worker);
+
+		if (c && gang_member_ops(e->gang, i, ops))
+			c->is_due = TRUE;
+	}
+}
+
+static void log_worker(const struct scheduler *s, const char *event,
+		       const struct worker_contact *c)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, event);
+	log_str(&line, "pool", s->pool_name);
+	log_str(&line, "worker", c->name);
+	log_int(&line, "epoch", s->epoch);
+	log_end(&line);
+}
+
+static void update_usable(struct scheduler *s, struct worker_contact *c)
+{
+	gboolean is_usable = worker_contact_is_usable(c);
+
+	if (c->is_usable == is_usable)
+		return;
+	c->is_usable = is_usable;
+	pool_set_worker_usable(s->pool, c->name, is_usable);
+	log_worker(s, is_usable ? "worker_usable" : "worker_not_usable", c);
+	s->needs_decision = TRUE;
+}
+
+/* Lists each job that has a task on a worker, once. */
+static GPtrArray *entries_on(const struct worker_contact *c)
+{
+	GHashTable *seen = g_hash_table_new(NULL, NULL);
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer ref;
+
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &ref)) {
+		struct job_entry *e = ((struct member_ref *)ref)->entry;
+
+		if (g_hash_table_add(seen, e))
+			g_ptr_array_add(list, e);
+	}
+	g_hash_table_unref(seen);
+	return list;
+}
+
+static void on_contact_event(struct scheduler *s, struct worker_contact *c,
+			     enum contact_event event, int64_t now_ms)
+{
+	GPtrArray *entries = entries_on(c);
+
+	log_worker(s,
+		   event == CONTACT_EVENT_LOST ? "worker_lost"
+					       : "worker_expired",
+		   c);
+	if (s->caretaker)
+		caretaker_on_lost(s->caretaker, c->name);
+	/* While recovering, the decision waits for all reports. */
+	for (guint i = 0; i < entries->len; i++) {
+		struct job_entry *e = entries->pdata[i];
+
+		if (event == CONTACT_EVENT_EXPIRED)
+			gang_on_worker_expired(e->gang, c->name, now_ms);
+		else
+			gang_on_worker_lost(e->gang, c->name, now_ms);
+		scheduler_follow(s, e, now_ms);
+	}
+	g_ptr_array_unref(entries);
+	update_usable(s, c);
+}
+
+void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
+{
+	int64_t lease_ms = scheduler_lease_ms(s);
+	GHashTableIter iter;
+	gpointer item;
+	GPtrArray *all = g_ptr_array_new();
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		g_ptr_array_add(all, item);
+	for (guint i = 0; i < all->len; i++) {
+		enum contact_event event =
+			worker_contact_check(all->pdata[i], lease_ms, now_ms);
+
+		if (event != CONTACT_EVENT_NONE)
+			on_contact_event(s, all->pdata[i], event, now_ms);
+	}
+	g_ptr_array_unref(all);
+}
+
+static void set_listed(struct scheduler *s, const struct listed_worker *w,
+		       int64_t now_ms)
+{
+	struct worker_contact *c = scheduler_contact(s, w->spec.name);
+
+	if (!c)
+		c = add_contact(s, w->spec.name, w->spec.address, now_ms);
+	if (!c->is_listed)
+		pool_add_worker(s->pool, &w->spec);
+	if (!c->is_listed && !c->is_usable)
+		pool_set_worker_usable(s->pool, c->name, FALSE);
+	if (g_strcmp0(c->address, w->spec.address) != 0) {
+		g_free(c->address);
+		c->address = g_strdup(w->spec.address);
+	}
+	worker_contact_set_listed(c, TRUE, w->is_leaving, now_ms);
+	update_usable(s, c);
+}
+
+static GHashTable *names_of(const struct listed_worker *workers, guint count)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < count; i++)
+		g_hash_table_add(names, (gpointer)workers[i].spec.name);
+	return names;
+}
+
+void scheduler_on_workers(struct scheduler *s,
+			  const struct listed_worker *workers, guint count,
+			  int64_t now_ms)
+{
+	GHashTable *names = names_of(workers, count);
+	GHashTableIter iter;
+	gpointer item;
+
+	s->has_workers = TRUE;
+	s->listed_workers = count;
+	for (guint i = 0; i < count; i++)
+		set_listed(s, &workers[i], now_ms);
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct worker_contact *c = item;
+
+		if (g_hash_table_contains(names, c->name) || !c->is_listed)
+			continue;
+		worker_contact_set_listed(c, FALSE, TRUE, now_ms);
+		update_usable(s, c);
+	}
+	g_hash_table_unref(names);
+	scheduler_finish_event(s, now_ms);
+}
+
+static void append(struct worker_contact *c, struct worker_call *call,
+		   enum worker_op op, const char *task,
+		   const struct job_record *r)
+{
+	struct worker_command command = { .op = op, .task = g_strdup(task) };
+	struct sent_command sent = { op, g_strdup(task) };
+
+	if (r && (op == WORKER_RESERVE || op == WORKER_START)) {
+		command.accelerators = r->shape.accelerators;
+		command.cores = r->shape.cores;
+		command.memory_mb = r->shape.memory_mb;
+		command.run_ms = r->remaining_ms ? r->remaining_ms : r->run_ms;
+	}
+	g_array_append_val(call->commands, command);
+	g_array_append_val(c->sent, sent);
+}
+
+static void append_commands(struct worker_contact *c, struct worker_call *call)
+{
+	enum worker_op ops[2];
+	GHashTableIter iter;
+	gpointer task;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, &task, &item)) {
+		const struct member_ref *ref = item;
+		struct job_entry *e = ref->entry;
+		guint count = gang_member_ops(e->gang, ref->member, ops);
+
+		for (guint i = 0; i < count; i++)
+			append(c, call, ops[i], task, &e->record);
+	}
+	for (guint i = 0; i < c->orphans->len; i++) {
+		append(c, call, WORKER_STOP, c->orphans->pdata[i], NULL);
+		append(c, call, WORKER_RELEASE, c->orphans->pdata[i], NULL);
+	}
+	g_ptr_array_set_size(c->orphans, 0);
+}
+
+static void send_call(struct scheduler *s, struct worker_contact *c,
+		      int64_t now_ms)
+{
+	struct worker_call call;
+
+	worker_call_init(&call, s->pool_name, s->epoch, s->node,
+			 scheduler_lease_ms(s));
+	g_array_set_size(c->sent, 0);
+	if (s->phase != SCHEDULER_RECOVERING)
+		append_commands(c, &call);
+	worker_contact_on_sent(c, ++s->calls, now_ms);
+	s->ops->call_worker(c->name, c->address, c->call_id, &call, s->data);
+	worker_call_clear(&call);
+}
+
+void scheduler_send_calls(struct scheduler *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	if (s->phase == SCHEDULER_IDLE || s->phase == SCHEDULER_FENCED)
+		return;
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct worker_contact *c = item;
+
+		if (c->address && worker_contact_wants_call(c, now_ms))
+			send_call(s, c, now_ms);
+	}
+}
+
+static void take_results(struct worker_contact *c,
+			 const struct worker_report *report, int64_t now_ms)
+{
+	for (guint i = 0; i < report->results->len && i < c->sent->len; i++) {
+		const struct worker_result *result = &g_array_index(
+			report->results, struct worker_result, i);
+		const struct sent_command *sent =
+			&g_array_index(c->sent, struct sent_command, i);
+		const struct member_ref *ref =
+			g_hash_table_lookup(c->tasks, sent->task);
+
+		if (ref && g_str_equal(result->task, sent->task))
+			gang_on_result(ref->entry->gang, ref->member, sent->op,
+				       result->is_refused != 0, now_ms);
+	}
+}
+
+/* A task that no job of ours accounts for is stopped. */
+static void take_orphan(struct scheduler *s, struct worker_contact *c,
+			const struct worker_task *t)
+{
+	struct task_name name = { 0 };
+	struct job_entry *e;
+
+	if (t->state != TASK_RESERVED && t->state != TASK_RUNNING)
+		return;
+	if (task_name_parse(t->task, &name)) {
+		e = g_hash_table_lookup(s->entries, name.job);
+		if (e)
+			e->last_attempt = MAX(e->last_attempt, name.attempt);
+		task_name_clear(&name);
+	}
+	if (s->phase != SCHEDULER_ACTIVE)
+		return;
+	g_ptr_array_add(c->orphans, g_strdup(t->task));
+	c->is_due = TRUE;
+}
+
+static void take_absent(struct worker_contact *c, GHashTable *seen,
+			int64_t as_of_ms, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer task;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, &task, &item)) {
+		const struct member_ref *ref = item;
+
+		if (!g_hash_table_contains(seen, task))
+			gang_on_absent(ref->entry->gang, ref->member, as_of_ms,
+				       now_ms);
+	}
+}
+
+static void take_tasks(struct scheduler *s, struct worker_contact *c,
+		       const struct worker_report *report, int64_t as_of_ms,
+		       int64_t now_ms)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < report->tasks->len; i++) {
+		const struct worker_task *t =
+			&g_array_index(report->tasks, struct worker_task, i);
+		const struct member_ref *ref =
+			g_hash_table_lookup(c->tasks, t->task);
+
+		g_hash_table_add(seen, t->task);
+		if (ref)
+			gang_on_task(ref->entry->gang, ref->member,
+				     (enum task_state)t->state, t->remaining_ms,
+				     now_ms);
+		else
+			take_orphan(s, c, t);
+	}
+	take_absent(c, seen, as_of_ms, now_ms);
+	g_hash_table_unref(seen);
+}
+
+static void take_answer(struct scheduler *s, struct worker_contact *c,
+			const struct worker_report *report, int64_t now_ms)
+{
+	int64_t period_ms = worker_renew_period_ms(s->listed_workers);
+	int64_t as_of_ms = worker_contact_on_answer(c, period_ms, now_ms);
+	GPtrArray *entries = entries_on(c);
+
+	if (s->caretaker)
+		caretaker_on_report(s->caretaker, c->name, report->tasks);
+	take_results(c, report, now_ms);
+	take_tasks(s, c, report, as_of_ms, now_ms);
+	for (guint i = 0; i < entries->len; i++)
+		scheduler_follow(s, entries->pdata[i], now_ms);
+	g_ptr_array_unref(entries);
+	update_usable(s, c);
+}
+
+void scheduler_on_worker(struct scheduler *s, const char *worker,
+			 int64_t call_id, enum worker_answer answer,
+			 const struct worker_report *report, int64_t now_ms)
+{
+	struct worker_contact *c = scheduler_contact(s, worker);
+
+	if (!c || !c->is_in_flight || c->call_id != call_id)
+		return;
+	if (answer == WORKER_ANSWERED) {
+		take_answer(s, c, report, now_ms);
+	} else {
+		worker_contact_on_failure(c, now_ms);
+		if (answer == WORKER_STALE_EPOCH)
+			scheduler_set_fenced(s, c->name);
+	}
+	scheduler_finish_event(s, now_ms);
+}
--- /dev/null
+++ b/job/worker_contact.c
@@ -0,0 +1,165 @@
+#include "job/worker_contact.h"
+
+#include "base/util.h"
+#include "job/gang.h"
+
+static void sent_command_clear(gpointer data)
+{
+	g_free(((struct sent_command *)data)->task);
+}
+
+struct worker_contact *worker_contact_new(const char *name, const char *address,
+					  int64_t now_ms)
+{
+	struct worker_contact *c = g_new0(struct worker_contact, 1);
+
+	c->name = g_strdup(name);
+	c->address = g_strdup(address);
+	c->sent = g_array_new(FALSE, TRUE, sizeof(struct sent_command));
+	g_array_set_clear_func(c->sent, sent_command_clear);
+	c->tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->orphans = g_ptr_array_new_with_free_func(g_free);
+	worker_contact_reset(c, now_ms);
+	return c;
+}
+
+void worker_contact_free(struct worker_contact *c)
+{
+	g_ptr_array_unref(c->orphans);
+	g_hash_table_unref(c->tasks);
+	g_array_unref(c->sent);
+	g_free(c->address);
+	g_free(c->name);
+	g_free(c);
+}
+
+void worker_contact_reset(struct worker_contact *c, int64_t now_ms)
+{
+	c->is_fenced = FALSE;
+	c->is_current = FALSE;
+	c->is_lost = FALSE;
+	c->is_expired = FALSE;
+	c->is_due = FALSE;
+	c->is_in_flight = FALSE;
+	c->call_id = 0;
+	c->renewed_ms = now_ms;
+	c->first_failure_ms = 0;
+	c->next_call_ms = now_ms;
+	g_array_set_size(c->sent, 0);
+	g_hash_table_remove_all(c->tasks);
+	g_ptr_array_set_size(c->orphans, 0);
+}
+
+void worker_contact_set_listed(struct worker_contact *c, gboolean is_listed,
+			       gboolean is_leaving, int64_t now_ms)
+{
+	if (c->is_listed && !is_listed)
+		c->unlisted_ms = now_ms;
+	c->is_listed = is_listed;
+	c->is_leaving = is_leaving;
+}
+
+gboolean worker_contact_wants_call(const struct worker_contact *c,
+				   int64_t now_ms)
+{
+	if (c->is_in_flight)
+		return FALSE;
+	if (c->is_due && !c->first_failure_ms)
+		return TRUE;
+	return now_ms >= c->next_call_ms;
+}
+
+void worker_contact_on_sent(struct worker_contact *c, int64_t call_id,
+			    int64_t now_ms)
+{
+	c->is_in_flight = TRUE;
+	c->is_due = FALSE;
+	c->call_id = call_id;
+	c->sent_ms = now_ms;
+	if (!c->is_lost)
+		c->renewed_ms = now_ms;
+}
+
+int64_t worker_contact_on_answer(struct worker_contact *c, int64_t period_ms,
+				 int64_t now_ms)
+{
+	int64_t as_of_ms = c->sent_ms - WORKER_REPORT_LAG_MS;
+
+	c->is_in_flight = FALSE;
+	c->is_lost = FALSE;
+	c->is_expired = FALSE;
+	c->first_failure_ms = 0;
+	c->next_call_ms = now_ms + period_ms;
+	if (!c->is_fenced) {
+		c->is_fenced = TRUE;
+		c->fenced_ms = now_ms;
+		c->next_call_ms = now_ms + WORKER_REPORT_LAG_MS + 1;
+	}
+	if (as_of_ms > c->fenced_ms)
+		c->is_current = TRUE;
+	return as_of_ms;
+}
+
+void worker_contact_on_failure(struct worker_contact *c, int64_t now_ms)
+{
+	c->is_in_flight = FALSE;
+	if (!c->first_failure_ms)
+		c->first_failure_ms = c->sent_ms;
+	c->next_call_ms = now_ms + WORKER_RETRY_MS;
+}
+
+static gboolean has_expired(const struct worker_contact *c, int64_t lease_ms,
+			    int64_t now_ms)
+{
+	int64_t wait_ms = lease_ms + WORKER_EXPIRY_SLACK_MS;
+
+	if (!c->is_listed && now_ms >= c->unlisted_ms + wait_ms)
+		return TRUE;
+	/* Without the fence an older holder might still renew. */
+	return c->is_fenced && now_ms >= c->renewed_ms + wait_ms;
+}
+
+enum contact_event worker_contact_check(struct worker_contact *c,
+					int64_t lease_ms, int64_t now_ms)
+{
+	gboolean is_late = c->first_failure_ms &&
+			   now_ms >= c->first_failure_ms + WORKER_LOST_AFTER_MS;
+
+	if (!c->is_lost && is_late) {
+		c->is_lost = TRUE;
+		return CONTACT_EVENT_LOST;
+	}
+	if (c->is_lost && !c->is_expired && has_expired(c, lease_ms, now_ms)) {
+		c->is_expired = TRUE;
+		return CONTACT_EVENT_EXPIRED;
+	}
+	return CONTACT_EVENT_NONE;
+}
+
+gboolean worker_contact_is_usable(const struct worker_contact *c)
+{
+	return c->is_listed && !c->is_leaving && !c->is_lost && c->is_fenced;
+}
+
+int64_t worker_renew_period_ms(guint workers)
+{
+	int64_t period_ms = workers * WORKER_RENEWAL_BYTES * MS_PER_S /
+			    WORKER_RENEWAL_BYTES_PER_S;
+
+	return MAX(period_ms, WORKER_RENEW_MIN_MS);
+}
+
+int64_t worker_lease_ms(guint workers)
+{
+	return WORKER_RENEWALS_PER_LEASE * worker_renew_period_ms(workers);
+}
+
+int64_t worker_partial_bound_ms(guint workers)
+{
+	int64_t notice_ms =
+		WORKER_LOST_AFTER_MS + WORKER_CALL_TIMEOUT_MS + WORKER_RETRY_MS;
+
+	return worker_renew_period_ms(workers) + notice_ms +
+	       worker_lease_ms(workers) + WORKER_EXPIRY_SLACK_MS;
+}
--- /dev/null
+++ b/job/worker_contact.h
@@ -0,0 +1,115 @@
+/**
+ * @file
+ * What the holder knows of its contact with one worker: when to call it, and
+ * whether it is lost. Pure.
+ */
+#ifndef JOB_WORKER_CONTACT_H
+#define JOB_WORKER_CONTACT_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "job/worker_report.h"
+
+/** Timeout of one call; the transport keeps it. */
+#define WORKER_CALL_TIMEOUT_MS INT64_C(1000)
+/** Between a call that failed and the next. */
+#define WORKER_RETRY_MS INT64_C(500)
+/** From the first failed call to the worker being taken as lost. */
+#define WORKER_LOST_AFTER_MS INT64_C(1500)
+/** Beyond the lease: for a call that was delayed, and for clocks' rates. */
+#define WORKER_EXPIRY_SLACK_MS INT64_C(2000)
+/** Shortest period of renewals. */
+#define WORKER_RENEW_MIN_MS INT64_C(1000)
+/** Renewals that may fail before a lease lapses. */
+#define WORKER_RENEWALS_PER_LEASE INT64_C(3)
+/** Of one renewal with its answer, at 22 tasks a worker. */
+#define WORKER_RENEWAL_BYTES INT64_C(2400)
+/** That a holder may spend on renewals. */
+#define WORKER_RENEWAL_BYTES_PER_S INT64_C(18000)
+
+/** What a worker's state changed to. */
+enum contact_event {
+	CONTACT_EVENT_NONE,
+	CONTACT_EVENT_LOST,    /**< does not answer */
+	CONTACT_EVENT_EXPIRED, /**< whatever was on it can't run any more */
+};
+
+/** A command that was sent, to match its result. */
+struct sent_command {
+	enum worker_op op;
+	char *task;
+};
+
+struct worker_contact {
+	char *name;
+	char *address;
+	gboolean is_listed; /**< in the platform's list of VMs */
+	gboolean is_leaving;
+	gboolean is_fenced;  /**< answered under this epoch */
+	gboolean is_current; /**< reported later than the lag after that */
+	gboolean is_lost;
+	gboolean is_expired;
+	gboolean is_usable; /**< as the pool was last told */
+	gboolean is_due;    /**< has commands to be sent at once */
+	gboolean is_in_flight;
+	int64_t call_id; /**< of the call in flight */
+	int64_t sent_ms; /**< when the last call was sent */
+	int64_t fenced_ms;
+	int64_t renewed_ms;	  /**< last call before it was lost */
+	int64_t first_failure_ms; /**< 0 when the last call was answered */
+	int64_t unlisted_ms;
+	int64_t next_call_ms;
+	GArray *sent;	   /**< of struct sent_command, of the call in flight */
+	GHashTable *tasks; /**< task to struct member_ref, the scheduler's */
+	GPtrArray *orphans; /**< of char *, tasks that belong to nothing */
+};
+
+struct worker_contact *worker_contact_new(const char *name, const char *address,
+					  int64_t now_ms);
+void worker_contact_free(struct worker_contact *c);
+
+/** Forgets what belongs to an epoch: fence, calls, tasks. */
+void worker_contact_reset(struct worker_contact *c, int64_t now_ms);
+
+/** Takes the worker from or off the platform's list. */
+void worker_contact_set_listed(struct worker_contact *c, gboolean is_listed,
+			       gboolean is_leaving, int64_t now_ms);
+
+/** Tells whether to call now. */
+gboolean worker_contact_wants_call(const struct worker_contact *c,
+				   int64_t now_ms);
+void worker_contact_on_sent(struct worker_contact *c, int64_t call_id,
+			    int64_t now_ms);
+
+/**
+ * Takes an answer.
+ *
+ * @return	the time that the report is certainly not older than
+ */
+int64_t worker_contact_on_answer(struct worker_contact *c, int64_t period_ms,
+				 int64_t now_ms);
+
+/** Takes the failure of the call in flight. */
+void worker_contact_on_failure(struct worker_contact *c, int64_t now_ms);
+
+/** Returns what became of the worker since the last check. */
+enum contact_event worker_contact_check(struct worker_contact *c,
+					int64_t lease_ms, int64_t now_ms);
+
+/** Tells whether new work may be placed on the worker. */
+gboolean worker_contact_is_usable(const struct worker_contact *c);
+
+/** Returns the period of renewals that keeps within the bytes a second. */
+int64_t worker_renew_period_ms(guint workers);
+
+/** Returns the lease that goes with it. */
+int64_t worker_lease_ms(guint workers);
+
+/**
+ * Returns the time after which no part of a gang runs any more that has lost a
+ * member: to notice it, or for the leases to lapse without a holder.
+ */
+int64_t worker_partial_bound_ms(guint workers);
+
+#endif
