--- a/base/kernel.c
+++ b/base/kernel.c
@@ -61,8 +61,6 @@
 {
 	json_object *json = json_object_new_object();
 
-	json_object_object_add(json, "is_draining",
-			       json_object_new_boolean(k->is_draining));
 	for (guint i = 0; i < k->services->len; i++) {
 		const struct service *s = g_ptr_array_index(k->services, i);
 
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -48,20 +48,6 @@
 	g_free(text);
 }
 
-static void handle_status(struct http_request *r, void *data)
-{
-	struct http_service *s = data;
-	json_object *json;
-
-	if (!http_service_allow_operator(s->kernel, r))
-		return;
-	json = kernel_status(s->kernel);
-	json_object_object_add(
-		json, "node",
-		json_object_new_string(settings_of(s->kernel)->node));
-	http_request_reply(r, SOUP_STATUS_OK, json);
-}
-
 static void handle_drain(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -85,7 +71,6 @@
 		return status_fail(STATUS_INVALID, "bad address %s",
 				   settings->http);
 	http_server_route(s->server, "GET", "/v1/counters", handle_counters, s);
-	http_server_route(s->server, "GET", "/v1/status", handle_status, s);
 	http_server_route(s->server, "POST", "/v1/drain", handle_drain, s);
 	status = http_server_listen(s->server, host, port);
 	g_free(host);
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -178,8 +178,8 @@
 expect_text "bulletin again by the same key" done rescue "${bulletin[@]}"
 expect_text "unknown account is refused" "not run" riders request \
 	--account nobody --service salkhi
-expect_text "another account's token is refused" "not run" editors \
-	request --account riders --service slipdesk
+expect_text "another account's token is refused" "not run" forecast \
+	request --account riders --service salkhi
 
 say "Jobs: a gang starts whole, one that can never fit is refused"
 expect_text "submit gust-map" accepted forecast submit gust-map \
--- a/shared/status_service.c
+++ b/shared/status_service.c
@@ -29,8 +29,9 @@
 	char *failure_domain;
 	int64_t is_draining;
 	int64_t config_version;
-	GArray *members; /**< of struct member_status */
-	GArray *pools;	 /**< of struct pool_status */
+	GArray *members;       /**< of struct member_status */
+	GArray *pools;	       /**< of struct pool_status */
+	json_object *services; /**< what each service tells of itself */
 };
 
 #define TEXT_FIELD(type_, member)                      \
@@ -90,6 +91,9 @@
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct process_status, pools),
 	  .schema = &pool_schema },
+	{ .name = "services",
+	  .type = FIELD_JSON,
+	  .offset = offsetof(struct process_status, services) },
 	{ 0 },
 };
 
@@ -125,6 +129,7 @@
 	out->incarnation = g_strdup(incarnation_of(k));
 	out->failure_domain = g_strdup(settings->failure_domain);
 	out->is_draining = kernel_is_draining(k);
+	out->services = kernel_status(k);
 	out->members = g_array_new(FALSE, TRUE, sizeof(struct member_status));
 	out->pools = g_array_new(FALSE, TRUE, sizeof(struct pool_status));
 	config = (const struct config_service *)kernel_find(k, CONFIG_SERVICE);
