Logs: a line starts with its first key

Cause: log4c's stream appender writes '[stderr] ' before each line, so a line was not key=value pairs only. Ruled out: log4c's stream2 on standard error: changing the type of an appender that is open frees a pointer that is not its own (seen in the test's child). Change: an appender type of our own, which writes the line as it is. Figures: /base/log-line failed before, passes now. Conclusion: each event is one line of key=value pairs.

--- a/base/log.c
+++ b/base/log.c
@@ -1,6 +1,7 @@
 #include "base/log.h"
 
 #include <log4c.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "base/util.h"
@@ -32,6 +33,18 @@
 	.format = format_line,
 };
 
+/* The library's own stream appender puts its name before each line. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t line_appender = {
+	.name = "corianderstep_stderr",
+	.append = append_line,
+};
+
 void log_open(const char *node, enum log_level level)
 {
 	log4c_appender_t *appender;
@@ -41,7 +54,9 @@
 	log4c_layout_type_set(&line_layout);
 	layout = log4c_layout_get("corianderstep_lines");
 	log4c_layout_set_type(layout, &line_layout);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&line_appender);
+	appender = log4c_appender_get("corianderstep_stderr");
+	log4c_appender_set_type(appender, &line_appender);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(CATEGORY_NAME);
 	log4c_category_set_appender(category, appender);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/json_text.h"
+#include "base/log.h"
 #include "base/schema.h"
 #include "base/util.h"
 
@@ -116,10 +117,34 @@
 	}
 }
 
+static void test_log_line(void)
+{
+	struct log_line line;
+
+	if (g_test_subprocess()) {
+		log_open("n1", LOG_LEVEL_INFO);
+		log_begin(&line, LOG_LEVEL_INFO, "route");
+		log_str(&line, "plain", "a-b.c");
+		log_str(&line, "quoted", "a b=\"c\"\n");
+		log_int(&line, "count", -3);
+		log_end(&line);
+		log_begin(&line, LOG_LEVEL_DEBUG, "below_the_level");
+		log_end(&line);
+		log_close();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stderr(
+		"time_ms=1* level=info node=n1 event=route plain=a-b.c "
+		"quoted=\"a b=\\\"c\\\"\\n\" count=-3\n");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/json-findings", test_json_findings);
 	g_test_add_func("/base/addresses", test_addresses);
+	g_test_add_func("/base/log-line", test_log_line);
 	return g_test_run();
 }
