--- a/base/http_client.h
+++ b/base/http_client.h
@@ -43,11 +43,11 @@
 /**
  * Returns a new client.
  *
- * @param max_connections	 of the client in all
- * @param max_per_address	 to one address
+ * @param max_calls		 in flight; one more ends as
+ *				 STATUS_UNAVAILABLE
+ * @param max_per_address	 connections to one address
  */
-struct http_client *http_client_new(guint max_connections,
-				    guint max_per_address);
+struct http_client *http_client_new(guint max_calls, guint max_per_address);
 
 /** Frees the client; calls in flight end without their callback. */
 void http_client_free(struct http_client *c);
--- /dev/null
+++ b/bench/measure_capacity.sh
@@ -0,0 +1,197 @@
+#!/bin/bash
+# Measures on real processes what docs/CAPACITY.md works its slopes out from.
+# Not part of CI: it reads the processor's clock. Usage:
+#   bench/measure_capacity.sh BUILD [workers|tasks|members|config|endpoints]
+# Each line of output is one run: key=value pairs, rates per second.
+set -u
+build=$1
+only=${2:-all}
+bin=$build/bin
+seconds=${CAPACITY_SECONDS:-20}
+port=${CAPACITY_BASE_PORT:-24000}
+dir=$(mktemp -d)
+pids=()
+
+end_run() {
+	local pid
+	for pid in "${pids[@]}"; do
+		kill "$pid" 2>/dev/null
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null
+	done
+	pids=()
+	port=$((port + 1200))
+}
+trap 'end_run; rm -rf "$dir"' EXIT
+
+run() { # NAME PROGRAM ARGUMENTS
+	local name=$1
+	shift
+	"$@" >"$dir/$name.out" 2>&1 &
+	pids+=($!)
+}
+
+# daemon PROGRAM NAME HTTP_PORT: in salkhi.tov-a, links follow the HTTP port.
+daemon() {
+	cat >"$dir/$2.json" <<-END
+		{"node": "$2", "vm": "$2", "failure_domain": "tov-a",
+		 "region": "tov", "service": "salkhi",
+		 "http": "127.0.0.1:$3", "link": "127.0.0.1:$(($3 + 100))",
+		 "platform": "127.0.0.1:$port",
+		 "seeds": ["127.0.0.1:$((port + 200))"]}
+	END
+	run "$2" "$bin/$1" --settings "$dir/$2.json"
+}
+
+platform() {
+	run platform "$bin/cs-standin-platform" --listen "127.0.0.1:$port"
+	sleep 0.5
+}
+
+workers() { # COUNT
+	run workers "$bin/cs-standin-worker" --count "$1" \
+		--listen "127.0.0.1:$((port + 400))" \
+		--platform "127.0.0.1:$port" --vm w --service salkhi \
+		--failure-domain tov-a --rack r
+}
+
+counter() { # HTTP_PORT NAME
+	"$bin/csctl" --server "127.0.0.1:$1" counters |
+		awk -v name="$2" '$1 == name { print $2 }'
+}
+
+# sample LABEL HTTP_PORT: prints what one process used over the interval.
+sample() {
+	local label=$1 at=$2 name line before=() after=() i
+	local names=(cs_process_cpu_us cs_http_client_sent_bytes
+		cs_http_client_received_bytes link_sent_bytes
+		link_received_bytes cs_platform_reads_total
+		cs_platform_writes_total cs_worker_calls)
+	for name in "${names[@]}"; do
+		before+=("$(counter "$at" "$name")")
+	done
+	sleep "$seconds"
+	line="$label"
+	for i in "${!names[@]}"; do
+		after[i]=$(counter "$at" "${names[i]}")
+		line+=$(awk -v n="${names[i]}" -v a="${before[i]:-0}" \
+			-v b="${after[i]:-0}" -v s="$seconds" \
+			'BEGIN { printf " %s=%.1f", n, (b - a) / s }')
+	done
+	echo "$line resident_kb=$(($(counter "$at" cs_process_resident_bytes) / 1024))"
+}
+
+apply_plan() {
+	"$bin/khuree-plan" >"$dir/plan.json"
+	"$bin/csctl" --server "127.0.0.1:$((port + 200))" apply \
+		"$dir/plan.json" >/dev/null
+}
+
+# Cost of a scheduler by workers, nothing running.
+measure_workers() {
+	local count
+	for count in 50 100 200 380; do
+		platform
+		workers "$count"
+		daemon csschedd s0 $((port + 200))
+		sleep 8
+		sample "matter=workers workers=$count" $((port + 200))
+		end_run
+	done
+}
+
+# Cost of a scheduler by tasks: jobs of 200 one-core tasks on 380 workers.
+measure_tasks() {
+	local jobs i
+	for jobs in 0 10 20 40; do
+		platform
+		workers 380
+		daemon csschedd s0 $((port + 200))
+		daemon csgated g0 $((port + 210))
+		sleep 6
+		apply_plan
+		sleep 2
+		for ((i = 0; i < jobs; i++)); do
+			CS_TOKEN=forecast-token "$bin/cscall" \
+				--server "127.0.0.1:$((port + 210))" submit \
+				--id "j$i" '{"client_account": "forecast",
+				"pool": "salkhi.tov-a", "class": "normal",
+				"run_ms": 600000, "expected_run_ms": 600000,
+				"is_checkpointable": true, "shape":
+				{"members": 200, "accelerators": 0, "cores": 1,
+				"memory_mb": 1, "adjacency": "none"}}' >/dev/null
+		done
+		sleep 15
+		sample "matter=tasks tasks=$((jobs * 200))" $((port + 200))
+		end_run
+	done
+}
+
+# Cost of a gateway by processes of its failure domain, nothing asked.
+measure_members() {
+	local count i
+	for count in 2 4 8 16 32; do
+		platform
+		for ((i = 0; i < count; i++)); do
+			daemon csgated "g$i" $((port + 200 + i))
+		done
+		sleep 8
+		sample "matter=members members=$count" $((port + 200))
+		end_run
+	done
+}
+
+# Cost of a change of the configuration at a process that did not take it.
+measure_config() {
+	local i
+	platform
+	daemon csgated g0 $((port + 200))
+	for i in 1 2 3; do
+		daemon csgated "g$i" $((port + 200 + i))
+	done
+	sleep 5
+	sample "matter=config changes_per_s=0" $((port + 203))
+	(
+		"$bin/khuree-plan" >"$dir/a.json"
+		sed 's/"share": 8/"share": 9/' "$dir/a.json" >"$dir/b.json"
+		for ((i = 0; i < seconds * 2; i++)); do
+			if [ $((i % 2)) -eq 0 ]; then f=a; else f=b; fi
+			"$bin/csctl" --server "127.0.0.1:$((port + 200))" \
+				apply "$dir/$f.json" >/dev/null
+			sleep 0.45
+		done
+	) &
+	sleep 0.5
+	local before after
+	before=$("$bin/csctl" --server "127.0.0.1:$((port + 203))" config |
+		sed -n 's/.*"version": \([0-9]*\).*/\1/p' | head -n 1)
+	sample "matter=config changes_per_s=many" $((port + 203))
+	after=$("$bin/csctl" --server "127.0.0.1:$((port + 203))" config |
+		sed -n 's/.*"version": \([0-9]*\).*/\1/p' | head -n 1)
+	echo "matter=config versions=$((${after:-0} - ${before:-0})) seconds=$seconds"
+	wait $!
+	end_run
+}
+
+# Cost of a gateway by endpoints, nothing asked.
+measure_endpoints() {
+	local count
+	for count in 50 200 800; do
+		platform
+		run runners "$bin/cs-standin-runner" --count "$count" \
+			--listen "127.0.0.1:$((port + 400))" \
+			--platform "127.0.0.1:$port" --vm r --service salkhi \
+			--failure-domain tov-a
+		daemon csgated g0 $((port + 200))
+		sleep 8
+		sample "matter=endpoints endpoints=$count" $((port + 200))
+		end_run
+	done
+}
+
+for matter in workers tasks members config endpoints; do
+	if [ "$only" = all ] || [ "$only" = "$matter" ]; then
+		"measure_$matter"
+	fi
+done
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -6,7 +6,7 @@
 #include "daemon/settings_service.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
-#define MAX_CLIENT_CONNECTIONS 2000
+#define MAX_CALLS_IN_FLIGHT 2000
 #define MAX_CONNECTIONS_PER_ADDRESS 64
 
 struct http_service {
@@ -106,7 +106,7 @@
 
 	s->base.class = &http_service_class;
 	s->server = http_server_new(MAX_BODY_BYTES);
-	s->client = http_client_new(MAX_CLIENT_CONNECTIONS,
+	s->client = http_client_new(MAX_CALLS_IN_FLIGHT,
 				    MAX_CONNECTIONS_PER_ADDRESS);
 	return &s->base;
 }
