The store's budget: breaker with a slow return, token buckets, priorities

Cause: after an outage every process sends what waits at once. The store then serves writes whose senders have given up, and never catches up.

Congestion by the first slow answer of a step was dropped: on a busy machine single answers are slow without any load on the store.

--- /dev/null
+++ b/bench/bench_store.c
@@ -0,0 +1,357 @@
+/**
+ * @file
+ * What a store meets when it comes back after an outage, in virtual time: many
+ * nodes with a backlog of writes, by the client's breaker and budget and by
+ * simpler ways of retrying.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "platform/breaker.h"
+#include "platform/store_budget.h"
+
+#define SEEDS 5
+#define STEP_MS INT64_C(5)
+#define OUTAGE_MS INT64_C(30000)
+#define END_MS INT64_C(90000)
+/* "Several hundred" writes a second, read low for the store, high for the
+ * bound: a queue is only felt once more is offered than served.
+ */
+#define CAPACITY_PER_S INT64_C(300)
+#define MAX_OFFERED_PER_S INT64_C(500)
+#define TIMEOUT_MS INT64_C(1000)
+#define BACKLOG 20	      /* writes of a node that wait at the return */
+#define NEW_WRITE_MS MS_PER_S /* between two of a node */
+#define MAX_IN_FLIGHT 16      /* of a node */
+#define FIXED_DELAY_MS 100    /* of the fixed retry */
+#define MAX_BACKOFF_MS 5000   /* of the exponential retry */
+#define REFUSAL_MS 5	      /* until a call to a store that is down fails */
+#define NEVER_MS INT64_MAX
+#define MAX_RECOVERY_MS 10000 /* beyond the store's own time */
+
+enum way {
+	WAY_FIXED,
+	WAY_EXPONENTIAL,
+	WAY_JITTER,
+	WAY_BREAKER,
+	WAY_COUNT,
+};
+
+static const char *const way_names[] = { "fixed retry", "exponential",
+					 "exponential, jitter",
+					 "breaker, budget" };
+
+struct write {
+	int64_t due_ms;	 /* of the next attempt */
+	int64_t sent_ms; /* -1 when no attempt is out */
+	guint attempt;	 /* rises with each sending */
+	uint32_t generation;
+	gboolean is_done;
+};
+
+struct node {
+	GPtrArray *writes; /* that are not through yet */
+	struct breaker breaker;
+	struct store_budget budget;
+	guint in_flight;
+};
+
+/* An attempt in the store's queue. */
+struct arrival {
+	struct node *node;
+	struct write *write;
+	guint attempt;
+};
+
+struct bench {
+	enum way way;
+	GRand *rng;
+	struct node *nodes;
+	guint node_count;
+	GPtrArray *all_writes;
+	GQueue queue; /* of struct arrival */
+	double credit;
+	int64_t offered[END_MS / MS_PER_S];
+	int64_t offered_down;
+	int64_t wasted; /* served after the node had given up */
+	int64_t through_ms;
+	guint64 backlog_left;
+};
+
+static void add_write(struct bench *b, struct node *n, int64_t now_ms)
+{
+	struct write *w = g_new0(struct write, 1);
+
+	w->due_ms = now_ms;
+	w->sent_ms = -1;
+	g_ptr_array_add(n->writes, w);
+	g_ptr_array_add(b->all_writes, w);
+}
+
+static int64_t retry_delay_ms(struct bench *b, const struct write *w)
+{
+	int64_t delay = FIXED_DELAY_MS;
+
+	if (b->way == WAY_FIXED || b->way == WAY_BREAKER)
+		return FIXED_DELAY_MS;
+	for (guint i = 1; i < w->attempt && delay < MAX_BACKOFF_MS; i++)
+		delay *= 2;
+	delay = MIN(delay, MAX_BACKOFF_MS);
+	if (b->way == WAY_JITTER)
+		delay = (int64_t)((double)delay *
+				  g_rand_double_range(b->rng, 0.5, 1));
+	return delay;
+}
+
+static void fail(struct bench *b, struct node *n, struct write *w,
+		 int64_t now_ms)
+{
+	w->sent_ms = -1;
+	n->in_flight--;
+	w->due_ms = now_ms + retry_delay_ms(b, w);
+	if (b->way == WAY_BREAKER)
+		breaker_failure(&n->breaker, w->generation, now_ms, b->rng);
+}
+
+static gboolean may_send(struct bench *b, struct node *n, int64_t now_ms)
+{
+	if (n->in_flight >= MAX_IN_FLIGHT)
+		return FALSE;
+	if (b->way != WAY_BREAKER)
+		return TRUE;
+	if (n->breaker.state == BREAKER_OPEN ||
+	    n->breaker.state == BREAKER_HALF_OPEN)
+		return breaker_allow(&n->breaker, now_ms);
+	store_budget_set_share(&n->budget, breaker_share(&n->breaker), now_ms);
+	return store_budget_take(&n->budget, STORE_PRIORITY_FIRST, now_ms);
+}
+
+static void send_write(struct bench *b, struct node *n, struct write *w,
+		       int64_t now_ms)
+{
+	struct arrival *a;
+
+	w->sent_ms = now_ms;
+	w->attempt++;
+	w->generation = n->breaker.generation;
+	n->in_flight++;
+	b->offered[now_ms / MS_PER_S]++;
+	if (now_ms < OUTAGE_MS) {
+		b->offered_down++;
+		return;
+	}
+	a = g_new0(struct arrival, 1);
+	a->node = n;
+	a->write = w;
+	a->attempt = w->attempt;
+	g_queue_push_tail(&b->queue, a);
+}
+
+static void node_step(struct bench *b, struct node *n, int64_t now_ms)
+{
+	for (guint i = 0; i < n->writes->len; i++) {
+		struct write *w = n->writes->pdata[i];
+		int64_t limit_ms =
+			w->sent_ms < OUTAGE_MS ? REFUSAL_MS : TIMEOUT_MS;
+
+		if (w->sent_ms >= 0) {
+			if (now_ms - w->sent_ms >= limit_ms)
+				fail(b, n, w, now_ms);
+			continue;
+		}
+		if (w->due_ms <= now_ms && may_send(b, n, now_ms))
+			send_write(b, n, w, now_ms);
+	}
+}
+
+static void serve(struct bench *b, const struct arrival *a, int64_t now_ms)
+{
+	struct write *w = a->write;
+	gboolean is_awaited = w->sent_ms >= 0 && w->attempt == a->attempt;
+
+	if (w->is_done || !is_awaited) {
+		b->wasted++;
+		return;
+	}
+	w->is_done = TRUE;
+	a->node->in_flight--;
+	g_ptr_array_remove(a->node->writes, w);
+	breaker_success(&a->node->breaker, w->generation, now_ms - w->sent_ms,
+			now_ms);
+	if (b->backlog_left && --b->backlog_left == 0)
+		b->through_ms = now_ms - OUTAGE_MS;
+}
+
+static void store_step(struct bench *b, int64_t now_ms)
+{
+	if (now_ms < OUTAGE_MS)
+		return;
+	b->credit += (double)(CAPACITY_PER_S * STEP_MS) / MS_PER_S;
+	while (b->credit >= 1 && !g_queue_is_empty(&b->queue)) {
+		struct arrival *a = g_queue_pop_head(&b->queue);
+
+		serve(b, a, now_ms);
+		g_free(a);
+		b->credit -= 1;
+	}
+	if (g_queue_is_empty(&b->queue))
+		b->credit = MIN(b->credit, 1);
+}
+
+static void add_new_writes(struct bench *b, int64_t now_ms)
+{
+	for (guint i = 0; i < b->node_count; i++) {
+		int64_t phase_ms = (int64_t)i * NEW_WRITE_MS / b->node_count;
+
+		if (now_ms < OUTAGE_MS ||
+		    (now_ms + phase_ms) % NEW_WRITE_MS >= STEP_MS)
+			continue;
+		add_write(b, &b->nodes[i], now_ms);
+	}
+}
+
+static void bench_init(struct bench *b, enum way way, guint nodes, guint32 seed)
+{
+	memset(b, 0, sizeof(*b));
+	b->way = way;
+	b->rng = g_rand_new_with_seed(seed);
+	b->nodes = g_new0(struct node, nodes);
+	b->node_count = nodes;
+	b->all_writes = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&b->queue);
+	b->backlog_left = (guint64)nodes * BACKLOG;
+	for (guint i = 0; i < nodes; i++) {
+		struct node *n = &b->nodes[i];
+
+		n->writes = g_ptr_array_new();
+		breaker_init(&n->breaker, &breaker_config_default);
+		store_budget_init(&n->budget, &store_budget_writes, 0);
+		for (int j = 0; j < BACKLOG; j++)
+			add_write(b, n, 0);
+	}
+}
+
+static void bench_clear(struct bench *b)
+{
+	for (guint i = 0; i < b->node_count; i++)
+		g_ptr_array_unref(b->nodes[i].writes);
+	g_free(b->nodes);
+	g_queue_clear_full(&b->queue, g_free);
+	g_ptr_array_unref(b->all_writes);
+	g_rand_free(b->rng);
+}
+
+struct result {
+	int64_t peak_per_s; /* after the return */
+	double down_per_s;  /* calls to the store while it was down */
+	int64_t wasted;
+	int64_t through_ms; /* until the backlog was through */
+};
+
+static struct result run(enum way way, guint nodes, guint32 seed)
+{
+	struct bench b;
+	struct result r = { 0 };
+
+	bench_init(&b, way, nodes, seed);
+	for (int64_t now_ms = 0; now_ms < END_MS; now_ms += STEP_MS) {
+		add_new_writes(&b, now_ms);
+		for (guint i = 0; i < nodes; i++)
+			node_step(&b, &b.nodes[i], now_ms);
+		store_step(&b, now_ms);
+	}
+	for (int64_t s = OUTAGE_MS / MS_PER_S; s < END_MS / MS_PER_S; s++)
+		r.peak_per_s = MAX(r.peak_per_s, b.offered[s]);
+	r.down_per_s = (double)b.offered_down / ((double)OUTAGE_MS / MS_PER_S);
+	r.wasted = b.wasted;
+	r.through_ms = b.backlog_left ? NEVER_MS : b.through_ms;
+	bench_clear(&b);
+	return r;
+}
+
+static guint passed;
+static guint failed;
+
+static void check(const char *figure, double value, double bound,
+		  const char *source)
+{
+	if (value <= bound) {
+		passed++;
+		return;
+	}
+	failed++;
+	printf("BROKEN %s: %.0f above %.0f (%s)\n", figure, value, bound,
+	       source);
+}
+
+static void check_result(const struct result *r, guint nodes)
+{
+	int64_t ideal_ms = (int64_t)nodes * BACKLOG * MS_PER_S / CAPACITY_PER_S;
+
+	check("writes offered in a second", (double)r->peak_per_s,
+	      (double)MAX_OFFERED_PER_S,
+	      "brief: several hundred writes a second");
+	check("wasted writes", (double)r->wasted, 0, "issue 6: not trampled");
+	check("ms until the backlog is through", (double)r->through_ms,
+	      (double)(ideal_ms + MAX_RECOVERY_MS),
+	      "issue 4: earlier goodput within 10 s");
+}
+
+/* The worst of each figure over all seeds. */
+static struct result run_seeds(enum way way, guint nodes)
+{
+	struct result worst = { 0 };
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		struct result r = run(way, nodes, seed);
+
+		worst.peak_per_s = MAX(worst.peak_per_s, r.peak_per_s);
+		worst.down_per_s = MAX(worst.down_per_s, r.down_per_s);
+		worst.wasted = MAX(worst.wasted, r.wasted);
+		worst.through_ms = MAX(worst.through_ms, r.through_ms);
+	}
+	return worst;
+}
+
+static void print_result(enum way way, guint nodes, const struct result *r)
+{
+	char *through = g_strdup("never");
+
+	if (r->through_ms != NEVER_MS) {
+		g_free(through);
+		through = g_strdup_printf("%" G_GINT64_FORMAT, r->through_ms);
+	}
+	printf("%-20s %6u %10.1f %10" G_GINT64_FORMAT " %8" G_GINT64_FORMAT
+	       " %12s\n",
+	       way_names[way], nodes, r->down_per_s, r->peak_per_s, r->wasted,
+	       through);
+	g_free(through);
+}
+
+int main(int argc, char **argv)
+{
+	static const guint sizes[] = { 8, 80, 160 };
+	gboolean is_check = argc > 1 && g_str_equal(argv[1], "--check");
+
+	printf("Store of %" G_GINT64_FORMAT
+	       " writes/s back after %" G_GINT64_FORMAT
+	       " s, %d writes waiting at each node, worst of %d seeds\n",
+	       CAPACITY_PER_S, OUTAGE_MS / MS_PER_S, BACKLOG, SEEDS);
+	printf("%-20s %6s %10s %10s %8s %12s\n", "way", "nodes", "down/s",
+	       "peak/s", "wasted", "through_ms");
+	for (guint i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		for (int way = 0; way < WAY_COUNT; way++) {
+			struct result r = run_seeds((enum way)way, sizes[i]);
+
+			print_result((enum way)way, sizes[i], &r);
+			if (is_check && way == WAY_BREAKER)
+				check_result(&r, sizes[i]);
+		}
+	}
+	if (is_check)
+		printf("%u passed, %u failed\n", passed, failed);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -324,10 +324,94 @@
 	g_free(kept.text);
 }
 
+static int64_t counter_value(struct fixture *f, const char *name)
+{
+	return counters_counter(&f->counters, name, "")->value;
+}
+
+static gboolean reads_again(void *data)
+{
+	struct outcome o = get(data, "a");
+
+	g_free(o.text);
+	return o.status == STATUS_NOT_FOUND;
+}
+
+/* An outage: after a few failures nothing is sent, but for the probes. */
+static void test_breaker(struct fixture *f, gconstpointer data)
+{
+	int64_t sent;
+
+	cluster_control(f->cluster, f->address, "{\"mode\":\"down\"}");
+	for (int i = 0; i < 5; i++)
+		g_assert_cmpint(put(f, "a", 0, "v", NULL), ==, STATUS_UNKNOWN);
+	sent = counter_value(f, "cs_platform_writes_total");
+	for (int i = 0; i < 20; i++)
+		g_assert_cmpint(put(f, "a", 0, "v", NULL), ==,
+				STATUS_UNAVAILABLE);
+	g_assert_cmpint(counter_value(f, "cs_platform_writes_total"), ==, sent);
+	g_assert_cmpint(counter_value(f, "cs_platform_openings_total"), ==, 1);
+	cluster_control(f->cluster, f->address, "{\"mode\":\"ok\"}");
+	g_assert_true(cluster_wait(reads_again, f, 3000));
+	g_assert_cmpint(put(f, "a", 0, "v", NULL), ==, STATUS_OK);
+}
+
+struct burst {
+	guint replies;
+	guint done;
+	guint unavailable;
+};
+
+static void on_burst_result(const struct platform_result *r, void *data)
+{
+	struct burst *b = data;
+
+	b->replies++;
+	b->done += r->status == STATUS_OK;
+	b->unavailable += r->status == STATUS_UNAVAILABLE;
+}
+
+#define BURST_WRITES 400
+
+static gboolean burst_is_over(void *data)
+{
+	return ((struct burst *)data)->replies == BURST_WRITES;
+}
+
+/* More writes than the budget: those beyond it are certainly not sent. */
+static void test_budget(struct fixture *f, gconstpointer data)
+{
+	json_object *json = json_object_new_string("v");
+	struct burst b = { 0 };
+	struct cluster_reply r;
+	int64_t commits;
+
+	for (int i = 0; i < BURST_WRITES; i++) {
+		char *key = g_strdup_printf("k%d", i);
+		struct table_write w = { "t", key, 0, json };
+
+		platform_commit(f->platform, &w, 1, on_burst_result, &b);
+		g_free(key);
+	}
+	g_assert_true(cluster_wait(burst_is_over, &b, CLUSTER_CALL_TIMEOUT_MS));
+	g_assert_cmpuint(b.done, >=, 75); /* the bucket but for the reserve */
+	g_assert_cmpuint(b.done, <=, 150);
+	r = cluster_call(f->cluster, "GET", f->address, "/control/writes", NULL,
+			 NULL, CLUSTER_CALL_TIMEOUT_MS);
+	commits = json_object_get_int64(
+		json_object_object_get(r.body, "commits"));
+	g_assert_cmpint(commits, >=, b.done);
+	g_assert_cmpint(commits, <=, BURST_WRITES - b.unavailable);
+	cluster_reply_clear(&r);
+	json_object_put(json);
+}
+
 static const struct {
 	const char *path;
 	void (*test)(struct fixture *f, gconstpointer data);
 } cases[] = {
+	{ "/platform/breaker", test_breaker },
+	{ "/platform/budget", test_budget },
 	{ "/platform/compare-and-set", test_compare_and_set },
 	{ "/platform/all-or-nothing", test_all_or_nothing },
 	{ "/platform/scan", test_scan },
