HTTP server: limits for slow, silent and many connections

Cause: a peer that sends half a request, or takes no answer, kept its connection and memory for ever; there was no cap on connections.

Ruled out: an accept loop of our own (tried first): the library then closes each connection after one request, since it keeps alive only what came by a listener of its own. It showed as a failing /standins/relay.

Oversize and chunked bodies are read without being kept. The runner's stand-in holds its 64 connections.

Seen failing first, each planted and taken back: no time limits (idle, half requests, half body, oversize body, slow reader), no cap (many-idle, too-many), a limit on work (held).

Conclusion: a request that is being worked on has no limit here.

--- a/base/http_server.c
+++ b/base/http_server.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/connection_guard.h"
 #include "base/json_text.h"
 
 struct route {
@@ -11,8 +12,18 @@
 	void *data;
 };
 
+/* Idle connections live longer than in base/http_client.c, so that it is the
+ * client that ends them. */
+static const struct connection_limits default_limits = {
+	.max_connections = 2000,
+	.idle_ms = 60000,
+	.request_ms = 10000,
+	.answer_ms = 10000,
+};
+
 struct http_server {
 	SoupServer *soup;
+	struct connection_guard *guard;
 	GPtrArray *routes; /**< of struct route */
 	gsize max_body_bytes;
 	guint pending;
@@ -111,6 +122,17 @@
 	route->handler(r, route->data);
 }
 
+static void refuse_body(SoupServerMessage *message, guint code)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(message);
+
+	soup_server_message_set_status(message, code, NULL);
+	soup_message_headers_replace(headers, "Connection", "close");
+	soup_message_body_set_accumulate(
+		soup_server_message_get_request_body(message), FALSE);
+}
+
 static void on_early_request(SoupServer *soup, SoupServerMessage *message,
 			     const char *path, GHashTable *query, gpointer data)
 {
@@ -120,15 +142,29 @@
 
 	headers = soup_server_message_get_request_headers(message);
 	encoding = soup_message_headers_get_encoding(headers);
-	if (encoding == SOUP_ENCODING_CHUNKED) {
-		soup_server_message_set_status(
-			message, SOUP_STATUS_LENGTH_REQUIRED, NULL);
-		return;
-	}
-	if (soup_message_headers_get_content_length(headers) >
-	    (goffset)s->max_body_bytes)
-		soup_server_message_set_status(
-			message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, NULL);
+	if (encoding == SOUP_ENCODING_CHUNKED)
+		refuse_body(message, SOUP_STATUS_LENGTH_REQUIRED);
+	else if (soup_message_headers_get_content_length(headers) >
+		 (goffset)s->max_body_bytes)
+		refuse_body(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE);
+}
+
+static void on_started(SoupServer *soup, SoupServerMessage *message,
+		       gpointer data)
+{
+	struct http_server *s = data;
+
+	connection_guard_reading(s->guard,
+				 soup_server_message_get_socket(message));
+}
+
+static void on_whole_request(SoupServer *soup, SoupServerMessage *message,
+			     gpointer data)
+{
+	struct http_server *s = data;
+
+	connection_guard_working(s->guard,
+				 soup_server_message_get_socket(message));
 }
 
 struct http_server *http_server_new(gsize max_body_bytes)
@@ -138,15 +174,35 @@
 	s->soup = soup_server_new("server-header", "corianderstep", NULL);
 	s->routes = g_ptr_array_new_with_free_func(route_free);
 	s->max_body_bytes = max_body_bytes;
+	s->guard = connection_guard_new(&default_limits);
 	soup_server_add_handler(s->soup, NULL, on_request, s, NULL);
 	soup_server_add_early_handler(s->soup, NULL, on_early_request, s, NULL);
+	g_signal_connect(s->soup, "request-started", G_CALLBACK(on_started), s);
+	g_signal_connect(s->soup, "request-finished", G_CALLBACK(on_started),
+			 s);
+	g_signal_connect(s->soup, "request-read", G_CALLBACK(on_whole_request),
+			 s);
 	return s;
 }
 
+void http_server_set_limits(struct http_server *s,
+			    const struct connection_limits *limits)
+{
+	connection_guard_free(s->guard);
+	s->guard = connection_guard_new(limits);
+}
+
+const struct connection_guard *http_server_guard(const struct http_server *s)
+{
+	return s->guard;
+}
+
 void http_server_free(struct http_server *s)
 {
+	g_signal_handlers_disconnect_by_data(s->soup, s);
 	soup_server_disconnect(s->soup);
 	g_object_unref(s->soup);
+	connection_guard_free(s->guard);
 	g_ptr_array_unref(s->routes);
 	g_free(s);
 }
@@ -256,6 +312,8 @@
 	soup_server_message_set_status(r->message, code, NULL);
 	soup_server_message_set_response(r->message, type, SOUP_MEMORY_COPY,
 					 body, strlen(body));
+	connection_guard_answering(r->server->guard,
+				   soup_server_message_get_socket(r->message));
 	soup_server_message_unpause(r->message);
 }
 
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -10,6 +10,7 @@
 #include <libsoup/soup.h>
 #include <stdint.h>
 
+#include "base/connection_guard.h"
 #include "base/finding.h"
 #include "base/status.h"
 
@@ -22,6 +23,13 @@
 struct http_server *http_server_new(gsize max_body_bytes);
 void http_server_free(struct http_server *s);
 
+/** Replaces the limits of connections; before listening. */
+void http_server_set_limits(struct http_server *s,
+			    const struct connection_limits *limits);
+
+/** Returns the guard of the connections, for its counts. */
+const struct connection_guard *http_server_guard(const struct http_server *s);
+
 /**
  * Adds a handler for a method and a path prefix; the longest prefix wins.
  * Each request must be answered once by one of the http_request_reply_*
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -34,6 +34,29 @@
 		    (int64_t)traffic.received_bytes);
 }
 
+static void update_connections(struct http_service *s)
+{
+	const struct connection_guard *guard = http_server_guard(s->server);
+	struct connection_counts counts = connection_guard_counts(guard);
+	struct counters *c = kernel_counters(s->kernel);
+
+	counter_set(counters_gauge(c, "cs_http_connections",
+				   "Open connections of callers"),
+		    connection_guard_open(guard));
+	counter_set(counters_gauge(c, "cs_http_connections_refused",
+				   "Connections refused: too many"),
+		    (int64_t)counts.refused);
+	counter_set(counters_gauge(c, "cs_http_connections_evicted",
+				   "Idle connections closed to make room"),
+		    (int64_t)counts.evicted);
+	counter_set(counters_gauge(c, "cs_http_connections_idle",
+				   "Connections closed as idle too long"),
+		    (int64_t)counts.idle);
+	counter_set(counters_gauge(c, "cs_http_connections_slow",
+				   "Connections closed as too slow"),
+		    (int64_t)counts.slow);
+}
+
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -43,6 +66,7 @@
 		return;
 	process_usage_update(kernel_counters(s->kernel));
 	update_traffic(s);
+	update_connections(s);
 	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
--- a/standin/cs-standin-runner.c
+++ b/standin/cs-standin-runner.c
@@ -12,6 +12,7 @@
 #define ID_MAX_BYTES 256
 #define MAX_WORK_MS 3600000
 #define DEFAULT_SLOTS 8
+#define MAX_CONNECTIONS 64
 #define CONTROL_UNSET INT64_C(-1)
 
 struct runner {
@@ -277,6 +278,13 @@
 	http_request_reply(request, SOUP_STATUS_OK, body);
 }
 
+static const struct connection_limits limits = {
+	.max_connections = MAX_CONNECTIONS,
+	.idle_ms = 60000,
+	.request_ms = 10000,
+	.answer_ms = 10000,
+};
+
 static gboolean runner_open(struct runner *r, const struct standin_options *o,
 			    guint index, gint slots)
 {
@@ -285,6 +293,7 @@
 	r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->vm.role = "endpoint";
 	r->server = http_server_new(MAX_BODY_BYTES);
+	http_server_set_limits(r->server, &limits);
 	http_server_route(r->server, "POST", "/run", handle_run, r);
 	http_server_route(r->server, "GET", "/health", handle_health, r);
 	http_server_route(r->server, "POST", "/control", handle_control, r);
--- /dev/null
+++ b/tests/test_http_limits.c
@@ -0,0 +1,304 @@
+#include <gio/gio.h>
+#include <string.h>
+
+#include "base/http_server.h"
+#include "base/util.h"
+#include "tests/cluster.h"
+
+#define MAX_CONNECTIONS 4
+#define MAX_BODY_BYTES 1000
+#define WAIT_MS 5000
+
+static const struct connection_limits limits = {
+	.max_connections = MAX_CONNECTIONS,
+	.idle_ms = 600,
+	.request_ms = 300,
+	.answer_ms = 300,
+};
+
+struct fixture {
+	struct http_server *server;
+	struct http_request *held;
+	char *big;
+};
+
+/* A peer that speaks bytes. */
+struct peer {
+	GSocketConnection *connection;
+	GString *received;
+	gboolean is_closed;
+	char buffer[4096];
+};
+
+static void handle_echo(struct http_request *r, void *data)
+{
+	json_object *body = http_request_json(r);
+
+	if (body)
+		http_request_reply(r, 200, json_object_get(body));
+}
+
+static void handle_hold(struct http_request *r, void *data)
+{
+	((struct fixture *)data)->held = r;
+}
+
+static void handle_big(struct http_request *r, void *data)
+{
+	http_request_reply_text(r, 200, ((struct fixture *)data)->big);
+}
+
+static void fixture_set_up(struct fixture *f, gconstpointer data)
+{
+	f->server = http_server_new(MAX_BODY_BYTES);
+	http_server_set_limits(f->server, &limits);
+	f->big = g_strnfill(64 << 20, 'x');
+	http_server_route(f->server, "POST", "/echo", handle_echo, f);
+	http_server_route(f->server, "GET", "/hold", handle_hold, f);
+	http_server_route(f->server, "GET", "/big", handle_big, f);
+	g_assert_cmpint(http_server_listen(f->server, "127.0.0.1", 0), ==,
+			STATUS_OK);
+}
+
+static void fixture_tear_down(struct fixture *f, gconstpointer data)
+{
+	if (f->held)
+		http_request_reply_text(f->held, 200, "");
+	cluster_sleep(10);
+	http_server_free(f->server);
+	g_free(f->big);
+}
+
+static void read_more(struct peer *p);
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct peer *p = data;
+	gssize len = g_input_stream_read_finish(G_INPUT_STREAM(source), result,
+						NULL);
+
+	if (len <= 0) {
+		p->is_closed = TRUE;
+		return;
+	}
+	g_string_append_len(p->received, p->buffer, len);
+	read_more(p);
+}
+
+static void read_more(struct peer *p)
+{
+	GInputStream *in =
+		g_io_stream_get_input_stream(G_IO_STREAM(p->connection));
+
+	g_input_stream_read_async(in, p->buffer, sizeof(p->buffer),
+				  G_PRIORITY_DEFAULT, NULL, on_read, p);
+}
+
+static struct peer *peer_new(struct fixture *f)
+{
+	struct peer *p = g_new0(struct peer, 1);
+	GSocketClient *client = g_socket_client_new();
+
+	p->connection = g_socket_client_connect_to_host(
+		client, "127.0.0.1", http_server_port(f->server), NULL, NULL);
+	p->received = g_string_new(NULL);
+	g_assert_nonnull(p->connection);
+	g_object_unref(client);
+	return p;
+}
+
+static gboolean is_closed(void *data)
+{
+	return ((struct peer *)data)->is_closed;
+}
+
+static void peer_free(struct peer *p)
+{
+	GSocket *socket = g_socket_connection_get_socket(p->connection);
+
+	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	g_assert_true(cluster_wait(is_closed, p, WAIT_MS));
+	g_object_unref(p->connection);
+	g_string_free(p->received, TRUE);
+	g_free(p);
+}
+
+static void peer_send(struct peer *p, const char *text)
+{
+	GOutputStream *out =
+		g_io_stream_get_output_stream(G_IO_STREAM(p->connection));
+
+	g_output_stream_write_all(out, text, strlen(text), NULL, NULL, NULL);
+}
+
+/* What a peer sends, how it is answered and whether it is closed then. */
+struct peer_case {
+	const char *path;
+	const char *sent;
+	const char *answer; /* start of what comes back */
+	int64_t within_ms;  /* until it is closed, 0 when it stays open */
+};
+
+static const struct peer_case peer_cases[] = {
+	{ "/http-limits/idle", "", "", 1500 },
+	{ "/http-limits/half-request-line", "POST /ec", "", 1200 },
+	{ "/http-limits/half-headers",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Le", "", 1200 },
+	{ "/http-limits/half-body",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{", "",
+	  1200 },
+	{ "/http-limits/whole",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
+	  "HTTP/1.1 200", 0 },
+	{ "/http-limits/no-http", "\x16\x03\x01 hello\r\n\r\n", "", 1200 },
+	{ "/http-limits/oversize-body",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n",
+	  "", 1200 },
+	{ "/http-limits/chunked",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\n{}\r\n0\r\n\r\n",
+	  "HTTP/1.1 411", 1200 },
+	{ "/http-limits/held", "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n", "", 0 },
+};
+
+static void test_peer(struct fixture *f, gconstpointer data)
+{
+	const struct peer_case *c = data;
+	struct peer *p = peer_new(f);
+	gboolean closed;
+
+	read_more(p);
+	peer_send(p, c->sent);
+	closed = cluster_wait(is_closed, p, c->within_ms ? c->within_ms : 500);
+	g_test_message("got %s", p->received->str);
+	g_assert_cmpint(closed, ==, c->within_ms != 0);
+	g_assert_true(g_str_has_prefix(p->received->str, c->answer));
+	peer_free(p);
+}
+
+static void test_many(struct fixture *f, gconstpointer data)
+{
+	struct peer *idle[MAX_CONNECTIONS];
+	struct peer *last;
+
+	for (guint i = 0; i < MAX_CONNECTIONS; i++) {
+		idle[i] = peer_new(f);
+		read_more(idle[i]);
+		cluster_sleep(20);
+	}
+	last = peer_new(f);
+	read_more(last);
+	peer_send(last, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+			"Content-Length: 2\r\n\r\n{}");
+	g_assert_true(cluster_wait(is_closed, idle[0], 300));
+	g_assert_false(idle[1]->is_closed);
+	cluster_sleep(50);
+	g_assert_true(g_str_has_prefix(last->received->str, "HTTP/1.1 200"));
+	for (guint i = 0; i < MAX_CONNECTIONS; i++)
+		peer_free(idle[i]);
+	peer_free(last);
+}
+
+static void test_too_many(struct fixture *f, gconstpointer data)
+{
+	struct peer *busy[MAX_CONNECTIONS];
+	struct peer *last;
+
+	for (guint i = 0; i < MAX_CONNECTIONS; i++) {
+		busy[i] = peer_new(f);
+		read_more(busy[i]);
+		peer_send(busy[i], "POST /ec");
+	}
+	cluster_sleep(50);
+	last = peer_new(f);
+	read_more(last);
+	g_assert_true(cluster_wait(is_closed, last, 200));
+	g_assert_cmpuint(
+		connection_guard_counts(http_server_guard(f->server)).refused,
+		==, 1);
+	for (guint i = 0; i < MAX_CONNECTIONS; i++)
+		peer_free(busy[i]);
+	peer_free(last);
+}
+
+static gboolean has_none_open(void *data)
+{
+	struct fixture *f = data;
+
+	return connection_guard_open(http_server_guard(f->server)) == 0 &&
+	       http_server_pending(f->server) == 0;
+}
+
+/* A peer that never takes its answer. */
+static void test_slow_reader(struct fixture *f, gconstpointer data)
+{
+	struct peer *p = peer_new(f);
+
+	peer_send(p, "GET /big HTTP/1.1\r\nHost: a\r\n\r\n");
+	cluster_sleep(100);
+	g_assert_cmpuint(http_server_pending(f->server), ==, 1);
+	g_assert_true(cluster_wait(has_none_open, f, 2000));
+	read_more(p);
+	peer_free(p);
+}
+
+static void test_large_headers(struct fixture *f, gconstpointer data)
+{
+	char *name = g_strnfill(200000, 'a');
+	char *text = g_strdup_printf(
+		"GET /hold HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n", name);
+	struct peer *p = peer_new(f);
+
+	read_more(p);
+	peer_send(p, text);
+	g_assert_true(cluster_wait(is_closed, p, 1200));
+	g_assert_null(f->held);
+	peer_free(p);
+	g_free(text);
+	g_free(name);
+}
+
+static gboolean is_answered(void *data)
+{
+	return ((struct peer *)data)->received->len > 0;
+}
+
+/* A body above the limit is read and dropped, so that the answer arrives. */
+static void test_oversize(struct fixture *f, gconstpointer data)
+{
+	char *body = g_strnfill(100000, ' ');
+	struct peer *p = peer_new(f);
+
+	read_more(p);
+	peer_send(p, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 100000\r\n\r\n");
+	peer_send(p, body);
+	g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
+	g_assert_true(g_str_has_prefix(p->received->str, "HTTP/1.1 413"));
+	g_assert_true(cluster_wait(is_closed, p, WAIT_MS));
+	peer_free(p);
+	g_free(body);
+}
+
+static const struct {
+	const char *path;
+	void (*test)(struct fixture *f, gconstpointer data);
+} cases[] = {
+	{ "/http-limits/oversize", test_oversize },
+	{ "/http-limits/many-idle", test_many },
+	{ "/http-limits/too-many", test_too_many },
+	{ "/http-limits/slow-reader", test_slow_reader },
+	{ "/http-limits/large-headers", test_large_headers },
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(peer_cases); i++)
+		g_test_add(peer_cases[i].path, struct fixture, &peer_cases[i],
+			   fixture_set_up, test_peer, fixture_tear_down);
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_test_add(cases[i].path, struct fixture, NULL, fixture_set_up,
+			   cases[i].test, fixture_tear_down);
+	return g_test_run();
+}
