--- /dev/null
+++ b/cli/csgated.c
@@ -0,0 +1,25 @@
+/*
+ * The gateway: takes callers' requests and operators' calls on an entry VM.
+ */
+#include "config/config_service.h"
+#include "daemon/daemon.h"
+#include "daemon/platform_service.h"
+#include "daemon/request_service.h"
+
+static const service_new_fn services[] = {
+	platform_service_new,
+	config_service_new,
+	request_service_new,
+	NULL,
+};
+
+static const struct daemon_spec spec = {
+	.name = "csgated",
+	.summary = "Routes callers' requests to endpoints.",
+	.services = services,
+};
+
+int main(int argc, char **argv)
+{
+	return daemon_main(&spec, argc, argv);
+}
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -294,6 +294,8 @@
 	if (reply->slots > 0)
 		endpoint_table_report(d->endpoints, e, (uint32_t)reply->slots,
 				      (uint32_t)reply->slots_busy, now_ms);
+	if (reply->outcome == RUN_BUSY)
+		endpoint_table_refused(d->endpoints, e, now_ms);
 	if (reply->outcome == RUN_LEAVING)
 		endpoint_table_set_state(d->endpoints, e, ENDPOINT_LEAVING,
 					 now_ms);
@@ -343,6 +345,14 @@
 	struct dispatcher *d = f->dispatcher;
 	gboolean has_time = now_ms < f->deadline_ms;
 
+	if (outcome == RUN_BUSY && has_time) {
+		/* Nobody's fault: it goes on waiting for room anywhere. */
+		f->attempts--;
+		f->is_counted = FALSE;
+		f->state = FLIGHT_QUEUED;
+		admission_put_back(d->admission, &f->item);
+		return;
+	}
 	remember_tried(f);
 	if (run_outcome_is_not_started(outcome)) {
 		if (has_time && f->attempts < RETRY_MAX_ATTEMPTS)
@@ -495,18 +505,11 @@
 	}
 }
 
-static guint open_endpoints(const struct dispatcher *d)
-{
-	return d->endpoints->open[ENDPOINT_LOCAL]->len +
-	       d->endpoints->open[ENDPOINT_REMOTE]->len;
-}
-
 static void set_capacity(struct dispatcher *d)
 {
-	uint32_t seen = admission_in_flight(d->admission) + open_endpoints(d);
-
-	admission_set_capacity(
-		d->admission, MAX(endpoint_table_capacity(d->endpoints), seen));
+	admission_set_capacity(d->admission,
+			       endpoint_table_capacity(d->endpoints),
+			       d->endpoints->occupancy);
 }
 
 /* Takes one request out of the queues. @return FALSE when there is none */
@@ -540,10 +543,11 @@
 	if (d->is_pumping)
 		return;
 	d->is_pumping = TRUE;
+	endpoint_table_retry_refused(d->endpoints, now_ms);
 	late = g_ptr_array_new();
 	set_capacity(d);
 	pump_ready(d, now_ms);
-	while (open_endpoints(d) > 0 &&
+	while (endpoint_table_is_open(d->endpoints) &&
 	       d->claiming + d->ready.length <
 		       endpoint_table_capacity(d->endpoints)) {
 		if (!pump_one(d, now_ms, late))
--- a/request/admission.c
+++ b/request/admission.c
@@ -5,8 +5,10 @@
 #include "base/util.h"
 
 #define ESTIMATE_WEIGHT 16.0
-#define DEVIATIONS 2.0
-/** Share of the slots that bulk may hold while spot requests may come. */
+#define USUAL_DEVIATIONS 2.0
+/** Margin before the deadline when other requests could use the slot. */
+#define CROWDED_DEVIATIONS 4.0
+/** Share of the slots that bulk may hold, in this process or in all. */
 #define BULK_MOST 0.75
 /** Share of the slots that bulk gets even when spot requests wait. */
 #define BULK_LEAST 0.1
@@ -48,6 +50,7 @@
 	GHashTable *accounts; /**< name to struct admission_account */
 	struct class_state classes[REQUEST_CLASS_COUNT];
 	uint32_t slots;
+	double occupancy;
 };
 
 static void account_free(gpointer data)
@@ -104,9 +107,11 @@
 	account->queued_requests = spec->queued_requests;
 }
 
-void admission_set_capacity(struct admission *a, uint32_t slots)
+void admission_set_capacity(struct admission *a, uint32_t slots,
+			    double occupancy)
 {
 	a->slots = MAX(slots, 1);
+	a->occupancy = occupancy;
 }
 
 static void estimate_add(struct estimate *e, double value_ms)
@@ -123,15 +128,15 @@
 	e->deviation_ms += (ABS(error_ms) - e->deviation_ms) / ESTIMATE_WEIGHT;
 }
 
-static double needed_ms(const struct estimate *e)
+static double estimate_ms(const struct estimate *e, double deviations)
 {
-	return e->mean_ms + DEVIATIONS * e->deviation_ms;
+	return e->mean_ms + deviations * e->deviation_ms;
 }
 
 int64_t admission_service_ms(const struct admission *a,
 			     enum request_class class)
 {
-	return (int64_t)needed_ms(&a->classes[class].run);
+	return (int64_t)estimate_ms(&a->classes[class].run, USUAL_DEVIATIONS);
 }
 
 static gboolean take_token(struct admission_account *account, int64_t now_ms)
@@ -150,15 +155,43 @@
 	return TRUE;
 }
 
-/* Bulk waits behind all spot requests, spot behind spot only. */
-static double expected_wait_ms(const struct admission *a,
-			       enum request_class class)
+static double active_shares(const struct admission *a, enum request_class class,
+			    const struct admission_account *but)
 {
-	double work_ms = 0;
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
 
-	for (int i = 0; i <= (int)class; i++)
-		work_ms += a->classes[i].queued * a->classes[i].run.mean_ms;
-	return work_ms / a->slots;
+	g_hash_table_iter_init(&iter, a->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct admission_account *account = value;
+
+		if (account == but || account->lines[class].items.length > 0)
+			sum += (double)account->share;
+	}
+	return sum;
+}
+
+/*
+ * Bulk waits behind all spot requests. Within its class a request waits for
+ * all that are queued, or for those of its account at the account's share,
+ * whichever is less.
+ */
+static double expected_wait_ms(const struct admission *a,
+			       const struct admission_item *item)
+{
+	const struct class_state *class = &a->classes[item->class];
+	const struct admission_account *account = item->account;
+	double shares = active_shares(a, item->class, account);
+	double own = account->lines[item->class].items.length * shares /
+		     (double)account->share;
+	double work_ms = MIN(own, class->queued) * class->run.mean_ms;
+	uint32_t slots = MAX(a->slots, admission_in_flight(a));
+
+	if (item->class == REQUEST_BULK)
+		work_ms += a->classes[REQUEST_SPOT].queued *
+			   a->classes[REQUEST_SPOT].run.mean_ms;
+	return work_ms / slots;
 }
 
 /*
@@ -169,13 +202,15 @@
 			   const struct admission_item *item, double wait_ms,
 			   int64_t now_ms)
 {
+	const struct class_state *class = &a->classes[item->class];
 	const struct line *line = &item->account->lines[item->class];
+	double deviations = class->queued > 0 ? CROWDED_DEVIATIONS : 0;
 
 	if (now_ms >= item->deadline_ms)
 		return FALSE;
-	if (a->classes[item->class].in_flight == 0)
+	if (class->in_flight == 0)
 		return TRUE;
-	return (double)now_ms + wait_ms + needed_ms(&line->run) <=
+	return (double)now_ms + wait_ms + estimate_ms(&line->run, deviations) <=
 	       (double)item->deadline_ms;
 }
 
@@ -255,7 +290,7 @@
 		return REASON_RATE_LIMIT;
 	if (line->items.length >= (guint)account->queued_requests)
 		return REASON_QUEUE_FULL;
-	if (!can_finish(a, item, expected_wait_ms(a, item->class), now_ms))
+	if (!can_finish(a, item, expected_wait_ms(a, item), now_ms))
 		return REASON_DEADLINE;
 	return REASON_NONE;
 }
@@ -321,7 +356,8 @@
 		return REQUEST_BULK;
 	if (spot->queued > 0)
 		return REQUEST_SPOT;
-	if (bulk->queued > 0 && bulk->in_flight < most)
+	if (bulk->queued > 0 &&
+	    (bulk->in_flight < most || a->occupancy < BULK_MOST))
 		return REQUEST_BULK;
 	return REQUEST_CLASS_COUNT;
 }
@@ -330,10 +366,10 @@
 static void charge(struct admission *a, struct admission_item *item)
 {
 	struct line *line = &item->account->lines[item->class];
-	double cost_ms = MAX(line->run.mean_ms, 1);
 
+	item->cost = MAX(line->run.mean_ms, 1) / (double)item->account->share;
 	a->classes[item->class].virtual_time = line->virtual_time;
-	line->virtual_time += cost_ms / (double)item->account->share;
+	line->virtual_time += item->cost;
 }
 
 static struct admission_item *next_unlimited(struct admission *a)
@@ -384,6 +420,7 @@
 void admission_put_back(struct admission *a, struct admission_item *item)
 {
 	a->classes[item->class].in_flight--;
+	item->account->lines[item->class].virtual_time -= item->cost;
 	link_item(a, item, TRUE);
 }
 
--- a/request/admission.h
+++ b/request/admission.h
@@ -20,6 +20,7 @@
 	int64_t arrival_ms;
 	int64_t deadline_ms; /**< on the clock of arrival_ms */
 	int64_t start_ms;    /**< when it was taken for dispatch */
+	double cost;	     /**< charged to the account */
 	struct admission_account *account;
 	GList link; /**< its place in the queue; data is NULL when not queued */
 };
@@ -45,8 +46,14 @@
 			   const struct admission_account_spec *spec,
 			   int64_t now_ms);
 
-/** Sets how many requests this process may have dispatched at a time. */
-void admission_set_capacity(struct admission *a, uint32_t slots);
+/**
+ * Tells what there is to use.
+ *
+ * @param slots		that are this process's own
+ * @param occupancy	of all slots by all processes, 0 to 1
+ */
+void admission_set_capacity(struct admission *a, uint32_t slots,
+			    double occupancy);
 
 /**
  * Queues a request, or refuses it.
--- a/request/endpoint_table.c
+++ b/request/endpoint_table.c
@@ -2,8 +2,9 @@
 
 #include <string.h>
 
-#define LATENCY_WEIGHT 8
 #define NO_TIME INT64_C(-1)
+#define OCCUPANCY_WEIGHT 32
+#define REFUSED_MS INT64_C(20)
 /** What is tried on an endpoint that has told nothing lately. */
 #define PROBE_LIMIT 1u
 /** An endpoint that returns gets one more slot after each such time. */
@@ -26,8 +27,9 @@
 	t->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   endpoint_free);
 	t->endpoints = g_ptr_array_new();
-	for (int i = 0; i < ENDPOINT_REACH_COUNT; i++)
-		t->open[i] = g_ptr_array_new();
+	for (int i = 0; i < ENDPOINT_ROOM_COUNT; i++)
+		t->with_room[i] = g_ptr_array_new();
+	g_queue_init(&t->refused);
 	t->failure_domain = g_strdup(failure_domain);
 	t->gateway_count = 1;
 	return t;
@@ -37,34 +39,34 @@
 {
 	g_hash_table_unref(t->by_name);
 	g_ptr_array_unref(t->endpoints);
-	for (int i = 0; i < ENDPOINT_REACH_COUNT; i++)
-		g_ptr_array_unref(t->open[i]);
+	for (int i = 0; i < ENDPOINT_ROOM_COUNT; i++)
+		g_ptr_array_unref(t->with_room[i]);
+	g_queue_clear(&t->refused);
 	g_free(t->failure_domain);
 	g_free(t);
 }
 
-static void open_remove(struct endpoint_table *t, struct endpoint *e)
+static void set_room(struct endpoint_table *t, struct endpoint *e,
+		     enum endpoint_room room)
 {
-	GPtrArray *open = t->open[e->reach];
 	struct endpoint *last;
+	GPtrArray *list;
 
-	if (e->open_index < 0)
+	if (e->room == room)
 		return;
-	last = g_ptr_array_index(open, open->len - 1);
-	open->pdata[e->open_index] = last;
-	last->open_index = e->open_index;
-	g_ptr_array_set_size(open, (gint)open->len - 1);
-	e->open_index = -1;
-}
-
-static void open_add(struct endpoint_table *t, struct endpoint *e)
-{
-	GPtrArray *open = t->open[e->reach];
-
-	if (e->open_index >= 0)
-		return;
-	e->open_index = (int32_t)open->len;
-	g_ptr_array_add(open, e);
+	if (e->room != ENDPOINT_ROOM_NONE) {
+		list = t->with_room[e->room];
+		last = g_ptr_array_index(list, list->len - 1);
+		list->pdata[e->room_index] = last;
+		last->room_index = e->room_index;
+		g_ptr_array_set_size(list, (gint)list->len - 1);
+	}
+	e->room = room;
+	if (room != ENDPOINT_ROOM_NONE) {
+		list = t->with_room[room];
+		e->room_index = (int32_t)list->len;
+		g_ptr_array_add(list, e);
+	}
 }
 
 static uint32_t return_limit(const struct endpoint *e, int64_t now_ms)
@@ -94,17 +96,56 @@
 	return MIN(MIN(limit, e->slots), most);
 }
 
+static enum endpoint_room find_room(const struct endpoint_table *t,
+				    const struct endpoint *e, int64_t now_ms)
+{
+	if (now_ms < e->refused_until_ms)
+		return ENDPOINT_ROOM_NONE;
+	if (e->in_flight >= endpoint_limit(t, e, now_ms))
+		return ENDPOINT_ROOM_NONE;
+	if (e->reach == ENDPOINT_REMOTE)
+		return ENDPOINT_ROOM_REMOTE;
+	return e->in_flight < e->share ? ENDPOINT_ROOM_OWN
+				       : ENDPOINT_ROOM_BORROWED;
+}
+
 gboolean endpoint_table_has_room(struct endpoint_table *t, struct endpoint *e,
 				 int64_t now_ms)
 {
-	if (e->in_flight < endpoint_limit(t, e, now_ms)) {
-		open_add(t, e);
-		return TRUE;
+	set_room(t, e, find_room(t, e, now_ms));
+	return e->room != ENDPOINT_ROOM_NONE;
+}
+
+gboolean endpoint_table_is_open(const struct endpoint_table *t)
+{
+	for (int i = 0; i < ENDPOINT_ROOM_COUNT; i++) {
+		if (t->with_room[i]->len > 0)
+			return TRUE;
 	}
-	open_remove(t, e);
 	return FALSE;
 }
 
+void endpoint_table_refused(struct endpoint_table *t, struct endpoint *e,
+			    int64_t now_ms)
+{
+	if (now_ms < e->refused_until_ms)
+		return;
+	e->refused_until_ms = now_ms + REFUSED_MS;
+	g_queue_push_tail(&t->refused, e);
+	endpoint_table_has_room(t, e, now_ms);
+}
+
+void endpoint_table_retry_refused(struct endpoint_table *t, int64_t now_ms)
+{
+	struct endpoint *e;
+
+	while ((e = g_queue_peek_head(&t->refused)) &&
+	       now_ms >= e->refused_until_ms) {
+		g_queue_pop_head(&t->refused);
+		endpoint_table_has_room(t, e, now_ms);
+	}
+}
+
 /* Spreads the slots over all entry processes so that the sum is exact. */
 static void set_share(const struct endpoint_table *t, struct endpoint *e)
 {
@@ -160,7 +201,7 @@
 	e->slots = ENDPOINT_SLOTS;
 	e->report_ms = NO_TIME;
 	e->returned_ms = NO_TIME;
-	e->open_index = -1;
+	e->room = ENDPOINT_ROOM_NONE;
 	e->index = (int32_t)t->endpoints->len;
 	t->live_count[e->reach]++;
 	g_ptr_array_add(t->endpoints, e);
@@ -173,7 +214,8 @@
 {
 	struct endpoint *last;
 
-	open_remove(t, e);
+	set_room(t, e, ENDPOINT_ROOM_NONE);
+	g_queue_remove(&t->refused, e);
 	last = g_ptr_array_index(t->endpoints, t->endpoints->len - 1);
 	t->endpoints->pdata[e->index] = last;
 	last->index = e->index;
@@ -228,10 +270,17 @@
 	return g_hash_table_lookup(t->by_name, name);
 }
 
+static double local_slots(const struct endpoint_table *t)
+{
+	return (double)MAX(t->live_count[ENDPOINT_LOCAL], 1) * ENDPOINT_SLOTS;
+}
+
 void endpoint_table_sent(struct endpoint_table *t, struct endpoint *e,
 			 int64_t now_ms)
 {
 	e->in_flight++;
+	if (e->reach == ENDPOINT_LOCAL)
+		t->occupancy += 1 / local_slots(t);
 	endpoint_table_has_room(t, e, now_ms);
 }
 
@@ -239,6 +288,8 @@
 			  int64_t now_ms)
 {
 	e->in_flight--;
+	if (e->reach == ENDPOINT_LOCAL)
+		t->occupancy = MAX(t->occupancy - 1 / local_slots(t), 0);
 	endpoint_table_has_room(t, e, now_ms);
 }
 
@@ -251,6 +302,9 @@
 	e->others_busy = slots_busy > own ? slots_busy - own : 0;
 	e->report_ms = now_ms;
 	set_share(t, e);
+	if (e->reach == ENDPOINT_LOCAL && slots > 0)
+		t->occupancy += ((double)slots_busy / slots - t->occupancy) /
+				OCCUPANCY_WEIGHT;
 	endpoint_table_has_room(t, e, now_ms);
 }
 
--- a/request/endpoint_table.h
+++ b/request/endpoint_table.h
@@ -28,6 +28,15 @@
 	ENDPOINT_REACH_COUNT,
 };
 
+/** What kind of room an endpoint has for one more request. */
+enum endpoint_room {
+	ENDPOINT_ROOM_OWN,	/**< within this process's share */
+	ENDPOINT_ROOM_BORROWED, /**< in a share that others leave unused */
+	ENDPOINT_ROOM_REMOTE,	/**< in another failure domain */
+	ENDPOINT_ROOM_COUNT,
+	ENDPOINT_ROOM_NONE = ENDPOINT_ROOM_COUNT,
+};
+
 struct endpoint {
 	char *name;
 	char *address; /**< "IP:PORT" */
@@ -47,21 +56,25 @@
 	int64_t returned_ms; /**< end of the last ejection, -1 for none */
 	double slowness;     /**< moving average of latency over the mean */
 	uint32_t samples;
-	/* Position in the arrays of the table, -1 for none. */
+	int64_t refused_until_ms; /**< had no free slot a moment ago */
+	/* Position in the arrays of the table. */
 	int32_t index;
-	int32_t open_index;
+	enum endpoint_room room;
+	int32_t room_index;
 	gboolean is_listed; /**< seen in the list being taken over */
 };
 
 struct endpoint_table {
 	GHashTable *by_name;  /**< name to struct endpoint, owned */
 	GPtrArray *endpoints; /**< all */
-	GPtrArray *open[ENDPOINT_REACH_COUNT]; /**< those that have room */
-	char *failure_domain;		       /**< of this process */
+	GPtrArray *with_room[ENDPOINT_ROOM_COUNT];
+	GQueue refused;		/**< those that had no free slot, by time */
+	char *failure_domain;	/**< of this process */
 	uint32_t gateway_count; /**< entry processes of the domain */
 	uint32_t gateway_rank;	/**< of this process among them */
 	uint32_t ejected_count;
 	uint32_t live_count[ENDPOINT_REACH_COUNT]; /**< not leaving */
+	double occupancy;     /**< share of the local slots in use by anyone */
 	uint64_t inspections; /**< endpoints looked at by choices */
 };
 
@@ -104,6 +117,13 @@
 void endpoint_table_report(struct endpoint_table *t, struct endpoint *e,
 			   uint32_t slots, uint32_t slots_busy, int64_t now_ms);
 
+/** Gives an endpoint that had no free slot no request for a short time. */
+void endpoint_table_refused(struct endpoint_table *t, struct endpoint *e,
+			    int64_t now_ms);
+
+/** Lets endpoints take requests again that had no free slot. */
+void endpoint_table_retry_refused(struct endpoint_table *t, int64_t now_ms);
+
 void endpoint_table_set_state(struct endpoint_table *t, struct endpoint *e,
 			      enum endpoint_state state, int64_t now_ms);
 
@@ -111,8 +131,7 @@
 uint32_t endpoint_limit(const struct endpoint_table *t,
 			const struct endpoint *e, int64_t now_ms);
 
-/** Tells whether one more request may be sent; drops it from the open ones
- * when not. */
+/** Tells whether one more request may be sent, and files it by its room. */
 gboolean endpoint_table_has_room(struct endpoint_table *t, struct endpoint *e,
 				 int64_t now_ms);
 
@@ -122,6 +141,9 @@
 /** Returns the slots that are this process's own in its failure domain. */
 uint32_t endpoint_table_capacity(const struct endpoint_table *t);
 
+/** Tells whether any endpoint has room. */
+gboolean endpoint_table_is_open(const struct endpoint_table *t);
+
 /** Estimates the slots in use there, by anyone. */
 uint32_t endpoint_busy(const struct endpoint *e);
 
--- a/request/routing/power_of_two.c
+++ b/request/routing/power_of_two.c
@@ -11,30 +11,45 @@
 	return a->latency_us < b->latency_us;
 }
 
-static void choose(struct routing_policy *p, struct endpoint_table *t,
-		   enum endpoint_reach reach, const struct routing_query *q,
-		   GRand *rand, struct routing_choice *out)
+static void choose_of_two(struct endpoint_table *t, GPtrArray *list,
+			  const struct routing_query *q, GRand *rand,
+			  struct routing_choice *out)
 {
-	struct endpoint *first = routing_sample(t, reach, q, rand);
+	struct endpoint *first = routing_sample(t, list, q, rand);
 	struct endpoint *second;
 
 	if (!first)
 		return;
-	second = routing_sample(t, reach, q, rand);
+	second = routing_sample(t, list, q, rand);
 	if (second == first)
 		second = NULL;
 	out->endpoint = first;
-	out->reason = "only one sampled";
-	if (!second)
-		return;
-	out->reason = "fewer slots in use of two";
 	out->runner_up = second;
-	if (!is_better(second, first))
+	if (!second || !is_better(second, first))
 		return;
 	out->endpoint = second;
 	out->runner_up = first;
 }
 
+/* The own share first: there no other process takes the slot. */
+static void choose(struct routing_policy *p, struct endpoint_table *t,
+		   enum endpoint_reach reach, const struct routing_query *q,
+		   GRand *rand, struct routing_choice *out)
+{
+	GPtrArray **lists = t->with_room;
+
+	if (reach == ENDPOINT_REMOTE) {
+		choose_of_two(t, lists[ENDPOINT_ROOM_REMOTE], q, rand, out);
+		return;
+	}
+	choose_of_two(t, lists[ENDPOINT_ROOM_OWN], q, rand, out);
+	out->reason = "fewest slots in use of two, own share";
+	if (out->endpoint)
+		return;
+	choose_of_two(t, lists[ENDPOINT_ROOM_BORROWED], q, rand, out);
+	out->reason = "fewest slots in use of two, unused share of others";
+}
+
 static struct routing_policy *create(void)
 {
 	return g_new0(struct routing_policy, 1);
--- a/request/routing/random.c
+++ b/request/routing/random.c
@@ -4,9 +4,16 @@
 		   enum endpoint_reach reach, const struct routing_query *q,
 		   GRand *rand, struct routing_choice *out)
 {
-	out->endpoint = routing_sample(t, reach, q, rand);
-	if (out->endpoint)
+	struct endpoint *e;
+
+	for (guint i = 0; i < t->endpoints->len; i++) {
+		e = routing_sample(t, t->endpoints, q, rand);
+		if (!e || e->reach != reach)
+			continue;
+		out->endpoint = e;
 		out->reason = "random";
+		return;
+	}
 }
 
 static struct routing_policy *create(void)
--- a/request/routing/routing.c
+++ b/request/routing/routing.c
@@ -49,15 +49,12 @@
 	return !was_tried(q, e) && endpoint_table_has_room(t, e, q->now_ms);
 }
 
-struct endpoint *routing_sample(struct endpoint_table *t,
-				enum endpoint_reach reach,
+struct endpoint *routing_sample(struct endpoint_table *t, GPtrArray *list,
 				const struct routing_query *q, GRand *rand)
 {
-	GPtrArray *open = t->open[reach];
-
-	for (int i = 0; i < SAMPLE_TRIES && open->len > 0; i++) {
-		gint32 at = g_rand_int_range(rand, 0, (gint32)open->len);
-		struct endpoint *e = g_ptr_array_index(open, at);
+	for (int i = 0; i < SAMPLE_TRIES && list->len > 0; i++) {
+		gint32 at = g_rand_int_range(rand, 0, (gint32)list->len);
+		struct endpoint *e = g_ptr_array_index(list, at);
 
 		if (routing_may_take(t, e, q))
 			return e;
--- a/request/routing/routing.h
+++ b/request/routing/routing.h
@@ -67,9 +67,9 @@
 gboolean routing_may_take(struct endpoint_table *t, struct endpoint *e,
 			  const struct routing_query *q);
 
-/** For policies: returns a random endpoint that may take it, or NULL. */
-struct endpoint *routing_sample(struct endpoint_table *t,
-				enum endpoint_reach reach,
+/** For policies: returns a random endpoint of a list that may take it, or
+ * NULL after a few tries. */
+struct endpoint *routing_sample(struct endpoint_table *t, GPtrArray *list,
 				const struct routing_query *q, GRand *rand);
 
 extern const struct routing_policy_class routing_random_class;
