Faults of the shared state over real processes; a first configuration can spread

Cause: a change over no configuration lacked the member format, so that a process without a configuration refused it, asked again and was answered the same, several thousand times a second. Change: the change holds the format; requests are sent at most every 500 ms, and ask for the whole body when a change did not lead there.

--- a/config/config_delta.c
+++ b/config/config_delta.c
@@ -41,6 +41,7 @@
 static const struct field_spec delta_fields[] = {
 	VERSION_FIELD(struct config_delta, base_version, 0),
 	VERSION_FIELD(struct config_delta, version, 1),
+	VERSION_FIELD(struct config_delta, format, 1),
 	{ .name = "digest",
 	  .type = FIELD_STRING,
 	  .is_required = TRUE,
@@ -66,6 +67,9 @@
 
 static const struct field_spec request_fields[] = {
 	VERSION_FIELD(struct config_request, have_version, 0),
+	{ .name = "wants_whole",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct config_request, wants_whole) },
 	{ 0 },
 };
 
@@ -172,6 +176,8 @@
 {
 	out->base_version = base_version;
 	out->version = version;
+	out->format = json_object_get_int64(
+		json_object_object_get(body, FORMAT_MEMBER));
 	out->digest = config_digest(body);
 	out->lists = g_array_new(FALSE, TRUE, sizeof(struct config_list_delta));
 	for (guint i = 0; i < G_N_ELEMENTS(list_names); i++) {
@@ -230,9 +236,8 @@
 	enum status status = STATUS_OK;
 	char *digest;
 
-	json_object_object_add(
-		body, FORMAT_MEMBER,
-		json_object_get(json_object_object_get(base, FORMAT_MEMBER)));
+	json_object_object_add(body, FORMAT_MEMBER,
+			       json_object_new_int64(d->format));
 	for (guint i = 0; i < d->lists->len; i++) {
 		const struct config_list_delta *list =
 			&g_array_index(d->lists, struct config_list_delta, i);
--- a/config/config_delta.h
+++ b/config/config_delta.h
@@ -24,8 +24,9 @@
 struct config_delta {
 	int64_t base_version;
 	int64_t version;
-	char *digest;  /**< of the body after the change */
-	GArray *lists; /**< of struct config_list_delta */
+	int64_t format; /**< of the configuration after the change */
+	char *digest;	/**< of the body after the change */
+	GArray *lists;	/**< of struct config_list_delta */
 };
 
 /** Body of the frame that spreads a whole configuration. */
@@ -37,6 +38,7 @@
 /** Body of the frame by which a process asks for what it lacks. */
 struct config_request {
 	int64_t have_version;
+	int64_t wants_whole; /**< changes did not lead there */
 };
 
 extern const struct schema config_delta_schema;
--- a/config/config_spread.c
+++ b/config/config_spread.c
@@ -11,7 +11,7 @@
 #define POLL_TASK "config-poll"
 /** Changes kept for peers that lag. */
 #define MAX_HISTORY 16
-/** Time to wait for a push before asking for what a heartbeat told of. */
+/** From one request for what is lacking to the next. */
 #define REQUEST_MS INT64_C(500)
 
 struct config_spread {
@@ -33,12 +33,21 @@
 						      : CONFIG_FROM_FAR;
 }
 
-static void send_request(struct config_spread *s, const char *node)
+/* Asks a peer for what is lacking, not more often than every REQUEST_MS. */
+static void send_request(struct config_spread *s, const char *node,
+			 gboolean wants_whole)
 {
-	struct config_request request = { config_service_version(s->service) };
-	json_object *body = schema_encode(&config_request_schema, &request);
+	struct config_request request = {
+		.have_version = config_service_version(s->service),
+		.wants_whole = wants_whole,
+	};
+	int64_t now_ms = util_monotonic_ms();
+	json_object *body;
 
-	s->requested_ms = util_monotonic_ms();
+	if (now_ms - s->requested_ms < REQUEST_MS)
+		return;
+	s->requested_ms = now_ms;
+	body = schema_encode(&config_request_schema, &request);
 	link_service_send(s->link, node, MESSAGE_CONFIG_REQUEST, body);
 	json_object_put(body);
 }
@@ -47,19 +56,22 @@
 		       const struct link_identity *from,
 		       const struct config_delta *d)
 {
+	int64_t version = config_service_version(s->service);
 	json_object *body = NULL;
 
-	if (d->version <= config_service_version(s->service))
+	if (d->version <= version)
 		return;
-	if (d->base_version == config_service_version(s->service) &&
-	    config_delta_apply(d, config_service_body(s->service), &body) ==
-		    STATUS_OK) {
-		config_service_offer(s->service, d->version, body,
-				     origin_of(s, from));
-		json_object_put(body);
+	if (d->base_version != version) {
+		send_request(s, from->node, FALSE);
 		return;
 	}
-	send_request(s, from->node);
+	if (config_delta_apply(d, config_service_body(s->service), &body) ==
+	    STATUS_OK)
+		config_service_offer(s->service, d->version, body,
+				     origin_of(s, from));
+	json_object_put(body);
+	if (config_service_version(s->service) == version)
+		send_request(s, from->node, TRUE);
 }
 
 static void on_delta(const struct link_identity *from, json_object *json,
@@ -104,14 +116,14 @@
 
 /* Answers by the changes since the peer's version, or by the whole body. */
 static void answer_request(struct config_spread *s, const char *node,
-			   int64_t have_version)
+			   const struct config_request *request)
 {
 	guint first = 0;
 
 	while (first < s->bases->len &&
-	       g_array_index(s->bases, int64_t, first) != have_version)
+	       g_array_index(s->bases, int64_t, first) != request->have_version)
 		first++;
-	if (first == s->bases->len) {
+	if (first == s->bases->len || request->wants_whole) {
 		send_whole(s, node);
 		return;
 	}
@@ -131,7 +143,7 @@
 	if (schema_decode(&config_request_schema, json, &request, "", NULL,
 			  &findings) &&
 	    request.have_version < config_service_version(s->service))
-		answer_request(s, from->node, request.have_version);
+		answer_request(s, from->node, &request);
 	finding_list_clear(&findings);
 }
 
@@ -140,9 +152,8 @@
 {
 	struct config_spread *s = data;
 
-	if (h->config_version > config_service_version(s->service) &&
-	    util_monotonic_ms() - s->requested_ms >= REQUEST_MS)
-		send_request(s, from->node);
+	if (h->config_version > config_service_version(s->service))
+		send_request(s, from->node, FALSE);
 }
 
 static void put_json(gpointer data)
--- a/config/settings.c
+++ b/config/settings.c
@@ -32,6 +32,7 @@
 	STRING_FIELD(service, TRUE, NAME_MAX_BYTES),
 	STRING_FIELD(http, TRUE, ADDRESS_MAX_BYTES),
 	STRING_FIELD(link, TRUE, ADDRESS_MAX_BYTES),
+	STRING_FIELD(link_public, FALSE, ADDRESS_MAX_BYTES),
 	STRING_FIELD(platform, TRUE, ADDRESS_MAX_BYTES),
 	STRING_FIELD(operator_token, FALSE, SECRET_MAX_BYTES),
 	STRING_FIELD(link_secret, FALSE, SECRET_MAX_BYTES),
@@ -87,6 +88,7 @@
 	json_text_decode_file(file_name, &settings_schema, s, findings);
 	check_address(file_name, "http", s->http, findings);
 	check_address(file_name, "link", s->link, findings);
+	check_address(file_name, "link_public", s->link_public, findings);
 	check_address(file_name, "platform", s->platform, findings);
 	for (guint i = 0; s->seeds && i < s->seeds->len; i++)
 		check_address(file_name, "seeds", s->seeds->pdata[i], findings);
--- a/config/settings.h
+++ b/config/settings.h
@@ -16,10 +16,11 @@
 	char *vm;	      /**< VM that it runs on */
 	char *failure_domain; /**< that the VM is in */
 	char *region;
-	char *service;	/**< that it serves, such as salkhi */
-	char *http;	/**< "IP:PORT" for callers and operators */
-	char *link;	/**< "IP:PORT" for the system's other processes */
-	char *platform; /**< "IP:PORT" of the platform's service */
+	char *service;	   /**< that it serves, such as salkhi */
+	char *http;	   /**< "IP:PORT" for callers and operators */
+	char *link;	   /**< "IP:PORT" for the system's other processes */
+	char *link_public; /**< where others reach the link, if not there */
+	char *platform;	   /**< "IP:PORT" of the platform's service */
 	char *operator_token;
 	char *link_secret; /**< shared by the system's processes */
 	GPtrArray *seeds;  /**< "IP:PORT" of links to join by */
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -99,7 +99,8 @@
 	s->self.vm = g_strdup(settings->vm);
 	s->self.failure_domain = g_strdup(settings->failure_domain);
 	s->self.http = g_strdup(settings->http);
-	s->self.link = g_strdup(settings->link);
+	s->self.link = g_strdup(settings->link_public ? settings->link_public
+						      : settings->link);
 	s->self.role = kernel_find(k, POOL_LEASE_SERVICE) ? LINK_ROLE_SCHEDULER
 							  : LINK_ROLE_GATEWAY;
 	s->secret = settings->link_secret ? settings->link_secret : "";
@@ -134,7 +135,7 @@
 	enum status status;
 
 	set_self(s, k);
-	status = listen_on(s, s->self.link);
+	status = listen_on(s, settings_of(k)->link);
 	if (status != STATUS_OK)
 		return status;
 	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -197,6 +197,7 @@
 	add_string(json, "service", node->service, "salkhi");
 	add_string(json, "http", node->http, NULL);
 	add_string(json, "link", node->link, NULL);
+	add_string(json, "link_public", node->link_public, NULL);
 	add_string(json, "platform", node->platform, NULL);
 	add_string(json, "operator_token", node->operator_token, NULL);
 	add_string(json, "link_secret", node->link_secret, NULL);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -43,6 +43,7 @@
 	const char *service;	    /**< "salkhi" */
 	const char *http;
 	const char *link;
+	const char *link_public; /**< none */
 	const char *platform;
 	const char *operator_token; /**< none */
 	const char *link_secret;    /**< none */
