Tests: ports that no outgoing connection can take; three programs at a time

Cause: the harness took ports of the range that the system gives to outgoing connections; with several runs at once a process found its port in use (four logs say 'Address already in use', seen as /config-faults failing). Change: ports from 10000 to 31999, each given once; run_tests.sh runs three programs at a time.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -9,6 +9,8 @@
 
 #define MAX_CONNECTIONS 200
 #define POLL_MS 5
+#define FIRST_PORT 10000
+#define LAST_PORT 31999
 #define LISTEN_TIMEOUT_MS 20000
 #define END_TIMEOUT_MS 10000
 #define DEFAULT_DRAIN_TIMEOUT_MS 3000
@@ -82,22 +84,38 @@
 	g_free(c);
 }
 
-char *cluster_address(void)
+static gboolean is_free(guint16 port)
 {
 	GSocketListener *listener = g_socket_listener_new();
-	GSocketAddress *wanted =
-		g_inet_socket_address_new_from_string("127.0.0.1", 0);
-	GSocketAddress *got = NULL;
-	guint port;
-
-	g_assert_true(g_socket_listener_add_address(
-		listener, wanted, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-		NULL, &got, NULL));
-	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(got));
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+	gboolean got;
+
+	got = g_socket_listener_add_address(
+		listener, address, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+		NULL, NULL, NULL);
 	g_socket_listener_close(listener);
 	g_object_unref(listener);
-	g_object_unref(wanted);
-	g_object_unref(got);
+	g_object_unref(address);
+	return got;
+}
+
+/*
+ * The ports are below those that the system gives to outgoing connections, so
+ * that none takes one before the program listens on it.
+ */
+char *cluster_address(void)
+{
+	static GHashTable *given;
+	guint16 port;
+
+	if (!given)
+		given = g_hash_table_new(NULL, NULL);
+	do {
+		port = (guint16)g_random_int_range(FIRST_PORT, LAST_PORT + 1);
+	} while (g_hash_table_contains(given, GUINT_TO_POINTER(port)) ||
+		 !is_free(port));
+	g_hash_table_add(given, GUINT_TO_POINTER(port));
 	return g_strdup_printf("127.0.0.1:%u", port);
 }
 
--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -1,16 +1,18 @@
 #!/bin/bash
-# Runs every test program, passes over what KNOWN-RED.txt names, and closes
-# with a line "N passed, N failed".
+# Runs every test program, a few at a time, passes over what KNOWN-RED.txt
+# names, and closes with a line "N passed, N failed".
 set -u
 build=$1
+jobs=${CS_TEST_JOBS:-3}
 passed=0
 failed=0
 known=0
 logs=$build/test-logs
 mkdir -p "$logs"
+rm -f "$logs"/*
 
 is_known() {
-	[ -f KNOWN-RED.txt ] && grep -q "^test: $1\$" KNOWN-RED.txt
+	[ -f KNOWN-RED.txt ] && grep -qx "test: $1" KNOWN-RED.txt
 }
 
 count_result() {
@@ -31,13 +33,15 @@
 	fi
 }
 
-for test in "$build"/tests/test_*; do
-	[ -x "$test" ] && [ ! -d "$test" ] || continue
-	case $test in *.o | *.d) continue ;; esac
-	name=$(basename "$test")
-	log=$logs/$name.log
+run_program() {
+	local test=$1 log=$logs/$(basename "$1").log
 	CS_BUILD=$build timeout 900 "$test" --tap -k >"$log" 2>&1
-	code=$?
+	echo $? >"$log.code"
+}
+
+count_program() {
+	local name=$1 log=$logs/$1.log code plan seen result line
+	code=$(cat "$log.code")
 	while read -r result line; do
 		count_result "$name $line" "$result"
 	done < <(sed -nE 's/^(not )?ok [0-9]+ ([^ ]+).*/\1|\2/p' "$log" |
@@ -49,7 +53,24 @@
 		failed=$((failed + 1))
 	fi
 	grep -E '^(not ok|Bail out|.*ERROR)' "$log" | head -n 20
+}
+
+programs=()
+for test in "$build"/tests/test_*; do
+	case $test in *.o | *.d) continue ;; esac
+	[ -x "$test" ] && programs+=("$test")
+done
+for test in "${programs[@]}"; do
+	while [ "$(jobs -rp | wc -l)" -ge "$jobs" ]; do
+		wait -n
+	done
+	run_program "$test" &
 done
+wait
+for test in "${programs[@]}"; do
+	count_program "$(basename "$test")"
+done
+
 if tests/check_faults.sh; then
 	passed=$((passed + 1))
 else
