--- a/link/pack.c
+++ b/link/pack.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/json_text.h"
+#include "link/pack_check.h"
 
 static int append(void *data, const char *bytes, size_t len)
 {
@@ -168,6 +169,8 @@
 	json_object *out = NULL;
 	size_t used = 0;
 
+	if (!pack_check(data, bytes))
+		return NULL;
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, data, bytes, &used) !=
 		    MSGPACK_UNPACK_SUCCESS ||
