Bad input over a real gateway: 38 cases

Change: tests/test_bad_input.c sends bad bodies, bad HTTP, oversize and half-open requests to one csgated, and after each case checks that the process lives, a good request is done, and the runner ran nothing but the good ones.

Conclusion: two differing content lengths get no answer but a closed connection after the request limit; the library gives no chance to answer earlier.

--- /dev/null
+++ b/tests/test_bad_input.c
@@ -0,0 +1,362 @@
+#include <gio/gio.h>
+#include <string.h>
+
+#include "tests/cluster.h"
+
+#define CALL_TIMEOUT_S 10
+#define CONFIG_TIMEOUT_MS 20000
+#define HALF_OPEN_PEERS 50
+#define OVERSIZE_BYTES (5 << 20)
+
+/* One gateway, one runner and the platform, for all cases. */
+struct world {
+	struct cluster *cluster;
+	struct cluster_process *gateway;
+	char *platform;
+	char *runner;
+	char *address;
+	guint good; /* requests that were answered done */
+};
+
+static struct world world;
+
+static const char config_body[] =
+	"{\"base_version\":0,\"config\":{\"format\":1,\"services\":[{\"name\":"
+	"\"salkhi\",\"failure_domains\":[\"tov-a\"]}],\"client_accounts\":["
+	"{\"name\":\"rescue\",\"service\":\"salkhi\",\"share\":1,"
+	"\"requests_per_s\":1000,\"queued_requests\":100,"
+	"\"guaranteed_shapes\":[]}],\"jobs\":[]}}";
+
+#define REQUEST(members)                                         \
+	"{\"client_account\":\"rescue\",\"service\":\"salkhi\"," \
+	"\"class\":\"spot\",\"is_repeatable\":true" members "}"
+
+static const char good_request[] =
+	REQUEST(",\"deadline_ms\":2000,\"payload\":{}");
+
+static gboolean good_request_is_done(void *data)
+{
+	struct cluster_reply r = cluster_call(
+		world.cluster, "POST", world.address, "/v1/requests",
+		good_request, NULL, CLUSTER_CALL_TIMEOUT_MS);
+	gboolean is_done = r.code == 200;
+
+	world.good += is_done;
+	cluster_reply_clear(&r);
+	return is_done;
+}
+
+static gboolean config_is_taken(void *data)
+{
+	struct cluster_reply r =
+		cluster_call(world.cluster, "POST", world.address, "/v1/config",
+			     config_body, NULL, CLUSTER_CALL_TIMEOUT_MS);
+	gboolean is_taken = r.code == 200 || r.code == 409;
+
+	cluster_reply_clear(&r);
+	return is_taken;
+}
+
+static void world_open(void)
+{
+	struct cluster_process *p;
+	struct cluster_node node = { .node = "gate" };
+	char *link = cluster_address();
+	gboolean is_up;
+
+	world.cluster = cluster_new();
+	p = cluster_spawn(world.cluster, "cs-standin-platform", "platform",
+			  NULL);
+	world.platform = cluster_listening(p, 0);
+	p = cluster_spawn(world.cluster, "cs-standin-runner", "runner",
+			  CLUSTER_ARGS("--platform", world.platform));
+	world.runner = cluster_listening(p, 0);
+	world.address = cluster_address();
+	node.http = world.address;
+	node.link = link;
+	node.platform = world.platform;
+	node.platform_timeout_ms = 1000;
+	world.gateway = cluster_spawn_node(world.cluster, "csgated", &node);
+	is_up = cluster_wait(config_is_taken, NULL, CONFIG_TIMEOUT_MS);
+	is_up = is_up &&
+		cluster_wait(good_request_is_done, NULL, CONFIG_TIMEOUT_MS);
+	g_assert_true(is_up);
+	g_free(link);
+}
+
+static void world_close(void)
+{
+	cluster_free(world.cluster);
+	g_free(world.platform);
+	g_free(world.runner);
+	g_free(world.address);
+}
+
+static GSocketConnection *connect_to_gateway(void)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *c;
+
+	g_socket_client_set_timeout(client, CALL_TIMEOUT_S);
+	c = g_socket_client_connect_to_host(client, world.address, 80, NULL,
+					    NULL);
+	g_assert_nonnull(c);
+	g_object_unref(client);
+	return c;
+}
+
+/* Sends bytes and returns all that comes back until the connection closes. */
+static char *call_raw(const char *text, gsize len)
+{
+	GSocketConnection *c = connect_to_gateway();
+	GOutputStream *out = g_io_stream_get_output_stream(G_IO_STREAM(c));
+	GInputStream *in = g_io_stream_get_input_stream(G_IO_STREAM(c));
+	GString *answer = g_string_new(NULL);
+	char buffer[4096];
+	gssize got;
+
+	g_output_stream_write_all(out, text, len, NULL, NULL, NULL);
+	while ((got = g_input_stream_read(in, buffer, sizeof(buffer), NULL,
+					  NULL)) > 0)
+		g_string_append_len(answer, buffer, got);
+	g_object_unref(c);
+	return g_string_free(answer, FALSE);
+}
+
+static guint code_of(const char *answer)
+{
+	guint64 code = 0;
+	char **words = g_strsplit(answer, " ", 3);
+
+	if (words[0] && words[1])
+		g_ascii_string_to_unsigned(words[1], 10, 0, 999, &code, NULL);
+	g_strfreev(words);
+	return (guint)code;
+}
+
+/* After each case: the gateway lives, answers, and ran nothing else. */
+static void check_world(void)
+{
+	struct cluster_reply r;
+	gboolean is_done;
+	guint runs = 0;
+
+	g_assert_true(cluster_is_running(world.gateway));
+	is_done = good_request_is_done(NULL);
+	g_assert_true(is_done);
+	r = cluster_call(world.cluster, "GET", world.runner, "/runs", NULL,
+			 NULL, CLUSTER_CALL_TIMEOUT_MS);
+	json_object_object_foreach(json_object_object_get(r.body, "runs"), id,
+				   count)
+	{
+		(void)id;
+		runs += (guint)json_object_get_int(count);
+	}
+	g_assert_cmpuint(runs, ==, world.good);
+	cluster_reply_clear(&r);
+}
+
+struct body_case {
+	const char *path; /* of the test */
+	const char *call;
+	const char *body;
+	const char *holds; /* in the answer */
+	guint code;
+};
+
+#define JOB(members)                                                   \
+	"{\"id\":\"j1\",\"client_account\":\"rescue\",\"pool\":"       \
+	"\"salkhi.tov-a\",\"class\":\"normal\",\"run_ms\":5,"          \
+	"\"expected_run_ms\":5,\"is_checkpointable\":false,\"shape\":" \
+	"{" members "}}"
+#define SHAPE(members, accelerators)                                 \
+	"\"members\":" members ",\"accelerators\":" accelerators "," \
+	"\"cores\":1,\"memory_mb\":1,\"adjacency\":\"none\""
+
+static const struct body_case body_cases[] = {
+	{ "/bad-input/empty", "POST /v1/requests", "", "text ends early", 400 },
+	{ "/bad-input/no-json", "POST /v1/requests", "hello", "findings", 400 },
+	{ "/bad-input/cut-off", "POST /v1/requests", "{\"class\":\"sp",
+	  "findings", 400 },
+	{ "/bad-input/array", "POST /v1/requests", "[]", "an object", 400 },
+	{ "/bad-input/duplicate-key", "POST /v1/requests",
+	  REQUEST(",\"class\":\"bulk\",\"deadline_ms\":9,\"payload\":1"),
+	  "duplicate key", 400 },
+	{ "/bad-input/comment", "POST /v1/requests",
+	  "/* a */" REQUEST(",\"deadline_ms\":9,\"payload\":1"), "findings",
+	  400 },
+	{ "/bad-input/unknown-member", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":9,\"payload\":1,\"x\":1"), "unknown member",
+	  400 },
+	{ "/bad-input/missing-member", "POST /v1/requests", REQUEST(""),
+	  "missing", 400 },
+	{ "/bad-input/wrong-type", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":\"9\",\"payload\":1"), "an integer", 400 },
+	{ "/bad-input/not-whole", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":1.5,\"payload\":1"), "an integer", 400 },
+	{ "/bad-input/negative", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":-1,\"payload\":1"), "out of range", 400 },
+	{ "/bad-input/absurd", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":1000000000000,\"payload\":1"),
+	  "out of range", 400 },
+	{ "/bad-input/beyond-64-bits", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":99999999999999999999,\"payload\":1"),
+	  "findings", 400 },
+	{ "/bad-input/nul", "POST /v1/requests",
+	  "{\"client_account\":\"a\\u0000b\"}", "without NUL", 400 },
+	{ "/bad-input/utf-8", "POST /v1/requests",
+	  "{\"client_account\":\"\xff\xfe\"}", "findings", 400 },
+	{ "/bad-input/too-deep", "POST /v1/requests",
+	  REQUEST(",\"deadline_ms\":9,\"payload\":[[[[[[[[[[[[[[[[[[[[[]]]]]]]]"
+		  "]]]]]]]]]]]]]"),
+	  "findings", 400 },
+	{ "/bad-input/all-findings", "POST /v1/requests",
+	  "{\"class\":\"x\",\"deadline_ms\":-1,\"is_repeatable\":1}",
+	  "true or false", 400 },
+	{ "/bad-input/unknown-account", "POST /v1/requests",
+	  "{\"client_account\":\"nobody\",\"service\":\"salkhi\",\"class\":"
+	  "\"spot\",\"is_repeatable\":true,\"deadline_ms\":9,\"payload\":1}",
+	  "unknown_account", 404 },
+	{ "/bad-input/unknown-service", "POST /v1/requests",
+	  "{\"client_account\":\"rescue\",\"service\":\"none\",\"class\":"
+	  "\"spot\",\"is_repeatable\":true,\"deadline_ms\":9,\"payload\":1}",
+	  "not run", 404 },
+	{ "/bad-input/no-key", "POST /v1/requests",
+	  "{\"client_account\":\"rescue\",\"service\":\"salkhi\",\"class\":"
+	  "\"spot\",\"is_repeatable\":false,\"deadline_ms\":9,\"payload\":1}",
+	  "idempotency_key", 400 },
+	{ "/bad-input/job-negative", "POST /v1/jobs", JOB(SHAPE("-1", "1")),
+	  "findings", 400 },
+	{ "/bad-input/job-zero", "POST /v1/jobs", JOB(SHAPE("0", "1")),
+	  "findings", 400 },
+	{ "/bad-input/job-absurd", "POST /v1/jobs",
+	  JOB(SHAPE("1", "1000000000000")), "findings", 400 },
+	{ "/bad-input/job-no-shape", "POST /v1/jobs", "{\"id\":\"j\"}",
+	  "findings", 400 },
+	{ "/bad-input/job-unknown", "POST /v1/jobs",
+	  "{\"id\":\"j\",\"job\":\"none\",\"run_ms\":5}", "not run", 400 },
+	{ "/bad-input/config-no-object", "POST /v1/config",
+	  "{\"base_version\":1,\"config\":3}", "findings", 400 },
+	{ "/bad-input/config-bad-base", "POST /v1/config",
+	  "{\"base_version\":-7,\"config\":{}}", "findings", 400 },
+	{ "/bad-input/config-references", "POST /v1/config",
+	  "{\"base_version\":1,\"config\":{\"format\":1,\"services\":[],"
+	  "\"client_accounts\":[{\"name\":\"a\",\"service\":\"none\"}],"
+	  "\"jobs\":[]}}",
+	  "findings", 400 },
+	{ "/bad-input/no-such-path", "POST /v1/nothing", "{}", "no such", 404 },
+	{ "/bad-input/no-such-method", "DELETE /v1/requests", "{}", "no such",
+	  404 },
+};
+
+static void test_body(gconstpointer data)
+{
+	const struct body_case *c = data;
+	char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: a\r\nConnection: "
+				     "close\r\nContent-Length: %zu\r\n\r\n%s",
+				     c->call, strlen(c->body), c->body);
+	char *answer = call_raw(text, strlen(text));
+
+	g_test_message("%s", answer);
+	g_assert_cmpuint(code_of(answer), ==, c->code);
+	g_assert_nonnull(strstr(answer, c->holds));
+	check_world();
+	g_free(answer);
+	g_free(text);
+}
+
+/* What breaks HTTP itself. */
+struct raw_case {
+	const char *path; /* of the test */
+	const char *sent;
+	guint code; /* 0 when the connection is closed without an answer */
+};
+
+static const struct raw_case raw_cases[] = {
+	{ "/bad-input/negative-length",
+	  "POST /v1/requests HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+	  "Content-Length: -5\r\n\r\n",
+	  400 },
+	{ "/bad-input/length-no-number",
+	  "POST /v1/requests HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+	  "Content-Length: many\r\n\r\n",
+	  400 },
+	{ "/bad-input/length-and-chunked",
+	  "POST /v1/requests HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+	  "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "0\r\n\r\n",
+	  411 },
+	{ "/bad-input/unknown-version",
+	  "GET /v1/status HTTP/7.3\r\nHost: a\r\n\r\n", 505 },
+	{ "/bad-input/no-headers", "GET /\r\n\r\n", 400 },
+	{ "/bad-input/odd-path",
+	  "GET /v1/explain/request/%00%ff/../../x HTTP/1.1\r\nHost: a\r\n"
+	  "Connection: close\r\n\r\n",
+	  404 },
+};
+
+static void test_raw(gconstpointer data)
+{
+	const struct raw_case *c = data;
+	char *answer = call_raw(c->sent, strlen(c->sent));
+
+	g_test_message("%s", answer);
+	g_assert_cmpuint(code_of(answer), ==, c->code);
+	check_world();
+	g_free(answer);
+}
+
+static void test_oversize(void)
+{
+	char *body = g_strnfill(OVERSIZE_BYTES, ' ');
+	char *text = g_strdup_printf("POST /v1/requests HTTP/1.1\r\nHost: a\r\n"
+				     "Content-Length: %d\r\n\r\n%s",
+				     OVERSIZE_BYTES, body);
+	char *answer = call_raw(text, strlen(text));
+
+	g_assert_cmpuint(code_of(answer), ==, 413);
+	check_world();
+	g_free(answer);
+	g_free(text);
+	g_free(body);
+}
+
+/* Peers that stop half-way keep nobody else waiting. */
+static void test_half_open(void)
+{
+	static const char half[] = "POST /v1/requests HTTP/1.1\r\nHost: a\r\n"
+				   "Content-Length: 500\r\n\r\n{\"client";
+	GSocketConnection *peers[HALF_OPEN_PEERS];
+
+	for (guint i = 0; i < HALF_OPEN_PEERS; i++) {
+		GOutputStream *out;
+
+		peers[i] = connect_to_gateway();
+		out = g_io_stream_get_output_stream(G_IO_STREAM(peers[i]));
+		g_output_stream_write_all(out, half, i % 2 ? strlen(half) : 0,
+					  NULL, NULL, NULL);
+	}
+	check_world();
+	for (guint i = 0; i < HALF_OPEN_PEERS; i++)
+		g_object_unref(peers[i]);
+	check_world();
+}
+
+int main(int argc, char **argv)
+{
+	int code;
+
+	g_test_init(&argc, &argv, NULL);
+	world_open();
+	for (guint i = 0; i < G_N_ELEMENTS(body_cases); i++)
+		g_test_add_data_func(body_cases[i].path, &body_cases[i],
+				     test_body);
+	for (guint i = 0; i < G_N_ELEMENTS(raw_cases); i++)
+		g_test_add_data_func(raw_cases[i].path, &raw_cases[i],
+				     test_raw);
+	g_test_add_func("/bad-input/oversize", test_oversize);
+	g_test_add_func("/bad-input/half-open", test_half_open);
+	code = g_test_run();
+	world_close();
+	return code;
+}
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -158,6 +158,10 @@
 	  "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 	  "2\r\n{}\r\n0\r\n\r\n",
 	  "HTTP/1.1 411", 1200 },
+	{ "/http-limits/two-lengths",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+	  "Content-Length: 3\r\n\r\n{}",
+	  "", 1200 },
 	{ "/http-limits/held", "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n", "", 0 },
 };
 
