Requests: spill-over under faults, rows of the fault table, protocol of attempts

Change: /requests-faults/failure-domains; answers of repeatable requests are checked against their own request id; deadlines of the tests are shorter.

--- a/request/endpoint_table.c
+++ b/request/endpoint_table.c
@@ -235,7 +235,8 @@
 	struct endpoint *e = endpoint_table_find(t, spec->name);
 
 	/* A VM that was replaced under its name is another endpoint. */
-	if (e && !g_str_equal(e->address, spec->address)) {
+	if (e && (!g_str_equal(e->address, spec->address) ||
+		  !g_str_equal(e->failure_domain, spec->failure_domain))) {
 		if (e->in_flight > 0)
 			return;
 		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
--- a/tests/test_requests_faults.c
+++ b/tests/test_requests_faults.c
@@ -13,7 +13,7 @@
 #define RUNNERS 2
 #define READY_TIMEOUT_MS 10000
 #define CALL_TIMEOUT_MS 15000
-#define DEADLINE_MS 2500
+#define DEADLINE_MS 1500
 #define WORK_MS 300
 #define LEAVING_MS 3000
 #define WARM_UP_REQUESTS 12
@@ -42,19 +42,26 @@
 	gboolean is_done;
 };
 
-static void add_vm(struct world *w, const char *vm, const char *role,
-		   const char *state, const char *address)
+static void add_vm_in(struct world *w, const char *failure_domain,
+		      const char *vm, const char *role, const char *state,
+		      const char *address)
 {
 	char *body = g_strdup_printf(
 		"{\"add_vms\":[{\"vm\":\"%s\",\"role\":\"%s\","
-		"\"service\":\"salkhi\",\"failure_domain\":\"tov-a\","
+		"\"service\":\"salkhi\",\"failure_domain\":\"%s\","
 		"\"state\":\"%s\",\"address\":\"%s\"}]}",
-		vm, role, state, address);
+		vm, role, failure_domain, state, address);
 
 	cluster_control(w->cluster, w->platform, body);
 	g_free(body);
 }
 
+static void add_vm(struct world *w, const char *vm, const char *role,
+		   const char *state, const char *address)
+{
+	add_vm_in(w, "tov-a", vm, role, state, address);
+}
+
 static void start_runners(struct world *w)
 {
 	struct cluster_process *p =
@@ -403,7 +410,7 @@
 
 static void delay_answers(struct world *w)
 {
-	control_runners(w, "{\"delay_ms\":4000}");
+	control_runners(w, "{\"delay_ms\":2500}");
 }
 
 static void runners_leave(struct world *w)
@@ -422,6 +429,17 @@
 	cluster_control(w->cluster, w->relay_control, "{\"mode\":\"refuse\"}");
 }
 
+/* The result is that of the run which the answer names. */
+static void assert_own(const struct call *call)
+{
+	json_object *result = json_object_object_get(call->body, "result");
+	json_object *id = json_object_object_get(result, "request_id");
+
+	assert_whole(call, "repeatable");
+	g_assert_cmpstr(json_object_get_string(id), ==,
+			call_text(call, "request_id"));
+}
+
 enum when {
 	BEFORE_CLAIM, /* before the request is sent */
 	AFTER_ARRIVAL,
@@ -608,6 +626,7 @@
 
 		call_wait(call);
 		assert_answer(call, "done", NULL, "repeatable");
+		assert_own(call);
 		call_free(call);
 	}
 }
@@ -627,7 +646,7 @@
 	  NULL, NULL },
 	{ "/requests-faults/repeatable-failed-run", "{\"fail\":true}", NULL,
 	  NULL },
-	{ "/requests-faults/repeatable-late-answer", "{\"delay_ms\":4000}",
+	{ "/requests-faults/repeatable-late-answer", "{\"delay_ms\":2500}",
 	  NULL, NULL },
 	{ "/requests-faults/repeatable-silent-connections", NULL,
 	  "{\"silence_open\":true}", NULL },
@@ -653,6 +672,7 @@
 
 		call_wait(call);
 		assert_answer(call, "done", NULL, "repeatable");
+		assert_own(call);
 		call_free(call);
 	}
 	world_free(w);
@@ -685,6 +705,7 @@
 
 		call_wait(call);
 		assert_answer(call, "done", NULL, "repeatable");
+		assert_own(call);
 		call_free(call);
 	}
 }
@@ -754,11 +775,57 @@
 	world_free(w);
 }
 
+static const struct {
+	const char *state;   /* of the endpoint in the own failure domain */
+	const char *control; /* of the relay to the other failure domain */
+	const char *answer;
+} domain_cases[] = {
+	{ "live", "{}", "done" },
+	{ "leaving", "{}", "done" },
+	/* Cut off from the other failure domain: the own one still serves. */
+	{ "live", "{\"route\":1,\"mode\":\"cut_up\"}", "done" },
+	{ "leaving", "{\"route\":1,\"mode\":\"cut_up\"}", "unknown" },
+};
+
+static void send_and_expect(struct world *w, guint count, const char *answer)
+{
+	const struct request r = { NULL, 0, 5, 800 };
+
+	for (guint i = 0; i < count; i++) {
+		struct call *call = send(w, 0, &r);
+
+		call_wait(call);
+		assert_answer(call, answer, NULL, "repeatable");
+		call_free(call);
+	}
+}
+
+/* Another failure domain serves only what the own one can't. */
+static void test_domains(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(domain_cases); i++) {
+		struct world *w = world_new();
+		guint before;
+
+		add_vm_in(w, "tov-b", "r1", "endpoint", "live", w->relayed[1]);
+		add_vm(w, "r0", "endpoint", domain_cases[i].state,
+		       w->relayed[0]);
+		cluster_sleep(1500);
+		cluster_control(w->cluster, w->relay_control,
+				domain_cases[i].control);
+		before = runs_at(w, 1);
+		send_and_expect(w, 3, domain_cases[i].answer);
+		if (g_str_equal(domain_cases[i].state, "live"))
+			g_assert_cmpuint(runs_at(w, 1), ==, before);
+		world_free(w);
+	}
+}
+
 /* A drain finishes what was accepted, refuses what is new, and ends well. */
 static void test_drain(void)
 {
 	struct world *w = world_new();
-	const struct request slow = { NULL, 0, 1000, DEADLINE_MS };
+	const struct request slow = { NULL, 0, 700, 2500 };
 	const struct request late = { NULL, 0, 5, DEADLINE_MS };
 	struct call *calls[8];
 	struct call *refused;
@@ -871,6 +938,7 @@
 			test_stopped);
 	g_test_add_func("/requests-faults/same-key", test_same_key);
 	g_test_add_func("/requests-faults/refused-connections", test_refused);
+	g_test_add_func("/requests-faults/failure-domains", test_domains);
 	g_test_add_func("/requests-faults/drain", test_drain);
 	g_test_add_func("/requests-faults/storm", test_storm);
 	return g_test_run();
