--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -15,9 +15,8 @@
 #define TICK_MS 20
 #define REFRESH_TICKS 10
 #define DECISIONS 1000
-/** A repeatable request waits so much longer than others take. */
-#define ATTEMPT_FACTOR 4
-#define LEAST_ATTEMPT_MS INT64_C(250)
+/** Attempts of a repeatable request at the same time. */
+#define MAX_OUT 2
 /** Another failure domain is used when so little time is left to wait. */
 #define SPILL_SLACK_MS INT64_C(100)
 
@@ -30,6 +29,17 @@
 	FLIGHT_DELAYED, /**< waits before a retry */
 };
 
+struct flight;
+
+/** One request on its way to and from an endpoint. */
+struct attempt {
+	struct flight *flight;
+	struct endpoint *endpoint;
+	struct http_call *call; /**< NULL when it is over */
+	int64_t sent_us;
+	gboolean is_overdue; /**< took longer than is usual */
+};
+
 /** One request from arrival to answer. */
 struct flight {
 	struct admission_item item; /**< first: admission gives it back */
@@ -39,13 +49,12 @@
 	enum flight_state state;
 	int64_t arrival_ms;
 	int64_t deadline_ms;
-	int64_t sent_us;
 	uint32_t attempts;
+	struct attempt out[MAX_OUT];
 	gboolean is_counted; /**< in flight in admission */
 	gboolean may_have_run;
 	struct routing_query query;
-	struct endpoint *endpoint;
-	struct http_call *call;
+	struct endpoint *endpoint; /**< that answered */
 	struct claim_handle *claim;
 	gboolean is_claim_won;
 	guint timer;
@@ -88,8 +97,10 @@
 
 	if (f->timer)
 		g_source_remove(f->timer);
-	if (f->call)
-		http_call_cancel(f->call);
+	for (guint i = 0; i < MAX_OUT; i++) {
+		if (f->out[i].call)
+			http_call_cancel(f->out[i].call);
+	}
 	request_spec_clear(&f->spec);
 	g_free(f->id);
 	g_free(f);
@@ -148,11 +159,45 @@
 	note->total_ms = total_ms;
 }
 
+static guint count_out(const struct flight *f)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < MAX_OUT; i++)
+		count += f->out[i].call != NULL;
+	return count;
+}
+
+/* Another attempt was answered first, or the deadline is over. */
+static void cancel_out(struct flight *f)
+{
+	struct dispatcher *d = f->dispatcher;
+	int64_t now_ms = util_monotonic_ms();
+
+	for (guint i = 0; i < MAX_OUT; i++) {
+		struct attempt *a = &f->out[i];
+
+		if (!a->call)
+			continue;
+		http_call_cancel(a->call);
+		a->call = NULL;
+		if (a->is_overdue)
+			outlier_record(&d->outlier, d->endpoints, a->endpoint,
+				       OUTLIER_FAILED, f->item.class, 0,
+				       now_ms);
+		endpoint_table_ended(d->endpoints, a->endpoint, now_ms);
+	}
+}
+
 /* Takes the request out of whatever it is in. */
 static void flight_detach(struct flight *f)
 {
 	struct dispatcher *d = f->dispatcher;
 
+	cancel_out(f);
+	if (f->timer)
+		g_source_remove(f->timer);
+	f->timer = 0;
 	admission_remove(d->admission, &f->item);
 	g_queue_remove(&d->ready, f);
 	if (f->state == FLIGHT_CLAIMING)
@@ -253,11 +298,11 @@
 		note->waited_ms = util_monotonic_ms() - f->arrival_ms;
 }
 
-static void remember_tried(struct flight *f)
+static void remember_tried(struct flight *f, const struct endpoint *e)
 {
 	struct routing_query *q = &f->query;
 
-	q->tried[q->tried_count % ROUTING_MAX_TRIED] = f->endpoint;
+	q->tried[q->tried_count % ROUTING_MAX_TRIED] = e;
 	if (q->tried_count < ROUTING_MAX_TRIED)
 		q->tried_count++;
 }
@@ -284,25 +329,28 @@
 }
 
 /* What the reply tells of the endpoint. */
-static void learn(struct flight *f, const struct run_reply *reply,
+static void learn(struct attempt *a, const struct run_reply *reply,
 		  int64_t now_ms)
 {
+	struct flight *f = a->flight;
 	struct dispatcher *d = f->dispatcher;
-	struct endpoint *e = f->endpoint;
-	int64_t latency_us = g_get_monotonic_time() - f->sent_us;
+	struct endpoint *e = a->endpoint;
+	int64_t latency_us = g_get_monotonic_time() - a->sent_us;
+	gboolean is_out = FALSE;
 
 	if (reply->slots > 0)
 		endpoint_table_report(d->endpoints, e, (uint32_t)reply->slots,
 				      (uint32_t)reply->slots_busy, now_ms);
 	if (reply->outcome == RUN_BUSY)
 		endpoint_table_refused(d->endpoints, e, now_ms);
-	if (reply->outcome == RUN_LEAVING)
+	else if (reply->outcome == RUN_LEAVING)
 		endpoint_table_set_state(d->endpoints, e, ENDPOINT_LEAVING,
 					 now_ms);
-	if (reply->outcome != RUN_BUSY && reply->outcome != RUN_LEAVING &&
-	    outlier_record(&d->outlier, d->endpoints, e,
-			   outlier_event_of(reply->outcome), f->item.class,
-			   latency_us, now_ms)) {
+	else
+		is_out = outlier_record(&d->outlier, d->endpoints, e,
+					outlier_event_of(reply->outcome),
+					f->item.class, latency_us, now_ms);
+	if (is_out) {
 		counter_add(d->ejections, 1);
 		log_ejection(e, reply->outcome);
 	}
@@ -345,6 +393,9 @@
 	struct dispatcher *d = f->dispatcher;
 	gboolean has_time = now_ms < f->deadline_ms;
 
+	if (f->timer)
+		g_source_remove(f->timer);
+	f->timer = 0;
 	if (outcome == RUN_BUSY && has_time) {
 		/* Nobody's fault: it goes on waiting for room anywhere. */
 		f->attempts--;
@@ -353,7 +404,6 @@
 		admission_put_back(d->admission, &f->item);
 		return;
 	}
-	remember_tried(f);
 	if (run_outcome_is_not_started(outcome)) {
 		if (has_time && f->attempts < RETRY_MAX_ATTEMPTS)
 			retry_later(f);
@@ -362,7 +412,6 @@
 						  : REASON_DEADLINE);
 		return;
 	}
-	f->may_have_run = TRUE;
 	if (f->spec.is_repeatable && has_time &&
 	    f->attempts < RETRY_MAX_ATTEMPTS &&
 	    retry_budget_take(&d->budget, now_ms))
@@ -373,22 +422,29 @@
 
 static void on_run_reply(const struct http_reply *http, void *data)
 {
-	struct flight *f = data;
+	struct attempt *a = data;
+	struct flight *f = a->flight;
 	struct dispatcher *d = f->dispatcher;
 	int64_t now_ms = util_monotonic_ms();
 	struct run_reply reply;
 	int64_t run_ms;
 
-	f->call = NULL;
+	a->call = NULL;
 	run_reply_judge(http->status, http->code, http->body, f->id, &reply);
-	learn(f, &reply, now_ms);
+	learn(a, &reply, now_ms);
 	if (reply.outcome == RUN_DONE) {
-		run_ms = (g_get_monotonic_time() - f->sent_us) / US_PER_MS;
+		run_ms = (g_get_monotonic_time() - a->sent_us) / US_PER_MS;
 		admission_done(d->admission, &f->item, run_ms);
 		f->is_counted = FALSE;
+		f->endpoint = a->endpoint;
 		flight_finish(f, ANSWER_DONE, REASON_NONE, reply.result);
 	} else {
-		on_not_done(f, reply.outcome, now_ms);
+		remember_tried(f, a->endpoint);
+		if (!run_outcome_is_not_started(reply.outcome))
+			f->may_have_run = TRUE;
+		/* The other attempt may still be answered. */
+		if (count_out(f) == 0)
+			on_not_done(f, reply.outcome, now_ms);
 	}
 	dispatcher_pump(d);
 }
@@ -410,31 +466,67 @@
 	return body;
 }
 
-/* A repeatable request does not wait for a silent connection. */
-static int64_t attempt_timeout_ms(const struct flight *f, int64_t now_ms)
+static gboolean flight_try_send(struct flight *f, int64_t now_ms);
+
+/*
+ * A repeatable request does not rely on one connection that may be silent: it
+ * is sent elsewhere as well, and the first whole answer counts.
+ */
+static gboolean on_no_progress(gpointer data)
+{
+	struct flight *f = data;
+	struct dispatcher *d = f->dispatcher;
+	int64_t now_ms = util_monotonic_ms();
+
+	f->timer = 0;
+	if (now_ms >= f->deadline_ms || !retry_budget_take(&d->budget, now_ms))
+		return G_SOURCE_REMOVE;
+	f->may_have_run = TRUE;
+	for (guint i = 0; i < MAX_OUT; i++) {
+		if (!f->out[i].call)
+			continue;
+		f->out[i].is_overdue = TRUE;
+		remember_tried(f, f->out[i].endpoint);
+	}
+	if (flight_try_send(f, now_ms))
+		counter_add(d->retries, 1);
+	return G_SOURCE_REMOVE;
+}
+
+static void watch_progress(struct flight *f)
 {
-	int64_t left_ms = MAX(f->deadline_ms - now_ms, 1);
-	int64_t usual_ms =
-		admission_service_ms(f->dispatcher->admission, f->item.class);
+	int64_t usual_ms = admission_service_ms(&f->item);
+	int64_t ms = retry_progress_ms(usual_ms, f->attempts);
 
 	if (!f->spec.is_repeatable || usual_ms == 0 ||
-	    f->attempts >= RETRY_MAX_ATTEMPTS)
-		return left_ms;
-	return MIN(left_ms, MAX(ATTEMPT_FACTOR * usual_ms, LEAST_ATTEMPT_MS));
+	    count_out(f) >= MAX_OUT || f->attempts >= RETRY_MAX_ATTEMPTS)
+		return;
+	f->timer = g_timeout_add((guint)ms, on_no_progress, f);
+}
+
+static struct attempt *free_attempt(struct flight *f)
+{
+	for (guint i = 0; i < MAX_OUT; i++) {
+		if (!f->out[i].call)
+			return &f->out[i];
+	}
+	return NULL;
 }
 
 static void flight_send(struct flight *f, const struct routing_choice *choice,
 			int64_t now_ms)
 {
 	struct dispatcher *d = f->dispatcher;
+	struct attempt *a = free_attempt(f);
 	json_object *body = run_body(f);
 	struct http_call_spec call = {
 		.method = "POST",
 		.address = choice->endpoint->address,
 		.path = "/run",
 		.body = body,
+		.timeout_ms = MAX(f->deadline_ms - now_ms, 1),
 		.on_reply = on_run_reply,
-		.data = f,
+		.data = a,
 	};
 
 	f->attempts++;
@@ -442,13 +534,13 @@
 		retry_budget_first(&d->budget);
 	if (choice->endpoint->reach == ENDPOINT_REMOTE)
 		counter_add(d->spills, 1);
-	call.timeout_ms = attempt_timeout_ms(f, now_ms);
 	note_route(f, choice);
 	f->state = FLIGHT_SENT;
-	f->endpoint = choice->endpoint;
-	f->sent_us = g_get_monotonic_time();
-	endpoint_table_sent(d->endpoints, f->endpoint, now_ms);
-	f->call = http_client_send(http_client_of(d->kernel), &call);
+	*a = (struct attempt){ .flight = f, .endpoint = choice->endpoint };
+	a->sent_us = g_get_monotonic_time();
+	endpoint_table_sent(d->endpoints, a->endpoint, now_ms);
+	a->call = http_client_send(http_client_of(d->kernel), &call);
+	watch_progress(f);
 	json_object_put(body);
 }
 
@@ -456,8 +548,8 @@
 static gboolean may_spill(const struct flight *f, int64_t now_ms)
 {
 	const struct dispatcher *d = f->dispatcher;
-	int64_t spare_ms = f->deadline_ms - now_ms -
-			   admission_service_ms(d->admission, f->item.class);
+	int64_t spare_ms =
+		f->deadline_ms - now_ms - admission_service_ms(&f->item);
 
 	return d->endpoints->live_count[ENDPOINT_LOCAL] == 0 ||
 	       d->endpoints->ejected_count >=
--- a/request/admission.c
+++ b/request/admission.c
@@ -133,10 +133,11 @@
 	return e->mean_ms + deviations * e->deviation_ms;
 }
 
-int64_t admission_service_ms(const struct admission *a,
-			     enum request_class class)
+int64_t admission_service_ms(const struct admission_item *item)
 {
-	return (int64_t)estimate_ms(&a->classes[class].run, USUAL_DEVIATIONS);
+	const struct estimate *run = &item->account->lines[item->class].run;
+
+	return (int64_t)estimate_ms(run, USUAL_DEVIATIONS);
 }
 
 static gboolean take_token(struct admission_account *account, int64_t now_ms)
--- a/request/retry_budget.h
+++ b/request/retry_budget.h
@@ -24,6 +24,15 @@
 /** Takes a retry from the budget. @return FALSE when it is used up */
 gboolean retry_budget_take(struct retry_budget *b, int64_t now_ms);
 
+/**
+ * Returns how long an attempt of a repeatable request may go without an answer
+ * before another one is tried: some times the usual, twice as long with each
+ * attempt, as run times vary a lot.
+ *
+ * @param attempts	including this one
+ */
+int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts);
+
 /** Returns the delay before the retry after that many attempts. */
 int64_t retry_delay_ms(uint32_t attempts, GRand *rand);
 
