--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -6,7 +6,7 @@
 #include "daemon/settings_service.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
-#define MAX_CLIENT_CONNECTIONS 2000
+#define MAX_CALLS_IN_FLIGHT 2000
 #define MAX_CONNECTIONS_PER_ADDRESS 64
 
 struct http_service {
@@ -34,6 +34,29 @@
 		    (int64_t)traffic.received_bytes);
 }
 
+static void update_connections(struct http_service *s)
+{
+	const struct connection_guard *guard = http_server_guard(s->server);
+	struct connection_counts counts = connection_guard_counts(guard);
+	struct counters *c = kernel_counters(s->kernel);
+
+	counter_set(counters_gauge(c, "cs_http_connections",
+				   "Open connections of callers"),
+		    connection_guard_open(guard));
+	counter_set(counters_gauge(c, "cs_http_connections_refused",
+				   "Connections refused: too many"),
+		    (int64_t)counts.refused);
+	counter_set(counters_gauge(c, "cs_http_connections_evicted",
+				   "Idle connections closed to make room"),
+		    (int64_t)counts.evicted);
+	counter_set(counters_gauge(c, "cs_http_connections_idle",
+				   "Connections closed as idle too long"),
+		    (int64_t)counts.idle);
+	counter_set(counters_gauge(c, "cs_http_connections_slow",
+				   "Connections closed as too slow"),
+		    (int64_t)counts.slow);
+}
+
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -43,6 +66,7 @@
 		return;
 	process_usage_update(kernel_counters(s->kernel));
 	update_traffic(s);
+	update_connections(s);
 	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
@@ -106,7 +130,7 @@
 
 	s->base.class = &http_service_class;
 	s->server = http_server_new(MAX_BODY_BYTES);
-	s->client = http_client_new(MAX_CLIENT_CONNECTIONS,
+	s->client = http_client_new(MAX_CALLS_IN_FLIGHT,
 				    MAX_CONNECTIONS_PER_ADDRESS);
 	return &s->base;
 }
