--- /dev/null
+++ b/bench/bench_recovery.c
@@ -0,0 +1,362 @@
+/*
+ * Recovery of a pool's new holder at the size of a failure domain: decoding of
+ * rows and reports, rebuilding, and what it sends and writes. Virtual time for
+ * the protocol, wall time of one core for the work.
+ */
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/json_text.h"
+#include "base/util.h"
+#include "job/gang.h"
+#include "job/placement/placement.h"
+#include "job/scheduler.h"
+#include "job/task_name.h"
+#include "job/worker_contact.h"
+
+#define DOMAIN_WORKERS 380
+#define DOMAIN_TASKS 8200
+#define GANG_MAX 256
+#define GANG_SMALL 4
+#define GANGS_PER_LARGE 40
+#define WORKER_ACCELERATORS 64
+#define TICK_MS 50
+#define ANSWER_MS 5
+#define LIMIT_MS 60000
+/** The letter: for control a node spends at most 24 KB a second. */
+#define CONTROL_BYTES_PER_S 24000
+/** Issue 6: nothing is stopped or started by a recovery without faults. */
+#define MAX_COMMANDS 0
+/** One call to fence, one after the lag, one to go on with. */
+#define MAX_CALLS_PER_WORKER 3
+/** The report's lag, and as much again for calls and ticks. */
+#define MAX_RECOVERY_MS (2 * WORKER_REPORT_LAG_MS)
+
+struct bench_worker {
+	char name[16];
+	GString *report; /**< body of its answer */
+	guint tasks;
+	gboolean is_called;
+	int64_t call_id;
+};
+
+struct bench {
+	struct scheduler *scheduler;
+	guint worker_count;
+	struct bench_worker *workers;
+	GPtrArray *rows; /**< of char *, JSON */
+	guint partial;	 /**< gangs that lack a member */
+	guint calls;
+	guint commands;
+	guint writes;
+	gboolean is_scan_asked;
+	uint64_t sent_bytes;
+	uint64_t report_bytes;
+	int64_t work_us;
+};
+
+static guint passed;
+static guint failed;
+
+static void check(const char *what, double figure, double bound,
+		  const char *source)
+{
+	if (figure <= bound) {
+		passed++;
+		return;
+	}
+	failed++;
+	printf("BROKEN %s: %.1f, bound %.1f (%s)\n", what, figure, bound,
+	       source);
+}
+
+static void call_worker(const char *worker, const char *address,
+			int64_t call_id, const struct worker_call *call,
+			void *data)
+{
+	struct bench *b = data;
+	struct bench_worker *w = &b->workers[atoi(worker + 1)];
+	json_object *body = schema_encode(&worker_call_schema, call);
+
+	w->is_called = TRUE;
+	w->call_id = call_id;
+	b->calls++;
+	b->commands += call->commands->len;
+	b->sent_bytes += strlen(json_object_to_json_string(body));
+	json_object_put(body);
+}
+
+static void write_row(const char *id, int64_t call_id,
+		      const struct job_record *r, int64_t expected_version,
+		      void *data)
+{
+	((struct bench *)data)->writes++;
+}
+
+static void read_row(const char *id, int64_t call_id, void *data)
+{
+}
+
+static void scan_rows(void *data)
+{
+	((struct bench *)data)->is_scan_asked = TRUE;
+}
+
+static const struct scheduler_ops ops = {
+	.call_worker = call_worker,
+	.write_row = write_row,
+	.read_row = read_row,
+	.scan_rows = scan_rows,
+};
+
+static void add_task(struct bench *b, guint worker, const char *task)
+{
+	struct bench_worker *w = &b->workers[worker];
+
+	g_string_append_printf(w->report,
+			       "%s{\"task\":\"%s\",\"state\":\"running\","
+			       "\"remaining_ms\":3600000}",
+			       w->tasks++ ? "," : "", task);
+}
+
+static char *encode_row(const struct job_record *r)
+{
+	json_object *json = job_record_encode(r);
+	char *text = g_strdup(
+		json_object_to_json_string_ext(json, JSON_C_TO_STRING_PLAIN));
+
+	json_object_put(json);
+	return text;
+}
+
+/* Adds a running gang, its members on workers in turn. */
+static void add_gang(struct bench *b, guint members, guint first,
+		     gboolean is_partial)
+{
+	char *id = g_strdup_printf("steppe-gust-map-%06u", b->rows->len);
+	struct job_record r = {
+		.id = id,
+		.pool = "salkhi.tov-a",
+		.client_account = "rescue",
+		.family = "gust-map",
+		.class = JOB_CLASS_NORMAL,
+		.shape = { members, 1, 1, 1, ADJACENCY_NONE },
+		.run_ms = 7200000,
+		.expected_run_ms = 7200000,
+		.state = JOB_RUNNING,
+		.attempt = 1,
+		.epoch = 6,
+		.submitted_ms = 1700000000000,
+		.started_ms = 1700000000000,
+		.reason = "all members run",
+		.commit_id = "0123456789abcdef0123456789abcdef.6.1.3",
+	};
+
+	r.placement = g_ptr_array_new();
+	for (guint i = 0; i < members; i++) {
+		guint worker = (first + i) % b->worker_count;
+		char *task = task_name_format(id, i, members, 1);
+
+		g_ptr_array_add(r.placement, b->workers[worker].name);
+		if (!is_partial || i)
+			add_task(b, worker, task);
+		g_free(task);
+	}
+	g_ptr_array_add(b->rows, encode_row(&r));
+	g_ptr_array_unref(r.placement);
+	g_free(id);
+}
+
+static void fill(struct bench *b, guint tasks, guint partial_every)
+{
+	guint left = tasks;
+
+	for (guint i = 0; left; i++) {
+		guint members = i % GANGS_PER_LARGE ? GANG_SMALL : GANG_MAX;
+		gboolean is_partial = partial_every && i % partial_every == 1;
+
+		members = MIN(members, left);
+		add_gang(b, members, tasks - left, is_partial);
+		b->partial += is_partial ? 1 : 0;
+		left -= members;
+	}
+}
+
+static void open_bench(struct bench *b, guint workers, guint tasks,
+		       guint partial_every)
+{
+	struct scheduler_spec spec = {
+		.pool = "salkhi.tov-a",
+		.node = "entry-1",
+		.incarnation = "0123456789abcdef0123456789abcdef",
+		.policy = PLACEMENT_POLICY_DEFAULT,
+		.ops = &ops,
+		.data = b,
+	};
+	struct listed_worker *list = g_new0(struct listed_worker, workers);
+
+	memset(b, 0, sizeof(*b));
+	b->worker_count = workers;
+	b->workers = g_new0(struct bench_worker, workers);
+	b->rows = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < workers; i++) {
+		struct bench_worker *w = &b->workers[i];
+
+		g_snprintf(w->name, sizeof(w->name), "w%u", i);
+		w->report = g_string_new("{\"epoch\":7,\"results\":[],"
+					 "\"tasks\":[");
+		list[i].spec = (struct worker_spec){
+			.name = w->name,
+			.rack = "r",
+			.address = "127.0.0.1:1",
+			.accelerators = WORKER_ACCELERATORS,
+			.cores = WORKER_ACCELERATORS,
+			.memory_mb = WORKER_ACCELERATORS,
+		};
+	}
+	fill(b, tasks, partial_every);
+	for (guint i = 0; i < workers; i++)
+		g_string_append(b->workers[i].report,
+				"],\"free\":{\"accelerators\":0,\"cores\":0,"
+				"\"memory_mb\":0}}");
+	b->scheduler = scheduler_new(&spec);
+	scheduler_on_workers(b->scheduler, list, workers, 0);
+	g_free(list);
+}
+
+static void close_bench(struct bench *b)
+{
+	scheduler_free(b->scheduler);
+	for (guint i = 0; i < b->worker_count; i++)
+		g_string_free(b->workers[i].report, TRUE);
+	g_ptr_array_unref(b->rows);
+	g_free(b->workers);
+}
+
+static json_object *parse(const char *text, gsize len, struct json_text *t)
+{
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	json_text_parse(t, "body", text, len, JSON_STRICT, &findings);
+	finding_list_clear(&findings);
+	return t->root;
+}
+
+static void hand_in_rows(struct bench *b, int64_t now_ms)
+{
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	for (guint i = 0; i < b->rows->len; i++) {
+		const char *row = b->rows->pdata[i];
+		struct job_record r = { 0 };
+		struct json_text t = { 0 };
+
+		if (job_record_decode(&r, parse(row, strlen(row), &t),
+				      &findings))
+			scheduler_on_row(b->scheduler, i + 1, &r, now_ms);
+		job_record_clear(&r);
+		json_text_clear(&t);
+	}
+	finding_list_clear(&findings);
+	scheduler_on_scanned(b->scheduler, STATUS_OK, now_ms);
+}
+
+static void answer(struct bench *b, struct bench_worker *w, int64_t now_ms)
+{
+	struct worker_report report = { 0 };
+	struct finding_list findings;
+	struct json_text t = { 0 };
+
+	finding_list_init(&findings);
+	w->is_called = FALSE;
+	b->report_bytes += w->report->len;
+	worker_report_decode(&report, parse(w->report->str, w->report->len, &t),
+			     &findings);
+	/* The results of commands are not looked at here. */
+	scheduler_on_worker(b->scheduler, w->name, w->call_id, WORKER_ANSWERED,
+			    &report, now_ms);
+	worker_report_clear(&report);
+	json_text_clear(&t);
+	finding_list_clear(&findings);
+}
+
+/* Runs virtual time until the scheduler is active. */
+static int64_t recover(struct bench *b)
+{
+	struct scheduler_stats stats = { 0 };
+	int64_t now_ms = 0;
+
+	scheduler_set_role(b->scheduler, POOL_ROLE_HOLDER, 7, now_ms);
+	while (stats.phase != SCHEDULER_ACTIVE && now_ms < LIMIT_MS) {
+		int64_t begin_us = g_get_monotonic_time();
+
+		now_ms += ANSWER_MS;
+		if (b->is_scan_asked)
+			hand_in_rows(b, now_ms);
+		b->is_scan_asked = FALSE;
+		for (guint i = 0; i < b->worker_count; i++) {
+			if (b->workers[i].is_called)
+				answer(b, &b->workers[i], now_ms);
+		}
+		now_ms += TICK_MS;
+		scheduler_tick(b->scheduler, now_ms, now_ms);
+		b->work_us += g_get_monotonic_time() - begin_us;
+		scheduler_get_stats(b->scheduler, &stats);
+	}
+	return stats.recovery_ms;
+}
+
+static void print_head(void)
+{
+	printf("%8s %8s %6s %8s %8s %9s %8s %7s %10s %10s\n", "workers",
+	       "tasks", "gangs", "partial", "calls", "commands", "writes", "ms",
+	       "work ms", "B/renewal");
+}
+
+static void run(guint workers, guint tasks, guint partial_every)
+{
+	struct bench b;
+	int64_t recovery_ms;
+	double renewal_bytes;
+	double bytes_per_s;
+
+	open_bench(&b, workers, tasks, partial_every);
+	recovery_ms = recover(&b);
+	renewal_bytes = (double)(b.sent_bytes + b.report_bytes) / b.calls;
+	bytes_per_s = renewal_bytes * workers * MS_PER_S /
+		      (double)worker_renew_period_ms(workers);
+	printf("%8u %8u %6u %8u %8u %9u %8u %7" G_GINT64_FORMAT
+	       " %10.1f %10.0f\n",
+	       workers, tasks, b.rows->len, b.partial, b.calls, b.commands,
+	       b.writes, recovery_ms, (double)b.work_us / US_PER_MS,
+	       renewal_bytes);
+	check("recovery, virtual ms", (double)recovery_ms, MAX_RECOVERY_MS,
+	      "the report's lag, twice");
+	check("calls a worker", (double)b.calls / workers, MAX_CALLS_PER_WORKER,
+	      "design note on recovery");
+	check("renewals, bytes a second", bytes_per_s, CONTROL_BYTES_PER_S,
+	      "letter 1");
+	if (!b.partial)
+		check("commands without a fault", b.commands, MAX_COMMANDS,
+		      "issue 6");
+	else
+		check("stopped members", b.commands, 2.0 * GANG_MAX * b.partial,
+		      "only gangs in part");
+	close_bench(&b);
+}
+
+int main(int argc, char **argv)
+{
+	print_head();
+	run(DOMAIN_WORKERS / 8, DOMAIN_TASKS / 8, 0);
+	run(DOMAIN_WORKERS / 4, DOMAIN_TASKS / 4, 0);
+	run(DOMAIN_WORKERS / 2, DOMAIN_TASKS / 2, 0);
+	run(DOMAIN_WORKERS, DOMAIN_TASKS, 0);
+	run(DOMAIN_WORKERS, DOMAIN_TASKS, 50);
+	printf("%u passed, %u failed\n", passed, failed);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -186,7 +186,7 @@
 	struct row_request *c = data;
 	int64_t version = 0;
 
-	if (result->status == STATUS_OK)
+	if (result->status == STATUS_OK && result->row_count)
 		version = result->rows[0].version;
 	scheduler_on_written(c->runner->scheduler, c->id, c->call_id,
 			     result->status, version, util_monotonic_ms());
--- a/job/job_entry.c
+++ b/job/job_entry.c
@@ -46,6 +46,17 @@
 	       now_ms >= e->retry_ms;
 }
 
+gboolean job_entry_is_old(const struct job_entry *e, int64_t wall_ms,
+			  int64_t now_ms)
+{
+	if (!job_record_is_ended(&e->record) || e->gang)
+		return FALSE;
+	if (!job_entry_is_clean(e) || e->call != ENTRY_IDLE)
+		return FALSE;
+	return now_ms >= e->retry_ms && e->record.ended_ms &&
+	       wall_ms - e->record.ended_ms >= JOB_KEEP_ENDED_MS;
+}
+
 void job_entry_on_write(struct job_entry *e, const char *writer)
 {
 	e->call = ENTRY_WRITING;
--- a/job/job_entry.h
+++ b/job/job_entry.h
@@ -19,6 +19,9 @@
 #define ENTRY_REQUEUE_MIN_MS INT64_C(500)
 #define ENTRY_REQUEUE_MAX_MS INT64_C(8000)
 
+/** For which a row stays after its job has ended. */
+#define JOB_KEEP_ENDED_MS (INT64_C(3600) * 1000)
+
 enum entry_call {
 	ENTRY_IDLE,
 	ENTRY_WRITING,
@@ -30,6 +33,7 @@
 	int64_t version;	  /**< of the row, as last known */
 	int64_t known_attempt;	  /**< in the row, as last known */
 	int64_t last_attempt; /**< highest number that tasks were named by */
+	gboolean is_deleting; /**< the write in flight deletes the row */
 	enum entry_call call;
 	int64_t call_id;  /**< of the call in flight */
 	guint64 wanted;	  /**< counts changes of the record */
@@ -57,6 +61,10 @@
 /** Tells whether to write now. */
 gboolean job_entry_wants_write(const struct job_entry *e, int64_t now_ms);
 
+/** Tells whether the row has been kept long enough after its end. */
+gboolean job_entry_is_old(const struct job_entry *e, int64_t wall_ms,
+			  int64_t now_ms);
+
 /** Notes a write on its way; sets the row's commit_id. */
 void job_entry_on_write(struct job_entry *e, const char *writer);
 
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -586,12 +586,18 @@
 
 static void tick_entries(struct scheduler *s, int64_t now_ms)
 {
+	struct job_entry *old = NULL;
 	GHashTableIter iter;
 	gpointer item;
 
 	g_hash_table_iter_init(&iter, s->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &item))
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		tick_entry(s, item, now_ms);
+		if (!old && job_entry_is_old(item, wall_ms(s, now_ms), now_ms))
+			old = item;
+	}
+	if (old)
+		scheduler_delete(s, old);
 	if (now_ms >= s->next_decision_ms)
 		s->needs_decision = TRUE;
 }
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -21,8 +21,6 @@
 
 /** Attempts that may end by a failed task. */
 #define JOB_MAX_FAILURES 3
-/** For which a row stays after its job has ended. */
-#define JOB_KEEP_ENDED_MS (INT64_C(3600) * 1000)
 
 enum scheduler_phase {
 	SCHEDULER_IDLE,
--- a/job/scheduler_rows.c
+++ b/job/scheduler_rows.c
@@ -18,6 +18,25 @@
 			  s->data);
 }
 
+void scheduler_delete(struct scheduler *s, struct job_entry *e)
+{
+	e->call = ENTRY_WRITING;
+	e->is_deleting = TRUE;
+	e->call_id = ++s->calls;
+	s->ops->write_row(e->record.id, e->call_id, NULL, e->version, s->data);
+}
+
+/* A row that is still there is read again by the next scan. */
+static void take_deletion(struct scheduler *s, struct job_entry *e,
+			  enum status status, int64_t now_ms)
+{
+	e->is_deleting = FALSE;
+	if (status == STATUS_OK || status == STATUS_CONFLICT)
+		g_hash_table_remove(s->entries, e->record.id);
+	else
+		job_entry_on_failure(e, now_ms);
+}
+
 void scheduler_set_state(struct scheduler *s, struct job_entry *e,
 			 enum job_state state, const char *reason)
 {
@@ -57,6 +76,10 @@
 
 	if (!e || e->call != ENTRY_WRITING || e->call_id != call_id)
 		return;
+	if (e->is_deleting) {
+		take_deletion(s, e, status, now_ms);
+		return;
+	}
 	if (status == STATUS_OK) {
 		job_entry_on_written(e, version);
 		if (job_entry_is_clean(e))
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -88,6 +88,9 @@
 /** Writes a row if that is due. */
 void scheduler_write(struct scheduler *s, struct job_entry *e, int64_t now_ms);
 
+/** Deletes a row that was kept long enough. */
+void scheduler_delete(struct scheduler *s, struct job_entry *e);
+
 /** Sets what the row ought to say, to be written. */
 void scheduler_set_state(struct scheduler *s, struct job_entry *e,
 			 enum job_state state, const char *reason);
--- a/job/worker_contact.c
+++ b/job/worker_contact.c
@@ -152,7 +152,10 @@
 
 int64_t worker_lease_ms(guint workers)
 {
-	return WORKER_RENEWALS_PER_LEASE * worker_renew_period_ms(workers);
+	int64_t period_ms = worker_renew_period_ms(workers);
+
+	return MAX(WORKER_RENEWALS_PER_LEASE * period_ms,
+		   period_ms + WORKER_TAKEOVER_MS);
 }
 
 int64_t worker_partial_bound_ms(guint workers)
--- a/job/worker_contact.h
+++ b/job/worker_contact.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "job/worker_report.h"
+#include "shared/lease_protocol.h"
 
 /** Timeout of one call; the transport keeps it. */
 #define WORKER_CALL_TIMEOUT_MS INT64_C(1000)
@@ -23,6 +24,14 @@
 #define WORKER_RENEW_MIN_MS INT64_C(1000)
 /** Renewals that may fail before a lease lapses. */
 #define WORKER_RENEWALS_PER_LEASE INT64_C(3)
+/**
+ * From the death of a holder to the first call of its successor or of a
+ * caretaker: leases of running tasks have to last that long.
+ */
+#define WORKER_TAKEOVER_MS                                                \
+	(LEASE_TTL_MS + LEASE_TTL_MS / LEASE_RATE_MARGIN +                \
+	 LEASE_POLL_SLOW_MS + LEASE_STAGGER_MS + WORKER_CALL_TIMEOUT_MS + \
+	 WORKER_RETRY_MS + WORKER_EXPIRY_SLACK_MS)
 /** Of one renewal with its answer, at 22 tasks a worker. */
 #define WORKER_RENEWAL_BYTES INT64_C(2400)
 /** That a holder may spend on renewals. */
@@ -103,7 +112,7 @@
 /** Returns the period of renewals that keeps within the bytes a second. */
 int64_t worker_renew_period_ms(guint workers);
 
-/** Returns the lease that goes with it. */
+/** Returns the lease that goes with it, which outlasts a takeover. */
 int64_t worker_lease_ms(guint workers);
 
 /**
--- /dev/null
+++ b/tests/gang_cluster.c
@@ -0,0 +1,595 @@
+#include "tests/gang_cluster.h"
+
+#include <signal.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "job/job_record.h"
+#include "job/task_name.h"
+
+#define READY_TIMEOUT_MS 20000
+#define ROWS_PATH "/table/jobs/salkhi.tov-a%2F"
+
+/* One event of a worker's history. */
+struct event {
+	int64_t time_ms;
+	char *task;
+	char *event;
+};
+
+static void event_clear(gpointer data)
+{
+	struct event *e = data;
+
+	g_free(e->task);
+	g_free(e->event);
+}
+
+static GArray *events_new(void)
+{
+	GArray *events = g_array_new(FALSE, TRUE, sizeof(struct event));
+
+	g_array_set_clear_func(events, event_clear);
+	return events;
+}
+
+void gang_cluster_start_scheduler(struct gang_cluster *g, guint index)
+{
+	char *name = g_strdup_printf("sched%u-%u", index,
+				     g->cluster->processes->len);
+	struct cluster_node node = { .node = name, .platform = g->platform };
+
+	g_free(g->addresses[index]);
+	g->addresses[index] = cluster_address();
+	node.http = g->addresses[index];
+	node.link = g->links[index];
+	node.seeds = (const char *const *)g->links;
+	g->schedulers[index] =
+		cluster_spawn_node(g->cluster, "csschedd", &node);
+	g_free(name);
+}
+
+static void start_workers(struct gang_cluster *g)
+{
+	g->worker_processes[0] =
+		cluster_spawn(g->cluster, "cs-standin-worker", "workers",
+			      CLUSTER_ARGS("--platform", g->platform, "--vm",
+					   "w", "--count", "2"));
+	g->worker_processes[1] = cluster_spawn(
+		g->cluster, "cs-standin-worker", "last-worker",
+		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0"));
+	g->workers[0] = cluster_listening(g->worker_processes[0], 0);
+	g->workers[1] = cluster_listening(g->worker_processes[0], 1);
+	g->workers[2] = cluster_listening(g->worker_processes[1], 0);
+}
+
+static json_object *pool_status(struct gang_cluster *g, guint index)
+{
+	struct cluster_reply r =
+		cluster_call(g->cluster, "GET", g->addresses[index],
+			     "/v1/status", NULL, NULL, 300);
+	json_object *services = NULL;
+	json_object *jobs = NULL;
+	json_object *pool = NULL;
+
+	if (r.code == 200 &&
+	    json_object_object_get_ex(r.body, "services", &services) &&
+	    json_object_object_get_ex(services, "jobs", &jobs) &&
+	    json_object_object_get_ex(jobs, GANG_POOL, &pool))
+		json_object_get(pool);
+	cluster_reply_clear(&r);
+	return pool;
+}
+
+static gboolean is_active(struct gang_cluster *g, guint index)
+{
+	json_object *pool = pool_status(g, index);
+	gboolean is_it =
+		pool &&
+		g_str_equal(json_object_get_string(
+				    json_object_object_get(pool, "phase")),
+			    "active") &&
+		json_object_get_int(json_object_object_get(
+			pool, "usable_workers")) == GANG_WORKERS;
+
+	json_object_put(pool);
+	return is_it;
+}
+
+int gang_cluster_holder(struct gang_cluster *g)
+{
+	for (guint i = 0; i < g->scheduler_count; i++) {
+		if (cluster_is_running(g->schedulers[i]) && is_active(g, i))
+			return (int)i;
+	}
+	return -1;
+}
+
+static gboolean has_holder(void *data)
+{
+	return gang_cluster_holder(data) >= 0;
+}
+
+struct gang_cluster *gang_cluster_start(guint schedulers)
+{
+	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
+
+	g->cluster = cluster_new();
+	g->kept = events_new();
+	g->platform_process = cluster_spawn(g->cluster, "cs-standin-platform",
+					    "platform", NULL);
+	g->platform = cluster_listening(g->platform_process, 0);
+	start_workers(g);
+	g->scheduler_count = schedulers;
+	for (guint i = 0; i < schedulers; i++)
+		g->links[i] = cluster_address();
+	for (guint i = 0; i < schedulers; i++)
+		gang_cluster_start_scheduler(g, i);
+	return g;
+}
+
+void gang_cluster_wait_ready(struct gang_cluster *g)
+{
+	g_assert_true(cluster_wait(has_holder, g, READY_TIMEOUT_MS));
+}
+
+struct gang_cluster *gang_cluster_open(guint schedulers)
+{
+	struct gang_cluster *g = gang_cluster_start(schedulers);
+
+	gang_cluster_wait_ready(g);
+	return g;
+}
+
+void gang_cluster_close(struct gang_cluster *g)
+{
+	cluster_free(g->cluster);
+	for (guint i = 0; i < GANG_WORKERS; i++)
+		g_free(g->workers[i]);
+	for (guint i = 0; i < GANG_MAX_SCHEDULERS; i++) {
+		g_free(g->addresses[i]);
+		g_free(g->links[i]);
+	}
+	g_array_unref(g->kept);
+	g_free(g->platform);
+	g_free(g);
+}
+
+static guint commit_row(struct gang_cluster *g, const char *id, int64_t version,
+			json_object *value)
+{
+	char *body = g_strdup_printf(
+		"{\"writes\":[{\"table\":\"jobs\",\"key\":\"" GANG_POOL
+		"/%s\",\"expected_version\":%" G_GINT64_FORMAT
+		",\"value\":%s}]}",
+		id, version, json_object_to_json_string(value));
+	struct cluster_reply r =
+		cluster_call(g->cluster, "POST", g->platform, "/commit", body,
+			     NULL, CLUSTER_CALL_TIMEOUT_MS);
+	guint code = r.code;
+
+	cluster_reply_clear(&r);
+	g_free(body);
+	return code;
+}
+
+void gang_cluster_submit(struct gang_cluster *g,
+			 const struct gang_submission *job)
+{
+	struct job_record r = {
+		.id = g_strdup(job->id),
+		.pool = g_strdup(GANG_POOL),
+		.client_account = g_strdup("a"),
+		.class = JOB_CLASS_NORMAL,
+		.shape = { job->members, job->accelerators, 1, 1,
+			   ADJACENCY_NONE },
+		.run_ms = job->run_ms,
+		.expected_run_ms = job->run_ms,
+		.is_checkpointable = job->is_checkpointable,
+		.submitted_ms = util_wall_ms(),
+	};
+	json_object *value;
+
+	if (job->class && g_str_equal(job->class, "urgent"))
+		r.class = JOB_CLASS_URGENT;
+	if (job->class && g_str_equal(job->class, "bulk"))
+		r.class = JOB_CLASS_BULK;
+	value = job_record_encode(&r);
+	g_assert_cmpuint(commit_row(g, job->id, 0, value), ==, 200);
+	json_object_put(value);
+	job_record_clear(&r);
+}
+
+void gang_cluster_poke(struct gang_cluster *g, const char *id)
+{
+	int holder = gang_cluster_holder(g);
+	char *body = g_strdup_printf(
+		"{\"pool\":\"" GANG_POOL "\",\"id\":\"%s\"}", id);
+	struct cluster_reply r;
+
+	g_assert_cmpint(holder, >=, 0);
+	r = cluster_call(g->cluster, "POST", g->addresses[holder],
+			 "/v1/jobs/poke", body, NULL, CLUSTER_CALL_TIMEOUT_MS);
+	g_assert_cmpuint(r.code, ==, 202);
+	cluster_reply_clear(&r);
+	g_free(body);
+}
+
+static struct cluster_reply read_row(struct gang_cluster *g, const char *id)
+{
+	char *path = g_strconcat(ROWS_PATH, id, NULL);
+	struct cluster_reply r = cluster_call(g->cluster, "GET", g->platform,
+					      path, NULL, NULL, 300);
+
+	g_free(path);
+	return r;
+}
+
+void gang_cluster_cancel(struct gang_cluster *g, const char *id)
+{
+	guint code = 0;
+
+	for (int tries = 0; tries < 20 && code != 200; tries++) {
+		struct cluster_reply r = read_row(g, id);
+		json_object *value = json_object_object_get(r.body, "value");
+
+		json_object_object_add(value, "is_cancelled",
+				       json_object_new_boolean(TRUE));
+		json_object_object_add(value, "commit_id",
+				       json_object_new_string("caller"));
+		code = commit_row(g, id,
+				  json_object_get_int64(json_object_object_get(
+					  r.body, "version")),
+				  value);
+		cluster_reply_clear(&r);
+	}
+	g_assert_cmpuint(code, ==, 200);
+}
+
+char *gang_cluster_row(struct gang_cluster *g, const char *id,
+		       const char *member)
+{
+	struct cluster_reply r = read_row(g, id);
+	json_object *value = NULL;
+	json_object *item = NULL;
+	char *text;
+
+	if (r.code == 200 && json_object_object_get_ex(r.body, "value", &value))
+		json_object_object_get_ex(value, member, &item);
+	text = g_strdup(item ? json_object_get_string(item) : "");
+	cluster_reply_clear(&r);
+	return text;
+}
+
+struct wait {
+	struct gang_cluster *cluster;
+	const char *id;
+	const char *text; /* state or event */
+	guint count;
+};
+
+static gboolean has_state(void *data)
+{
+	const struct wait *w = data;
+	char *state = gang_cluster_row(w->cluster, w->id, "state");
+	gboolean is_it = g_str_equal(state, w->text);
+
+	g_free(state);
+	return is_it;
+}
+
+gboolean gang_cluster_wait_state(struct gang_cluster *g, const char *id,
+				 const char *state, int64_t timeout_ms)
+{
+	struct wait w = { g, id, state, 0 };
+
+	return cluster_wait(has_state, &w, timeout_ms);
+}
+
+static void add_event(GArray *events, int64_t time_ms, const char *task,
+		      const char *event)
+{
+	struct event e = { time_ms, g_strdup(task), g_strdup(event) };
+
+	g_array_append_val(events, e);
+}
+
+static const char *text_of(json_object *item, const char *member)
+{
+	return json_object_get_string(json_object_object_get(item, member));
+}
+
+static void take_events(json_object *body, GArray *events)
+{
+	json_object *list = json_object_object_get(body, "events");
+
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
+		json_object *item = json_object_array_get_idx(list, i);
+
+		add_event(events,
+			  json_object_get_int64(
+				  json_object_object_get(item, "time_ms")),
+			  text_of(item, "task"), text_of(item, "event"));
+	}
+}
+
+static void read_history(struct gang_cluster *g, guint worker, GArray *events)
+{
+	struct cluster_reply r =
+		cluster_call(g->cluster, "GET", g->workers[worker], "/history",
+			     NULL, NULL, CLUSTER_CALL_TIMEOUT_MS);
+
+	if (r.code == 200)
+		take_events(r.body, events);
+	cluster_reply_clear(&r);
+}
+
+static gint compare_events(gconstpointer a, gconstpointer b)
+{
+	const struct event *x = a;
+	const struct event *y = b;
+
+	return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
+}
+
+/* Reads all histories, in the order of time. */
+static GArray *all_events(struct gang_cluster *g)
+{
+	GArray *events = events_new();
+
+	for (guint i = 0; i < g->kept->len; i++) {
+		const struct event *e =
+			&g_array_index(g->kept, struct event, i);
+
+		add_event(events, e->time_ms, e->task, e->event);
+	}
+	for (guint i = 0; i < GANG_WORKERS; i++)
+		read_history(g, i, events);
+	g_array_sort(events, compare_events);
+	return events;
+}
+
+guint gang_cluster_events(struct gang_cluster *g, const char *id,
+			  const char *event)
+{
+	GArray *events = all_events(g);
+	char *prefix = g_strconcat(id, "/", NULL);
+	guint count = 0;
+
+	for (guint i = 0; i < events->len; i++) {
+		const struct event *e = &g_array_index(events, struct event, i);
+
+		if (g_str_has_prefix(e->task, prefix) &&
+		    g_str_equal(e->event, event))
+			count++;
+	}
+	g_free(prefix);
+	g_array_unref(events);
+	return count;
+}
+
+static gboolean has_events(void *data)
+{
+	const struct wait *w = data;
+
+	return gang_cluster_events(w->cluster, w->id, w->text) >= w->count;
+}
+
+gboolean gang_cluster_wait_events(struct gang_cluster *g, const char *id,
+				  const char *event, guint count,
+				  int64_t timeout_ms)
+{
+	struct wait w = { g, id, event, count };
+
+	return cluster_wait(has_events, &w, timeout_ms);
+}
+
+void gang_cluster_start_worker(struct gang_cluster *g)
+{
+	char *name =
+		g_strdup_printf("last-worker-%u", g->cluster->processes->len);
+
+	g->worker_processes[1] = cluster_spawn(
+		g->cluster, "cs-standin-worker", name,
+		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0"));
+	g_free(g->workers[GANG_WORKERS - 1]);
+	g->workers[GANG_WORKERS - 1] =
+		cluster_listening(g->worker_processes[1], 0);
+	g_free(name);
+}
+
+void gang_cluster_kill_worker(struct gang_cluster *g)
+{
+	guint first = g->kept->len;
+	guint last;
+
+	read_history(g, GANG_WORKERS - 1, g->kept);
+	cluster_signal(g->worker_processes[1], SIGKILL);
+	cluster_wait_exit(g->worker_processes[1], CLUSTER_CALL_TIMEOUT_MS);
+	last = g->kept->len;
+	for (guint i = first; i < last; i++) {
+		const struct event *e =
+			&g_array_index(g->kept, struct event, i);
+
+		if (g_str_equal(e->event, "started"))
+			add_event(g->kept, util_wall_ms(), e->task, "killed");
+	}
+}
+
+/** What the histories say of one attempt of a gang so far. */
+struct seen_attempt {
+	int64_t members;
+	GHashTable *started; /**< tasks, ever */
+	GHashTable *running;
+	GHashTable *done;
+	int64_t partial_since_ms; /**< 0 while whole or not running */
+	int64_t worst_ms;
+};
+
+/** What they say of one job. */
+struct seen_job {
+	GHashTable *attempts; /**< number to struct seen_attempt */
+	struct seen_attempt *current;
+};
+
+static void seen_attempt_free(gpointer data)
+{
+	struct seen_attempt *a = data;
+
+	g_hash_table_unref(a->started);
+	g_hash_table_unref(a->running);
+	g_hash_table_unref(a->done);
+	g_free(a);
+}
+
+static void seen_job_free(gpointer data)
+{
+	struct seen_job *j = data;
+
+	g_hash_table_unref(j->attempts);
+	g_free(j);
+}
+
+static GHashTable *task_set(void)
+{
+	return g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+static struct seen_job *find_job(GHashTable *jobs, const char *id)
+{
+	struct seen_job *j = g_hash_table_lookup(jobs, id);
+
+	if (j)
+		return j;
+	j = g_new0(struct seen_job, 1);
+	j->attempts =
+		g_hash_table_new_full(NULL, NULL, NULL, seen_attempt_free);
+	g_hash_table_insert(jobs, g_strdup(id), j);
+	return j;
+}
+
+static struct seen_attempt *find_attempt(struct seen_job *j,
+					 const struct task_name *name)
+{
+	gpointer key = GINT_TO_POINTER((gint)name->attempt);
+	struct seen_attempt *a = g_hash_table_lookup(j->attempts, key);
+
+	if (a)
+		return a;
+	a = g_new0(struct seen_attempt, 1);
+	a->members = name->members;
+	a->started = task_set();
+	a->running = task_set();
+	a->done = task_set();
+	g_hash_table_insert(j->attempts, key, a);
+	return a;
+}
+
+static gboolean ends_run(const char *event)
+{
+	static const char *const ends[] = { "stopped", "failed", "lapsed",
+					    "done",    "killed", "checkpointed",
+					    NULL };
+
+	return g_strv_contains(ends, event);
+}
+
+static void measure_partial(struct seen_attempt *a, int64_t now_ms)
+{
+	guint alive = g_hash_table_size(a->running);
+	gboolean is_partial =
+		alive && alive + g_hash_table_size(a->done) < a->members;
+
+	if (a->partial_since_ms)
+		a->worst_ms = MAX(a->worst_ms, now_ms - a->partial_since_ms);
+	if (!is_partial)
+		a->partial_since_ms = 0;
+	else if (!a->partial_since_ms)
+		a->partial_since_ms = now_ms;
+}
+
+static char *take_start(struct seen_job *j, struct seen_attempt *a,
+			const struct event *e)
+{
+	GHashTableIter iter;
+	gpointer other;
+
+	if (!g_hash_table_add(a->started, e->task))
+		return g_strdup_printf("started twice: %s", e->task);
+	g_hash_table_iter_init(&iter, j->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &other)) {
+		const struct seen_attempt *o = other;
+
+		if (o != a && g_hash_table_size(o->running))
+			return g_strdup_printf("two attempts at once: %s",
+					       e->task);
+	}
+	g_hash_table_add(a->running, e->task);
+	return NULL;
+}
+
+static char *take_event(GHashTable *jobs, const struct event *e)
+{
+	struct task_name name = { 0 };
+	struct seen_attempt *a;
+	struct seen_job *j;
+	char *fault = NULL;
+
+	if (!task_name_parse(e->task, &name))
+		return g_strdup_printf("bad name %s", e->task);
+	j = find_job(jobs, name.job);
+	a = find_attempt(j, &name);
+	if (g_str_equal(e->event, "started"))
+		fault = take_start(j, a, e);
+	else if (ends_run(e->event))
+		g_hash_table_remove(a->running, e->task);
+	if (g_str_equal(e->event, "done"))
+		g_hash_table_add(a->done, e->task);
+	measure_partial(a, e->time_ms);
+	task_name_clear(&name);
+	return fault;
+}
+
+static char *check_bound(GHashTable *jobs, int64_t bound_ms)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer job;
+
+	g_hash_table_iter_init(&iter, jobs);
+	while (g_hash_table_iter_next(&iter, &id, &job)) {
+		GHashTableIter attempts;
+		gpointer attempt;
+
+		g_hash_table_iter_init(&attempts,
+				       ((struct seen_job *)job)->attempts);
+		while (g_hash_table_iter_next(&attempts, NULL, &attempt)) {
+			struct seen_attempt *a = attempt;
+
+			measure_partial(a, util_wall_ms());
+			if (a->worst_ms > bound_ms)
+				return g_strdup_printf(
+					"%s ran in part for %" G_GINT64_FORMAT
+					" ms",
+					(const char *)id, a->worst_ms);
+		}
+	}
+	return NULL;
+}
+
+char *gang_cluster_check(struct gang_cluster *g, int64_t bound_ms)
+{
+	GArray *events = all_events(g);
+	GHashTable *jobs = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, seen_job_free);
+	char *fault = NULL;
+
+	for (guint i = 0; i < events->len && !fault; i++)
+		fault = take_event(jobs,
+				   &g_array_index(events, struct event, i));
+	if (!fault)
+		fault = check_bound(jobs, bound_ms);
+	g_hash_table_unref(jobs);
+	g_array_unref(events);
+	return fault;
+}
--- /dev/null
+++ b/tests/gang_cluster.h
@@ -0,0 +1,95 @@
+/**
+ * @file
+ * A pool over real processes: the platform's stand-in, three workers (the last
+ * in a process of its own), schedulers. The workers' histories are the truth
+ * that is checked.
+ */
+#ifndef TESTS_GANG_CLUSTER_H
+#define TESTS_GANG_CLUSTER_H
+
+#include "tests/cluster.h"
+
+#define GANG_POOL "salkhi.tov-a"
+#define GANG_WORKERS 3
+#define GANG_MAX_SCHEDULERS 3
+
+struct gang_cluster {
+	struct cluster *cluster;
+	char *platform;
+	struct cluster_process *platform_process;
+	struct cluster_process *worker_processes[2]; /**< w0 and w1, v0 */
+	char *workers[GANG_WORKERS];		     /**< addresses */
+	guint scheduler_count;
+	struct cluster_process *schedulers[GANG_MAX_SCHEDULERS];
+	char *addresses[GANG_MAX_SCHEDULERS];
+	char *links[GANG_MAX_SCHEDULERS + 1]; /**< ends with NULL */
+	GArray *kept; /**< of events of workers that were killed */
+};
+
+struct gang_submission {
+	const char *id;
+	int64_t members;
+	int64_t accelerators; /**< per member */
+	int64_t run_ms;
+	const char *class; /**< NULL for normal */
+	gboolean is_checkpointable;
+};
+
+/** Starts everything. */
+struct gang_cluster *gang_cluster_start(guint schedulers);
+
+/** Waits until a scheduler decides. */
+void gang_cluster_wait_ready(struct gang_cluster *g);
+
+/** Starts everything and waits. */
+struct gang_cluster *gang_cluster_open(guint schedulers);
+void gang_cluster_close(struct gang_cluster *g);
+
+/** Starts a scheduler in the place of one that has ended. */
+void gang_cluster_start_scheduler(struct gang_cluster *g, guint index);
+
+/** Returns the index of the scheduler that decides, -1 without one. */
+int gang_cluster_holder(struct gang_cluster *g);
+
+/** Writes a job's row as the gateway does. */
+void gang_cluster_submit(struct gang_cluster *g,
+			 const struct gang_submission *job);
+
+/** Marks a job as cancelled as the gateway does. */
+void gang_cluster_cancel(struct gang_cluster *g, const char *id);
+
+/** Returns a member of a job's row as text, "" without one; free it. */
+char *gang_cluster_row(struct gang_cluster *g, const char *id,
+		       const char *member);
+
+/** Waits until a job's row has a state. */
+gboolean gang_cluster_wait_state(struct gang_cluster *g, const char *id,
+				 const char *state, int64_t timeout_ms);
+
+/** Returns how many events of a kind a job has on all workers. */
+guint gang_cluster_events(struct gang_cluster *g, const char *id,
+			  const char *event);
+
+/** Waits for a number of events of a kind. */
+gboolean gang_cluster_wait_events(struct gang_cluster *g, const char *id,
+				  const char *event, guint count,
+				  int64_t timeout_ms);
+
+/** Tells the scheduler that decides of a row, as the gateway does. */
+void gang_cluster_poke(struct gang_cluster *g, const char *id);
+
+/** Starts the last worker's process anew, at another address. */
+void gang_cluster_start_worker(struct gang_cluster *g);
+
+/** Kills the last worker's process and keeps its history. */
+void gang_cluster_kill_worker(struct gang_cluster *g);
+
+/**
+ * Checks the workers' histories.
+ *
+ * @param bound_ms	for which a gang may run in part
+ * @return		NULL, or what is wrong; free it
+ */
+char *gang_cluster_check(struct gang_cluster *g, int64_t bound_ms);
+
+#endif
--- /dev/null
+++ b/tests/gang_faults.c
@@ -0,0 +1,329 @@
+#include "tests/gang_faults.h"
+
+#include <signal.h>
+
+#include "base/util.h"
+#include "job/worker_contact.h"
+
+#define STEP_TIMEOUT_MS 6000
+#define END_TIMEOUT_MS 40000
+#define SCHEDULERS 2
+/* Reading the clocks of several processes, and their turns to run. */
+#define BOUND_SLACK_MS 1000
+/* Beyond the pool's lease and into a caretaker's time. */
+#define HOLDER_FAULT_MS INT64_C(9000)
+/* Beyond the lease of the tasks. */
+#define PAUSE_WORKER_MS                                                      \
+	(WORKER_RENEW_MIN_MS + WORKER_TAKEOVER_MS + WORKER_EXPIRY_SLACK_MS + \
+	 1000)
+#define RESTART_MS INT64_C(5000)
+
+static void kill_scheduler(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	if (holder >= 0)
+		cluster_signal(g->schedulers[holder], SIGKILL);
+}
+
+static void restart_schedulers(struct gang_cluster *g)
+{
+	for (guint i = 0; i < g->scheduler_count; i++) {
+		if (!cluster_is_running(g->schedulers[i]))
+			gang_cluster_start_scheduler(g, i);
+	}
+}
+
+static void pause_scheduler(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	if (holder >= 0)
+		cluster_signal(g->schedulers[holder], SIGSTOP);
+}
+
+static void resume_schedulers(struct gang_cluster *g)
+{
+	for (guint i = 0; i < g->scheduler_count; i++) {
+		if (cluster_is_running(g->schedulers[i]))
+			cluster_signal(g->schedulers[i], SIGCONT);
+	}
+}
+
+static void cut_schedulers(struct gang_cluster *g)
+{
+	cluster_control(g->cluster, g->platform, "{\"cut\":[\"tov-a\"]}");
+}
+
+static void mend_schedulers(struct gang_cluster *g)
+{
+	cluster_control(g->cluster, g->platform, "{\"cut\":[]}");
+}
+
+static void pause_worker(struct gang_cluster *g)
+{
+	cluster_signal(g->worker_processes[1], SIGSTOP);
+}
+
+static void resume_worker(struct gang_cluster *g)
+{
+	cluster_signal(g->worker_processes[1], SIGCONT);
+}
+
+static void take_platform_down(struct gang_cluster *g)
+{
+	cluster_control(g->cluster, g->platform, "{\"mode\":\"down\"}");
+}
+
+static void bring_platform_up(struct gang_cluster *g)
+{
+	cluster_control(g->cluster, g->platform, "{\"mode\":\"ok\"}");
+}
+
+static void pause_platform(struct gang_cluster *g)
+{
+	cluster_signal(g->platform_process, SIGSTOP);
+}
+
+static void resume_platform(struct gang_cluster *g)
+{
+	cluster_signal(g->platform_process, SIGCONT);
+}
+
+const struct gang_fault gang_fault_kill_scheduler = { HOLDER_FAULT_MS,
+						      kill_scheduler,
+						      restart_schedulers };
+const struct gang_fault gang_fault_pause_scheduler = { HOLDER_FAULT_MS,
+						       pause_scheduler,
+						       resume_schedulers };
+const struct gang_fault gang_fault_cut_schedulers = { HOLDER_FAULT_MS,
+						      cut_schedulers,
+						      mend_schedulers };
+const struct gang_fault gang_fault_kill_worker = { RESTART_MS,
+						   gang_cluster_kill_worker,
+						   gang_cluster_start_worker };
+const struct gang_fault gang_fault_pause_worker = { PAUSE_WORKER_MS,
+						    pause_worker,
+						    resume_worker };
+const struct gang_fault gang_fault_platform_down = { HOLDER_FAULT_MS,
+						     take_platform_down,
+						     bring_platform_up };
+const struct gang_fault gang_fault_pause_platform = { HOLDER_FAULT_MS,
+						      pause_platform,
+						      resume_platform };
+
+static const struct gang_submission gang = { "gang", 3, 8, 1500, NULL, FALSE };
+static const struct gang_submission block = {
+	"block", 3, 8, 1500, NULL, FALSE
+};
+static const struct gang_submission victim = { "victim", 3,	 8,
+					       5000,	 "bulk", TRUE };
+static const struct gang_submission urgent = { "gang", 3,	 8,
+					       1500,   "urgent", FALSE };
+
+static void submit(struct gang_cluster *g, const struct gang_submission *job)
+{
+	gang_cluster_submit(g, job);
+	gang_cluster_poke(g, job->id);
+}
+
+static void control_last_worker(struct gang_cluster *g, const char *body)
+{
+	cluster_control(g->cluster, g->workers[GANG_WORKERS - 1], body);
+}
+
+static void wait_events(struct gang_cluster *g, const char *id,
+			const char *event, guint count)
+{
+	g_assert_true(
+		gang_cluster_wait_events(g, id, event, count, STEP_TIMEOUT_MS));
+}
+
+static void wait_state(struct gang_cluster *g, const char *id,
+		       const char *state)
+{
+	g_assert_true(gang_cluster_wait_state(g, id, state, STEP_TIMEOUT_MS));
+}
+
+static void reach_queued(struct gang_cluster *g)
+{
+	submit(g, &block);
+	wait_state(g, "block", "running");
+	submit(g, &gang);
+}
+
+static void reach_reserved_in_part(struct gang_cluster *g)
+{
+	control_last_worker(g, "{\"silent\":true}");
+	submit(g, &gang);
+	wait_events(g, "gang", "reserved", 2);
+}
+
+static void reach_reserved(struct gang_cluster *g)
+{
+	gang_cluster_submit(g, &gang);
+	gang_cluster_poke(g, "gang");
+	cluster_control(g->cluster, g->platform,
+			"{\"mode\":\"slow\",\"slow_ms\":400}");
+	wait_events(g, "gang", "reserved", 3);
+}
+
+static void reach_answer_lost(struct gang_cluster *g)
+{
+	gang_cluster_submit(g, &gang);
+	cluster_control(g->cluster, g->platform,
+			"{\"lose_answers\":1,\"lose_table\":\"jobs\"}");
+	gang_cluster_poke(g, "gang");
+	wait_state(g, "gang", "committed");
+}
+
+static void reach_starting(struct gang_cluster *g)
+{
+	control_last_worker(g, "{\"delay_ms\":600}");
+	submit(g, &gang);
+	wait_events(g, "gang", "started", 2);
+}
+
+static void reach_running(struct gang_cluster *g)
+{
+	submit(g, &gang);
+	wait_state(g, "gang", "running");
+}
+
+static void reach_reclaiming(struct gang_cluster *g)
+{
+	submit(g, &victim);
+	wait_state(g, "victim", "running");
+	control_last_worker(g, "{\"delay_ms\":600}");
+	submit(g, &urgent);
+	wait_events(g, "victim", "checkpointed", 2);
+}
+
+static void reach_ending(struct gang_cluster *g)
+{
+	submit(g, &gang);
+	wait_state(g, "gang", "running");
+	control_last_worker(g, "{\"delay_ms\":600}");
+	gang_cluster_cancel(g, "gang");
+	gang_cluster_poke(g, "gang");
+	wait_events(g, "gang", "stopped", 2);
+}
+
+static const struct {
+	const char *name;
+	void (*reach)(struct gang_cluster *g);
+	const char *end; /* state that the gang has to come to */
+} steps[] = {
+	{ "queued", reach_queued, "done" },
+	{ "reserved-in-part", reach_reserved_in_part, "done" },
+	{ "reserved", reach_reserved, "done" },
+	{ "answer-lost", reach_answer_lost, "done" },
+	{ "starting", reach_starting, "done" },
+	{ "running", reach_running, "done" },
+	{ "reclaiming", reach_reclaiming, "done" },
+	{ "ending", reach_ending, "cancelled" },
+};
+
+struct run {
+	struct gang_cluster *cluster;
+	const struct gang_fault_set *set;
+	guint step;
+	int64_t struck_ms;
+};
+
+static void strike(struct run *run)
+{
+	g_test_message("%s at %s", run->set->name, steps[run->step].name);
+	steps[run->step].reach(run->cluster);
+	for (guint i = 0; i < GANG_FAULTS_TOGETHER; i++) {
+		if (run->set->faults[i])
+			run->set->faults[i]->strike(run->cluster);
+	}
+	run->struck_ms = util_monotonic_ms();
+}
+
+static int64_t heal_time_ms(const struct run *run)
+{
+	int64_t lasts_ms = 0;
+
+	for (guint i = 0; i < GANG_FAULTS_TOGETHER; i++) {
+		if (run->set->faults[i])
+			lasts_ms = MAX(lasts_ms, run->set->faults[i]->lasts_ms);
+	}
+	return run->struck_ms + lasts_ms;
+}
+
+static gint compare_runs(gconstpointer a, gconstpointer b)
+{
+	int64_t x = heal_time_ms(a);
+	int64_t y = heal_time_ms(b);
+
+	return (x > y) - (x < y);
+}
+
+static void heal(struct run *run)
+{
+	struct gang_cluster *g = run->cluster;
+	int64_t left_ms = heal_time_ms(run) - util_monotonic_ms();
+
+	if (left_ms > 0)
+		cluster_sleep(left_ms);
+	for (guint i = 0; i < GANG_FAULTS_TOGETHER; i++) {
+		if (run->set->faults[i])
+			run->set->faults[i]->heal(g);
+	}
+	cluster_control(g->cluster, g->platform, "{\"mode\":\"ok\"}");
+	control_last_worker(g, "{\"silent\":false,\"delay_ms\":0}");
+}
+
+static void check(struct run *run)
+{
+	struct gang_cluster *g = run->cluster;
+	const char *end = steps[run->step].end;
+	int64_t bound_ms =
+		worker_partial_bound_ms(GANG_WORKERS) + BOUND_SLACK_MS;
+	char *fault;
+
+	g_test_message("check %s at %s", run->set->name, steps[run->step].name);
+	if (!gang_cluster_wait_state(g, "gang", end, END_TIMEOUT_MS)) {
+		char *state = gang_cluster_row(g, "gang", "state");
+
+		g_test_message("gang is %s, not %s", state, end);
+		g_test_fail();
+		g_free(state);
+	}
+	fault = gang_cluster_check(g, bound_ms);
+	if (fault) {
+		g_test_message("%s", fault);
+		g_test_fail();
+	}
+	g_free(fault);
+}
+
+void gang_faults_run(const struct gang_fault_set *sets, guint count)
+{
+	GArray *runs = g_array_new(FALSE, TRUE, sizeof(struct run));
+
+	for (guint i = 0; i < count * G_N_ELEMENTS(steps); i++) {
+		struct run run = {
+			.cluster = gang_cluster_start(SCHEDULERS),
+			.set = &sets[i / G_N_ELEMENTS(steps)],
+			.step = i % G_N_ELEMENTS(steps),
+		};
+
+		g_array_append_val(runs, run);
+	}
+	for (guint i = 0; i < runs->len; i++)
+		gang_cluster_wait_ready(
+			g_array_index(runs, struct run, i).cluster);
+	for (guint i = 0; i < runs->len; i++)
+		strike(&g_array_index(runs, struct run, i));
+	g_array_sort(runs, compare_runs);
+	for (guint i = 0; i < runs->len; i++)
+		heal(&g_array_index(runs, struct run, i));
+	for (guint i = 0; i < runs->len; i++) {
+		check(&g_array_index(runs, struct run, i));
+		gang_cluster_close(g_array_index(runs, struct run, i).cluster);
+	}
+	g_array_unref(runs);
+}
--- /dev/null
+++ b/tests/test_gangs_platform_faults.c
@@ -0,0 +1,23 @@
+/*
+ * The platform is down or paused at each step of a gang's life.
+ */
+#include <glib.h>
+
+#include "tests/gang_faults.h"
+
+static const struct gang_fault_set sets[] = {
+	{ "platform down", { &gang_fault_platform_down } },
+	{ "pause platform", { &gang_fault_pause_platform } },
+};
+
+static void test_sets(void)
+{
+	gang_faults_run(sets, G_N_ELEMENTS(sets));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gangs/faults/platform", test_sets);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/test_job_api.c
@@ -0,0 +1,216 @@
+/*
+ * Callers' jobs over real processes: gateway, scheduler, platform, workers.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "tests/gang_cluster.h"
+
+#define TIMEOUT_MS 15000
+/* The letter: urgent work starts within 1.5 s. */
+#define URGENT_MS 1500
+#define URGENT_RUNS 10
+#define POOL_QUERY "?pool=" GANG_POOL
+
+#define SHAPE(members, accelerators)                                \
+	"{\"members\":" #members ",\"accelerators\":" #accelerators \
+	",\"cores\":1,\"memory_mb\":1,\"adjacency\":\"none\"}"
+#define CONFIG                                                             \
+	"{\"format\":1,\"services\":[{\"name\":\"salkhi\","                \
+	"\"failure_domains\":[\"tov-a\"]}],\"client_accounts\":["          \
+	"{\"name\":\"a\",\"service\":\"salkhi\",\"share\":1}],"            \
+	"\"jobs\":[{\"name\":\"gust-map\",\"client_account\":\"a\","       \
+	"\"pool\":\"salkhi.tov-a\",\"class\":\"normal\",\"shape\":" SHAPE( \
+		3, 8) ",\"expected_run_ms\":300,\"is_checkpointable\":true}]}"
+
+struct gateway {
+	struct gang_cluster *pool;
+	char *address;
+	char *link;
+	guint code; /* of the last call */
+	char *text; /* body of the last answer */
+};
+
+static void call(struct gateway *g, const char *method, const char *path,
+		 const char *body)
+{
+	struct cluster_reply r =
+		cluster_call(g->pool->cluster, method, g->address, path, body,
+			     NULL, TIMEOUT_MS);
+
+	g->code = r.code;
+	g_free(g->text);
+	g->text = g_strdup(r.body ? json_object_to_json_string_ext(
+					    r.body, JSON_C_TO_STRING_PLAIN)
+				  : "");
+	cluster_reply_clear(&r);
+}
+
+static gboolean takes_config(void *data)
+{
+	call(data, "POST", "/v1/config",
+	     "{\"base_version\":0,\"config\":" CONFIG "}");
+	return ((struct gateway *)data)->code == 200;
+}
+
+/* Waits until jobs are checked against the configuration. */
+static gboolean has_config(void *data)
+{
+	call(data, "POST", "/v1/jobs", "{\"id\":\"x\",\"job\":\"none\"}");
+	return ((struct gateway *)data)->code == 400;
+}
+
+static void open_gateway(struct gateway *g)
+{
+	struct cluster_node node = { .node = "gate" };
+
+	memset(g, 0, sizeof(*g));
+	g->pool = gang_cluster_open(1);
+	g->address = cluster_address();
+	g->link = cluster_address();
+	node.http = g->address;
+	node.link = g->link;
+	node.platform = g->pool->platform;
+	cluster_spawn_node(g->pool->cluster, "csgated", &node);
+	g_assert_true(cluster_wait(takes_config, g, TIMEOUT_MS));
+	g_assert_true(cluster_wait(has_config, g, TIMEOUT_MS));
+}
+
+static void close_gateway(struct gateway *g)
+{
+	gang_cluster_close(g->pool);
+	g_free(g->address);
+	g_free(g->link);
+	g_free(g->text);
+}
+
+#define OWN(id, run_ms)                                                     \
+	"{\"id\":\"" id "\",\"client_account\":\"a\",\"pool\":\"" GANG_POOL \
+	"\",\"run_ms\":" #run_ms ",\"shape\":" SHAPE(1, 1) "}"
+
+static const struct {
+	const char *method;
+	const char *path;
+	const char *body;
+	guint code;
+	const char *holds;
+} calls[] = {
+	{ "POST", "/v1/jobs", "{\"id\":\"j\",\"job\":\"gust-map\"}", 202,
+	  "\"accepted\"" },
+	{ "POST", "/v1/jobs", "{\"id\":\"j\",\"job\":\"gust-map\"}", 200,
+	  "\"accepted\"" },
+	{ "POST", "/v1/jobs",
+	  "{\"id\":\"j\",\"job\":\"gust-map\",\"run_ms\":9}", 409, "id-taken" },
+	{ "POST", "/v1/jobs", OWN("own", 100), 202, "\"accepted\"" },
+	{ "POST", "/v1/jobs", "{\"id\":\"a/b\",\"job\":\"gust-map\"}", 400,
+	  "bad character" },
+	{ "POST", "/v1/jobs", "{\"id\":\"k\",\"job\":\"other\"}", 400,
+	  "no such job" },
+	{ "POST", "/v1/jobs", "{\"id\":\"k\",\"pool\":\"salkhi.tov-a\"}", 400,
+	  "client_account" },
+	{ "GET", "/v1/jobs/j" POOL_QUERY, NULL, 200, "\"id\":\"j\"" },
+	{ "GET", "/v1/jobs/none" POOL_QUERY, NULL, 404, "no-such-job" },
+	{ "DELETE", "/v1/jobs/none" POOL_QUERY, NULL, 404, "no-such-job" },
+};
+
+static void check_call(struct gateway *g, const char *method, const char *path,
+		       const char *body, guint code, const char *holds)
+{
+	call(g, method, path, body);
+	g_assert_cmpuint(g->code, ==, code);
+	g_assert_nonnull(strstr(g->text, holds));
+}
+
+static void wait_state(struct gateway *g, const char *id, const char *state)
+{
+	g_assert_true(gang_cluster_wait_state(g->pool, id, state, TIMEOUT_MS));
+}
+
+static void test_calls(void)
+{
+	struct gateway g;
+
+	open_gateway(&g);
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
+		g_test_message("%s %s %s", calls[i].method, calls[i].path,
+			       calls[i].body ? calls[i].body : "");
+		check_call(&g, calls[i].method, calls[i].path, calls[i].body,
+			   calls[i].code, calls[i].holds);
+	}
+	wait_state(&g, "j", "done");
+	check_call(&g, "GET", "/v1/explain/job/j" POOL_QUERY, NULL, 200,
+		   "\"lines\"");
+	check_call(&g, "POST", "/v1/jobs", OWN("long", 600000), 202, "");
+	wait_state(&g, "long", "running");
+	check_call(&g, "DELETE", "/v1/jobs/long" POOL_QUERY, NULL, 202, "");
+	wait_state(&g, "long", "cancelled");
+	close_gateway(&g);
+}
+
+/* The table's answer is lost after the write took effect. */
+static void test_answer_lost(void)
+{
+	struct gateway g;
+
+	open_gateway(&g);
+	cluster_control(g.pool->cluster, g.pool->platform,
+			"{\"lose_answers\":1,\"lose_table\":\"jobs\"}");
+	check_call(&g, "POST", "/v1/jobs", OWN("lost", 100), 202, "");
+	wait_state(&g, "lost", "done");
+	g_assert_cmpuint(gang_cluster_events(g.pool, "lost", "started"), ==, 1);
+	close_gateway(&g);
+}
+
+/* "not run" is said only when it is certain. */
+static void test_platform_gone(void)
+{
+	struct gateway g;
+
+	open_gateway(&g);
+	cluster_control(g.pool->cluster, g.pool->platform,
+			"{\"mode\":\"down\"}");
+	check_call(&g, "POST", "/v1/jobs", OWN("down", 100), 504, "unknown");
+	cluster_signal(g.pool->platform_process, SIGKILL);
+	cluster_wait_exit(g.pool->platform_process, TIMEOUT_MS);
+	check_call(&g, "POST", "/v1/jobs", OWN("gone", 100), 503, "not run");
+	close_gateway(&g);
+}
+
+/* Urgent work is told to the holder, not found by its next scan. */
+static void test_urgent(void)
+{
+	struct gateway g;
+
+	open_gateway(&g);
+	for (guint i = 0; i < URGENT_RUNS; i++) {
+		char *id = g_strdup_printf("u%u", i);
+		char *body = g_strdup_printf(
+			"{\"id\":\"%s\",\"client_account\":\"a\",\"pool\":"
+			"\"" GANG_POOL "\",\"class\":\"urgent\",\"run_ms\":50,"
+			"\"shape\":" SHAPE(3, 2) "}",
+			id);
+		int64_t begin_ms = util_monotonic_ms();
+
+		call(&g, "POST", "/v1/jobs", body);
+		g_assert_cmpuint(g.code, ==, 202);
+		g_assert_true(gang_cluster_wait_events(g.pool, id, "started", 3,
+						       TIMEOUT_MS));
+		g_assert_cmpint(util_monotonic_ms() - begin_ms, <=, URGENT_MS);
+		g_free(id);
+		g_free(body);
+		cluster_sleep(130);
+	}
+	close_gateway(&g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/job-api/calls", test_calls);
+	g_test_add_func("/job-api/answer-lost", test_answer_lost);
+	g_test_add_func("/job-api/platform-gone", test_platform_gone);
+	g_test_add_func("/job-api/urgent", test_urgent);
+	return g_test_run();
+}
