--- /dev/null
+++ b/bench/shared_sim.h
@@ -0,0 +1,293 @@
+/**
+ * @file
+ * The processes of several failure domains in virtual time: who links to whom
+ * and who polls comes from the real membership, the sizes of messages from the
+ * real codecs.
+ */
+#ifndef BENCH_SHARED_SIM_H
+#define BENCH_SHARED_SIM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "config/config_delta.h"
+#include "link/frame.h"
+#include "link/pack.h"
+#include "shared/member_table.h"
+
+#define SIM_MAX_NODES 80
+/** One way, as the brief has it; and one call to the platform. */
+#define SIM_NEAR_MS 0.5
+#define SIM_FAR_MS 1.4
+#define SIM_CALL_MS 5.0
+#define SIM_POLL_MS 500.0
+/** From the arrival of a change to its being in force and passed on. */
+#define SIM_APPLY_MS 5.0
+#define SIM_SLOW_POLLS_PER_S (1.0 / 20)
+#define SIM_BRIDGE_HEARTBEATS_PER_S 0.5
+/** Frame with an empty map: ping or acknowledgement. */
+#define SIM_EMPTY_BYTES (FRAME_HEADER_BYTES + 1)
+
+struct shared_sim {
+	guint nodes;
+	guint domain_size;
+	struct member_table tables[SIM_MAX_NODES];
+	gboolean links[SIM_MAX_NODES][SIM_MAX_NODES];
+	gboolean is_poller[SIM_MAX_NODES];
+};
+
+struct shared_traffic {
+	double mean_messages; /**< sent and received, a second */
+	double worst_messages;
+	double mean_bytes;
+	double worst_bytes;
+	double reads; /**< of the table, by all nodes, a second */
+};
+
+struct shared_merge {
+	guint updates;
+	guint lost;
+};
+
+static gboolean sim_is_near(const struct shared_sim *s, guint a, guint b)
+{
+	return a / s->domain_size == b / s->domain_size;
+}
+
+static void sim_fill_table(struct shared_sim *s, guint node)
+{
+	for (guint i = 0; i < s->nodes; i++) {
+		char *name =
+			g_strdup_printf("region-%u-g%u", i / s->domain_size, i);
+		char *domain = g_strdup_printf("region-%u", i / s->domain_size);
+		char *link = g_strdup_printf("10.0.0.%u:7000", i);
+		struct member_record record = {
+			.identity = { .node = name,
+				      .incarnation = (char *)"0123456789abcdef0"
+							     "123456789abcdef",
+				      .vm = name,
+				      .failure_domain = domain,
+				      .http = link,
+				      .link = link,
+				      .role = LINK_ROLE_SCHEDULER },
+			.generation = INT64_C(1800000000000),
+		};
+
+		if (i == node)
+			member_table_init(&s->tables[node], &record.identity,
+					  record.generation, 0);
+		g_free(name);
+		g_free(domain);
+		g_free(link);
+	}
+	for (guint i = 0; i < s->nodes; i++) {
+		if (i != node && s->tables[i].self)
+			member_table_merge(&s->tables[node], 0,
+					   &s->tables[i].self->record);
+	}
+}
+
+static void shared_sim_init(struct shared_sim *s, guint nodes,
+			    guint domain_size)
+{
+	*s = (struct shared_sim){ .nodes = nodes, .domain_size = domain_size };
+	for (guint i = 0; i < nodes; i++)
+		sim_fill_table(s, i);
+	for (guint i = 0; i < nodes; i++) {
+		for (guint j = i + 1; j < nodes; j++)
+			member_table_merge(&s->tables[i], 0,
+					   &s->tables[j].self->record);
+	}
+	for (guint i = 0; i < nodes; i++) {
+		GPtrArray *targets = member_table_targets(&s->tables[i]);
+
+		for (guint j = 0; j < nodes; j++)
+			s->links[i][j] = g_ptr_array_find_with_equal_func(
+				targets,
+				s->tables[j].self->record.identity.link,
+				g_str_equal, NULL);
+		s->is_poller[i] = member_table_is_elected(&s->tables[i],
+							  "config-poll", 2);
+		g_ptr_array_unref(targets);
+	}
+}
+
+static void shared_sim_clear(struct shared_sim *s)
+{
+	for (guint i = 0; i < s->nodes; i++)
+		member_table_clear(&s->tables[i]);
+}
+
+/*
+ * Spreads one change from the moment of its commit; the process that accepted
+ * it has died, so that it is found by polling. With a cut, the first domain's
+ * pollers do not reach the platform.
+ */
+static void shared_sim_spread(const struct shared_sim *s, GRand *rand,
+			      gboolean is_cut, double *times)
+{
+	gboolean is_changed = TRUE;
+	gboolean is_far[SIM_MAX_NODES] = { FALSE };
+	gboolean is_polled[SIM_MAX_NODES] = { FALSE };
+
+	for (guint i = 0; i < s->nodes; i++) {
+		times[i] = G_MAXDOUBLE;
+		if (!s->is_poller[i] || (is_cut && i < s->domain_size))
+			continue;
+		is_polled[i] = TRUE;
+		times[i] = g_rand_double_range(rand, 0, SIM_POLL_MS) +
+			   2 * SIM_CALL_MS + SIM_APPLY_MS;
+	}
+	while (is_changed) {
+		is_changed = FALSE;
+		for (guint i = 0; i < s->nodes * s->nodes; i++) {
+			guint from = i / s->nodes;
+			guint to = i % s->nodes;
+			gboolean is_near = sim_is_near(s, from, to);
+			double at = times[from] + SIM_APPLY_MS +
+				    (is_near ? SIM_NEAR_MS : SIM_FAR_MS);
+
+			/* What came from near goes to bridges only, and what
+			 * came over a bridge to the domain only. */
+			if (!s->links[from][to] || at >= times[to] ||
+			    (!is_polled[from] && is_far[from] != is_near))
+				continue;
+			times[to] = at;
+			is_far[to] = !is_near;
+			is_polled[to] = FALSE;
+			is_changed = TRUE;
+		}
+	}
+}
+
+static double sim_heartbeat_bytes(const struct shared_sim *s, guint node,
+				  gboolean is_near)
+{
+	const struct member_table *t = &s->tables[node];
+	struct heartbeat_pool pool = {
+		.pool = g_strdup("salkhi.region-0"),
+		.epoch = 1000,
+	};
+	struct heartbeat h = { 0 };
+	GByteArray *bytes;
+	json_object *json;
+	double size;
+
+	for (guint i = 0; i < t->members->len; i++)
+		((struct member *)t->members->pdata[i])->heard_ms = 0;
+	member_table_heartbeat(t, 500, t->changes, is_near, &h);
+	g_array_append_val(h.pools, pool);
+	json = schema_encode(&heartbeat_schema, &h);
+	bytes = pack_encode(json);
+	size = bytes->len + FRAME_HEADER_BYTES;
+	g_byte_array_unref(bytes);
+	json_object_put(json);
+	schema_clear(&heartbeat_schema, &h);
+	return size;
+}
+
+/* Size of the change of one client account. */
+static double sim_delta_bytes(void)
+{
+	json_object *before =
+		json_tokener_parse("{\"format\":1,\"client_accounts\":[]}");
+	json_object *after = json_tokener_parse(
+		"{\"format\":1,\"client_accounts\":[{\"name\":\"team-042\","
+		"\"service\":\"salkhi\",\"share\":2,\"requests_per_s\":500,"
+		"\"queued_requests\":200,\"guaranteed_shapes\":[{\"name\":"
+		"\"gust-map\",\"pool\":\"salkhi.region-0\",\"shape\":{"
+		"\"members\":2,\"accelerators\":8,\"cores\":8,\"memory_mb\":"
+		"4096,\"adjacency\":\"rack\"}}]}]}");
+	struct config_delta d = { 0 };
+	GByteArray *bytes;
+	json_object *json;
+	double size;
+
+	config_delta_make(before, 1, after, 2, &d);
+	json = schema_encode(&config_delta_schema, &d);
+	bytes = pack_encode(json);
+	size = bytes->len + FRAME_HEADER_BYTES;
+	g_byte_array_unref(bytes);
+	json_object_put(json);
+	json_object_put(before);
+	json_object_put(after);
+	schema_clear(&config_delta_schema, &d);
+	return size;
+}
+
+static gboolean sim_has_bridge(const struct shared_sim *s, guint node)
+{
+	for (guint j = 0; j < s->nodes; j++) {
+		if (s->links[node][j] && !sim_is_near(s, node, j))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Upper bound: each poller and each bridge pushes each change to its domain,
+ * and each bridge over all its links. */
+static void shared_sim_traffic(const struct shared_sim *s, double changes_per_s,
+			       struct shared_traffic *out)
+{
+	double messages[SIM_MAX_NODES] = { 0 };
+	double bytes[SIM_MAX_NODES] = { 0 };
+	double delta = sim_delta_bytes();
+	double count = MAX(s->nodes, 1);
+
+	*out = (struct shared_traffic){ 0 };
+	for (guint i = 0; i < s->nodes * s->nodes; i++) {
+		guint from = i / MAX(s->nodes, 1);
+		guint to = i % MAX(s->nodes, 1);
+		gboolean is_near = sim_is_near(s, from, to);
+		double beats = is_near ? 1 : SIM_BRIDGE_HEARTBEATS_PER_S;
+		double pushes = changes_per_s;
+		double sum;
+
+		if (!s->links[from][to])
+			continue;
+		if (is_near && !s->is_poller[from] && !sim_has_bridge(s, from))
+			pushes = 0;
+		sum = beats * sim_heartbeat_bytes(s, from, is_near) +
+		      pushes * delta + 2 * SIM_EMPTY_BYTES;
+		bytes[from] += sum;
+		bytes[to] += sum;
+		messages[from] += beats + pushes + 2;
+		messages[to] += beats + pushes + 2;
+	}
+	for (guint i = 0; i < s->nodes; i++) {
+		out->mean_messages += messages[i] / count;
+		out->mean_bytes += bytes[i] / count;
+		out->worst_messages = MAX(out->worst_messages, messages[i]);
+		out->worst_bytes = MAX(out->worst_bytes, bytes[i]);
+		out->reads += s->is_poller[i] ? 1000 / SIM_POLL_MS
+					      : SIM_SLOW_POLLS_PER_S;
+	}
+}
+
+/*
+ * One member's record on two sides of a partition: the member itself changes
+ * its status on one side, those that miss it change its state on the other.
+ */
+static void shared_sim_merge(GRand *rand, struct shared_merge *by_row,
+			     struct shared_merge *by_part)
+{
+	gint statuses = g_rand_int_range(rand, 0, 4);
+	gint states = g_rand_int_range(rand, 0, 3);
+	struct member_record own = { .config_version = statuses,
+				     .status_version = statuses };
+	struct member_record seen = { .state = states };
+	guint updates = (statuses > 0) + (states > 0);
+
+	by_row->updates += updates;
+	by_part->updates += updates;
+	/* One version a row: each change raises it, the higher row wins. */
+	if (statuses >= states)
+		by_row->lost += states > 0;
+	else
+		by_row->lost += statuses > 0;
+	member_record_merge(&own, &seen, &member_rules_default);
+	by_part->lost += own.state != states;
+	by_part->lost += own.config_version != statuses;
+}
+
+#endif
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -8,7 +8,7 @@
 #define POST_TIMEOUT_MS 15000
 /** From one round of asking all nodes to the next. */
 #define ROUND_MS 50
-#define PROGRAM "cs-standin-member"
+#define DEFAULT_PROGRAM "csschedd"
 
 /* Starts the relay: the ways to the platform first, then those to the links. */
 static void start_relay(struct fleet *f)
@@ -48,6 +48,7 @@
 	f->platform = cluster_listening(platform, 0);
 	for (guint i = 0; i < f->count; i++) {
 		f->nodes[i].name = g_strdup_printf("n%u", i);
+		f->nodes[i].program = DEFAULT_PROGRAM;
 		f->nodes[i].failure_domain = i < near ? "tov-a" : "tov-b";
 		f->nodes[i].http = cluster_address();
 		f->nodes[i].link = cluster_address();
@@ -89,7 +90,7 @@
 		.platform_timeout_ms = PLATFORM_TIMEOUT_MS,
 	};
 
-	n->process = cluster_spawn_node(f->cluster, PROGRAM, &settings);
+	n->process = cluster_spawn_node(f->cluster, n->program, &settings);
 	n->is_silent = FALSE;
 }
 
@@ -225,18 +226,19 @@
 {
 	struct wait *w = data;
 	guint holders = 0;
+	int64_t epoch = 0;
 
 	cluster_sleep(ROUND_MS);
 	for (guint i = 0; i < w->fleet->count; i++) {
 		struct fleet_lease lease = fleet_lease(w->fleet, i);
 
-		if (g_str_equal(lease.role, "holder") &&
-		    lease.epoch >= w->min) {
-			w->node = i;
-			holders++;
-		}
+		if (!g_str_equal(lease.role, "holder"))
+			continue;
+		w->node = i;
+		epoch = lease.epoch;
+		holders++;
 	}
-	return holders == 1;
+	return holders == 1 && epoch >= w->min;
 }
 
 guint fleet_wait_holder(struct fleet *f, int64_t min_epoch, int64_t timeout_ms)
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -15,6 +15,7 @@
 
 struct fleet_node {
 	char *name;
+	const char *program; /**< "csschedd" unless a test sets it */
 	const char *failure_domain;
 	char *http;
 	char *link;
--- a/tests/test_config_faults.c
+++ b/tests/test_config_faults.c
@@ -25,6 +25,7 @@
 	struct fleet *f = fleet_new(near, far);
 	struct cluster_reply r;
 
+	f->nodes[1].program = "csgated";
 	fleet_start_all(f);
 	g_assert_true(fleet_wait_config(f, 0, START_MS));
 	for (guint i = 1; i < f->count; i++)
--- a/tests/test_lease_faults.c
+++ b/tests/test_lease_faults.c
@@ -82,6 +82,8 @@
 					   lease_cases[i].timeout_ms);
 		g_assert_cmpuint(r->new, !=, r->old);
 		heal_fault(r, &lease_cases[i]);
+		g_assert_cmpstr(fleet_lease(r->fleet, r->old).role, !=,
+				"holder");
 	}
 	cluster_sleep(AFTER_MS);
 	for (guint i = 0; i < G_N_ELEMENTS(runs); i++)
--- a/tests/test_member_faults.c
+++ b/tests/test_member_faults.c
@@ -13,6 +13,7 @@
 {
 	struct fleet *f = fleet_new(3, 0);
 
+	f->nodes[1].program = "csgated";
 	fleet_start_all(f);
 	for (guint i = 0; i < f->count; i++) {
 		for (guint j = 0; j < f->count; j++)
@@ -84,12 +85,15 @@
 
 	fleet_cut_link(f, 2, "silent");
 	cluster_sleep(LONG_MS);
+	g_assert_cmpuint(count_state(f, 2, 0, "dead"), >, 0);
 	fleet_cut_link(f, 2, "pass");
 	for (guint i = 0; i < 3; i++)
 		g_assert_true(fleet_wait_state(f, 2, i, "alive", START_MS));
 	for (guint i = 0; i < 2; i++) {
 		g_assert_cmpuint(count_state(f, i, 2, "suspect"), ==, 0);
 		g_assert_cmpuint(count_state(f, i, 1 - i, "suspect"), ==, 0);
+		g_assert_cmpuint(count_state(f, i, 1 - i, "dead"), ==, 0);
+		g_assert_cmpuint(count_state(f, i, 2, "dead"), ==, 0);
 	}
 	fleet_free(f);
 }
