--- a/shared/membership_service.c
+++ b/shared/membership_service.c
@@ -296,6 +296,11 @@
 	return count;
 }
 
+void membership_service_announce(struct membership_service *s)
+{
+	send_heartbeats(s, FALSE);
+}
+
 void membership_service_subscribe(struct membership_service *s,
 				  membership_fn fn, void *data)
 {
--- a/shared/membership_service.h
+++ b/shared/membership_service.h
@@ -37,6 +37,9 @@
 				    enum link_role role,
 				    const char *failure_domain);
 
+/** Sends a heartbeat to the domain at once, after a change of a lease. */
+void membership_service_announce(struct membership_service *s);
+
 void membership_service_subscribe(struct membership_service *s,
 				  membership_fn fn, void *data);
 
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -181,6 +181,9 @@
 
 		sub->fn(l->pool, role, epoch, sub->data);
 	}
+	/* Peers end their part as caretakers when they hear of a holder. */
+	if (role == POOL_ROLE_HOLDER && membership_of(s->kernel))
+		membership_service_announce(membership_of(s->kernel));
 }
 
 static void tick_lease(struct pool_lease *l, int64_t now_ms)
