--- a/base/connection_guard.c
+++ b/base/connection_guard.c
@@ -8,6 +8,7 @@
 
 #define SWEEP_PARTS 4 /* sweeps in the shortest limit */
 #define MAX_SWEEP_MS 1000
+#define TCP_STATE_CLOSE_WAIT 8 /* the peer has closed, we have not */
 
 enum guarded_state {
 	GUARDED_IDLE,	   /* no byte of the next request yet */
@@ -17,6 +18,8 @@
 };
 
 struct guarded {
+	struct connection_guard *guard;
+	/* Weak: the server's last reference closes the connection. */
 	GSocket *socket;
 	enum guarded_state state;
 	int64_t since_ms;    /* of the state */
@@ -30,35 +33,58 @@
 	guint sweep_timer;
 };
 
+static void on_socket_gone(gpointer data, GObject *socket)
+{
+	struct guarded *c = data;
+
+	c->socket = NULL;
+	g_hash_table_remove(c->guard->connections, socket);
+}
+
 static void guarded_free(gpointer data)
 {
 	struct guarded *c = data;
 
-	g_object_unref(c->socket);
+	if (c->socket)
+		g_object_weak_unref(G_OBJECT(c->socket), on_socket_gone, c);
 	g_free(c);
 }
 
+static gboolean read_info(const struct guarded *c, struct tcp_info *info)
+{
+	socklen_t len = sizeof(*info);
+
+	return getsockopt(g_socket_get_fd(c->socket), IPPROTO_TCP, TCP_INFO,
+			  info, &len) == 0;
+}
+
 /* Bytes that the kernel has received, also those not yet read. */
 static uint64_t received_bytes(const struct guarded *c)
 {
 	struct tcp_info info = { 0 };
-	socklen_t len = sizeof(info);
 
-	if (getsockopt(g_socket_get_fd(c->socket), IPPROTO_TCP, TCP_INFO, &info,
-		       &len))
-		return 0;
-	return info.tcpi_bytes_received;
+	return read_info(c, &info) ? info.tcpi_bytes_received : 0;
 }
 
+/*
+ * The library keeps an idle connection open when its peer has closed it. A
+ * peer that only sends no more may still wait for its answer.
+ */
 static gboolean is_closed(const struct guarded *c)
 {
-	return g_socket_is_closed(c->socket);
+	struct tcp_info info = { 0 };
+
+	if (g_socket_is_closed(c->socket))
+		return TRUE;
+	if (c->state == GUARDED_WORKING || c->state == GUARDED_ANSWERING)
+		return FALSE;
+	return read_info(c, &info) && info.tcpi_state == TCP_STATE_CLOSE_WAIT;
 }
 
-/* The server sees the end of the stream and closes the connection itself. */
+/* The server finds the socket closed and frees the connection. */
 static void shut(GSocket *socket)
 {
-	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	g_socket_close(socket, NULL);
 }
 
 static void enter(struct guarded *c, enum guarded_state state)
@@ -73,8 +99,10 @@
 {
 	int64_t age_ms = now_ms - c->since_ms;
 
-	if (is_closed(c))
+	if (is_closed(c)) {
+		shut(c->socket);
 		return TRUE;
+	}
 	if (c->state == GUARDED_WORKING)
 		return FALSE;
 	if (c->state == GUARDED_IDLE && received_bytes(c) > c->seen_bytes) {
@@ -176,7 +204,9 @@
 		return;
 	}
 	c = g_new0(struct guarded, 1);
-	c->socket = g_object_ref(socket);
+	c->guard = g;
+	c->socket = socket;
+	g_object_weak_ref(G_OBJECT(socket), on_socket_gone, c);
 	enter(c, GUARDED_IDLE);
 	g_hash_table_insert(g->connections, socket, c);
 }
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -225,6 +225,33 @@
 	peer_free(last);
 }
 
+static gboolean is_answered(void *data)
+{
+	return ((struct peer *)data)->received->len > 0;
+}
+
+/* Connections that their peers have closed no longer count. */
+static void test_one_after_another(struct fixture *f, gconstpointer data)
+{
+	struct connection_counts counts;
+
+	for (guint i = 0; i < 10 * MAX_CONNECTIONS; i++) {
+		struct peer *p = peer_new(f);
+
+		read_more(p);
+		peer_send(p, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+			     "Content-Length: 2\r\n\r\n{}");
+		g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
+		peer_free(p);
+		cluster_sleep(5);
+	}
+	counts = connection_guard_counts(http_server_guard(f->server));
+	g_assert_cmpuint(counts.refused, ==, 0);
+	g_assert_cmpuint(counts.evicted, ==, 0);
+	g_assert_cmpuint(connection_guard_open(http_server_guard(f->server)),
+			 ==, 0);
+}
+
 static gboolean has_none_open(void *data)
 {
 	struct fixture *f = data;
@@ -262,11 +289,6 @@
 	g_free(name);
 }
 
-static gboolean is_answered(void *data)
-{
-	return ((struct peer *)data)->received->len > 0;
-}
-
 /* A body above the limit is read and dropped, so that the answer arrives. */
 static void test_oversize(struct fixture *f, gconstpointer data)
 {
@@ -288,6 +310,7 @@
 	const char *path;
 	void (*test)(struct fixture *f, gconstpointer data);
 } cases[] = {
+	{ "/http-limits/one-after-another", test_one_after_another },
 	{ "/http-limits/oversize", test_oversize },
 	{ "/http-limits/many-idle", test_many },
 	{ "/http-limits/too-many", test_too_many },
