--- a/request/retry_budget.c
+++ b/request/retry_budget.c
@@ -7,6 +7,8 @@
 #define RETRY_LEAST_PER_S 3.0
 #define RETRY_MOST 50.0
 #define DELAY_BASE_MS 4
+#define PROGRESS_FACTOR 4
+#define LEAST_PROGRESS_MS INT64_C(250)
 #define DELAY_MOST_MS 200
 
 void retry_budget_init(struct retry_budget *b, int64_t now_ms)
@@ -34,6 +36,13 @@
 	return TRUE;
 }
 
+int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts)
+{
+	int64_t ms = MAX(PROGRESS_FACTOR * usual_ms, LEAST_PROGRESS_MS);
+
+	return ms << MIN(attempts - 1, RETRY_MAX_ATTEMPTS);
+}
+
 int64_t retry_delay_ms(uint32_t attempts, GRand *rand)
 {
 	int64_t most = DELAY_BASE_MS;
