First in line also moves young work without checkpoints

Change: the job that has waited longest may restart such work up to a run of 20 minutes, when as many accelerators are free elsewhere.

--- a/job/placement/migrate.c
+++ b/job/placement/migrate.c
@@ -3,6 +3,8 @@
 #include "job/placement/pick.h"
 #include "job/reservation.h"
 
+/* The first in line also restarts work without checkpoint up to this run. */
+#define RESTARTED_RUN_MS (INT64_C(20) * 60 * 1000)
 /* Racks or workers that are compared. */
 #define PLACES_COMPARED 12
 /* The job has to be this many times as large as each one that moves. */
@@ -20,9 +22,11 @@
 {
 	const struct reclaim *r = data;
 
-	if (j->is_guaranteed || !j->job.is_checkpointable ||
-	    j->job.class == JOB_CLASS_URGENT)
+	if (j->is_guaranteed || j->job.class == JOB_CLASS_URGENT)
 		return FALSE;
+	if (!j->job.is_checkpointable)
+		return is_first(r) &&
+		       r->now_ms - j->started_ms <= RESTARTED_RUN_MS;
 	if (j->job.stops >= MIGRATE_MAX_STOPS ||
 	    r->now_ms - j->started_ms < MIGRATE_MIN_RUN_MS)
 		return FALSE;
