--- a/link/link_peer.c
+++ b/link/link_peer.c
@@ -7,7 +7,8 @@
 #define MIN_DELAY_MS 100
 #define MAX_DELAY_MS 3000
 #define HANDSHAKE_TIMEOUT_MS 2000
-#define PING_MS 1000
+/** Whole seconds: GLib lets such timers of a process run out together. */
+#define PING_S 1
 /** A link without acknowledgements for this time is opened anew. */
 #define ACK_TIMEOUT_MS 3000
 
@@ -193,7 +194,7 @@
 	p->client = g_socket_client_new();
 	g_socket_client_set_enable_proxy(p->client, FALSE);
 	p->delay_ms = MIN_DELAY_MS;
-	p->ping_timer = g_timeout_add(PING_MS, on_ping, p);
+	p->ping_timer = g_timeout_add_seconds(PING_S, on_ping, p);
 	start(p);
 	return p;
 }
