--- a/request/admission.h
+++ b/request/admission.h
@@ -92,8 +92,10 @@
 /** Returns how many are dispatched. */
 uint32_t admission_in_flight(const struct admission *a);
 
-/** Returns the time that most requests of the class take at an endpoint. */
-int64_t admission_service_ms(const struct admission *a,
-			     enum request_class class);
+/**
+ * Returns the time that most requests of the item's class and account take at
+ * an endpoint, 0 when that is not known.
+ */
+int64_t admission_service_ms(const struct admission_item *item);
 
 #endif
