Scheduler: sets bad workers aside, gives bad jobs up, tells unmet guarantees

Cause: a task's failure was counted against its job only, so that a worker that fails everything used up the attempts of many jobs. Change: job/worker_health judges failures; all workers on which members of a gang failed are blamed, not only the first; job/guarantee_watch and the workers set aside are part of GET /v1/status. Failing first: /gangs/bad-job with only the first failed member blamed: the first worker was set aside for the job's fault and the gang, which needs all three, waited beyond 90 s. Ruled out: attempts counted per job alone (3 before): a bad worker would end good jobs; the limit of 10 is what is left for jobs that fail on few workers. Conclusion: bad workers and bad jobs are told apart over real processes.

--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -265,6 +265,7 @@
 		{ "epoch", x->epoch },
 		{ "workers", x->workers },
 		{ "usable_workers", x->usable_workers },
+		{ "aside_workers", x->aside_workers },
 		{ "queued", x->queued },
 		{ "gangs", x->gangs },
 		{ "recoveries", x->recoveries },
@@ -283,6 +284,34 @@
 	return json;
 }
 
+static void add_unmet(const char *place, const char *problem, int64_t since_ms,
+		      void *data)
+{
+	json_object *json = json_object_new_object();
+	int64_t age_ms = util_monotonic_ms() - since_ms;
+
+	json_object_object_add(json, "guarantee",
+			       json_object_new_string(place));
+	json_object_object_add(json, "problem",
+			       json_object_new_string(problem));
+	json_object_object_add(json, "since_ms",
+			       json_object_new_int64(util_wall_ms() - age_ms));
+	json_object_array_add(data, json);
+}
+
+static json_object *encode_pool(struct pool_runner *p)
+{
+	json_object *unmet = json_object_new_array();
+	struct scheduler_stats stats;
+	json_object *json;
+
+	scheduler_get_stats(pool_runner_scheduler(p), &stats);
+	json = encode_stats(&stats);
+	scheduler_foreach_unmet(pool_runner_scheduler(p), add_unmet, unmet);
+	json_object_object_add(json, "unmet_guarantees", unmet);
+	return json;
+}
+
 static json_object *job_service_status(const struct service *base)
 {
 	const struct job_service *s = (const struct job_service *)base;
@@ -290,11 +319,9 @@
 
 	for (guint i = 0; i < s->runners->len; i++) {
 		struct pool_runner *p = s->runners->pdata[i];
-		struct scheduler_stats stats;
 
-		scheduler_get_stats(pool_runner_scheduler(p), &stats);
 		json_object_object_add(json, pool_runner_pool(p),
-				       encode_stats(&stats));
+				       encode_pool(p));
 	}
 	return json;
 }
--- a/job/gang.c
+++ b/job/gang.c
@@ -291,6 +291,8 @@
 {
 	struct gang_member *m = member_of(g, member);
 
+	if (state == TASK_FAILED)
+		m->has_failed = TRUE;
 	if (traits[m->state].is_over || m->state == MEMBER_WAITING)
 		return;
 	if (state == TASK_RUNNING)
--- a/job/gang.h
+++ b/job/gang.h
@@ -77,6 +77,7 @@
 	char *worker;
 	char *task;
 	enum member_state state;
+	gboolean has_failed;  /**< its task ended with a failure */
 	int64_t changed_ms;   /**< when the state was entered */
 	int64_t reported_ms;  /**< work left, by the last report */
 	int64_t remaining_ms; /**< work left after the checkpoint */
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -35,6 +35,8 @@
 					   (GDestroyNotify)worker_contact_free);
 	s->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   (GDestroyNotify)job_entry_free);
+	s->health = worker_health_new();
+	s->unmet = guarantee_watch_new();
 	s->writer = g_strdup("");
 	return s;
 }
@@ -42,6 +44,8 @@
 void scheduler_free(struct scheduler *s)
 {
 	g_clear_pointer(&s->caretaker, caretaker_free);
+	guarantee_watch_free(s->unmet);
+	worker_health_free(s->health);
 	g_hash_table_unref(s->entries);
 	g_hash_table_unref(s->workers);
 	job_queue_free(s->queue);
@@ -193,6 +197,7 @@
 		    enum job_state state, const char *reason, int64_t now_ms)
 {
 	e->record.ended_ms = wall_ms(s, now_ms);
+	worker_health_forget_job(s->health, e->record.id);
 	scheduler_set_state(s, e, state, reason);
 }
 
@@ -207,6 +212,17 @@
 		job_entry_back_off(e, now_ms);
 }
 
+static void note_success(struct scheduler *s, const struct job_entry *e)
+{
+	const GArray *members = e->gang->members;
+
+	for (guint i = 0; i < members->len; i++)
+		worker_health_succeeded(
+			s->health,
+			g_array_index(members, struct gang_member, i).worker,
+			e->record.id);
+}
+
 static void finish_done(struct scheduler *s, struct job_entry *e,
 			const char *reason, int64_t now_ms)
 {
@@ -214,14 +230,41 @@
 
 	if (e->running_since_ms)
 		job_queue_observe(s->queue, &job, now_ms - e->running_since_ms);
+	note_success(s, e);
 	end_job(s, e, JOB_DONE, reason, now_ms);
 }
 
+/* Blames the workers on which members failed. */
+static enum health_verdict blame(struct scheduler *s, const struct job_entry *e,
+				 int64_t now_ms)
+{
+	const GArray *members = e->gang->members;
+	enum health_verdict worst = HEALTH_RETRY;
+
+	for (guint i = 0; i < members->len; i++) {
+		const struct gang_member *m =
+			&g_array_index(members, struct gang_member, i);
+		enum health_verdict verdict;
+
+		if (!m->has_failed)
+			continue;
+		verdict = worker_health_failed(s->health, m->worker,
+					       e->record.id, now_ms);
+		worst = MAX(worst, verdict);
+	}
+	return worst;
+}
+
 static void finish_task_failed(struct scheduler *s, struct job_entry *e,
 			       const char *reason, int64_t now_ms)
 {
+	enum health_verdict verdict = blame(s, e, now_ms);
+
 	e->record.failures++;
-	if (e->record.failures >= JOB_MAX_FAILURES)
+	if (verdict == HEALTH_WORKER_ASIDE)
+		scheduler_update_usable(s, now_ms);
+	if (verdict == HEALTH_JOB_FAILED ||
+	    e->record.failures >= JOB_MAX_FAILURES)
 		end_job(s, e, JOB_FAILED, reason, now_ms);
 	else
 		requeue(s, e, reason, FALSE, now_ms);
@@ -598,8 +641,11 @@
 	}
 	if (old)
 		scheduler_delete(s, old);
-	if (now_ms >= s->next_decision_ms)
-		s->needs_decision = TRUE;
+	if (now_ms < s->next_decision_ms)
+		return;
+	s->needs_decision = TRUE;
+	scheduler_update_usable(s, now_ms);
+	guarantee_watch_update(s->unmet, s->pool, now_ms);
 }
 
 static void on_stray(const char *worker, const char *task, void *data)
@@ -629,9 +675,12 @@
 	scheduler_finish_event(s, now_ms);
 }
 
-const struct pool *scheduler_pool(const struct scheduler *s)
+void scheduler_foreach_unmet(const struct scheduler *s,
+			     void (*fn)(const char *place, const char *problem,
+					int64_t since_ms, void *data),
+			     void *data)
 {
-	return s->pool;
+	guarantee_watch_foreach(s->unmet, fn, data);
 }
 
 void scheduler_get_stats(const struct scheduler *s,
@@ -650,9 +699,12 @@
 	stats->renew_ms = worker_renew_period_ms(s->listed_workers);
 	stats->lease_ms = scheduler_lease_ms(s);
 	g_hash_table_iter_init(&iter, s->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &item))
-		stats->usable_workers +=
-			((struct worker_contact *)item)->is_usable ? 1 : 0;
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct worker_contact *c = item;
+
+		stats->usable_workers += c->is_usable ? 1 : 0;
+		stats->aside_workers += c->is_aside ? 1 : 0;
+	}
 	g_hash_table_iter_init(&iter, s->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &item))
 		stats->gangs += ((struct job_entry *)item)->gang ? 1 : 0;
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -19,8 +19,8 @@
 #include "job/worker_report.h"
 #include "shared/pool_lease.h"
 
-/** Attempts that may end by a failed task. */
-#define JOB_MAX_FAILURES 3
+/** Attempts that may end by a failed task, wherever that was. */
+#define JOB_MAX_FAILURES 10
 
 enum scheduler_phase {
 	SCHEDULER_IDLE,
@@ -76,6 +76,7 @@
 	int64_t epoch;
 	guint workers;
 	guint usable_workers;
+	guint aside_workers; /**< set aside because they fail what they start */
 	guint queued;
 	guint gangs;
 	int64_t recoveries;
@@ -137,7 +138,10 @@
 			 struct scheduler_stats *stats);
 const char *scheduler_phase_name(enum scheduler_phase phase);
 
-/** Returns the pool's state, for guarantees. */
-const struct pool *scheduler_pool(const struct scheduler *s);
+/** Calls a function for each guarantee that can't be held now. */
+void scheduler_foreach_unmet(const struct scheduler *s,
+			     void (*fn)(const char *place, const char *problem,
+					int64_t since_ms, void *data),
+			     void *data);
 
 #endif
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -6,11 +6,13 @@
 #define JOB_SCHEDULER_STATE_H
 
 #include "job/caretaker.h"
+#include "job/guarantee_watch.h"
 #include "job/job_entry.h"
 #include "job/job_queue.h"
 #include "job/placement/placement.h"
 #include "job/scheduler.h"
 #include "job/worker_contact.h"
+#include "job/worker_health.h"
 
 /** Which member of which job a task is. */
 struct member_ref {
@@ -49,6 +51,8 @@
 	int64_t recoveries;
 	int64_t recovery_ms;
 
+	struct worker_health *health; /**< kept over all roles */
+	struct guarantee_watch *unmet;
 	struct caretaker *caretaker;
 	int64_t wall_offset_ms; /**< wall clock less monotonic clock */
 	int64_t next_decision_ms;
@@ -79,6 +83,8 @@
 			 int64_t now_ms);
 void scheduler_remove_tasks(struct scheduler *s, struct job_entry *e);
 void scheduler_mark_due(struct scheduler *s, const struct job_entry *e);
+/** Tells the pool of workers that may be used, or no longer. */
+void scheduler_update_usable(struct scheduler *s, int64_t now_ms);
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms);
 void scheduler_send_calls(struct scheduler *s, int64_t now_ms);
 int64_t scheduler_lease_ms(const struct scheduler *s);
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -92,10 +92,13 @@
 	log_end(&line);
 }
 
-static void update_usable(struct scheduler *s, struct worker_contact *c)
+static void update_usable(struct scheduler *s, struct worker_contact *c,
+			  int64_t now_ms)
 {
-	gboolean is_usable = worker_contact_is_usable(c);
+	gboolean is_usable;
 
+	c->is_aside = worker_health_is_aside(s->health, c->name, now_ms);
+	is_usable = worker_contact_is_usable(c) && !c->is_aside;
 	if (c->is_usable == is_usable)
 		return;
 	c->is_usable = is_usable;
@@ -123,6 +126,16 @@
 	return list;
 }
 
+void scheduler_update_usable(struct scheduler *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		update_usable(s, item, now_ms);
+}
+
 static void on_contact_event(struct scheduler *s, struct worker_contact *c,
 			     enum contact_event event, int64_t now_ms)
 {
@@ -145,7 +158,7 @@
 		scheduler_follow(s, e, now_ms);
 	}
 	g_ptr_array_unref(entries);
-	update_usable(s, c);
+	update_usable(s, c, now_ms);
 }
 
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
@@ -182,9 +195,10 @@
 	if (g_strcmp0(c->address, w->spec.address) != 0) {
 		g_free(c->address);
 		c->address = g_strdup(w->spec.address);
+		worker_health_forget_worker(s->health, c->name);
 	}
 	worker_contact_set_listed(c, TRUE, w->is_leaving, now_ms);
-	update_usable(s, c);
+	update_usable(s, c, now_ms);
 }
 
 static GHashTable *names_of(const struct listed_worker *workers, guint count)
@@ -215,7 +229,7 @@
 		if (g_hash_table_contains(names, c->name) || !c->is_listed)
 			continue;
 		worker_contact_set_listed(c, FALSE, TRUE, now_ms);
-		update_usable(s, c);
+		update_usable(s, c, now_ms);
 	}
 	g_hash_table_unref(names);
 	scheduler_finish_event(s, now_ms);
@@ -385,7 +399,7 @@
 	for (guint i = 0; i < entries->len; i++)
 		scheduler_follow(s, entries->pdata[i], now_ms);
 	g_ptr_array_unref(entries);
-	update_usable(s, c);
+	update_usable(s, c, now_ms);
 }
 
 void scheduler_on_worker(struct scheduler *s, const char *worker,
--- a/job/worker_contact.h
+++ b/job/worker_contact.h
@@ -59,6 +59,7 @@
 	gboolean is_current; /**< reported later than the lag after that */
 	gboolean is_lost;
 	gboolean is_expired;
+	gboolean is_aside;  /**< fails what it starts */
 	gboolean is_usable; /**< as the pool was last told */
 	gboolean is_due;    /**< has commands to be sent at once */
 	gboolean is_in_flight;
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -84,18 +84,29 @@
 static gboolean is_active(struct gang_cluster *g, guint index)
 {
 	json_object *pool = pool_status(g, index);
-	gboolean is_it =
-		pool &&
-		g_str_equal(json_object_get_string(
-				    json_object_object_get(pool, "phase")),
-			    "active") &&
-		json_object_get_int(json_object_object_get(
-			pool, "usable_workers")) == GANG_WORKERS;
+	const char *phase =
+		json_object_get_string(json_object_object_get(pool, "phase"));
+	gboolean is_it = g_strcmp0(phase, "active") == 0;
 
 	json_object_put(pool);
 	return is_it;
 }
 
+int64_t gang_cluster_usable_workers(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+	json_object *pool = NULL;
+	int64_t count = -1;
+
+	if (holder >= 0)
+		pool = pool_status(g, (guint)holder);
+	if (pool)
+		count = json_object_get_int64(
+			json_object_object_get(pool, "usable_workers"));
+	json_object_put(pool);
+	return count;
+}
+
 int gang_cluster_holder(struct gang_cluster *g)
 {
 	for (guint i = 0; i < g->scheduler_count; i++) {
@@ -105,9 +116,9 @@
 	return -1;
 }
 
-static gboolean has_holder(void *data)
+static gboolean is_ready(void *data)
 {
-	return gang_cluster_holder(data) >= 0;
+	return gang_cluster_usable_workers(data) == GANG_WORKERS;
 }
 
 struct gang_cluster *gang_cluster_start(guint schedulers)
@@ -130,7 +141,7 @@
 
 void gang_cluster_wait_ready(struct gang_cluster *g)
 {
-	g_assert_true(cluster_wait(has_holder, g, READY_TIMEOUT_MS));
+	g_assert_true(cluster_wait(is_ready, g, READY_TIMEOUT_MS));
 }
 
 struct gang_cluster *gang_cluster_open(guint schedulers)
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -38,7 +38,7 @@
 /** Starts everything. */
 struct gang_cluster *gang_cluster_start(guint schedulers);
 
-/** Waits until a scheduler decides. */
+/** Waits until a scheduler decides on all workers. */
 void gang_cluster_wait_ready(struct gang_cluster *g);
 
 /** Starts everything and waits. */
@@ -51,6 +51,9 @@
 /** Returns the index of the scheduler that decides, -1 without one. */
 int gang_cluster_holder(struct gang_cluster *g);
 
+/** Returns how many workers the holder may use, -1 without a holder. */
+int64_t gang_cluster_usable_workers(struct gang_cluster *g);
+
 /** Writes a job's row as the gateway does. */
 void gang_cluster_submit(struct gang_cluster *g,
 			 const struct gang_submission *job);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -6,7 +6,7 @@
 #include "job/worker_contact.h"
 #include "tests/gang_cluster.h"
 
-#define TIMEOUT_MS 15000
+#define TIMEOUT_MS INT64_C(15000)
 
 static void check_history(struct gang_cluster *g)
 {
@@ -73,10 +73,60 @@
 	gang_cluster_close(g);
 }
 
+#define BAD_WORKER_JOBS 12
+
+/* A worker that fails everything is set aside; its jobs end well elsewhere. */
+static void test_bad_worker(void)
+{
+	struct gang_cluster *g = gang_cluster_open(1);
+	struct gang_submission job = { NULL, 1, 1, 50, NULL, FALSE };
+
+	cluster_control(g->cluster, g->workers[GANG_WORKERS - 1],
+			"{\"fail_tasks\":true}");
+	for (guint i = 0; i < BAD_WORKER_JOBS; i++) {
+		char *id = g_strdup_printf("job%u", i);
+
+		job.id = id;
+		gang_cluster_submit(g, &job);
+		gang_cluster_poke(g, id);
+		g_free(id);
+	}
+	for (guint i = 0; i < BAD_WORKER_JOBS; i++) {
+		char *id = g_strdup_printf("job%u", i);
+
+		g_assert_true(
+			gang_cluster_wait_state(g, id, "done", 4 * TIMEOUT_MS));
+		g_free(id);
+	}
+	g_assert_cmpint(gang_cluster_usable_workers(g), ==, GANG_WORKERS - 1);
+	check_history(g);
+	gang_cluster_close(g);
+}
+
+/* A job that fails wherever it runs is given up and harms no worker. */
+static void test_bad_job(void)
+{
+	struct gang_cluster *g = gang_cluster_open(1);
+	const struct gang_submission job = { "bad", 3, 8, 50, NULL, FALSE };
+
+	for (guint i = 0; i < GANG_WORKERS; i++)
+		cluster_control(g->cluster, g->workers[i],
+				"{\"fail_tasks\":true}");
+	gang_cluster_submit(g, &job);
+	gang_cluster_poke(g, "bad");
+	g_assert_true(
+		gang_cluster_wait_state(g, "bad", "failed", 6 * TIMEOUT_MS));
+	g_assert_cmpint(gang_cluster_usable_workers(g), ==, GANG_WORKERS);
+	check_history(g);
+	gang_cluster_close(g);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gangs/path", test_path);
 	g_test_add_func("/gangs/cancel", test_cancel);
+	g_test_add_func("/gangs/bad-worker", test_bad_worker);
+	g_test_add_func("/gangs/bad-job", test_bad_job);
 	return g_test_run();
 }
