Endpoints that start again under their name; early refusal without endpoints

Cause: an endpoint that was leaving and then started again at its address never got work again while the list went on naming it. With no live endpoint a request waited for its deadline. Ruled out: taking the list's word at once: it lags, and the endpoint's own answer is the newer sign. Change: listed as live a minute after it was leaving, an endpoint is used again (/requests/endpoint-restarted). No live endpoint: not run, no_endpoint. The tests of faults bring the platform up before they end the gateways.

--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -656,7 +656,7 @@
 
 static void list_runners(struct endpoint_table *t, guint count)
 {
-	endpoint_table_list_begin(t);
+	endpoint_table_list_begin(t, 0);
 	for (guint i = 0; i < count; i++) {
 		char name[16];
 		struct endpoint_spec spec = { .name = name,
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -657,6 +657,11 @@
 	enum reason reason;
 
 	f->state = FLIGHT_QUEUED;
+	if (d->endpoints->live_count[ENDPOINT_LOCAL] == 0 &&
+	    d->endpoints->live_count[ENDPOINT_REMOTE] == 0) {
+		flight_refuse(f, REASON_NO_ENDPOINT);
+		return;
+	}
 	set_capacity(d);
 	reason = admission_offer(d->admission, &f->item, f->spec.client_account,
 				 util_monotonic_ms(), &shed);
--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/schema.h"
+#include "base/util.h"
 
 #define POLL_MS 1000
 
@@ -111,7 +112,7 @@
 	uint32_t sharing = 0;
 	uint32_t rank = 0;
 
-	endpoint_table_list_begin(w->spec.endpoints);
+	endpoint_table_list_begin(w->spec.endpoints, util_monotonic_ms());
 	for (guint i = 0; i < list->vms->len; i++) {
 		const struct vm *vm = &g_array_index(list->vms, struct vm, i);
 
--- a/request/endpoint_table.c
+++ b/request/endpoint_table.c
@@ -5,6 +5,8 @@
 #define NO_TIME INT64_C(-1)
 #define OCCUPANCY_WEIGHT 32
 #define REFUSED_MS INT64_C(20)
+/** Longer than the list of VMs lags behind. */
+#define LEAVING_FORGET_MS INT64_C(60000)
 /** What is tried on an endpoint that has told nothing lately. */
 #define PROBE_LIMIT 1u
 /** An endpoint that returns gets one more slot after each such time. */
@@ -182,8 +184,10 @@
 	e->state = state;
 	if (state == ENDPOINT_EJECTED)
 		t->ejected_count++;
-	if (state == ENDPOINT_LEAVING)
+	if (state == ENDPOINT_LEAVING) {
 		t->live_count[e->reach]--;
+		e->leaving_ms = now_ms;
+	}
 	endpoint_table_has_room(t, e, now_ms);
 }
 
@@ -223,8 +227,9 @@
 	g_hash_table_remove(t->by_name, e->name);
 }
 
-void endpoint_table_list_begin(struct endpoint_table *t)
+void endpoint_table_list_begin(struct endpoint_table *t, int64_t now_ms)
 {
+	t->list_ms = now_ms;
 	for (guint i = 0; i < t->endpoints->len; i++)
 		((struct endpoint *)t->endpoints->pdata[i])->is_listed = FALSE;
 }
@@ -247,9 +252,12 @@
 		e = add_endpoint(t, spec);
 	e->is_listed = TRUE;
 	if (spec->is_leaving)
-		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, t->list_ms);
+	else if (e->state == ENDPOINT_LEAVING &&
+		 t->list_ms - e->leaving_ms > LEAVING_FORGET_MS)
+		endpoint_table_set_state(t, e, ENDPOINT_LIVE, t->list_ms);
 	else
-		endpoint_table_has_room(t, e, 0);
+		endpoint_table_has_room(t, e, t->list_ms);
 }
 
 void endpoint_table_list_end(struct endpoint_table *t)
@@ -259,7 +267,7 @@
 
 		if (e->is_listed)
 			continue;
-		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, t->list_ms);
 		if (e->in_flight == 0)
 			drop_endpoint(t, e);
 	}
--- a/request/endpoint_table.h
+++ b/request/endpoint_table.h
@@ -56,6 +56,7 @@
 	int64_t returned_ms; /**< end of the last ejection, -1 for none */
 	double slowness;     /**< moving average of latency over the mean */
 	uint32_t samples;
+	int64_t leaving_ms;	  /**< since when it is leaving */
 	int64_t refused_until_ms; /**< had no free slot a moment ago */
 	/* Position in the arrays of the table. */
 	int32_t index;
@@ -74,6 +75,7 @@
 	uint32_t gateway_rank;	/**< of this process among them */
 	uint32_t ejected_count;
 	uint32_t live_count[ENDPOINT_REACH_COUNT]; /**< not leaving */
+	int64_t list_ms;      /**< time of the list being taken over */
 	double occupancy;     /**< share of the local slots in use by anyone */
 	uint64_t inspections; /**< endpoints looked at by choices */
 };
@@ -94,9 +96,10 @@
 
 /**
  * Takes over one list of endpoints: call begin, add for each, end. Endpoints
- * that are not in the list become leaving, and are dropped once idle.
+ * that are not in the list become leaving, and are dropped once idle. One that
+ * is listed as live long after it was leaving has been started again.
  */
-void endpoint_table_list_begin(struct endpoint_table *t);
+void endpoint_table_list_begin(struct endpoint_table *t, int64_t now_ms);
 void endpoint_table_list_add(struct endpoint_table *t,
 			     const struct endpoint_spec *spec);
 void endpoint_table_list_end(struct endpoint_table *t);
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -137,7 +137,7 @@
 {
 	struct endpoint_table *t = endpoint_table_new("tov-a");
 
-	endpoint_table_list_begin(t);
+	endpoint_table_list_begin(t, 0);
 	list_endpoints(t, local, "tov-a");
 	list_endpoints(t, remote, "tov-b");
 	endpoint_table_list_end(t);
@@ -218,7 +218,7 @@
 		struct endpoint_spec leaving = { "tov-a-0", "127.0.0.1:1",
 						 "tov-a", TRUE };
 
-		endpoint_table_list_begin(t);
+		endpoint_table_list_begin(t, 0);
 		endpoint_table_list_add(t, &leaving);
 		endpoint_table_list_end(t);
 		routing_choose(p, t, &q, rand, &choice);
@@ -229,6 +229,24 @@
 	g_rand_free(rand);
 }
 
+/* One that is listed as live a minute after it was leaving is used again. */
+static void test_restarted(void)
+{
+	struct endpoint_table *t = make_table(1, 0);
+	struct endpoint *e = g_ptr_array_index(t->endpoints, 0);
+
+	endpoint_table_set_state(t, e, ENDPOINT_LEAVING, 0);
+	endpoint_table_list_begin(t, 60000);
+	list_endpoints(t, 1, "tov-a");
+	endpoint_table_list_end(t);
+	g_assert_cmpuint(endpoint_limit(t, e, 60000), ==, 0);
+	endpoint_table_list_begin(t, 60001);
+	list_endpoints(t, 1, "tov-a");
+	endpoint_table_list_end(t);
+	g_assert_cmpuint(endpoint_limit(t, e, 60001), >, 0);
+	endpoint_table_free(t);
+}
+
 static const struct {
 	guint local;
 	guint remote;
@@ -582,6 +600,7 @@
 	g_test_add_func("/requests/endpoint-shares", test_shares);
 	g_test_add_func("/requests/endpoint-limits", test_limits);
 	g_test_add_func("/requests/endpoint-leaving", test_leaving);
+	g_test_add_func("/requests/endpoint-restarted", test_restarted);
 	g_test_add_func("/requests/spill-over", test_spill);
 	g_test_add_func("/requests/choice", test_choice);
 	g_test_add_func("/requests/admission-offers", test_offers);
--- a/tests/test_requests_faults.c
+++ b/tests/test_requests_faults.c
@@ -174,6 +174,8 @@
 
 static void world_free(struct world *w)
 {
+	/* So that a drain does not wait for the platform. */
+	cluster_control(w->cluster, w->platform, "{\"mode\":\"ok\"}");
 	cluster_free(w->cluster);
 	for (guint i = 0; i < GATEWAYS; i++)
 		g_free(w->addresses[i]);
