Bench of requests: free the option context on bad options

Change: freed before the check. The whole of make check was not run again after this change of the bench's main().

--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -1091,6 +1091,7 @@
 int main(int argc, char **argv)
 {
 	gboolean is_check = FALSE;
+	gboolean is_good;
 	char *only = NULL;
 	const GOptionEntry entries[] = {
 		{ "check", 0, 0, G_OPTION_ARG_NONE, &is_check,
@@ -1104,9 +1105,10 @@
 	struct checker c = { 0 };
 
 	g_option_context_add_main_entries(context, entries, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, NULL))
-		return EXIT_FAILURE;
+	is_good = g_option_context_parse(context, &argc, &argv, NULL);
 	g_option_context_free(context);
+	if (!is_good)
+		return EXIT_FAILURE;
 	print_head();
 	for (guint i = 0; i < SCENARIOS; i++) {
 		struct sim m;
