Tests: jobs that stop being possible, corrected run times

Seen failing with the grace for lost workers taken out; a run with the correction of run times taken out too stopped at that first failure. Conclusion: the waiting steps of a job have their tests.

--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -366,6 +366,59 @@
 	pool_free(pool);
 }
 
+struct later_step {
+	int64_t now_ms;
+	gboolean is_lost; /* one of the four workers that it needs */
+	enum status status;
+};
+
+/* Lost workers get ten minutes to return before the job is refused. */
+static const struct later_step later_steps[] = {
+	{ 1000, TRUE, STATUS_NOT_FOUND },
+	{ 599000, TRUE, STATUS_NOT_FOUND },
+	{ 601000, TRUE, STATUS_REFUSED },
+};
+
+static void test_queue_impossible_later(void)
+{
+	struct pool *pool = new_pool();
+	struct placement_policy *policy = placement_policy_new("cells");
+	struct job_queue *q = job_queue_new(policy->class->discipline);
+	struct pool_job all = job_of("all", "a", 4, 8, ADJACENCY_NONE);
+
+	job_queue_submit(q, &all, 0);
+	for (guint i = 0; i < G_N_ELEMENTS(later_steps); i++) {
+		const struct later_step *s = &later_steps[i];
+		struct job_decision d;
+		enum status status;
+
+		pool_set_worker_usable(pool, "w1", !s->is_lost);
+		job_decision_init(&d);
+		status = job_queue_decide(q, pool, policy, s->now_ms, &d);
+		g_assert_cmpint(status, ==, s->status);
+		job_decision_clear(&d);
+	}
+	job_queue_free(q);
+	placement_policy_free(policy);
+	pool_free(pool);
+}
+
+static void test_queue_run_time(void)
+{
+	struct job_queue *q = job_queue_new(QUEUE_FAIR);
+	struct pool_job job = job_of("j", "a", 1, 8, ADJACENCY_NONE);
+	struct pool_job other = job_of("o", "b", 1, 8, ADJACENCY_NONE);
+	int64_t expected_ms;
+
+	for (guint i = 0; i < 20; i++)
+		job_queue_observe(q, &job, 3 * job.expected_run_ms);
+	expected_ms = job_queue_expected_run_ms(q, &job);
+	g_assert_cmpint(ABS(expected_ms - 3 * job.expected_run_ms), <=, 1);
+	expected_ms = job_queue_expected_run_ms(q, &other);
+	g_assert_cmpint(expected_ms, ==, other.expected_run_ms);
+	job_queue_free(q);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -376,5 +429,7 @@
 	g_test_add_func("/queue/order", test_queue_order);
 	g_test_add_func("/queue/cancel", test_queue_cancel);
 	g_test_add_func("/queue/refuse", test_queue_refuse);
+	g_test_add_func("/queue/impossible-later", test_queue_impossible_later);
+	g_test_add_func("/queue/run-time", test_queue_run_time);
 	return g_test_run();
 }
