Operators' library: elements are filled in place

Cause: cppcheck took structs appended by value for leaks. Ruled out: suppressing the finding. Change: append_element() returns the new element to fill.

--- a/lib/cs_plan.c
+++ b/lib/cs_plan.c
@@ -44,6 +44,14 @@
 	g_free(plan);
 }
 
+/* Returns a new zeroed element at the end of an array. */
+static gpointer append_element(GArray *array)
+{
+	g_array_set_size(array, array->len + 1);
+	return array->data +
+	       (gsize)(array->len - 1) * g_array_get_element_size(array);
+}
+
 static int64_t or_default(int64_t value, int64_t fallback)
 {
 	return value ? value : fallback;
@@ -52,33 +60,32 @@
 void cs_plan_add_service(struct cs_plan *plan, const char *name,
 			 const char *const *failure_domains)
 {
-	struct service_spec s = { .name = g_strdup(name) };
+	struct service_spec *s = append_element(plan->doc.services);
 
-	s.failure_domains = g_ptr_array_new_with_free_func(g_free);
+	s->name = g_strdup(name);
+	s->failure_domains = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; failure_domains[i]; i++)
-		g_ptr_array_add(s.failure_domains,
+		g_ptr_array_add(s->failure_domains,
 				g_strdup(failure_domains[i]));
-	g_array_append_val(plan->doc.services, s);
 }
 
 void cs_plan_add_client_account(struct cs_plan *plan,
 				const struct cs_client_account *account)
 {
-	struct client_account a = { 0 };
+	struct client_account *a = append_element(plan->doc.client_accounts);
 
-	a.name = g_strdup(account->name);
-	a.service = g_strdup(account->service);
-	a.share = or_default(account->share, DEFAULT_SHARE);
-	a.requests_per_s =
+	a->name = g_strdup(account->name);
+	a->service = g_strdup(account->service);
+	a->share = or_default(account->share, DEFAULT_SHARE);
+	a->requests_per_s =
 		or_default(account->requests_per_s, DEFAULT_REQUESTS_PER_S);
-	a.queued_requests =
+	a->queued_requests =
 		or_default(account->queued_requests, DEFAULT_QUEUED_REQUESTS);
 	if (account->token)
-		a.token_sha256 = g_compute_checksum_for_string(
+		a->token_sha256 = g_compute_checksum_for_string(
 			G_CHECKSUM_SHA256, account->token, -1);
-	a.guaranteed_shapes =
+	a->guaranteed_shapes =
 		g_array_new(FALSE, TRUE, sizeof(struct guaranteed_shape));
-	g_array_append_val(plan->doc.client_accounts, a);
 }
 
 void cs_plan_add_guaranteed_shape(struct cs_plan *plan,
@@ -87,7 +94,7 @@
 {
 	const struct client_account *a =
 		config_doc_find_account(&plan->doc, client_account);
-	struct guaranteed_shape g = { 0 };
+	struct guaranteed_shape *g;
 
 	if (!a) {
 		finding_list_add(&plan->problems, client_account,
@@ -96,24 +103,23 @@
 				 name);
 		return;
 	}
-	g.name = g_strdup(name);
-	g.pool = g_strdup(pool);
-	g.shape = *shape;
-	g_array_append_val(a->guaranteed_shapes, g);
+	g = append_element(a->guaranteed_shapes);
+	g->name = g_strdup(name);
+	g->pool = g_strdup(pool);
+	g->shape = *shape;
 }
 
 void cs_plan_add_job(struct cs_plan *plan, const struct cs_job *job)
 {
-	struct job_spec j = { 0 };
-
-	j.name = g_strdup(job->name);
-	j.client_account = g_strdup(job->client_account);
-	j.pool = g_strdup(job->pool);
-	j.class = job->class;
-	j.shape = job->shape;
-	j.expected_run_ms = or_default(job->expected_run_ms, DEFAULT_RUN_MS);
-	j.is_checkpointable = !job->never_checkpoint;
-	g_array_append_val(plan->doc.jobs, j);
+	struct job_spec *j = append_element(plan->doc.jobs);
+
+	j->name = g_strdup(job->name);
+	j->client_account = g_strdup(job->client_account);
+	j->pool = g_strdup(job->pool);
+	j->class = job->class;
+	j->shape = job->shape;
+	j->expected_run_ms = or_default(job->expected_run_ms, DEFAULT_RUN_MS);
+	j->is_checkpointable = !job->never_checkpoint;
 }
 
 /* All entries of a configuration start with their name. */
