Configurations whose guarantees can't all hold at once are refused when applied

Cause: guarantee_check_vms() stood, but nothing called it at configuration time. Ruled out: a check in csctl only: another operator's tool would pass it; taking a configuration unchecked while the VM list can't be read (refused as not run). Change: POST /v1/config reads the VM list and checks the guarantees on it first. Conclusion: 3 members of 8 accelerators on 2 workers are refused with findings.

--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -4,6 +4,7 @@
 #include "config/config_writer.h"
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
+#include "job/guarantee_check.h"
 
 #define OPERATOR_MAX_BYTES 64
 #define CONFIG_PATH "/v1/config"
@@ -48,8 +49,15 @@
 struct pending_post {
 	struct config_routes *routes;
 	struct http_request *request;
+	struct config_post post;
 };
 
+static void pending_post_free(struct pending_post *pending)
+{
+	schema_clear(&config_post_schema, &pending->post);
+	g_free(pending);
+}
+
 struct answer {
 	guint code;
 	const char *answer;
@@ -99,7 +107,7 @@
 					      : a->current_version));
 	add_string(body, "operator", a->winner);
 	http_request_reply(post->request, answer->code, body);
-	g_free(post);
+	pending_post_free(post);
 }
 
 static gboolean check_post(json_object *json, struct config_post *post,
@@ -116,12 +124,61 @@
 	return is_good;
 }
 
+static gboolean guarantees_fit(json_object *config, json_object *vms,
+			       struct finding_list *findings)
+{
+	struct config_doc doc = { 0 };
+	gboolean is_good;
+
+	is_good = config_doc_decode(config, &doc, NULL, findings) &&
+		  guarantee_check_vms(&doc, vms, findings);
+	config_doc_clear(&doc);
+	return is_good;
+}
+
+static void refuse_unchecked(struct pending_post *pending)
+{
+	json_object *body = json_object_new_object();
+
+	add_string(body, "answer", "not run");
+	add_string(body, "reason", "store-unavailable");
+	add_string(body, "message",
+		   "the VM list can't be read to check the guarantees");
+	http_request_reply(pending->request, SOUP_STATUS_SERVICE_UNAVAILABLE,
+			   body);
+	pending_post_free(pending);
+}
+
+/* Guarantees that the listed workers can't hold together are refused. */
+static void on_vms(const struct platform_result *result, void *data)
+{
+	struct pending_post *pending = data;
+	const struct config_post *post = &pending->post;
+	struct finding_list findings;
+
+	if (result->status != STATUS_OK) {
+		refuse_unchecked(pending);
+		return;
+	}
+	finding_list_init(&findings);
+	if (!guarantees_fit(post->config, result->object, &findings)) {
+		http_request_reply_findings(pending->request, &findings);
+		pending_post_free(pending);
+		goto out;
+	}
+	config_writer_start(
+		platform_of(pending->routes->kernel), post->base_version,
+		post->operator_name ? post->operator_name : "", post->config,
+		post->is_dry_run != 0, on_outcome, pending);
+out:
+	finding_list_clear(&findings);
+}
+
 static void handle_post(struct http_request *request, void *data)
 {
 	struct config_routes *r = data;
-	struct config_post post = { 0 };
-	struct finding_list findings;
 	struct pending_post *pending;
+	struct finding_list findings;
 	json_object *json;
 
 	if (!http_service_allow_operator(r->kernel, request))
@@ -130,19 +187,15 @@
 	if (!json)
 		return;
 	finding_list_init(&findings);
-	if (!check_post(json, &post, &findings)) {
-		http_request_reply_findings(request, &findings);
-		goto out;
-	}
 	pending = g_new0(struct pending_post, 1);
 	pending->routes = r;
 	pending->request = request;
-	config_writer_start(platform_of(r->kernel), post.base_version,
-			    post.operator_name ? post.operator_name : "",
-			    post.config, post.is_dry_run != 0, on_outcome,
-			    pending);
-out:
-	schema_clear(&config_post_schema, &post);
+	if (check_post(json, &pending->post, &findings)) {
+		platform_vm_list(platform_of(r->kernel), on_vms, pending);
+	} else {
+		http_request_reply_findings(request, &findings);
+		pending_post_free(pending);
+	}
 	finding_list_clear(&findings);
 }
 
--- /dev/null
+++ b/tests/test_config_guarantees.c
@@ -0,0 +1,92 @@
+#include <glib.h>
+
+#include "tests/cluster.h"
+
+#define TIMEOUT_MS 10000
+
+#define CONFIG(members_)                                                       \
+	"{\"base_version\":0,\"dry_run\":true,\"config\":{\"format\":1,"       \
+	"\"services\":[{\"name\":\"salkhi\",\"failure_domains\":[\"tov-a\"]}]" \
+	",\"client_accounts\":[{\"name\":\"a\",\"service\":\"salkhi\","        \
+	"\"guaranteed_shapes\":[{\"name\":\"g\",\"pool\":\"salkhi.tov-a\","    \
+	"\"shape\":{\"members\":" members_                                     \
+	",\"accelerators\":8,\"cores\":1,\"memory_mb\":1,"                     \
+	"\"adjacency\":\"rack\"}}]}]}}"
+
+struct post_case {
+	const char *control; /* of the platform's stand-in, or NULL */
+	const char *body;
+	guint code;
+};
+
+/* Two workers of 8 accelerators in one rack are there. */
+static const struct post_case cases[] = {
+	{ NULL, CONFIG("2"), 200 },
+	{ NULL, CONFIG("3"), 400 },
+	{ "{\"remove_vms\":[\"w0\"]}", CONFIG("2"), 400 },
+	{ NULL, CONFIG("1"), 200 },
+	{ "{\"mode\":\"down\"}", CONFIG("1"), 503 },
+};
+
+struct waiting {
+	struct cluster *cluster;
+	const char *address;
+	const struct post_case *post;
+};
+
+/* The VM list lags, so the answer may come to be right a little later. */
+static gboolean is_answered_so(void *data)
+{
+	const struct waiting *w = data;
+	struct cluster_reply r;
+	guint code;
+
+	r = cluster_call(w->cluster, "POST", w->address, "/v1/config",
+			 w->post->body, NULL, CLUSTER_CALL_TIMEOUT_MS);
+	code = r.code;
+	cluster_reply_clear(&r);
+	return code == w->post->code;
+}
+
+static void test_refused(void)
+{
+	struct cluster *c = cluster_new();
+	char *platform = cluster_address();
+	char *http = cluster_address();
+	char *link = cluster_address();
+	struct cluster_node node = {
+		.node = "g0", .http = http, .link = link, .platform = platform
+	};
+	struct cluster_process *p;
+
+	p = cluster_spawn(c, "cs-standin-platform", "platform",
+			  CLUSTER_ARGS("--listen", platform));
+	g_free(cluster_listening(p, 0));
+	p = cluster_spawn(c, "cs-standin-worker", "workers",
+			  CLUSTER_ARGS("--listen", "127.0.0.1:0", "--count",
+				       "2", "--platform", platform, "--vm", "w",
+				       "--service", "salkhi",
+				       "--failure-domain", "tov-a", "--rack",
+				       "r"));
+	g_free(cluster_listening(p, 1));
+	cluster_spawn_node(c, "csgated", &node);
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct waiting w = { c, http, &cases[i] };
+
+		g_test_message("case %u", i);
+		if (cases[i].control)
+			cluster_control(c, platform, cases[i].control);
+		g_assert_true(cluster_wait(is_answered_so, &w, TIMEOUT_MS));
+	}
+	cluster_free(c);
+	g_free(platform);
+	g_free(http);
+	g_free(link);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config-guarantees/refused", test_refused);
+	return g_test_run();
+}
