Command lines: number of an attempt; explain names what is served

Cause: cscall could not send the attempt that lets a first attempt be refused for certain while the platform is down; csctl offered 'explain guarantee', which no process answers (csctl status shows guarantees). Conclusion: help texts tell what is there.

--- a/cli/cscall.c
+++ b/cli/cscall.c
@@ -21,6 +21,7 @@
 	char *key;
 	char *payload;
 	gint deadline_ms;
+	gint attempt;
 	gboolean not_repeatable;
 } request_options = { .deadline_ms = DEFAULT_DEADLINE_MS };
 
@@ -37,6 +38,10 @@
 	  "JSON object for the endpoint", "JSON" },
 	{ "key", 'k', 0, G_OPTION_ARG_STRING, &request_options.key,
 	  "Idempotency key; the same one on a retry", "KEY" },
+	{ "attempt", 0, 0, G_OPTION_ARG_INT, &request_options.attempt,
+	  "Number of this attempt by its key, from 1; lets a first attempt be "
+	  "refused for certain while the platform is down",
+	  "N" },
 	{ "not-repeatable", 'n', 0, G_OPTION_ARG_NONE,
 	  &request_options.not_repeatable, "It may run at most once", NULL },
 	G_OPTION_ENTRY_NULL,
@@ -112,6 +117,10 @@
 		body, "is_repeatable",
 		json_object_new_boolean(!request_options.not_repeatable));
 	add_string(body, "idempotency_key", request_options.key);
+	if (request_options.attempt)
+		json_object_object_add(
+			body, "attempt",
+			json_object_new_int(request_options.attempt));
 	json_object_object_add(body, "payload", parsed);
 	return body;
 }
--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -241,14 +241,13 @@
 static enum exit_code run_explain(struct command_context *context, int argc,
 				  char **argv)
 {
-	static const char *const kinds[] = { "job", "request", "guarantee",
-					     NULL };
+	static const char *const kinds[] = { "job", "request", NULL };
 	enum exit_code code;
 	char *id;
 	char *path;
 
 	if (!g_strv_contains(kinds, argv[0])) {
-		fprintf(stderr, "explain: job, request or guarantee\n");
+		fprintf(stderr, "explain: job or request\n");
 		return EXIT_CODE_USAGE;
 	}
 	id = g_uri_escape_string(argv[1], NULL, FALSE);
@@ -279,9 +278,9 @@
 	  run_config },
 	{ "status", "", "Print the state of each server given", NULL, NULL, 0,
 	  0, run_status },
-	{ "explain", "KIND ID", "Explain a job, request or guarantee",
-	  "KIND is job, request or guarantee.", explain_entries, 2, 2,
-	  run_explain },
+	{ "explain", "KIND ID", "Explain a job or request",
+	  "KIND is job or request. Guarantees are shown by status.",
+	  explain_entries, 2, 2, run_explain },
 	{ "drain", "", "Shut each server given down gracefully", NULL, NULL, 0,
 	  0, run_drain },
 	{ "counters", "", "Print the counters of each server given", NULL, NULL,
