One decoder of the platform's VM list

Cause: the gateway's watch had a decoder of its own beside platform/vm_list. Change: daemon/vm_watch takes the schema of platform/vm_list. Figures: 78 lines fewer; tests of requests, gangs and the job interface pass. Conclusion: the list's form stands once.

--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -3,37 +3,11 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "base/schema.h"
 #include "base/util.h"
+#include "platform/vm_list.h"
 
 #define POLL_MS 1000
 
-enum vm_role {
-	VM_ENDPOINT,
-	VM_WORKER,
-	VM_ENTRY,
-};
-
-static const char *const role_names[] = { "endpoint", "worker", "entry", NULL };
-static const char *const state_names[] = { "live", "leaving", NULL };
-
-struct vm {
-	char *vm;
-	int64_t role; /**< enum vm_role */
-	char *service;
-	char *failure_domain;
-	char *rack;
-	int64_t state; /**< index in state_names */
-	char *address;
-	int64_t accelerators;
-	int64_t cores;
-	int64_t memory_mb;
-};
-
-struct vm_list {
-	GArray *vms; /**< of struct vm */
-};
-
 struct vm_watch {
 	struct vm_watch_spec spec;
 	guint timer;
@@ -41,66 +15,13 @@
 	uint32_t gateways;
 };
 
-#define NAME_BYTES 128
-#define MAX_VMS 100000
-
-#define TEXT_FIELD(member_, required_)                            \
-	{                                                         \
-		.name = #member_, .type = FIELD_STRING,           \
-		.is_required = (required_),                       \
-		.offset = offsetof(struct vm, member_), .min = 0, \
-		.max = NAME_BYTES                                 \
-	}
-#define INT_FIELD(member_)                                               \
-	{                                                                \
-		.name = #member_, .type = FIELD_INT,                     \
-		.offset = offsetof(struct vm, member_), .max = INT32_MAX \
-	}
-
-static const struct field_spec vm_fields[] = {
-	TEXT_FIELD(vm, TRUE),
-	{ .name = "role",
-	  .type = FIELD_ENUM,
-	  .is_required = TRUE,
-	  .offset = offsetof(struct vm, role),
-	  .names = role_names },
-	TEXT_FIELD(service, TRUE),
-	TEXT_FIELD(failure_domain, TRUE),
-	TEXT_FIELD(rack, FALSE),
-	{ .name = "state",
-	  .type = FIELD_ENUM,
-	  .is_required = TRUE,
-	  .offset = offsetof(struct vm, state),
-	  .names = state_names },
-	TEXT_FIELD(address, TRUE),
-	INT_FIELD(accelerators),
-	INT_FIELD(cores),
-	INT_FIELD(memory_mb),
-	{ 0 },
-};
-
-static const struct schema vm_schema = { sizeof(struct vm), vm_fields };
-
-static const struct field_spec vm_list_fields[] = {
-	{ .name = "vms",
-	  .type = FIELD_ARRAY,
-	  .is_required = TRUE,
-	  .offset = offsetof(struct vm_list, vms),
-	  .max = MAX_VMS,
-	  .schema = &vm_schema },
-	{ 0 },
-};
-
-static const struct schema vm_list_schema = { sizeof(struct vm_list),
-					      vm_list_fields };
-
-static void take_endpoint(struct vm_watch *w, const struct vm *vm)
+static void take_endpoint(struct vm_watch *w, const struct vm_entry *vm)
 {
 	struct endpoint_spec spec = {
 		.name = vm->vm,
 		.address = vm->address,
 		.failure_domain = vm->failure_domain,
-		.is_leaving = vm->state != 0,
+		.is_leaving = vm->state != VM_LIVE,
 	};
 
 	endpoint_table_list_add(w->spec.endpoints, &spec);
@@ -114,13 +35,14 @@
 
 	endpoint_table_list_begin(w->spec.endpoints, util_monotonic_ms());
 	for (guint i = 0; i < list->vms->len; i++) {
-		const struct vm *vm = &g_array_index(list->vms, struct vm, i);
+		const struct vm_entry *vm =
+			&g_array_index(list->vms, struct vm_entry, i);
 
 		if (!g_str_equal(vm->service, w->spec.service))
 			continue;
 		if (vm->role == VM_ENDPOINT)
 			take_endpoint(w, vm);
-		if (vm->role != VM_ENTRY || vm->state != 0)
+		if (vm->role != VM_ENTRY || vm->state != VM_LIVE)
 			continue;
 		gateways++;
 		if (!g_str_equal(vm->failure_domain, w->spec.failure_domain))
