--- a/bench/measure_capacity.sh
+++ b/bench/measure_capacity.sh
@@ -38,7 +38,7 @@
 		 "region": "tov", "service": "salkhi",
 		 "http": "127.0.0.1:$3", "link": "127.0.0.1:$(($3 + 100))",
 		 "platform": "127.0.0.1:$port",
-		 "seeds": ["127.0.0.1:$((port + 200))"]}
+		 "seeds": ["127.0.0.1:$((port + 300))"]}
 	END
 	run "$2" "$bin/$1" --settings "$dir/$2.json"
 }
