--- a/standin/common/standin.c
+++ b/standin/common/standin.c
@@ -73,7 +73,7 @@
 		return FALSE;
 	}
 	if (show_version) {
-		printf("stand-in 1\n");
+		printf("%s\n", STANDIN_VERSION);
 		*exit_code = EXIT_SUCCESS;
 		return FALSE;
 	}
--- a/standin/common/standin.h
+++ b/standin/common/standin.h
@@ -14,6 +14,7 @@
 #include "base/schema.h"
 
 #define STANDIN_RACK_WORKERS 8
+#define STANDIN_VERSION "stand-in 1"
 
 /** Where a stand-in listens and what it tells the platform of itself. */
 struct standin_options {
--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -414,12 +414,15 @@
 {
 	char *control = NULL;
 	char **route_texts = NULL;
+	gboolean show_version = FALSE;
 	const GOptionEntry entries[] = {
 		{ "control", 0, 0, G_OPTION_ARG_STRING, &control,
 		  "Address of the control interface", "IP:PORT" },
 		{ "route", 0, 0, G_OPTION_ARG_STRING_ARRAY, &route_texts,
 		  "Where to listen and where to connect; may be repeated",
 		  "IP:PORT=IP:PORT" },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
+		  "Print the version and exit", NULL },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -435,6 +438,10 @@
 		fprintf(stderr, "%s\n", error->message);
 		return EXIT_FAILURE;
 	}
+	if (show_version) {
+		printf("%s\n", STANDIN_VERSION);
+		return EXIT_SUCCESS;
+	}
 	routes = g_ptr_array_new();
 	if (!listen_control(control ? control : "127.0.0.1:0"))
 		return EXIT_FAILURE;
