Outlier ejection: never the last endpoint, never for one slow answer

Ruled out: ports taken by others and refused connections (the runner answered), a platform that was slow (config_version stood), the estimate of run times (a class with nothing in flight passes it).

Change: a sample counts at most 8 times the mean, so that several slow answers in a row are needed; neither failures nor slowness set aside the last live endpoint of its reach. Refused connections still do. The test of bad input prints the answer that failed it.

--- a/request/outlier.c
+++ b/request/outlier.c
@@ -4,6 +4,8 @@
 
 #define MAX_FAILURES 3
 #define MAX_SLOWNESS 4.0
+/** One answer counts no more, so that a single slow one sets none aside. */
+#define MAX_RATIO (2 * MAX_SLOWNESS)
 #define MIN_SAMPLES 10
 #define SAMPLE_WEIGHT 8.0
 #define MEAN_WEIGHT 64.0
@@ -13,11 +15,26 @@
 /** After so long without another ejection the next one is short again. */
 #define FORGET_MS INT64_C(60000)
 
-static gboolean may_eject(const struct endpoint_table *t)
+/* Without another of the same reach, even a bad endpoint beats none. */
+static gboolean has_other(const struct endpoint_table *t,
+			  const struct endpoint *but)
+{
+	for (guint i = 0; i < t->endpoints->len; i++) {
+		const struct endpoint *e = g_ptr_array_index(t->endpoints, i);
+
+		if (e != but && e->state == ENDPOINT_LIVE &&
+		    e->reach == but->reach)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean may_eject(const struct endpoint_table *t,
+			  const struct endpoint *e)
 {
 	uint32_t most = (uint32_t)(MAX_EJECTED_SHARE * t->endpoints->len);
 
-	return t->ejected_count < MAX(most, 1);
+	return t->ejected_count < MAX(most, 1) && has_other(t, e);
 }
 
 static int64_t ejection_ms(const struct endpoint *e)
@@ -52,7 +69,7 @@
 		*mean_us = (double)latency_us;
 	ratio = *mean_us > 0 ? (double)latency_us / *mean_us : 1;
 	*mean_us += ((double)latency_us - *mean_us) / MEAN_WEIGHT;
-	e->slowness += (ratio - e->slowness) / SAMPLE_WEIGHT;
+	e->slowness += (MIN(ratio, MAX_RATIO) - e->slowness) / SAMPLE_WEIGHT;
 	e->samples++;
 	return e->samples >= MIN_SAMPLES && e->slowness > MAX_SLOWNESS;
 }
@@ -66,12 +83,12 @@
 		return eject(t, e, now_ms);
 	if (event == OUTLIER_FAILED) {
 		e->failures++;
-		return e->failures >= MAX_FAILURES && may_eject(t) &&
+		return e->failures >= MAX_FAILURES && may_eject(t, e) &&
 		       eject(t, e, now_ms);
 	}
 	e->failures = 0;
 	e->latency_us += (latency_us - e->latency_us) / (int64_t)SAMPLE_WEIGHT;
-	return is_slow(o, e, class, latency_us) && may_eject(t) &&
+	return is_slow(o, e, class, latency_us) && may_eject(t, e) &&
 	       eject(t, e, now_ms);
 }
 
--- a/request/outlier.h
+++ b/request/outlier.h
@@ -1,8 +1,9 @@
 /**
  * @file
  * Sets endpoints aside that fail or answer slowly, with a cap on how many may
- * be out at a time. Endpoints that refuse connections don't count to the cap:
- * they are certainly of no use. endpoint_limit() makes the return slow.
+ * be out at a time, and never the last live one of its reach. Endpoints that
+ * refuse connections don't count to the cap: they are certainly of no use.
+ * endpoint_limit() makes the return slow.
  */
 #ifndef REQUEST_OUTLIER_H
 #define REQUEST_OUTLIER_H
--- a/tests/test_bad_input.c
+++ b/tests/test_bad_input.c
@@ -41,6 +41,10 @@
 		good_request, NULL, CLUSTER_CALL_TIMEOUT_MS);
 	gboolean is_done = r.code == 200;
 
+	if (!is_done)
+		g_test_message("status %d, code %u, %s", r.status, r.code,
+			       r.body ? json_object_to_json_string(r.body)
+				      : "no body");
 	world.good += is_done;
 	cluster_reply_clear(&r);
 	return is_done;
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -579,6 +579,45 @@
 	endpoint_table_free(t);
 }
 
+/* What sets none aside: the last that can serve, or a single slow answer. */
+struct outlier_case {
+	const char *path; /* of the test */
+	guint endpoints;
+	guint usual;   /* answers of each before the event */
+	guint repeats; /* of the event, at the first endpoint */
+	enum outlier_event event;
+	int64_t latency_us;
+	guint ejected;
+};
+
+static const struct outlier_case outlier_cases[] = {
+	{ "/requests/outlier-last-slow", 1, 20, 50, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-last-failed", 1, 20, 50, OUTLIER_FAILED, 0, 0 },
+	{ "/requests/outlier-last-refused", 1, 20, 1, OUTLIER_REFUSED, 0, 1 },
+	{ "/requests/outlier-one-slow", 2, 20, 1, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-first-slow", 2, 0, 1, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-many-slow", 2, 20, 8, OUTLIER_OK, 1000000, 1 },
+	{ "/requests/outlier-two-failed", 2, 20, 3, OUTLIER_FAILED, 0, 1 },
+};
+
+#define USUAL_US 1000
+
+static void test_outlier(gconstpointer data)
+{
+	const struct outlier_case *c = data;
+	struct endpoint_table *t = make_table(c->endpoints, 0);
+	struct outlier_policy o = { 0 };
+
+	for (guint i = 0; i < c->usual * c->endpoints; i++)
+		outlier_record(&o, t, t->endpoints->pdata[i % c->endpoints],
+			       OUTLIER_OK, REQUEST_SPOT, USUAL_US, 0);
+	for (guint i = 0; i < c->repeats; i++)
+		outlier_record(&o, t, t->endpoints->pdata[0], c->event,
+			       REQUEST_SPOT, c->latency_us, 0);
+	g_assert_cmpuint(t->ejected_count, ==, c->ejected);
+	endpoint_table_free(t);
+}
+
 static void test_decisions(void)
 {
 	struct decision_log *log = decision_log_new(2);
@@ -612,6 +651,9 @@
 	g_test_add_func("/requests/outlier-return", test_outlier_return);
 	g_test_add_func("/requests/outlier-again", test_outlier_again);
 	g_test_add_func("/requests/outlier-slow", test_outlier_slow);
+	for (guint i = 0; i < G_N_ELEMENTS(outlier_cases); i++)
+		g_test_add_data_func(outlier_cases[i].path, &outlier_cases[i],
+				     test_outlier);
 	g_test_add_func("/requests/decision-log", test_decisions);
 	return g_test_run();
 }
