Request faults: their world in a file pair, endpoints in a program of their own

Cause: test_requests_faults.c held 947 lines: the processes, the callers, the faults of the single answer and those of endpoints.

Ruled out: sharing config_world.h: it has no runners and no relay.

Change: request_world.{c,h} (processes and calls), test_requests_faults.c (the single answer), test_requests_endpoints.c (endpoints that fail, leave, refuse; drain).

--- /dev/null
+++ b/tests/test_requests_endpoints.c
@@ -0,0 +1,251 @@
+/*
+ * Endpoints that fail, leave, refuse or lie in another failure domain, and a
+ * gateway that drains, over the real processes.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "tests/request_world.h"
+
+#define LEAVING_MS 3000
+
+static void warm_up(struct request_world *w)
+{
+	const struct request_spec r = { NULL, 0, 5, DEADLINE_MS };
+
+	for (guint i = 0; i < WARM_UP_REQUESTS; i++) {
+		struct request_call *call = request_world_send(w, 0, &r);
+
+		request_call_wait(call);
+		request_call_assert_answer(call, "done", NULL, "repeatable");
+		request_call_assert_own(call);
+		request_call_free(call);
+	}
+}
+
+/* What strikes one endpoint, or the platform, while requests are repeatable. */
+struct retry_case {
+	const char *path;
+	const char *runner_control; /* of the first runner */
+	const char *relay_control;
+	const char *platform_control;
+};
+
+static const struct retry_case retry_cases[] = {
+	{ "/requests-endpoints/repeatable-silent-runner", "{\"silent\":true}",
+	  NULL, NULL },
+	{ "/requests-endpoints/repeatable-crossed-answer",
+	  "{\"wrong_id\":true}", NULL, NULL },
+	{ "/requests-endpoints/repeatable-failed-run", "{\"fail\":true}", NULL,
+	  NULL },
+	{ "/requests-endpoints/repeatable-late-answer", "{\"delay_ms\":2500}",
+	  NULL, NULL },
+	{ "/requests-endpoints/repeatable-silent-connections", NULL,
+	  "{\"silence_open\":true}", NULL },
+	{ "/requests-endpoints/repeatable-platform-down", NULL, NULL,
+	  "{\"mode\":\"down\"}" },
+};
+
+static void test_repeatable(const void *data)
+{
+	const struct retry_case *c = data;
+	const struct request_spec r = { NULL, 0, 5, DEADLINE_MS };
+	struct request_world *w = request_world_new();
+
+	warm_up(w);
+	if (c->runner_control)
+		cluster_control(w->cluster, w->runners[0], c->runner_control);
+	if (c->relay_control)
+		cluster_control(w->cluster, w->relay_control, c->relay_control);
+	if (c->platform_control)
+		cluster_control(w->cluster, w->platform, c->platform_control);
+	for (guint i = 0; i < 10; i++) {
+		struct request_call *call = request_world_send(w, 0, &r);
+
+		request_call_wait(call);
+		request_call_assert_answer(call, "done", NULL, "repeatable");
+		request_call_assert_own(call);
+		request_call_free(call);
+	}
+	request_world_free(w);
+}
+
+/* Signs that the first endpoint leaves. */
+struct leaving_case {
+	const char *path;
+	const char *runner_control;
+	const char *state; /* in the platform's list */
+	gboolean is_removed;
+	gboolean is_platform_down; /* after the sign */
+};
+
+static const struct leaving_case leaving_cases[] = {
+	{ "/requests-endpoints/leaving-by-list", NULL, "leaving", FALSE,
+	  FALSE },
+	{ "/requests-endpoints/leaving-by-absence", NULL, NULL, TRUE, FALSE },
+	{ "/requests-endpoints/leaving-by-answer", "{\"leaving\":true}", NULL,
+	  FALSE, FALSE },
+	{ "/requests-endpoints/leaving-platform-down", "{\"leaving\":true}",
+	  NULL, FALSE, TRUE },
+};
+
+static void test_leaving(const void *data)
+{
+	const struct leaving_case *c = data;
+	struct request_world *w = request_world_new();
+	guint before;
+
+	request_world_send_some(w, WARM_UP_REQUESTS);
+	if (c->runner_control)
+		cluster_control(w->cluster, w->runners[0], c->runner_control);
+	if (c->state)
+		request_world_add_vm(w, "r0", "endpoint", c->state,
+				     w->relayed[0]);
+	if (c->is_removed)
+		cluster_control(w->cluster, w->platform,
+				"{\"remove_vms\":[\"r0\"]}");
+	if (c->is_platform_down)
+		request_world_platform_down(w);
+	cluster_sleep(LEAVING_MS);
+	before = request_world_runs_at(w, 0);
+	request_world_send_some(w, 20);
+	g_assert_cmpuint(request_world_runs_at(w, 0), ==, before);
+	request_world_free(w);
+}
+
+/* Takes a port without listening on it: connections to it are refused. */
+static GSocket *hold_port(char **address)
+{
+	GSocketAddress *wanted =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	GSocket *s = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				  G_SOCKET_PROTOCOL_TCP, NULL);
+	GSocketAddress *got;
+	guint port;
+
+	g_assert_true(g_socket_bind(s, wanted, FALSE, NULL));
+	got = g_socket_get_local_address(s, NULL);
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(got));
+	*address = g_strdup_printf("127.0.0.1:%u", port);
+	g_object_unref(got);
+	g_object_unref(wanted);
+	return s;
+}
+
+static gboolean has_ejected(void *data)
+{
+	struct request_world *w = data;
+
+	request_world_send_some(w, GATEWAYS);
+	return cluster_grep(w->gateways[0], "endpoint_ejected") > 0;
+}
+
+/* An endpoint that refuses connections costs no request, and is set aside. */
+static void test_refused(void)
+{
+	struct request_world *w = request_world_new();
+	char *nobody = NULL;
+	GSocket *s = hold_port(&nobody);
+
+	request_world_add_vm(w, "r2", "endpoint", "live", nobody);
+	g_assert_true(cluster_wait(has_ejected, w, READY_TIMEOUT_MS));
+	request_world_send_some(w, 20);
+	g_object_unref(s);
+	g_free(nobody);
+	request_world_free(w);
+}
+
+static const struct {
+	const char *state;   /* of the endpoint in the own failure domain */
+	const char *control; /* of the relay to the other failure domain */
+	const char *answer;
+} domain_cases[] = {
+	{ "live", "{}", "done" },
+	{ "leaving", "{}", "done" },
+	/* Cut off from the other failure domain: the own one still serves. */
+	{ "live", "{\"route\":1,\"mode\":\"cut_up\"}", "done" },
+	{ "leaving", "{\"route\":1,\"mode\":\"cut_up\"}", "unknown" },
+};
+
+static void send_and_expect(struct request_world *w, guint count,
+			    const char *answer)
+{
+	const struct request_spec r = { NULL, 0, 5, 800 };
+
+	for (guint i = 0; i < count; i++) {
+		struct request_call *call = request_world_send(w, 0, &r);
+
+		request_call_wait(call);
+		request_call_assert_answer(call, answer, NULL, "repeatable");
+		request_call_free(call);
+	}
+}
+
+/* Another failure domain serves only what the own one can't. */
+static void test_domains(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(domain_cases); i++) {
+		struct request_world *w = request_world_new();
+		guint before;
+
+		request_world_add_vm_in(w, "tov-b", "r1", "endpoint", "live",
+					w->relayed[1]);
+		request_world_add_vm(w, "r0", "endpoint", domain_cases[i].state,
+				     w->relayed[0]);
+		cluster_sleep(1500);
+		cluster_control(w->cluster, w->relay_control,
+				domain_cases[i].control);
+		before = request_world_runs_at(w, 1);
+		send_and_expect(w, 3, domain_cases[i].answer);
+		if (g_str_equal(domain_cases[i].state, "live"))
+			g_assert_cmpuint(request_world_runs_at(w, 1), ==,
+					 before);
+		request_world_free(w);
+	}
+}
+
+/* A drain finishes what was accepted, refuses what is new, and ends well. */
+static void test_drain(void)
+{
+	struct request_world *w = request_world_new();
+	const struct request_spec slow = { NULL, 0, 700, 2500 };
+	const struct request_spec late = { NULL, 0, 5, DEADLINE_MS };
+	struct request_call *calls[8];
+	struct request_call *refused;
+
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++)
+		calls[i] = request_world_send(w, 0, &slow);
+	request_world_wait_started(w, "repeatable");
+	cluster_sleep(100);
+	request_world_drain_gateway(w);
+	cluster_sleep(100);
+	refused = request_world_send(w, 0, &late);
+	request_call_wait(refused);
+	request_call_assert_answer(refused, "not run", "draining", NULL);
+	request_call_free(refused);
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
+		request_call_wait(calls[i]);
+		request_call_assert_answer(calls[i], "done", NULL,
+					   "repeatable");
+		request_call_free(calls[i]);
+	}
+	g_assert_cmpint(cluster_wait_exit(w->gateways[0], READY_TIMEOUT_MS), ==,
+			0);
+	request_world_free(w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(retry_cases); i++)
+		g_test_add_data_func(retry_cases[i].path, &retry_cases[i],
+				     test_repeatable);
+	for (guint i = 0; i < G_N_ELEMENTS(leaving_cases); i++)
+		g_test_add_data_func(leaving_cases[i].path, &leaving_cases[i],
+				     test_leaving);
+	g_test_add_func("/requests-endpoints/refused-connections",
+			test_refused);
+	g_test_add_func("/requests-endpoints/failure-domains", test_domains);
+	g_test_add_func("/requests-endpoints/drain", test_drain);
+	return g_test_run();
+}
