Membership: heartbeats of one size, a digest of the view in place of names

Cause: each heartbeat named all that its sender hears: 50 bytes a member, by 15 members, to 15 peers, each second. At 16 processes a domain 23.5 KB/s a process by the real codecs (heartbeats alone), 21.2 KB/s on real processes; records were not it, they were sent on change only already. A change that was lost on a link was found again only when the link was opened anew.

Ruled out: one membership for both processes of a VM (halves the members, keeps the square, and ties the life of one process to the other); random probing (not tried); asking others only about the silent (needs an answer within the 3 s of suspicion, in step with the heartbeats' second).

Change: a heartbeat carries a digest of whom its sender takes for living (node, incarnation, generation, state's version, leaving) and the age within which it hears all of these in its domain, except those it lists as silent. A process remembers its last 8 digests, so that a view which moves on is still understood; names are told only to a process that has not told the same view. Two heartbeats in a row with another view: all records are sent again, ever more rarely while both views stay. A loss that others tell of a member heard here is told to that member, which refutes it. The timer of the service runs at the next heartbeat or end of a silence, at most 500 ms apart, was 250 ms; links are chosen and states logged only when the table has changed. Counters of links have the prefix cs_.

--- a/bench/bench_shared.c
+++ b/bench/bench_shared.c
@@ -16,6 +16,7 @@
 #define TAKEOVER_MS 6000.0
 #define CHANGES_PER_DAY 12000.0
 #define DAY_S 86400.0
+#define DOMAIN_BYTES_PER_S 6000.0
 
 #define MEMBERS_PER_DOMAIN 8
 #define ROUNDS 200U
@@ -133,6 +134,32 @@
 	      CONTROL_BYTES_PER_S, "letter 1: 24 KB a second");
 }
 
+/* One failure domain alone, with twice the processes each time. */
+static void measure_domain(void)
+{
+	static const guint sizes[] = { 4, 8, 16, 32 };
+	double bytes[G_N_ELEMENTS(sizes)];
+	const guint last = G_N_ELEMENTS(sizes) - 1;
+
+	printf("\n%-34s %12s %12s\n", "processes of one domain", "bytes/s",
+	       "a peer");
+	for (guint i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct shared_traffic traffic;
+		struct shared_sim sim;
+
+		shared_sim_init(&sim, sizes[i], sizes[i]);
+		shared_sim_traffic(&sim, 0, &traffic);
+		shared_sim_clear(&sim);
+		bytes[i] = traffic.mean_bytes;
+		printf("%-34u %12.0f %12.1f\n", sizes[i], bytes[i],
+		       bytes[i] / (sizes[i] - 1));
+	}
+	check("bytes a second, 16 processes of a domain", bytes[2],
+	      DOMAIN_BYTES_PER_S, "a VM's two processes in half its 24 KB/s");
+	check("bytes a peer, 32 processes to 4", bytes[last] / 31,
+	      1.05 * bytes[0] / 3, "no more than linear with the members");
+}
+
 /* Lost updates when one version orders a whole row, and when each part has
  * its own: the member changes its status while others change its state. */
 static void measure_merge(void)
@@ -178,6 +205,7 @@
 	check("growth of messages a node, 16 to 80 nodes",
 	      traffic[3].mean_messages / traffic[1].mean_messages, 80.0 / 16,
 	      "issue 6: not with the number of nodes squared");
+	measure_domain();
 	measure_merge();
 	if (is_checking)
 		printf("%u passed, %u failed\n", passed, failed);
--- a/bench/shared_sim.h
+++ b/bench/shared_sim.h
@@ -13,7 +13,7 @@
 #include "config/config_delta.h"
 #include "link/frame.h"
 #include "link/pack.h"
-#include "shared/member_table.h"
+#include "shared/member_heartbeat.h"
 
 #define SIM_MAX_NODES 80
 /** One way, as the brief has it; and one call to the platform. */
@@ -87,6 +87,17 @@
 	}
 }
 
+/* All is known to all, and each member has heard its domain of late. */
+static void sim_hear_all(struct member_table *t)
+{
+	for (guint i = 0; i < t->members->len; i++) {
+		struct member *m = t->members->pdata[i];
+
+		m->heard_ms = 0;
+		m->view = member_view_digest(&t->view);
+	}
+}
+
 static void shared_sim_init(struct shared_sim *s, guint nodes,
 			    guint domain_size)
 {
@@ -98,6 +109,8 @@
 			member_table_merge(&s->tables[i], 0,
 					   &s->tables[j].self->record);
 	}
+	for (guint i = 0; i < nodes; i++)
+		sim_hear_all(&s->tables[i]);
 	for (guint i = 0; i < nodes; i++) {
 		GPtrArray *targets = member_table_targets(&s->tables[i]);
 
@@ -161,7 +174,7 @@
 }
 
 static double sim_heartbeat_bytes(const struct shared_sim *s, guint node,
-				  gboolean is_near)
+				  guint to)
 {
 	const struct member_table *t = &s->tables[node];
 	struct heartbeat_pool pool = {
@@ -173,11 +186,10 @@
 	json_object *json;
 	double size;
 
-	for (guint i = 0; i < t->members->len; i++)
-		((struct member *)t->members->pdata[i])->heard_ms = 0;
-	member_table_heartbeat(t, 500, t->changes, is_near, &h);
+	member_heartbeat_fill(t, 500, t->changes,
+			      &s->tables[to].self->record.identity, &h);
 	g_array_append_val(h.pools, pool);
-	json = schema_encode(&heartbeat_schema, &h);
+	json = heartbeat_encode(&h);
 	bytes = pack_encode(json);
 	size = bytes->len + FRAME_HEADER_BYTES;
 	g_byte_array_unref(bytes);
@@ -247,7 +259,7 @@
 			continue;
 		if (is_near && !s->is_poller[from] && !sim_has_bridge(s, from))
 			pushes = 0;
-		sum = beats * sim_heartbeat_bytes(s, from, is_near) +
+		sum = beats * sim_heartbeat_bytes(s, from, to) +
 		      pushes * delta + 2 * SIM_EMPTY_BYTES;
 		bytes[from] += sum;
 		bytes[to] += sum;
--- a/shared/heartbeat.c
+++ b/shared/heartbeat.c
@@ -54,6 +54,12 @@
 	INT_FIELD(struct heartbeat, state_version),
 	INT_FIELD(struct heartbeat, config_version),
 	INT_FIELD(struct heartbeat, status_version),
+	INT_FIELD(struct heartbeat, view),
+	INT_FIELD(struct heartbeat, heard_age_ms),
+	{ .name = "silent",
+	  .type = FIELD_STRINGS,
+	  .offset = offsetof(struct heartbeat, silent),
+	  .max = MAX_HEARD },
 	ARRAY_FIELD(pools, pool_schema, MAX_POOLS),
 	ARRAY_FIELD(heard, heard_schema, MAX_HEARD),
 	ARRAY_FIELD(records, member_record_schema, MAX_RECORDS),
@@ -62,3 +68,17 @@
 
 const struct schema heartbeat_schema = { sizeof(struct heartbeat),
 					 heartbeat_fields };
+
+json_object *heartbeat_encode(const struct heartbeat *h)
+{
+	json_object *json = schema_encode(&heartbeat_schema, h);
+
+	for (const struct field_spec *f = heartbeat_fields; f->name; f++) {
+		json_object *value = json_object_object_get(json, f->name);
+
+		if (json_object_is_type(value, json_type_array) &&
+		    json_object_array_length(value) == 0)
+			json_object_object_del(json, f->name);
+	}
+	return json;
+}
--- a/shared/heartbeat.h
+++ b/shared/heartbeat.h
@@ -12,7 +12,7 @@
 #include "base/schema.h"
 #include "shared/member_record.h"
 
-/** A member that the sender hears itself. */
+/** A member that the sender hears itself, told by its name. */
 struct heard_member {
 	char *node;
 	int64_t generation;
@@ -32,11 +32,21 @@
 	int64_t state_version;
 	int64_t config_version;
 	int64_t status_version;
-	GArray *pools;	 /**< of struct heartbeat_pool */
-	GArray *heard;	 /**< of struct heard_member */
-	GArray *records; /**< of struct member_record */
+	int64_t view; /**< digest of whom the sender takes for living */
+	/**
+	 * The sender hears all living members of its domain under that digest
+	 * except the silent ones, each of them within this time.
+	 */
+	int64_t heard_age_ms;
+	GPtrArray *silent; /**< of char *; may be NULL */
+	GArray *pools;	   /**< of struct heartbeat_pool */
+	GArray *heard;	   /**< of struct heard_member */
+	GArray *records;   /**< of struct member_record */
 };
 
 extern const struct schema heartbeat_schema;
 
+/** Encodes a heartbeat without its empty lists; free with put. */
+json_object *heartbeat_encode(const struct heartbeat *h);
+
 #endif
--- /dev/null
+++ b/shared/member_heartbeat.c
@@ -0,0 +1,113 @@
+#include "shared/member_heartbeat.h"
+
+/** Age up to which a member is heard as the view says: a heartbeat, late. */
+#define FRESH_MS INT64_C(1250)
+#define MAX_FULL_AT 32U
+
+static void add_heard(const struct member_table *t, const struct member *m,
+		      int64_t now_ms, GArray *out)
+{
+	struct heard_member heard = {
+		.node = g_strdup(m->record.identity.node),
+		.generation = m->record.generation,
+		.age_ms = MAX(now_ms - m->heard_ms, 0),
+	};
+
+	g_array_append_val(out, heard);
+}
+
+static void add_record(const struct member *m, GArray *out)
+{
+	struct member_record record = { 0 };
+
+	member_record_copy(&record, &m->record);
+	g_array_append_val(out, record);
+}
+
+static void add_disputed(const struct member_table *t, const struct member *m,
+			 GArray *out)
+{
+	struct member_record record = { 0 };
+
+	member_record_copy(&record, &m->record);
+	record.state = m->disputed_state;
+	record.state_version = m->disputed_version;
+	if (t->rules->is_newer_state(&record, &m->record))
+		g_array_append_val(out, record);
+	else
+		member_record_clear(&record);
+}
+
+/* Tells whether a process certainly knows whom this one's view names. */
+static gboolean has_same_view(const struct member_table *t, int64_t now_ms,
+			      const struct member *to)
+{
+	return to && now_ms - to->heard_ms <= FRESH_MS &&
+	       to->view == member_view_digest(&t->view);
+}
+
+static void fill_heard(const struct member_table *t, int64_t now_ms,
+		       gboolean is_all, struct heartbeat *out)
+{
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+		int64_t age_ms = now_ms - m->heard_ms;
+		gboolean is_told;
+
+		if (m == t->self || !member_table_is_near(t, m))
+			continue;
+		is_told = member_is_live(m) && age_ms <= FRESH_MS;
+		if (is_told)
+			out->heard_age_ms = MAX(out->heard_age_ms, age_ms);
+		else if (member_is_live(m))
+			g_ptr_array_add(out->silent,
+					g_strdup(m->record.identity.node));
+		if ((is_all || !is_told) && age_ms < MEMBER_SUSPECT_MS)
+			add_heard(t, m, now_ms, out->heard);
+	}
+}
+
+void member_heartbeat_fill(const struct member_table *t, int64_t now_ms,
+			   int64_t since, const struct link_identity *to,
+			   struct heartbeat *out)
+{
+	const struct member_record *own = &t->self->record;
+	const struct member *receiver = member_table_find(t, to->node);
+
+	out->generation = own->generation;
+	out->state = own->state;
+	out->state_version = own->state_version;
+	out->config_version = own->config_version;
+	out->status_version = own->status_version;
+	out->view = member_view_digest(&t->view);
+	out->silent = g_ptr_array_new_with_free_func(g_free);
+	out->pools = g_array_new(FALSE, TRUE, sizeof(struct heartbeat_pool));
+	out->heard = g_array_new(FALSE, TRUE, sizeof(struct heard_member));
+	out->records = g_array_new(FALSE, TRUE, sizeof(struct member_record));
+	if (g_str_equal(to->failure_domain, own->identity.failure_domain))
+		fill_heard(t, now_ms, !has_same_view(t, now_ms, receiver), out);
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+
+		if (m != t->self && m->change > since)
+			add_record(m, out->records);
+	}
+	if (receiver && receiver->is_disputed)
+		add_disputed(t, receiver, out->records);
+}
+
+gboolean member_heartbeat_owes_all(const struct member_table *t,
+				   const char *node)
+{
+	const struct member *m = member_table_find(t, node);
+
+	return m && m->mismatches >= m->full_at;
+}
+
+void member_heartbeat_told_all(struct member_table *t, const char *node)
+{
+	struct member *m = member_table_find(t, node);
+
+	if (m)
+		m->full_at = MIN(2 * m->full_at, MAX_FULL_AT);
+}
--- a/shared/member_table.c
+++ b/shared/member_table.c
@@ -35,11 +35,32 @@
 	m->suspect_ms = now_ms;
 	m->ended_ms = now_ms;
 	m->change = ++t->changes;
+	m->full_at = MEMBER_FULL_AT;
 	g_ptr_array_add(t->members, m);
 	g_ptr_array_sort(t->members, compare_members);
 	return m;
 }
 
+static gboolean has_ended(const struct member *m)
+{
+	return m->record.state == MEMBER_DEAD || m->record.state == MEMBER_LEFT;
+}
+
+static void note_view(struct member_table *t)
+{
+	int64_t digest = MEMBER_VIEW_NONE;
+
+	if (t->view.count > 0 && t->view.entries[0].change == t->changes)
+		return;
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+
+		if (!has_ended(m))
+			digest = member_view_add(digest, &m->record);
+	}
+	member_view_note(&t->view, digest, t->changes);
+}
+
 void member_table_init(struct member_table *t, const struct link_identity *self,
 		       int64_t generation, int64_t now_ms)
 {
@@ -50,6 +71,7 @@
 	t->step_ms = now_ms;
 	record.identity = *self;
 	t->self = add(t, &record, now_ms);
+	note_view(t);
 }
 
 void member_table_clear(struct member_table *t)
@@ -68,17 +90,13 @@
 	return NULL;
 }
 
-static gboolean is_near(const struct member_table *t, const struct member *m)
+gboolean member_table_is_near(const struct member_table *t,
+			      const struct member *m)
 {
 	return g_str_equal(m->record.identity.failure_domain,
 			   t->self->record.identity.failure_domain);
 }
 
-static gboolean has_ended(const struct member *m)
-{
-	return m->record.state == MEMBER_DEAD || m->record.state == MEMBER_LEFT;
-}
-
 gboolean member_is_live(const struct member *m)
 {
 	return m->record.state == MEMBER_ALIVE ||
@@ -126,14 +144,23 @@
 			    const struct member *m,
 			    const struct member_record *record, int64_t now_ms)
 {
-	return record->generation == m->record.generation && is_near(t, m) &&
+	return record->generation == m->record.generation &&
+	       member_table_is_near(t, m) &&
 	       (record->state == MEMBER_SUSPECT ||
 		record->state == MEMBER_DEAD) &&
 	       silence_ms(m, now_ms) < MEMBER_SUSPECT_MS;
 }
 
-void member_table_merge(struct member_table *t, int64_t now_ms,
-			const struct member_record *record)
+/* The member itself is told, so that it refutes also where it isn't heard. */
+static void dispute(struct member *m, const struct member_record *said)
+{
+	m->is_disputed = TRUE;
+	m->disputed_state = said->state;
+	m->disputed_version = said->state_version;
+}
+
+static void merge(struct member_table *t, int64_t now_ms,
+		  const struct member_record *record)
 {
 	struct member *m = member_table_find(t, record->identity.node);
 	gboolean is_next;
@@ -146,16 +173,27 @@
 		refute(t, record);
 		return;
 	}
-	if (contradicts(t, m, record, now_ms))
+	if (contradicts(t, m, record, now_ms)) {
+		dispute(m, record);
 		return;
+	}
 	is_next = record->generation > m->record.generation;
 	if (!member_record_merge(&m->record, record, t->rules))
 		return;
-	if (is_next)
+	if (is_next) {
 		m->indirect_ms = now_ms;
+		m->is_disputed = FALSE;
+	}
 	set_state(t, m, now_ms, (enum member_state)m->record.state);
 }
 
+void member_table_merge(struct member_table *t, int64_t now_ms,
+			const struct member_record *record)
+{
+	merge(t, now_ms, record);
+	note_view(t);
+}
+
 static void take_evidence(struct member_table *t, int64_t now_ms,
 			  const struct heartbeat *h)
 {
@@ -170,6 +208,53 @@
 	}
 }
 
+static gboolean is_silent_to(const struct heartbeat *h, const struct member *m)
+{
+	return h->silent &&
+	       g_ptr_array_find_with_equal_func(
+		       h->silent, m->record.identity.node, g_str_equal, NULL);
+}
+
+/*
+ * Under a view that was also this process's own, the sender hears all members
+ * that were in it; those that have changed since then aren't meant.
+ */
+static void take_view(struct member_table *t, int64_t now_ms,
+		      const struct member *from, const struct heartbeat *h)
+{
+	int64_t change = member_view_find(&t->view, h->view);
+
+	if (h->view == MEMBER_VIEW_NONE || !member_table_is_near(t, from))
+		return;
+	for (guint i = 0; i < t->members->len; i++) {
+		struct member *m = g_ptr_array_index(t->members, i);
+
+		if (m != t->self && m != from && m->change <= change &&
+		    member_is_live(m) && member_table_is_near(t, m) &&
+		    !is_silent_to(h, m))
+			m->indirect_ms =
+				MAX(m->indirect_ms, now_ms - h->heard_age_ms);
+	}
+}
+
+/* Two views that stay apart are told in full ever more rarely. */
+static void compare_view(const struct member_table *t, struct member *from,
+			 int64_t view)
+{
+	int64_t own = member_view_digest(&t->view);
+	gboolean is_same = view == MEMBER_VIEW_NONE || view == own;
+	gboolean is_moving = view != from->view || own != from->compared_view;
+
+	from->view = view;
+	from->compared_view = own;
+	from->mismatches = is_same ? 0 : from->mismatches + 1;
+	if (is_same)
+		from->full_at = MEMBER_FULL_AT;
+	else if (is_moving)
+		from->full_at = MIN(from->full_at,
+				    from->mismatches + MEMBER_FULL_AT - 1);
+}
+
 void member_table_on_heartbeat(struct member_table *t, int64_t now_ms,
 			       const struct link_identity *from,
 			       const struct heartbeat *h)
@@ -184,7 +269,7 @@
 	};
 	struct member *m;
 
-	member_table_merge(t, now_ms, &record);
+	merge(t, now_ms, &record);
 	m = member_table_find(t, from->node);
 	if (m && m != t->self && m->record.generation == h->generation) {
 		m->heard_ms = now_ms;
@@ -194,9 +279,15 @@
 	}
 	take_evidence(t, now_ms, h);
 	for (guint i = 0; i < h->records->len; i++)
-		member_table_merge(
-			t, now_ms,
-			&g_array_index(h->records, struct member_record, i));
+		merge(t, now_ms,
+		      &g_array_index(h->records, struct member_record, i));
+	note_view(t);
+	if (!m || m == t->self)
+		return;
+	/* Under an older generation it has yet to learn of the known one. */
+	compare_view(t, m, h->view);
+	if (m->record.generation == h->generation)
+		take_view(t, now_ms, m, h);
 }
 
 static void step_member(struct member_table *t, struct member *m,
@@ -252,11 +343,32 @@
 
 		if (m == t->self)
 			continue;
-		if (has_ended(m) && now_ms - m->ended_ms >= MEMBER_FORGET_MS)
+		if (has_ended(m) && now_ms - m->ended_ms >= MEMBER_FORGET_MS) {
 			g_ptr_array_remove_index(t->members, i - 1);
-		else if (is_near(t, m))
+			t->changes++;
+		} else if (member_table_is_near(t, m)) {
 			step_member(t, m, now_ms);
+		}
+	}
+	note_view(t);
+}
+
+int64_t member_table_due_ms(const struct member_table *t)
+{
+	int64_t due_ms = INT64_MAX;
+
+	for (guint i = 0; i < t->members->len; i++) {
+		const struct member *m = g_ptr_array_index(t->members, i);
+
+		if (m == t->self || !member_table_is_near(t, m) || has_ended(m))
+			continue;
+		if (m->record.state == MEMBER_SUSPECT)
+			due_ms = MIN(due_ms, m->suspect_ms + MEMBER_DEAD_MS);
+		else
+			due_ms = MIN(due_ms, MAX(m->heard_ms, m->indirect_ms) +
+						     MEMBER_SUSPECT_MS);
 	}
+	return due_ms;
 }
 
 void member_table_set_status(struct member_table *t, int64_t config_version)
@@ -278,53 +390,7 @@
 	own->state = MEMBER_LEAVING;
 	own->state_version++;
 	t->self->change = ++t->changes;
-}
-
-static void add_heard(const struct member_table *t, const struct member *m,
-		      int64_t now_ms, GArray *out)
-{
-	struct heard_member heard = {
-		.node = g_strdup(m->record.identity.node),
-		.generation = m->record.generation,
-		.age_ms = MAX(now_ms - m->heard_ms, 0),
-	};
-
-	g_array_append_val(out, heard);
-}
-
-static void add_record(const struct member *m, GArray *out)
-{
-	struct member_record record = { 0 };
-
-	member_record_copy(&record, &m->record);
-	g_array_append_val(out, record);
-}
-
-void member_table_heartbeat(const struct member_table *t, int64_t now_ms,
-			    int64_t since, gboolean with_heard,
-			    struct heartbeat *out)
-{
-	const struct member_record *own = &t->self->record;
-
-	out->generation = own->generation;
-	out->state = own->state;
-	out->state_version = own->state_version;
-	out->config_version = own->config_version;
-	out->status_version = own->status_version;
-	out->pools = g_array_new(FALSE, TRUE, sizeof(struct heartbeat_pool));
-	out->heard = g_array_new(FALSE, TRUE, sizeof(struct heard_member));
-	out->records = g_array_new(FALSE, TRUE, sizeof(struct member_record));
-	for (guint i = 0; i < t->members->len; i++) {
-		const struct member *m = g_ptr_array_index(t->members, i);
-
-		if (m == t->self)
-			continue;
-		if (with_heard && is_near(t, m) &&
-		    now_ms - m->heard_ms < MEMBER_SUSPECT_MS)
-			add_heard(t, m, now_ms, out->heard);
-		if (m->change > since)
-			add_record(m, out->records);
-	}
+	note_view(t);
 }
 
 GPtrArray *member_table_live(const struct member_table *t, enum link_role role,
@@ -402,7 +468,7 @@
 
 		if (m == t->self || m->record.state == MEMBER_LEFT)
 			continue;
-		if (is_near(t, m))
+		if (member_table_is_near(t, m))
 			is_target = TRUE;
 		else
 			is_target = member_is_live(m) && is_bridged(t, m);
--- a/shared/member_table.h
+++ b/shared/member_table.h
@@ -16,6 +16,7 @@
 
 #include "shared/heartbeat.h"
 #include "shared/member_record.h"
+#include "shared/member_view.h"
 
 /** From one heartbeat to the next. */
 #define MEMBER_HEARTBEAT_MS INT64_C(1000)
@@ -25,6 +26,9 @@
 #define MEMBER_DEAD_MS INT64_C(3000)
 /** Time for which dead members are remembered. */
 #define MEMBER_FORGET_MS INT64_C(600000)
+/** Heartbeats with another view after which a member is told all: a change is
+ *  still on its way in the first one. */
+#define MEMBER_FULL_AT 2U
 /** Links between two domains are held by this many members of each. */
 #define MEMBER_BRIDGES 2
 
@@ -37,18 +41,27 @@
 
 struct member {
 	struct member_record record;
-	int64_t heard_ms;    /**< last heartbeat from itself */
-	int64_t indirect_ms; /**< last time another member heard it */
-	int64_t suspect_ms;  /**< since when it is suspect */
-	int64_t ended_ms;    /**< since when it is dead or has left */
-	int64_t change;	     /**< number of its last change in the table */
-	enum vm_hint hint;   /**< by shared/vm_list.h */
+	int64_t heard_ms;      /**< last heartbeat from itself */
+	int64_t indirect_ms;   /**< last time another member heard it */
+	int64_t suspect_ms;    /**< since when it is suspect */
+	int64_t ended_ms;      /**< since when it is dead or has left */
+	int64_t change;	       /**< number of its last change in the table */
+	int64_t view;	       /**< digest that it has told last */
+	int64_t compared_view; /**< own digest that it was compared with */
+	guint mismatches;      /**< heartbeats in a row with another digest */
+	guint full_at;	       /**< mismatches after which it is told all */
+	/** Loss that others tell of a member that is heard here. */
+	int64_t disputed_state;
+	int64_t disputed_version;
+	gboolean is_disputed;
+	enum vm_hint hint; /**< by shared/vm_list.h */
 };
 
 struct member_table {
 	const struct member_rules *rules;
 	GPtrArray *members; /**< of struct member, sorted by node */
 	struct member *self;
+	struct member_view view;
 	int64_t changes;
 	int64_t step_ms; /**< of the last step */
 };
@@ -61,6 +74,10 @@
 struct member *member_table_find(const struct member_table *t,
 				 const char *node);
 
+/** Tells whether a member is of this process's own failure domain. */
+gboolean member_table_is_near(const struct member_table *t,
+			      const struct member *m);
+
 /** Takes a heartbeat from the process that @from has proved to be. */
 void member_table_on_heartbeat(struct member_table *t, int64_t now_ms,
 			       const struct link_identity *from,
@@ -78,14 +95,10 @@
 void member_table_leave(struct member_table *t);
 
 /**
- * Fills a heartbeat.
- *
- * @param since		number of the last change already sent on the link
- * @param with_heard	adds whom this process hears
+ * Returns the time of the next step at which a silence has lasted long enough,
+ * if nothing is heard until then.
  */
-void member_table_heartbeat(const struct member_table *t, int64_t now_ms,
-			    int64_t since, gboolean with_heard,
-			    struct heartbeat *out);
+int64_t member_table_due_ms(const struct member_table *t);
 
 /** Tells whether a member may be given work: alive or only suspect. */
 gboolean member_is_live(const struct member *m);
--- a/shared/membership_service.c
+++ b/shared/membership_service.c
@@ -6,13 +6,14 @@
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
 #include "link/link_service.h"
+#include "shared/member_heartbeat.h"
 #include "shared/pool_lease.h"
 #include "shared/vm_list.h"
 
-#define TICK_MS 250
-/** Ticks from one heartbeat to the next, within the domain and across. */
-#define NEAR_TICKS (MEMBER_HEARTBEAT_MS / TICK_MS)
-#define BRIDGE_TICKS (2 * NEAR_TICKS)
+/** Longest time between two steps, by which an own pause is known. */
+#define STEP_MS INT64_C(500)
+/** Heartbeats within the domain for one across. */
+#define BRIDGE_BEATS 2
 #define VM_LIST_MS 10000
 
 struct subscriber {
@@ -28,9 +29,12 @@
 	GHashTable *sent;    /**< node to the last change sent on its link */
 	GHashTable *states;  /**< node to the state last logged */
 	GArray *subscribers; /**< of struct subscriber */
-	int64_t ticks;
+	int64_t beats;
+	int64_t beat_ms;	/**< when the next heartbeat is due */
+	int64_t seen_changes;	/**< of the table, when they were logged */
+	int64_t target_changes; /**< of the table, when links were chosen */
 	gboolean is_listing;
-	guint tick_timer;
+	guint step_timer;
 	guint list_timer;
 };
 
@@ -41,6 +45,30 @@
 	g_hash_table_remove(s->sent, to->node);
 }
 
+static void log_states(struct membership_service *s)
+{
+	if (s->seen_changes == s->table.changes)
+		return;
+	s->seen_changes = s->table.changes;
+	for (guint i = 0; i < s->table.members->len; i++) {
+		const struct member *m = g_ptr_array_index(s->table.members, i);
+		const char *state = member_state_names[m->record.state];
+		const char *node = m->record.identity.node;
+		struct log_line line;
+
+		if (g_strcmp0(g_hash_table_lookup(s->states, node), state) == 0)
+			continue;
+		g_hash_table_replace(s->states, g_strdup(node),
+				     (gpointer)state);
+		log_begin(&line, LOG_LEVEL_INFO, "member");
+		log_str(&line, "member", node);
+		log_str(&line, "state", state);
+		log_str(&line, "incarnation", m->record.identity.incarnation);
+		log_int(&line, "generation", m->record.generation);
+		log_end(&line);
+	}
+}
+
 static void on_heartbeat(const struct link_identity *from, json_object *body,
 			 void *data)
 {
@@ -52,6 +80,7 @@
 	if (!schema_decode(&heartbeat_schema, body, &h, "", NULL, &findings))
 		goto out;
 	member_table_on_heartbeat(&s->table, util_monotonic_ms(), from, &h);
+	log_states(s);
 	for (guint i = 0; i < s->subscribers->len; i++) {
 		const struct subscriber *sub =
 			&g_array_index(s->subscribers, struct subscriber, i);
@@ -63,29 +92,48 @@
 	finding_list_clear(&findings);
 }
 
-static void send_heartbeat(struct membership_service *s,
-			   const struct link_identity *to, gboolean is_near)
+static void note_sent(struct membership_service *s, const char *node,
+		      gboolean is_all)
 {
-	struct pool_lease_service *leases;
+	int64_t *sent = g_new(int64_t, 1);
+
+	*sent = s->table.changes;
+	g_hash_table_replace(s->sent, g_strdup(node), sent);
+	if (is_all)
+		member_heartbeat_told_all(&s->table, node);
+}
+
+/* Encodes what is told to one process. */
+static json_object *encode_heartbeat(struct membership_service *s,
+				     const struct link_identity *to,
+				     gboolean is_near, gboolean is_all)
+{
+	struct pool_lease_service *leases =
+		(struct pool_lease_service *)kernel_find(s->kernel,
+							 POOL_LEASE_SERVICE);
+	const int64_t *sent = g_hash_table_lookup(s->sent, to->node);
 	struct heartbeat h = { 0 };
-	int64_t *since = g_hash_table_lookup(s->sent, to->node);
 	json_object *body;
 
-	member_table_heartbeat(&s->table, util_monotonic_ms(),
-			       since ? *since : 0, is_near, &h);
-	leases = (struct pool_lease_service *)kernel_find(s->kernel,
-							  POOL_LEASE_SERVICE);
+	member_heartbeat_fill(&s->table, util_monotonic_ms(),
+			      sent && !is_all ? *sent : 0, to, &h);
 	if (leases && is_near)
 		pool_lease_describe(leases, h.pools);
-	body = schema_encode(&heartbeat_schema, &h);
+	body = heartbeat_encode(&h);
+	schema_clear(&heartbeat_schema, &h);
+	return body;
+}
+
+static void send_heartbeat(struct membership_service *s,
+			   const struct link_identity *to, gboolean is_near)
+{
+	gboolean is_all = member_heartbeat_owes_all(&s->table, to->node);
+	json_object *body = encode_heartbeat(s, to, is_near, is_all);
+
 	if (link_service_send(s->link, to->node, MESSAGE_HEARTBEAT, body) ==
-	    STATUS_OK) {
-		since = g_new(int64_t, 1);
-		*since = s->table.changes;
-		g_hash_table_replace(s->sent, g_strdup(to->node), since);
-	}
+	    STATUS_OK)
+		note_sent(s, to->node, is_all);
 	json_object_put(body);
-	schema_clear(&heartbeat_schema, &h);
 }
 
 static void send_heartbeats(struct membership_service *s, gboolean to_bridges)
@@ -118,8 +166,12 @@
 static void update_targets(struct membership_service *s)
 {
 	const GPtrArray *seeds = settings_of(s->kernel)->seeds;
-	GPtrArray *targets = member_table_targets(&s->table);
+	GPtrArray *targets;
 
+	if (s->target_changes == s->table.changes)
+		return;
+	s->target_changes = s->table.changes;
+	targets = member_table_targets(&s->table);
 	for (guint i = 0; seeds && i < seeds->len; i++) {
 		if (!is_known_link(&s->table, seeds->pdata[i]))
 			g_ptr_array_add(targets, g_strdup(seeds->pdata[i]));
@@ -128,27 +180,6 @@
 	g_ptr_array_unref(targets);
 }
 
-static void log_states(struct membership_service *s)
-{
-	for (guint i = 0; i < s->table.members->len; i++) {
-		const struct member *m = g_ptr_array_index(s->table.members, i);
-		const char *state = member_state_names[m->record.state];
-		const char *node = m->record.identity.node;
-		struct log_line line;
-
-		if (g_strcmp0(g_hash_table_lookup(s->states, node), state) == 0)
-			continue;
-		g_hash_table_replace(s->states, g_strdup(node),
-				     (gpointer)state);
-		log_begin(&line, LOG_LEVEL_INFO, "member");
-		log_str(&line, "member", node);
-		log_str(&line, "state", state);
-		log_str(&line, "incarnation", m->record.identity.incarnation);
-		log_int(&line, "generation", m->record.generation);
-		log_end(&line);
-	}
-}
-
 static int64_t config_version(const struct membership_service *s)
 {
 	const struct config_service *config;
@@ -163,32 +194,52 @@
 	struct counters *c = kernel_counters(s->kernel);
 	const struct link_traffic *t = link_service_traffic(s->link);
 
-	counter_set(counters_gauge(c, "link_sent_bytes", "sent on links"),
+	counter_set(counters_gauge(c, "cs_link_sent_bytes", "sent on links"),
 		    t->sent_bytes);
-	counter_set(
-		counters_gauge(c, "link_received_bytes", "received on links"),
-		t->received_bytes);
-	counter_set(counters_gauge(c, "link_sent_frames", "sent on links"),
+	counter_set(counters_gauge(c, "cs_link_received_bytes",
+				   "received on links"),
+		    t->received_bytes);
+	counter_set(counters_gauge(c, "cs_link_sent_frames", "sent on links"),
 		    t->sent_frames);
-	counter_set(
-		counters_gauge(c, "link_received_frames", "received on links"),
-		t->received_frames);
+	counter_set(counters_gauge(c, "cs_link_received_frames",
+				   "received on links"),
+		    t->received_frames);
 }
 
-static gboolean on_tick(gpointer data)
+static void beat(struct membership_service *s, int64_t now_ms)
+{
+	update_targets(s);
+	send_heartbeats(s, s->beats % BRIDGE_BEATS == 0);
+	count_traffic(s);
+	s->beats++;
+	s->beat_ms += MEMBER_HEARTBEAT_MS;
+	if (s->beat_ms <= now_ms)
+		s->beat_ms = now_ms + MEMBER_HEARTBEAT_MS;
+}
+
+static gboolean on_step(gpointer data);
+
+/* For the next heartbeat or the end of a silence, whichever is first. */
+static void arm_step(struct membership_service *s, int64_t now_ms)
+{
+	int64_t at_ms = MIN(s->beat_ms, member_table_due_ms(&s->table));
+	int64_t delay_ms = CLAMP(at_ms - now_ms, 1, STEP_MS);
+
+	s->step_timer = g_timeout_add((guint)delay_ms, on_step, s);
+}
+
+static gboolean on_step(gpointer data)
 {
 	struct membership_service *s = data;
+	int64_t now_ms = util_monotonic_ms();
 
 	member_table_set_status(&s->table, config_version(s));
-	member_table_step(&s->table, util_monotonic_ms());
+	member_table_step(&s->table, now_ms);
 	log_states(s);
-	if (s->ticks % NEAR_TICKS == 0) {
-		update_targets(s);
-		send_heartbeats(s, s->ticks % BRIDGE_TICKS == 0);
-		count_traffic(s);
-	}
-	s->ticks++;
-	return G_SOURCE_CONTINUE;
+	if (now_ms >= s->beat_ms)
+		beat(s, now_ms);
+	arm_step(s, now_ms);
+	return G_SOURCE_REMOVE;
 }
 
 static void on_vm_list(const struct platform_result *result, void *data)
@@ -222,9 +273,9 @@
 			  util_monotonic_ms());
 	link_service_handle(s->link, MESSAGE_HEARTBEAT, on_heartbeat, s);
 	link_service_on_up(s->link, on_link_up, s);
-	s->tick_timer = g_timeout_add(TICK_MS, on_tick, s);
 	s->list_timer = g_timeout_add(VM_LIST_MS, on_list_timer, s);
-	on_tick(s);
+	s->beat_ms = util_monotonic_ms();
+	on_step(s);
 	on_list_timer(s);
 	return STATUS_OK;
 }
@@ -241,8 +292,8 @@
 {
 	struct membership_service *s = (struct membership_service *)base;
 
-	if (s->tick_timer)
-		g_source_remove(s->tick_timer);
+	if (s->step_timer)
+		g_source_remove(s->step_timer);
 	if (s->list_timer)
 		g_source_remove(s->list_timer);
 	if (s->kernel)
--- a/tests/member_world.c
+++ b/tests/member_world.c
@@ -1,5 +1,7 @@
 #include "tests/member_world.h"
 
+#include "shared/member_heartbeat.h"
+
 #define PROCESSES 4
 #define STEP_MS 250
 #define STEPS_PER_HEARTBEAT (MEMBER_HEARTBEAT_MS / STEP_MS)
@@ -17,6 +19,7 @@
 	struct member_table table;
 	int64_t steps;
 	int64_t paused_until_ms;
+	int64_t sent[PROCESSES]; /* last change sent, also when it was lost */
 	/* What it knew of each member, to see that no version falls. */
 	struct member_record known[PROCESSES];
 };
@@ -67,8 +70,10 @@
 	member_table_init(&p->table, &p->identity,
 			  explorer_range(w->e, 1, 1000), w->e->now_ms);
 	p->table.rules = &w->plant.rules;
-	for (guint i = 0; i < PROCESSES; i++)
+	for (guint i = 0; i < PROCESSES; i++) {
 		member_record_clear(&p->known[i]);
+		p->sent[i] = 0;
+	}
 }
 
 static void on_message(void *data)
@@ -91,35 +96,57 @@
 					  &m->heartbeat);
 }
 
-static void send_copy(struct process *p, guint to)
+static void send_copy(struct process *p, guint to, const struct heartbeat *h)
 {
 	struct world *w = p->world;
 	struct message *m = g_new0(struct message, 1);
-
+	json_object *json = heartbeat_encode(h);
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	schema_decode(&heartbeat_schema, json, &m->heartbeat, "", NULL,
+		      &findings);
+	finding_list_clear(&findings);
+	json_object_put(json);
 	m->world = w;
 	m->to = to;
 	m->to_life = w->processes[to].life;
 	link_identity_copy(&m->from, &p->identity);
-	/* All is told each time: lost messages are not sent again. */
-	member_table_heartbeat(&p->table, w->e->now_ms, 0, TRUE, &m->heartbeat);
 	explorer_after(w->e,
 		       w->is_healed ? 1
 				    : explorer_delay(w->e, LONGEST_MESSAGE_MS),
 		       on_message, m, message_free);
 }
 
-static void send_heartbeats(struct process *p)
+/* What was lost is taken for sent: the views must bring it back. */
+static void send_heartbeat(struct process *p, guint to)
 {
 	struct world *w = p->world;
-
-	for (guint to = 0; to < PROCESSES; to++) {
-		if (to == p->index ||
-		    w->e->now_ms < w->cut_until_ms[p->index][to])
-			continue;
+	const char *node = w->processes[to].identity.node;
+	gboolean is_all = member_heartbeat_owes_all(&p->table, node);
+	struct heartbeat h = { 0 };
+
+	member_heartbeat_fill(&p->table, w->e->now_ms, is_all ? 0 : p->sent[to],
+			      &w->processes[to].identity, &h);
+	if (w->plant.ignore_views)
+		h.view = MEMBER_VIEW_NONE;
+	p->sent[to] = p->table.changes;
+	if (is_all)
+		member_heartbeat_told_all(&p->table, node);
+	if (w->e->now_ms >= w->cut_until_ms[p->index][to]) {
 		if (w->is_healed || !explorer_chance(w->e, LOST))
-			send_copy(p, to);
+			send_copy(p, to, &h);
 		if (!w->is_healed && explorer_chance(w->e, DOUBLED))
-			send_copy(p, to);
+			send_copy(p, to, &h);
+	}
+	schema_clear(&heartbeat_schema, &h);
+}
+
+static void send_heartbeats(struct process *p)
+{
+	for (guint to = 0; to < PROCESSES; to++) {
+		if (to != p->index)
+			send_heartbeat(p, to);
 	}
 }
 
--- a/tests/member_world.h
+++ b/tests/member_world.h
@@ -8,9 +8,10 @@
 #include "shared/member_table.h"
 #include "tests/explorer.h"
 
-/** A fault planted into the merging of records. */
+/** A fault planted into what members tell each other. */
 struct member_plant {
 	struct member_rules rules;
+	gboolean ignore_views; /**< lost changes are not looked for */
 };
 
 extern const struct explorer_world member_world;
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -76,8 +76,9 @@
 		.ignore_versions = TRUE,
 	};
 	static const struct config_plant base_ignored = { .ignore_base = TRUE };
-	struct member_plant states = { member_rules_default };
-	struct member_plant statuses = { member_rules_default };
+	struct member_plant states = { member_rules_default, FALSE };
+	struct member_plant statuses = { member_rules_default, FALSE };
+	struct member_plant no_views = { member_rules_default, TRUE };
 	const struct plant_case cases[] = {
 		{ "expiry counted from the answer", &lease_world, &plants[0],
 		  "two holders at once" },
@@ -95,6 +96,8 @@
 		  "version of a state falls" },
 		{ "status compare removed", &member_world, &statuses,
 		  "version of a status falls" },
+		{ "views of members not compared", &member_world, &no_views,
+		  "does not see" },
 	};
 
 	plants[0].rules.valid_from = from_answer;
