VM list: read conditionally by one reader a process, decoded entry by entry

Cause: each service of a process read the whole list by itself, a gateway each second, and one entry that could not be decoded refused the list. Change: platform/vm_reader keeps one decoded list a process, by failure domain, with ETag and filter; entries are decoded one by one by platform/vm_list, also for the check of guarantees. Addresses that are no IP:PORT are left out. The stand-in gives ETags and the filter and takes entries as they are.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -160,6 +160,9 @@
 		text = g_strndup(g_bytes_get_data(bytes, NULL),
 				 g_bytes_get_size(bytes));
 		reply.text = text;
+		reply.etag = soup_message_headers_get_one(
+			soup_message_get_response_headers(call->message),
+			"ETag");
 	} else {
 		reply.status = status_fail(call->is_sent ? STATUS_UNKNOWN
 							 : STATUS_UNAVAILABLE,
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -24,6 +24,7 @@
 	guint code;	   /**< HTTP status code, 0 without an answer */
 	json_object *body; /**< NULL when absent or not JSON; not owned */
 	const char *text;  /**< the body as it came, NULL without an answer */
+	const char *etag;  /**< the header, NULL when there is none */
 };
 
 typedef void (*http_reply_fn)(const struct http_reply *reply, void *data);
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -324,6 +324,20 @@
 	json_object_put(body);
 }
 
+void http_request_set_reply_header(struct http_request *r, const char *name,
+				   const char *value)
+{
+	if (!r->is_finished)
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(r->message),
+			name, value);
+}
+
+void http_request_reply_empty(struct http_request *r, guint code)
+{
+	reply(r, code, NULL, "");
+}
+
 void http_request_reply_text(struct http_request *r, guint code,
 			     const char *text)
 {
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -74,6 +74,13 @@
 /** Answers with a JSON body, which is taken over. */
 void http_request_reply(struct http_request *r, guint code, json_object *body);
 
+/** Sets a header of the answer, before the answer. */
+void http_request_set_reply_header(struct http_request *r, const char *name,
+				   const char *value);
+
+/** Answers without a body. */
+void http_request_reply_empty(struct http_request *r, guint code);
+
 /** Answers with a plain text. */
 void http_request_reply_text(struct http_request *r, guint code,
 			     const char *text);
--- a/base/schema.c
+++ b/base/schema.c
@@ -5,6 +5,7 @@
 struct decoder {
 	const struct schema_source *source;
 	struct finding_list *findings;
+	gboolean is_open; /* unknown members are passed over */
 };
 
 static gboolean decode_object(struct decoder *d, const struct schema *schema,
@@ -273,7 +274,7 @@
 		char *at;
 
 		(void)value;
-		if (find_field(schema, key))
+		if (d->is_open || find_field(schema, key))
 			continue;
 		allowed = field_names(schema);
 		at = join_path(path, key);
@@ -297,6 +298,15 @@
 	return decode_object(&d, schema, json, out, path);
 }
 
+gboolean schema_decode_open(const struct schema *schema, json_object *json,
+			    void *out, const char *path,
+			    struct finding_list *findings)
+{
+	struct decoder d = { .findings = findings, .is_open = TRUE };
+
+	return decode_object(&d, schema, json, out, path);
+}
+
 static json_object *encode_array(const struct schema *schema, GArray *array)
 {
 	json_object *json = json_object_new_array();
--- a/base/schema.h
+++ b/base/schema.h
@@ -70,6 +70,11 @@
 		       const struct schema_source *source,
 		       struct finding_list *findings);
 
+/** Decodes an object of an outside system: unknown members are passed over. */
+gboolean schema_decode_open(const struct schema *schema, json_object *json,
+			    void *out, const char *path,
+			    struct finding_list *findings);
+
 /** Encodes a struct, members in the order of the table; free with put. */
 json_object *schema_encode(const struct schema *schema, const void *in);
 
--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -135,18 +135,14 @@
 }
 
 /* Guarantees that the listed workers can't hold together are refused. */
-static void on_vms(const struct platform_result *result, void *data)
+static void check_guarantees(struct pending_post *pending,
+			     const struct vm_list *list)
 {
-	struct pending_post *pending = data;
 	const struct config_post *post = &pending->post;
 	struct finding_list findings;
 
-	if (result->status != STATUS_OK) {
-		refuse_unchecked(pending);
-		return;
-	}
 	finding_list_init(&findings);
-	if (!guarantee_check_vms(&pending->doc, result->object, &findings)) {
+	if (!guarantee_check_vms(&pending->doc, list, &findings)) {
 		http_request_reply_findings(pending->request, &findings);
 		pending_post_free(pending);
 		goto out;
@@ -159,6 +155,35 @@
 	finding_list_clear(&findings);
 }
 
+static void on_vms(const struct platform_result *result, void *data)
+{
+	struct finding_list findings;
+	struct vm_list list;
+
+	finding_list_init(&findings);
+	vm_list_init(&list);
+	if (result->status == STATUS_OK &&
+	    vm_list_decode(&list, result->object, &findings))
+		check_guarantees(data, &list);
+	else
+		refuse_unchecked(data);
+	vm_list_clear(&list);
+	finding_list_clear(&findings);
+}
+
+/* A process that has just started may hold no list yet. */
+static void read_vms(struct config_routes *r, struct pending_post *pending)
+{
+	const struct vm_list *list = vm_reader_list(vm_reader_of(r->kernel));
+	const struct vm_list_query query = { NULL, NULL };
+
+	if (list && list->is_whole)
+		check_guarantees(pending, list);
+	else
+		platform_vm_list(platform_of(r->kernel), &query, on_vms,
+				 pending);
+}
+
 static void handle_post(struct http_request *request, void *data)
 {
 	struct config_routes *r = data;
@@ -176,7 +201,7 @@
 	pending->routes = r;
 	pending->request = request;
 	if (check_post(json, pending, &findings)) {
-		platform_vm_list(platform_of(r->kernel), on_vms, pending);
+		read_vms(r, pending);
 	} else {
 		http_request_reply_findings(request, &findings);
 		pending_post_free(pending);
--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -9,15 +9,9 @@
 #include "daemon/platform_service.h"
 #include "daemon/pool_runner.h"
 #include "daemon/settings_service.h"
-#include "platform/vm_list.h"
 #include "shared/pool_lease.h"
 
 #define TICK_MS 50
-#define VM_LIST_MIN_MS INT64_C(1000)
-/** Of one VM in the list. */
-#define VM_LIST_ENTRY_BYTES INT64_C(220)
-/** That a process may spend on reading the list. */
-#define VM_LIST_BYTES_PER_S INT64_C(4000)
 #define POKE_PATH "/v1/jobs/poke"
 #define EXPLAIN_PATH "/v1/explain/job/"
 #define NAME_MAX_BYTES 256
@@ -27,8 +21,6 @@
 	struct kernel *kernel;
 	GPtrArray *runners; /**< of struct pool_runner */
 	guint tick_timer;
-	gboolean is_listing;
-	int64_t next_list_ms;
 };
 
 /** Body of POST /v1/jobs/poke. */
@@ -70,38 +62,6 @@
 	return (struct config_service *)kernel_find(s->kernel, CONFIG_SERVICE);
 }
 
-static struct pool_runner *add_runner(struct job_service *s, const char *pool)
-{
-	struct pool_runner *p = find_runner(s, pool);
-	const struct config_doc *doc = config_service_doc(config_of(s));
-
-	if (p)
-		return p;
-	p = pool_runner_new(s->kernel, pool);
-	if (doc)
-		scheduler_set_config(pool_runner_scheduler(p), doc,
-				     config_service_version(config_of(s)),
-				     util_monotonic_ms());
-	g_ptr_array_add(s->runners, p);
-	return p;
-}
-
-static void on_config(const struct config_doc *doc, int64_t version, void *data)
-{
-	struct job_service *s = data;
-
-	for (guint i = 0; i < s->runners->len; i++)
-		scheduler_set_config(
-			pool_runner_scheduler(s->runners->pdata[i]), doc,
-			version, util_monotonic_ms());
-}
-
-static void on_role(const char *pool, enum pool_role role, int64_t epoch,
-		    void *data)
-{
-	pool_runner_tick(add_runner(data, pool));
-}
-
 static struct listed_worker listed_worker_of(const struct vm_entry *vm)
 {
 	return (struct listed_worker){
@@ -123,8 +83,7 @@
 		g_array_new(FALSE, FALSE, sizeof(struct listed_worker));
 
 	for (guint i = 0; i < list->vms->len; i++) {
-		const struct vm_entry *vm =
-			&g_array_index(list->vms, struct vm_entry, i);
+		const struct vm_entry *vm = list->vms->pdata[i];
 		char *pool = g_strdup_printf("%s.%s", vm->service, domain);
 		struct listed_worker w = listed_worker_of(vm);
 
@@ -140,56 +99,53 @@
 	g_array_unref(workers);
 }
 
-static int64_t list_period_ms(guint vms)
+static struct pool_runner *add_runner(struct job_service *s, const char *pool)
 {
-	int64_t period_ms =
-		vms * VM_LIST_ENTRY_BYTES * MS_PER_S / VM_LIST_BYTES_PER_S;
+	struct pool_runner *p = find_runner(s, pool);
+	const struct config_doc *doc = config_service_doc(config_of(s));
+	const struct vm_list *list = vm_reader_list(vm_reader_of(s->kernel));
 
-	return MAX(period_ms, VM_LIST_MIN_MS);
+	if (p)
+		return p;
+	p = pool_runner_new(s->kernel, pool);
+	if (doc)
+		scheduler_set_config(pool_runner_scheduler(p), doc,
+				     config_service_version(config_of(s)),
+				     util_monotonic_ms());
+	g_ptr_array_add(s->runners, p);
+	if (list)
+		take_workers(s, p, list);
+	return p;
 }
 
-static void on_vm_list(const struct platform_result *result, void *data)
+static void on_config(const struct config_doc *doc, int64_t version, void *data)
 {
 	struct job_service *s = data;
-	struct finding_list findings;
-	struct vm_list list = { 0 };
 
-	s->is_listing = FALSE;
-	if (result->status != STATUS_OK)
-		return;
-	finding_list_init(&findings);
-	if (schema_decode(&vm_list_schema, result->object, &list, "", NULL,
-			  &findings)) {
-		s->next_list_ms =
-			util_monotonic_ms() + list_period_ms(list.vms->len);
-		for (guint i = 0; i < s->runners->len; i++)
-			take_workers(s, s->runners->pdata[i], &list);
-	} else {
-		struct log_line line;
+	for (guint i = 0; i < s->runners->len; i++)
+		scheduler_set_config(
+			pool_runner_scheduler(s->runners->pdata[i]), doc,
+			version, util_monotonic_ms());
+}
 
-		log_begin(&line, LOG_LEVEL_WARN, "vm_list_invalid");
-		log_end(&line);
-	}
-	schema_clear(&vm_list_schema, &list);
-	finding_list_clear(&findings);
+static void on_role(const char *pool, enum pool_role role, int64_t epoch,
+		    void *data)
+{
+	pool_runner_tick(add_runner(data, pool));
 }
 
-static void list_vms(struct job_service *s)
+static void on_vm_list(const struct vm_list *list, void *data)
 {
-	int64_t now_ms = util_monotonic_ms();
+	struct job_service *s = data;
 
-	if (s->is_listing || now_ms < s->next_list_ms)
-		return;
-	s->is_listing = TRUE;
-	s->next_list_ms = now_ms + VM_LIST_MIN_MS;
-	platform_vm_list(platform_of(s->kernel), on_vm_list, s);
+	for (guint i = 0; i < s->runners->len; i++)
+		take_workers(s, s->runners->pdata[i], list);
 }
 
 static gboolean on_tick(gpointer data)
 {
 	struct job_service *s = data;
 
-	list_vms(s);
 	for (guint i = 0; i < s->runners->len; i++)
 		pool_runner_tick(s->runners->pdata[i]);
 	return G_SOURCE_CONTINUE;
@@ -337,6 +293,7 @@
 	lease = (struct pool_lease_service *)kernel_find(k, POOL_LEASE_SERVICE);
 	pool_lease_subscribe(lease, on_role, s);
 	config_service_subscribe(config_of(s), on_config, s);
+	vm_reader_subscribe(vm_reader_of(k), on_vm_list, s);
 	http_server_route(server, "POST", POKE_PATH, handle_poke, s);
 	http_server_route(server, "GET", EXPLAIN_PATH, handle_explain, s);
 	pool = g_strdup_printf("%s.%s", settings_of(k)->service,
@@ -353,8 +310,6 @@
 
 	if (s->tick_timer)
 		g_source_remove(s->tick_timer);
-	if (s->kernel)
-		platform_forget(platform_of(s->kernel), s);
 	g_ptr_array_unref(s->runners);
 	g_free(s);
 }
--- a/daemon/platform_service.c
+++ b/daemon/platform_service.c
@@ -1,12 +1,37 @@
 #include "daemon/platform_service.h"
 
+#include "base/util.h"
 #include "daemon/settings_service.h"
 
 struct platform_service {
 	struct service base;
 	struct platform *platform;
+	struct vm_reader *vms;
+	guint vm_timer;
 };
 
+static gboolean on_vm_timer(gpointer data)
+{
+	struct platform_service *s = data;
+
+	vm_reader_step(s->vms, util_monotonic_ms());
+	return G_SOURCE_CONTINUE;
+}
+
+static void start_reader(struct platform_service *s, struct kernel *k)
+{
+	struct vm_reader_spec spec = {
+		.platform = s->platform,
+		.failure_domain = settings_of(k)->failure_domain,
+		.counters = kernel_counters(k),
+		.seed = g_random_int(),
+	};
+
+	s->vms = vm_reader_new(&spec);
+	s->vm_timer = g_timeout_add(VM_READER_STEP_MS, on_vm_timer, s);
+	on_vm_timer(s);
+}
+
 static enum status platform_service_start(struct service *base,
 					  struct kernel *k)
 {
@@ -21,13 +46,20 @@
 	};
 
 	s->platform = platform_new(&spec);
-	return s->platform ? STATUS_OK : STATUS_INVALID;
+	if (!s->platform)
+		return STATUS_INVALID;
+	start_reader(s, k);
+	return STATUS_OK;
 }
 
 static void platform_service_free(struct service *base)
 {
 	struct platform_service *s = (struct platform_service *)base;
 
+	if (s->vm_timer)
+		g_source_remove(s->vm_timer);
+	if (s->vms)
+		vm_reader_free(s->vms);
 	if (s->platform)
 		platform_free(s->platform);
 	g_free(s);
@@ -47,8 +79,17 @@
 	return &s->base;
 }
 
+static struct platform_service *service_of(const struct kernel *k)
+{
+	return (struct platform_service *)kernel_find(k, PLATFORM_SERVICE);
+}
+
 struct platform *platform_of(const struct kernel *k)
 {
-	return ((struct platform_service *)kernel_find(k, PLATFORM_SERVICE))
-		->platform;
+	return service_of(k)->platform;
+}
+
+struct vm_reader *vm_reader_of(const struct kernel *k)
+{
+	return service_of(k)->vms;
 }
--- a/daemon/request_service.c
+++ b/daemon/request_service.c
@@ -182,7 +182,7 @@
 	struct request_service *s = (struct request_service *)base;
 	const struct settings *settings = settings_of(k);
 	struct vm_watch_spec spec = {
-		.platform = platform_of(k),
+		.reader = vm_reader_of(k),
 		.service = settings->service,
 		.failure_domain = settings->failure_domain,
 		.vm = settings->vm,
--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -2,16 +2,14 @@
 
 #include <string.h>
 
-#include "base/log.h"
 #include "base/util.h"
-#include "platform/vm_list.h"
 
-#define POLL_MS 1000
+/** How often endpoints that are leaving are looked at again. */
+#define LEAVING_POLL_MS 1000
 
 struct vm_watch {
 	struct vm_watch_spec spec;
 	guint timer;
-	gboolean is_reading;
 	uint32_t gateways;
 };
 
@@ -35,8 +33,7 @@
 
 	endpoint_table_list_begin(w->spec.endpoints, util_monotonic_ms());
 	for (guint i = 0; i < list->vms->len; i++) {
-		const struct vm_entry *vm =
-			&g_array_index(list->vms, struct vm_entry, i);
+		const struct vm_entry *vm = list->vms->pdata[i];
 
 		if (!g_str_equal(vm->service, w->spec.service))
 			continue;
@@ -56,41 +53,31 @@
 	w->gateways = MAX(gateways, 1);
 }
 
-static void on_list(const struct platform_result *result, void *data)
+static void on_list(const struct vm_list *list, void *data)
 {
 	struct vm_watch *w = data;
-	struct vm_list list = { 0 };
-	struct finding_list findings;
-	struct log_line line;
-	char *text;
-
-	w->is_reading = FALSE;
-	if (result->status != STATUS_OK)
-		return;
-	finding_list_init(&findings);
-	if (schema_decode(&vm_list_schema, result->object, &list, "", NULL,
-			  &findings)) {
-		take_list(w, &list);
-		w->spec.on_change(w->spec.data);
-	} else {
-		text = finding_list_text(&findings);
-		log_begin(&line, LOG_LEVEL_WARN, "vm_list_invalid");
-		log_str(&line, "findings", text);
-		log_end(&line);
-		g_free(text);
-	}
-	schema_clear(&vm_list_schema, &list);
-	finding_list_clear(&findings);
+
+	take_list(w, list);
+	w->spec.on_change(w->spec.data);
 }
 
+static gboolean has_leaving(const struct endpoint_table *t)
+{
+	guint live = 0;
+
+	for (guint i = 0; i < ENDPOINT_REACH_COUNT; i++)
+		live += t->live_count[i];
+	return live < t->endpoints->len;
+}
+
+/* Those leaving are dropped once idle, or have been started again. */
 static gboolean on_poll(gpointer data)
 {
 	struct vm_watch *w = data;
+	const struct vm_list *list = vm_reader_list(w->spec.reader);
 
-	if (!w->is_reading) {
-		w->is_reading = TRUE;
-		platform_vm_list(w->spec.platform, on_list, w);
-	}
+	if (list && has_leaving(w->spec.endpoints))
+		on_list(list, w);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -100,15 +87,14 @@
 
 	w->spec = *spec;
 	w->gateways = 1;
-	w->timer = g_timeout_add(POLL_MS, on_poll, w);
-	on_poll(w);
+	w->timer = g_timeout_add(LEAVING_POLL_MS, on_poll, w);
+	vm_reader_subscribe(spec->reader, on_list, w);
 	return w;
 }
 
 void vm_watch_free(struct vm_watch *w)
 {
 	g_source_remove(w->timer);
-	platform_forget(w->spec.platform, w);
 	g_free(w);
 }
 
--- a/daemon/vm_watch.h
+++ b/daemon/vm_watch.h
@@ -1,8 +1,7 @@
 /**
  * @file
  * Follows the platform's list of VMs for one service: which endpoints there
- * are, and which entry processes share them. The last list stays in force
- * while the platform can't be reached.
+ * are, and which entry processes share them.
  */
 #ifndef DAEMON_VM_WATCH_H
 #define DAEMON_VM_WATCH_H
@@ -10,18 +9,18 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "platform/platform.h"
+#include "platform/vm_reader.h"
 #include "request/endpoint_table.h"
 
 struct vm_watch;
 
 struct vm_watch_spec {
-	struct platform *platform;
+	struct vm_reader *reader;
 	struct endpoint_table *endpoints;
 	const char *service;
 	const char *failure_domain;
 	const char *vm; /**< that this process runs on */
-	/** Called after each list that was read. */
+	/** Called after each list that was taken over. */
 	void (*on_change)(void *data);
 	void *data;
 };
--- a/job/guarantee_check.h
+++ b/job/guarantee_check.h
@@ -13,6 +13,7 @@
 #include "base/finding.h"
 #include "config/config_doc.h"
 #include "job/pool.h"
+#include "platform/vm_list.h"
 
 /**
  * Checks the guarantees of one pool on empty workers.
@@ -26,10 +27,11 @@
 
 /**
  * Checks the guarantees of all pools on the workers of a list of
- * VMs, in the form of the platform's (see docs/PROTOCOLS.md). Pools without
- * any worker in the list are not judged, since the list lags.
+ * VMs. Pools without any worker in the list are not judged, since the list
+ * lags.
  */
-gboolean guarantee_check_vms(const struct config_doc *doc, json_object *vms,
+gboolean guarantee_check_vms(const struct config_doc *doc,
+			     const struct vm_list *list,
 			     struct finding_list *findings);
 
 #endif
--- a/shared/membership_service.c
+++ b/shared/membership_service.c
@@ -29,7 +29,6 @@
 	GHashTable *states;  /**< node to the state last logged */
 	GArray *subscribers; /**< of struct subscriber */
 	int64_t ticks;
-	gboolean is_listing;
 	guint tick_timer;
 	guint list_timer;
 };
@@ -191,23 +190,22 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static void on_vm_list(const struct platform_result *result, void *data)
+static void on_vm_list(const struct vm_list *list, void *data)
 {
 	struct membership_service *s = data;
 
-	s->is_listing = FALSE;
-	if (result->status == STATUS_OK && result->object)
-		vm_list_hint(result->object, &s->table);
+	vm_list_hint(list, link_service_self(s->link)->failure_domain,
+		     &s->table);
 }
 
+/* Members that came to be known since the list was read. */
 static gboolean on_list_timer(gpointer data)
 {
 	struct membership_service *s = data;
+	const struct vm_list *list = vm_reader_list(vm_reader_of(s->kernel));
 
-	if (!s->is_listing) {
-		s->is_listing = TRUE;
-		platform_vm_list(platform_of(s->kernel), on_vm_list, s);
-	}
+	if (list)
+		on_vm_list(list, s);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -225,7 +223,7 @@
 	s->tick_timer = g_timeout_add(TICK_MS, on_tick, s);
 	s->list_timer = g_timeout_add(VM_LIST_MS, on_list_timer, s);
 	on_tick(s);
-	on_list_timer(s);
+	vm_reader_subscribe(vm_reader_of(k), on_vm_list, s);
 	return STATUS_OK;
 }
 
@@ -245,8 +243,6 @@
 		g_source_remove(s->tick_timer);
 	if (s->list_timer)
 		g_source_remove(s->list_timer);
-	if (s->kernel)
-		platform_forget(platform_of(s->kernel), s);
 	member_table_clear(&s->table);
 	g_hash_table_unref(s->sent);
 	g_hash_table_unref(s->states);
--- a/shared/vm_list.h
+++ b/shared/vm_list.h
@@ -5,15 +5,14 @@
 #ifndef SHARED_VM_LIST_H
 #define SHARED_VM_LIST_H
 
-#include <json-c/json.h>
-
+#include "platform/vm_list.h"
 #include "shared/member_table.h"
 
 /**
- * Marks each member's VM as listed, leaving or absent.
- *
- * @param list	as docs/PROTOCOLS.md has it; ignored when it is unsound
+ * Marks each member's VM as listed, leaving or absent. While the list is not
+ * whole, members of other failure domains keep their hint.
  */
-void vm_list_hint(json_object *list, struct member_table *t);
+void vm_list_hint(const struct vm_list *list, const char *failure_domain,
+		  struct member_table *t);
 
 #endif
--- a/tests/test_bad_input.c
+++ b/tests/test_bad_input.c
@@ -342,6 +342,76 @@
 	check_world();
 }
 
+static gboolean good_request_is_not_done(void *data)
+{
+	return !good_request_is_done(NULL);
+}
+
+/* Entries of the VM list that no process can take as they are, beside one with
+ * an extra member, which is passed over. */
+#define BAD_VMS                                                                \
+	"[{\"vm\":\"b0\",\"role\":\"oracle\",\"service\":\"salkhi\","          \
+	"\"failure_domain\":\"tov-a\",\"address\":\"127.0.0.1:1\"},"           \
+	"{\"vm\":\"b1\",\"role\":\"endpoint\",\"service\":\"salkhi\","         \
+	"\"failure_domain\":\"tov-a\",\"address\":\"127.0.0.1:1\","            \
+	"\"state\":\"dreaming\"},"                                             \
+	"{\"vm\":\"b2\",\"role\":\"endpoint\",\"service\":\"salkhi\","         \
+	"\"failure_domain\":\"tov-a\",\"address\":\"no address\"},"            \
+	"{\"vm\":\"e0\",\"role\":\"entry\",\"service\":\"other\","             \
+	"\"failure_domain\":\"tov-a\",\"address\":\"127.0.0.1:1\",\"zone\":{}" \
+	"},"                                                                   \
+	"null,7,[],{}]"
+#define BAD_VM_COUNT 7
+/** Parts of the list that hold them: the own failure domain and all. */
+#define BAD_VM_PARTS 2
+
+static int64_t counter_of_gateway(const char *name)
+{
+	static const char call[] = "GET /v1/counters HTTP/1.1\r\nHost: a\r\n"
+				   "Connection: close\r\n\r\n";
+	char *answer = call_raw(call, strlen(call));
+	char *line = g_strdup_printf("\n%s ", name);
+	const char *at = strstr(answer, line);
+	int64_t value = at ? g_ascii_strtoll(at + strlen(line), NULL, 10) : -1;
+
+	g_free(line);
+	g_free(answer);
+	return value;
+}
+
+/* The list is followed on beside bad entries: an endpoint that leaves it gets
+ * nothing, and one that comes back is used. */
+static void test_vm_list(void)
+{
+	struct cluster_reply r =
+		cluster_call(world.cluster, "GET", world.platform, "/vms", NULL,
+			     NULL, CLUSTER_CALL_TIMEOUT_MS);
+	json_object *vm = json_object_array_get_idx(
+		json_object_object_get(r.body, "vms"), 0);
+	const char *name =
+		json_object_get_string(json_object_object_get(vm, "vm"));
+	char *remove = g_strdup_printf(
+		"{\"raw_vms\":" BAD_VMS ",\"remove_vms\":[\"%s\"]}", name);
+	char *add = g_strdup_printf("{\"add_vms\":[%s]}",
+				    json_object_get_string(vm));
+
+	cluster_control(world.cluster, world.platform, remove);
+	g_assert_true(cluster_wait(good_request_is_not_done, NULL,
+				   CONFIG_TIMEOUT_MS));
+	g_assert_cmpint(counter_of_gateway("cs_vm_list_bad_entries"), ==,
+			BAD_VM_COUNT);
+	cluster_control(world.cluster, world.platform, add);
+	g_assert_true(
+		cluster_wait(good_request_is_done, NULL, CONFIG_TIMEOUT_MS));
+	g_assert_cmpuint(cluster_grep(world.gateway, "vm_list_bad_entries"), ==,
+			 BAD_VM_PARTS);
+	cluster_control(world.cluster, world.platform, "{\"raw_vms\":[]}");
+	check_world();
+	cluster_reply_clear(&r);
+	g_free(remove);
+	g_free(add);
+}
+
 int main(int argc, char **argv)
 {
 	int code;
@@ -356,6 +426,7 @@
 				     test_raw);
 	g_test_add_func("/bad-input/oversize", test_oversize);
 	g_test_add_func("/bad-input/half-open", test_half_open);
+	g_test_add_func("/bad-input/vm-list", test_vm_list);
 	code = g_test_run();
 	world_close();
 	return code;
