VM list: other failure domains are read at once when the own one has no endpoint

Cause: test_requests_faults /failure-domains: an endpoint that is listed anew in another failure domain was seen up to 6 s later, while the own domain had none. Change: vm_reader_hurry(); the gateway asks for it while no live endpoint of its own domain is listed.

--- a/bench/measure_capacity.sh
+++ b/bench/measure_capacity.sh
@@ -67,7 +67,8 @@
 		kill -0 "$pid" 2>/dev/null || echo "$label: a process has ended"
 	done
 	local names=(cs_process_cpu_us cs_http_client_sent_bytes
-		cs_http_client_received_bytes link_sent_bytes
+		cs_http_client_received_bytes cs_platform_sent_bytes
+		cs_platform_received_bytes link_sent_bytes
 		link_received_bytes cs_platform_reads_total
 		cs_platform_writes_total cs_worker_calls)
 	for name in "${names[@]}"; do
--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -53,11 +53,19 @@
 	w->gateways = MAX(gateways, 1);
 }
 
+/* Without endpoints of its own the gateway depends on the others'. */
+static void hurry(struct vm_watch *w)
+{
+	if (w->spec.endpoints->live_count[ENDPOINT_LOCAL] == 0)
+		vm_reader_hurry(w->spec.reader);
+}
+
 static void on_list(const struct vm_list *list, void *data)
 {
 	struct vm_watch *w = data;
 
 	take_list(w, list);
+	hurry(w);
 	w->spec.on_change(w->spec.data);
 }
 
@@ -78,6 +86,8 @@
 
 	if (list && has_leaving(w->spec.endpoints))
 		on_list(list, w);
+	else
+		hurry(w);
 	return G_SOURCE_CONTINUE;
 }
 
