--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -294,6 +294,74 @@
 	g_assert_cmpuint(accepted, <, ROUNDS);
 }
 
+/* A list with a few random entries, all with an address. */
+static json_object *random_vm_list(GRand *rng)
+{
+	json_object *body = json_object_new_object();
+	json_object *vms = json_object_new_array();
+
+	for (guint i = 0; i < MAX_ELEMENTS; i++) {
+		json_object *vm = random_struct(rng, &vm_entry_schema);
+
+		json_object_object_add(vm, "address",
+				       json_object_new_string("127.0.0.1:1"));
+		json_object_array_add(vms, vm);
+	}
+	json_object_object_add(body, "vms", vms);
+	return body;
+}
+
+/* Each entry is kept whole or left out alone, whatever the others are. */
+static void check_vm_list(json_object *body)
+{
+	struct finding_list findings;
+	struct vm_list list;
+	size_t count;
+
+	finding_list_init(&findings);
+	vm_list_init(&list);
+	if (vm_list_decode(&list, body, &findings)) {
+		count = json_object_array_length(
+			json_object_object_get(body, "vms"));
+		g_assert_cmpuint(list.vms->len + list.bad_count, ==, count);
+		g_assert_cmpint(list.bad_count > 0, ==,
+				finding_list_count(&findings) > 0);
+	}
+	for (guint i = 0; i < list.vms->len; i++) {
+		const struct vm_entry *vm = list.vms->pdata[i];
+
+		g_assert_true(vm_list_find(&list, vm->vm) == vm);
+		g_assert_true(vm->vm[0] && vm->service[0] && vm->address[0]);
+	}
+	vm_list_clear(&list);
+	finding_list_clear(&findings);
+}
+
+static void test_vm_list(void)
+{
+	for (guint32 seed = 1; seed <= ROUNDS; seed++) {
+		GRand *rng = g_rand_new_with_seed(seed);
+		json_object *body = random_vm_list(rng);
+		const char *text = json_object_to_json_string(body);
+		GByteArray *bytes = g_byte_array_new();
+		struct finding_list findings;
+		struct json_text t = { 0 };
+
+		check_vm_list(body);
+		g_byte_array_append(bytes, (const guint8 *)text, strlen(text));
+		mutate(rng, bytes);
+		finding_list_init(&findings);
+		json_text_parse(&t, "body", (const char *)bytes->data,
+				bytes->len, JSON_STRICT, &findings);
+		check_vm_list(t.root);
+		json_text_clear(&t);
+		finding_list_clear(&findings);
+		g_byte_array_unref(bytes);
+		json_object_put(body);
+		g_rand_free(rng);
+	}
+}
+
 /* Claims of much from few bytes, and where the claims just fit. */
 static const struct {
 	const char *bytes;
@@ -421,6 +489,7 @@
 		g_test_add_data_func(path, &schema_cases[i], test_bodies);
 		g_free(path);
 	}
+	g_test_add_func("/mutation/vm-list", test_vm_list);
 	g_test_add_func("/mutation/claims", test_claims);
 	g_test_add_func("/mutation/frames", test_frames);
 	return g_test_run();
