Membership faults: a start without platform and peers; one way of a pair cut

Cause: both were listed as not proved; the relay cut a way for all clients only.

Change: the relay's control takes "only", a text that the clients it holds for sent first.

--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -16,6 +16,7 @@
 #define BUFFER_BYTES 16384
 #define MAX_DELAY_MS 600000
 #define MAX_ROUTES 1000
+#define MAX_ONLY_BYTES 64
 #define ALL_ROUTES INT64_C(-1)
 #define CONTROL_UNSET INT64_C(-1)
 
@@ -42,6 +43,7 @@
 	uint16_t listen_port;
 	GSocketService *service;
 	int64_t mode;
+	char *only; /* text in the first bytes of those it holds for, or NULL */
 	int64_t delay_ms;
 	GPtrArray *links;
 };
@@ -65,6 +67,7 @@
 	GSocketConnection *client;
 	GSocketConnection *target;
 	struct pump pumps[DIRECTION_COUNT];
+	GString *first;	      /* what the client has sent first, NULL before */
 	gboolean is_silenced; /* for good */
 	gboolean is_closed;
 	guint users; /* asynchronous operations in flight */
@@ -80,6 +83,8 @@
 		return;
 	g_clear_object(&link->client);
 	g_clear_object(&link->target);
+	if (link->first)
+		g_string_free(link->first, TRUE);
 	g_free(link);
 }
 
@@ -94,11 +99,35 @@
 		g_io_stream_close(G_IO_STREAM(link->target), NULL, NULL);
 }
 
+/* The bytes may hold zeros. */
+static gboolean has_text(const GString *bytes, const char *text)
+{
+	gsize len = strlen(text);
+
+	for (gsize i = 0; i + len <= bytes->len; i++) {
+		if (memcmp(bytes->str + i, text, len) == 0)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Tells whether the route's mode holds for a link. */
+static gboolean is_meant(const struct link *link)
+{
+	const char *only = link->route->only;
+
+	return !only || (link->first && has_text(link->first, only));
+}
+
 static gboolean is_paused(const struct pump *p)
 {
 	int64_t mode = p->link->route->mode;
 
-	if (p->link->is_silenced || mode == MODE_SILENT)
+	if (p->link->is_silenced)
+		return TRUE;
+	if (!is_meant(p->link))
+		return FALSE;
+	if (mode == MODE_SILENT)
 		return TRUE;
 	return mode ==
 	       (p->direction == DIRECTION_UP ? MODE_CUT_UP : MODE_CUT_DOWN);
@@ -134,6 +163,8 @@
 						NULL);
 
 	p->is_busy = FALSE;
+	if (len > 0 && p->direction == DIRECTION_UP && !p->link->first)
+		p->link->first = g_string_new_len(p->buffer, len);
 	if (len < 0) {
 		link_close(p->link);
 	} else if (p->link->route->delay_ms && len > 0) {
@@ -259,6 +290,7 @@
 
 struct control_body {
 	int64_t mode;
+	char *only;
 	int64_t delay_ms;
 	int64_t silence_open;
 	int64_t route;
@@ -270,6 +302,11 @@
 	  .offset = offsetof(struct control_body, mode),
 	  .names = mode_names,
 	  .fallback = CONTROL_UNSET },
+	{ .name = "only",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct control_body, only),
+	  .min = 1,
+	  .max = MAX_ONLY_BYTES },
 	{ .name = "delay_ms",
 	  .type = FIELD_INT,
 	  .offset = offsetof(struct control_body, delay_ms),
@@ -291,8 +328,11 @@
 
 static void change_route(struct route *r, const struct control_body *body)
 {
-	if (body->mode != CONTROL_UNSET)
+	if (body->mode != CONTROL_UNSET) {
 		r->mode = body->mode;
+		g_free(r->only);
+		r->only = g_strdup(body->only);
+	}
 	if (body->delay_ms != CONTROL_UNSET)
 		r->delay_ms = body->delay_ms;
 	for (guint i = r->links->len; i > 0; i--) {
@@ -315,12 +355,15 @@
 {
 	struct control_body body = { 0 };
 
-	if (!standin_decode(r, &control_schema, &body))
+	if (!standin_decode(r, &control_schema, &body)) {
+		schema_clear(&control_schema, &body);
 		return;
+	}
 	for (guint i = 0; i < routes->len; i++) {
 		if (body.route == ALL_ROUTES || body.route == i)
 			change_route(routes->pdata[i], &body);
 	}
+	schema_clear(&control_schema, &body);
 	standin_reply_done(r);
 }
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -125,6 +125,16 @@
 	set_route(f, f->count + node, mode);
 }
 
+void fleet_cut_way(struct fleet *f, guint from, guint to)
+{
+	char *body = g_strdup_printf(
+		"{\"mode\":\"cut_up\",\"only\":\"%s\",\"route\":%u}",
+		f->nodes[from].name, f->count + to);
+
+	cluster_control(f->cluster, f->relay_control, body);
+	g_free(body);
+}
+
 json_object *fleet_status(struct fleet *f, guint node)
 {
 	struct cluster_reply r;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -58,6 +58,8 @@
 /** Sets the mode of a node's way to the platform, or of the way to its link. */
 void fleet_cut_store(struct fleet *f, guint node, const char *mode);
 void fleet_cut_link(struct fleet *f, guint node, const char *mode);
+/** Cuts the way from one node to another, until fleet_cut_link() to it. */
+void fleet_cut_way(struct fleet *f, guint from, guint to);
 
 /** Returns a node's /v1/status, or NULL; free it. */
 json_object *fleet_status(struct fleet *f, guint node);
--- a/tests/test_member_faults.c
+++ b/tests/test_member_faults.c
@@ -117,6 +117,92 @@
 	fleet_free(f);
 }
 
+/* One member doesn't reach another: the third one's word keeps it alive there,
+ * and no longer than it lives. */
+static void test_one_way_pair(void)
+{
+	struct fleet *f = start_fleet();
+
+	fleet_cut_way(f, 0, 2);
+	cluster_sleep(LONG_MS);
+	for (guint i = 0; i < 3; i++) {
+		for (guint j = 0; j < 3; j++) {
+			g_assert_cmpuint(count_state(f, i, j, "suspect"), ==,
+					 0);
+			g_assert_cmpuint(count_state(f, i, j, "dead"), ==, 0);
+		}
+	}
+	fleet_signal(f, 0, SIGKILL);
+	g_assert_true(fleet_wait_state(f, 1, 0, "dead", DEAD_MS));
+	g_assert_true(fleet_wait_state(f, 2, 0, "dead", DEAD_MS));
+	fleet_free(f);
+}
+
+/* Returns what a gateway answers to a request, "ANSWER REASON". */
+static char *ask(struct fleet *f, guint node)
+{
+	struct cluster_reply r = cluster_call(
+		f->cluster, "POST", f->nodes[node].http, "/v1/requests",
+		"{\"client_account\":\"x\",\"service\":\"salkhi\","
+		"\"class\":\"spot\",\"deadline_ms\":500,"
+		"\"is_repeatable\":true,\"payload\":{}}",
+		NULL, START_MS);
+	char *text = g_strdup_printf(
+		"%s %s",
+		json_object_get_string(
+			json_object_object_get(r.body, "answer")),
+		json_object_get_string(
+			json_object_object_get(r.body, "reason")));
+
+	cluster_reply_clear(&r);
+	return text;
+}
+
+static void set_cut(struct fleet *f, const char *mode)
+{
+	fleet_cut_store(f, 2, mode);
+	for (guint i = 0; i < f->count; i++)
+		fleet_cut_link(f, i, mode);
+}
+
+/* A gateway that starts without the platform and without peers says so, and
+ * joins when it reaches them. */
+static void test_start_cut_off(void)
+{
+	struct fleet *f = fleet_new(3, 0);
+	struct cluster_reply r;
+	char *answer;
+
+	f->nodes[2].program = "csgated";
+	fleet_start(f, 0);
+	fleet_start(f, 1);
+	g_assert_true(fleet_wait_state(f, 0, 1, "alive", START_MS));
+	r = fleet_post_config(f, 0, 0, "x");
+	g_assert_cmpuint(r.code, ==, 200);
+	cluster_reply_clear(&r);
+	set_cut(f, "silent");
+	fleet_start(f, 2);
+	g_assert_true(fleet_wait_state(f, 2, 2, "alive", START_MS));
+	for (guint i = 0; i < 3; i++) {
+		answer = ask(f, 2);
+		g_assert_cmpstr(answer, ==, "not run no_configuration");
+		g_free(answer);
+		g_assert_cmpint(fleet_config_version(f, 2), ==, 0);
+		cluster_sleep(SHORT_PAUSE_MS);
+	}
+	set_cut(f, "pass");
+	for (guint i = 0; i < 3; i++) {
+		for (guint j = 0; j < 3; j++)
+			g_assert_true(
+				fleet_wait_state(f, i, j, "alive", START_MS));
+	}
+	g_assert_true(fleet_wait_config(f, 1, START_MS));
+	answer = ask(f, 2);
+	g_assert_cmpstr(answer, ==, "not run no_endpoint");
+	g_free(answer);
+	fleet_free(f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -125,5 +211,7 @@
 	g_test_add_func("/member-faults/leaving", test_leaving);
 	g_test_add_func("/member-faults/one-way", test_one_way);
 	g_test_add_func("/member-faults/pause", test_pause);
+	g_test_add_func("/member-faults/one-way-pair", test_one_way_pair);
+	g_test_add_func("/member-faults/start-cut-off", test_start_cut_off);
 	return g_test_run();
 }
