--- a/tests/test_member_faults.c
+++ b/tests/test_member_faults.c
@@ -9,17 +9,22 @@
 #define LONG_MS 8000
 #define SHORT_PAUSE_MS 1500
 
-static struct fleet *start_fleet(void)
+static void wait_all_alive(struct fleet *f)
 {
-	struct fleet *f = fleet_new(3, 0);
-
-	f->nodes[1].program = "csgated";
-	fleet_start_all(f);
 	for (guint i = 0; i < f->count; i++) {
 		for (guint j = 0; j < f->count; j++)
 			g_assert_true(
 				fleet_wait_state(f, i, j, "alive", START_MS));
 	}
+}
+
+static struct fleet *start_fleet(void)
+{
+	struct fleet *f = fleet_new(3, 0);
+
+	f->nodes[1].program = "csgated";
+	fleet_start_all(f);
+	wait_all_alive(f);
 	return f;
 }
 
@@ -138,8 +143,8 @@
 	fleet_free(f);
 }
 
-/* Returns what a gateway answers to a request, "ANSWER REASON". */
-static char *ask(struct fleet *f, guint node)
+/* Asserts what a gateway answers to a request: "ANSWER REASON". */
+static void assert_answer(struct fleet *f, guint node, const char *expected)
 {
 	struct cluster_reply r = cluster_call(
 		f->cluster, "POST", f->nodes[node].http, "/v1/requests",
@@ -154,8 +159,9 @@
 		json_object_get_string(
 			json_object_object_get(r.body, "reason")));
 
+	g_assert_cmpstr(text, ==, expected);
+	g_free(text);
 	cluster_reply_clear(&r);
-	return text;
 }
 
 static void set_cut(struct fleet *f, const char *mode)
@@ -171,7 +177,6 @@
 {
 	struct fleet *f = fleet_new(3, 0);
 	struct cluster_reply r;
-	char *answer;
 
 	f->nodes[2].program = "csgated";
 	fleet_start(f, 0);
@@ -184,22 +189,14 @@
 	fleet_start(f, 2);
 	g_assert_true(fleet_wait_state(f, 2, 2, "alive", START_MS));
 	for (guint i = 0; i < 3; i++) {
-		answer = ask(f, 2);
-		g_assert_cmpstr(answer, ==, "not run no_configuration");
-		g_free(answer);
+		assert_answer(f, 2, "not run no_configuration");
 		g_assert_cmpint(fleet_config_version(f, 2), ==, 0);
 		cluster_sleep(SHORT_PAUSE_MS);
 	}
 	set_cut(f, "pass");
-	for (guint i = 0; i < 3; i++) {
-		for (guint j = 0; j < 3; j++)
-			g_assert_true(
-				fleet_wait_state(f, i, j, "alive", START_MS));
-	}
+	wait_all_alive(f);
 	g_assert_true(fleet_wait_config(f, 1, START_MS));
-	answer = ask(f, 2);
-	g_assert_cmpstr(answer, ==, "not run no_endpoint");
-	g_free(answer);
+	assert_answer(f, 2, "not run no_endpoint");
 	fleet_free(f);
 }
 
