--- /dev/null
+++ b/daemon/flight_log.c
@@ -0,0 +1,88 @@
+#include "daemon/flight.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "daemon/dispatcher_state.h"
+
+void flight_note_arrival(const struct flight *f)
+{
+	struct decision *note =
+		decision_log_add(f->dispatcher->decisions, f->id);
+
+	decision_set(&note->client_account, f->spec.client_account);
+	decision_set(&note->class, request_class_names[f->spec.class]);
+	decision_set(&note->state, "queued");
+	note->arrival_ms = util_wall_ms();
+	note->config_version = f->dispatcher->config_version;
+}
+
+static void log_route(const struct flight *f,
+		      const struct routing_choice *choice)
+{
+	const struct endpoint *e = choice->endpoint;
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "route");
+	log_str(&line, "request", f->id);
+	log_str(&line, "choice", e->name);
+	log_str(&line, "runner_up",
+		choice->runner_up ? choice->runner_up->name : "");
+	log_str(&line, "reason", choice->reason);
+	log_int(&line, "in_flight", e->in_flight);
+	log_int(&line, "others_busy", e->others_busy);
+	log_int(&line, "attempt", f->attempts);
+	log_int(&line, "config_version", f->dispatcher->config_version);
+	log_end(&line);
+}
+
+void flight_note_route(struct flight *f, const struct routing_choice *choice)
+{
+	struct decision *note;
+
+	log_route(f, choice);
+	note = decision_log_find(f->dispatcher->decisions, f->id);
+	if (!note)
+		return;
+	decision_set(&note->state, "sent");
+	decision_set(&note->endpoint, choice->endpoint->name);
+	decision_set(&note->runner_up,
+		     choice->runner_up ? choice->runner_up->name : "");
+	decision_set(&note->choice, choice->reason);
+	note->attempts = f->attempts;
+	note->config_version = f->dispatcher->config_version;
+	if (f->attempts == 1)
+		note->waited_ms = util_monotonic_ms() - f->arrival_ms;
+}
+
+static void flight_log(const struct flight *f, const char *event,
+		       const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, event);
+	log_str(&line, "request", f->id);
+	log_str(&line, "client_account", f->spec.client_account);
+	log_str(&line, "class", request_class_names[f->spec.class]);
+	log_str(&line, "reason", reason);
+	log_int(&line, "attempts", f->attempts);
+	log_int(&line, "age_ms", util_monotonic_ms() - f->arrival_ms);
+	log_int(&line, "config_version", f->dispatcher->config_version);
+	log_end(&line);
+}
+
+void flight_note_answer(struct flight *f, enum answer_kind kind,
+			enum reason reason)
+{
+	struct dispatcher *d = f->dispatcher;
+	struct decision *note = decision_log_find(d->decisions, f->id);
+	int64_t total_ms = util_monotonic_ms() - f->arrival_ms;
+
+	counter_add(d->answers[kind], 1);
+	histogram_record(d->latency, total_ms * US_PER_MS);
+	flight_log(f, answer_name(kind), reason_name(reason));
+	if (!note)
+		return;
+	decision_set(&note->state, answer_name(kind));
+	decision_set(&note->reason, reason_name(reason));
+	note->total_ms = total_ms;
+}
