Wake timer: one timer for the next deadline in place of ticks

Cause: an idle gateway's main loop turned 86 times a second and a scheduler's 70 (callgrind, calls by source): 49 by the dispatcher's tick of 20 ms, 20 by the jobs' of 50 ms, 10 by the leases' of 100 ms. 60 of the gateway's turns came out of a sleep.

Ruled out: the work of the ticks (4% of the instructions of an idle gateway); the platform client's pump and the kernel's idle poll, which do not run in an idle process.

Change: base/wake_plan.h (pure) and base/wake_timer.h: the earliest deadline, rounded up to the points of the former tick. The modules name their next deadline: admission_due_ms(), scheduler_due_ms(), lease_protocol_due_ms(). Leases are looked at on a grid of 50 ms, formerly 100 ms, and tell the jobs of a role at once. A counter of turns, cs_main_loop_turns_total, and the lateness of the loop, cs_wake_late_seconds.

--- a/base/kernel.c
+++ b/base/kernel.c
@@ -10,11 +10,12 @@
 
 struct kernel {
 	GPtrArray *services; /**< of struct service */
-	GMainLoop *loop;
 	struct counters counters;
+	struct counter *turns;
 	int64_t drain_timeout_ms;
 	int64_t drain_deadline_ms;
 	gboolean is_draining;
+	gboolean has_ended;
 };
 
 struct kernel *kernel_new(int64_t drain_timeout_ms)
@@ -22,9 +23,10 @@
 	struct kernel *k = g_new0(struct kernel, 1);
 
 	k->services = g_ptr_array_new();
-	k->loop = g_main_loop_new(NULL, FALSE);
 	k->drain_timeout_ms = drain_timeout_ms;
 	counters_init(&k->counters);
+	k->turns = counters_counter(&k->counters, "cs_main_loop_turns_total",
+				    "Turns of the main loop");
 	return k;
 }
 
@@ -36,7 +38,6 @@
 		s->class->free(s);
 	}
 	g_ptr_array_unref(k->services);
-	g_main_loop_unref(k->loop);
 	counters_clear(&k->counters);
 	g_free(k);
 }
@@ -100,7 +101,7 @@
 		log_begin(&line, LOG_LEVEL_WARN, "drain_timeout");
 		log_end(&line);
 	}
-	g_main_loop_quit(k->loop);
+	k->has_ended = TRUE;
 	return G_SOURCE_REMOVE;
 }
 
@@ -147,7 +148,10 @@
 		if (status != STATUS_OK)
 			goto out;
 	}
-	g_main_loop_run(k->loop);
+	while (!k->has_ended) {
+		g_main_context_iteration(NULL, TRUE);
+		counter_add(k->turns, 1);
+	}
 out:
 	g_source_remove(sigterm);
 	g_source_remove(sigint);
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -6,8 +6,10 @@
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
 
-#define TICK_MS 20
-#define REFRESH_TICKS 10
+/** Shortest time between two looks at what is due. */
+#define GRID_MS 20
+/** Reports of endpoints go stale and ejections end at points this far apart. */
+#define REFRESH_MS INT64_C(200)
 #define DECISIONS 1000
 
 static void make_counters(struct dispatcher *d)
@@ -58,6 +60,22 @@
 			       d->endpoints->occupancy);
 }
 
+void dispatcher_refresh(struct dispatcher *d, int64_t now_ms)
+{
+	endpoint_table_retry_refused(d->endpoints, now_ms);
+	if (now_ms < d->next_refresh_ms)
+		return;
+	d->next_refresh_ms = (now_ms / REFRESH_MS + 1) * REFRESH_MS;
+	outlier_return(d->endpoints, now_ms);
+	endpoint_table_refresh(d->endpoints, now_ms);
+}
+
+/* Tells whether requests wait for room, which may come with the time. */
+static gboolean is_waiting(const struct dispatcher *d)
+{
+	return admission_queued(d->admission) > 0 || d->ready.length > 0;
+}
+
 /* Takes one request out of the queues. @return FALSE when there is none */
 static gboolean pump_one(struct dispatcher *d, int64_t now_ms, GPtrArray *late)
 {
@@ -89,7 +107,7 @@
 	if (d->is_pumping)
 		return;
 	d->is_pumping = TRUE;
-	endpoint_table_retry_refused(d->endpoints, now_ms);
+	dispatcher_refresh(d, now_ms);
 	late = g_ptr_array_new();
 	dispatcher_set_capacity(d);
 	pump_ready(d, now_ms);
@@ -102,6 +120,8 @@
 	refuse_all(late, REASON_DEADLINE);
 	g_ptr_array_unref(late);
 	d->is_pumping = FALSE;
+	if (is_waiting(d))
+		wake_timer_now(d->timer);
 }
 
 static gboolean on_begin(gpointer data)
@@ -131,6 +151,7 @@
 	f->fn = fn;
 	f->data = data;
 	g_hash_table_add(d->flights, f);
+	wake_timer_at(d->timer, f->deadline_ms);
 	flight_note_arrival(f);
 	if (f->spec.is_repeatable) {
 		f->timer = g_timeout_add(0, on_begin, f);
@@ -176,22 +197,32 @@
 	g_ptr_array_unref(overdue);
 }
 
-static gboolean on_tick(gpointer data)
+static int64_t due_ms(const struct dispatcher *d, int64_t now_ms)
+{
+	int64_t first_ms = admission_due_ms(d->admission, now_ms);
+	GHashTableIter iter;
+	gpointer key;
+
+	if (d->ready.length > 0)
+		return now_ms;
+	g_hash_table_iter_init(&iter, d->flights);
+	while (first_ms > now_ms && g_hash_table_iter_next(&iter, &key, NULL))
+		first_ms = MIN(first_ms,
+			       ((const struct flight *)key)->deadline_ms);
+	return first_ms;
+}
+
+static int64_t on_wake(int64_t now_ms, void *data)
 {
 	struct dispatcher *d = data;
-	int64_t now_ms = util_monotonic_ms();
 	GPtrArray *late = g_ptr_array_new();
 
 	admission_expire(d->admission, now_ms, late);
 	refuse_all(late, REASON_DEADLINE);
 	g_ptr_array_unref(late);
 	end_overdue(d, now_ms);
-	if (d->ticks++ % REFRESH_TICKS == 0) {
-		outlier_return(d->endpoints, now_ms);
-		endpoint_table_refresh(d->endpoints, now_ms);
-	}
 	dispatcher_pump(d);
-	return G_SOURCE_CONTINUE;
+	return due_ms(d, now_ms);
 }
 
 struct dispatcher *dispatcher_new(struct kernel *k)
@@ -206,6 +237,12 @@
 		.incarnation = incarnation_of(k),
 		.address = settings_of(k)->http,
 	};
+	struct wake_timer_spec timer = {
+		.grid_ms = GRID_MS,
+		.fn = on_wake,
+		.data = d,
+		.counters = kernel_counters(k),
+	};
 
 	d->kernel = k;
 	d->endpoints = endpoint_table_new(settings_of(k)->failure_domain);
@@ -219,13 +256,13 @@
 	g_queue_init(&d->ready);
 	retry_budget_init(&d->budget, util_monotonic_ms());
 	make_counters(d);
-	d->tick = g_timeout_add(TICK_MS, on_tick, d);
+	d->timer = wake_timer_new(&timer);
 	return d;
 }
 
 void dispatcher_free(struct dispatcher *d)
 {
-	g_source_remove(d->tick);
+	wake_timer_free(d->timer);
 	claims_free(d->claims);
 	g_hash_table_unref(d->flights);
 	g_queue_clear(&d->ready);
--- a/daemon/dispatcher_state.h
+++ b/daemon/dispatcher_state.h
@@ -6,6 +6,7 @@
 #ifndef DAEMON_DISPATCHER_STATE_H
 #define DAEMON_DISPATCHER_STATE_H
 
+#include "base/wake_timer.h"
 #include "daemon/claims.h"
 #include "daemon/dispatcher.h"
 #include "daemon/flight.h"
@@ -30,8 +31,8 @@
 	uint32_t gateways;
 	int64_t config_version;
 	gboolean is_pumping;
-	guint tick;
-	guint ticks;
+	struct wake_timer *timer;
+	int64_t next_refresh_ms;
 	struct counter *answers[3];
 	struct counter *retries;
 	struct counter *ejections;
@@ -42,4 +43,7 @@
 /** Tells admission what slots there are. */
 void dispatcher_set_capacity(struct dispatcher *d);
 
+/** Looks again at endpoints whose room depends on the time. */
+void dispatcher_refresh(struct dispatcher *d, int64_t now_ms);
+
 #endif
--- a/daemon/flight_send.c
+++ b/daemon/flight_send.c
@@ -186,6 +186,7 @@
 	struct dispatcher *d = f->dispatcher;
 	struct routing_choice choice;
 
+	dispatcher_refresh(d, now_ms);
 	f->query.now_ms = now_ms;
 	f->query.may_spill = may_spill(f, now_ms);
 	routing_choose(d->policy, d->endpoints, &f->query, d->rand, &choice);
--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/util.h"
+#include "base/wake_timer.h"
 #include "config/config_service.h"
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
@@ -12,7 +13,8 @@
 #include "platform/vm_list.h"
 #include "shared/pool_lease.h"
 
-#define TICK_MS 50
+/** Shortest time between two looks at what is due. */
+#define GRID_MS 50
 #define VM_LIST_MIN_MS INT64_C(1000)
 /** Of one VM in the list. */
 #define VM_LIST_ENTRY_BYTES INT64_C(220)
@@ -26,7 +28,7 @@
 	struct service base;
 	struct kernel *kernel;
 	GPtrArray *runners; /**< of struct pool_runner */
-	guint tick_timer;
+	struct wake_timer *timer;
 	gboolean is_listing;
 	int64_t next_list_ms;
 };
@@ -70,6 +72,13 @@
 	return (struct config_service *)kernel_find(s->kernel, CONFIG_SERVICE);
 }
 
+static void on_event(void *data)
+{
+	struct job_service *s = data;
+
+	wake_timer_now(s->timer);
+}
+
 static struct pool_runner *add_runner(struct job_service *s, const char *pool)
 {
 	struct pool_runner *p = find_runner(s, pool);
@@ -78,11 +87,13 @@
 	if (p)
 		return p;
 	p = pool_runner_new(s->kernel, pool);
+	pool_runner_on_event(p, on_event, s);
 	if (doc)
 		scheduler_set_config(pool_runner_scheduler(p), doc,
 				     config_service_version(config_of(s)),
 				     util_monotonic_ms());
 	g_ptr_array_add(s->runners, p);
+	on_event(s);
 	return p;
 }
 
@@ -94,12 +105,14 @@
 		scheduler_set_config(
 			pool_runner_scheduler(s->runners->pdata[i]), doc,
 			version, util_monotonic_ms());
+	on_event(s);
 }
 
 static void on_role(const char *pool, enum pool_role role, int64_t epoch,
 		    void *data)
 {
 	pool_runner_tick(add_runner(data, pool));
+	on_event(data);
 }
 
 static struct listed_worker listed_worker_of(const struct vm_entry *vm)
@@ -155,6 +168,7 @@
 	struct vm_list list = { 0 };
 
 	s->is_listing = FALSE;
+	on_event(s);
 	if (result->status != STATUS_OK)
 		return;
 	finding_list_init(&findings);
@@ -185,14 +199,22 @@
 	platform_vm_list(platform_of(s->kernel), on_vm_list, s);
 }
 
-static gboolean on_tick(gpointer data)
+/* The lease service tells at once when a role ends or begins. */
+static int64_t on_wake(int64_t now_ms, void *data)
 {
 	struct job_service *s = data;
+	int64_t due_ms = WAKE_NEVER;
 
 	list_vms(s);
-	for (guint i = 0; i < s->runners->len; i++)
-		pool_runner_tick(s->runners->pdata[i]);
-	return G_SOURCE_CONTINUE;
+	if (!s->is_listing)
+		due_ms = s->next_list_ms;
+	for (guint i = 0; i < s->runners->len; i++) {
+		struct pool_runner *p = s->runners->pdata[i];
+
+		pool_runner_tick(p);
+		due_ms = MIN(due_ms, pool_runner_due_ms(p, now_ms));
+	}
+	return due_ms;
 }
 
 static void handle_poke(struct http_request *r, void *data)
@@ -331,9 +353,16 @@
 	struct job_service *s = (struct job_service *)base;
 	struct http_server *server = http_server_of(k);
 	struct pool_lease_service *lease;
+	struct wake_timer_spec spec = {
+		.grid_ms = GRID_MS,
+		.fn = on_wake,
+		.data = s,
+		.counters = kernel_counters(k),
+	};
 	char *pool;
 
 	s->kernel = k;
+	s->timer = wake_timer_new(&spec);
 	lease = (struct pool_lease_service *)kernel_find(k, POOL_LEASE_SERVICE);
 	pool_lease_subscribe(lease, on_role, s);
 	config_service_subscribe(config_of(s), on_config, s);
@@ -343,7 +372,6 @@
 			       settings_of(k)->failure_domain);
 	add_runner(s, pool);
 	g_free(pool);
-	s->tick_timer = g_timeout_add(TICK_MS, on_tick, s);
 	return STATUS_OK;
 }
 
@@ -351,11 +379,10 @@
 {
 	struct job_service *s = (struct job_service *)base;
 
-	if (s->tick_timer)
-		g_source_remove(s->tick_timer);
 	if (s->kernel)
 		platform_forget(platform_of(s->kernel), s);
 	g_ptr_array_unref(s->runners);
+	wake_timer_free(s->timer);
 	g_free(s);
 }
 
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -28,6 +28,8 @@
 	int64_t next_scan_ms;
 	struct counter *renewals;
 	struct counter *commands;
+	void (*on_event)(void *data);
+	void *event_data;
 };
 
 /** One call to a worker in flight. */
@@ -59,8 +61,16 @@
 	return c;
 }
 
+/* Each event passes here, so that what is due is looked at soon after it. */
+static void tell_event(const struct pool_runner *p)
+{
+	if (p->on_event)
+		p->on_event(p->event_data);
+}
+
 static void worker_request_free(struct worker_request *c)
 {
+	tell_event(c->runner);
 	g_hash_table_remove(c->runner->worker_calls, c);
 	g_free(c->worker);
 	g_free(c);
@@ -80,6 +90,7 @@
 
 static void row_request_free(struct row_request *c)
 {
+	tell_event(c->runner);
 	g_hash_table_remove(c->runner->row_calls, c);
 	g_free(c->id);
 	g_free(c);
@@ -413,6 +424,22 @@
 	scheduler_tick(p->scheduler, now_ms, util_wall_ms());
 }
 
+int64_t pool_runner_due_ms(const struct pool_runner *p, int64_t now_ms)
+{
+	int64_t due_ms = scheduler_due_ms(p->scheduler, now_ms);
+
+	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning)
+		due_ms = MIN(due_ms, p->next_scan_ms);
+	return due_ms;
+}
+
+void pool_runner_on_event(struct pool_runner *p, void (*fn)(void *data),
+			  void *data)
+{
+	p->on_event = fn;
+	p->event_data = data;
+}
+
 static void on_poked(const struct platform_result *result, void *data)
 {
 	struct row_request *c = data;
--- a/daemon/pool_runner.h
+++ b/daemon/pool_runner.h
@@ -28,6 +28,13 @@
 /** Takes the present role and acts on what is due. */
 void pool_runner_tick(struct pool_runner *p);
 
+/** Returns when to tick unless an event comes before, WAKE_NEVER for never. */
+int64_t pool_runner_due_ms(const struct pool_runner *p, int64_t now_ms);
+
+/** Has a function called at each event that may need a tick. */
+void pool_runner_on_event(struct pool_runner *p, void (*fn)(void *data),
+			  void *data);
+
 /** Reads one row, because it has just been written. */
 void pool_runner_poke(struct pool_runner *p, const char *id);
 
--- a/job/job_entry.c
+++ b/job/job_entry.c
@@ -1,5 +1,7 @@
 #include "job/job_entry.h"
 
+#include "base/wake_plan.h"
+
 struct job_entry *job_entry_new(const struct job_record *r, int64_t version)
 {
 	struct job_entry *e = g_new0(struct job_entry, 1);
@@ -57,6 +59,34 @@
 	       wall_ms - e->record.ended_ms >= JOB_KEEP_ENDED_MS;
 }
 
+static int64_t row_due_ms(const struct job_entry *e, int64_t wall_offset_ms)
+{
+	int64_t old_ms = e->record.ended_ms + JOB_KEEP_ENDED_MS;
+
+	if (e->call != ENTRY_IDLE)
+		return WAKE_NEVER;
+	if (!job_entry_is_clean(e))
+		return e->retry_ms;
+	if (!job_record_is_ended(&e->record) || e->gang || !e->record.ended_ms)
+		return WAKE_NEVER;
+	return MAX(e->retry_ms, old_ms - wall_offset_ms);
+}
+
+int64_t job_entry_due_ms(const struct job_entry *e, int64_t wall_offset_ms)
+{
+	int64_t due_ms = row_due_ms(e, wall_offset_ms);
+
+	if (e->requeue_ms)
+		due_ms = MIN(due_ms, e->requeue_ms);
+	if (!e->gang)
+		return due_ms;
+	if (e->gang->state != e->followed)
+		return 0;
+	if (e->gang->deadline_ms)
+		due_ms = MIN(due_ms, e->gang->deadline_ms);
+	return due_ms;
+}
+
 void job_entry_on_write(struct job_entry *e, const char *writer)
 {
 	e->call = ENTRY_WRITING;
--- a/job/job_entry.h
+++ b/job/job_entry.h
@@ -65,6 +65,13 @@
 gboolean job_entry_is_old(const struct job_entry *e, int64_t wall_ms,
 			  int64_t now_ms);
 
+/**
+ * Returns when a deadline of the entry is over, WAKE_NEVER for none.
+ *
+ * @param wall_offset_ms	wall clock less monotonic clock
+ */
+int64_t job_entry_due_ms(const struct job_entry *e, int64_t wall_offset_ms);
+
 /** Notes a write on its way; sets the row's commit_id. */
 void job_entry_on_write(struct job_entry *e, const char *writer);
 
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -125,12 +125,18 @@
 		       const struct job_record *r, int64_t now_ms);
 
 /**
- * Acts on what is due; call every 100 ms or so.
+ * Acts on what is due; call after events and when scheduler_due_ms() says.
  *
  * @param wall_ms	the wall clock, for rows
  */
 void scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms);
 
+/**
+ * Returns the earliest time at which scheduler_tick() has something to do
+ * unless an event comes before; WAKE_NEVER for none.
+ */
+int64_t scheduler_due_ms(const struct scheduler *s, int64_t now_ms);
+
 /** Explains a job; NULL when it is not known here. Free with put. */
 json_object *scheduler_explain(const struct scheduler *s, const char *id);
 
--- /dev/null
+++ b/job/scheduler_due.c
@@ -0,0 +1,55 @@
+/*
+ * When a scheduler has to look at the time again. Must name every deadline
+ * that scheduler_tick() serves; being too early only costs a turn.
+ */
+#include "job/scheduler_state.h"
+
+#include "base/wake_plan.h"
+
+static int64_t workers_due_ms(const struct scheduler *s, int64_t now_ms)
+{
+	gboolean may_call =
+		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
+	int64_t lease_ms = scheduler_lease_ms(s);
+	int64_t due_ms = WAKE_NEVER;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct worker_contact *c = item;
+
+		due_ms = MIN(due_ms, worker_contact_check_ms(c, lease_ms));
+		if (may_call && c->address)
+			due_ms = MIN(due_ms, worker_contact_call_ms(c, now_ms));
+	}
+	return due_ms;
+}
+
+static int64_t entries_due_ms(const struct scheduler *s, int64_t now_ms)
+{
+	int64_t due_ms = s->next_decision_ms;
+	GHashTableIter iter;
+	gpointer item;
+
+	if (s->needs_decision)
+		return now_ms;
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct job_entry *e = item;
+
+		due_ms = MIN(due_ms, job_entry_due_ms(e, s->wall_offset_ms));
+	}
+	return due_ms;
+}
+
+int64_t scheduler_due_ms(const struct scheduler *s, int64_t now_ms)
+{
+	int64_t due_ms = workers_due_ms(s, now_ms);
+
+	if (s->phase == SCHEDULER_CARETAKER)
+		return now_ms; /* judges by how long it saw parts of gangs */
+	if (s->phase == SCHEDULER_ACTIVE)
+		due_ms = MIN(due_ms, entries_due_ms(s, now_ms));
+	return due_ms;
+}
--- a/job/worker_contact.c
+++ b/job/worker_contact.c
@@ -1,6 +1,7 @@
 #include "job/worker_contact.h"
 
 #include "base/util.h"
+#include "base/wake_plan.h"
 #include "job/gang.h"
 
 static void sent_command_clear(gpointer data)
@@ -109,15 +110,36 @@
 	c->next_call_ms = now_ms + WORKER_RETRY_MS;
 }
 
-static gboolean has_expired(const struct worker_contact *c, int64_t lease_ms,
-			    int64_t now_ms)
+int64_t worker_contact_call_ms(const struct worker_contact *c, int64_t now_ms)
+{
+	if (c->is_in_flight)
+		return WAKE_NEVER;
+	if (c->is_due && !c->first_failure_ms)
+		return now_ms;
+	return c->next_call_ms;
+}
+
+static int64_t expiry_ms(const struct worker_contact *c, int64_t lease_ms)
 {
 	int64_t wait_ms = lease_ms + WORKER_EXPIRY_SLACK_MS;
+	int64_t due_ms = WAKE_NEVER;
 
-	if (!c->is_listed && now_ms >= c->unlisted_ms + wait_ms)
-		return TRUE;
+	if (!c->is_listed)
+		due_ms = c->unlisted_ms + wait_ms;
 	/* Without the fence an older holder might still renew. */
-	return c->is_fenced && now_ms >= c->renewed_ms + wait_ms;
+	if (c->is_fenced)
+		due_ms = MIN(due_ms, c->renewed_ms + wait_ms);
+	return due_ms;
+}
+
+int64_t worker_contact_check_ms(const struct worker_contact *c,
+				int64_t lease_ms)
+{
+	if (!c->is_lost)
+		return c->first_failure_ms
+			       ? c->first_failure_ms + WORKER_LOST_AFTER_MS
+			       : WAKE_NEVER;
+	return c->is_expired ? WAKE_NEVER : expiry_ms(c, lease_ms);
 }
 
 enum contact_event worker_contact_check(struct worker_contact *c,
@@ -130,7 +152,7 @@
 		c->is_lost = TRUE;
 		return CONTACT_EVENT_LOST;
 	}
-	if (c->is_lost && !c->is_expired && has_expired(c, lease_ms, now_ms)) {
+	if (c->is_lost && !c->is_expired && now_ms >= expiry_ms(c, lease_ms)) {
 		c->is_expired = TRUE;
 		return CONTACT_EVENT_EXPIRED;
 	}
--- a/job/worker_contact.h
+++ b/job/worker_contact.h
@@ -107,6 +107,16 @@
 enum contact_event worker_contact_check(struct worker_contact *c,
 					int64_t lease_ms, int64_t now_ms);
 
+/**
+ * Returns when worker_contact_check() finds something unless an event comes
+ * before, WAKE_NEVER for never.
+ */
+int64_t worker_contact_check_ms(const struct worker_contact *c,
+				int64_t lease_ms);
+
+/** Returns when to call next, WAKE_NEVER while a call is in flight. */
+int64_t worker_contact_call_ms(const struct worker_contact *c, int64_t now_ms);
+
 /** Tells whether new work may be placed on the worker. */
 gboolean worker_contact_is_usable(const struct worker_contact *c);
 
--- a/request/admission.c
+++ b/request/admission.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/util.h"
+#include "base/wake_plan.h"
 
 #define ESTIMATE_WEIGHT 16.0
 #define USUAL_DEVIATIONS 2.0
@@ -473,6 +474,11 @@
 	}
 }
 
+int64_t admission_due_ms(const struct admission *a, int64_t now_ms)
+{
+	return admission_queued(a) > 0 ? now_ms : WAKE_NEVER;
+}
+
 uint32_t admission_queued(const struct admission *a)
 {
 	return a->classes[REQUEST_SPOT].queued +
--- a/request/admission.h
+++ b/request/admission.h
@@ -86,6 +86,13 @@
 /** Takes all queued items whose deadline can't be met any more. */
 void admission_expire(struct admission *a, int64_t now_ms, GPtrArray *late);
 
+/**
+ * Returns when to look at the queues again unless an event comes before,
+ * WAKE_NEVER while they are empty. What is queued has to be looked at all the
+ * time: when it can't finish any more depends on what runs meanwhile.
+ */
+int64_t admission_due_ms(const struct admission *a, int64_t now_ms);
+
 /** Returns how many are queued. */
 uint32_t admission_queued(const struct admission *a);
 
--- a/shared/lease_protocol.c
+++ b/shared/lease_protocol.c
@@ -1,5 +1,6 @@
 #include "shared/lease_protocol.h"
 
+#include "base/wake_plan.h"
 #include "platform/platform.h"
 
 #define RETRY_MS INT64_C(250)
@@ -245,12 +246,40 @@
 	return p->call != LEASE_CALL_COMMIT && !p->is_unresolved && !is_ours(p);
 }
 
-static gboolean is_caretaker(const struct lease_protocol *p, int64_t now_ms)
+/* When neither the table nor a holder was heard of for long enough. */
+static int64_t caretaker_ms(const struct lease_protocol *p)
 {
 	int64_t cut_ms = p->rules->over_at(p->table_ms, LEASE_TTL_MS);
 
-	return !p->is_draining && p->rank == 0 && now_ms >= cut_ms &&
-	       now_ms - p->heard_ms >= LEASE_HEARD_MS;
+	return MAX(cut_ms, p->heard_ms + LEASE_HEARD_MS);
+}
+
+static gboolean is_caretaker(const struct lease_protocol *p, int64_t now_ms)
+{
+	return !p->is_draining && p->rank == 0 && now_ms >= caretaker_ms(p);
+}
+
+static int64_t call_due_ms(const struct lease_protocol *p)
+{
+	if (p->call != LEASE_CALL_NONE)
+		return WAKE_NEVER;
+	if (p->is_draining && lease_protocol_is_released(p))
+		return WAKE_NEVER;
+	return p->next_ms;
+}
+
+static int64_t role_due_ms(const struct lease_protocol *p, int64_t now_ms)
+{
+	if (now_ms < p->valid_until_ms)
+		return p->valid_until_ms;
+	if (p->is_draining || is_caretaker(p, now_ms))
+		return WAKE_NEVER;
+	return MAX(caretaker_ms(p), now_ms);
+}
+
+int64_t lease_protocol_due_ms(const struct lease_protocol *p, int64_t now_ms)
+{
+	return MIN(call_due_ms(p), role_due_ms(p, now_ms));
 }
 
 enum pool_role lease_protocol_role(const struct lease_protocol *p,
--- a/shared/lease_protocol.h
+++ b/shared/lease_protocol.h
@@ -118,6 +118,13 @@
 /** Tells whether nothing is left to release. */
 gboolean lease_protocol_is_released(const struct lease_protocol *p);
 
+/**
+ * Returns the earliest time at which lease_protocol_step() has a call or the
+ * role changes, unless an event comes before; WAKE_NEVER for none. Takes care
+ * of a rank that falls while there is no table to ask.
+ */
+int64_t lease_protocol_due_ms(const struct lease_protocol *p, int64_t now_ms);
+
 /** Returns the role now; sets the epoch that it goes with. */
 enum pool_role lease_protocol_role(const struct lease_protocol *p,
 				   int64_t now_ms, int64_t *epoch);
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/util.h"
+#include "base/wake_timer.h"
 #include "config/config_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
@@ -11,7 +12,8 @@
 #include "shared/membership_service.h"
 #include "shared/pool_share.h"
 
-#define TICK_MS 100
+/** Shortest time between two looks at the leases. */
+#define GRID_MS 50
 
 struct subscriber {
 	pool_lease_fn fn;
@@ -25,7 +27,7 @@
 	GPtrArray *pools;   /**< of char *, their names, sorted */
 	GPtrArray *members; /**< of char *, live candidates */
 	GArray *subscribers;
-	guint timer;
+	struct wake_timer *timer;
 };
 
 struct pool_lease {
@@ -83,6 +85,7 @@
 	g_ptr_array_add(s->leases, l);
 	g_ptr_array_add(s->pools, l->pool);
 	g_ptr_array_sort(s->pools, compare_names);
+	wake_timer_now(s->timer);
 }
 
 static void add_service_pool(struct pool_lease_service *s, const char *service)
@@ -110,6 +113,56 @@
 	}
 }
 
+/* The candidates: live schedulers of this failure domain. */
+static void update_members(struct pool_lease_service *s)
+{
+	const struct settings *settings = settings_of(s->kernel);
+	const struct membership_service *membership = membership_of(s->kernel);
+	GPtrArray *live;
+
+	if (!membership)
+		return;
+	live = member_table_live(membership_service_table(membership),
+				 LINK_ROLE_SCHEDULER, settings->failure_domain);
+	g_ptr_array_set_size(s->members, 0);
+	for (guint i = 0; i < live->len; i++) {
+		const struct member *m = g_ptr_array_index(live, i);
+
+		g_ptr_array_add(s->members, g_strdup(m->record.identity.node));
+	}
+	g_ptr_array_unref(live);
+}
+
+static void update_ranks(struct pool_lease_service *s, int64_t now_ms)
+{
+	update_members(s);
+	for (guint i = 0; i < s->leases->len; i++) {
+		struct pool_lease *l = g_ptr_array_index(s->leases, i);
+
+		lease_protocol_set_rank(
+			&l->protocol, now_ms,
+			pool_share_rank(s->pools, s->members, l->pool,
+					settings_of(s->kernel)->node));
+	}
+}
+
+static gboolean is_role_told(const struct pool_lease *l, int64_t now_ms)
+{
+	int64_t epoch;
+	enum pool_role role = lease_protocol_role(&l->protocol, now_ms, &epoch);
+
+	return role == l->role && (epoch == l->epoch || role == POOL_ROLE_NONE);
+}
+
+/* Has the lease looked at when it is due, as it is after an event. */
+static void arm(struct pool_lease *l, int64_t now_ms)
+{
+	if (!is_role_told(l, now_ms))
+		wake_timer_at(l->service->timer, now_ms);
+	wake_timer_at(l->service->timer,
+		      lease_protocol_due_ms(&l->protocol, now_ms));
+}
+
 static void on_read(const struct platform_result *result, void *data)
 {
 	struct pool_lease *l = data;
@@ -117,6 +170,7 @@
 	struct lease_row row = { 0 };
 	enum status status = result->status;
 	int64_t version = TABLE_ABSENT;
+	int64_t now_ms = util_monotonic_ms();
 
 	finding_list_init(&findings);
 	if (status == STATUS_OK) {
@@ -125,8 +179,10 @@
 				   &row, "", NULL, &findings))
 			status = STATUS_INVALID;
 	}
-	lease_protocol_on_read(&l->protocol, util_monotonic_ms(), status,
-			       version, status == STATUS_OK ? &row : NULL);
+	update_ranks(l->service, now_ms);
+	lease_protocol_on_read(&l->protocol, now_ms, status, version,
+			       status == STATUS_OK ? &row : NULL);
+	arm(l, now_ms);
 	lease_row_clear(&row);
 	finding_list_clear(&findings);
 }
@@ -134,12 +190,14 @@
 static void on_commit(const struct platform_result *result, void *data)
 {
 	struct pool_lease *l = data;
+	int64_t now_ms = util_monotonic_ms();
 	int64_t version = 0;
 
 	if (result->status == STATUS_OK)
 		version = result->rows[0].version;
-	lease_protocol_on_commit(&l->protocol, util_monotonic_ms(),
-				 result->status, version);
+	update_ranks(l->service, now_ms);
+	lease_protocol_on_commit(&l->protocol, now_ms, result->status, version);
+	arm(l, now_ms);
 }
 
 static void commit(struct pool_lease *l)
@@ -165,7 +223,7 @@
 	int64_t epoch;
 	enum pool_role role = lease_protocol_role(&l->protocol, now_ms, &epoch);
 
-	if (role == l->role && (epoch == l->epoch || role == POOL_ROLE_NONE))
+	if (is_role_told(l, now_ms))
 		return;
 	l->role = role;
 	l->epoch = epoch;
@@ -190,9 +248,6 @@
 {
 	struct pool_lease_service *s = l->service;
 
-	lease_protocol_set_rank(&l->protocol, now_ms,
-				pool_share_rank(s->pools, s->members, l->pool,
-						settings_of(s->kernel)->node));
 	tell_role(l, now_ms);
 	switch (lease_protocol_step(&l->protocol, now_ms)) {
 	case LEASE_CALL_READ:
@@ -207,40 +262,26 @@
 	}
 }
 
-/* The candidates: live schedulers of this failure domain. */
-static void update_members(struct pool_lease_service *s)
+static int64_t on_wake(int64_t now_ms, void *data)
 {
-	const struct settings *settings = settings_of(s->kernel);
-	const struct membership_service *membership = membership_of(s->kernel);
-	GPtrArray *live;
+	struct pool_lease_service *s = data;
+	int64_t due_ms = WAKE_NEVER;
 
-	if (!membership)
-		return;
-	live = member_table_live(membership_service_table(membership),
-				 LINK_ROLE_SCHEDULER, settings->failure_domain);
-	g_ptr_array_set_size(s->members, 0);
-	for (guint i = 0; i < live->len; i++) {
-		const struct member *m = g_ptr_array_index(live, i);
+	update_ranks(s, now_ms);
+	for (guint i = 0; i < s->leases->len; i++) {
+		struct pool_lease *l = g_ptr_array_index(s->leases, i);
 
-		g_ptr_array_add(s->members, g_strdup(m->record.identity.node));
+		tick_lease(l, now_ms);
+		due_ms = MIN(due_ms,
+			     lease_protocol_due_ms(&l->protocol, now_ms));
 	}
-	g_ptr_array_unref(live);
-}
-
-static gboolean on_tick(gpointer data)
-{
-	struct pool_lease_service *s = data;
-	int64_t now_ms = util_monotonic_ms();
-
-	update_members(s);
-	for (guint i = 0; i < s->leases->len; i++)
-		tick_lease(g_ptr_array_index(s->leases, i), now_ms);
-	return G_SOURCE_CONTINUE;
+	return due_ms;
 }
 
 static void on_heartbeat(const struct link_identity *from,
 			 const struct heartbeat *h, void *data)
 {
+	update_ranks(data, util_monotonic_ms());
 	for (guint i = 0; i < h->pools->len; i++) {
 		const struct heartbeat_pool *p =
 			&g_array_index(h->pools, struct heartbeat_pool, i);
@@ -254,8 +295,15 @@
 {
 	struct pool_lease_service *s = (struct pool_lease_service *)base;
 	struct config_service *config;
+	struct wake_timer_spec spec = {
+		.grid_ms = GRID_MS,
+		.fn = on_wake,
+		.data = s,
+		.counters = kernel_counters(k),
+	};
 
 	s->kernel = k;
+	s->timer = wake_timer_new(&spec);
 	g_ptr_array_add(s->members, g_strdup(settings_of(k)->node));
 	add_service_pool(s, settings_of(k)->service);
 	config = (struct config_service *)kernel_find(k, CONFIG_SERVICE);
@@ -263,7 +311,6 @@
 		config_service_subscribe(config, on_config, s);
 	if (membership_of(k))
 		membership_service_subscribe(membership_of(k), on_heartbeat, s);
-	s->timer = g_timeout_add(TICK_MS, on_tick, s);
 	return STATUS_OK;
 }
 
@@ -276,7 +323,7 @@
 
 		lease_protocol_drain(&l->protocol);
 	}
-	on_tick(s);
+	wake_timer_at(s->timer, on_wake(util_monotonic_ms(), s));
 }
 
 static gboolean pool_lease_service_is_idle(const struct service *base)
@@ -297,8 +344,7 @@
 {
 	struct pool_lease_service *s = (struct pool_lease_service *)base;
 
-	if (s->timer)
-		g_source_remove(s->timer);
+	wake_timer_free(s->timer);
 	g_ptr_array_unref(s->pools);
 	g_ptr_array_unref(s->members);
 	g_ptr_array_unref(s->leases);
@@ -351,10 +397,12 @@
 		      int64_t epoch, gboolean is_holder)
 {
 	struct pool_lease *l = find_lease(s, pool);
+	int64_t now_ms = util_monotonic_ms();
 
-	if (l)
-		lease_protocol_heard(&l->protocol, util_monotonic_ms(), epoch,
-				     is_holder);
+	if (!l)
+		return;
+	lease_protocol_heard(&l->protocol, now_ms, epoch, is_holder);
+	arm(l, now_ms);
 }
 
 void pool_lease_describe(const struct pool_lease_service *s, GArray *out)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -313,6 +313,7 @@
 	w->reply.status = reply->status;
 	w->reply.code = reply->code;
 	w->reply.body = json_object_get(reply->body);
+	w->reply.text = g_strdup(reply->text);
 	w->is_done = TRUE;
 }
 
@@ -346,6 +347,7 @@
 {
 	json_object_put(r->body);
 	r->body = NULL;
+	g_clear_pointer(&r->text, g_free);
 }
 
 void cluster_control(struct cluster *c, const char *address, const char *body)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -33,6 +33,7 @@
 	enum status status;
 	guint code;	   /**< HTTP status code, 0 without an answer */
 	json_object *body; /**< owned; cluster_reply_clear() */
+	char *text;	   /**< the body as it came, owned */
 };
 
 /** What a settings file is made of; NULL members take a default. */
--- a/tests/lease_world.c
+++ b/tests/lease_world.c
@@ -25,6 +25,9 @@
 	guint index;
 	guint life; /* counts incarnations */
 	struct lease_protocol protocol;
+	int64_t due_ms; /* as of the last event or tick, by its own clock */
+	enum pool_role role;
+	int64_t epoch;
 	int64_t offset_ms;
 	int64_t rate_permille;
 	int64_t paused_until_ms;
@@ -83,6 +86,30 @@
 	return p->world->e->now_ms < p->paused_until_ms;
 }
 
+/* To be called after each event of the process. */
+static void note_due(struct process *p)
+{
+	p->due_ms = lease_protocol_due_ms(&p->protocol, local_ms(p));
+	p->role = lease_protocol_role(&p->protocol, local_ms(p), &p->epoch);
+}
+
+/* A tick that comes before anything is due must find nothing to do. */
+static void check_due(struct process *p, enum pool_role role, int64_t epoch,
+		      enum lease_call kind)
+{
+	if (p->due_ms <= local_ms(p))
+		return;
+	if (kind != LEASE_CALL_NONE || role != p->role || epoch != p->epoch)
+		explorer_fail(p->world->e, "p%u acts before it is due",
+			      p->index);
+}
+
+static void set_rank(struct process *p, guint rank)
+{
+	lease_protocol_set_rank(&p->protocol, local_ms(p), rank);
+	note_due(p);
+}
+
 static void start_process(struct process *p)
 {
 	char *node = g_strdup_printf("p%u", p->index);
@@ -93,7 +120,7 @@
 						 RATE_PERMILLE + 1);
 	lease_protocol_init(&p->protocol, node, incarnation, "a", local_ms(p));
 	p->protocol.rules = &p->world->plant.rules;
-	lease_protocol_set_rank(&p->protocol, local_ms(p), p->index);
+	set_rank(p, p->index);
 	g_free(node);
 	g_free(incarnation);
 }
@@ -125,6 +152,7 @@
 	else
 		lease_protocol_on_commit(&p->protocol, local_ms(p), status,
 					 c->version);
+	note_due(p);
 }
 
 /* Waits while the process is paused. */
@@ -275,16 +303,19 @@
 static void on_tick(void *data)
 {
 	struct process *p = data;
+	enum pool_role role;
 	int64_t epoch;
 	enum lease_call kind;
 
 	explorer_after(p->world->e, TICK_MS, on_tick, p, NULL);
 	if (is_paused(p))
 		return;
-	if (lease_protocol_role(&p->protocol, local_ms(p), &epoch) ==
-	    POOL_ROLE_HOLDER)
+	role = lease_protocol_role(&p->protocol, local_ms(p), &epoch);
+	if (role == POOL_ROLE_HOLDER)
 		act(p, epoch);
 	kind = lease_protocol_step(&p->protocol, local_ms(p));
+	check_due(p, role, epoch, kind);
+	note_due(p);
 	if (kind != LEASE_CALL_NONE)
 		start_call(p, kind);
 }
@@ -324,8 +355,7 @@
 		explorer_note(w->e, "p%u cut from the table", p->index);
 		break;
 	default:
-		lease_protocol_set_rank(&p->protocol, local_ms(p),
-					(guint)explorer_range(w->e, 0, 3));
+		set_rank(p, (guint)explorer_range(w->e, 0, 3));
 		break;
 	}
 	explorer_after(w->e, explorer_range(w->e, 0, w->fault_ms), on_fault, w,
@@ -392,7 +422,7 @@
 
 		p->paused_until_ms = 0;
 		p->cut_until_ms = 0;
-		lease_protocol_set_rank(&p->protocol, local_ms(p), i);
+		set_rank(p, i);
 	}
 }
 
--- a/tests/test_gangs_explore.c
+++ b/tests/test_gangs_explore.c
@@ -74,6 +74,7 @@
 	int64_t holds_until_ms;
 	enum pool_role role; /* at its last tick */
 	struct scheduler *scheduler;
+	guint asked; /* calls, writes and reads that it asked for */
 };
 
 struct sim {
@@ -95,6 +96,7 @@
 	int64_t holder_cut_until_ms; /* it can't renew */
 	GHashTable *starts;	     /* task to count */
 	int64_t partial_since_ms[JOBS];
+	guint64 idle_ticks; /* that nothing was due at */
 	GQueue trace;
 	char *violation;
 };
@@ -252,6 +254,7 @@
 	int copies = has_faults(s) && chance(s, 5) ? 2 : 1;
 	int64_t epoch;
 
+	n->asked++;
 	timeout->worker = (guint)(worker[1] - '0');
 	timeout->call_id = call_id;
 	timeout->answer = WORKER_FAILED;
@@ -286,6 +289,7 @@
 	struct event *timeout = event_new(s, EVENT_WRITE_ANSWER, n->index);
 	struct event *e;
 
+	n->asked++;
 	timeout->job = job_index(id);
 	timeout->call_id = call_id;
 	timeout->status = STATUS_UNKNOWN;
@@ -308,6 +312,7 @@
 	struct event *e = event_new(s, EVENT_READ_ANSWER, n->index);
 	const struct sim_row *row = &s->rows[job_index(id)];
 
+	n->asked++;
 	e->job = job_index(id);
 	e->call_id = call_id;
 	e->status = is_table_down(s) ? STATUS_UNAVAILABLE : STATUS_OK;
@@ -324,6 +329,7 @@
 	struct sim *s = n->sim;
 	struct event *e = event_new(s, EVENT_SCAN_ANSWER, n->index);
 
+	n->asked++;
 	e->status = is_table_down(s) ? STATUS_UNAVAILABLE : STATUS_OK;
 	for (guint i = 0; i < JOBS; i++) {
 		if (!s->rows[i].exists)
@@ -578,6 +584,39 @@
 	scheduler_on_scanned(x, e->status, s->now_ms);
 }
 
+static gboolean is_same(const struct scheduler_stats *a,
+			const struct scheduler_stats *b)
+{
+	return a->phase == b->phase && a->epoch == b->epoch &&
+	       a->workers == b->workers &&
+	       a->usable_workers == b->usable_workers &&
+	       a->aside_workers == b->aside_workers && a->queued == b->queued &&
+	       a->gangs == b->gangs && a->recoveries == b->recoveries &&
+	       a->recovery_ms == b->recovery_ms;
+}
+
+/*
+ * A tick that comes before anything is due must find nothing to do: without
+ * it, no deadline is served later.
+ */
+static void tick_scheduler(struct sim *s, struct sim_node *n)
+{
+	int64_t due_ms = scheduler_due_ms(n->scheduler, s->now_ms);
+	struct scheduler_stats before;
+	struct scheduler_stats after;
+	guint asked = n->asked;
+
+	scheduler_get_stats(n->scheduler, &before);
+	scheduler_tick(n->scheduler, s->now_ms, s->now_ms);
+	scheduler_get_stats(n->scheduler, &after);
+	if (due_ms <= s->now_ms)
+		return;
+	s->idle_ticks++;
+	if (n->asked != asked || !is_same(&before, &after))
+		violate(s, "tick acts before it is due",
+			scheduler_phase_name(after.phase));
+}
+
 static void tick_node(struct sim *s, guint node)
 {
 	struct scheduler *x = s->nodes[node].scheduler;
@@ -591,7 +630,7 @@
 	scheduler_set_role(x, role, epoch, s->now_ms);
 	if (role == POOL_ROLE_HOLDER && s->now_ms % 1000 < TICK_MS)
 		sim_scan_rows(&s->nodes[node]);
-	scheduler_tick(x, s->now_ms, s->now_ms);
+	tick_scheduler(s, &s->nodes[node]);
 	post(s, event_new(s, EVENT_TICK, node), TICK_MS);
 }
 
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -592,6 +592,52 @@
 	decision_log_free(log);
 }
 
+#define DUE_SEEDS 200
+#define DUE_ITEMS 40
+#define DUE_STEP_MS 20
+
+/* A look that comes before anything is due must find nothing. */
+static void run_due_seed(guint32 seed)
+{
+	struct admission *a = make_admission();
+	struct admission_item items[DUE_ITEMS] = { 0 };
+	GRand *rand = g_rand_new_with_seed(seed);
+	GPtrArray *late = g_ptr_array_new();
+	struct admission_item *shed;
+	struct admission_item *item;
+	guint offered = 0;
+
+	for (int64_t now_ms = 0; now_ms < 4000; now_ms += DUE_STEP_MS) {
+		gboolean is_due = admission_due_ms(a, now_ms) <= now_ms;
+
+		admission_expire(a, now_ms, late);
+		g_assert_true(is_due || late->len == 0);
+		g_ptr_array_set_size(late, 0);
+		item = g_rand_int_range(rand, 0, 4) == 0
+			       ? admission_next(a, now_ms, late)
+			       : NULL;
+		g_assert_true(is_due || (!item && late->len == 0));
+		if (item)
+			admission_done(a, item, g_rand_int_range(rand, 1, 900));
+		if (offered == DUE_ITEMS || g_rand_int_range(rand, 0, 5) > 0)
+			continue;
+		items[offered].class = (enum request_class)g_rand_int_range(
+			rand, 0, REQUEST_CLASS_COUNT);
+		items[offered].deadline_ms =
+			now_ms + g_rand_int_range(rand, 1, 1500);
+		admission_offer(a, &items[offered++], "large", now_ms, &shed);
+	}
+	g_ptr_array_unref(late);
+	g_rand_free(rand);
+	admission_free(a);
+}
+
+static void test_due(void)
+{
+	for (guint32 seed = 0; seed < DUE_SEEDS; seed++)
+		run_due_seed(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -607,6 +653,7 @@
 	g_test_add_func("/requests/admission-fair-share", test_fair_share);
 	g_test_add_func("/requests/admission-classes", test_class_order);
 	g_test_add_func("/requests/admission-late", test_late);
+	g_test_add_func("/requests/admission-due", test_due);
 	g_test_add_func("/requests/retry-budget", test_retry_budget);
 	g_test_add_func("/requests/outlier-cap", test_outlier_cap);
 	g_test_add_func("/requests/outlier-return", test_outlier_return);
--- /dev/null
+++ b/tests/test_wake.c
@@ -0,0 +1,163 @@
+/*
+ * One timer for all deadlines in place of a tick: never later than the tick,
+ * never more often, and nothing waits behind a deadline that can't be met.
+ */
+#include <glib.h>
+
+#include "base/util.h"
+#include "base/wake_timer.h"
+
+#define GRID_MS INT64_C(20)
+#define SEEDS 500
+#define STEPS 200
+
+struct plan_case {
+	int64_t served_ms; /* -1 for nothing yet */
+	int64_t due_ms[2];
+	int64_t wake_ms;
+};
+
+static const struct plan_case plan_cases[] = {
+	{ -1, { WAKE_NEVER, WAKE_NEVER }, WAKE_NEVER },
+	{ -1, { 0, WAKE_NEVER }, 0 },
+	{ -1, { 1, WAKE_NEVER }, 20 },
+	{ -1, { 20, WAKE_NEVER }, 20 },
+	{ -1, { 21, WAKE_NEVER }, 40 },
+	{ -1, { 95, 41 }, 60 },		/* the earliest wins */
+	{ -1, { 41, 95 }, 60 },		/* in any order */
+	{ 60, { 41, WAKE_NEVER }, 80 }, /* overdue: after one period */
+	{ 60, { -5, WAKE_NEVER }, 80 },
+	{ 60, { 60, WAKE_NEVER }, 80 },
+	{ 60, { 81, WAKE_NEVER }, 100 },
+	{ 60, { WAKE_NEVER - 1, WAKE_NEVER }, WAKE_NEVER },
+};
+
+static void test_plan(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(plan_cases); i++) {
+		const struct plan_case *c = &plan_cases[i];
+		struct wake_plan p;
+		int64_t late_ms = -1;
+
+		wake_plan_init(&p, GRID_MS);
+		if (c->served_ms >= 0) {
+			wake_plan_at(&p, c->served_ms, 0);
+			g_assert_true(
+				wake_plan_take(&p, c->served_ms + 3, &late_ms));
+			g_assert_cmpint(late_ms, ==, 3);
+		}
+		wake_plan_at(&p, c->due_ms[0], MAX(c->served_ms, 0));
+		wake_plan_at(&p, c->due_ms[1], MAX(c->served_ms, 0));
+		if (wake_plan_wake_ms(&p) != c->wake_ms) {
+			g_test_message("case %u: wakes at %" G_GINT64_FORMAT, i,
+				       wake_plan_wake_ms(&p));
+			g_test_fail();
+		}
+		if (c->wake_ms > 0)
+			g_assert_false(wake_plan_take(
+				&p, MIN(c->wake_ms, 1000) - 1, &late_ms));
+	}
+}
+
+/* When a tick of the same grid that runs on time would serve a deadline. */
+static int64_t tick_ms(int64_t due_ms, int64_t added_ms, int64_t served_ms)
+{
+	int64_t from_ms = MAX(MAX(due_ms, added_ms), served_ms + 1);
+
+	return (from_ms + GRID_MS - 1) / GRID_MS * GRID_MS;
+}
+
+/*
+ * Deadlines are added at random times, in the past as well. Each is served by
+ * the tick that would have served it, and there are no other turns.
+ */
+static void run_seed(guint32 seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	struct wake_plan p;
+	int64_t now_ms = 0;
+	int64_t ticked_ms = WAKE_NEVER; /* when the tick serves the earliest */
+	int64_t served_ms = -1;
+	int64_t late_ms;
+
+	wake_plan_init(&p, GRID_MS);
+	for (guint i = 0; i < STEPS; i++) {
+		int64_t due_ms = now_ms + g_rand_int_range(rand, -50, 300);
+		int64_t until_ms = now_ms + g_rand_int_range(rand, 0, 60);
+
+		wake_plan_at(&p, due_ms, now_ms);
+		ticked_ms = MIN(ticked_ms, tick_ms(due_ms, now_ms, served_ms));
+		for (; now_ms < until_ms; now_ms++) {
+			if (!wake_plan_take(&p, now_ms, &late_ms)) {
+				g_assert_cmpint(now_ms, <, ticked_ms);
+				continue;
+			}
+			g_assert_cmpint(now_ms, ==, ticked_ms);
+			g_assert_cmpint(late_ms, <=, GRID_MS);
+			served_ms = now_ms;
+			ticked_ms = WAKE_NEVER;
+		}
+	}
+	g_rand_free(rand);
+}
+
+static void test_like_tick(void)
+{
+	for (guint32 seed = 0; seed < SEEDS; seed++)
+		run_seed(seed);
+}
+
+struct timed {
+	struct wake_timer *timer;
+	guint calls;
+	int64_t due_ms; /* returned by the function */
+};
+
+static int64_t on_wake(int64_t now_ms, void *data)
+{
+	struct timed *t = data;
+
+	t->calls++;
+	if (t->due_ms == WAKE_NEVER)
+		g_clear_pointer(&t->timer, wake_timer_free);
+	return t->due_ms;
+}
+
+/* A deadline that is always over leaves the loop to others. */
+static void test_no_starving(void)
+{
+	struct counters counters;
+	struct timed t = { .due_ms = 0 };
+	struct wake_timer_spec spec = { .grid_ms = GRID_MS,
+					.fn = on_wake,
+					.data = &t,
+					.counters = &counters };
+	int64_t turns = 0;
+
+	counters_init(&counters);
+	t.timer = wake_timer_new(&spec);
+	wake_timer_now(t.timer);
+	while (t.calls < 5) {
+		g_main_context_iteration(NULL, TRUE);
+		turns++;
+	}
+	g_assert_cmpint(turns, <=, 2 * 5);
+	t.due_ms = WAKE_NEVER;
+	while (t.timer)
+		g_main_context_iteration(NULL, TRUE);
+	g_assert_cmpuint(t.calls, ==, 6);
+	g_assert_cmpuint(
+		counters_histogram(&counters, "cs_wake_late_seconds", "")
+			->count,
+		==, 6);
+	counters_clear(&counters);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/wake/plan", test_plan);
+	g_test_add_func("/wake/like-tick", test_like_tick);
+	g_test_add_func("/wake/no-starving", test_no_starving);
+	return g_test_run();
+}
