Logs: one grep by the id tells a request's or a job's whole story

Cause: a test that greps all nodes' logs on a run with faults found missing: that a request was accepted, why an attempt failed, refusals without a look at the queues, the epoch and configuration version of a job's states and takeover, for whom a job was preempted. Placements said that a job had waited - ms: the wall clock of the submission was taken from the monotonic clock.

Ruled out: that jobs are ordered wrongly by it. The queue only compares times of submission with each other.

Change: events accepted and attempt_failed; refusals by the caller's check are logged; job_submit has reason and version, job_state epoch and version, recovered epoch and version; preempt says for whom and why. waited_ms is by the wall clock.

Shown by: test_story, two gateways, two runners of which one is killed, a repeatable request retried, one that is not and the caller's second attempt at the other gateway, a refusal; a gang whose holder is killed, a gang preempted. It failed at each of the lines above before.

Conclusion: runner_up is empty where the policy had no second candidate (both draws hit the same endpoint; one rack in the pool).

--- a/daemon/flight.h
+++ b/daemon/flight.h
@@ -76,6 +76,10 @@
 		     const struct run_reply *reply, int64_t now_ms);
 
 void flight_note_arrival(const struct flight *f);
+
+/** Notes an attempt that was not answered by what was asked for. */
+void flight_note_failure(const struct flight *f, const struct endpoint *e,
+			 const char *reason);
 void flight_note_route(struct flight *f, const struct routing_choice *choice);
 void flight_note_answer(struct flight *f, enum answer_kind kind,
 			enum reason reason);
--- a/daemon/flight_log.c
+++ b/daemon/flight_log.c
@@ -4,6 +4,35 @@
 #include "base/util.h"
 #include "daemon/dispatcher_state.h"
 
+static void log_accepted(const struct flight *f)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "accepted");
+	log_str(&line, "request", f->id);
+	log_str(&line, "client_account", f->spec.client_account);
+	log_str(&line, "class", request_class_names[f->spec.class]);
+	log_str(&line, "key", f->spec.idempotency_key);
+	log_int(&line, "caller_attempt", f->spec.attempt);
+	log_int(&line, "deadline_ms", f->spec.deadline_ms);
+	log_int(&line, "config_version", f->dispatcher->config_version);
+	log_end(&line);
+}
+
+void flight_note_failure(const struct flight *f, const struct endpoint *e,
+			 const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "attempt_failed");
+	log_str(&line, "request", f->id);
+	log_str(&line, "endpoint", e->name);
+	log_str(&line, "reason", reason);
+	log_int(&line, "attempts", f->attempts);
+	log_int(&line, "config_version", f->dispatcher->config_version);
+	log_end(&line);
+}
+
 void flight_note_arrival(const struct flight *f)
 {
 	struct decision *note =
@@ -14,6 +43,7 @@
 	decision_set(&note->state, "queued");
 	note->arrival_ms = util_wall_ms();
 	note->config_version = f->dispatcher->config_version;
+	log_accepted(f);
 }
 
 static void log_route(const struct flight *f,
@@ -63,6 +93,8 @@
 	log_str(&line, "request", f->id);
 	log_str(&line, "client_account", f->spec.client_account);
 	log_str(&line, "class", request_class_names[f->spec.class]);
+	log_str(&line, "key", f->spec.idempotency_key);
+	log_str(&line, "endpoint", f->endpoint ? f->endpoint->name : "");
 	log_str(&line, "reason", reason);
 	log_int(&line, "attempts", f->attempts);
 	log_int(&line, "age_ms", util_monotonic_ms() - f->arrival_ms);
--- a/daemon/flight_send.c
+++ b/daemon/flight_send.c
@@ -99,6 +99,7 @@
 		flight_finish(f, ANSWER_DONE, REASON_NONE, reply->result);
 		return;
 	}
+	flight_note_failure(f, a->endpoint, run_outcome_name(reply->outcome));
 	remember_tried(f, a->endpoint);
 	if (!run_outcome_is_not_started(reply->outcome))
 		f->may_have_run = TRUE;
@@ -125,6 +126,7 @@
 		if (!f->out[i].call)
 			continue;
 		f->out[i].is_overdue = TRUE;
+		flight_note_failure(f, f->out[i].endpoint, "no progress");
 		remember_tried(f, f->out[i].endpoint);
 	}
 	if (flight_try_send(f, now_ms))
--- a/daemon/job_api.c
+++ b/daemon/job_api.c
@@ -94,20 +94,38 @@
 	http_request_reply(r, code, json);
 }
 
+static const struct config_service *config_of(const struct job_api *api)
+{
+	return (const struct config_service *)kernel_find(api->kernel,
+							  CONFIG_SERVICE);
+}
+
+static void log_call(const struct job_api *api, enum job_call_kind kind,
+		     const char *pool, const char *id, const char *answer,
+		     const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO,
+		  kind == CALL_SUBMIT ? "job_submit" : "job_cancel");
+	log_str(&line, "pool", pool);
+	log_str(&line, "job", id);
+	log_str(&line, "answer", answer);
+	log_str(&line, "reason", reason ? reason : "");
+	log_int(&line, "config_version",
+		config_service_version(config_of(api)));
+	log_end(&line);
+}
+
 static void on_outcome(enum row_outcome outcome, void *data)
 {
 	struct job_call *c = data;
-	struct log_line line;
 
 	c->writer = NULL;
 	if (outcome == ROW_WRITTEN)
 		holder_client_poke(c->api->holders, c->pool, c->id);
-	log_begin(&line, LOG_LEVEL_INFO,
-		  c->kind == CALL_SUBMIT ? "job_submit" : "job_cancel");
-	log_str(&line, "pool", c->pool);
-	log_str(&line, "job", c->id);
-	log_str(&line, "answer", answers[outcome].answer);
-	log_end(&line);
+	log_call(c->api, c->kind, c->pool, c->id, answers[outcome].answer,
+		 answers[outcome].reason);
 	reply_answer(c->request, answers[outcome].code, c->id,
 		     answers[outcome].answer, answers[outcome].reason);
 	call_free(c);
@@ -116,10 +134,7 @@
 static const struct config_doc *config_or_refuse(const struct job_api *api,
 						 struct http_request *r)
 {
-	const struct config_service *config =
-		(const struct config_service *)kernel_find(api->kernel,
-							   CONFIG_SERVICE);
-	const struct config_doc *doc = config_service_doc(config);
+	const struct config_doc *doc = config_service_doc(config_of(api));
 
 	if (!doc)
 		reply_answer(r, SOUP_STATUS_SERVICE_UNAVAILABLE, "", "not run",
@@ -146,8 +161,11 @@
 {
 	struct job_call *c;
 
-	if (!may_act_for(doc, record->client_account, r))
+	if (!may_act_for(doc, record->client_account, r)) {
+		log_call(api, CALL_SUBMIT, record->pool, record->id, "not run",
+			 "bad-token");
 		return;
+	}
 	record->submitted_ms = util_wall_ms();
 	c = call_new(api, r, CALL_SUBMIT, record->pool, record->id);
 	c->writer =
--- a/daemon/request_service.c
+++ b/daemon/request_service.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/log.h"
 #include "base/util.h"
 #include "config/bearer_token.h"
 #include "config/config_service.h"
@@ -85,6 +86,22 @@
 	return may_run_elsewhere ? ANSWER_UNKNOWN : ANSWER_NOT_RUN;
 }
 
+static void log_refusal(const struct request_service *s,
+			const struct request_spec *spec,
+			const struct dispatch_answer *a)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, answer_name(a->kind));
+	log_str(&line, "request", a->request_id);
+	log_str(&line, "client_account", spec->client_account);
+	log_str(&line, "key", spec->idempotency_key);
+	log_str(&line, "reason", reason_name(a->reason));
+	log_int(&line, "attempts", 0);
+	log_int(&line, "config_version", config_service_version(s->config));
+	log_end(&line);
+}
+
 static void handle_request(struct http_request *r, void *data)
 {
 	struct request_service *s = data;
@@ -109,6 +126,7 @@
 			.reason = reason,
 		};
 
+		log_refusal(s, &spec, &answer);
 		reply(r, &answer);
 		goto out;
 	}
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -399,7 +399,7 @@
 }
 
 static void log_decision(const struct scheduler *s, const struct job_entry *e,
-			 const struct job_decision *d)
+			 const struct job_decision *d, int64_t now_ms)
 {
 	char *choice;
 	struct log_line line;
@@ -415,7 +415,8 @@
 	log_str(&line, "runner_up", d->placement.runner_up);
 	log_str(&line, "reason", d->placement.reason);
 	log_int(&line, "preempts", d->placement.preempt->len);
-	log_int(&line, "waited_ms", d->waited_ms);
+	log_int(&line, "waited_ms",
+		wall_ms(s, now_ms) - e->record.submitted_ms);
 	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 	g_free(choice);
@@ -427,6 +428,20 @@
 	*to = g_strdup(text ? text : "");
 }
 
+static void log_preempt(const struct scheduler *s, const struct job_entry *e,
+			const struct job_entry *victim)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "preempt");
+	log_str(&line, "pool", s->pool_name);
+	log_str(&line, "job", victim->record.id);
+	log_str(&line, "for", e->record.id);
+	log_str(&line, "reason", e->choice);
+	log_int(&line, "config_version", s->config_version);
+	log_end(&line);
+}
+
 static void preempt(struct scheduler *s, struct job_entry *e, const char *id,
 		    int64_t now_ms)
 {
@@ -434,6 +449,7 @@
 
 	if (!victim || !victim->gang)
 		return;
+	log_preempt(s, e, victim);
 	g_hash_table_add(e->blockers, g_strdup(id));
 	gang_preempt(victim->gang, now_ms);
 	scheduler_follow(s, victim, now_ms);
@@ -471,7 +487,7 @@
 		if (status != STATUS_NOT_FOUND)
 			e = g_hash_table_lookup(s->entries, d.job_id);
 		if (e && status == STATUS_OK) {
-			log_decision(s, e, &d);
+			log_decision(s, e, &d, now_ms);
 			start_gang(s, e, &d, now_ms);
 		} else if (e) {
 			end_job(s, e, JOB_REFUSED, d.placement.reason, now_ms);
@@ -519,9 +535,12 @@
 	if (e->record.is_cancelled)
 		gang_abort(e->gang, GANG_OUTCOME_CANCELLED, "", now_ms);
 	log_begin(&line, LOG_LEVEL_INFO, "recovered");
+	log_str(&line, "pool", s->pool_name);
 	log_str(&line, "job", e->record.id);
 	log_int(&line, "attempt", e->gang->attempt);
 	log_str(&line, "gang", gang_state_name(e->gang->state));
+	log_int(&line, "epoch", s->epoch);
+	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 	scheduler_follow(s, e, now_ms);
 }
--- a/job/scheduler_rows.c
+++ b/job/scheduler_rows.c
@@ -50,6 +50,8 @@
 	log_str(&line, "state", job_state_names[state]);
 	log_int(&line, "attempt", e->record.attempt);
 	log_str(&line, "reason", reason);
+	log_int(&line, "epoch", s->epoch);
+	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 }
 
