Load tool: counts that add up, bad settings refused with findings

Cause: cs-load counted what was not done as failed, whether it had run or not, and forced a count or a concurrency out of range into it in silence.

Change: done, not_run and unknown add up to sent, by the answer of the gateway or the endpoint. Settings are checked together; each finding says what is allowed.

Shown by: test_load against one gateway and stand-ins: all done, all refused, the runner killed under way, and a table of bad settings.

--- a/cli/cs-load.c
+++ b/cli/cs-load.c
@@ -10,18 +10,29 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/finding.h"
 #include "base/http_client.h"
 #include "base/util.h"
 #include "daemon/daemon.h"
+#include "request/request.h"
+#include "request/run_reply.h"
 
 #define DEFAULT_COUNT 1000
 #define MAX_COUNT 100000
 #define DEFAULT_CONCURRENCY 4
 #define MAX_CONCURRENCY 64
+#define MAX_WORK_MS 4000
 #define ROUND_REQUESTS 50
 #define DEADLINE_MS 5000
 #define CALL_TIMEOUT_MS 10000
-#define HTTP_OK 200
+
+/* What became of a request; every one that was sent is counted once. */
+enum load_end {
+	LOAD_DONE,
+	LOAD_NOT_RUN, /* it certainly did not run */
+	LOAD_UNKNOWN,
+	LOAD_END_COUNT,
+};
 
 /* One of the two ways that a request can go. */
 struct way {
@@ -30,16 +41,17 @@
 	const char *path;
 	const char *const *headers;
 	json_object *(*body)(guint number);
+	enum load_end (*judge)(const struct http_reply *reply, guint number);
 	double *latency_us; /* of those that were done */
-	gsize done;
+	guint ends[LOAD_END_COUNT];
 	guint sent;
-	guint failed;
 	guint in_flight;
 	int64_t busy_us; /* time of its rounds */
 };
 
 struct load_call {
 	struct way *way;
+	guint number;
 	int64_t start_us;
 };
 
@@ -89,10 +101,45 @@
 	return body;
 }
 
+static enum load_end gateway_judge(const struct http_reply *reply, guint number)
+{
+	json_object *answer = NULL;
+	const char *text;
+
+	if (reply->status == STATUS_UNAVAILABLE)
+		return LOAD_NOT_RUN;
+	if (json_object_is_type(reply->body, json_type_object))
+		json_object_object_get_ex(reply->body, "answer", &answer);
+	text = json_object_get_string(answer);
+	if (g_strcmp0(text, answer_name(ANSWER_DONE)) == 0)
+		return LOAD_DONE;
+	return g_strcmp0(text, answer_name(ANSWER_NOT_RUN)) == 0 ? LOAD_NOT_RUN
+								 : LOAD_UNKNOWN;
+}
+
+static char *endpoint_id(guint number)
+{
+	return g_strdup_printf("load-%u", number);
+}
+
+static enum load_end endpoint_judge(const struct http_reply *reply,
+				    guint number)
+{
+	char *id = endpoint_id(number);
+	struct run_reply run;
+
+	run_reply_judge(reply->status, reply->code, reply->body, id, &run);
+	g_free(id);
+	if (run.outcome == RUN_DONE)
+		return LOAD_DONE;
+	return run_outcome_is_not_started(run.outcome) ? LOAD_NOT_RUN
+						       : LOAD_UNKNOWN;
+}
+
 static json_object *endpoint_body(guint number)
 {
 	json_object *body = json_object_new_object();
-	char *id = g_strdup_printf("load-%u", number);
+	char *id = endpoint_id(number);
 
 	add_string(body, "request_id", id);
 	json_object_object_add(body, "work_ms",
@@ -107,12 +154,12 @@
 	struct load_call *call = data;
 	struct way *w = call->way;
 	int64_t latency_us = g_get_monotonic_time() - call->start_us;
+	enum load_end end = w->judge(reply, call->number);
 
 	w->in_flight--;
-	if (reply->status == STATUS_OK && reply->code == HTTP_OK)
-		w->latency_us[w->done++] = (double)latency_us;
-	else
-		w->failed++;
+	if (end == LOAD_DONE)
+		w->latency_us[w->ends[LOAD_DONE]] = (double)latency_us;
+	w->ends[end]++;
 	g_free(call);
 }
 
@@ -132,6 +179,7 @@
 	};
 
 	call->way = w;
+	call->number = w->sent;
 	call->start_us = g_get_monotonic_time();
 	w->sent++;
 	w->in_flight++;
@@ -155,16 +203,19 @@
 
 static void print_way(const struct way *w)
 {
-	printf("%-8s %8u %8zu %8u", w->name, w->sent, w->done, w->failed);
-	if (w->done) {
-		gsl_sort(w->latency_us, 1, w->done);
+	guint done = w->ends[LOAD_DONE];
+
+	printf("%-8s %8u %8u %8u %8u", w->name, w->sent, done,
+	       w->ends[LOAD_NOT_RUN], w->ends[LOAD_UNKNOWN]);
+	if (done) {
+		gsl_sort(w->latency_us, 1, done);
 		printf(" %9.0f %9.0f %9.0f %9.0f",
 		       gsl_stats_quantile_from_sorted_data(w->latency_us, 1,
-							   w->done, 0.5),
+							   done, 0.5),
 		       gsl_stats_quantile_from_sorted_data(w->latency_us, 1,
-							   w->done, 0.99),
-		       w->latency_us[w->done - 1],
-		       (double)w->done * G_USEC_PER_SEC / (double)w->busy_us);
+							   done, 0.99),
+		       w->latency_us[done - 1],
+		       (double)done * G_USEC_PER_SEC / (double)w->busy_us);
 	}
 	printf("\n");
 }
@@ -176,12 +227,17 @@
 	for (guint i = 0; i < G_N_ELEMENTS(quantiles); i++)
 		printf("added by the entry hop, p%.0f: %.0f us\n",
 		       quantiles[i] * 100,
-		       gsl_stats_quantile_from_sorted_data(gateway->latency_us,
-							   1, gateway->done,
-							   quantiles[i]) -
+		       gsl_stats_quantile_from_sorted_data(
+			       gateway->latency_us, 1, gateway->ends[LOAD_DONE],
+			       quantiles[i]) -
 			       gsl_stats_quantile_from_sorted_data(
-				       direct->latency_us, 1, direct->done,
-				       quantiles[i]));
+				       direct->latency_us, 1,
+				       direct->ends[LOAD_DONE], quantiles[i]));
+}
+
+static gboolean is_all_done(const struct way *w)
+{
+	return w->ends[LOAD_DONE] == w->sent;
 }
 
 static int run(struct way *gateway, struct way *direct)
@@ -196,15 +252,16 @@
 			run_round(direct, requests);
 		left -= requests;
 	}
-	printf("%-8s %8s %8s %8s %9s %9s %9s %9s\n", "way", "sent", "done",
-	       "failed", "p50_us", "p99_us", "max_us", "per_s");
+	printf("%-8s %8s %8s %8s %8s %9s %9s %9s %9s\n", "way", "sent", "done",
+	       "not_run", "unknown", "p50_us", "p99_us", "max_us", "per_s");
 	print_way(gateway);
 	if (direct->address) {
 		print_way(direct);
-		if (gateway->done && direct->done)
+		if (gateway->ends[LOAD_DONE] && direct->ends[LOAD_DONE])
 			print_added(gateway, direct);
 	}
-	return gateway->failed || direct->failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return is_all_done(gateway) && is_all_done(direct) ? EXIT_SUCCESS
+							   : EXIT_FAILURE;
 }
 
 static const GOptionEntry entries[] = {
@@ -223,12 +280,68 @@
 	{ "concurrency", 'c', 0, G_OPTION_ARG_INT, &options.concurrency,
 	  "Requests at a time, at most 64", "N" },
 	{ "work-ms", 'w', 0, G_OPTION_ARG_INT, &options.work_ms,
-	  "Time that a request takes at the endpoint", "N" },
+	  "Time that a request takes at the endpoint, at most 4000", "N" },
 	{ "version", 'V', 0, G_OPTION_ARG_NONE, &options.show_version,
 	  "Print the version and exit", NULL },
 	G_OPTION_ENTRY_NULL,
 };
 
+static void check_address(struct finding_list *findings, const char *place,
+			  const char *address)
+{
+	char *host = NULL;
+	uint16_t port;
+
+	if (!util_parse_endpoint(address, &host, &port))
+		finding_list_add(findings, place, "IP:PORT", "bad address %s",
+				 address);
+	g_free(host);
+}
+
+static void check_range(struct finding_list *findings, const char *place,
+			gint value, gint min, gint max)
+{
+	char *allowed = g_strdup_printf("%d to %d", min, max);
+
+	if (value < min || value > max)
+		finding_list_add(findings, place, allowed, "%d", value);
+	g_free(allowed);
+}
+
+/* Checks all settings, so that all that is wrong is told at once. */
+static gboolean check_options(const char *rest)
+{
+	struct finding_list findings;
+	gboolean is_good;
+	char *text;
+
+	finding_list_init(&findings);
+	if (rest)
+		finding_list_add(&findings, rest, "options", "not an option");
+	if (options.server)
+		check_address(&findings, "server", options.server);
+	else
+		finding_list_add(&findings, "server", "IP:PORT", "missing");
+	if (options.endpoint)
+		check_address(&findings, "endpoint", options.endpoint);
+	if (!options.client_account)
+		finding_list_add(&findings, "account",
+				 "the name of a client account", "missing");
+	if (!options.service)
+		finding_list_add(&findings, "service", "the name of a service",
+				 "missing");
+	check_range(&findings, "count", options.count, 1, MAX_COUNT);
+	check_range(&findings, "concurrency", options.concurrency, 1,
+		    MAX_CONCURRENCY);
+	check_range(&findings, "work-ms", options.work_ms, 0, MAX_WORK_MS);
+	is_good = finding_list_count(&findings) == 0;
+	text = finding_list_text(&findings);
+	fprintf(stderr, "%s", text);
+	g_free(text);
+	finding_list_clear(&findings);
+	return is_good;
+}
+
 static gboolean parse_options(int argc, char **argv)
 {
 	GOptionContext *context = g_option_context_new(NULL);
@@ -245,26 +358,19 @@
 		g_error_free(error);
 		return FALSE;
 	}
-	if (options.show_version)
-		return TRUE;
-	if (!options.server || !options.client_account || !options.service) {
-		fprintf(stderr,
-			"cs-load: --server, --account, --service needed\n");
-		return FALSE;
-	}
-	options.count = CLAMP(options.count, 1, MAX_COUNT);
-	options.concurrency = CLAMP(options.concurrency, 1, MAX_CONCURRENCY);
-	return TRUE;
+	return options.show_version || check_options(argc > 1 ? argv[1] : NULL);
 }
 
 int main(int argc, char **argv)
 {
 	struct way gateway = { .name = "gateway",
 			       .path = "/v1/requests",
-			       .body = gateway_body };
+			       .body = gateway_body,
+			       .judge = gateway_judge };
 	struct way direct = { .name = "direct",
 			      .path = "/run",
-			      .body = endpoint_body };
+			      .body = endpoint_body,
+			      .judge = endpoint_judge };
 	const char *headers[] = { NULL, NULL, NULL };
 	char *bearer = NULL;
 	int code;
