--- a/base/util.c
+++ b/base/util.c
@@ -46,3 +46,11 @@
 	*port = (uint16_t)number;
 	return TRUE;
 }
+
+/* The finalizer of splitmix64. */
+uint64_t util_mix64(uint64_t x)
+{
+	x = (x ^ (x >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	x = (x ^ (x >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return x ^ (x >> 31);
+}
--- a/base/util.h
+++ b/base/util.h
@@ -30,4 +30,7 @@
  */
 gboolean util_parse_endpoint(const char *text, char **host, uint16_t *port);
 
+/** Mixes a number so that sums of mixed ones tell sets apart. */
+uint64_t util_mix64(uint64_t x);
+
 #endif
--- a/bench/bench_recovery.c
+++ b/bench/bench_recovery.c
@@ -18,6 +18,7 @@
 
 #define DOMAIN_WORKERS 380
 #define DOMAIN_TASKS 8200
+#define DOMAIN_SCHEDULERS 8
 #define GANG_MAX 256
 #define GANG_SMALL 4
 #define GANGS_PER_LARGE 40
@@ -27,6 +28,8 @@
 #define LIMIT_MS 60000
 /** The letter: for control a node spends at most 24 KB a second. */
 #define CONTROL_BYTES_PER_S 24000
+/** For which a part of a gang may run, at any size of the pool. */
+#define MAX_PARTIAL_MS 30000
 /** Issue 6: nothing is stopped or started by a recovery without faults. */
 #define MAX_COMMANDS 0
 /** One call to fence, one after the lag, one to go on with. */
@@ -327,8 +330,9 @@
 	open_bench(&b, workers, tasks, partial_every);
 	recovery_ms = recover(&b);
 	renewal_bytes = (double)(b.sent_bytes + b.report_bytes) / b.calls;
-	bytes_per_s = renewal_bytes * workers * MS_PER_S /
-		      (double)worker_renew_period_ms(workers);
+	bytes_per_s =
+		renewal_bytes * workers / DOMAIN_SCHEDULERS * MS_PER_S /
+		(double)worker_renew_period_ms(workers, DOMAIN_SCHEDULERS);
 	printf("%8u %8u %6u %8u %8u %9u %8u %7" G_GINT64_FORMAT
 	       " %10.1f %10.0f\n",
 	       workers, tasks, b.rows->len, b.partial, b.calls, b.commands,
@@ -338,6 +342,9 @@
 	      "the report's lag, twice");
 	check("calls a worker", (double)b.calls / workers, MAX_CALLS_PER_WORKER,
 	      "design note on recovery");
+	check("bound on gangs in part, ms",
+	      (double)worker_partial_bound_ms(workers, DOMAIN_SCHEDULERS),
+	      MAX_PARTIAL_MS, "letter 1");
 	check("renewals, bytes a second", bytes_per_s, CONTROL_BYTES_PER_S,
 	      "letter 1");
 	if (!b.partial)
--- a/bench/measure_capacity.sh
+++ b/bench/measure_capacity.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Measures on real processes what docs/CAPACITY.md works its slopes out from.
 # Not part of CI: it reads the processor's clock. Usage:
-#   bench/measure_capacity.sh BUILD [workers|tasks|members|config|endpoints]
+#   bench/measure_capacity.sh BUILD \
+#	[workers|tasks|renewals|members|config|endpoints]
 # Each line of output is one run: key=value pairs, rates per second.
 set -u
 build=$1
@@ -52,7 +53,7 @@
 	run workers "$bin/cs-standin-worker" --count "$1" \
 		--listen "127.0.0.1:$((port + 400))" \
 		--platform "127.0.0.1:$port" --vm w --service salkhi \
-		--failure-domain tov-a --rack r
+		--failure-domain tov-a --rack r ${CAPACITY_WORKER_OPTIONS:-}
 }
 
 counter() { # HTTP_PORT NAME
@@ -69,7 +70,7 @@
 	local names=(cs_process_cpu_us cs_http_client_sent_bytes
 		cs_http_client_received_bytes link_sent_bytes
 		link_received_bytes cs_platform_reads_total
-		cs_platform_writes_total cs_worker_calls)
+		cs_platform_writes_total cs_worker_calls cs_renewals)
 	for name in "${names[@]}"; do
 		before+=("$(counter "$at" "$name")")
 	done
@@ -84,9 +85,9 @@
 	echo "$line resident_kb=$(($(counter "$at" cs_process_resident_bytes) / 1024))"
 }
 
-apply_plan() {
+apply_plan() { # HTTP_PORT
 	"$bin/khuree-plan" >"$dir/plan.json"
-	"$bin/csctl" --server "127.0.0.1:$((port + 200))" apply \
+	"$bin/csctl" --server "127.0.0.1:$1" apply \
 		"$dir/plan.json" >/dev/null
 }
 
@@ -103,33 +104,78 @@
 	done
 }
 
+# submit_jobs COUNT GATEWAY_PORT: each of 200 one-core tasks.
+submit_jobs() {
+	local i
+	for ((i = 0; i < $1; i++)); do
+		CS_TOKEN=forecast-token "$bin/cscall" \
+			--server "127.0.0.1:$2" submit \
+			--id "j$i" '{"client_account": "forecast",
+			"pool": "salkhi.tov-a", "class": "normal",
+			"run_ms": 600000, "expected_run_ms": 600000,
+			"is_checkpointable": true, "shape":
+			{"members": 200, "accelerators": 0, "cores": 1,
+			"memory_mb": 1, "adjacency": "none"}}' >/dev/null
+	done
+}
+
 # Cost of a scheduler by tasks: jobs of 200 one-core tasks on 380 workers.
 measure_tasks() {
-	local jobs i
+	local jobs
 	for jobs in 0 10 20 40; do
 		platform
 		workers 380
 		daemon csschedd s0 $((port + 200))
 		daemon csgated g0 $((port + 210))
 		sleep 6
-		apply_plan
+		apply_plan $((port + 200))
 		sleep 2
-		for ((i = 0; i < jobs; i++)); do
-			CS_TOKEN=forecast-token "$bin/cscall" \
-				--server "127.0.0.1:$((port + 210))" submit \
-				--id "j$i" '{"client_account": "forecast",
-				"pool": "salkhi.tov-a", "class": "normal",
-				"run_ms": 600000, "expected_run_ms": 600000,
-				"is_checkpointable": true, "shape":
-				{"members": 200, "accelerators": 0, "cores": 1,
-				"memory_mb": 1, "adjacency": "none"}}' >/dev/null
-		done
+		submit_jobs "$jobs" $((port + 210))
 		sleep 15
 		sample "matter=tasks tasks=$((jobs * 200))" $((port + 200))
 		end_run
 	done
 }
 
+# The pool may have been handed over: the holder is who makes calls now.
+find_holder() { # SCHEDULERS
+	local i before=()
+	for ((i = 0; i < $1; i++)); do
+		before+=("$(counter $((port + 200 + i)) cs_worker_calls)")
+	done
+	sleep 5
+	for ((i = 0; i < $1; i++)); do
+		[ "$(counter $((port + 200 + i)) cs_worker_calls)" = \
+			"${before[i]}" ] || echo "$i"
+	done | head -n 1
+}
+
+# Cost of renewals at 380 workers and 8,000 tasks, at the holder and at one
+# delegate, by schedulers that share them.
+measure_renewals() {
+	local count i holder
+	for count in ${CAPACITY_SCHEDULERS:-1 4 8}; do
+		platform
+		workers 380
+		for ((i = 0; i < count; i++)); do
+			daemon csschedd "s$i" $((port + 200 + i))
+		done
+		daemon csgated g0 $((port + 220))
+		sleep 8
+		apply_plan $((port + 220))
+		sleep 2
+		submit_jobs 40 $((port + 220))
+		sleep 40
+		holder=$(find_holder "$count")
+		sample "matter=renewals schedulers=$count part=holder" \
+			$((port + 200 + holder))
+		[ "$count" = 1 ] ||
+			sample "matter=renewals schedulers=$count part=delegate" \
+				$((port + 200 + (holder + 1) % count))
+		end_run
+	done
+}
+
 # Cost of a gateway by processes of its failure domain, nothing asked.
 measure_members() {
 	local count i
@@ -192,7 +238,7 @@
 	done
 }
 
-for matter in workers tasks members config endpoints; do
+for matter in workers tasks renewals members config endpoints; do
 	if [ "$only" = all ] || [ "$only" = "$matter" ]; then
 		"measure_$matter"
 	fi
--- a/cli/csschedd.c
+++ b/cli/csschedd.c
@@ -5,16 +5,16 @@
 #include "daemon/daemon.h"
 #include "daemon/job_service.h"
 #include "daemon/platform_service.h"
+#include "daemon/renewal_service.h"
 #include "link/link_service.h"
 #include "shared/membership_service.h"
 #include "shared/pool_lease.h"
 #include "shared/status_service.h"
 
 static const service_new_fn services[] = {
-	platform_service_new,	link_service_new,
-	membership_service_new, config_service_new,
-	pool_lease_service_new, job_service_new,
-	status_service_new,	NULL,
+	platform_service_new, link_service_new,	      membership_service_new,
+	config_service_new,   pool_lease_service_new, job_service_new,
+	renewal_service_new,  status_service_new,     NULL,
 };
 
 static const struct daemon_spec spec = {
--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -270,8 +270,11 @@
 		{ "gangs", x->gangs },
 		{ "recoveries", x->recoveries },
 		{ "recovery_ms", x->recovery_ms },
+		{ "delegates", x->delegates },
+		{ "shared_workers", x->shared_workers },
 		{ "renew_ms", x->renew_ms },
 		{ "lease_ms", x->lease_ms },
+		{ "partial_bound_ms", x->bound_ms },
 	};
 	json_object *json = json_object_new_object();
 
@@ -366,6 +369,12 @@
 	.free = job_service_free,
 };
 
+struct pool_runner *job_service_find(const struct kernel *k, const char *pool)
+{
+	return find_runner(
+		(const struct job_service *)kernel_find(k, JOB_SERVICE), pool);
+}
+
 struct service *job_service_new(void)
 {
 	struct job_service *s = g_new0(struct job_service, 1);
--- a/daemon/job_service.h
+++ b/daemon/job_service.h
@@ -10,6 +10,11 @@
 
 #define JOB_SERVICE "jobs"
 
+struct pool_runner;
+
 struct service *job_service_new(void);
 
+/** Returns the runner of a pool, or NULL. */
+struct pool_runner *job_service_find(const struct kernel *k, const char *pool);
+
 #endif
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -7,12 +7,12 @@
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
+#include "daemon/worker_http.h"
 #include "job/placement/placement.h"
 #include "job/worker_contact.h"
+#include "shared/membership_service.h"
 #include "shared/pool_lease.h"
 
-#define COMMANDS_PATH "/commands"
-
 struct pool_runner {
 	struct kernel *kernel;
 	char *pool;
@@ -99,30 +99,12 @@
 	g_free(text);
 }
 
-static enum worker_answer decode_answer(struct worker_request *c,
-					const struct http_reply *reply,
-					struct worker_report *report)
-{
-	struct finding_list findings;
-	gboolean is_good;
-
-	if (reply->status == STATUS_OK && reply->code == SOUP_STATUS_CONFLICT)
-		return WORKER_STALE_EPOCH;
-	if (reply->status != STATUS_OK || reply->code != SOUP_STATUS_OK)
-		return WORKER_FAILED;
-	finding_list_init(&findings);
-	is_good = worker_report_decode(report, reply->body, &findings);
-	if (!is_good)
-		log_bad_body(c->runner, c->worker, &findings);
-	finding_list_clear(&findings);
-	return is_good ? WORKER_ANSWERED : WORKER_FAILED;
-}
-
 static void on_worker_reply(const struct http_reply *reply, void *data)
 {
 	struct worker_request *c = data;
 	struct worker_report report = { 0 };
-	enum worker_answer answer = decode_answer(c, reply, &report);
+	enum worker_answer answer =
+		worker_http_decode(reply, c->runner->pool, c->worker, &report);
 
 	scheduler_on_worker(c->runner->scheduler, c->worker, c->call_id, answer,
 			    &report, util_monotonic_ms());
@@ -158,25 +140,14 @@
 {
 	struct pool_runner *p = data;
 	struct worker_request *c = worker_request_new(p, worker, call_id);
-	json_object *body;
-	struct http_call_spec spec = {
-		.method = "POST",
-		.address = address,
-		.path = COMMANDS_PATH,
-		.timeout_ms = WORKER_CALL_TIMEOUT_MS,
-		.on_reply = on_worker_reply,
-	};
 
 	/* A process that was paused must not act before it has noticed. */
 	if (!has_role(p, util_monotonic_ms())) {
 		c->unsent_source = g_idle_add(on_unsent, c);
 		return;
 	}
-	body = schema_encode(&worker_call_schema, call);
-	spec.body = body;
-	spec.data = c;
-	c->http = http_client_send(http_client_of(p->kernel), &spec);
-	json_object_put(body);
+	c->http =
+		worker_http_send(p->kernel, address, call, on_worker_reply, c);
 	counter_add(p->renewals, 1);
 	counter_add(p->commands, call->commands->len);
 }
@@ -398,6 +369,29 @@
 	return p->scheduler;
 }
 
+static guint count_schedulers(const struct pool_runner *p)
+{
+	const struct membership_service *members = membership_of(p->kernel);
+
+	if (!members)
+		return 1;
+	return membership_service_count_live(
+		members, LINK_ROLE_SCHEDULER,
+		settings_of(p->kernel)->failure_domain);
+}
+
+gboolean pool_runner_on_renewal_report(struct pool_runner *p, const char *node,
+				       const struct renewal_report *report,
+				       struct renewal_grant *grant)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	/* As for calls: a process that was paused must not grant either. */
+	return has_role(p, now_ms) &&
+	       scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
+					   grant);
+}
+
 void pool_runner_tick(struct pool_runner *p)
 {
 	const struct pool_lease_service *lease =
@@ -405,6 +399,7 @@
 			p->kernel, POOL_LEASE_SERVICE);
 	int64_t now_ms = util_monotonic_ms();
 
+	scheduler_set_schedulers(p->scheduler, count_schedulers(p));
 	p->role = pool_lease_role(lease, p->pool, now_ms, &p->epoch);
 	scheduler_set_role(p->scheduler, p->role, p->epoch, now_ms);
 	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning &&
--- a/daemon/pool_runner.h
+++ b/daemon/pool_runner.h
@@ -25,6 +25,15 @@
 const char *pool_runner_pool(const struct pool_runner *p);
 struct scheduler *pool_runner_scheduler(struct pool_runner *p);
 
+/**
+ * Takes a delegate's report, when this process holds the pool now.
+ *
+ * @param grant		initialised; filled for TRUE, to be sent at once
+ */
+gboolean pool_runner_on_renewal_report(struct pool_runner *p, const char *node,
+				       const struct renewal_report *report,
+				       struct renewal_grant *grant);
+
 /** Takes the present role and acts on what is due. */
 void pool_runner_tick(struct pool_runner *p);
 
--- /dev/null
+++ b/daemon/worker_http.c
@@ -0,0 +1,62 @@
+#include "daemon/worker_http.h"
+
+#include <libsoup/soup.h>
+
+#include "base/log.h"
+#include "daemon/http_service.h"
+#include "job/worker_contact.h"
+
+#define COMMANDS_PATH "/commands"
+
+struct http_call *worker_http_send(struct kernel *k, const char *address,
+				   const struct worker_call *call,
+				   http_reply_fn on_reply, void *data)
+{
+	json_object *body = schema_encode(&worker_call_schema, call);
+	const struct http_call_spec spec = {
+		.method = "POST",
+		.address = address,
+		.path = COMMANDS_PATH,
+		.body = body,
+		.timeout_ms = WORKER_CALL_TIMEOUT_MS,
+		.on_reply = on_reply,
+		.data = data,
+	};
+	struct http_call *http = http_client_send(http_client_of(k), &spec);
+
+	json_object_put(body);
+	return http;
+}
+
+static void log_bad_report(const char *pool, const char *worker,
+			   const struct finding_list *findings)
+{
+	char *text = finding_list_text(findings);
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_ERROR, "bad_body");
+	log_str(&line, "pool", pool);
+	log_str(&line, "from", worker);
+	log_str(&line, "findings", text);
+	log_end(&line);
+	g_free(text);
+}
+
+enum worker_answer worker_http_decode(const struct http_reply *reply,
+				      const char *pool, const char *worker,
+				      struct worker_report *report)
+{
+	struct finding_list findings;
+	gboolean is_good;
+
+	if (reply->status == STATUS_OK && reply->code == SOUP_STATUS_CONFLICT)
+		return WORKER_STALE_EPOCH;
+	if (reply->status != STATUS_OK || reply->code != SOUP_STATUS_OK)
+		return WORKER_FAILED;
+	finding_list_init(&findings);
+	is_good = worker_report_decode(report, reply->body, &findings);
+	if (!is_good)
+		log_bad_report(pool, worker, &findings);
+	finding_list_clear(&findings);
+	return is_good ? WORKER_ANSWERED : WORKER_FAILED;
+}
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -37,6 +37,10 @@
 					   (GDestroyNotify)job_entry_free);
 	s->health = worker_health_new();
 	s->unmet = guarantee_watch_new();
+	s->schedulers = 1;
+	s->shares_always = spec->shares_always;
+	s->delegates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->writer = g_strdup("");
 	return s;
 }
@@ -48,6 +52,7 @@
 	worker_health_free(s->health);
 	g_hash_table_unref(s->entries);
 	g_hash_table_unref(s->workers);
+	g_hash_table_unref(s->delegates);
 	job_queue_free(s->queue);
 	placement_policy_free(s->policy);
 	pool_free(s->pool);
@@ -87,6 +92,7 @@
 	GHashTableIter iter;
 	gpointer item;
 
+	scheduler_forget_delegates(s);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct worker_contact *c = item;
@@ -667,6 +673,7 @@
 void scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall)
 {
 	s->wall_offset_ms = wall - now_ms;
+	scheduler_check_delegates(s, now_ms);
 	scheduler_check_workers(s, now_ms);
 	if (s->phase == SCHEDULER_ACTIVE)
 		tick_entries(s, now_ms);
@@ -696,7 +703,11 @@
 	stats->queued = job_queue_length(s->queue);
 	stats->recoveries = s->recoveries;
 	stats->recovery_ms = s->recovery_ms;
-	stats->renew_ms = worker_renew_period_ms(s->listed_workers);
+	stats->delegates = g_hash_table_size(s->delegates);
+	stats->renew_ms =
+		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
+	stats->bound_ms =
+		worker_partial_bound_ms(s->listed_workers, scheduler_peers(s));
 	stats->lease_ms = scheduler_lease_ms(s);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
@@ -704,6 +715,7 @@
 
 		stats->usable_workers += c->is_usable ? 1 : 0;
 		stats->aside_workers += c->is_aside ? 1 : 0;
+		stats->shared_workers += c->is_shared ? 1 : 0;
 	}
 	g_hash_table_iter_init(&iter, s->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &item))
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -16,6 +16,7 @@
 #include "config/config_doc.h"
 #include "job/job_record.h"
 #include "job/pool.h"
+#include "job/renewal_message.h"
 #include "job/worker_report.h"
 #include "shared/pool_lease.h"
 
@@ -53,7 +54,8 @@
 	const char *pool;
 	const char *node;
 	const char *incarnation;
-	const char *policy; /**< of placement */
+	const char *policy;	/**< of placement */
+	gboolean shares_always; /**< also where that shortens no bound */
 	const struct scheduler_ops *ops;
 	void *data;
 };
@@ -81,8 +83,11 @@
 	guint gangs;
 	int64_t recoveries;
 	int64_t recovery_ms; /**< of the last one */
+	guint delegates;     /**< that renew for this process */
+	guint shared_workers;
 	int64_t renew_ms;
 	int64_t lease_ms;
+	int64_t bound_ms; /**< on gangs in part */
 };
 
 struct scheduler *scheduler_new(const struct scheduler_spec *spec);
@@ -105,6 +110,21 @@
 			 int64_t call_id, enum worker_answer answer,
 			 const struct worker_report *report, int64_t now_ms);
 
+/** Sets how many schedulers live in the failure domain, itself included. */
+void scheduler_set_schedulers(struct scheduler *s, guint count);
+
+/**
+ * Takes a delegate's report and deals it a share of the workers.
+ *
+ * @param grant		initialised; filled for TRUE, to be sent at once
+ * @return		FALSE when this process does not hold that epoch, or
+ *			shares nothing
+ */
+gboolean scheduler_on_renewal_report(struct scheduler *s, const char *node,
+				     const struct renewal_report *report,
+				     int64_t now_ms,
+				     struct renewal_grant *grant);
+
 /** Takes a row from a scan or from a read outside the scheduler. */
 void scheduler_on_row(struct scheduler *s, int64_t version,
 		      const struct job_record *r, int64_t now_ms);
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -45,6 +45,10 @@
 	GHashTable *entries;  /**< job id to struct job_entry */
 	gboolean has_workers; /**< the platform's list was read */
 	guint listed_workers;
+	gboolean shares_always;
+	guint schedulers;	 /**< that live in the failure domain */
+	GHashTable *delegates;	 /**< node to struct delegate_seen */
+	gboolean is_share_stale; /**< shares have to be dealt anew */
 
 	gboolean is_scanned;
 	int64_t recovery_since_ms;
@@ -89,6 +93,14 @@
 void scheduler_send_calls(struct scheduler *s, int64_t now_ms);
 int64_t scheduler_lease_ms(const struct scheduler *s);
 
+/* scheduler_renewals.c */
+
+/** Returns the number of schedulers that renewals are shared among. */
+guint scheduler_peers(const struct scheduler *s);
+void scheduler_forget_delegates(struct scheduler *s);
+/** Takes back the shares of delegates that are silent. */
+void scheduler_check_delegates(struct scheduler *s, int64_t now_ms);
+
 /* scheduler_rows.c */
 
 /** Writes a row if that is due. */
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -14,7 +14,13 @@
 
 int64_t scheduler_lease_ms(const struct scheduler *s)
 {
-	return worker_lease_ms(s->listed_workers);
+	return worker_lease_ms(s->listed_workers, scheduler_peers(s));
+}
+
+/* Of a worker that is not listed the lease may be an older holder's. */
+static int64_t longest_lease_ms(const struct scheduler *s)
+{
+	return worker_lease_ms(s->listed_workers, 1);
 }
 
 static struct worker_contact *add_contact(struct scheduler *s, const char *name,
@@ -163,7 +169,7 @@
 
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
 {
-	int64_t lease_ms = scheduler_lease_ms(s);
+	int64_t lease_ms = longest_lease_ms(s);
 	GHashTableIter iter;
 	gpointer item;
 	GPtrArray *all = g_ptr_array_new();
@@ -220,6 +226,7 @@
 
 	s->has_workers = TRUE;
 	s->listed_workers = count;
+	s->is_share_stale = TRUE;
 	for (guint i = 0; i < count; i++)
 		set_listed(s, &workers[i], now_ms);
 	g_hash_table_iter_init(&iter, s->workers);
@@ -285,7 +292,10 @@
 	g_array_set_size(c->sent, 0);
 	if (s->phase != SCHEDULER_RECOVERING)
 		append_commands(c, &call);
-	worker_contact_on_sent(c, ++s->calls, now_ms);
+	if (s->phase == SCHEDULER_ACTIVE && !c->sent->len &&
+	    worker_contact_is_settled(c))
+		call.known = g_strdup(c->worker_digest);
+	worker_contact_on_sent(c, ++s->calls, scheduler_lease_ms(s), now_ms);
 	s->ops->call_worker(c->name, c->address, c->call_id, &call, s->data);
 	worker_call_clear(&call);
 }
@@ -388,10 +398,17 @@
 static void take_answer(struct scheduler *s, struct worker_contact *c,
 			const struct worker_report *report, int64_t now_ms)
 {
-	int64_t period_ms = worker_renew_period_ms(s->listed_workers);
+	int64_t period_ms =
+		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
 	int64_t as_of_ms = worker_contact_on_answer(c, period_ms, now_ms);
-	GPtrArray *entries = entries_on(c);
+	GPtrArray *entries;
 
+	if (report->is_unchanged) {
+		update_usable(s, c, now_ms);
+		return;
+	}
+	entries = entries_on(c);
+	worker_contact_on_tasks(c, report);
 	if (s->caretaker)
 		caretaker_on_report(s->caretaker, c->name, report->tasks);
 	take_results(c, report, now_ms);
--- a/job/worker_contact.c
+++ b/job/worker_contact.c
@@ -29,6 +29,7 @@
 	g_ptr_array_unref(c->orphans);
 	g_hash_table_unref(c->tasks);
 	g_array_unref(c->sent);
+	g_free(c->worker_digest);
 	g_free(c->address);
 	g_free(c->name);
 	g_free(c);
@@ -43,7 +44,15 @@
 	c->is_due = FALSE;
 	c->is_in_flight = FALSE;
 	c->call_id = 0;
-	c->renewed_ms = now_ms;
+	c->is_shared = FALSE;
+	c->lease_until_ms = now_ms;
+	c->shared_until_ms = 0;
+	c->own_until_ms = 0;
+	c->commanded_ms = 0;
+	c->as_of_ms = 0;
+	c->digest = 0;
+	g_clear_pointer(&c->worker_digest, g_free);
+	c->delegate = NULL;
 	c->first_failure_ms = 0;
 	c->next_call_ms = now_ms;
 	g_array_set_size(c->sent, 0);
@@ -67,18 +76,61 @@
 		return FALSE;
 	if (c->is_due && !c->first_failure_ms)
 		return TRUE;
+	if (c->is_shared && now_ms < c->shared_until_ms)
+		return FALSE;
 	return now_ms >= c->next_call_ms;
 }
 
 void worker_contact_on_sent(struct worker_contact *c, int64_t call_id,
-			    int64_t now_ms)
+			    int64_t lease_ms, int64_t now_ms)
 {
 	c->is_in_flight = TRUE;
 	c->is_due = FALSE;
 	c->call_id = call_id;
 	c->sent_ms = now_ms;
 	if (!c->is_lost)
-		c->renewed_ms = now_ms;
+		c->lease_until_ms = MAX(c->lease_until_ms, now_ms + lease_ms);
+	if (!c->sent->len)
+		return;
+	c->commanded_ms = now_ms;
+	c->is_shared = FALSE;
+}
+
+gboolean worker_contact_is_settled(const struct worker_contact *c)
+{
+	return c->as_of_ms > c->commanded_ms;
+}
+
+void worker_contact_on_tasks(struct worker_contact *c,
+			     const struct worker_report *report)
+{
+	c->digest = worker_report_digest(report);
+	g_free(c->worker_digest);
+	c->worker_digest = g_strdup(report->digest);
+}
+
+gboolean worker_contact_may_be_shared(const struct worker_contact *c,
+				      int64_t now_ms)
+{
+	return c->is_listed && c->is_fenced && !c->is_lost &&
+	       !c->first_failure_ms && !c->is_due && !c->is_in_flight &&
+	       now_ms >= c->own_until_ms && worker_contact_is_settled(c);
+}
+
+void worker_contact_on_granted(struct worker_contact *c, int64_t life_ms,
+			       int64_t lease_ms, int64_t now_ms)
+{
+	c->is_shared = TRUE;
+	c->shared_until_ms = now_ms + life_ms;
+	c->lease_until_ms =
+		MAX(c->lease_until_ms, c->shared_until_ms + lease_ms);
+}
+
+void worker_contact_on_delegate_failed(struct worker_contact *c, int64_t now_ms)
+{
+	c->is_shared = FALSE;
+	c->is_due = TRUE;
+	c->own_until_ms = now_ms + RENEWAL_KEEP_MS;
 }
 
 int64_t worker_contact_on_answer(struct worker_contact *c, int64_t period_ms,
@@ -90,7 +142,9 @@
 	c->is_lost = FALSE;
 	c->is_expired = FALSE;
 	c->first_failure_ms = 0;
-	c->next_call_ms = now_ms + period_ms;
+	c->as_of_ms = as_of_ms;
+	c->next_call_ms = now_ms + period_ms -
+			  worker_renew_early_ms(c->name, c->call_id, period_ms);
 	if (!c->is_fenced) {
 		c->is_fenced = TRUE;
 		c->fenced_ms = now_ms;
@@ -106,18 +160,21 @@
 	c->is_in_flight = FALSE;
 	if (!c->first_failure_ms)
 		c->first_failure_ms = c->sent_ms;
+	c->is_shared = FALSE;
 	c->next_call_ms = now_ms + WORKER_RETRY_MS;
 }
 
 static gboolean has_expired(const struct worker_contact *c, int64_t lease_ms,
 			    int64_t now_ms)
 {
-	int64_t wait_ms = lease_ms + WORKER_EXPIRY_SLACK_MS;
+	int64_t until_ms = c->lease_until_ms;
 
-	if (!c->is_listed && now_ms >= c->unlisted_ms + wait_ms)
-		return TRUE;
+	if (!c->is_listed)
+		until_ms = MAX(until_ms, c->unlisted_ms + lease_ms);
 	/* Without the fence an older holder might still renew. */
-	return c->is_fenced && now_ms >= c->renewed_ms + wait_ms;
+	else if (!c->is_fenced)
+		return FALSE;
+	return now_ms >= until_ms + WORKER_EXPIRY_SLACK_MS;
 }
 
 enum contact_event worker_contact_check(struct worker_contact *c,
@@ -142,27 +199,63 @@
 	return c->is_listed && !c->is_leaving && !c->is_lost && c->is_fenced;
 }
 
-int64_t worker_renew_period_ms(guint workers)
+static int64_t renew_period_ms(guint workers, guint schedulers)
+{
+	int64_t share = (workers + schedulers - 1) / schedulers;
+
+	return MAX(share * MS_PER_S / WORKER_RENEWALS_PER_S,
+		   WORKER_RENEW_MIN_MS);
+}
+
+/* To share pays when the period shrinks by more than a grant's life. */
+gboolean worker_renewals_are_shared(guint workers, guint schedulers)
+{
+	int64_t gain_ms = renew_period_ms(workers, 1) -
+			  renew_period_ms(workers, schedulers);
+
+	return 2 * gain_ms > RENEWAL_GRANT_MS + WORKER_CALL_TIMEOUT_MS;
+}
+
+int64_t worker_renew_period_ms(guint workers, guint schedulers)
+{
+	if (!worker_renewals_are_shared(workers, schedulers))
+		schedulers = 1;
+	return renew_period_ms(workers, schedulers);
+}
+
+int64_t worker_renew_early_ms(const char *worker, int64_t call_id,
+			      int64_t period_ms)
 {
-	int64_t period_ms = workers * WORKER_RENEWAL_BYTES * MS_PER_S /
-			    WORKER_RENEWAL_BYTES_PER_S;
+	uint64_t mix = util_mix64(g_str_hash(worker) + (uint64_t)call_id);
+
+	return (int64_t)(mix % (uint64_t)(period_ms / WORKER_RENEW_EARLY + 1));
+}
 
-	return MAX(period_ms, WORKER_RENEW_MIN_MS);
+int64_t worker_lease_ms(guint workers, guint schedulers)
+{
+	return worker_renew_period_ms(workers, schedulers) + WORKER_TAKEOVER_MS;
 }
 
-int64_t worker_lease_ms(guint workers)
+int64_t worker_notice_ms(guint workers, guint schedulers)
 {
-	int64_t period_ms = worker_renew_period_ms(workers);
+	int64_t notice_ms = worker_renew_period_ms(workers, schedulers) +
+			    WORKER_LOST_AFTER_MS + WORKER_CALL_TIMEOUT_MS +
+			    WORKER_RETRY_MS;
 
-	return MAX(WORKER_RENEWALS_PER_LEASE * period_ms,
-		   period_ms + WORKER_TAKEOVER_MS);
+	/* The delegate's call fails first, then the holder's own. */
+	if (worker_renewals_are_shared(workers, schedulers))
+		notice_ms += WORKER_CALL_TIMEOUT_MS;
+	return notice_ms;
 }
 
-int64_t worker_partial_bound_ms(guint workers)
+int64_t worker_partial_bound_ms(guint workers, guint schedulers)
 {
-	int64_t notice_ms =
-		WORKER_LOST_AFTER_MS + WORKER_CALL_TIMEOUT_MS + WORKER_RETRY_MS;
+	int64_t bound_ms = worker_notice_ms(workers, schedulers) +
+			   worker_lease_ms(workers, schedulers) +
+			   WORKER_EXPIRY_SLACK_MS;
 
-	return worker_renew_period_ms(workers) + notice_ms +
-	       worker_lease_ms(workers) + WORKER_EXPIRY_SLACK_MS;
+	/* A delegate may still reach whom the holder does not. */
+	if (worker_renewals_are_shared(workers, schedulers))
+		bound_ms += RENEWAL_GRANT_MS;
+	return bound_ms;
 }
--- a/job/worker_contact.h
+++ b/job/worker_contact.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "job/renewal_message.h"
 #include "job/worker_report.h"
 #include "shared/lease_protocol.h"
 
@@ -22,8 +23,6 @@
 #define WORKER_EXPIRY_SLACK_MS INT64_C(2000)
 /** Shortest period of renewals. */
 #define WORKER_RENEW_MIN_MS INT64_C(1000)
-/** Renewals that may fail before a lease lapses. */
-#define WORKER_RENEWALS_PER_LEASE INT64_C(3)
 /**
  * From the death of a holder to the first call of its successor or of a
  * caretaker: leases of running tasks have to last that long.
@@ -32,10 +31,10 @@
 	(LEASE_TTL_MS + LEASE_TTL_MS / LEASE_RATE_MARGIN +                \
 	 LEASE_POLL_SLOW_MS + LEASE_STAGGER_MS + WORKER_CALL_TIMEOUT_MS + \
 	 WORKER_RETRY_MS + WORKER_EXPIRY_SLACK_MS)
-/** Of one renewal with its answer, at 22 tasks a worker. */
-#define WORKER_RENEWAL_BYTES INT64_C(2400)
-/** That a holder may spend on renewals. */
-#define WORKER_RENEWAL_BYTES_PER_S INT64_C(18000)
+/** Renewals a second of one process. */
+#define WORKER_RENEWALS_PER_S INT64_C(10)
+/** One part in this many of a period by which a renewal may be early. */
+#define WORKER_RENEW_EARLY 8
 
 /** What a worker's state changed to. */
 enum contact_event {
@@ -63,16 +62,24 @@
 	gboolean is_usable; /**< as the pool was last told */
 	gboolean is_due;    /**< has commands to be sent at once */
 	gboolean is_in_flight;
-	int64_t call_id; /**< of the call in flight */
-	int64_t sent_ms; /**< when the last call was sent */
+	gboolean is_shared; /**< in a delegate's share */
+	int64_t call_id;    /**< of the call in flight */
+	int64_t sent_ms;    /**< when the last call was sent */
 	int64_t fenced_ms;
-	int64_t renewed_ms;	  /**< last call before it was lost */
+	int64_t lease_until_ms;	  /**< no lease lasts longer on it */
+	int64_t shared_until_ms;  /**< end of the delegate's grant */
+	int64_t own_until_ms;	  /**< in no share before */
+	int64_t commanded_ms;	  /**< last call with commands */
+	int64_t as_of_ms;	  /**< no older than this is the report */
+	int64_t digest;		  /**< of that report */
+	char *worker_digest;	  /**< of that report by the worker, or NULL */
 	int64_t first_failure_ms; /**< 0 when the last call was answered */
 	int64_t unlisted_ms;
 	int64_t next_call_ms;
 	GArray *sent;	   /**< of struct sent_command, of the call in flight */
 	GHashTable *tasks; /**< task to struct member_ref, the scheduler's */
-	GPtrArray *orphans; /**< of char *, tasks that belong to nothing */
+	GPtrArray *orphans;   /**< of char *, tasks that belong to nothing */
+	const char *delegate; /**< whose share it is meant for, or NULL */
 };
 
 struct worker_contact *worker_contact_new(const char *name, const char *address,
@@ -89,8 +96,31 @@
 /** Tells whether to call now. */
 gboolean worker_contact_wants_call(const struct worker_contact *c,
 				   int64_t now_ms);
+/** Takes note of a call that gives a lease, with commands in @c->sent. */
 void worker_contact_on_sent(struct worker_contact *c, int64_t call_id,
-			    int64_t now_ms);
+			    int64_t lease_ms, int64_t now_ms);
+
+/**
+ * Tells whether the last report holds all that was sent: only a change of the
+ * tasks is news then.
+ */
+gboolean worker_contact_is_settled(const struct worker_contact *c);
+
+/** Tells whether a delegate may renew: all that was sent has been reported. */
+gboolean worker_contact_may_be_shared(const struct worker_contact *c,
+				      int64_t now_ms);
+
+/** Takes the tasks of a report as what is known of the worker. */
+void worker_contact_on_tasks(struct worker_contact *c,
+			     const struct worker_report *report);
+
+/** Takes note of a grant that holds the worker. */
+void worker_contact_on_granted(struct worker_contact *c, int64_t life_ms,
+			       int64_t lease_ms, int64_t now_ms);
+
+/** Takes it back from the delegate that could not reach it. */
+void worker_contact_on_delegate_failed(struct worker_contact *c,
+				       int64_t now_ms);
 
 /**
  * Takes an answer.
@@ -110,16 +140,30 @@
 /** Tells whether new work may be placed on the worker. */
 gboolean worker_contact_is_usable(const struct worker_contact *c);
 
-/** Returns the period of renewals that keeps within the bytes a second. */
-int64_t worker_renew_period_ms(guint workers);
+/**
+ * Tells whether sharing the renewals among as many schedulers shortens the
+ * bound on gangs in part.
+ */
+gboolean worker_renewals_are_shared(guint workers, guint schedulers);
+
+/** Returns the period of renewals that keeps within each one's rate. */
+int64_t worker_renew_period_ms(guint workers, guint schedulers);
+
+/** Returns the part of a period by which a renewal is early, to spread them. */
+int64_t worker_renew_early_ms(const char *worker, int64_t call_id,
+			      int64_t period_ms);
+
+/** Returns the lease that goes with the period and outlasts a takeover. */
+int64_t worker_lease_ms(guint workers, guint schedulers);
 
-/** Returns the lease that goes with it, which outlasts a takeover. */
-int64_t worker_lease_ms(guint workers);
+/** Returns the time in which a gang is stopped that has lost a worker. */
+int64_t worker_notice_ms(guint workers, guint schedulers);
 
 /**
  * Returns the time after which no part of a gang runs any more that has lost a
- * member: to notice it, or for the leases to lapse without a holder.
+ * member: to notice it, and for the leases to lapse where a worker can't be
+ * reached.
  */
-int64_t worker_partial_bound_ms(guint workers);
+int64_t worker_partial_bound_ms(guint workers, guint schedulers);
 
 #endif
--- a/job/worker_report.c
+++ b/job/worker_report.c
@@ -1,8 +1,12 @@
 #include "job/worker_report.h"
 
+#include "base/util.h"
+
 #define NAME_MAX_BYTES 256
 #define MAX_COMMANDS 4096
 #define MAX_TASKS 65536
+#define DIGEST_BASIS G_GUINT64_CONSTANT(0xcbf29ce484222325)
+#define DIGEST_PRIME G_GUINT64_CONSTANT(0x100000001b3)
 
 static const char *const op_names[] = { "reserve",    "start",	  "release",
 					"checkpoint", "throttle", "stop",
@@ -53,6 +57,7 @@
 	INT_FIELD(struct worker_call, epoch),
 	STRING_FIELD(struct worker_call, holder, TRUE),
 	INT_FIELD(struct worker_call, lease_ms),
+	STRING_FIELD(struct worker_call, known, FALSE),
 	ARRAY_FIELD(struct worker_call, commands, command_schema, MAX_COMMANDS),
 	{ 0 },
 };
@@ -98,6 +103,10 @@
 	  .type = FIELD_OBJECT,
 	  .offset = offsetof(struct worker_report, free),
 	  .schema = &free_schema },
+	STRING_FIELD(struct worker_report, digest, FALSE),
+	{ .name = "unchanged",
+	  .type = FIELD_BOOL,
+	  .offset = offsetof(struct worker_report, is_unchanged) },
 	{ 0 },
 };
 
@@ -116,6 +125,26 @@
 	schema_clear(&worker_report_schema, r);
 }
 
+/* FNV-1a. */
+static guint64 task_digest(const struct worker_task *t)
+{
+	guint64 digest = DIGEST_BASIS;
+
+	for (const char *p = t->task; *p; p++)
+		digest = (digest ^ (guchar)*p) * DIGEST_PRIME;
+	return util_mix64(digest * TASK_STATE_COUNT + (guint64)t->state);
+}
+
+int64_t worker_report_digest(const struct worker_report *r)
+{
+	guint64 digest = 0;
+
+	for (guint i = 0; i < r->tasks->len; i++)
+		digest += task_digest(
+			&g_array_index(r->tasks, struct worker_task, i));
+	return (int64_t)(digest & INT64_MAX);
+}
+
 void worker_call_init(struct worker_call *c, const char *pool, int64_t epoch,
 		      const char *holder, int64_t lease_ms)
 {
@@ -123,6 +152,7 @@
 	c->epoch = epoch;
 	c->holder = g_strdup(holder);
 	c->lease_ms = lease_ms;
+	c->known = NULL;
 	c->commands = g_array_new(FALSE, TRUE, sizeof(struct worker_command));
 }
 
--- a/job/worker_report.h
+++ b/job/worker_report.h
@@ -47,6 +47,7 @@
 	int64_t epoch;
 	char *holder; /**< name of the calling node */
 	int64_t lease_ms;
+	char *known;	  /**< digest of the report that the caller has */
 	GArray *commands; /**< of struct worker_command */
 };
 
@@ -73,6 +74,8 @@
 	GArray *results; /**< of struct worker_result, one a command */
 	GArray *tasks;	 /**< of struct worker_task, lags */
 	struct worker_free free;
+	char *digest; /**< of tasks and their states; NULL: gives none */
+	int64_t is_unchanged; /**< tasks as in the report that is known */
 };
 
 extern const struct schema worker_call_schema;
@@ -88,6 +91,12 @@
 			      struct finding_list *findings);
 void worker_report_clear(struct worker_report *r);
 
+/**
+ * Returns a number that tells reports with other tasks or states apart, the
+ * order and what time changes by itself left out; never negative.
+ */
+int64_t worker_report_digest(const struct worker_report *r);
+
 /** Initialises a call without commands. */
 void worker_call_init(struct worker_call *c, const char *pool, int64_t epoch,
 		      const char *holder, int64_t lease_ms);
--- a/link/message.h
+++ b/link/message.h
@@ -17,6 +17,8 @@
 	MESSAGE_CONFIG_DELTA,	/**< struct config_delta */
 	MESSAGE_CONFIG_BODY,	/**< struct config_whole */
 	MESSAGE_CONFIG_REQUEST, /**< struct config_request */
+	MESSAGE_RENEWAL_REPORT, /**< struct renewal_report */
+	MESSAGE_RENEWAL_GRANT,	/**< struct renewal_grant */
 	MESSAGE_TYPE_COUNT = 64,
 };
 
--- a/standin/cs-standin-worker.c
+++ b/standin/cs-standin-worker.c
@@ -18,6 +18,7 @@
 #define FAILED_TASK_RUN_MS 20
 #define KEEP_ENDED_MS 60000
 #define DEFAULT_REPORT_LAG_MS 1000
+#define DIGEST_BYTES 20
 
 enum task_state {
 	TASK_RESERVED,
@@ -56,6 +57,8 @@
 	struct size free;
 	GHashTable *tasks; /* name to struct task */
 	json_object *report;
+	char digest[DIGEST_BYTES]; /* of the report's tasks */
+	gboolean gives_digest;
 	int64_t report_ms;
 	int64_t report_lag_ms;
 	int64_t epoch;
@@ -79,6 +82,7 @@
 	int64_t epoch;
 	char *holder;
 	int64_t lease_ms;
+	char *known;
 	GArray *commands;
 };
 
@@ -293,6 +297,10 @@
 	  .is_required = TRUE,
 	  .offset = offsetof(struct commands_body, lease_ms),
 	  .max = MAX_TIME_MS },
+	{ .name = "known",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct commands_body, known),
+	  .max = NAME_MAX_BYTES },
 	{ .name = "commands",
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct commands_body, commands),
@@ -354,16 +362,27 @@
 	return json;
 }
 
+static uint64_t task_digest(const struct task *t)
+{
+	return util_mix64((uint64_t)g_str_hash(t->name) << 8 |
+			  (uint64_t)t->state);
+}
+
 /* Takes the report that is given out until the next one. */
 static void update_report(struct worker *w, int64_t now_ms)
 {
 	json_object *tasks = json_object_new_array();
+	uint64_t digest = 0;
 	GHashTableIter iter;
 	gpointer item;
 
 	g_hash_table_iter_init(&iter, w->tasks);
-	while (g_hash_table_iter_next(&iter, NULL, &item))
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		json_object_array_add(tasks, encode_task(item, now_ms));
+		digest += task_digest(item);
+	}
+	g_snprintf(w->digest, sizeof(w->digest), "%" G_GINT64_MODIFIER "x",
+		   digest);
 	json_object_put(w->report);
 	w->report = json_object_new_object();
 	json_object_object_add(w->report, "tasks", tasks);
@@ -427,13 +446,22 @@
 	return json;
 }
 
-static json_object *encode_report(const struct worker *w)
+/* The tasks are left out when the caller knows them. */
+static json_object *encode_report(const struct worker *w, const char *known)
 {
 	json_object *body = json_object_new_object();
 	json_object *tasks = json_object_object_get(w->report, "tasks");
 	json_object *free = json_object_object_get(w->report, "free");
 
 	json_object_object_add(body, "epoch", json_object_new_int64(w->epoch));
+	if (w->gives_digest)
+		json_object_object_add(body, "digest",
+				       json_object_new_string(w->digest));
+	if (w->gives_digest && known && g_str_equal(known, w->digest)) {
+		json_object_object_add(body, "unchanged",
+				       json_object_new_boolean(TRUE));
+		return body;
+	}
 	json_object_object_add(body, "tasks", json_object_get(tasks));
 	json_object_object_add(body, "free", json_object_get(free));
 	return body;
@@ -455,7 +483,7 @@
 		json_object_array_add(results,
 				      run_command(w, c, lease_until_ms));
 	}
-	json = encode_report(w);
+	json = encode_report(w, body->known);
 	json_object_object_add(json, "results", results);
 	http_request_reply(r, SOUP_STATUS_OK, json);
 }
@@ -520,7 +548,7 @@
 	if (w->is_silent)
 		return;
 	worker_tick(w);
-	http_request_reply(r, SOUP_STATUS_OK, encode_report(w));
+	http_request_reply(r, SOUP_STATUS_OK, encode_report(w, NULL));
 }
 
 static void set_unless_unset(int64_t *member, int64_t value)
@@ -601,6 +629,7 @@
 	struct standin_options o = { 0 };
 	struct size size = { 8, 64, 131072 };
 	gint64 report_lag_ms = DEFAULT_REPORT_LAG_MS;
+	gboolean is_plain = FALSE;
 	const GOptionEntry entries[] = {
 		{ "accelerators", 0, 0, G_OPTION_ARG_INT64, &size.accelerators,
 		  "Accelerators of a worker", "N" },
@@ -610,6 +639,8 @@
 		  "Memory of a worker", "MB" },
 		{ "report-lag-ms", 0, 0, G_OPTION_ARG_INT64, &report_lag_ms,
 		  "Time between two reports", "MS" },
+		{ "no-digest", 0, 0, G_OPTION_ARG_NONE, &is_plain,
+		  "Answer with all tasks always", NULL },
 		G_OPTION_ENTRY_NULL,
 	};
 	struct workers all = { 0 };
@@ -624,6 +655,7 @@
 	vms = g_new0(struct standin_vm, o.count);
 	for (gint i = 0; i < o.count; i++) {
 		all.items[i].report_lag_ms = report_lag_ms;
+		all.items[i].gives_digest = !is_plain;
 		if (!worker_open(&all.items[i], &o, i, &size))
 			goto out;
 		vms[i] = all.items[i].vm;
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -92,21 +92,28 @@
 	return is_it;
 }
 
-int64_t gang_cluster_usable_workers(struct gang_cluster *g)
+int64_t gang_cluster_status(struct gang_cluster *g, guint index,
+			    const char *member)
 {
-	int holder = gang_cluster_holder(g);
-	json_object *pool = NULL;
+	json_object *pool = pool_status(g, index);
 	int64_t count = -1;
 
-	if (holder >= 0)
-		pool = pool_status(g, (guint)holder);
 	if (pool)
 		count = json_object_get_int64(
-			json_object_object_get(pool, "usable_workers"));
+			json_object_object_get(pool, member));
 	json_object_put(pool);
 	return count;
 }
 
+int64_t gang_cluster_usable_workers(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	if (holder < 0)
+		return -1;
+	return gang_cluster_status(g, (guint)holder, "usable_workers");
+}
+
 int gang_cluster_holder(struct gang_cluster *g)
 {
 	for (guint i = 0; i < g->scheduler_count; i++) {
@@ -118,10 +125,27 @@
 
 static gboolean is_ready(void *data)
 {
-	return gang_cluster_usable_workers(data) == GANG_WORKERS;
+	const struct gang_cluster *g = data;
+
+	return gang_cluster_usable_workers(data) == GANG_WORKERS + g->fillers;
+}
+
+static void start_fillers(struct gang_cluster *g)
+{
+	char *count = g_strdup_printf("%u", g->fillers);
+
+	cluster_spawn(g->cluster, "cs-standin-worker", "fillers",
+		      CLUSTER_ARGS("--platform", g->platform, "--vm", "x",
+				   "--count", count, "--accelerators", "0"));
+	g_free(count);
 }
 
 struct gang_cluster *gang_cluster_start(guint schedulers)
+{
+	return gang_cluster_start_wide(schedulers, 0);
+}
+
+struct gang_cluster *gang_cluster_start_wide(guint schedulers, guint fillers)
 {
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
@@ -131,6 +155,9 @@
 					    "platform", NULL);
 	g->platform = cluster_listening(g->platform_process, 0);
 	start_workers(g);
+	g->fillers = fillers;
+	if (fillers)
+		start_fillers(g);
 	g->scheduler_count = schedulers;
 	for (guint i = 0; i < schedulers; i++)
 		g->links[i] = cluster_address();
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -23,7 +23,9 @@
 	struct cluster_process *schedulers[GANG_MAX_SCHEDULERS];
 	char *addresses[GANG_MAX_SCHEDULERS];
 	char *links[GANG_MAX_SCHEDULERS + 1]; /**< ends with NULL */
-	GArray *kept; /**< of events of workers that were killed */
+	GArray *kept;  /**< of events of workers that were killed */
+	guint fillers; /**< workers without accelerators, which gangs can't use
+			*/
 };
 
 struct gang_submission {
@@ -38,6 +40,13 @@
 /** Starts everything. */
 struct gang_cluster *gang_cluster_start(guint schedulers);
 
+/** Starts everything, with further workers that only have to be renewed. */
+struct gang_cluster *gang_cluster_start_wide(guint schedulers, guint fillers);
+
+/** Returns a count of the pool's status at one scheduler, -1 without one. */
+int64_t gang_cluster_status(struct gang_cluster *g, guint index,
+			    const char *member);
+
 /** Waits until a scheduler decides on all workers. */
 void gang_cluster_wait_ready(struct gang_cluster *g);
 
--- a/tests/gang_faults.c
+++ b/tests/gang_faults.c
@@ -281,7 +281,7 @@
 	struct gang_cluster *g = run->cluster;
 	const char *end = steps[run->step].end;
 	int64_t bound_ms =
-		worker_partial_bound_ms(GANG_WORKERS) + BOUND_SLACK_MS;
+		worker_partial_bound_ms(GANG_WORKERS, 1) + BOUND_SLACK_MS;
 	char *fault;
 
 	g_test_message("check %s at %s", run->set->name, steps[run->step].name);
--- a/tests/test_gangs.c
+++ b/tests/test_gangs.c
@@ -11,7 +11,7 @@
 static void check_history(struct gang_cluster *g)
 {
 	char *fault =
-		gang_cluster_check(g, worker_partial_bound_ms(GANG_WORKERS));
+		gang_cluster_check(g, worker_partial_bound_ms(GANG_WORKERS, 1));
 
 	g_assert_cmpstr(fault, ==, NULL);
 }
--- a/tests/test_gangs_caretaker.c
+++ b/tests/test_gangs_caretaker.c
@@ -24,7 +24,7 @@
 static void check(struct gang_cluster *g)
 {
 	char *fault = gang_cluster_check(
-		g, worker_partial_bound_ms(GANG_WORKERS) + BOUND_SLACK_MS);
+		g, worker_partial_bound_ms(GANG_WORKERS, 1) + BOUND_SLACK_MS);
 
 	g_assert_cmpstr(fault, ==, NULL);
 }
--- a/tests/test_gangs_explore.c
+++ b/tests/test_gangs_explore.c
@@ -1,15 +1,17 @@
 /*
  * Seeded exploration of the scheduler: two processes, workers and a table with
  * messages lost, delayed, doubled and out of order, with crashes, pauses and
- * outages, in virtual time. After every step it is checked that no task starts
- * twice or before its commitment, that attempts do not overlap, and that no
- * gang runs in part beyond the bound.
+ * outages, in virtual time. The process that does not hold the pool renews a
+ * share of the workers for the other one. After every step it is checked that
+ * no task starts twice or before its commitment, that attempts do not overlap,
+ * and that no gang runs in part beyond the bound.
  */
 #include <glib.h>
 #include <string.h>
 
 #include "job/gang.h"
 #include "job/placement/placement.h"
+#include "job/renewal_delegate.h"
 #include "job/scheduler.h"
 #include "job/task_name.h"
 #include "job/worker_contact.h"
@@ -27,10 +29,13 @@
 #define LATE_MS 3000
 #define FAULT_MAX_MS 30000
 #define PAST_LEASE_MS 40000
+#define PLANTED_CALM_MS 10000
 #define NETWORK_MS 5
 #define TRACE_LINES 60
 /* Calls may be under way for a while on top of the stated bound. */
-#define PARTIAL_BOUND_MS (worker_partial_bound_ms(WORKERS) + LATE_MS)
+#define PARTIAL_BOUND_MS                                                \
+	(worker_partial_bound_ms(WORKERS, 1) + WORKER_CALL_TIMEOUT_MS + \
+	 RENEWAL_GRANT_MS + LATE_MS)
 
 /* What is taken out of the world, to show that it would be noticed. */
 enum planted {
@@ -38,6 +43,7 @@
 	PLANTED_EPOCH_IGNORED,	 /* workers obey any epoch */
 	PLANTED_VERSION_IGNORED, /* the table writes over any version */
 	PLANTED_LEASE_IGNORED,	 /* workers keep tasks without renewal */
+	PLANTED_GRANT_FOREVER,	 /* delegates go on without a new grant */
 	PLANTED_COUNT,
 };
 
@@ -67,6 +73,7 @@
 struct sim_node {
 	struct sim *sim;
 	guint index;
+	char name[8];
 	guint life;
 	int64_t paused_until_ms;
 	int64_t cut_until_ms[WORKERS]; /* its calls get lost */
@@ -74,6 +81,7 @@
 	int64_t holds_until_ms;
 	enum pool_role role; /* at its last tick */
 	struct scheduler *scheduler;
+	struct renewal_delegate *delegate;
 };
 
 struct sim {
@@ -93,6 +101,9 @@
 	int64_t table_down_until_ms;
 	int64_t takeover_ms;	     /* when a process last took a role */
 	int64_t holder_cut_until_ms; /* it can't renew */
+	int64_t link_cut_until_ms;   /* between the nodes */
+	guint shared_renewals;	     /* done by delegates */
+	guint thin_answers;	     /* without the tasks */
 	GHashTable *starts;	     /* task to count */
 	int64_t partial_since_ms[JOBS];
 	GQueue trace;
@@ -107,6 +118,8 @@
 	EVENT_WRITE_ANSWER,
 	EVENT_READ_ANSWER,
 	EVENT_SCAN_ANSWER,
+	EVENT_REPORT, /* of a delegate, reaches the holder */
+	EVENT_GRANT,  /* reaches the delegate */
 };
 
 struct event {
@@ -126,6 +139,9 @@
 	struct worker_report report;
 	struct job_record record;
 	struct sim_row rows[JOBS];
+	gboolean is_delegate; /* the call is one */
+	struct renewal_report renewals;
+	struct renewal_grant grant;
 };
 
 static void trace(struct sim *s, const char *format, ...) G_GNUC_PRINTF(2, 3);
@@ -167,6 +183,8 @@
 
 	worker_call_clear(&e->call);
 	worker_report_clear(&e->report);
+	renewal_report_clear(&e->renewals);
+	renewal_grant_clear(&e->grant);
 	job_record_clear(&e->record);
 	for (guint i = 0; i < JOBS; i++)
 		job_record_clear(&e->rows[i].record);
@@ -233,6 +251,7 @@
 {
 	worker_call_init(to, from->pool, from->epoch, from->holder,
 			 from->lease_ms);
+	to->known = g_strdup(from->known);
 	for (guint i = 0; i < from->commands->len; i++) {
 		struct worker_command c =
 			g_array_index(from->commands, struct worker_command, i);
@@ -272,6 +291,112 @@
 	}
 }
 
+static void delegate_call(struct sim_node *n, const struct delegated_worker *w)
+{
+	struct sim *s = n->sim;
+	struct event *timeout = event_new(s, EVENT_CALL_ANSWER, n->index);
+	struct event *e;
+
+	timeout->is_delegate = TRUE;
+	timeout->worker = (guint)(w->name[1] - '0');
+	timeout->call_id = w->call_id;
+	timeout->answer = WORKER_FAILED;
+	post(s, timeout, CALL_TIMEOUT_MS);
+	if (s->now_ms < n->cut_until_ms[timeout->worker] ||
+	    (has_faults(s) && chance(s, 3)))
+		return;
+	e = event_new(s, EVENT_CALL, n->index);
+	e->is_delegate = TRUE;
+	e->worker = timeout->worker;
+	e->call_id = w->call_id;
+	worker_call_init(&e->call, n->delegate->pool, n->delegate->epoch, "n",
+			 n->delegate->lease_ms);
+	e->call.known = g_strdup(w->worker_digest);
+	e->is_answered = !has_faults(s) || !chance(s, 4);
+	s->shared_renewals++;
+	post(s, e, network_ms(s));
+}
+
+static void copy_body(const struct schema *schema, const void *from, void *to)
+{
+	json_object *body = schema_encode(schema, from);
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	g_assert_true(schema_decode(schema, body, to, "", NULL, &findings));
+	finding_list_clear(&findings);
+	json_object_put(body);
+}
+
+/* Sends between the nodes: lost, late, doubled, out of order. */
+static void send_on_link(struct sim *s, guint to,
+			 const struct renewal_report *report,
+			 const struct renewal_grant *grant)
+{
+	int copies = has_faults(s) && chance(s, 5) ? 2 : 1;
+
+	if (s->now_ms < s->link_cut_until_ms || (has_faults(s) && chance(s, 5)))
+		return;
+	for (int i = 0; i < copies; i++) {
+		struct event *e =
+			event_new(s, report ? EVENT_REPORT : EVENT_GRANT, to);
+
+		if (report)
+			copy_body(&renewal_report_schema, report, &e->renewals);
+		else
+			copy_body(&renewal_grant_schema, grant, &e->grant);
+		post(s, e, network_ms(s));
+	}
+}
+
+static void on_report(struct sim *s, struct event *e)
+{
+	struct sim_node *n = &s->nodes[e->node];
+	struct renewal_grant grant = { 0 };
+	int64_t epoch;
+
+	renewal_grant_init(&grant);
+	if (role_of(s, e->node, &epoch) == POOL_ROLE_HOLDER &&
+	    n->role == POOL_ROLE_HOLDER &&
+	    scheduler_on_renewal_report(n->scheduler,
+					s->nodes[1 - e->node].name,
+					&e->renewals, s->now_ms, &grant))
+		send_on_link(s, 1 - e->node, NULL, &grant);
+	renewal_grant_clear(&grant);
+}
+
+static void on_grant(struct sim *s, struct event *e)
+{
+	struct renewal_delegate *d = s->nodes[e->node].delegate;
+
+	renewal_delegate_on_grant(d, s->nodes[1 - e->node].name, &e->grant,
+				  s->now_ms);
+	if (s->planted == PLANTED_GRANT_FOREVER && d->valid_until_ms)
+		d->valid_until_ms = INT64_MAX;
+}
+
+/* What the service "renewals" does. */
+static void tick_delegate(struct sim *s, struct sim_node *n)
+{
+	const struct sim_node *other = &s->nodes[1 - n->index];
+	const struct delegated_worker *w;
+	struct renewal_report report = { 0 };
+	int64_t epoch;
+
+	if (s->now_ms >= s->link_cut_until_ms &&
+	    s->now_ms >= other->paused_until_ms && chance(s, 10) &&
+	    role_of(s, other->index, &epoch) == POOL_ROLE_HOLDER)
+		renewal_delegate_on_holder(n->delegate, other->name, epoch);
+	if (n->role != POOL_ROLE_NONE)
+		return;
+	while ((w = renewal_delegate_next(n->delegate, s->now_ms)))
+		delegate_call(n, w);
+	renewal_report_init(&report);
+	if (renewal_delegate_report(n->delegate, s->now_ms, &report))
+		send_on_link(s, other->index, &report, NULL);
+	renewal_report_clear(&report);
+}
+
 static guint job_index(const char *id)
 {
 	return (guint)(id[1] - '0');
@@ -478,11 +603,29 @@
 	take_snapshot(s, w);
 }
 
-static void fill_report(struct sim_worker *w, struct worker_report *r)
+/* Every other worker leaves out the tasks that the caller knows. */
+static gboolean is_known(struct sim *s, const struct sim_worker *w,
+			 const char *known, struct worker_report *r)
+{
+	const struct worker_report whole = { .tasks = w->snapshot };
+
+	if (w->name[1] % 2)
+		return FALSE;
+	r->digest = g_strdup_printf("%" G_GINT64_FORMAT,
+				    worker_report_digest(&whole));
+	r->is_unchanged = g_strcmp0(known, r->digest) == 0;
+	s->thin_answers += r->is_unchanged ? 1 : 0;
+	return r->is_unchanged != 0;
+}
+
+static void fill_report(struct sim *s, const struct sim_worker *w,
+			const char *known, struct worker_report *r)
 {
 	r->epoch = w->epoch;
 	r->results = g_array_new(FALSE, TRUE, sizeof(struct worker_result));
 	r->tasks = g_array_new(FALSE, TRUE, sizeof(struct worker_task));
+	if (is_known(s, w, known, r))
+		return;
 	for (guint i = 0; i < w->snapshot->len; i++) {
 		struct worker_task t =
 			g_array_index(w->snapshot, struct worker_task, i);
@@ -528,8 +671,9 @@
 	answer->life = e->life;
 	answer->worker = e->worker;
 	answer->call_id = e->call_id;
+	answer->is_delegate = e->is_delegate;
 	answer->answer = is_old ? WORKER_STALE_EPOCH : WORKER_ANSWERED;
-	fill_report(w, &answer->report);
+	fill_report(s, w, e->call.known, &answer->report);
 	if (!is_old)
 		obey(s, w, &e->call, &answer->report);
 	if (e->is_answered)
@@ -592,6 +736,7 @@
 	if (role == POOL_ROLE_HOLDER && s->now_ms % 1000 < TICK_MS)
 		sim_scan_rows(&s->nodes[node]);
 	scheduler_tick(x, s->now_ms, s->now_ms);
+	tick_delegate(s, &s->nodes[node]);
 	post(s, event_new(s, EVENT_TICK, node), TICK_MS);
 }
 
@@ -601,9 +746,10 @@
 	char incarnation[32];
 	struct scheduler_spec spec = {
 		.pool = "salkhi.tov-a",
-		.node = "n",
+		.node = n->name,
 		.incarnation = incarnation,
 		.policy = PLACEMENT_POLICY_DEFAULT,
+		.shares_always = TRUE,
 		.ops = &sim_ops,
 		.data = n,
 	};
@@ -615,7 +761,9 @@
 	n->holds_until_ms = 0;
 	n->role = POOL_ROLE_NONE;
 	g_snprintf(incarnation, sizeof(incarnation), "n%u-%u", node, n->life);
+	g_snprintf(n->name, sizeof(n->name), "n%u", node);
 	n->scheduler = scheduler_new(&spec);
+	n->delegate = renewal_delegate_new(spec.pool);
 	for (guint i = 0; i < WORKERS; i++)
 		list[i] = (struct listed_worker){
 			.spec = { .name = s->workers[i].name,
@@ -633,6 +781,7 @@
 {
 	trace(s, "n%u crashes", node);
 	scheduler_free(s->nodes[node].scheduler);
+	renewal_delegate_free(s->nodes[node].delegate);
 	open_node(s, node);
 }
 
@@ -674,6 +823,21 @@
 	trace(s, "n%d holds epoch %d", s->holder, (int)s->epoch);
 }
 
+/* What a grant without end needs to do harm, now and then. */
+static void cut_holder(struct sim *s)
+{
+	int64_t until_ms = s->now_ms + FAULT_MAX_MS;
+	guint worker = (guint)g_rand_int_range(s->rand, 0, WORKERS);
+
+	if (!has_faults(s) || s->holder < 0 ||
+	    s->now_ms < s->link_cut_until_ms + PLANTED_CALM_MS)
+		return;
+	trace(s, "n%d cut from w%u and its peer until %d", s->holder, worker,
+	      (int)until_ms);
+	s->nodes[s->holder].cut_until_ms[worker] = until_ms;
+	s->link_cut_until_ms = until_ms;
+}
+
 static void fault_step(struct sim *s)
 {
 	guint node = (guint)g_rand_int_range(s->rand, 0, NODES);
@@ -681,9 +845,13 @@
 		s->now_ms + g_rand_int_range(s->rand, 100, FAULT_MAX_MS);
 	guint worker;
 
+	if (s->planted == PLANTED_GRANT_FOREVER) {
+		cut_holder(s);
+		return;
+	}
 	if (!has_faults(s) || !chance(s, 2))
 		return;
-	switch (g_rand_int_range(s->rand, 0, 7)) {
+	switch (g_rand_int_range(s->rand, 0, 8)) {
 	case 0:
 		crash_node(s, node);
 		break;
@@ -706,6 +874,13 @@
 		      (int)until_ms);
 		s->nodes[node].cut_until_ms[worker] = until_ms;
 		break;
+	case 6: /* from a worker and from the other node alike */
+		worker = (guint)g_rand_int_range(s->rand, 0, WORKERS);
+		trace(s, "n%u cut from w%u and its peer until %d", node, worker,
+		      (int)until_ms);
+		s->nodes[node].cut_until_ms[worker] = until_ms;
+		s->link_cut_until_ms = until_ms;
+		break;
 	default:
 		trace(s, "holder can't renew until %d", (int)until_ms);
 		s->holder_cut_until_ms = until_ms;
@@ -803,6 +978,13 @@
 	}
 }
 
+static void on_delegate_answer(struct sim *s, struct event *e)
+{
+	renewal_delegate_on_answer(s->nodes[e->node].delegate,
+				   s->workers[e->worker].name, e->call_id,
+				   e->answer, &e->report, s->now_ms);
+}
+
 static void handle(struct sim *s, struct event *e)
 {
 	struct sim_node *n = &s->nodes[e->node];
@@ -815,7 +997,17 @@
 	case EVENT_CALL:
 		on_call(s, e);
 		break;
+	case EVENT_REPORT:
+		on_report(s, e);
+		break;
+	case EVENT_GRANT:
+		on_grant(s, e);
+		break;
 	case EVENT_CALL_ANSWER:
+		if (e->is_delegate) {
+			on_delegate_answer(s, e);
+			break;
+		}
 		scheduler_on_worker(n->scheduler, s->workers[e->worker].name,
 				    e->call_id, e->answer, &e->report,
 				    s->now_ms);
@@ -905,8 +1097,10 @@
 
 static void sim_close(struct sim *s)
 {
-	for (guint i = 0; i < NODES; i++)
+	for (guint i = 0; i < NODES; i++) {
 		scheduler_free(s->nodes[i].scheduler);
+		renewal_delegate_free(s->nodes[i].delegate);
+	}
 	for (guint i = 0; i < WORKERS; i++) {
 		g_ptr_array_unref(s->workers[i].tasks);
 		g_array_unref(s->workers[i].snapshot);
@@ -920,6 +1114,10 @@
 	g_free(s->violation);
 }
 
+/* Of all seeds: by delegates, and answered without the tasks. */
+static guint shared_renewals;
+static guint thin_answers;
+
 /* Runs one seed; returns what was violated, or NULL. */
 static char *run_seed(guint32 seed, enum planted planted, gboolean is_loud)
 {
@@ -932,6 +1130,8 @@
 		step(&s);
 	if (!all_ended(&s))
 		violate(&s, "job never ended", "");
+	shared_renewals += s.shared_renewals;
+	thin_answers += s.thin_answers;
 	violation = g_strdup(s.violation);
 	if (violation && is_loud) {
 		g_test_message("seed %u: %s", seed, violation);
@@ -955,6 +1155,8 @@
 	guint32 first = only ? (guint32)g_ascii_strtoull(only, NULL, 10) : 0;
 	guint32 last = only ? first + 1 : seed_count();
 
+	shared_renewals = 0;
+	thin_answers = 0;
 	for (guint32 seed = first; seed < last; seed++) {
 		char *violation = run_seed(seed, PLANTED_NONE, TRUE);
 
@@ -964,6 +1166,10 @@
 		if (g_test_failed())
 			return;
 	}
+	g_test_message("%u renewals by delegates, %u thin answers",
+		       shared_renewals, thin_answers);
+	g_assert_cmpuint(shared_renewals, >=, last - first);
+	g_assert_cmpuint(thin_answers, >=, last - first);
 }
 
 /* Every fault that is planted has to be found within as many seeds. */
