Gangs: checkpoints outlive the holder; guarantees reclaimed over processes

Cause: reclaim was proved over processes by preempting one bulk job only. A test with a configured guarantee, filled with another account's work, failed: with the holder killed between the checkpoint and the start, a saved job went back to its beginning (remaining_ms 0), because a new holder took a checkpointed member for a lost one. With a worker killed in the midst, a gang saved in part (2 of 3 members) went on from the checkpoint of that part.

Ruled out: a late row write of the old holder (its log has no end of the attempt; the new holder's has "found in part").

Change: a recovered member that is reported as checkpointed counts as saved, and the attempt goes on with being checkpointed within a new grace. Work counts as saved only when every member is saved or done. Log: waited_ms mixed two clocks and was negative; explain printed "(null)" without a reason.

--- a/job/gang.c
+++ b/job/gang.c
@@ -225,9 +225,30 @@
 	set_members(g, MEMBER_RESERVED, MEMBER_STARTING, now_ms);
 }
 
+static gboolean has_checkpoints(const struct gang *g)
+{
+	for (guint i = 0; i < g->members->len; i++) {
+		if (member_of(g, i)->state == MEMBER_CHECKPOINTED)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Takes the checkpoints that are still missing within the grace. */
+static void take_checkpoints(struct gang *g, int64_t now_ms)
+{
+	enter(g, GANG_CHECKPOINTING, now_ms + GANG_CHECKPOINT_GRACE_MS);
+	set_members(g, MEMBER_RUNNING, MEMBER_CHECKPOINTING, now_ms);
+	settle(g, now_ms);
+}
+
 void gang_adopt(struct gang *g, int64_t now_ms)
 {
-	if (g->state == GANG_STARTING)
+	if (g->state != GANG_STARTING)
+		return;
+	if (has_checkpoints(g))
+		take_checkpoints(g, now_ms);
+	else
 		gang_abort(g, GANG_OUTCOME_LOST, "found in part", now_ms);
 }
 
@@ -307,7 +328,8 @@
 		 (m->state == MEMBER_STARTING || m->state == MEMBER_UNKNOWN))
 		set_member(m, MEMBER_RUNNING, now_ms);
 	else if (state == TASK_CHECKPOINTED &&
-		 m->state == MEMBER_CHECKPOINTING) {
+		 (m->state == MEMBER_CHECKPOINTING ||
+		  m->state == MEMBER_UNKNOWN)) {
 		set_member(m, MEMBER_CHECKPOINTED, now_ms);
 		m->remaining_ms = remaining_ms;
 	}
@@ -358,8 +380,7 @@
 		gang_abort(g, GANG_OUTCOME_PREEMPTED, "", now_ms);
 		return;
 	}
-	enter(g, GANG_CHECKPOINTING, now_ms + GANG_CHECKPOINT_GRACE_MS);
-	set_members(g, MEMBER_RUNNING, MEMBER_CHECKPOINTING, now_ms);
+	take_checkpoints(g, now_ms);
 }
 
 void gang_tick(struct gang *g, int64_t now_ms)
@@ -390,7 +411,12 @@
 {
 	int64_t remaining_ms = 0;
 
-	for (guint i = 0; i < g->members->len; i++)
-		remaining_ms = MAX(remaining_ms, member_of(g, i)->remaining_ms);
+	for (guint i = 0; i < g->members->len; i++) {
+		const struct gang_member *m = member_of(g, i);
+
+		if (m->state != MEMBER_DONE && m->remaining_ms == 0)
+			return fallback_ms;
+		remaining_ms = MAX(remaining_ms, m->remaining_ms);
+	}
 	return remaining_ms ? remaining_ms : fallback_ms;
 }
--- a/job/gang.h
+++ b/job/gang.h
@@ -116,7 +116,10 @@
 /** Takes the commitment as known to be in the table. */
 void gang_on_committed(struct gang *g, int64_t now_ms);
 
-/** Keeps a recovered attempt if it is whole, else ends it. */
+/**
+ * Keeps a recovered attempt if it is whole, else ends it. One that was being
+ * stopped for others first gets the checkpoints that are still missing.
+ */
 void gang_adopt(struct gang *g, int64_t now_ms);
 
 /**
@@ -166,7 +169,7 @@
 /** Tells whether a member may be running on its worker. */
 gboolean gang_member_may_run(const struct gang *g, guint member);
 
-/** Returns the work left, from the checkpoints; fallback without them. */
+/** Returns the work left; fallback unless all members are saved or done. */
 int64_t gang_remaining_ms(const struct gang *g, int64_t fallback_ms);
 
 const char *gang_state_name(enum gang_state state);
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -415,7 +415,7 @@
 	log_str(&line, "runner_up", d->placement.runner_up);
 	log_str(&line, "reason", d->placement.reason);
 	log_int(&line, "preempts", d->placement.preempt->len);
-	log_int(&line, "waited_ms", d->waited_ms);
+	log_int(&line, "waited_ms", d->waited_ms + s->wall_offset_ms);
 	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 	g_free(choice);
--- a/job/scheduler_explain.c
+++ b/job/scheduler_explain.c
@@ -10,8 +10,10 @@
 	const char *reason = job_queue_reason(s->queue, e->record.id);
 
 	if (e->requeue_ms)
-		return e->record.reason;
-	return reason ? reason : e->record.reason;
+		reason = NULL;
+	if (!reason)
+		reason = e->record.reason;
+	return reason ? reason : "";
 }
 
 static GPtrArray *blockers_of(const struct job_entry *e)
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -5,34 +5,10 @@
 
 #include "base/util.h"
 #include "job/job_record.h"
-#include "job/task_name.h"
 
 #define READY_TIMEOUT_MS 20000
 #define ROWS_PATH "/table/jobs/salkhi.tov-a%2F"
 
-/* One event of a worker's history. */
-struct event {
-	int64_t time_ms;
-	char *task;
-	char *event;
-};
-
-static void event_clear(gpointer data)
-{
-	struct event *e = data;
-
-	g_free(e->task);
-	g_free(e->event);
-}
-
-static GArray *events_new(void)
-{
-	GArray *events = g_array_new(FALSE, TRUE, sizeof(struct event));
-
-	g_array_set_clear_func(events, event_clear);
-	return events;
-}
-
 void gang_cluster_start_scheduler(struct gang_cluster *g, guint index)
 {
 	char *name = g_strdup_printf("sched%u-%u", index,
@@ -55,9 +31,10 @@
 		cluster_spawn(g->cluster, "cs-standin-worker", "workers",
 			      CLUSTER_ARGS("--platform", g->platform, "--vm",
 					   "w", "--count", "2"));
-	g->worker_processes[1] = cluster_spawn(
-		g->cluster, "cs-standin-worker", "last-worker",
-		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0"));
+	g->worker_processes[1] =
+		cluster_spawn(g->cluster, "cs-standin-worker", "last-worker",
+			      CLUSTER_ARGS("--platform", g->platform, "--vm",
+					   "v0", "--rack", "r0"));
 	g->workers[0] = cluster_listening(g->worker_processes[0], 0);
 	g->workers[1] = cluster_listening(g->worker_processes[0], 1);
 	g->workers[2] = cluster_listening(g->worker_processes[1], 0);
@@ -126,7 +103,7 @@
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
 	g->cluster = cluster_new();
-	g->kept = events_new();
+	g->kept = gang_history_new();
 	g->platform_process = cluster_spawn(g->cluster, "cs-standin-platform",
 					    "platform", NULL);
 	g->platform = cluster_listening(g->platform_process, 0);
@@ -186,14 +163,21 @@
 
 void gang_cluster_submit(struct gang_cluster *g,
 			 const struct gang_submission *job)
+{
+	gang_cluster_submit_for(g, job, "a", ADJACENCY_NONE);
+}
+
+void gang_cluster_submit_for(struct gang_cluster *g,
+			     const struct gang_submission *job,
+			     const char *client_account,
+			     enum adjacency adjacency)
 {
 	struct job_record r = {
 		.id = g_strdup(job->id),
 		.pool = g_strdup(GANG_POOL),
-		.client_account = g_strdup("a"),
+		.client_account = g_strdup(client_account),
 		.class = JOB_CLASS_NORMAL,
-		.shape = { job->members, job->accelerators, 1, 1,
-			   ADJACENCY_NONE },
+		.shape = { job->members, job->accelerators, 1, 1, adjacency },
 		.run_ms = job->run_ms,
 		.expected_run_ms = job->run_ms,
 		.is_checkpointable = job->is_checkpointable,
@@ -297,14 +281,6 @@
 	return cluster_wait(has_state, &w, timeout_ms);
 }
 
-static void add_event(GArray *events, int64_t time_ms, const char *task,
-		      const char *event)
-{
-	struct event e = { time_ms, g_strdup(task), g_strdup(event) };
-
-	g_array_append_val(events, e);
-}
-
 static const char *text_of(json_object *item, const char *member)
 {
 	return json_object_get_string(json_object_object_get(item, member));
@@ -317,10 +293,10 @@
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		json_object *item = json_object_array_get_idx(list, i);
 
-		add_event(events,
-			  json_object_get_int64(
-				  json_object_object_get(item, "time_ms")),
-			  text_of(item, "task"), text_of(item, "event"));
+		gang_history_add(events,
+				 json_object_get_int64(json_object_object_get(
+					 item, "time_ms")),
+				 text_of(item, "task"), text_of(item, "event"));
 	}
 }
 
@@ -335,28 +311,20 @@
 	cluster_reply_clear(&r);
 }
 
-static gint compare_events(gconstpointer a, gconstpointer b)
-{
-	const struct event *x = a;
-	const struct event *y = b;
-
-	return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
-}
-
 /* Reads all histories, in the order of time. */
 static GArray *all_events(struct gang_cluster *g)
 {
-	GArray *events = events_new();
+	GArray *events = gang_history_new();
 
 	for (guint i = 0; i < g->kept->len; i++) {
-		const struct event *e =
-			&g_array_index(g->kept, struct event, i);
+		const struct gang_event *e =
+			&g_array_index(g->kept, struct gang_event, i);
 
-		add_event(events, e->time_ms, e->task, e->event);
+		gang_history_add(events, e->time_ms, e->task, e->event);
 	}
 	for (guint i = 0; i < GANG_WORKERS; i++)
 		read_history(g, i, events);
-	g_array_sort(events, compare_events);
+	gang_history_sort(events);
 	return events;
 }
 
@@ -368,7 +336,8 @@
 	guint count = 0;
 
 	for (guint i = 0; i < events->len; i++) {
-		const struct event *e = &g_array_index(events, struct event, i);
+		const struct gang_event *e =
+			&g_array_index(events, struct gang_event, i);
 
 		if (g_str_has_prefix(e->task, prefix) &&
 		    g_str_equal(e->event, event))
@@ -400,9 +369,10 @@
 	char *name =
 		g_strdup_printf("last-worker-%u", g->cluster->processes->len);
 
-	g->worker_processes[1] = cluster_spawn(
-		g->cluster, "cs-standin-worker", name,
-		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0"));
+	g->worker_processes[1] =
+		cluster_spawn(g->cluster, "cs-standin-worker", name,
+			      CLUSTER_ARGS("--platform", g->platform, "--vm",
+					   "v0", "--rack", "r0"));
 	g_free(g->workers[GANG_WORKERS - 1]);
 	g->workers[GANG_WORKERS - 1] =
 		cluster_listening(g->worker_processes[1], 0);
@@ -419,188 +389,72 @@
 	cluster_wait_exit(g->worker_processes[1], CLUSTER_CALL_TIMEOUT_MS);
 	last = g->kept->len;
 	for (guint i = first; i < last; i++) {
-		const struct event *e =
-			&g_array_index(g->kept, struct event, i);
+		const struct gang_event *e =
+			&g_array_index(g->kept, struct gang_event, i);
 
 		if (g_str_equal(e->event, "started"))
-			add_event(g->kept, util_wall_ms(), e->task, "killed");
+			gang_history_add(g->kept, util_wall_ms(), e->task,
+					 "killed");
 	}
 }
 
-/** What the histories say of one attempt of a gang so far. */
-struct seen_attempt {
-	int64_t members;
-	GHashTable *started; /**< tasks, ever */
-	GHashTable *running;
-	GHashTable *done;
-	int64_t partial_since_ms; /**< 0 while whole or not running */
-	int64_t worst_ms;
-};
-
-/** What they say of one job. */
-struct seen_job {
-	GHashTable *attempts; /**< number to struct seen_attempt */
-	struct seen_attempt *current;
-};
-
-static void seen_attempt_free(gpointer data)
-{
-	struct seen_attempt *a = data;
-
-	g_hash_table_unref(a->started);
-	g_hash_table_unref(a->running);
-	g_hash_table_unref(a->done);
-	g_free(a);
-}
-
-static void seen_job_free(gpointer data)
-{
-	struct seen_job *j = data;
-
-	g_hash_table_unref(j->attempts);
-	g_free(j);
-}
-
-static GHashTable *task_set(void)
-{
-	return g_hash_table_new(g_str_hash, g_str_equal);
-}
-
-static struct seen_job *find_job(GHashTable *jobs, const char *id)
-{
-	struct seen_job *j = g_hash_table_lookup(jobs, id);
-
-	if (j)
-		return j;
-	j = g_new0(struct seen_job, 1);
-	j->attempts =
-		g_hash_table_new_full(NULL, NULL, NULL, seen_attempt_free);
-	g_hash_table_insert(jobs, g_strdup(id), j);
-	return j;
-}
-
-static struct seen_attempt *find_attempt(struct seen_job *j,
-					 const struct task_name *name)
-{
-	gpointer key = GINT_TO_POINTER((gint)name->attempt);
-	struct seen_attempt *a = g_hash_table_lookup(j->attempts, key);
-
-	if (a)
-		return a;
-	a = g_new0(struct seen_attempt, 1);
-	a->members = name->members;
-	a->started = task_set();
-	a->running = task_set();
-	a->done = task_set();
-	g_hash_table_insert(j->attempts, key, a);
-	return a;
-}
-
-static gboolean ends_run(const char *event)
-{
-	static const char *const ends[] = { "stopped", "failed", "lapsed",
-					    "done",    "killed", "checkpointed",
-					    NULL };
-
-	return g_strv_contains(ends, event);
-}
-
-static void measure_partial(struct seen_attempt *a, int64_t now_ms)
+char *gang_cluster_check(struct gang_cluster *g, int64_t bound_ms)
 {
-	guint alive = g_hash_table_size(a->running);
-	gboolean is_partial =
-		alive && alive + g_hash_table_size(a->done) < a->members;
+	GArray *events = all_events(g);
+	char *fault = gang_history_check(events, bound_ms);
 
-	if (a->partial_since_ms)
-		a->worst_ms = MAX(a->worst_ms, now_ms - a->partial_since_ms);
-	if (!is_partial)
-		a->partial_since_ms = 0;
-	else if (!a->partial_since_ms)
-		a->partial_since_ms = now_ms;
+	g_array_unref(events);
+	return fault;
 }
 
-static char *take_start(struct seen_job *j, struct seen_attempt *a,
-			const struct event *e)
+int64_t gang_cluster_last_ms(struct gang_cluster *g, const char *id,
+			     const char *event)
 {
-	GHashTableIter iter;
-	gpointer other;
+	GArray *events = all_events(g);
+	char *prefix = g_strconcat(id, "/", NULL);
+	int64_t last_ms = 0;
 
-	if (!g_hash_table_add(a->started, e->task))
-		return g_strdup_printf("started twice: %s", e->task);
-	g_hash_table_iter_init(&iter, j->attempts);
-	while (g_hash_table_iter_next(&iter, NULL, &other)) {
-		const struct seen_attempt *o = other;
+	for (guint i = 0; i < events->len; i++) {
+		const struct gang_event *e =
+			&g_array_index(events, struct gang_event, i);
 
-		if (o != a && g_hash_table_size(o->running))
-			return g_strdup_printf("two attempts at once: %s",
-					       e->task);
+		if (g_str_has_prefix(e->task, prefix) &&
+		    g_str_equal(e->event, event))
+			last_ms = e->time_ms;
 	}
-	g_hash_table_add(a->running, e->task);
-	return NULL;
-}
-
-static char *take_event(GHashTable *jobs, const struct event *e)
-{
-	struct task_name name = { 0 };
-	struct seen_attempt *a;
-	struct seen_job *j;
-	char *fault = NULL;
-
-	if (!task_name_parse(e->task, &name))
-		return g_strdup_printf("bad name %s", e->task);
-	j = find_job(jobs, name.job);
-	a = find_attempt(j, &name);
-	if (g_str_equal(e->event, "started"))
-		fault = take_start(j, a, e);
-	else if (ends_run(e->event))
-		g_hash_table_remove(a->running, e->task);
-	if (g_str_equal(e->event, "done"))
-		g_hash_table_add(a->done, e->task);
-	measure_partial(a, e->time_ms);
-	task_name_clear(&name);
-	return fault;
+	g_free(prefix);
+	g_array_unref(events);
+	return last_ms;
 }
 
-static char *check_bound(GHashTable *jobs, int64_t bound_ms)
+static gboolean is_configured(void *data)
 {
-	GHashTableIter iter;
-	gpointer id;
-	gpointer job;
+	struct gang_cluster *g = data;
+	gboolean is_it = TRUE;
 
-	g_hash_table_iter_init(&iter, jobs);
-	while (g_hash_table_iter_next(&iter, &id, &job)) {
-		GHashTableIter attempts;
-		gpointer attempt;
+	for (guint i = 0; i < g->scheduler_count && is_it; i++) {
+		struct cluster_reply r =
+			cluster_call(g->cluster, "GET", g->addresses[i],
+				     "/v1/config", NULL, NULL, 300);
 
-		g_hash_table_iter_init(&attempts,
-				       ((struct seen_job *)job)->attempts);
-		while (g_hash_table_iter_next(&attempts, NULL, &attempt)) {
-			struct seen_attempt *a = attempt;
-
-			measure_partial(a, util_wall_ms());
-			if (a->worst_ms > bound_ms)
-				return g_strdup_printf(
-					"%s ran in part for %" G_GINT64_FORMAT
-					" ms",
-					(const char *)id, a->worst_ms);
-		}
+		is_it = r.code == 200 &&
+			json_object_get_int64(
+				json_object_object_get(r.body, "version")) > 0;
+		cluster_reply_clear(&r);
 	}
-	return NULL;
+	return is_it;
 }
 
-char *gang_cluster_check(struct gang_cluster *g, int64_t bound_ms)
+void gang_cluster_configure(struct gang_cluster *g, const char *config)
 {
-	GArray *events = all_events(g);
-	GHashTable *jobs = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, seen_job_free);
-	char *fault = NULL;
-
-	for (guint i = 0; i < events->len && !fault; i++)
-		fault = take_event(jobs,
-				   &g_array_index(events, struct event, i));
-	if (!fault)
-		fault = check_bound(jobs, bound_ms);
-	g_hash_table_unref(jobs);
-	g_array_unref(events);
-	return fault;
+	char *body =
+		g_strdup_printf("{\"base_version\":0,\"config\":%s}", config);
+	struct cluster_reply r =
+		cluster_call(g->cluster, "POST", g->addresses[0], "/v1/config",
+			     body, NULL, CLUSTER_CALL_TIMEOUT_MS);
+
+	g_assert_cmpuint(r.code, ==, 200);
+	cluster_reply_clear(&r);
+	g_free(body);
+	g_assert_true(cluster_wait(is_configured, g, READY_TIMEOUT_MS));
 }
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -7,7 +7,9 @@
 #ifndef TESTS_GANG_CLUSTER_H
 #define TESTS_GANG_CLUSTER_H
 
+#include "config/config_doc.h"
 #include "tests/cluster.h"
+#include "tests/gang_history.h"
 
 #define GANG_POOL "salkhi.tov-a"
 #define GANG_WORKERS 3
@@ -54,10 +56,19 @@
 /** Returns how many workers the holder may use, -1 without a holder. */
 int64_t gang_cluster_usable_workers(struct gang_cluster *g);
 
+/** Applies a first configuration and waits until all schedulers have it. */
+void gang_cluster_configure(struct gang_cluster *g, const char *config);
+
 /** Writes a job's row as the gateway does. */
 void gang_cluster_submit(struct gang_cluster *g,
 			 const struct gang_submission *job);
 
+/** Does so for a client account other than "a" and with an adjacency. */
+void gang_cluster_submit_for(struct gang_cluster *g,
+			     const struct gang_submission *job,
+			     const char *client_account,
+			     enum adjacency adjacency);
+
 /** Marks a job as cancelled as the gateway does. */
 void gang_cluster_cancel(struct gang_cluster *g, const char *id);
 
@@ -73,6 +84,10 @@
 guint gang_cluster_events(struct gang_cluster *g, const char *id,
 			  const char *event);
 
+/** Returns the time of a job's last event of a kind, 0 without one. */
+int64_t gang_cluster_last_ms(struct gang_cluster *g, const char *id,
+			     const char *event);
+
 /** Waits for a number of events of a kind. */
 gboolean gang_cluster_wait_events(struct gang_cluster *g, const char *id,
 				  const char *event, guint count,
--- /dev/null
+++ b/tests/test_gangs_reclaim.c
@@ -0,0 +1,316 @@
+/*
+ * A configured guarantee is reclaimed over real processes: the account's
+ * adjacent shape is filled with another account's borrowed small jobs.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "job/gang.h"
+#include "job/worker_contact.h"
+#include "tests/gang_cluster.h"
+
+#define TIMEOUT_MS INT64_C(30000)
+/* The letter: urgent work starts within 1.5 s, reclaim included. */
+#define URGENT_MS INT64_C(1500)
+/* Until a worker that does not answer counts as lost (docs/design/gangs.md). */
+#define LOST_MS (WORKER_RENEW_MIN_MS + 3000)
+/* Reading several processes one after the other, and their turns to run. */
+#define READ_SLACK_MS 300
+/* A checkpoint is known by the last report; reports lag by a second. */
+#define CHECKPOINT_AGE_MS (WORKER_RENEW_MIN_MS + WORKER_REPORT_LAG_MS)
+/* Until a new holder knows what runs (docs/operators/jobs.md). */
+#define RECOVERY_MS INT64_C(3000)
+#define BORROWED 7
+#define WIDE 6 /* the gang */
+#define BORROWED_RAN_MS 5000
+#define GUARANTEE_MEMBERS 2
+#define BOUND_SLACK_MS 1000
+
+#define CONFIG                                                           \
+	"{\"format\":1,\"services\":[{\"name\":\"salkhi\","              \
+	"\"failure_domains\":[\"tov-a\"]}],\"client_accounts\":["        \
+	"{\"name\":\"a\",\"service\":\"salkhi\",\"guaranteed_shapes\":[" \
+	"{\"name\":\"rerun\",\"pool\":\"salkhi.tov-a\",\"shape\":"       \
+	"{\"members\":2,\"accelerators\":8,\"cores\":1,\"memory_mb\":1," \
+	"\"adjacency\":\"rack\"}}]},"                                    \
+	"{\"name\":\"b\",\"service\":\"salkhi\",\"share\":1}]}"
+
+struct reclaim_case {
+	const char *name;
+	guint schedulers;
+	int64_t borrowed_run_ms;
+	gboolean is_slow; /* the last worker, so that it is struck in midst */
+	gboolean loses_checkpoint; /* of one member of the borrowed gang */
+	void (*strike)(struct gang_cluster *g);
+	void (*heal)(struct gang_cluster *g);
+	int64_t bound_ms; /* from the strike, or the submission, to the start */
+};
+
+struct run {
+	struct gang_cluster *cluster;
+	const struct reclaim_case *c;
+	char *borrowed[BORROWED];
+	gboolean was_running[BORROWED]; /* when the guarantee was claimed */
+	int64_t since_ms;		/* the bound counts from here */
+};
+
+/*
+ * One job of 5 accelerators on each worker, one of 2, and in the last gap of
+ * each a member of a borrowed gang.
+ */
+static const struct {
+	int64_t members;
+	int64_t accelerators;
+	gboolean is_checkpointable;
+} borrowed_jobs[BORROWED] = {
+	{ 1, 5, TRUE }, { 1, 5, FALSE }, { 1, 5, TRUE }, { 1, 2, FALSE },
+	{ 1, 2, TRUE }, { 1, 2, FALSE }, { 3, 1, TRUE },
+};
+
+static gboolean is_checkpointable(guint borrowed)
+{
+	return borrowed_jobs[borrowed].is_checkpointable;
+}
+
+static void submit_borrowed(struct run *r, guint i)
+{
+	struct gang_submission job = {
+		.members = borrowed_jobs[i].members,
+		.accelerators = borrowed_jobs[i].accelerators,
+		.is_checkpointable = borrowed_jobs[i].is_checkpointable,
+		.run_ms = r->c->borrowed_run_ms,
+	};
+
+	r->borrowed[i] = g_strdup_printf("borrowed%u", i);
+	job.id = r->borrowed[i];
+	gang_cluster_submit_for(r->cluster, &job, "b", ADJACENCY_NONE);
+	gang_cluster_poke(r->cluster, job.id);
+}
+
+static void wait_state(struct run *r, const char *id, const char *state)
+{
+	if (gang_cluster_wait_state(r->cluster, id, state, TIMEOUT_MS))
+		return;
+	g_test_message("%s: %s did not come to %s", r->c->name, id, state);
+	g_test_fail();
+}
+
+/* Takes the largest job off the last worker, so that least is lost there. */
+static void thin_last_worker(struct run *r)
+{
+	for (guint i = 0; i < GANG_WORKERS; i++) {
+		char *placement = gang_cluster_row(r->cluster, r->borrowed[i],
+						   "placement");
+
+		if (strstr(placement, "v0")) {
+			r->was_running[i] = FALSE;
+			gang_cluster_cancel(r->cluster, r->borrowed[i]);
+			gang_cluster_poke(r->cluster, r->borrowed[i]);
+			wait_state(r, r->borrowed[i], "cancelled");
+		}
+		g_free(placement);
+	}
+}
+
+static void fill(struct run *r)
+{
+	gang_cluster_configure(r->cluster, CONFIG);
+	for (guint i = 0; i < BORROWED; i++) {
+		submit_borrowed(r, i);
+		wait_state(r, r->borrowed[i], "running");
+	}
+	for (guint i = 0; i < BORROWED; i++)
+		r->was_running[i] = TRUE;
+	cluster_sleep(BORROWED_RAN_MS);
+	if (r->c->is_slow)
+		thin_last_worker(r);
+}
+
+/* A part of the borrowed gang has its checkpoint, the slow part has not. */
+static gboolean is_in_midst(void *data)
+{
+	struct run *r = data;
+
+	return gang_cluster_events(r->cluster, r->borrowed[WIDE],
+				   "checkpointed") == GANG_WORKERS - 1;
+}
+
+/* Tells whether the gang waits for the last worker, among others. */
+static gboolean is_clearing_last_worker(struct gang_cluster *g)
+{
+	struct cluster_reply r = cluster_call(
+		g->cluster, "GET", g->addresses[gang_cluster_holder(g)],
+		"/v1/explain/job/rerun?pool=" GANG_POOL, NULL, NULL,
+		CLUSTER_CALL_TIMEOUT_MS);
+	const char *text =
+		json_object_to_json_string_ext(r.body, JSON_C_TO_STRING_PLAIN);
+	gboolean is_it = strstr(text, "\"gang\":\"clearing\"") &&
+			 strstr(text, "\"worker\":\"v0\"");
+
+	g_assert_null(strstr(text, "(null)"));
+	cluster_reply_clear(&r);
+	return is_it;
+}
+
+static void claim(struct run *r)
+{
+	const struct gang_submission rerun = {
+		"rerun", GUARANTEE_MEMBERS, 8, 1000, "urgent", FALSE
+	};
+	struct gang_cluster *g = r->cluster;
+
+	if (r->c->is_slow)
+		cluster_control(g->cluster, g->workers[GANG_WORKERS - 1],
+				"{\"delay_ms\":600}");
+	gang_cluster_submit_for(g, &rerun, "a", ADJACENCY_RACK);
+	r->since_ms = util_wall_ms();
+	gang_cluster_poke(g, rerun.id);
+	if (!r->c->strike)
+		return;
+	g_assert_true(cluster_wait(is_in_midst, r, URGENT_MS));
+	g_assert_cmpuint(gang_cluster_events(g, "rerun", "started"), ==, 0);
+	g_assert_true(is_clearing_last_worker(g));
+	r->c->strike(g);
+	r->since_ms = util_wall_ms();
+}
+
+/* The whole gang started within the bound, by the workers' own clocks. */
+static void check_start(struct run *r)
+{
+	struct gang_cluster *g = r->cluster;
+	int64_t took_ms;
+
+	wait_state(r, "rerun", "done");
+	took_ms = gang_cluster_last_ms(g, "rerun", "started") - r->since_ms;
+	g_test_message("%s: started after %" G_GINT64_FORMAT " ms", r->c->name,
+		       took_ms);
+	g_assert_cmpint(took_ms, <=, r->c->bound_ms);
+	g_assert_cmpuint(gang_cluster_events(g, "rerun", "started"), ==,
+			 GUARANTEE_MEMBERS);
+}
+
+/* How long the last attempt of a job ran. */
+static int64_t last_run_ms(struct run *r, const char *id)
+{
+	return gang_cluster_last_ms(r->cluster, id, "done") -
+	       gang_cluster_last_ms(r->cluster, id, "started");
+}
+
+/* A job that had its checkpoint written goes on from there. */
+static void check_resumed(struct run *r, guint i)
+{
+	const char *id = r->borrowed[i];
+	char *text = gang_cluster_row(r->cluster, id, "remaining_ms");
+	int64_t remaining_ms = strtoll(text, NULL, 10);
+	int64_t most_ms =
+		r->c->borrowed_run_ms - BORROWED_RAN_MS + CHECKPOINT_AGE_MS;
+
+	g_test_message("%s: %s had %s ms left", r->c->name, id, text);
+	g_assert_cmpint(remaining_ms, >, 0);
+	g_assert_cmpint(remaining_ms, <=, most_ms);
+	g_assert_cmpint(last_run_ms(r, id), <=, remaining_ms + READ_SLACK_MS);
+	g_free(text);
+}
+
+/* A gang of which one member has no checkpoint starts anew. */
+static void check_anew(struct run *r, guint i)
+{
+	g_assert_cmpint(last_run_ms(r, r->borrowed[i]), >=,
+			r->c->borrowed_run_ms - READ_SLACK_MS);
+}
+
+/* Tells whether a job was stopped for the guarantee, by its kind. */
+static gboolean was_reclaimed(struct run *r, guint i)
+{
+	const char *event = is_checkpointable(i) ? "checkpointed" : "stopped";
+
+	return r->was_running[i] &&
+	       gang_cluster_events(r->cluster, r->borrowed[i], event) > 0;
+}
+
+static void check_borrowed(struct run *r)
+{
+	guint reclaimed[2] = { 0, 0 }; /* without, with a checkpoint */
+
+	for (guint i = 0; i < BORROWED; i++) {
+		if (r->was_running[i])
+			wait_state(r, r->borrowed[i], "done");
+		if (!was_reclaimed(r, i))
+			continue;
+		reclaimed[is_checkpointable(i)]++;
+		if (i == WIDE && r->c->loses_checkpoint)
+			check_anew(r, i);
+		else if (is_checkpointable(i))
+			check_resumed(r, i);
+	}
+	g_test_message("%s: stopped %u without and %u with checkpoint",
+		       r->c->name, reclaimed[0], reclaimed[1]);
+	g_assert_cmpuint(reclaimed[0], >, 0);
+	g_assert_cmpuint(reclaimed[1], >, 0);
+}
+
+static void check_histories(struct run *r)
+{
+	char *fault = gang_cluster_check(r->cluster,
+					 worker_partial_bound_ms(GANG_WORKERS) +
+						 BOUND_SLACK_MS);
+
+	g_assert_cmpstr(fault, ==, NULL);
+	for (guint i = 0; i < r->cluster->scheduler_count; i++)
+		g_assert_cmpuint(
+			cluster_grep(r->cluster->schedulers[i], "waited_ms=-"),
+			==, 0);
+}
+
+static void test_reclaim(gconstpointer data)
+{
+	struct run r = { .c = data };
+
+	r.cluster = gang_cluster_open(r.c->schedulers);
+	fill(&r);
+	claim(&r);
+	if (r.c->heal)
+		r.c->heal(r.cluster);
+	check_start(&r);
+	check_borrowed(&r);
+	check_histories(&r);
+	gang_cluster_close(r.cluster);
+	for (guint i = 0; i < BORROWED; i++)
+		g_free(r.borrowed[i]);
+}
+
+static void kill_holder(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	g_assert_cmpint(holder, >=, 0);
+	cluster_signal(g->schedulers[holder], SIGKILL);
+	cluster_wait_exit(g->schedulers[holder], CLUSTER_CALL_TIMEOUT_MS);
+}
+
+static void mend_last_worker(struct gang_cluster *g)
+{
+	cluster_control(g->cluster, g->workers[GANG_WORKERS - 1],
+			"{\"delay_ms\":0}");
+}
+
+static const struct reclaim_case cases[] = {
+	{ "/gangs/reclaim/no-fault", 1, 10000, FALSE, FALSE, NULL, NULL,
+	  URGENT_MS },
+	{ "/gangs/reclaim/worker-killed", 1, 15000, TRUE, TRUE,
+	  gang_cluster_kill_worker, gang_cluster_start_worker,
+	  LOST_MS + URGENT_MS },
+	{ "/gangs/reclaim/holder-killed", 2, 30000, TRUE, FALSE, kill_holder,
+	  mend_last_worker, WORKER_TAKEOVER_MS + RECOVERY_MS + URGENT_MS },
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_test_add_data_func(cases[i].name, &cases[i], test_reclaim);
+	return g_test_run();
+}
