Jobs: the count of stops is kept in the row; moves end

Cause: pool_job.stops was never filled by the daemons, so a job stopped before was not spared.

Change: stops is a field of the row, raised when a gang ends as preempted, handed to the pool and shown by explain.

Conclusion: bulk work is stopped a bounded number of times for work without a guarantee; a guarantee may still stop it more often.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 
 #include "bench/job_sim.h"
+#include "job/placement/migrate.h"
 
 #define FIRST_SEED 20261
 #define MIN_RUN_MS 10000.0
@@ -208,12 +209,14 @@
 	g_array_unref(waits);
 }
 
-static struct result run_seed(const struct trace *trace, const char *policy)
+static struct result run_seed(const struct trace *trace, const char *policy,
+			      gboolean forgets_stops)
 {
 	struct result r = { .policy = policy };
 	struct sim s;
 
 	sim_init(&s, trace, policy);
+	s.forgets_stops = forgets_stops;
 	sim_run(&s);
 	r.stats = s.stats;
 	measure_times(&s, &r);
@@ -245,6 +248,8 @@
 	sum->unfinished += r->unfinished;
 	to->lost_ms += from->lost_ms;
 	to->preempted += from->preempted;
+	to->most_stops = MAX(to->most_stops, from->most_stops);
+	to->most_moves = MAX(to->most_moves, from->most_moves);
 	to->violations += from->violations;
 	to->broken_plans += from->broken_plans;
 	to->owed += from->owed;
@@ -254,16 +259,17 @@
 	to->decide_us += from->decide_us;
 }
 
-static struct result run_policy(const struct workload *w, const char *policy)
+static struct result run_policy(const struct workload *w, const char *policy,
+				gboolean forgets_stops)
 {
-	struct result sum = { .policy = policy };
+	struct result sum = { .policy = forgets_stops ? "forgetful" : policy };
 
 	for (guint i = 0; i < w->seeds; i++) {
 		struct trace trace;
 		struct result r;
 
 		trace_init(&trace, w, FIRST_SEED + i);
-		r = run_seed(&trace, policy);
+		r = run_seed(&trace, policy, forgets_stops);
 		add_result(&sum, &r, w->seeds);
 		trace_clear(&trace);
 	}
@@ -278,10 +284,11 @@
 	       8 * w->accelerator_workers, w->accounts, w->jobs, w->load,
 	       FIRST_SEED, FIRST_SEED + (int)w->seeds - 1);
 	printf("%-10s %8s %8s %8s %8s %8s %8s %6s %6s %6s %6s %7s %9s %5s %5s "
-	       "%5s %5s %8s %8s\n",
+	       "%5s %5s %5s %8s %8s\n",
 	       "policy", "mean_s", "p50_s", "p99_s", "urgent_s", "normal_s",
 	       "bulk_s", "slow", "frag", "frfree", "util", "urg999",
-	       "viol/owed", "part", "plan", "preem", "lost_h", "visits", "us");
+	       "viol/owed", "part", "plan", "preem", "most", "lost_h", "visits",
+	       "us");
 }
 
 static void print_result(const struct result *r)
@@ -290,14 +297,14 @@
 	char *owed = g_strdup_printf("%d/%d", (int)s->violations, (int)s->owed);
 
 	printf("%-10s %8.0f %8.0f %8.0f %8.0f %8.0f %8.0f %6.1f %6.4f %6.3f "
-	       "%6.3f %7.2f %9s %5d %5d %5d %5.1f %8.1f %8.1f\n",
+	       "%6.3f %7.2f %9s %5d %5d %5d %5u %5.1f %8.1f %8.1f\n",
 	       r->policy, r->mean_s, r->p50_s, r->p99_s,
 	       r->class_mean_s[JOB_CLASS_URGENT],
 	       r->class_mean_s[JOB_CLASS_NORMAL],
 	       r->class_mean_s[JOB_CLASS_BULK], r->slowdown, r->fragmentation,
 	       r->free_share, r->utilisation, r->urgent_p999_s, owed,
 	       (int)s->partial_gangs, (int)s->broken_plans, (int)s->preempted,
-	       (double)s->lost_ms / HOUR_MS,
+	       s->most_stops, (double)s->lost_ms / HOUR_MS,
 	       (double)s->visits / (double)s->decisions,
 	       (double)s->decide_us / (double)s->decisions);
 	g_free(owed);
@@ -314,6 +321,9 @@
 	      "issue 5", r->stats.partial_gangs == 0);
 	check(c, name, "jobs left over", r->unfinished, "=", 0, "issue 5",
 	      r->unfinished == 0);
+	check(c, name, "moves of one job", r->stats.most_moves,
+	      "<=", MIGRATE_MAX_STOPS, "docs/design/cells.md",
+	      r->stats.most_moves <= MIGRATE_MAX_STOPS);
 	check(c, name, "urgent start p99.9 in s", r->urgent_p999_s, "<=", 1.5,
 	      "letter 1", r->urgent_p999_s <= 1.5);
 }
@@ -376,6 +386,18 @@
 	g_free(title);
 }
 
+/* Jobs stopped before are spared: fewer stops than when that is forgotten. */
+static void check_sparing(const struct workload *w, struct checks *c,
+			  const struct result *cells)
+{
+	struct result r = run_policy(w, cells->policy, TRUE);
+
+	print_result(&r);
+	check(c, w->name, "most stops of one job", cells->stats.most_stops, "<",
+	      r.stats.most_stops, "issue 5",
+	      cells->stats.most_stops < r.stats.most_stops);
+}
+
 static void run_workload(const struct workload *w, guint row,
 			 struct checks *checks, GString *svg)
 {
@@ -385,12 +407,14 @@
 
 	print_head(w);
 	for (; count < MAX_POLICIES && names[count]; count++) {
-		results[count] = run_policy(w, names[count]);
+		results[count] = run_policy(w, names[count], FALSE);
 		print_result(&results[count]);
 	}
 	check_cells(checks, w->name, &results[0]);
 	for (guint i = 1; i < count; i++)
 		check_against(checks, w->name, &results[0], &results[i]);
+	if (!w->is_letter)
+		check_sparing(w, checks, &results[0]);
 	add_plot(svg, row, w->name, results, count);
 }
 
--- a/bench/job_sim.h
+++ b/bench/job_sim.h
@@ -51,6 +51,7 @@
 	gboolean is_stopping;
 	guint attempt;
 	guint stops;
+	guint moves;	/* of these, for work without a guarantee or urgency */
 	guint blockers; /* jobs that have to stop before it starts */
 	int64_t remaining_ms;
 	int64_t started_ms;
@@ -84,6 +85,8 @@
 	guint samples;
 	int64_t lost_ms; /* accelerator time lost by preemption */
 	guint64 preempted;
+	guint most_stops; /* of one job, for others */
+	guint most_moves;
 	guint64 violations;
 	guint64 broken_plans;
 	guint64 owed;
@@ -106,6 +109,7 @@
 	GHashTable *jobs; /* id to struct sim_job */
 	struct sim_job *all;
 	GHashTable *active; /* account/shape to number of jobs in the system */
+	gboolean forgets_stops; /* the policy is not told of earlier stops */
 	int64_t now_ms;
 	uint64_t number;
 	struct sim_stats stats;
@@ -193,7 +197,7 @@
 	j->is_stopping = FALSE;
 	j->blockers = 0;
 	job = j->trace->job;
-	job.stops = j->stops;
+	job.stops = s->forgets_stops ? 0 : j->stops;
 	job_queue_submit(s->queue, &job, j->trace->arrival_ms);
 }
 
@@ -291,7 +295,8 @@
 	return lost_ms * MAX(shape_accelerators(&j->trace->job.shape), 1);
 }
 
-static void preempt(struct sim *s, struct sim_job *victim, struct sim_job *j)
+static void preempt(struct sim *s, struct sim_job *victim, struct sim_job *j,
+		    gboolean is_move)
 {
 	struct waiter w = { j, j->attempt };
 	gboolean has_grace = victim->trace->job.is_checkpointable;
@@ -305,6 +310,8 @@
 		return;
 	victim->is_stopping = TRUE;
 	s->stats.preempted++;
+	victim->moves += is_move;
+	s->stats.most_moves = MAX(s->stats.most_moves, victim->moves);
 	schedule(s,
 		 s->now_ms + (has_grace ? CHECKPOINT_GRACE_MS : STOP_DELAY_MS),
 		 EVENT_STOPPED, victim);
@@ -313,13 +320,15 @@
 static void take_decision(struct sim *s, const struct job_decision *d)
 {
 	struct sim_job *j = g_hash_table_lookup(s->jobs, d->job_id);
+	gboolean is_move = !d->placement.is_guaranteed &&
+			   j->trace->job.class != JOB_CLASS_URGENT;
 
 	j->state = SIM_STARTING;
 	for (guint i = 0; i < d->placement.preempt->len; i++)
 		preempt(s,
 			g_hash_table_lookup(s->jobs,
 					    d->placement.preempt->pdata[i]),
-			j);
+			j, is_move);
 	if (j->blockers == 0)
 		start(s, j);
 }
@@ -371,6 +380,7 @@
 	struct sim_job *j = e->job;
 
 	j->stops++;
+	s->stats.most_stops = MAX(s->stats.most_stops, j->stops);
 	s->stats.lost_ms += keep_progress(s, j, 0);
 	pool_release(s->pool, j->trace->job.id);
 	submit(s, j);
--- a/job/job_explanation.c
+++ b/job/job_explanation.c
@@ -32,6 +32,7 @@
 	STRING_FIELD(struct job_explanation, gang),
 	INT_FIELD(struct job_explanation, attempt),
 	INT_FIELD(struct job_explanation, failures),
+	INT_FIELD(struct job_explanation, stops),
 	INT_FIELD(struct job_explanation, epoch),
 	{ .name = "lines",
 	  .type = FIELD_STRINGS,
--- a/job/job_explanation.h
+++ b/job/job_explanation.h
@@ -27,6 +27,7 @@
 	char *gang; /**< state of the present attempt */
 	int64_t attempt;
 	int64_t failures;
+	int64_t stops;	      /**< for others */
 	int64_t epoch;	      /**< of the holder that explains */
 	GPtrArray *lines;     /**< of char *, for people */
 	GPtrArray *waits_for; /**< of char *, jobs that are stopped for it */
--- a/job/job_record.c
+++ b/job/job_record.c
@@ -55,6 +55,7 @@
 	INT_FIELD(attempt, MAX_COUNT),
 	INT_FIELD(epoch, INT64_MAX),
 	INT_FIELD(failures, MAX_COUNT),
+	INT_FIELD(stops, MAX_COUNT),
 	INT_FIELD(remaining_ms, JOB_MAX_RUN_MS),
 	INT_FIELD(submitted_ms, INT64_MAX),
 	INT_FIELD(started_ms, INT64_MAX),
@@ -152,5 +153,6 @@
 		.shape = r->shape,
 		.expected_run_ms = r->expected_run_ms,
 		.is_checkpointable = r->is_checkpointable != 0,
+		.stops = r->stops,
 	};
 }
--- a/job/job_record.h
+++ b/job/job_record.h
@@ -45,6 +45,7 @@
 	int64_t attempt;      /**< of the last commitment, 0 before it */
 	int64_t epoch;	      /**< that the last commitment was made under */
 	int64_t failures;     /**< attempts in which a task failed */
+	int64_t stops;	      /**< times that it was stopped for others */
 	int64_t remaining_ms; /**< work left after the last checkpoint */
 	int64_t submitted_ms; /**< wall clock, as the next two */
 	int64_t started_ms;
--- a/job/placement/migrate.c
+++ b/job/placement/migrate.c
@@ -22,13 +22,13 @@
 {
 	const struct reclaim *r = data;
 
-	if (j->is_guaranteed || j->job.class == JOB_CLASS_URGENT)
+	if (j->is_guaranteed || j->job.class == JOB_CLASS_URGENT ||
+	    j->job.stops >= MIGRATE_MAX_STOPS)
 		return FALSE;
 	if (!j->job.is_checkpointable)
 		return is_first(r) &&
 		       r->now_ms - j->started_ms <= RESTARTED_RUN_MS;
-	if (j->job.stops >= MIGRATE_MAX_STOPS ||
-	    r->now_ms - j->started_ms < MIGRATE_MIN_RUN_MS)
+	if (r->now_ms - j->started_ms < MIGRATE_MIN_RUN_MS)
 		return FALSE;
 	if (is_first(r))
 		return TRUE;
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -273,6 +273,7 @@
 static void finish_preempted(struct scheduler *s, struct job_entry *e,
 			     const char *reason, int64_t now_ms)
 {
+	e->record.stops++;
 	e->record.remaining_ms =
 		gang_remaining_ms(e->gang, e->record.remaining_ms);
 	requeue(s, e, reason, TRUE, now_ms);
--- a/job/scheduler_explain.c
+++ b/job/scheduler_explain.c
@@ -80,6 +80,9 @@
 			 (const char *)x->waits_for->pdata[i]);
 	if (x->failures)
 		add_line(x, "failed attempts: %" G_GINT64_FORMAT, x->failures);
+	if (x->stops)
+		add_line(x, "stopped for others: %" G_GINT64_FORMAT " times",
+			 x->stops);
 }
 
 json_object *scheduler_explain(const struct scheduler *s, const char *id)
@@ -100,6 +103,7 @@
 	x.gang = g_strdup(e->gang ? gang_state_name(e->gang->state) : "none");
 	x.attempt = e->gang ? e->gang->attempt : e->record.attempt;
 	x.failures = e->record.failures;
+	x.stops = e->record.stops;
 	x.epoch = s->epoch;
 	x.waits_for = blockers_of(e);
 	x.members = members_of(e);
--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -213,6 +213,9 @@
 	g_assert_cmpint(remaining_ms, <=, most_ms);
 	g_assert_cmpint(last_run_ms(r, id), <=, remaining_ms + READ_SLACK_MS);
 	g_free(text);
+	text = gang_cluster_row(r->cluster, id, "stops");
+	g_assert_cmpint(strtoll(text, NULL, 10), >, 0);
+	g_free(text);
 }
 
 /* A gang of which one member has no checkpoint starts anew. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "job/job_queue.h"
+#include "job/placement/migrate.h"
 #include "job/pool.h"
 
 #define RACK_WORKERS 2
@@ -419,6 +420,77 @@
 	job_queue_free(q);
 }
 
+#define MOVE_ROUNDS 100
+
+/* Fills a worker's gap with urgent work, which is never moved. */
+static void pin(struct pool *pool, const char *id, const char *worker)
+{
+	struct pool_job job = job_of(id, "c", 1, 1, ADJACENCY_NONE);
+	struct placement p;
+
+	job.class = JOB_CLASS_URGENT;
+	placement_init(&p);
+	g_ptr_array_add(p.workers, g_strdup(worker));
+	g_assert_cmpint(pool_assign(pool, &job, &p, 0), ==, STATUS_OK);
+	placement_clear(&p);
+}
+
+/* Stops what a decision asks for and queues it again; returns the most stops.
+ */
+static int64_t stop_all(struct pool *pool, struct job_queue *q,
+			const struct job_decision *d, struct pool_job *jobs)
+{
+	int64_t most = 0;
+
+	for (guint i = 0; i < d->placement.preempt->len; i++) {
+		const char *id = d->placement.preempt->pdata[i];
+		struct pool_job *job = &jobs[id[0] - 'x'];
+
+		job->stops++;
+		most = MAX(most, job->stops);
+		pool_release(pool, id);
+		job_queue_submit(q, job, id[0] - 'x');
+	}
+	return most;
+}
+
+/* Two equal jobs without checkpoints do not stop each other for ever. */
+static void test_moves_end(void)
+{
+	struct pool *pool = new_pool();
+	struct placement_policy *policy =
+		placement_policy_new(PLACEMENT_POLICY_DEFAULT);
+	struct job_queue *q = job_queue_new(policy->class->discipline);
+	struct pool_job jobs[] = { job_of("x", "a", 2, 8, ADJACENCY_RACK),
+				   job_of("y", "b", 2, 8, ADJACENCY_RACK) };
+	const struct worker_spec more = { "w4", "r2", "127.0.0.1:1",
+					  8,	64,   131072 };
+	int64_t most = 0;
+
+	pool_add_worker(pool, &more);
+	pin(pool, "p", "w2");
+	for (guint i = 0; i < G_N_ELEMENTS(jobs); i++) {
+		jobs[i].is_checkpointable = FALSE;
+		job_queue_submit(q, &jobs[i], i);
+	}
+	for (int64_t i = 0; i < MOVE_ROUNDS; i++) {
+		struct job_decision d;
+		int64_t stops = 0;
+
+		job_decision_init(&d);
+		if (job_queue_decide(q, pool, policy, i * 1000, &d) ==
+		    STATUS_OK)
+			stops = stop_all(pool, q, &d, jobs);
+		most = MAX(most, stops);
+		job_decision_clear(&d);
+	}
+	g_test_message("stopped at most %" G_GINT64_FORMAT " times", most);
+	g_assert_cmpint(most, <=, MIGRATE_MAX_STOPS);
+	job_queue_free(q);
+	placement_policy_free(policy);
+	pool_free(pool);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -431,5 +503,6 @@
 	g_test_add_func("/queue/refuse", test_queue_refuse);
 	g_test_add_func("/queue/impossible-later", test_queue_impossible_later);
 	g_test_add_func("/queue/run-time", test_queue_run_time);
+	g_test_add_func("/queue/moves-end", test_moves_end);
 	return g_test_run();
 }
