Pool: workers that are gone are forgotten

Cause: a replaced VM comes under a new name. Its old cell stayed in the pool, unusable, for the life of the process, and its contact in the holder until the next takeover. The takeover freed contacts only, not cells.

Ruled out: forgetting as soon as the leases have expired. Waiting jobs that need lost workers get ten minutes before they are told; a cell gone at once would have told them at once.

Change: pool_remove_worker(); cells keep numbers without gaps, a rack goes with its last worker. The holder forgets a worker ten minutes after it left the platform's list, when its leases have expired and nothing is on it. Cells moved from pool.c to pool_cells.c.

Conclusion: memory and cells are bounded by the listed VMs and those of the last ten minutes.

--- a/job/job_queue.c
+++ b/job/job_queue.c
@@ -14,8 +14,6 @@
 #define BULK_DELAY_MS (INT64_C(30) * 60 * 1000)
 /* The reservation is planned anew at most this often. */
 #define RESERVATION_REFRESH_MS (INT64_C(30) * 1000)
-/* Time that lost workers have to return before jobs are told. */
-#define IMPOSSIBLE_GRACE_MS (INT64_C(10) * 60 * 1000)
 
 struct waiting_job {
 	struct pool_job job; /* strings owned */
@@ -297,7 +295,7 @@
 	set_reason(w, d->out->placement.reason);
 	if (!pool_known_workers_fit(d->pool, &w->job.shape))
 		return STATUS_REFUSED;
-	if (d->now_ms - w->impossible_ms >= IMPOSSIBLE_GRACE_MS)
+	if (d->now_ms - w->impossible_ms >= JOB_IMPOSSIBLE_GRACE_MS)
 		return STATUS_REFUSED;
 	return STATUS_FULL;
 }
--- a/job/job_queue.h
+++ b/job/job_queue.h
@@ -15,6 +15,9 @@
 #include "job/placement/placement.h"
 #include "job/pool.h"
 
+/** Before a waiting job is told that the workers it needs are gone. */
+#define JOB_IMPOSSIBLE_GRACE_MS (INT64_C(10) * 60 * 1000)
+
 struct job_queue;
 
 /** One decision; init before, clear after each use. */
--- a/job/pool.c
+++ b/job/pool.c
@@ -6,9 +6,6 @@
 #include "job/guarantee_plan.h"
 #include "job/pool_state.h"
 
-/* Workers with accelerators come last when only cores are needed. */
-#define CORES_KEY_WITH_ACCELERATORS 256
-
 void placement_init(struct placement *p)
 {
 	p->workers = g_ptr_array_new_with_free_func(g_free);
@@ -27,26 +24,6 @@
 	memset(p, 0, sizeof(*p));
 }
 
-static void rack_cell_free(gpointer data)
-{
-	struct rack_cell *r = data;
-
-	g_ptr_array_unref(r->workers);
-	g_free(r->name);
-	g_free(r);
-}
-
-static void worker_cell_destroy(gpointer data)
-{
-	struct worker_cell *w = data;
-
-	g_ptr_array_unref(w->jobs);
-	g_ptr_array_unref(w->slots);
-	g_free(w->name);
-	g_free(w->address);
-	g_free(w);
-}
-
 static void guarantee_free(gpointer data)
 {
 	struct guarantee *g = data;
@@ -107,7 +84,7 @@
 
 	pool->name = g_strdup(name);
 	pool->workers = g_ptr_array_new_with_free_func(worker_cell_destroy);
-	pool->racks = g_ptr_array_new_with_free_func(rack_cell_free);
+	pool->racks = g_ptr_array_new_with_free_func(rack_cell_destroy);
 	pool->workers_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	pool->racks_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	pool->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -173,148 +150,6 @@
 	return pool->visits;
 }
 
-struct resources worker_cell_open(const struct worker_cell *w)
-{
-	struct resources r = worker_cell_unplanned(w);
-	struct resources now = worker_cell_free(w);
-
-	r = resources_minus(r, w->borrowed);
-	r = resources_minus(r, w->stopping);
-	return (struct resources){ MIN(r.accelerators, now.accelerators),
-				   MIN(r.cores, now.cores),
-				   MIN(r.memory_mb, now.memory_mb) };
-}
-
-static void refresh_rack(struct pool *pool, struct rack_cell *rack)
-{
-	pool->free_accelerators -= rack->free_accelerators;
-	rack->free_accelerators = 0;
-	rack->unplanned_accelerators = 0;
-	rack->open_accelerators = 0;
-	for (guint i = 0; i < rack->workers->len; i++) {
-		const struct worker_cell *w = rack->workers->pdata[i];
-
-		rack->free_accelerators +=
-			MAX(worker_cell_free(w).accelerators, 0);
-		rack->unplanned_accelerators +=
-			MAX(worker_cell_unplanned(w).accelerators, 0);
-		rack->open_accelerators +=
-			MAX(worker_cell_open(w).accelerators, 0);
-	}
-	pool->free_accelerators += rack->free_accelerators;
-	cell_index_set(&pool->racks_free, rack->index, rack->free_accelerators);
-	cell_index_set(&pool->racks_open, rack->index, rack->open_accelerators);
-	cell_index_set(&pool->racks_unplanned, rack->index,
-		       rack->unplanned_accelerators);
-}
-
-static int64_t cores_key(const struct worker_cell *w)
-{
-	struct resources open = worker_cell_open(w);
-	int64_t key = MIN(open.cores, CORES_KEY_WITH_ACCELERATORS - 1);
-
-	if (key > 0 && w->capacity.accelerators > 0)
-		key += CORES_KEY_WITH_ACCELERATORS;
-	return key;
-}
-
-void pool_refresh_worker(struct pool *pool, struct worker_cell *w)
-{
-	gboolean is_in = w->is_usable;
-	int64_t absent = -1;
-
-	cell_index_set(&pool->free, w->index,
-		       is_in ? worker_cell_free(w).accelerators : absent);
-	cell_index_set(&pool->cores, w->index, is_in ? cores_key(w) : absent);
-	cell_index_set(&pool->unplanned, w->index,
-		       is_in ? worker_cell_unplanned(w).accelerators : absent);
-	refresh_rack(pool, w->rack);
-}
-
-static struct rack_cell *find_rack(struct pool *pool, const char *name)
-{
-	struct rack_cell *rack = g_hash_table_lookup(pool->racks_by_name, name);
-
-	if (rack)
-		return rack;
-	rack = g_new0(struct rack_cell, 1);
-	rack->name = g_strdup(name);
-	rack->index = pool->racks->len;
-	rack->workers = g_ptr_array_new();
-	g_ptr_array_add(pool->racks, rack);
-	g_hash_table_insert(pool->racks_by_name, rack->name, rack);
-	return rack;
-}
-
-static struct worker_cell *new_worker(struct pool *pool,
-				      const struct worker_spec *spec)
-{
-	struct worker_cell *w = g_new0(struct worker_cell, 1);
-
-	w->name = g_strdup(spec->name);
-	w->index = pool->workers->len;
-	w->is_usable = TRUE;
-	w->jobs = g_ptr_array_new();
-	w->slots = g_ptr_array_new();
-	g_ptr_array_add(pool->workers, w);
-	g_hash_table_insert(pool->workers_by_name, w->name, w);
-	w->rack = find_rack(pool, spec->rack);
-	g_ptr_array_add(w->rack->workers, w);
-	return w;
-}
-
-static void change_rack(struct pool *pool, struct worker_cell *w,
-			const char *name)
-{
-	struct rack_cell *old = w->rack;
-
-	if (g_str_equal(old->name, name))
-		return;
-	g_ptr_array_remove(old->workers, w);
-	refresh_rack(pool, old);
-	w->rack = find_rack(pool, name);
-	g_ptr_array_add(w->rack->workers, w);
-	guarantee_plan_drop_worker(pool, w);
-}
-
-void pool_add_worker(struct pool *pool, const struct worker_spec *spec)
-{
-	struct worker_cell *w = pool_worker(pool, spec->name);
-
-	if (!w)
-		w = new_worker(pool, spec);
-	change_rack(pool, w, spec->rack);
-	g_free(w->address);
-	w->address = g_strdup(spec->address);
-	w->capacity = (struct resources){ spec->accelerators, spec->cores,
-					  spec->memory_mb };
-	if (!resources_fit(w->committed, w->capacity))
-		guarantee_plan_drop_worker(pool, w);
-	pool->version++;
-	pool->is_plan_stale = TRUE;
-	g_hash_table_remove_all(pool->most_members);
-	pool_refresh_worker(pool, w);
-	guarantee_plan_repair(pool);
-}
-
-void pool_set_worker_usable(struct pool *pool, const char *worker,
-			    gboolean is_usable)
-{
-	struct worker_cell *w = pool_worker(pool, worker);
-
-	if (!w || w->is_usable == is_usable)
-		return;
-	w->is_usable = is_usable;
-	if (is_usable)
-		pool->version++;
-	else
-		guarantee_plan_drop_worker(pool, w);
-	pool->is_plan_stale = TRUE;
-	g_hash_table_remove_all(pool->most_members);
-	pool_refresh_worker(pool, w);
-	guarantee_plan_repair(pool);
-}
-
 /* Books a member's use on its worker and in its slot. */
 static void book(struct pool *pool, struct running_job *r, guint member,
 		 gboolean is_added)
--- a/job/pool.h
+++ b/job/pool.h
@@ -59,6 +59,15 @@
 void pool_set_worker_usable(struct pool *pool, const char *worker,
 			    gboolean is_usable);
 
+/**
+ * Forgets a worker on which nothing can run any more. Its rack goes with the
+ * last worker.
+ *
+ * @return	STATUS_OK, STATUS_NOT_FOUND, or STATUS_CONFLICT while jobs are
+ *		still booked on it
+ */
+enum status pool_remove_worker(struct pool *pool, const char *worker);
+
 /** Takes the guaranteed shapes of this pool from a configuration. */
 void pool_set_guarantees(struct pool *pool, const struct config_doc *doc);
 
--- /dev/null
+++ b/job/pool_cells.c
@@ -0,0 +1,240 @@
+/*
+ * The cells of a pool: racks and workers come, change, are lost and go. Cells
+ * are numbered without gaps: the last one takes the place of one that goes.
+ */
+#include "job/pool_state.h"
+
+#include "job/guarantee_plan.h"
+
+/* Workers with accelerators come last when only cores are needed. */
+#define CORES_KEY_WITH_ACCELERATORS 256
+/* Key of what is in no index. */
+#define ABSENT (-1)
+
+void rack_cell_destroy(gpointer data)
+{
+	struct rack_cell *r = data;
+
+	g_ptr_array_unref(r->workers);
+	g_free(r->name);
+	g_free(r);
+}
+
+void worker_cell_destroy(gpointer data)
+{
+	struct worker_cell *w = data;
+
+	g_ptr_array_unref(w->jobs);
+	g_ptr_array_unref(w->slots);
+	g_free(w->name);
+	g_free(w->address);
+	g_free(w);
+}
+
+struct resources worker_cell_open(const struct worker_cell *w)
+{
+	struct resources r = worker_cell_unplanned(w);
+	struct resources now = worker_cell_free(w);
+
+	r = resources_minus(r, w->borrowed);
+	r = resources_minus(r, w->stopping);
+	return (struct resources){ MIN(r.accelerators, now.accelerators),
+				   MIN(r.cores, now.cores),
+				   MIN(r.memory_mb, now.memory_mb) };
+}
+
+static void set_rack_keys(struct pool *pool, guint index, int64_t free,
+			  int64_t open, int64_t unplanned)
+{
+	cell_index_set(&pool->racks_free, index, free);
+	cell_index_set(&pool->racks_open, index, open);
+	cell_index_set(&pool->racks_unplanned, index, unplanned);
+}
+
+static void refresh_rack(struct pool *pool, struct rack_cell *rack)
+{
+	pool->free_accelerators -= rack->free_accelerators;
+	rack->free_accelerators = 0;
+	rack->unplanned_accelerators = 0;
+	rack->open_accelerators = 0;
+	for (guint i = 0; i < rack->workers->len; i++) {
+		const struct worker_cell *w = rack->workers->pdata[i];
+
+		rack->free_accelerators +=
+			MAX(worker_cell_free(w).accelerators, 0);
+		rack->unplanned_accelerators +=
+			MAX(worker_cell_unplanned(w).accelerators, 0);
+		rack->open_accelerators +=
+			MAX(worker_cell_open(w).accelerators, 0);
+	}
+	pool->free_accelerators += rack->free_accelerators;
+	set_rack_keys(pool, rack->index, rack->free_accelerators,
+		      rack->open_accelerators, rack->unplanned_accelerators);
+}
+
+static int64_t cores_key(const struct worker_cell *w)
+{
+	struct resources open = worker_cell_open(w);
+	int64_t key = MIN(open.cores, CORES_KEY_WITH_ACCELERATORS - 1);
+
+	if (key > 0 && w->capacity.accelerators > 0)
+		key += CORES_KEY_WITH_ACCELERATORS;
+	return key;
+}
+
+void pool_refresh_worker(struct pool *pool, struct worker_cell *w)
+{
+	gboolean is_in = w->is_usable;
+
+	cell_index_set(&pool->free, w->index,
+		       is_in ? worker_cell_free(w).accelerators : ABSENT);
+	cell_index_set(&pool->cores, w->index, is_in ? cores_key(w) : ABSENT);
+	cell_index_set(&pool->unplanned, w->index,
+		       is_in ? worker_cell_unplanned(w).accelerators : ABSENT);
+	refresh_rack(pool, w->rack);
+}
+
+static void drop_rack(struct pool *pool, struct rack_cell *rack)
+{
+	guint index = rack->index;
+	struct rack_cell *last = pool->racks->pdata[pool->racks->len - 1];
+	gboolean is_last = last == rack;
+
+	set_rack_keys(pool, index, ABSENT, ABSENT, ABSENT);
+	set_rack_keys(pool, last->index, ABSENT, ABSENT, ABSENT);
+	g_hash_table_remove(pool->racks_by_name, rack->name);
+	g_ptr_array_remove_index_fast(pool->racks, index);
+	if (is_last)
+		return;
+	last->index = index;
+	refresh_rack(pool, last);
+}
+
+/* Takes a worker out of its rack, and the rack away with its last worker. */
+static void leave_rack(struct pool *pool, struct worker_cell *w)
+{
+	struct rack_cell *rack = w->rack;
+
+	g_ptr_array_remove(rack->workers, w);
+	refresh_rack(pool, rack);
+	if (rack->workers->len == 0)
+		drop_rack(pool, rack);
+}
+
+static struct rack_cell *find_rack(struct pool *pool, const char *name)
+{
+	struct rack_cell *rack = g_hash_table_lookup(pool->racks_by_name, name);
+
+	if (rack)
+		return rack;
+	rack = g_new0(struct rack_cell, 1);
+	rack->name = g_strdup(name);
+	rack->index = pool->racks->len;
+	rack->workers = g_ptr_array_new();
+	g_ptr_array_add(pool->racks, rack);
+	g_hash_table_insert(pool->racks_by_name, rack->name, rack);
+	return rack;
+}
+
+static struct worker_cell *new_worker(struct pool *pool,
+				      const struct worker_spec *spec)
+{
+	struct worker_cell *w = g_new0(struct worker_cell, 1);
+
+	w->name = g_strdup(spec->name);
+	w->index = pool->workers->len;
+	w->is_usable = TRUE;
+	w->jobs = g_ptr_array_new();
+	w->slots = g_ptr_array_new();
+	g_ptr_array_add(pool->workers, w);
+	g_hash_table_insert(pool->workers_by_name, w->name, w);
+	w->rack = find_rack(pool, spec->rack);
+	g_ptr_array_add(w->rack->workers, w);
+	return w;
+}
+
+static void change_rack(struct pool *pool, struct worker_cell *w,
+			const char *name)
+{
+	if (g_str_equal(w->rack->name, name))
+		return;
+	leave_rack(pool, w);
+	w->rack = find_rack(pool, name);
+	g_ptr_array_add(w->rack->workers, w);
+	guarantee_plan_drop_worker(pool, w);
+}
+
+void pool_add_worker(struct pool *pool, const struct worker_spec *spec)
+{
+	struct worker_cell *w = pool_worker(pool, spec->name);
+
+	if (!w)
+		w = new_worker(pool, spec);
+	change_rack(pool, w, spec->rack);
+	g_free(w->address);
+	w->address = g_strdup(spec->address);
+	w->capacity = (struct resources){ spec->accelerators, spec->cores,
+					  spec->memory_mb };
+	if (!resources_fit(w->committed, w->capacity))
+		guarantee_plan_drop_worker(pool, w);
+	pool->version++;
+	pool->is_plan_stale = TRUE;
+	g_hash_table_remove_all(pool->most_members);
+	pool_refresh_worker(pool, w);
+	guarantee_plan_repair(pool);
+}
+
+void pool_set_worker_usable(struct pool *pool, const char *worker,
+			    gboolean is_usable)
+{
+	struct worker_cell *w = pool_worker(pool, worker);
+
+	if (!w || w->is_usable == is_usable)
+		return;
+	w->is_usable = is_usable;
+	if (is_usable)
+		pool->version++;
+	else
+		guarantee_plan_drop_worker(pool, w);
+	pool->is_plan_stale = TRUE;
+	g_hash_table_remove_all(pool->most_members);
+	pool_refresh_worker(pool, w);
+	guarantee_plan_repair(pool);
+}
+
+static void unindex_worker(struct pool *pool, const struct worker_cell *w)
+{
+	cell_index_set(&pool->free, w->index, ABSENT);
+	cell_index_set(&pool->cores, w->index, ABSENT);
+	cell_index_set(&pool->unplanned, w->index, ABSENT);
+}
+
+enum status pool_remove_worker(struct pool *pool, const char *worker)
+{
+	struct worker_cell *w = pool_worker(pool, worker);
+	struct worker_cell *last;
+	gboolean is_last;
+	guint index;
+
+	if (!w)
+		return status_fail(STATUS_NOT_FOUND, "unknown worker %s",
+				   worker);
+	if (w->jobs->len > 0)
+		return status_fail(STATUS_CONFLICT, "worker %s is in use",
+				   worker);
+	pool_set_worker_usable(pool, worker, FALSE);
+	guarantee_plan_drop_worker(pool, w);
+	g_ptr_array_remove(pool->reserved, w);
+	leave_rack(pool, w);
+	index = w->index;
+	last = pool->workers->pdata[pool->workers->len - 1];
+	is_last = last == w;
+	unindex_worker(pool, last);
+	g_hash_table_remove(pool->workers_by_name, w->name);
+	g_ptr_array_remove_index_fast(pool->workers, index);
+	if (is_last)
+		return STATUS_OK;
+	last->index = index;
+	pool_refresh_worker(pool, last);
+	return STATUS_OK;
+}
--- a/job/pool_state.h
+++ b/job/pool_state.h
@@ -127,6 +127,10 @@
 /** Brings the indexes up to date after a change of a worker. */
 void pool_refresh_worker(struct pool *pool, struct worker_cell *w);
 
+/** Free cells, for g_ptr_array_new_with_free_func(). */
+void rack_cell_destroy(gpointer rack);
+void worker_cell_destroy(gpointer worker);
+
 struct worker_cell *pool_worker(const struct pool *pool, const char *name);
 struct running_job *pool_running_job(const struct pool *pool, const char *id);
 
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -81,6 +81,23 @@
 	log_end(&line);
 }
 
+/* What the platform does not list is learnt again from the rows. */
+static void drop_unlisted(struct scheduler *s)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct worker_contact *c = item;
+
+		if (c->is_listed)
+			continue;
+		pool_remove_worker(s->pool, c->name);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 /* Forgets all jobs and what was known of the workers. */
 static void reset(struct scheduler *s, int64_t now_ms)
 {
@@ -92,10 +109,6 @@
 		struct worker_contact *c = item;
 
 		worker_contact_reset(c, now_ms);
-		if (!c->is_listed) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
 		c->is_usable = FALSE;
 		pool_set_worker_usable(s->pool, c->name, FALSE);
 	}
@@ -107,6 +120,7 @@
 		pool_release(s->pool, e->record.id);
 		g_hash_table_iter_remove(&iter);
 	}
+	drop_unlisted(s);
 	g_clear_pointer(&s->caretaker, caretaker_free);
 }
 
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -161,6 +161,31 @@
 	update_usable(s, c, now_ms);
 }
 
+/*
+ * Off the platform's list, nothing can run there any more, and jobs that need
+ * it have been told. Without a role nothing is called, so nothing expires.
+ */
+static gboolean is_gone(const struct scheduler *s,
+			const struct worker_contact *c, int64_t now_ms)
+{
+	gboolean has_role =
+		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
+
+	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired))
+		return FALSE;
+	return g_hash_table_size(c->tasks) == 0 &&
+	       now_ms >= c->unlisted_ms + JOB_IMPOSSIBLE_GRACE_MS;
+}
+
+static void forget_worker(struct scheduler *s, struct worker_contact *c)
+{
+	if (pool_remove_worker(s->pool, c->name) == STATUS_CONFLICT)
+		return;
+	log_worker(s, "worker_forgotten", c);
+	worker_health_forget_worker(s->health, c->name);
+	g_hash_table_remove(s->workers, c->name);
+}
+
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
 {
 	int64_t lease_ms = scheduler_lease_ms(s);
@@ -178,6 +203,10 @@
 		if (event != CONTACT_EVENT_NONE)
 			on_contact_event(s, all->pdata[i], event, now_ms);
 	}
+	for (guint i = 0; i < all->len; i++) {
+		if (is_gone(s, all->pdata[i], now_ms))
+			forget_worker(s, all->pdata[i]);
+	}
 	g_ptr_array_unref(all);
 }
 
--- a/tests/test_pool_property.c
+++ b/tests/test_pool_property.c
@@ -26,6 +26,8 @@
 	GPtrArray *stopping; /* of char *, ids of jobs to be released */
 	int64_t now_ms;
 	guint next_id;
+	guint next_worker;
+	guint64 removals;
 	guint64 reclaims;
 	guint64 preempted;
 };
@@ -192,7 +194,7 @@
 	struct feasibility f = { .pool = pool, .steps = SEARCH_STEPS };
 	int found;
 
-	f.room = g_new0(struct resources, pool->workers->len);
+	f.room = g_new0(struct resources, pool->workers->len + 1);
 	f.at = g_new0(struct worker_cell *,
 		      (gsize)(pool->guarantees->len + 1) * GANG_MAX_MEMBERS);
 	for (guint i = 0; i < pool->workers->len; i++)
@@ -261,12 +263,59 @@
 	}
 }
 
+static int64_t free_key(const struct pool *pool, guint i)
+{
+	const struct worker_cell *w = pool->workers->pdata[i];
+
+	return w->is_usable ? worker_cell_free(w).accelerators : -1;
+}
+
+static int64_t unplanned_key(const struct pool *pool, guint i)
+{
+	const struct worker_cell *w = pool->workers->pdata[i];
+
+	return w->is_usable ? worker_cell_unplanned(w).accelerators : -1;
+}
+
+static int64_t rack_key(const struct pool *pool, guint i)
+{
+	return ((struct rack_cell *)pool->racks->pdata[i])->free_accelerators;
+}
+
+/* An index has each cell of a list once, under its key, and no other. */
+static void assert_index(const struct pool *pool, const struct cell_index *ix,
+			 const GPtrArray *cells,
+			 int64_t (*key)(const struct pool *pool, guint i))
+{
+	struct cell_cursor c = cell_index_from(ix, 0);
+	guint expected = 0;
+	guint found = 0;
+	guint i;
+
+	for (i = 0; i < cells->len; i++)
+		expected += key(pool, i) >= 0;
+	while (cell_index_next(ix, &c, &i)) {
+		g_assert_cmpuint(i, <, cells->len);
+		g_assert_cmpint(key(pool, i), ==, c.key);
+		found++;
+	}
+	g_assert_cmpuint(found, ==, expected);
+}
+
+static void assert_indexed(const struct pool *pool)
+{
+	assert_index(pool, &pool->free, pool->workers, free_key);
+	assert_index(pool, &pool->unplanned, pool->workers, unplanned_key);
+	assert_index(pool, &pool->racks_free, pool->racks, rack_key);
+}
+
 static void assert_sound(struct world *w)
 {
 	struct finding_list findings;
 	char *text;
 	gboolean is_held;
 
+	assert_indexed(w->pool);
 	finding_list_init(&findings);
 	pool_check_books(w->pool, &findings);
 	text = finding_list_text(&findings);
@@ -349,6 +398,43 @@
 	}
 }
 
+/* Ends what is on a worker, or leaves it: then the worker has to stay. */
+static void empty_worker(struct world *w, const struct worker_cell *cell)
+{
+	while (cell->jobs->len > 0 && g_rand_int_range(w->rand, 0, 4) > 0) {
+		const struct running_job *r = cell->jobs->pdata[0];
+
+		pool_release(w->pool, r->job.id);
+	}
+}
+
+/* Takes a worker away, and adds one of another name, maybe in a new rack. */
+static void replace_worker(struct world *w)
+{
+	struct worker_cell *cell = pick(w, w->pool->workers);
+	guint count = w->pool->workers->len;
+	char *name = g_strdup_printf("n%u", w->next_worker++);
+	char *rack =
+		g_strdup(g_rand_boolean(w->rand) ? cell->rack->name : name);
+	struct worker_spec spec = {
+		name, rack, "127.0.0.1:1", g_rand_boolean(w->rand) ? 8 : 4,
+		32,   65536
+	};
+	gboolean is_used;
+
+	empty_worker(w, cell);
+	is_used = cell->jobs->len > 0;
+	g_assert_cmpint(pool_remove_worker(w->pool, cell->name), ==,
+			is_used ? STATUS_CONFLICT : STATUS_OK);
+	g_assert_cmpuint(w->pool->workers->len, ==, count - !is_used);
+	assert_sound(w);
+	if (!is_used)
+		pool_add_worker(w->pool, &spec);
+	w->removals += !is_used;
+	g_free(name);
+	g_free(rack);
+}
+
 static void run_operation(struct world *w)
 {
 	gint32 n = g_rand_int_range(w->rand, 0, 100);
@@ -359,8 +445,10 @@
 		end_job(w);
 	else if (n < 92)
 		stop_done(w);
-	else if (n < 99)
+	else if (n < 96)
 		flip_worker(w);
+	else if (n < 99)
+		replace_worker(w);
 	else
 		set_random_guarantees(w);
 }
@@ -395,6 +483,7 @@
 {
 	guint64 reclaims = 0;
 	guint64 preempted = 0;
+	guint64 removals = 0;
 
 	for (guint32 seed = 1; seed <= SEEDS; seed++) {
 		struct world w;
@@ -408,13 +497,15 @@
 		}
 		reclaims += w.reclaims;
 		preempted += w.preempted;
+		removals += w.removals;
 		world_clear(&w);
 	}
-	g_test_message("%" G_GUINT64_FORMAT " reclaims, %" G_GUINT64_FORMAT
-		       " jobs preempted",
-		       reclaims, preempted);
+	g_test_message("%" G_GUINT64_FORMAT " removals, %" G_GUINT64_FORMAT
+		       " reclaims, %" G_GUINT64_FORMAT " jobs preempted",
+		       removals, reclaims, preempted);
 	g_assert_cmpuint(reclaims, >, SEEDS * OPERATIONS / 2);
 	g_assert_cmpuint(preempted, >, SEEDS);
+	g_assert_cmpuint(removals, >, SEEDS);
 }
 
 int main(int argc, char **argv)
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -5,7 +5,8 @@
 
 #include "job/job_entry.h"
 #include "job/placement/placement.h"
-#include "job/scheduler.h"
+#include "job/pool_state.h"
+#include "job/scheduler_state.h"
 
 #define NOW_MS 1000
 #define WALL_MS INT64_C(1700000000000)
@@ -125,10 +126,84 @@
 	scheduler_free(s);
 }
 
+#define POOL_VMS 8
+/* The letter replaces 200 VMs a day: ten days of that. */
+#define REPLACED_VMS 2000
+#define REPLACE_PERIOD_MS (INT64_C(24) * 3600 * 1000 / 200)
+#define REPLACE_TICK_MS INT64_C(60000)
+
+/* Lists VMs by their numbers, which only rise. */
+static void list_vms(struct scheduler *s, guint first, int64_t now_ms)
+{
+	struct listed_worker list[POOL_VMS] = { 0 };
+	char names[POOL_VMS][16];
+	char racks[POOL_VMS][16];
+
+	for (guint i = 0; i < POOL_VMS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "w%u", first + i);
+		g_snprintf(racks[i], sizeof(racks[i]), "r%u", (first + i) / 4);
+		list[i].spec =
+			(struct worker_spec){ names[i], racks[i], "127.0.0.1:1",
+					      8,	64,	  65536 };
+	}
+	scheduler_on_workers(s, list, POOL_VMS, now_ms);
+}
+
+/* Makes all calls to workers fail, as those to VMs that are gone. */
+static void fail_calls(struct scheduler *s, int64_t now_ms)
+{
+	GList *all = g_hash_table_get_values(s->workers);
+
+	for (GList *l = all; l; l = l->next) {
+		struct worker_contact *c = l->data;
+
+		scheduler_on_worker(s, c->name, c->call_id, WORKER_FAILED, NULL,
+				    now_ms);
+	}
+	g_list_free(all);
+}
+
+/* As holder and as one that stands by, what is kept does not grow. */
+static void test_replaced_vms(gconstpointer role)
+{
+	struct noted n = { 0 };
+	struct scheduler *s = open_scheduler(&n, JOB_DONE, 0);
+	int64_t now_ms = NOW_MS;
+	guint most = 0;
+
+	if (GPOINTER_TO_INT(role) != POOL_ROLE_HOLDER)
+		scheduler_set_role(s, GPOINTER_TO_INT(role), 2, now_ms);
+	for (guint i = 0; i < REPLACED_VMS; i++) {
+		list_vms(s, i, now_ms);
+		for (int64_t t = 0; t < REPLACE_PERIOD_MS;
+		     t += REPLACE_TICK_MS) {
+			now_ms += REPLACE_TICK_MS;
+			fail_calls(s, now_ms);
+			scheduler_tick(s, now_ms, WALL_MS + now_ms);
+		}
+		most = MAX(most, s->pool->workers->len);
+		most = MAX(most, g_hash_table_size(s->workers));
+	}
+	g_test_message("kept at most %u workers", most);
+	g_assert_cmpuint(
+		most, <=,
+		POOL_VMS + 1 +
+			(guint)(JOB_IMPOSSIBLE_GRACE_MS / REPLACE_PERIOD_MS) +
+			1);
+	g_assert_cmpuint(s->pool->racks->len, <=, s->pool->workers->len);
+	scheduler_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/scheduler/old-rows", test_old_rows);
 	g_test_add_func("/scheduler/never-fits", test_never_fits);
+	g_test_add_data_func("/scheduler/replaced-vms/holder",
+			     GINT_TO_POINTER(POOL_ROLE_HOLDER),
+			     test_replaced_vms);
+	g_test_add_data_func("/scheduler/replaced-vms/standby",
+			     GINT_TO_POINTER(POOL_ROLE_NONE),
+			     test_replaced_vms);
 	return g_test_run();
 }
