--- /dev/null
+++ b/tests/fake_vms.c
@@ -0,0 +1,154 @@
+#include "tests/fake_vms.h"
+
+#include <json-c/json.h>
+#include <string.h>
+
+struct list_call {
+	char *domain; /* NULL for all */
+	char *etag;
+	platform_fn fn;
+	void *data;
+};
+
+static void list_call_free(gpointer data)
+{
+	struct list_call *c = data;
+
+	g_free(c->domain);
+	g_free(c->etag);
+	g_free(c);
+}
+
+static void fake_vm_list(struct platform *base,
+			 const struct vm_list_query *query, platform_fn fn,
+			 void *data)
+{
+	struct fake_vms *f = (struct fake_vms *)base;
+	struct list_call *c = g_new0(struct list_call, 1);
+
+	c->domain = g_strdup(query->failure_domain);
+	c->etag = g_strdup(query->etag);
+	c->fn = fn;
+	c->data = data;
+	g_ptr_array_add(f->calls, c);
+}
+
+static void fake_forget(struct platform *base, const void *data)
+{
+	struct fake_vms *f = (struct fake_vms *)base;
+
+	for (guint i = 0; i < f->calls->len; i++) {
+		struct list_call *c = f->calls->pdata[i];
+
+		if (c->data == data)
+			c->fn = NULL;
+	}
+}
+
+static const struct platform_class fake_class = {
+	.name = "fake",
+	.vm_list = fake_vm_list,
+	.forget = fake_forget,
+};
+
+void fake_vms_init(struct fake_vms *f, const struct fake_manner *m, guint vms)
+{
+	memset(f, 0, sizeof(*f));
+	f->base.class = &fake_class;
+	f->manner = m;
+	f->vms = vms;
+	f->is_leaving = g_new0(guint8, vms);
+	f->calls = g_ptr_array_new_with_free_func(list_call_free);
+}
+
+void fake_vms_clear(struct fake_vms *f)
+{
+	g_ptr_array_unref(f->calls);
+	g_free(f->is_leaving);
+}
+
+void fake_vms_change(struct fake_vms *f, guint vm)
+{
+	f->is_leaving[vm] = !f->is_leaving[vm];
+	f->versions[vm % FAKE_DOMAINS]++;
+	f->versions[FAKE_DOMAINS]++;
+}
+
+static char *fake_text(const struct fake_vms *f, int domain)
+{
+	GString *text = g_string_new("{\"vms\":[");
+
+	for (guint i = 0; i < f->vms; i++) {
+		gboolean is_leaving = f->is_leaving[i] || (f->is_odd && i == 0);
+
+		if (domain != FAKE_DOMAINS && domain != (int)(i % FAKE_DOMAINS))
+			continue;
+		g_string_append_printf(
+			text,
+			"%s{\"vm\":\"vm-%06u\",\"role\":\"worker\",\"service\":"
+			"\"salkhi\",\"failure_domain\":\"d%u\",\"rack\":\"rack-"
+			"%04u\",\"state\":\"%s\",\"address\":\"10.1.%u.%u:7301"
+			"\",\"accelerators\":8,\"cores\":64,\"memory_mb\":"
+			"131072}",
+			text->str[text->len - 1] == '[' ? "" : ",", i,
+			i % FAKE_DOMAINS, i / 40,
+			is_leaving ? "leaving" : "live", i / 256, i % 256);
+	}
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+static void answer_body(struct fake_vms *f, const struct list_call *c,
+			int domain, const char *etag)
+{
+	char *text = f->body ? g_strdup(f->body) : fake_text(f, domain);
+	json_object *body = json_tokener_parse(text);
+	struct platform_result result = {
+		.status = STATUS_OK, .object = body, .text = text, .etag = etag
+	};
+
+	f->bytes += strlen(text);
+	c->fn(&result, c->data);
+	json_object_put(body);
+	g_free(text);
+}
+
+static void answer(struct fake_vms *f, const struct list_call *c)
+{
+	const struct fake_manner *m = f->manner;
+	struct platform_result unchanged = { .status = STATUS_OK,
+					     .is_unchanged = TRUE };
+	struct platform_result refused = { .status = STATUS_INVALID };
+	int domain = FAKE_DOMAINS;
+	char *etag = NULL;
+
+	f->reads++;
+	f->bytes += FAKE_HEADER_BYTES;
+	f->is_odd = m->flips && f->reads % 2;
+	if (c->domain && m->has_filter)
+		domain = c->domain[1] - '0';
+	if (m->is_stuck)
+		etag = g_strdup("\"1\"");
+	else if (m->has_etag)
+		etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "-%d\"",
+				       f->versions[domain], f->is_odd);
+	if (c->domain && m->refuses_filter)
+		c->fn(&refused, c->data);
+	else if (etag && g_strcmp0(etag, c->etag) == 0)
+		c->fn(&unchanged, c->data);
+	else
+		answer_body(f, c, domain, etag);
+	g_free(etag);
+}
+
+void fake_vms_step(struct fake_vms *f, struct vm_reader *r, int64_t now_ms)
+{
+	vm_reader_step(r, now_ms);
+	while (f->calls->len > 0) {
+		struct list_call *c = g_ptr_array_steal_index(f->calls, 0);
+
+		if (c->fn)
+			answer(f, c);
+		list_call_free(c);
+	}
+}
--- a/tests/test_vm_list.c
+++ b/tests/test_vm_list.c
@@ -1,19 +1,17 @@
 #include <glib.h>
-#include <string.h>
 
 #include "base/util.h"
 #include "platform/vm_reader.h"
 #include "tests/cluster.h"
+#include "tests/fake_vms.h"
 
 /* The size to design for, and the changes of a day (docs/CAPACITY.md). */
-#define DOMAINS 10
 #define VMS 4300
 #define DAY_S 86400
 #define CHANGES 274
 /** Looked at: a part of a day, with its part of the changes. */
 #define SPAN_S 10800
 #define SETTLE_S 60
-#define HEADER_BYTES 500
 
 #define VM(rest) "{\"service\":\"s\",\"failure_domain\":\"d0\"," rest "}"
 #define ENDPOINT(name, rest)                                                  \
@@ -119,182 +117,8 @@
 	}
 }
 
-/* How a platform keeps to what is asked of it. */
-struct manner {
-	gboolean has_etag;
-	gboolean has_filter;
-	gboolean refuses_filter; /* 400 to a parameter that it does not know */
-	gboolean is_stuck;	 /* one ETag for ever */
-	gboolean flips;		 /* replicas of differing age, in turn */
-};
-
-struct list_call {
-	char *domain; /* NULL for all */
-	char *etag;
-	platform_fn fn;
-	void *data;
-};
-
-/* A platform in virtual time: VM i is in the domain i % DOMAINS. */
-struct fake {
-	struct platform base;
-	const struct manner *manner;
-	guint vms;
-	guint8 *is_leaving;
-	guint64 versions[DOMAINS + 1]; /* the last is of all */
-	GPtrArray *calls;	       /* of struct list_call, to be answered */
-	guint64 reads;
-	guint64 bytes;
-	guint changes;
-	const char *body; /* answered in place of a list, or NULL */
-	gboolean is_odd;
-};
-
-static void list_call_free(gpointer data)
-{
-	struct list_call *c = data;
-
-	g_free(c->domain);
-	g_free(c->etag);
-	g_free(c);
-}
-
-static void fake_vm_list(struct platform *base,
-			 const struct vm_list_query *query, platform_fn fn,
-			 void *data)
-{
-	struct fake *f = (struct fake *)base;
-	struct list_call *c = g_new0(struct list_call, 1);
-
-	c->domain = g_strdup(query->failure_domain);
-	c->etag = g_strdup(query->etag);
-	c->fn = fn;
-	c->data = data;
-	g_ptr_array_add(f->calls, c);
-}
-
-static void fake_forget(struct platform *base, const void *data)
-{
-	struct fake *f = (struct fake *)base;
-
-	for (guint i = 0; i < f->calls->len; i++) {
-		struct list_call *c = f->calls->pdata[i];
-
-		if (c->data == data)
-			c->fn = NULL;
-	}
-}
-
-static const struct platform_class fake_class = {
-	.name = "fake",
-	.vm_list = fake_vm_list,
-	.forget = fake_forget,
-};
-
-static void fake_init(struct fake *f, const struct manner *m, guint vms)
-{
-	memset(f, 0, sizeof(*f));
-	f->base.class = &fake_class;
-	f->manner = m;
-	f->vms = vms;
-	f->is_leaving = g_new0(guint8, vms);
-	f->calls = g_ptr_array_new_with_free_func(list_call_free);
-}
-
-static void fake_clear(struct fake *f)
-{
-	g_ptr_array_unref(f->calls);
-	g_free(f->is_leaving);
-}
-
-static void fake_change(struct fake *f, guint vm)
-{
-	f->is_leaving[vm] = !f->is_leaving[vm];
-	f->versions[vm % DOMAINS]++;
-	f->versions[DOMAINS]++;
-}
-
-static char *fake_text(const struct fake *f, int domain)
-{
-	GString *text = g_string_new("{\"vms\":[");
-
-	for (guint i = 0; i < f->vms; i++) {
-		gboolean is_leaving = f->is_leaving[i] || (f->is_odd && i == 0);
-
-		if (domain != DOMAINS && domain != (int)(i % DOMAINS))
-			continue;
-		g_string_append_printf(
-			text,
-			"%s{\"vm\":\"vm-%06u\",\"role\":\"worker\",\"service\":"
-			"\"salkhi\",\"failure_domain\":\"d%u\",\"rack\":\"rack-"
-			"%04u\",\"state\":\"%s\",\"address\":\"10.1.%u.%u:7301"
-			"\",\"accelerators\":8,\"cores\":64,\"memory_mb\":"
-			"131072}",
-			text->str[text->len - 1] == '[' ? "" : ",", i,
-			i % DOMAINS, i / 40, is_leaving ? "leaving" : "live",
-			i / 256, i % 256);
-	}
-	g_string_append(text, "]}");
-	return g_string_free(text, FALSE);
-}
-
-static void answer_body(struct fake *f, const struct list_call *c, int domain,
-			const char *etag)
-{
-	char *text = f->body ? g_strdup(f->body) : fake_text(f, domain);
-	json_object *body = json_tokener_parse(text);
-	struct platform_result result = {
-		.status = STATUS_OK, .object = body, .text = text, .etag = etag
-	};
-
-	f->bytes += strlen(text);
-	c->fn(&result, c->data);
-	json_object_put(body);
-	g_free(text);
-}
-
-static void answer(struct fake *f, const struct list_call *c)
-{
-	const struct manner *m = f->manner;
-	struct platform_result unchanged = { .status = STATUS_OK,
-					     .is_unchanged = TRUE };
-	struct platform_result refused = { .status = STATUS_INVALID };
-	int domain = DOMAINS;
-	char *etag = NULL;
-
-	f->reads++;
-	f->bytes += HEADER_BYTES;
-	f->is_odd = m->flips && f->reads % 2;
-	if (c->domain && m->has_filter)
-		domain = c->domain[1] - '0';
-	if (m->is_stuck)
-		etag = g_strdup("\"1\"");
-	else if (m->has_etag)
-		etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "-%d\"",
-				       f->versions[domain], f->is_odd);
-	if (c->domain && m->refuses_filter)
-		c->fn(&refused, c->data);
-	else if (etag && g_strcmp0(etag, c->etag) == 0)
-		c->fn(&unchanged, c->data);
-	else
-		answer_body(f, c, domain, etag);
-	g_free(etag);
-}
-
-/* One second of the reader, with all its calls answered. */
-static void pass_second(struct fake *f, struct vm_reader *r, int64_t now_ms)
-{
-	vm_reader_step(r, now_ms);
-	while (f->calls->len > 0) {
-		struct list_call *c = g_ptr_array_steal_index(f->calls, 0);
-
-		if (c->fn)
-			answer(f, c);
-		list_call_free(c);
-	}
-}
-
-static gboolean shows(const struct vm_reader *r, const struct fake *f, guint vm)
+static gboolean shows(const struct vm_reader *r, const struct fake_vms *f,
+		      guint vm)
 {
 	const struct vm_list *l = vm_reader_list(r);
 	char *name = g_strdup_printf("vm-%06u", vm);
@@ -311,7 +135,7 @@
 struct span_case {
 	const char *path;
 	guint vms;
-	struct manner manner;
+	struct fake_manner manner;
 	guint64 max_bytes_per_s;
 	int64_t max_own_s;   /* until a change of the own domain shows */
 	int64_t max_other_s; /* and of another one */
@@ -367,13 +191,13 @@
 };
 
 /* Drops the changes that show by now; keeps the longest time of any. */
-static void follow(const struct vm_reader *r, const struct fake *f,
+static void follow(const struct vm_reader *r, const struct fake_vms *f,
 		   GArray *open, int64_t now_s, int64_t *worst_s)
 {
 	for (guint i = open->len; i > 0; i--) {
 		const struct change *c =
 			&g_array_index(open, struct change, i - 1);
-		int64_t *worst = &worst_s[c->vm % DOMAINS != 0];
+		int64_t *worst = &worst_s[c->vm % FAKE_DOMAINS != 0];
 
 		*worst = MAX(*worst, now_s - c->at_s);
 		if (shows(r, f, c->vm))
@@ -382,7 +206,7 @@
 }
 
 /* Makes a change now and then; VM 0 is the one that flips. */
-static void maybe_change(struct fake *f, GRand *rng, GArray *open,
+static void maybe_change(struct fake_vms *f, GRand *rng, GArray *open,
 			 int64_t now_s)
 {
 	struct change c = { 1 + (guint)g_rand_int_range(rng, 0, f->vms - 1),
@@ -391,9 +215,9 @@
 	if (now_s < SETTLE_S || g_rand_int_range(rng, 0, DAY_S) >= CHANGES)
 		return;
 	/* More of the own domain's than its part, so that it is seen. */
-	if (f->changes % 3 == 0 && c.vm > DOMAINS)
-		c.vm -= c.vm % DOMAINS;
-	fake_change(f, c.vm);
+	if (f->changes % 3 == 0 && c.vm > FAKE_DOMAINS)
+		c.vm -= c.vm % FAKE_DOMAINS;
+	fake_vms_change(f, c.vm);
 	g_array_append_val(open, c);
 	f->changes++;
 }
@@ -403,7 +227,7 @@
 	return counters_counter(counters, name, "")->value;
 }
 
-static void check_span(const struct span_case *c, const struct fake *f,
+static void check_span(const struct span_case *c, const struct fake_vms *f,
 		       struct counters *counters, const int64_t *worst_s)
 {
 	int64_t changes = counter_of(counters, "cs_vm_list_changes_total");
@@ -420,65 +244,75 @@
 	g_assert_cmpint(untold > 0, ==, c->manner.is_stuck);
 	/* What stayed the same is not taken over, ETag or not. */
 	if (!c->manner.flips)
-		g_assert_cmpint(changes, <=, DOMAINS + 1 + 2 * f->changes);
+		g_assert_cmpint(changes, <=, FAKE_DOMAINS + 1 + 2 * f->changes);
+}
+
+/* A reader of the domain d0 on a platform of some manner. */
+struct world {
+	struct counters counters;
+	struct fake_vms fake;
+	struct vm_reader *reader;
+};
+
+static void world_init(struct world *w, const struct fake_manner *m, guint vms)
+{
+	struct vm_reader_spec spec = { &w->fake.base, "d0", &w->counters, 7 };
+
+	counters_init(&w->counters);
+	fake_vms_init(&w->fake, m, vms);
+	w->reader = vm_reader_new(&spec);
+}
+
+static void world_clear(struct world *w)
+{
+	vm_reader_free(w->reader);
+	fake_vms_clear(&w->fake);
+	counters_clear(&w->counters);
 }
 
 static void test_span(gconstpointer data)
 {
 	const struct span_case *c = data;
-	struct counters counters;
-	struct fake f;
-	struct vm_reader_spec spec = { &f.base, "d0", &counters, 7 };
-	struct vm_reader *r;
+	struct world w;
 	GRand *rng = g_rand_new_with_seed(11);
 	GArray *open = g_array_new(FALSE, FALSE, sizeof(struct change));
 	int64_t worst_s[2] = { 0, 0 };
 
-	counters_init(&counters);
-	fake_init(&f, &c->manner, c->vms);
-	r = vm_reader_new(&spec);
+	world_init(&w, &c->manner, c->vms);
 	for (int64_t s = 0; s < SPAN_S; s++) {
-		maybe_change(&f, rng, open, s);
-		pass_second(&f, r, s * MS_PER_S);
-		follow(r, &f, open, s, worst_s);
+		maybe_change(&w.fake, rng, open, s);
+		fake_vms_step(&w.fake, w.reader, s * MS_PER_S);
+		follow(w.reader, &w.fake, open, s, worst_s);
 	}
-	check_span(c, &f, &counters, worst_s);
-	g_assert_cmpuint(vm_reader_list(r)->vms->len, ==, c->vms);
+	check_span(c, &w.fake, &w.counters, worst_s);
+	g_assert_cmpuint(vm_reader_list(w.reader)->vms->len, ==, c->vms);
+	world_clear(&w);
 	g_array_unref(open);
 	g_rand_free(rng);
-	vm_reader_free(r);
-	fake_clear(&f);
-	counters_clear(&counters);
 }
 
-/* A body without any list, or no answer: the last list stays in force. */
+/* A body without any list: the last list stays in force. */
 static void test_refused(void)
 {
-	const struct manner manner = { .has_etag = TRUE, .has_filter = TRUE };
-	struct counters counters;
-	struct fake f;
-	struct vm_reader_spec spec = { &f.base, "d0", &counters, 7 };
-	struct vm_reader *r;
+	const struct fake_manner manner = { .has_etag = TRUE,
+					    .has_filter = TRUE };
+	struct world w;
 	int64_t refused;
 
-	counters_init(&counters);
-	fake_init(&f, &manner, DOMAINS);
-	r = vm_reader_new(&spec);
-	g_assert_null(vm_reader_list(r));
-	pass_second(&f, r, 0);
-	fake_change(&f, 0);
-	f.body = "{\"vms\":3}";
-	pass_second(&f, r, 1000);
-	g_assert_false(shows(r, &f, 0));
-	refused = counter_of(&counters, "cs_vm_list_refused_total");
+	world_init(&w, &manner, FAKE_DOMAINS);
+	g_assert_null(vm_reader_list(w.reader));
+	fake_vms_step(&w.fake, w.reader, 0);
+	fake_vms_change(&w.fake, 0);
+	w.fake.body = "{\"vms\":3}";
+	fake_vms_step(&w.fake, w.reader, 1000);
+	g_assert_false(shows(w.reader, &w.fake, 0));
+	refused = counter_of(&w.counters, "cs_vm_list_refused_total");
 	g_assert_cmpint(refused, ==, 1);
-	f.body = NULL;
-	pass_second(&f, r, 2000);
-	g_assert_true(shows(r, &f, 0));
-	vm_reader_step(r, 3000);
-	vm_reader_free(r); /* with a call in flight */
-	fake_clear(&f);
-	counters_clear(&counters);
+	w.fake.body = NULL;
+	fake_vms_step(&w.fake, w.reader, 2000);
+	g_assert_true(shows(w.reader, &w.fake, 0));
+	vm_reader_step(w.reader, 3000);
+	world_clear(&w); /* with a call in flight */
 }
 
 /* Counts of the platform's stand-in. */
