--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -37,6 +37,10 @@
 					   (GDestroyNotify)job_entry_free);
 	s->health = worker_health_new();
 	s->unmet = guarantee_watch_new();
+	s->schedulers = 1;
+	s->shares_always = spec->shares_always;
+	s->delegates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->writer = g_strdup("");
 	return s;
 }
@@ -48,6 +52,7 @@
 	worker_health_free(s->health);
 	g_hash_table_unref(s->entries);
 	g_hash_table_unref(s->workers);
+	g_hash_table_unref(s->delegates);
 	job_queue_free(s->queue);
 	placement_policy_free(s->policy);
 	pool_free(s->pool);
@@ -87,6 +92,7 @@
 	GHashTableIter iter;
 	gpointer item;
 
+	scheduler_forget_delegates(s);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct worker_contact *c = item;
@@ -399,7 +405,7 @@
 }
 
 static void log_decision(const struct scheduler *s, const struct job_entry *e,
-			 const struct job_decision *d)
+			 const struct job_decision *d, int64_t now_ms)
 {
 	char *choice;
 	struct log_line line;
@@ -415,7 +421,8 @@
 	log_str(&line, "runner_up", d->placement.runner_up);
 	log_str(&line, "reason", d->placement.reason);
 	log_int(&line, "preempts", d->placement.preempt->len);
-	log_int(&line, "waited_ms", d->waited_ms);
+	log_int(&line, "waited_ms",
+		wall_ms(s, now_ms) - e->record.submitted_ms);
 	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 	g_free(choice);
@@ -427,6 +434,20 @@
 	*to = g_strdup(text ? text : "");
 }
 
+static void log_preempt(const struct scheduler *s, const struct job_entry *e,
+			const struct job_entry *victim)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "preempt");
+	log_str(&line, "pool", s->pool_name);
+	log_str(&line, "job", victim->record.id);
+	log_str(&line, "for", e->record.id);
+	log_str(&line, "reason", e->choice);
+	log_int(&line, "config_version", s->config_version);
+	log_end(&line);
+}
+
 static void preempt(struct scheduler *s, struct job_entry *e, const char *id,
 		    int64_t now_ms)
 {
@@ -434,6 +455,7 @@
 
 	if (!victim || !victim->gang)
 		return;
+	log_preempt(s, e, victim);
 	g_hash_table_add(e->blockers, g_strdup(id));
 	gang_preempt(victim->gang, now_ms);
 	scheduler_follow(s, victim, now_ms);
@@ -471,7 +493,7 @@
 		if (status != STATUS_NOT_FOUND)
 			e = g_hash_table_lookup(s->entries, d.job_id);
 		if (e && status == STATUS_OK) {
-			log_decision(s, e, &d);
+			log_decision(s, e, &d, now_ms);
 			start_gang(s, e, &d, now_ms);
 		} else if (e) {
 			end_job(s, e, JOB_REFUSED, d.placement.reason, now_ms);
@@ -519,9 +541,12 @@
 	if (e->record.is_cancelled)
 		gang_abort(e->gang, GANG_OUTCOME_CANCELLED, "", now_ms);
 	log_begin(&line, LOG_LEVEL_INFO, "recovered");
+	log_str(&line, "pool", s->pool_name);
 	log_str(&line, "job", e->record.id);
 	log_int(&line, "attempt", e->gang->attempt);
 	log_str(&line, "gang", gang_state_name(e->gang->state));
+	log_int(&line, "epoch", s->epoch);
+	log_int(&line, "config_version", s->config_version);
 	log_end(&line);
 	scheduler_follow(s, e, now_ms);
 }
@@ -667,6 +692,7 @@
 void scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall)
 {
 	s->wall_offset_ms = wall - now_ms;
+	scheduler_check_delegates(s, now_ms);
 	scheduler_check_workers(s, now_ms);
 	if (s->phase == SCHEDULER_ACTIVE)
 		tick_entries(s, now_ms);
@@ -696,7 +722,11 @@
 	stats->queued = job_queue_length(s->queue);
 	stats->recoveries = s->recoveries;
 	stats->recovery_ms = s->recovery_ms;
-	stats->renew_ms = worker_renew_period_ms(s->listed_workers);
+	stats->delegates = g_hash_table_size(s->delegates);
+	stats->renew_ms =
+		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
+	stats->bound_ms =
+		worker_partial_bound_ms(s->listed_workers, scheduler_peers(s));
 	stats->lease_ms = scheduler_lease_ms(s);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
@@ -704,6 +734,7 @@
 
 		stats->usable_workers += c->is_usable ? 1 : 0;
 		stats->aside_workers += c->is_aside ? 1 : 0;
+		stats->shared_workers += c->is_shared ? 1 : 0;
 	}
 	g_hash_table_iter_init(&iter, s->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &item))
