--- a/tests/test_bad_input.c
+++ b/tests/test_bad_input.c
@@ -398,15 +398,18 @@
 		"{\"raw_vms\":" BAD_VMS ",\"remove_vms\":[\"%s\"]}", name);
 	char *add = g_strdup_printf("{\"add_vms\":[%s]}",
 				    json_object_get_string(vm));
+	gboolean is_followed;
 
 	cluster_control(world.cluster, world.platform, remove);
-	g_assert_true(cluster_wait(good_request_is_not_done, NULL,
-				   CONFIG_TIMEOUT_MS));
+	is_followed =
+		cluster_wait(good_request_is_not_done, NULL, CONFIG_TIMEOUT_MS);
+	g_assert_true(is_followed);
 	g_assert_cmpint(counter_of_gateway("cs_vm_list_bad_entries"), ==,
 			BAD_VM_COUNT);
 	cluster_control(world.cluster, world.platform, add);
-	g_assert_true(
-		cluster_wait(good_request_is_done, NULL, CONFIG_TIMEOUT_MS));
+	is_followed =
+		cluster_wait(good_request_is_done, NULL, CONFIG_TIMEOUT_MS);
+	g_assert_true(is_followed);
 	g_assert_cmpuint(cluster_grep(world.gateway, "vm_list_bad_entries"), ==,
 			 BAD_VM_PARTS);
 	cluster_control(world.cluster, world.platform, "{\"raw_vms\":[]}");
