--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -257,9 +257,9 @@
 
 static void check_histories(struct run *r)
 {
-	char *fault = gang_cluster_check(r->cluster,
-					 worker_partial_bound_ms(GANG_WORKERS, 1) +
-						 BOUND_SLACK_MS);
+	char *fault = gang_cluster_check(
+		r->cluster,
+		worker_partial_bound_ms(GANG_WORKERS, 1) + BOUND_SLACK_MS);
 
 	g_assert_cmpstr(fault, ==, NULL);
 	for (guint i = 0; i < r->cluster->scheduler_count; i++)
