Scheduler: recovery and outcomes in files of their own

Ruled out: types of their own; both work on the scheduler's own tables, as scheduler_rows.c and scheduler_workers.c do.

Change: scheduler_recovery.c and scheduler_outcome.c; no change of behaviour.

Conclusion: one matter a file.

--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -64,9 +64,6 @@
 
 /* scheduler.c */
 
-/** Acts on what a gang's state asks for since it was last followed. */
-void scheduler_follow(struct scheduler *s, struct job_entry *e, int64_t now_ms);
-
 /** Ends each public event: decides and sends what is due. */
 void scheduler_finish_event(struct scheduler *s, int64_t now_ms);
 
@@ -76,10 +73,37 @@
 /** Queues a job. */
 void scheduler_queue(struct scheduler *s, struct job_entry *e);
 
+void scheduler_log_phase(const struct scheduler *s);
+
+/** Returns the wall clock's time of a moment. */
+static inline int64_t scheduler_wall_ms(const struct scheduler *s,
+					int64_t now_ms)
+{
+	return now_ms + s->wall_offset_ms;
+}
+
+/* scheduler_recovery.c */
+
+/** Begins to learn what the pool runs. */
+void scheduler_begin_recovery(struct scheduler *s, int64_t now_ms);
+
+/** Takes over all that was found, once all is known. */
+void scheduler_check_recovery(struct scheduler *s, int64_t now_ms);
+
 /** Makes the attempt recorded in the row known to its workers' contacts. */
 void scheduler_recover_gang(struct scheduler *s, struct job_entry *e,
 			    int64_t now_ms);
 
+/* scheduler_outcome.c */
+
+/** Acts on what a gang's state asks for since it was last followed. */
+void scheduler_follow(struct scheduler *s, struct job_entry *e, int64_t now_ms);
+
+/** Ends a job for good. */
+void scheduler_end_job(struct scheduler *s, struct job_entry *e,
+		       enum job_state state, const char *reason,
+		       int64_t now_ms);
+
 /* scheduler_workers.c */
 
 struct worker_contact *scheduler_contact(struct scheduler *s, const char *name);
