--- a/base/http_client.c
+++ b/base/http_client.c
@@ -225,6 +225,8 @@
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
 	soup_message_add_flags(call->message, SOUP_MESSAGE_COLLECT_METRICS);
+	if (spec->may_reuse)
+		soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
 	set_headers(call->message, spec->headers);
 	if (spec->body)
 		set_body(call->message, spec->body);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -35,6 +35,12 @@
 	const char *path;    /**< with the query, escaped */
 	json_object *body;   /**< may be NULL; not taken over */
 	int64_t timeout_ms;
+	/**
+	 * Takes a connection that is open already, and sends anew when that
+	 * has ended: only for calls that may reach the other side twice. One
+	 * that has gone silent costs the call.
+	 */
+	gboolean may_reuse;
 	/** Pairs of header name and value, ends with NULL; may be NULL. */
 	const char *const *headers;
 	http_reply_fn on_reply;
--- a/daemon/worker_http.h
+++ b/daemon/worker_http.h
@@ -9,10 +9,15 @@
 #include "base/kernel.h"
 #include "job/scheduler.h"
 
-/** Sends a call; the callback comes as http_client_send() has it. */
+/**
+ * Sends a call; the callback comes as http_client_send() has it.
+ *
+ * @param may_reuse	as in struct http_call_spec
+ */
 struct http_call *worker_http_send(struct kernel *k, const char *address,
 				   const struct worker_call *call,
-				   http_reply_fn on_reply, void *data);
+				   gboolean may_reuse, http_reply_fn on_reply,
+				   void *data);
 
 /**
  * Tells what a reply means and decodes the report in it.
--- a/job/renewal_delegate.c
+++ b/job/renewal_delegate.c
@@ -49,17 +49,20 @@
 	d->next_report_ms = 0;
 }
 
+static void add_change(GArray *changes, const struct delegated_worker *w)
+{
+	struct renewal_change change = { g_strdup(w->name), w->seen_digest };
+
+	g_array_append_val(changes, change);
+}
+
 static void add_worker(struct renewal_report *r,
 		       const struct delegated_worker *w)
 {
-	struct renewal_change change = { NULL, w->seen_digest };
-
-	if (w->has_failed) {
+	if (w->has_failed)
 		g_ptr_array_add(r->failed, g_strdup(w->name));
-	} else if (w->is_seen && w->seen_digest != w->digest) {
-		change.worker = g_strdup(w->name);
-		g_array_append_val(r->changes, change);
-	}
+	else if (w->is_seen && w->seen_digest != w->digest)
+		add_change(r->changes, w);
 }
 
 gboolean renewal_delegate_report(struct renewal_delegate *d, int64_t now_ms,
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -83,9 +83,9 @@
 					   "w", "--count", "2"));
 	g->worker_processes[1] = cluster_spawn(
 		g->cluster, "cs-standin-worker", "last-worker",
-		is_relayed ? CLUSTER_ARGS("--vm", "v0")
+		is_relayed ? CLUSTER_ARGS("--vm", "v0", "--no-digest")
 			   : CLUSTER_ARGS("--platform", g->platform, "--vm",
-					  "v0"));
+					  "v0", "--no-digest"));
 	g->workers[0] = cluster_listening(g->worker_processes[0], 0);
 	g->workers[1] = cluster_listening(g->worker_processes[0], 1);
 	g->workers[2] = cluster_listening(g->worker_processes[1], 0);
@@ -197,9 +197,10 @@
 	return start_all(schedulers, is_relayed, 0);
 }
 
-struct gang_cluster *gang_cluster_start_wide(guint schedulers, guint fillers)
+struct gang_cluster *gang_cluster_start_wide(guint schedulers,
+					     gboolean is_relayed, guint fillers)
 {
-	return start_all(schedulers, FALSE, fillers);
+	return start_all(schedulers, is_relayed, fillers);
 }
 
 void gang_cluster_wait_ready(struct gang_cluster *g)
@@ -464,9 +465,10 @@
 	char *name =
 		g_strdup_printf("last-worker-%u", g->cluster->processes->len);
 
-	g->worker_processes[1] = cluster_spawn(
-		g->cluster, "cs-standin-worker", name,
-		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0"));
+	g->worker_processes[1] =
+		cluster_spawn(g->cluster, "cs-standin-worker", name,
+			      CLUSTER_ARGS("--platform", g->platform, "--vm",
+					   "v0", "--no-digest"));
 	g_free(g->workers[GANG_WORKERS - 1]);
 	g->workers[GANG_WORKERS - 1] =
 		cluster_listening(g->worker_processes[1], 0);
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * A pool over real processes: the platform's stand-in, three workers (the last
- * in a process of its own), schedulers. The workers' histories are the truth
- * that is checked.
+ * in a process of its own and without digests), schedulers. The workers'
+ * histories are the truth that is checked.
  */
 #ifndef TESTS_GANG_CLUSTER_H
 #define TESTS_GANG_CLUSTER_H
@@ -46,7 +46,8 @@
 struct gang_cluster *gang_cluster_start(guint schedulers, gboolean is_relayed);
 
 /** Starts everything, with further workers that only have to be renewed. */
-struct gang_cluster *gang_cluster_start_wide(guint schedulers, guint fillers);
+struct gang_cluster *
+gang_cluster_start_wide(guint schedulers, gboolean is_relayed, guint fillers);
 
 /** Returns a count of the pool's status at one scheduler, -1 without one. */
 int64_t gang_cluster_status(struct gang_cluster *g, guint index,
--- a/tests/test_gangs_wide.c
+++ b/tests/test_gangs_wide.c
@@ -13,6 +13,7 @@
 #define FILLERS 60
 #define ALL_WORKERS (FILLERS + GANG_WORKERS)
 #define SCHEDULERS 3
+#define SILENCES 5
 #define TIMEOUT_MS INT64_C(20000)
 /* Reading the clocks of several processes, and their turns to run. */
 #define SLACK_MS 1500
@@ -45,9 +46,10 @@
 		       ALL_WORKERS * (SCHEDULERS - 1) / SCHEDULERS;
 }
 
-static struct gang_cluster *open_wide(void)
+static struct gang_cluster *open_wide(gboolean is_relayed)
 {
-	struct gang_cluster *g = gang_cluster_start_wide(SCHEDULERS, FILLERS);
+	struct gang_cluster *g =
+		gang_cluster_start_wide(SCHEDULERS, is_relayed, FILLERS);
 
 	gang_cluster_wait_ready(g);
 	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
@@ -57,7 +59,8 @@
 /* Just after it was renewed, the longest time before the next renewal. */
 static void test_worker_lost(void)
 {
-	struct gang_cluster *g = gang_cluster_start_wide(SCHEDULERS, FILLERS);
+	struct gang_cluster *g =
+		gang_cluster_start_wide(SCHEDULERS, FALSE, FILLERS);
 	int64_t notice_ms = worker_notice_ms(ALL_WORKERS, SCHEDULERS);
 
 	gang_cluster_wait_ready(g);
@@ -72,7 +75,7 @@
 /* The same once delegates renew all that the gang runs on. */
 static void test_shared_worker_lost(void)
 {
-	struct gang_cluster *g = open_wide();
+	struct gang_cluster *g = open_wide(FALSE);
 
 	run_gang(g, 600000);
 	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
@@ -101,7 +104,7 @@
 
 static void test_delegate_killed(void)
 {
-	struct gang_cluster *g = open_wide();
+	struct gang_cluster *g = open_wide(FALSE);
 	int holder;
 
 	run_gang(g, 600000);
@@ -118,7 +121,7 @@
 
 static void test_holder_paused(void)
 {
-	struct gang_cluster *g = open_wide();
+	struct gang_cluster *g = open_wide(FALSE);
 	int holder;
 
 	run_gang(g, 600000);
@@ -134,6 +137,25 @@
 	gang_cluster_close(g);
 }
 
+/*
+ * All open connections to a worker go silent, for good, again and again: its
+ * gang goes on, since the holder looks itself and over a new connection.
+ */
+static void test_silent_connections(void)
+{
+	struct gang_cluster *g = open_wide(TRUE);
+
+	run_gang(g, 600000);
+	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
+	for (guint i = 0; i < SILENCES; i++) {
+		cluster_sleep(worker_renew_period_ms(ALL_WORKERS, SCHEDULERS));
+		cluster_control(g->cluster, g->relay_control,
+				"{\"silence_open\":true}");
+	}
+	go_on(g);
+	gang_cluster_close(g);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -142,5 +164,7 @@
 			test_shared_worker_lost);
 	g_test_add_func("/gangs/wide/delegate-killed", test_delegate_killed);
 	g_test_add_func("/gangs/wide/holder-paused", test_holder_paused);
+	g_test_add_func("/gangs/wide/silent-connections",
+			test_silent_connections);
 	return g_test_run();
 }
--- a/tests/test_renewals.c
+++ b/tests/test_renewals.c
@@ -97,17 +97,22 @@
 		{ TASK_DONE, TASK_RUNNING },
 		{ TASK_STOPPED, TASK_STOPPED },
 	};
+	int64_t empty = digest_of(none, states[0]);
+	int64_t digest;
+	int64_t same;
 
 	for (guint i = 0; i < G_N_ELEMENTS(states); i++) {
-		int64_t digest = digest_of(names, states[i]);
+		digest = digest_of(names, states[i]);
+		g_assert_cmpint(digest, !=, empty);
+		for (guint k = 0; k < i; k++) {
+			int64_t other = digest_of(names, states[k]);
 
-		g_assert_cmpint(digest, !=, digest_of(none, NULL));
-		for (guint k = 0; k < i; k++)
-			g_assert_cmpint(digest, !=,
-					digest_of(names, states[k]));
+			g_assert_cmpint(digest, !=, other);
+		}
 	}
-	g_assert_cmpint(digest_of(names, states[2]), ==,
-			digest_of(turned, states[2]));
+	digest = digest_of(names, states[0]);
+	same = digest_of(turned, states[0]);
+	g_assert_cmpint(digest, ==, same);
 }
 
 /* A holder, two delegates and workers that answer at once unless cut. */
