--- a/job/scheduler_renewals.c
+++ b/job/scheduler_renewals.c
@@ -7,6 +7,7 @@
 #include "job/scheduler_state.h"
 
 #include "base/util.h"
+#include "base/wake_plan.h"
 
 /* Sums of as many workers as there may be stay positive. */
 #define VERSION_SHIFT 20
@@ -77,6 +78,21 @@
 	}
 }
 
+int64_t scheduler_delegates_due_ms(const struct scheduler *s)
+{
+	int64_t due_ms = WAKE_NEVER;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, s->delegates);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct delegate_seen *d = item;
+
+		due_ms = MIN(due_ms, d->heard_ms + RENEWAL_SILENCE_MS);
+	}
+	return due_ms;
+}
+
 static guint count_listed(const struct scheduler *s)
 {
 	GHashTableIter iter;
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -92,6 +92,8 @@
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms);
 void scheduler_send_calls(struct scheduler *s, int64_t now_ms);
 int64_t scheduler_lease_ms(const struct scheduler *s);
+/** Returns the longest that another holder may have given. */
+int64_t scheduler_longest_lease_ms(const struct scheduler *s);
 
 /* scheduler_renewals.c */
 
@@ -100,6 +102,8 @@
 void scheduler_forget_delegates(struct scheduler *s);
 /** Takes back the shares of delegates that are silent. */
 void scheduler_check_delegates(struct scheduler *s, int64_t now_ms);
+/** Returns when the first of them will have been silent too long. */
+int64_t scheduler_delegates_due_ms(const struct scheduler *s);
 
 /* scheduler_rows.c */
 
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -18,7 +18,7 @@
 }
 
 /* Of a worker that is not listed the lease may be an older holder's. */
-static int64_t longest_lease_ms(const struct scheduler *s)
+int64_t scheduler_longest_lease_ms(const struct scheduler *s)
 {
 	return worker_lease_ms(s->listed_workers, 1);
 }
@@ -169,7 +169,7 @@
 
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
 {
-	int64_t lease_ms = longest_lease_ms(s);
+	int64_t lease_ms = scheduler_longest_lease_ms(s);
 	GHashTableIter iter;
 	gpointer item;
 	GPtrArray *all = g_ptr_array_new();
