--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -116,6 +116,8 @@
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms);
 void scheduler_send_calls(struct scheduler *s, int64_t now_ms);
 int64_t scheduler_lease_ms(const struct scheduler *s);
+/** Returns the longest that another holder may have given. */
+int64_t scheduler_longest_lease_ms(const struct scheduler *s);
 
 /* scheduler_renewals.c */
 
