Guarantees explained; csctl check says whether it checked them

Cause: the status listed guarantees that are not held, and nothing told of one account's guarantee where it is bound or what a claim would stop. `csctl check` called a configuration sound whose guarantees can't all hold (run before: three members of 8 in a rack of two, "sound", exit code 0) and did not say that this was not checked.

Ruled out: asking the policy for a whole offer (it moves idle slots, so the question changes what is asked about).

The watch keeps since when a guarantee is held again.

Conclusion: one command answers for one account's shape.

--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -10,11 +10,13 @@
 #include "client/command_line.h"
 #include "client/config_diff.h"
 #include "config/config_doc.h"
+#include "job/guarantee_check.h"
 
 #define HTTP_OK 200
 #define HTTP_ACCEPTED 202
 #define HTTP_CONFLICT 409
 #define NO_BASE_VERSION (-1)
+#define PLATFORM_TIMEOUT_MS 10000
 
 static struct {
 	gint64 base_version;
@@ -33,16 +35,30 @@
 	G_OPTION_ENTRY_NULL,
 };
 
+static char *check_vms;
+
+static const GOptionEntry check_entries[] = {
+	{ "vms", 0, 0, G_OPTION_ARG_STRING, &check_vms,
+	  "List of VMs that the guarantees have to fit on: a file, or the "
+	  "platform's IP:PORT",
+	  "FILE" },
+	G_OPTION_ENTRY_NULL,
+};
+
 static char *explain_pool;
 
 static const GOptionEntry explain_entries[] = {
 	{ "pool", 0, 0, G_OPTION_ARG_STRING, &explain_pool,
-	  "Pool of the job, SERVICE.FAILURE_DOMAIN", "POOL" },
+	  "Pool of the job or guarantee, SERVICE.FAILURE_DOMAIN", "POOL" },
 	G_OPTION_ENTRY_NULL,
 };
 
+/* Adds what is wrong with a sound document; may be NULL. */
+typedef void (*further_check)(const struct config_doc *doc,
+			      struct finding_list *findings);
+
 /* Loads a configuration; prints all findings when it is unsound. */
-static json_object *load_config(const char *file_name)
+static json_object *load_config(const char *file_name, further_check further)
 {
 	struct finding_list findings;
 	struct config_doc doc = { 0 };
@@ -54,7 +70,10 @@
 	if (json_text_load(&t, file_name, JSON_WITH_COMMENTS, &findings)) {
 		struct schema_source source = json_text_source(&t);
 
-		if (config_doc_decode(t.root, &doc, &source, &findings))
+		if (config_doc_decode(t.root, &doc, &source, &findings) &&
+		    further)
+			further(&doc, &findings);
+		if (finding_list_count(&findings) == 0)
 			json = json_object_get(t.root);
 	}
 	text = finding_list_text(&findings);
@@ -68,14 +87,63 @@
 	return json;
 }
 
+static json_object *read_vms_file(struct finding_list *findings)
+{
+	json_object *vms = NULL;
+	struct json_text t;
+
+	if (json_text_load(&t, check_vms, JSON_STRICT, findings))
+		vms = json_object_get(t.root);
+	json_text_clear(&t);
+	return vms;
+}
+
+/* Asks the platform; the operator's token is not for it. */
+static json_object *read_vms_platform(struct finding_list *findings)
+{
+	const char *const addresses[] = { check_vms, NULL };
+	struct api_client *client =
+		api_client_new(addresses, NULL, PLATFORM_TIMEOUT_MS);
+	json_object *vms = NULL;
+	struct api_reply reply;
+
+	api_client_call(client, "GET", "/vms", NULL, &reply);
+	if (reply.status == STATUS_OK && reply.code == HTTP_OK && reply.body)
+		vms = json_object_get(reply.body);
+	else
+		finding_list_add(findings, check_vms, "a list of VMs",
+				 "neither a file nor a platform that answers");
+	api_reply_clear(&reply);
+	api_client_free(client);
+	return vms;
+}
+
+static void check_guarantees(const struct config_doc *doc,
+			     struct finding_list *findings)
+{
+	gboolean is_file = g_file_test(check_vms, G_FILE_TEST_IS_REGULAR);
+	json_object *vms =
+		is_file ? read_vms_file(findings) : read_vms_platform(findings);
+
+	if (vms)
+		guarantee_check_vms(doc, vms, findings);
+	json_object_put(vms);
+}
+
 static enum exit_code run_check(struct command_context *context, int argc,
 				char **argv)
 {
-	json_object *json = load_config(argv[0]);
+	json_object *json =
+		load_config(argv[0], check_vms ? check_guarantees : NULL);
 
 	if (!json)
 		return EXIT_CODE_REFUSED;
-	printf("%s: sound\n", argv[0]);
+	printf("%s: sound\n%s\n", argv[0],
+	       check_vms
+		       ? "guarantees: can all be held at once; pools without a "
+			 "VM in the list are not judged"
+		       : "guarantees: not checked against VMs; give --vms, "
+			 "or use apply --dry-run");
 	json_object_put(json);
 	return EXIT_CODE_OK;
 }
@@ -137,7 +205,7 @@
 static enum exit_code run_apply(struct command_context *context, int argc,
 				char **argv)
 {
-	json_object *config = load_config(argv[0]);
+	json_object *config = load_config(argv[0], NULL);
 	json_object *current = NULL;
 	struct api_reply reply;
 	enum exit_code code;
@@ -241,13 +309,14 @@
 static enum exit_code run_explain(struct command_context *context, int argc,
 				  char **argv)
 {
-	static const char *const kinds[] = { "job", "request", NULL };
+	static const char *const kinds[] = { "job", "request", "guarantee",
+					     NULL };
 	enum exit_code code;
 	char *id;
 	char *path;
 
 	if (!g_strv_contains(kinds, argv[0])) {
-		fprintf(stderr, "explain: job or request\n");
+		fprintf(stderr, "explain: job, request or guarantee\n");
 		return EXIT_CODE_USAGE;
 	}
 	id = g_uri_escape_string(argv[1], NULL, FALSE);
@@ -267,8 +336,12 @@
 
 static const struct subcommand subcommands[] = {
 	{ "check", "FILE", "Check a configuration, all findings together",
-	  "Needs no server. Exit code 1 when anything was found.", NULL, 1, 1,
-	  run_check },
+	  "Needs no server. With --vms also whether all guarantees can be "
+	  "held\n"
+	  "at once on those VMs; without it this is not checked, which the\n"
+	  "output says. Pools without a VM in the list are not judged.\n"
+	  "Exit code 1 when anything was found.",
+	  check_entries, 1, 1, run_check },
 	{ "apply", "FILE", "Apply a configuration",
 	  "Shows what changes, then asks for acceptance against the version\n"
 	  "that the change was made from. Exit code 1 when another operator\n"
@@ -278,8 +351,10 @@
 	  run_config },
 	{ "status", "", "Print the state of each server given", NULL, NULL, 0,
 	  0, run_status },
-	{ "explain", "KIND ID", "Explain a job or request",
-	  "KIND is job or request. Guarantees are shown by status.",
+	{ "explain", "KIND ID", "Explain a job, request or guarantee",
+	  "KIND is job, request, or guarantee with a client account as ID:\n"
+	  "which of its shapes are held, since when, where and what would\n"
+	  "stop if they were claimed now.",
 	  explain_entries, 2, 2, run_explain },
 	{ "drain", "", "Shut each server given down gracefully", NULL, NULL, 0,
 	  0, run_drain },
--- a/daemon/job_api.c
+++ b/daemon/job_api.c
@@ -17,6 +17,7 @@
 #define JOBS_PATH "/v1/jobs"
 #define JOB_PATH "/v1/jobs/"
 #define EXPLAIN_PATH "/v1/explain/job/"
+#define EXPLAIN_GUARANTEE_PATH "/v1/explain/guarantee/"
 
 struct job_api {
 	struct service base;
@@ -276,9 +277,10 @@
 	call_free(c);
 }
 
-static void handle_explain(struct http_request *r, void *data)
+/* Asks the holder of the pool; its path begins with @start. */
+static void ask_holder(struct job_api *api, struct http_request *r,
+		       const char *start)
 {
-	struct job_api *api = data;
 	struct job_call *c;
 	char *id;
 	char *path;
@@ -287,12 +289,22 @@
 		return;
 	c = call_for_job(api, r, CALL_EXPLAIN);
 	id = g_uri_escape_string(c->id, NULL, FALSE);
-	path = g_strdup_printf(EXPLAIN_PATH "%s?pool=%s", id, c->pool);
+	path = g_strdup_printf("%s%s?pool=%s", start, id, c->pool);
 	holder_client_get(api->holders, c->pool, path, on_explained, c);
 	g_free(path);
 	g_free(id);
 }
 
+static void handle_explain(struct http_request *r, void *data)
+{
+	ask_holder(data, r, EXPLAIN_PATH);
+}
+
+static void handle_explain_guarantee(struct http_request *r, void *data)
+{
+	ask_holder(data, r, EXPLAIN_GUARANTEE_PATH);
+}
+
 static enum status job_api_start(struct service *base, struct kernel *k)
 {
 	struct job_api *api = (struct job_api *)base;
@@ -304,6 +316,8 @@
 	http_server_route(server, "GET", JOB_PATH, handle_read, api);
 	http_server_route(server, "DELETE", JOB_PATH, handle_cancel, api);
 	http_server_route(server, "GET", EXPLAIN_PATH, handle_explain, api);
+	http_server_route(server, "GET", EXPLAIN_GUARANTEE_PATH,
+			  handle_explain_guarantee, api);
 	return STATUS_OK;
 }
 
--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -20,6 +20,7 @@
 #define VM_LIST_BYTES_PER_S INT64_C(4000)
 #define POKE_PATH "/v1/jobs/poke"
 #define EXPLAIN_PATH "/v1/explain/job/"
+#define EXPLAIN_GUARANTEE_PATH "/v1/explain/guarantee/"
 #define NAME_MAX_BYTES 256
 
 struct job_service {
@@ -234,26 +235,54 @@
 			       settings->failure_domain);
 }
 
+/* Returns the scheduler that an operator asks, NULL without one. */
+static struct scheduler *asked_scheduler(struct job_service *s,
+					 struct http_request *r)
+{
+	char *pool = pool_of_request(s, r);
+	struct pool_runner *p = find_runner(s, pool);
+
+	g_free(pool);
+	return p ? pool_runner_scheduler(p) : NULL;
+}
+
+static void reply_explanation(struct http_request *r, json_object *json,
+			      const char *problem)
+{
+	if (json)
+		http_request_reply(r, SOUP_STATUS_OK, json);
+	else
+		http_request_reply_text(r, SOUP_STATUS_NOT_FOUND, problem);
+}
+
 static void handle_explain(struct http_request *r, void *data)
 {
 	struct job_service *s = data;
-	struct pool_runner *p;
+	struct scheduler *x;
+
+	if (!http_service_allow_operator(s->kernel, r))
+		return;
+	x = asked_scheduler(s, r);
+	reply_explanation(r,
+			  x ? scheduler_explain(x, http_request_rest(r)) : NULL,
+			  "job not known to this process\n");
+}
+
+static void handle_explain_guarantee(struct http_request *r, void *data)
+{
+	struct job_service *s = data;
 	json_object *json = NULL;
-	char *pool;
+	struct scheduler *x;
 
 	if (!http_service_allow_operator(s->kernel, r))
 		return;
-	pool = pool_of_request(s, r);
-	p = find_runner(s, pool);
-	if (p)
-		json = scheduler_explain(pool_runner_scheduler(p),
-					 http_request_rest(r));
-	if (json)
-		http_request_reply(r, SOUP_STATUS_OK, json);
-	else
-		http_request_reply_text(r, SOUP_STATUS_NOT_FOUND,
-					"job not known to this process\n");
-	g_free(pool);
+	x = asked_scheduler(s, r);
+	if (x)
+		json = scheduler_explain_guarantee(x, http_request_rest(r),
+						   util_monotonic_ms());
+	reply_explanation(r, json,
+			  "no guarantees known to this process; it may not "
+			  "hold the pool\n");
 }
 
 static json_object *encode_stats(const struct scheduler_stats *x)
@@ -339,6 +368,8 @@
 	config_service_subscribe(config_of(s), on_config, s);
 	http_server_route(server, "POST", POKE_PATH, handle_poke, s);
 	http_server_route(server, "GET", EXPLAIN_PATH, handle_explain, s);
+	http_server_route(server, "GET", EXPLAIN_GUARANTEE_PATH,
+			  handle_explain_guarantee, s);
 	pool = g_strdup_printf("%s.%s", settings_of(k)->service,
 			       settings_of(k)->failure_domain);
 	add_runner(s, pool);
--- a/job/guarantee_plan.c
+++ b/job/guarantee_plan.c
@@ -687,6 +687,12 @@
 	}
 }
 
+char *guarantee_plan_place(const struct pool *pool, const struct guarantee *g)
+{
+	return g_strdup_printf("client_accounts.%s.%s.%s", g->client_account,
+			       pool->name, g->name);
+}
+
 gboolean pool_check_guarantees(const struct pool *pool,
 			       struct finding_list *findings)
 {
@@ -700,8 +706,7 @@
 
 		if (!fault)
 			continue;
-		place = g_strdup_printf("client_accounts.%s.%s.%s",
-					g->client_account, pool->name, g->name);
+		place = guarantee_plan_place(pool, g);
 		finding_list_add(findings, place, "", "%s", fault);
 		g_free(place);
 	}
--- a/job/guarantee_plan.h
+++ b/job/guarantee_plan.h
@@ -22,6 +22,9 @@
 /** Takes idle slots off a worker that is not usable any more. */
 void guarantee_plan_drop_worker(struct pool *pool, struct worker_cell *worker);
 
+/** Returns the place of a guarantee in the configuration; free it. */
+char *guarantee_plan_place(const struct pool *pool, const struct guarantee *g);
+
 /** Tells whether a slot is in use by a guaranteed job. */
 gboolean slot_is_used(const struct slot *slot);
 
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -160,6 +160,7 @@
 	s->doc = doc;
 	s->config_version = version;
 	pool_set_guarantees(s->pool, doc);
+	guarantee_watch_restart(s->unmet, now_ms);
 	job_queue_set_shares(s->queue, doc);
 	s->needs_decision = TRUE;
 	scheduler_finish_event(s, now_ms);
@@ -580,6 +581,7 @@
 	s->phase = SCHEDULER_ACTIVE;
 	s->recoveries++;
 	s->recovery_ms = now_ms - s->recovery_since_ms;
+	guarantee_watch_restart(s->unmet, now_ms);
 	s->needs_decision = TRUE;
 	log_phase(s);
 	g_hash_table_iter_init(&iter, s->workers);
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -134,6 +134,14 @@
 /** Explains a job; NULL when it is not known here. Free with put. */
 json_object *scheduler_explain(const struct scheduler *s, const char *id);
 
+/**
+ * Explains the guarantees of a client account; NULL unless this process
+ * decides and the account has some here. Free with put.
+ */
+json_object *scheduler_explain_guarantee(const struct scheduler *s,
+					 const char *client_account,
+					 int64_t now_ms);
+
 void scheduler_get_stats(const struct scheduler *s,
 			 struct scheduler_stats *stats);
 const char *scheduler_phase_name(enum scheduler_phase phase);
--- a/job/scheduler_explain.c
+++ b/job/scheduler_explain.c
@@ -1,6 +1,7 @@
 /*
- * What a scheduler tells operators of one job.
+ * What a scheduler tells operators of a job, or of an account's guarantees.
  */
+#include "job/guarantee_explanation.h"
 #include "job/job_explanation.h"
 #include "job/scheduler_state.h"
 
@@ -112,3 +113,14 @@
 	schema_clear(&job_explanation_schema, &x);
 	return json;
 }
+
+json_object *scheduler_explain_guarantee(const struct scheduler *s,
+					 const char *client_account,
+					 int64_t now_ms)
+{
+	if (s->phase != SCHEDULER_ACTIVE)
+		return NULL;
+	guarantee_watch_update(s->unmet, s->pool, now_ms);
+	return guarantee_explanation_json(s->pool, s->unmet, client_account,
+					  s->epoch, now_ms, s->wall_offset_ms);
+}
--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -55,6 +55,7 @@
 	char *borrowed[BORROWED];
 	gboolean was_running[BORROWED]; /* when the guarantee was claimed */
 	int64_t since_ms;		/* the bound counts from here */
+	json_object *explained;		/* ids that were said to be stopped */
 };
 
 /*
@@ -155,6 +156,45 @@
 	return is_it;
 }
 
+/* Asks what would stop if the guarantee were claimed now. */
+static json_object *explain_guarantee(struct run *r)
+{
+	struct gang_cluster *g = r->cluster;
+	struct cluster_reply reply = cluster_call(
+		g->cluster, "GET", g->addresses[gang_cluster_holder(g)],
+		"/v1/explain/guarantee/a?pool=" GANG_POOL, NULL, NULL,
+		CLUSTER_CALL_TIMEOUT_MS);
+	json_object *list = NULL;
+	json_object *first;
+	json_object *jobs = NULL;
+
+	g_assert_cmpuint(reply.code, ==, 200);
+	g_assert_true(
+		json_object_object_get_ex(reply.body, "guarantees", &list));
+	first = json_object_array_get_idx(list, 0);
+	g_assert_cmpstr(
+		json_object_get_string(json_object_object_get(first, "state")),
+		==, "held");
+	g_assert_true(json_object_object_get_ex(first, "would_stop", &jobs));
+	json_object_get(jobs);
+	cluster_reply_clear(&reply);
+	return jobs;
+}
+
+/* The same as an operator reads it. */
+static void check_command(struct gang_cluster *g)
+{
+	struct cluster_process *p = cluster_spawn(
+		g->cluster, "csctl", "explain",
+		CLUSTER_ARGS("--server", g->addresses[gang_cluster_holder(g)],
+			     "explain", "guarantee", "a", "--pool", GANG_POOL));
+
+	g_assert_cmpint(cluster_wait_exit(p, CLUSTER_CALL_TIMEOUT_MS), ==, 0);
+	g_assert_cmpuint(cluster_grep(p, "rerun of a in " GANG_POOL ": held"),
+			 ==, 1);
+	g_assert_cmpuint(cluster_grep(p, "  would stop: borrowed"), ==, 1);
+}
+
 static void claim(struct run *r)
 {
 	const struct gang_submission rerun = {
@@ -162,6 +202,8 @@
 	};
 	struct gang_cluster *g = r->cluster;
 
+	r->explained = explain_guarantee(r);
+	check_command(g);
 	if (r->c->is_slow)
 		cluster_control(g->cluster, g->workers[GANG_WORKERS - 1],
 				"{\"delay_ms\":600}");
@@ -255,6 +297,28 @@
 	g_assert_cmpuint(reclaimed[1], >, 0);
 }
 
+static gboolean was_explained(struct run *r, const char *id)
+{
+	for (size_t i = 0; i < json_object_array_length(r->explained); i++) {
+		if (g_str_equal(
+			    json_object_get_string(
+				    json_object_array_get_idx(r->explained, i)),
+			    id))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* What was said before the claim is what was stopped, on full workers. */
+static void check_explained(struct run *r)
+{
+	g_assert_cmpuint(json_object_array_length(r->explained), >, 0);
+	for (guint i = 0; !r->c->is_slow && i < BORROWED; i++)
+		g_assert_cmpint(was_explained(r, r->borrowed[i]), ==,
+				was_reclaimed(r, i));
+	json_object_put(r->explained);
+}
+
 static void check_histories(struct run *r)
 {
 	char *fault = gang_cluster_check(r->cluster,
@@ -279,6 +343,7 @@
 		r.c->heal(r.cluster);
 	check_start(&r);
 	check_borrowed(&r);
+	check_explained(&r);
 	check_histories(&r);
 	gang_cluster_close(r.cluster);
 	for (guint i = 0; i < BORROWED; i++)
--- a/tests/test_job_api.c
+++ b/tests/test_job_api.c
@@ -17,13 +17,18 @@
 #define SHAPE(members, accelerators)                                \
 	"{\"members\":" #members ",\"accelerators\":" #accelerators \
 	",\"cores\":1,\"memory_mb\":1,\"adjacency\":\"none\"}"
-#define CONFIG                                                             \
-	"{\"format\":1,\"services\":[{\"name\":\"salkhi\","                \
-	"\"failure_domains\":[\"tov-a\"]}],\"client_accounts\":["          \
-	"{\"name\":\"a\",\"service\":\"salkhi\",\"share\":1}],"            \
-	"\"jobs\":[{\"name\":\"gust-map\",\"client_account\":\"a\","       \
-	"\"pool\":\"salkhi.tov-a\",\"class\":\"normal\",\"shape\":" SHAPE( \
-		3, 8) ",\"expected_run_ms\":300,\"is_checkpointable\":true}]}"
+#define CONFIG                                                                \
+	"{\"format\":1,\"services\":[{\"name\":\"salkhi\","                   \
+	"\"failure_domains\":[\"tov-a\"]}],\"client_accounts\":["             \
+	"{\"name\":\"a\",\"service\":\"salkhi\",\"share\":1,"                 \
+	"\"guaranteed_shapes\":[{\"name\":\"s\",\"pool\":\"salkhi.tov-a\","   \
+	"\"shape\":" SHAPE(1, 1) "}]}],"                                      \
+				 "\"jobs\":[{\"name\":\"gust-map\",\"client_" \
+				 "account\":\"a\","                           \
+				 "\"pool\":\"salkhi.tov-a\",\"class\":"       \
+				 "\"normal\",\"shape\":" SHAPE(               \
+					 3, 8) ",\"expected_run_ms\":300,"    \
+					       "\"is_checkpointable\":true}]}"
 
 struct gateway {
 	struct gang_cluster *pool;
@@ -113,6 +118,8 @@
 	{ "GET", "/v1/jobs/j" POOL_QUERY, NULL, 200, "\"id\":\"j\"" },
 	{ "GET", "/v1/jobs/none" POOL_QUERY, NULL, 404, "no-such-job" },
 	{ "DELETE", "/v1/jobs/none" POOL_QUERY, NULL, 404, "no-such-job" },
+	{ "GET", "/v1/explain/guarantee/b" POOL_QUERY, NULL, 404,
+	  "not-known-to-holder" },
 };
 
 static void check_call(struct gateway *g, const char *method, const char *path,
@@ -128,11 +135,22 @@
 	g_assert_true(gang_cluster_wait_state(g->pool, id, state, TIMEOUT_MS));
 }
 
+/* The scheduler has the configuration a little later than the gateway. */
+static gboolean explains_guarantee(void *data)
+{
+	struct gateway *g = data;
+
+	call(g, "GET", "/v1/explain/guarantee/a" POOL_QUERY, NULL);
+	return g->code == 200 &&
+	       strstr(g->text, "\"guarantees\":[{\"name\":\"s\"");
+}
+
 static void test_calls(void)
 {
 	struct gateway g;
 
 	open_gateway(&g);
+	g_assert_true(cluster_wait(explains_guarantee, &g, TIMEOUT_MS));
 	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
 		g_test_message("%s %s %s", calls[i].method, calls[i].path,
 			       calls[i].body ? calls[i].body : "");
