--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -153,6 +153,7 @@
 	s->doc = doc;
 	s->config_version = version;
 	pool_set_guarantees(s->pool, doc);
+	guarantee_watch_restart(s->unmet, now_ms);
 	job_queue_set_shares(s->queue, doc);
 	s->needs_decision = TRUE;
 	scheduler_finish_event(s, now_ms);
--- a/job/scheduler_recovery.c
+++ b/job/scheduler_recovery.c
@@ -113,6 +113,7 @@
 	s->phase = SCHEDULER_ACTIVE;
 	s->recoveries++;
 	s->recovery_ms = now_ms - s->recovery_since_ms;
+	guarantee_watch_restart(s->unmet, now_ms);
 	s->needs_decision = TRUE;
 	scheduler_log_phase(s);
 	g_hash_table_iter_init(&iter, s->workers);
