--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -398,8 +398,10 @@
 	int64_t now_ms = util_monotonic_ms();
 
 	/* As for calls: a process that was paused must not grant either. */
-	return has_role(p, now_ms) &&
-	       scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
+	if (!has_role(p, now_ms))
+		return FALSE;
+	tell_event(p);
+	return scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
 					   grant);
 }
 
