--- a/tests/test_renewals.c
+++ b/tests/test_renewals.c
@@ -656,6 +656,7 @@
 static void test_refused(void)
 {
 	const struct grant_case grant = { "", "h", EPOCH, 0, 0, TRUE };
+	const struct worker_report report = { 0 };
 	struct renewal_delegate *d = renewal_delegate_new(POOL);
 	const struct delegated_worker *w;
 	int64_t now_ms;
@@ -665,7 +666,7 @@
 	give(d, &grant, "w1", now_ms);
 	w = renewal_delegate_next(d, now_ms);
 	renewal_delegate_on_answer(d, "w1", w->call_id, WORKER_STALE_EPOCH,
-				   NULL, now_ms);
+				   &report, now_ms);
 	g_assert_null(renewal_delegate_next(d, now_ms + 1000));
 	g_assert_null(d->holder);
 	renewal_delegate_on_holder(d, "h", EPOCH);
