Queue: jobs are told that they became impossible when workers are lost

Cause: shapes that had no room are not tried again until the pool's version rises, and losing a worker did not raise it. Over processes (new test, failed first) a queued gang was told 22.1 s after its worker was killed with 6 s set in place of ten minutes: only when the lost worker's other gang had ended. With nothing ending it would not have been told.

Ruled out: the grace itself (it began late; it lasted 6 s).

Change: the version rises when a worker is lost. The time is a setting, impossible_grace_ms, ten minutes without it.

Conclusion: proved over processes, both ways.

--- a/config/settings.c
+++ b/config/settings.c
@@ -11,6 +11,8 @@
 #define MAX_DRAIN_TIMEOUT_MS 600000
 #define DEFAULT_PLATFORM_TIMEOUT_MS 1000
 #define MAX_PLATFORM_TIMEOUT_MS 60000
+#define DEFAULT_IMPOSSIBLE_GRACE_MS 600000
+#define MAX_IMPOSSIBLE_GRACE_MS 86400000
 #define DEFAULT_LOG_LEVEL 1
 
 static const char *const log_level_names[] = { "debug", "info", "warn", "error",
@@ -57,6 +59,12 @@
 	  .min = 10,
 	  .max = MAX_PLATFORM_TIMEOUT_MS,
 	  .fallback = DEFAULT_PLATFORM_TIMEOUT_MS },
+	{ .name = "impossible_grace_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, impossible_grace_ms),
+	  .min = 1000,
+	  .max = MAX_IMPOSSIBLE_GRACE_MS,
+	  .fallback = DEFAULT_IMPOSSIBLE_GRACE_MS },
 	{ 0 },
 };
 
--- a/config/settings.h
+++ b/config/settings.h
@@ -27,6 +27,7 @@
 	int64_t log_level; /**< enum log_level */
 	int64_t drain_timeout_ms;
 	int64_t platform_timeout_ms;
+	int64_t impossible_grace_ms; /**< that jobs wait for lost workers */
 };
 
 extern const struct schema settings_schema;
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -334,6 +334,7 @@
 		.node = settings_of(k)->node,
 		.incarnation = incarnation_of(k),
 		.policy = PLACEMENT_POLICY_DEFAULT,
+		.impossible_grace_ms = settings_of(k)->impossible_grace_ms,
 		.ops = &ops,
 		.data = p,
 	};
--- a/job/job_queue.c
+++ b/job/job_queue.c
@@ -43,6 +43,7 @@
 	uint64_t full_version;
 	char *reserved_id; /* job that the reservation is for, or NULL */
 	int64_t reserved_ms;
+	int64_t impossible_grace_ms;
 };
 
 void job_decision_init(struct job_decision *d)
@@ -85,6 +86,7 @@
 	struct job_queue *q = g_new0(struct job_queue, 1);
 
 	q->discipline = discipline;
+	q->impossible_grace_ms = JOB_IMPOSSIBLE_GRACE_MS;
 	q->waiting = g_hash_table_new(g_str_hash, g_str_equal);
 	q->lanes = g_ptr_array_new_with_free_func(lane_free);
 	q->lanes_by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -116,6 +118,11 @@
 	return MAX(share, 1);
 }
 
+void job_queue_set_impossible_grace(struct job_queue *q, int64_t grace_ms)
+{
+	q->impossible_grace_ms = grace_ms;
+}
+
 void job_queue_set_shares(struct job_queue *q, const struct config_doc *doc)
 {
 	g_hash_table_remove_all(q->shares);
@@ -295,7 +302,7 @@
 	set_reason(w, d->out->placement.reason);
 	if (!pool_known_workers_fit(d->pool, &w->job.shape))
 		return STATUS_REFUSED;
-	if (d->now_ms - w->impossible_ms >= JOB_IMPOSSIBLE_GRACE_MS)
+	if (d->now_ms - w->impossible_ms >= d->q->impossible_grace_ms)
 		return STATUS_REFUSED;
 	return STATUS_FULL;
 }
--- a/job/job_queue.h
+++ b/job/job_queue.h
@@ -15,7 +15,7 @@
 #include "job/placement/placement.h"
 #include "job/pool.h"
 
-/** Before a waiting job is told that the workers it needs are gone. */
+/** Before a waiting job is told that its workers are gone, unless set. */
 #define JOB_IMPOSSIBLE_GRACE_MS (INT64_C(10) * 60 * 1000)
 
 struct job_queue;
@@ -34,6 +34,9 @@
 struct job_queue *job_queue_new(enum queue_discipline discipline);
 void job_queue_free(struct job_queue *q);
 
+/** Sets how long waiting jobs give lost workers to return. */
+void job_queue_set_impossible_grace(struct job_queue *q, int64_t grace_ms);
+
 /** Takes the accounts' shares of a configuration. */
 void job_queue_set_shares(struct job_queue *q, const struct config_doc *doc);
 
--- a/job/pool_cells.c
+++ b/job/pool_cells.c
@@ -192,9 +192,8 @@
 	if (!w || w->is_usable == is_usable)
 		return;
 	w->is_usable = is_usable;
-	if (is_usable)
-		pool->version++;
-	else
+	pool->version++;
+	if (!is_usable)
 		guarantee_plan_drop_worker(pool, w);
 	pool->is_plan_stale = TRUE;
 	g_hash_table_remove_all(pool->most_members);
--- a/job/pool_state.h
+++ b/job/pool_state.h
@@ -98,7 +98,7 @@
 	gboolean is_plan_stale;	  /**< a new search may hold more slots */
 	uint64_t trial_id;
 	guint next_sample; /**< cell to go on with in samples of all */
-	uint64_t version;  /**< rises when anything is freed */
+	uint64_t version;  /**< rises when anything is freed or lost */
 	uint64_t visits;   /**< cells looked at: the work of decisions */
 };
 
--- a/job/scheduler.c
+++ b/job/scheduler.c
@@ -31,6 +31,10 @@
 	s->pool = pool_new(spec->pool);
 	s->policy = placement_policy_new(spec->policy);
 	s->queue = job_queue_new(s->policy->class->discipline);
+	s->impossible_grace_ms = spec->impossible_grace_ms
+					 ? spec->impossible_grace_ms
+					 : JOB_IMPOSSIBLE_GRACE_MS;
+	job_queue_set_impossible_grace(s->queue, s->impossible_grace_ms);
 	s->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   (GDestroyNotify)worker_contact_free);
 	s->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -53,7 +53,8 @@
 	const char *pool;
 	const char *node;
 	const char *incarnation;
-	const char *policy; /**< of placement */
+	const char *policy;	     /**< of placement */
+	int64_t impossible_grace_ms; /**< 0 for the default */
 	const struct scheduler_ops *ops;
 	void *data;
 };
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -37,6 +37,7 @@
 	struct pool *pool;
 	struct placement_policy *policy;
 	struct job_queue *queue;
+	int64_t impossible_grace_ms;
 	const struct config_doc *doc;
 	int64_t config_version;
 	gboolean needs_decision;
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -174,7 +174,7 @@
 	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired))
 		return FALSE;
 	return g_hash_table_size(c->tasks) == 0 &&
-	       now_ms >= c->unlisted_ms + JOB_IMPOSSIBLE_GRACE_MS;
+	       now_ms >= c->unlisted_ms + s->impossible_grace_ms;
 }
 
 static void forget_worker(struct scheduler *s, struct worker_contact *c)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -223,6 +223,9 @@
 		DEFAULT_PLATFORM_TIMEOUT_MS);
 	add_int(json, "drain_timeout_ms", node->drain_timeout_ms,
 		DEFAULT_DRAIN_TIMEOUT_MS);
+	if (node->impossible_grace_ms)
+		add_int(json, "impossible_grace_ms", node->impossible_grace_ms,
+			0);
 	for (guint i = 0; node->seeds && node->seeds[i]; i++)
 		json_object_array_add(seeds,
 				      json_object_new_string(node->seeds[i]));
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -50,6 +50,7 @@
 	const char *const *seeds;   /**< ends with NULL; none */
 	int64_t platform_timeout_ms;
 	int64_t drain_timeout_ms;
+	int64_t impossible_grace_ms;
 };
 
 typedef gboolean (*cluster_condition)(void *data);
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -13,7 +13,10 @@
 {
 	char *name = g_strdup_printf("sched%u-%u", index,
 				     g->cluster->processes->len);
-	struct cluster_node node = { .node = name, .platform = g->platform };
+	struct cluster_node node = { .node = name,
+				     .platform = g->platform,
+				     .impossible_grace_ms =
+					     g->impossible_grace_ms };
 
 	g_free(g->addresses[index]);
 	g->addresses[index] = cluster_address();
@@ -98,7 +101,7 @@
 	return gang_cluster_usable_workers(data) == GANG_WORKERS;
 }
 
-struct gang_cluster *gang_cluster_start(guint schedulers)
+static struct gang_cluster *start(guint schedulers, int64_t impossible_grace_ms)
 {
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
@@ -109,6 +112,7 @@
 	g->platform = cluster_listening(g->platform_process, 0);
 	start_workers(g);
 	g->scheduler_count = schedulers;
+	g->impossible_grace_ms = impossible_grace_ms;
 	for (guint i = 0; i < schedulers; i++)
 		g->links[i] = cluster_address();
 	for (guint i = 0; i < schedulers; i++)
@@ -116,6 +120,11 @@
 	return g;
 }
 
+struct gang_cluster *gang_cluster_start(guint schedulers)
+{
+	return start(schedulers, 0);
+}
+
 void gang_cluster_wait_ready(struct gang_cluster *g)
 {
 	g_assert_true(cluster_wait(is_ready, g, READY_TIMEOUT_MS));
@@ -123,7 +132,13 @@
 
 struct gang_cluster *gang_cluster_open(guint schedulers)
 {
-	struct gang_cluster *g = gang_cluster_start(schedulers);
+	return gang_cluster_open_with(schedulers, 0);
+}
+
+struct gang_cluster *gang_cluster_open_with(guint schedulers,
+					    int64_t impossible_grace_ms)
+{
+	struct gang_cluster *g = start(schedulers, impossible_grace_ms);
 
 	gang_cluster_wait_ready(g);
 	return g;
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -22,6 +22,7 @@
 	struct cluster_process *worker_processes[2]; /**< w0 and w1, v0 */
 	char *workers[GANG_WORKERS];		     /**< addresses */
 	guint scheduler_count;
+	int64_t impossible_grace_ms; /**< of schedulers, 0 for the default */
 	struct cluster_process *schedulers[GANG_MAX_SCHEDULERS];
 	char *addresses[GANG_MAX_SCHEDULERS];
 	char *links[GANG_MAX_SCHEDULERS + 1]; /**< ends with NULL */
@@ -43,6 +44,10 @@
 /** Waits until a scheduler decides on all workers. */
 void gang_cluster_wait_ready(struct gang_cluster *g);
 
+/** Starts everything with another wait for lost workers, and waits. */
+struct gang_cluster *gang_cluster_open_with(guint schedulers,
+					    int64_t impossible_grace_ms);
+
 /** Starts everything and waits. */
 struct gang_cluster *gang_cluster_open(guint schedulers);
 void gang_cluster_close(struct gang_cluster *g);
--- /dev/null
+++ b/tests/test_gangs_impossible.c
@@ -0,0 +1,100 @@
+/*
+ * Jobs that stop being possible while they wait, over real processes: told
+ * after the time that lost workers have to return, and not before.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "job/worker_contact.h"
+#include "tests/gang_cluster.h"
+
+#define TIMEOUT_MS INT64_C(30000)
+/* The scheduler's setting, in place of ten minutes. */
+#define GRACE_MS INT64_C(6000)
+#define LONG_GRACE_MS INT64_C(600000)
+/* Until a worker that does not answer counts as lost (docs/design/gangs.md). */
+#define LOST_MS (WORKER_RENEW_MIN_MS + 3000)
+/* Decisions for what depends on time alone; the write; reading it. */
+#define DECISION_MS 2000
+#define MARGIN_MS 1000
+
+static const struct gang_submission block = {
+	"block", 3, 8, 60000, NULL, FALSE
+};
+static const struct gang_submission gang = { "gang", 3, 8, 300, NULL, FALSE };
+static const struct gang_submission small = { "small", 1, 1, 100, NULL, FALSE };
+
+static void submit(struct gang_cluster *g, const struct gang_submission *job)
+{
+	gang_cluster_submit(g, job);
+	gang_cluster_poke(g, job->id);
+}
+
+static void assert_state(struct gang_cluster *g, const char *id,
+			 const char *state)
+{
+	char *text = gang_cluster_row(g, id, "state");
+
+	g_assert_cmpstr(text, ==, state);
+	g_free(text);
+}
+
+static void wait_state(struct gang_cluster *g, const char *id,
+		       const char *state)
+{
+	g_assert_true(gang_cluster_wait_state(g, id, state, TIMEOUT_MS));
+}
+
+/* The worker never comes back. */
+static void test_told_later(void)
+{
+	struct gang_cluster *g = gang_cluster_open_with(1, GRACE_MS);
+	int64_t lost_ms;
+	int64_t took_ms;
+	char *reason;
+
+	submit(g, &block);
+	wait_state(g, "block", "running");
+	submit(g, &gang);
+	gang_cluster_kill_worker(g);
+	lost_ms = util_monotonic_ms();
+	cluster_sleep(GRACE_MS - MARGIN_MS);
+	assert_state(g, "gang", "queued");
+	wait_state(g, "gang", "refused");
+	took_ms = util_monotonic_ms() - lost_ms;
+	g_test_message("told after %" G_GINT64_FORMAT " ms", took_ms);
+	g_assert_cmpint(took_ms, >=, GRACE_MS);
+	g_assert_cmpint(took_ms, <=, LOST_MS + GRACE_MS + DECISION_MS);
+	reason = gang_cluster_row(g, "gang", "reason");
+	g_assert_nonnull(strstr(reason, "the pool can hold 2 of 3 members"));
+	g_free(reason);
+	g_assert_cmpuint(gang_cluster_events(g, "gang", "started"), ==, 0);
+	submit(g, &small);
+	wait_state(g, "small", "done");
+	gang_cluster_close(g);
+}
+
+/* The worker comes back within the time. */
+static void test_back_in_time(void)
+{
+	struct gang_cluster *g = gang_cluster_open_with(1, LONG_GRACE_MS);
+
+	gang_cluster_kill_worker(g);
+	cluster_sleep(LOST_MS);
+	g_assert_cmpint(gang_cluster_usable_workers(g), ==, GANG_WORKERS - 1);
+	submit(g, &gang);
+	cluster_sleep(DECISION_MS);
+	assert_state(g, "gang", "queued");
+	gang_cluster_start_worker(g);
+	wait_state(g, "gang", "done");
+	gang_cluster_close(g);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gangs/impossible/told-later", test_told_later);
+	g_test_add_func("/gangs/impossible/back-in-time", test_back_in_time);
+	return g_test_run();
+}
