--- a/base/http_client.c
+++ b/base/http_client.c
@@ -160,6 +160,9 @@
 		text = g_strndup(g_bytes_get_data(bytes, NULL),
 				 g_bytes_get_size(bytes));
 		reply.text = text;
+		reply.etag = soup_message_headers_get_one(
+			soup_message_get_response_headers(call->message),
+			"ETag");
 	} else {
 		reply.status = status_fail(call->is_sent ? STATUS_UNKNOWN
 							 : STATUS_UNAVAILABLE,
@@ -222,6 +225,8 @@
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
 	soup_message_add_flags(call->message, SOUP_MESSAGE_COLLECT_METRICS);
+	if (spec->may_reuse)
+		soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
 	set_headers(call->message, spec->headers);
 	if (spec->body)
 		set_body(call->message, spec->body);
--- a/job/gang.c
+++ b/job/gang.c
@@ -316,8 +316,12 @@
 		m->has_failed = TRUE;
 	if (traits[m->state].is_over || m->state == MEMBER_WAITING)
 		return;
-	if (state == TASK_RUNNING)
+	if (state == TASK_RUNNING) {
 		m->reported_ms = remaining_ms;
+		/* From before its checkpoint, as reports lag. */
+		if (m->remaining_ms > remaining_ms)
+			m->remaining_ms = MAX(remaining_ms, 1);
+	}
 	if (state == TASK_DONE)
 		set_member(m, MEMBER_DONE, now_ms);
 	else if (state == TASK_FAILED)
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -16,6 +16,7 @@
 #include "config/config_doc.h"
 #include "job/job_record.h"
 #include "job/pool.h"
+#include "job/renewal_message.h"
 #include "job/worker_report.h"
 #include "shared/pool_lease.h"
 
@@ -55,6 +56,7 @@
 	const char *incarnation;
 	const char *policy;	     /**< of placement */
 	int64_t impossible_grace_ms; /**< 0 for the default */
+	gboolean shares_always;	     /**< also where that shortens no bound */
 	const struct scheduler_ops *ops;
 	void *data;
 };
@@ -82,8 +84,11 @@
 	guint gangs;
 	int64_t recoveries;
 	int64_t recovery_ms; /**< of the last one */
+	guint delegates;     /**< that renew for this process */
+	guint shared_workers;
 	int64_t renew_ms;
 	int64_t lease_ms;
+	int64_t bound_ms; /**< on gangs in part */
 };
 
 struct scheduler *scheduler_new(const struct scheduler_spec *spec);
@@ -106,6 +111,21 @@
 			 int64_t call_id, enum worker_answer answer,
 			 const struct worker_report *report, int64_t now_ms);
 
+/** Sets how many schedulers live in the failure domain, itself included. */
+void scheduler_set_schedulers(struct scheduler *s, guint count);
+
+/**
+ * Takes a delegate's report and deals it a share of the workers.
+ *
+ * @param grant		initialised; filled for TRUE, to be sent at once
+ * @return		FALSE when this process does not hold that epoch, or
+ *			shares nothing
+ */
+gboolean scheduler_on_renewal_report(struct scheduler *s, const char *node,
+				     const struct renewal_report *report,
+				     int64_t now_ms,
+				     struct renewal_grant *grant);
+
 /** Takes a row from a scan or from a read outside the scheduler. */
 void scheduler_on_row(struct scheduler *s, int64_t version,
 		      const struct job_record *r, int64_t now_ms);
@@ -126,12 +146,18 @@
 		       const struct job_record *r, int64_t now_ms);
 
 /**
- * Acts on what is due; call every 100 ms or so.
+ * Acts on what is due; call after events and when scheduler_due_ms() says.
  *
  * @param wall_ms	the wall clock, for rows
  */
 void scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms);
 
+/**
+ * Returns the earliest time at which scheduler_tick() has something to do
+ * unless an event comes before; WAKE_NEVER for none.
+ */
+int64_t scheduler_due_ms(const struct scheduler *s, int64_t now_ms);
+
 /** Explains a job; NULL when it is not known here. Free with put. */
 json_object *scheduler_explain(const struct scheduler *s, const char *id);
 
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -5,6 +5,7 @@
 #include "job/scheduler_state.h"
 
 #include "base/log.h"
+#include "base/wake_plan.h"
 #include "job/task_name.h"
 
 struct worker_contact *scheduler_contact(struct scheduler *s, const char *name)
@@ -14,7 +15,13 @@
 
 int64_t scheduler_lease_ms(const struct scheduler *s)
 {
-	return worker_lease_ms(s->listed_workers);
+	return worker_lease_ms(s->listed_workers, scheduler_peers(s));
+}
+
+/* Of a worker that is not listed the lease may be an older holder's. */
+int64_t scheduler_longest_lease_ms(const struct scheduler *s)
+{
+	return worker_lease_ms(s->listed_workers, 1);
 }
 
 static struct worker_contact *add_contact(struct scheduler *s, const char *name,
@@ -165,22 +172,25 @@
  * Off the platform's list, nothing can run there any more, and jobs that need
  * it have been told. Without a role nothing is called, so nothing expires.
  */
-static gboolean is_gone(const struct scheduler *s,
-			const struct worker_contact *c, int64_t now_ms)
+int64_t scheduler_forget_ms(const struct scheduler *s,
+			    const struct worker_contact *c)
 {
 	gboolean has_role =
 		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
 
-	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired))
-		return FALSE;
-	return g_hash_table_size(c->tasks) == 0 &&
-	       now_ms >= c->unlisted_ms + s->impossible_grace_ms;
+	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired) ||
+	    g_hash_table_size(c->tasks) > 0)
+		return WAKE_NEVER;
+	return c->unlisted_ms + s->impossible_grace_ms;
 }
 
-static void forget_worker(struct scheduler *s, struct worker_contact *c)
+static void forget_worker(struct scheduler *s, struct worker_contact *c,
+			  int64_t now_ms)
 {
-	if (pool_remove_worker(s->pool, c->name) == STATUS_CONFLICT)
+	if (pool_remove_worker(s->pool, c->name) == STATUS_CONFLICT) {
+		c->unlisted_ms = now_ms; /* tried again as late */
 		return;
+	}
 	log_worker(s, "worker_forgotten", c);
 	worker_health_forget_worker(s->health, c->name);
 	g_hash_table_remove(s->workers, c->name);
@@ -188,7 +198,7 @@
 
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms)
 {
-	int64_t lease_ms = scheduler_lease_ms(s);
+	int64_t lease_ms = scheduler_longest_lease_ms(s);
 	GHashTableIter iter;
 	gpointer item;
 	GPtrArray *all = g_ptr_array_new();
@@ -204,8 +214,8 @@
 			on_contact_event(s, all->pdata[i], event, now_ms);
 	}
 	for (guint i = 0; i < all->len; i++) {
-		if (is_gone(s, all->pdata[i], now_ms))
-			forget_worker(s, all->pdata[i]);
+		if (now_ms >= scheduler_forget_ms(s, all->pdata[i]))
+			forget_worker(s, all->pdata[i], now_ms);
 	}
 	g_ptr_array_unref(all);
 }
@@ -249,6 +259,7 @@
 
 	s->has_workers = TRUE;
 	s->listed_workers = count;
+	s->is_share_stale = TRUE;
 	for (guint i = 0; i < count; i++)
 		set_listed(s, &workers[i], now_ms);
 	g_hash_table_iter_init(&iter, s->workers);
@@ -314,7 +325,10 @@
 	g_array_set_size(c->sent, 0);
 	if (s->phase != SCHEDULER_RECOVERING)
 		append_commands(c, &call);
-	worker_contact_on_sent(c, ++s->calls, now_ms);
+	if (s->phase == SCHEDULER_ACTIVE && !c->sent->len &&
+	    worker_contact_is_settled(c))
+		call.known = g_strdup(c->worker_digest);
+	worker_contact_on_sent(c, ++s->calls, scheduler_lease_ms(s), now_ms);
 	s->ops->call_worker(c->name, c->address, c->call_id, &call, s->data);
 	worker_call_clear(&call);
 }
@@ -417,10 +431,17 @@
 static void take_answer(struct scheduler *s, struct worker_contact *c,
 			const struct worker_report *report, int64_t now_ms)
 {
-	int64_t period_ms = worker_renew_period_ms(s->listed_workers);
+	int64_t period_ms =
+		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
 	int64_t as_of_ms = worker_contact_on_answer(c, period_ms, now_ms);
-	GPtrArray *entries = entries_on(c);
+	GPtrArray *entries;
 
+	if (report->is_unchanged) {
+		update_usable(s, c, now_ms);
+		return;
+	}
+	entries = entries_on(c);
+	worker_contact_on_tasks(c, report);
 	if (s->caretaker)
 		caretaker_on_report(s->caretaker, c->name, report->tasks);
 	take_results(c, report, now_ms);
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -7,6 +7,10 @@
 #include "job/job_record.h"
 
 #define READY_TIMEOUT_MS 20000
+/* Of a worker's stand-in, unless it is told otherwise. */
+#define WORKER_ACCELERATORS 8
+#define WORKER_CORES 64
+#define WORKER_MEMORY_MB 131072
 #define ROWS_PATH "/table/jobs/salkhi.tov-a%2F"
 
 void gang_cluster_start_scheduler(struct gang_cluster *g, guint index)
@@ -28,19 +32,45 @@
 	g_free(name);
 }
 
-static void start_workers(struct gang_cluster *g)
+/* Lists the last worker under the relay's address, as it does itself. */
+static void relay_last_worker(struct gang_cluster *g)
+{
+	char *route = g_strdup_printf("127.0.0.1:0=%s", g->workers[2]);
+	struct cluster_process *p =
+		cluster_spawn(g->cluster, "cs-standin-relay", "relay",
+			      CLUSTER_ARGS("--route", route));
+	char *address = cluster_listening(p, 0);
+	char *body = g_strdup_printf(
+		"{\"add_vms\":[{\"vm\":\"v0\",\"role\":\"worker\","
+		"\"service\":\"salkhi\",\"failure_domain\":\"tov-a\","
+		"\"rack\":\"r0\",\"state\":\"live\",\"address\":\"%s\","
+		"\"accelerators\":%d,\"cores\":%d,\"memory_mb\":%d}]}",
+		address, WORKER_ACCELERATORS, WORKER_CORES, WORKER_MEMORY_MB);
+
+	g->relay_control = cluster_log_value(p, "control", 0);
+	cluster_control(g->cluster, g->platform, body);
+	g_free(body);
+	g_free(address);
+	g_free(route);
+}
+
+static void start_workers(struct gang_cluster *g, gboolean is_relayed)
 {
 	g->worker_processes[0] =
 		cluster_spawn(g->cluster, "cs-standin-worker", "workers",
 			      CLUSTER_ARGS("--platform", g->platform, "--vm",
 					   "w", "--count", "2"));
-	g->worker_processes[1] =
-		cluster_spawn(g->cluster, "cs-standin-worker", "last-worker",
-			      CLUSTER_ARGS("--platform", g->platform, "--vm",
-					   "v0", "--rack", "r0"));
+	g->worker_processes[1] = cluster_spawn(
+		g->cluster, "cs-standin-worker", "last-worker",
+		is_relayed ? CLUSTER_ARGS("--vm", "v0", "--rack", "r0",
+					  "--no-digest")
+			   : CLUSTER_ARGS("--platform", g->platform, "--vm",
+					  "v0", "--rack", "r0", "--no-digest"));
 	g->workers[0] = cluster_listening(g->worker_processes[0], 0);
 	g->workers[1] = cluster_listening(g->worker_processes[0], 1);
 	g->workers[2] = cluster_listening(g->worker_processes[1], 0);
+	if (is_relayed)
+		relay_last_worker(g);
 }
 
 static json_object *pool_status(struct gang_cluster *g, guint index)
@@ -72,21 +102,28 @@
 	return is_it;
 }
 
-int64_t gang_cluster_usable_workers(struct gang_cluster *g)
+int64_t gang_cluster_status(struct gang_cluster *g, guint index,
+			    const char *member)
 {
-	int holder = gang_cluster_holder(g);
-	json_object *pool = NULL;
+	json_object *pool = pool_status(g, index);
 	int64_t count = -1;
 
-	if (holder >= 0)
-		pool = pool_status(g, (guint)holder);
 	if (pool)
 		count = json_object_get_int64(
-			json_object_object_get(pool, "usable_workers"));
+			json_object_object_get(pool, member));
 	json_object_put(pool);
 	return count;
 }
 
+int64_t gang_cluster_usable_workers(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	if (holder < 0)
+		return -1;
+	return gang_cluster_status(g, (guint)holder, "usable_workers");
+}
+
 int gang_cluster_holder(struct gang_cluster *g)
 {
 	for (guint i = 0; i < g->scheduler_count; i++) {
@@ -98,10 +135,24 @@
 
 static gboolean is_ready(void *data)
 {
-	return gang_cluster_usable_workers(data) == GANG_WORKERS;
+	const struct gang_cluster *g = data;
+
+	return gang_cluster_usable_workers(data) == GANG_WORKERS + g->fillers;
+}
+
+static void start_fillers(struct gang_cluster *g)
+{
+	char *count = g_strdup_printf("%u", g->fillers);
+
+	cluster_spawn(g->cluster, "cs-standin-worker", "fillers",
+		      CLUSTER_ARGS("--platform", g->platform, "--vm", "x",
+				   "--count", count, "--accelerators", "0"));
+	g_free(count);
 }
 
-static struct gang_cluster *start(guint schedulers, int64_t impossible_grace_ms)
+static struct gang_cluster *start_all(guint schedulers, gboolean is_relayed,
+				      guint fillers,
+				      int64_t impossible_grace_ms)
 {
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
@@ -110,7 +161,10 @@
 	g->platform_process = cluster_spawn(g->cluster, "cs-standin-platform",
 					    "platform", NULL);
 	g->platform = cluster_listening(g->platform_process, 0);
-	start_workers(g);
+	start_workers(g, is_relayed);
+	g->fillers = fillers;
+	if (fillers)
+		start_fillers(g);
 	g->scheduler_count = schedulers;
 	g->impossible_grace_ms = impossible_grace_ms;
 	for (guint i = 0; i < schedulers; i++)
@@ -120,9 +174,15 @@
 	return g;
 }
 
-struct gang_cluster *gang_cluster_start(guint schedulers)
+struct gang_cluster *gang_cluster_start(guint schedulers, gboolean is_relayed)
+{
+	return start_all(schedulers, is_relayed, 0, 0);
+}
+
+struct gang_cluster *gang_cluster_start_wide(guint schedulers,
+					     gboolean is_relayed, guint fillers)
 {
-	return start(schedulers, 0);
+	return start_all(schedulers, is_relayed, fillers, 0);
 }
 
 void gang_cluster_wait_ready(struct gang_cluster *g)
@@ -138,7 +198,8 @@
 struct gang_cluster *gang_cluster_open_with(guint schedulers,
 					    int64_t impossible_grace_ms)
 {
-	struct gang_cluster *g = start(schedulers, impossible_grace_ms);
+	struct gang_cluster *g =
+		start_all(schedulers, FALSE, 0, impossible_grace_ms);
 
 	gang_cluster_wait_ready(g);
 	return g;
@@ -155,6 +216,7 @@
 	}
 	g_array_unref(g->kept);
 	g_free(g->platform);
+	g_free(g->relay_control);
 	g_free(g);
 }
 
@@ -384,10 +446,10 @@
 	char *name =
 		g_strdup_printf("last-worker-%u", g->cluster->processes->len);
 
-	g->worker_processes[1] =
-		cluster_spawn(g->cluster, "cs-standin-worker", name,
-			      CLUSTER_ARGS("--platform", g->platform, "--vm",
-					   "v0", "--rack", "r0"));
+	g->worker_processes[1] = cluster_spawn(
+		g->cluster, "cs-standin-worker", name,
+		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0", "--rack",
+			     "r0", "--no-digest"));
 	g_free(g->workers[GANG_WORKERS - 1]);
 	g->workers[GANG_WORKERS - 1] =
 		cluster_listening(g->worker_processes[1], 0);
@@ -399,6 +461,9 @@
 	guint first = g->kept->len;
 	guint last;
 
+	/* Nothing may happen between its history and its end. */
+	cluster_control(g->cluster, g->workers[GANG_WORKERS - 1],
+			"{\"silent\":true}");
 	read_history(g, GANG_WORKERS - 1, g->kept);
 	cluster_signal(g->worker_processes[1], SIGKILL);
 	cluster_wait_exit(g->worker_processes[1], CLUSTER_CALL_TIMEOUT_MS);
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * A pool over real processes: the platform's stand-in, three workers (the last
- * in a process of its own), schedulers. The workers' histories are the truth
- * that is checked.
+ * in a process of its own and without digests), schedulers. The workers'
+ * histories are the truth that is checked.
  */
 #ifndef TESTS_GANG_CLUSTER_H
 #define TESTS_GANG_CLUSTER_H
@@ -21,12 +21,15 @@
 	struct cluster_process *platform_process;
 	struct cluster_process *worker_processes[2]; /**< w0 and w1, v0 */
 	char *workers[GANG_WORKERS];		     /**< addresses */
+	char *relay_control; /**< NULL when no relay is in between */
 	guint scheduler_count;
 	int64_t impossible_grace_ms; /**< of schedulers, 0 for the default */
 	struct cluster_process *schedulers[GANG_MAX_SCHEDULERS];
 	char *addresses[GANG_MAX_SCHEDULERS];
 	char *links[GANG_MAX_SCHEDULERS + 1]; /**< ends with NULL */
-	GArray *kept; /**< of events of workers that were killed */
+	GArray *kept;  /**< of events of workers that were killed */
+	guint fillers; /**< workers without accelerators, which gangs can't use
+			*/
 };
 
 struct gang_submission {
@@ -38,8 +41,20 @@
 	gboolean is_checkpointable;
 };
 
-/** Starts everything. */
-struct gang_cluster *gang_cluster_start(guint schedulers);
+/**
+ * Starts everything.
+ *
+ * @param is_relayed	whether the last worker is called over a relay
+ */
+struct gang_cluster *gang_cluster_start(guint schedulers, gboolean is_relayed);
+
+/** Starts everything, with further workers that only have to be renewed. */
+struct gang_cluster *
+gang_cluster_start_wide(guint schedulers, gboolean is_relayed, guint fillers);
+
+/** Returns a count of the pool's status at one scheduler, -1 without one. */
+int64_t gang_cluster_status(struct gang_cluster *g, guint index,
+			    const char *member);
 
 /** Waits until a scheduler decides on all workers. */
 void gang_cluster_wait_ready(struct gang_cluster *g);
--- a/tests/gang_history.c
+++ b/tests/gang_history.c
@@ -43,7 +43,8 @@
 /** What the histories say of one attempt of a gang so far. */
 struct seen_attempt {
 	int64_t members;
-	GHashTable *started; /**< tasks, ever */
+	GHashTable *reserved; /**< tasks, ever */
+	GHashTable *started;  /**< tasks, ever */
 	GHashTable *running;
 	GHashTable *done;
 	int64_t partial_since_ms; /**< 0 while whole or not running */
@@ -60,6 +61,7 @@
 {
 	struct seen_attempt *a = data;
 
+	g_hash_table_unref(a->reserved);
 	g_hash_table_unref(a->started);
 	g_hash_table_unref(a->running);
 	g_hash_table_unref(a->done);
@@ -102,6 +104,7 @@
 		return a;
 	a = g_new0(struct seen_attempt, 1);
 	a->members = name->members;
+	a->reserved = task_set();
 	a->started = task_set();
 	a->running = task_set();
 	a->done = task_set();
@@ -140,6 +143,9 @@
 
 	if (!g_hash_table_add(a->started, e->task))
 		return g_strdup_printf("started twice: %s", e->task);
+	if (g_hash_table_size(a->reserved) < a->members)
+		return g_strdup_printf("started before all were reserved: %s",
+				       e->task);
 	g_hash_table_iter_init(&iter, j->attempts);
 	while (g_hash_table_iter_next(&iter, NULL, &other)) {
 		const struct seen_attempt *o = other;
@@ -163,7 +169,9 @@
 		return g_strdup_printf("bad name %s", e->task);
 	j = find_job(jobs, name.job);
 	a = find_attempt(j, &name);
-	if (g_str_equal(e->event, "started"))
+	if (g_str_equal(e->event, "reserved"))
+		g_hash_table_add(a->reserved, e->task);
+	else if (g_str_equal(e->event, "started"))
 		fault = take_start(j, a, e);
 	else if (ends_run(e->event))
 		g_hash_table_remove(a->running, e->task);
--- a/tests/test_gang.c
+++ b/tests/test_gang.c
@@ -104,8 +104,7 @@
 	}
 }
 
-/* A gang whose grace ends before all checkpoints are written starts anew. */
-static void test_grace_over(void)
+static struct gang *running_gang(int64_t left_ms)
 {
 	struct gang *g = new_gang(FALSE);
 
@@ -114,7 +113,31 @@
 		gang_on_result(g, i, WORKER_RESERVE, FALSE, NOW_MS);
 	gang_on_committed(g, NOW_MS);
 	for (guint i = 0; i < MEMBERS; i++)
+		gang_on_task(g, i, TASK_RUNNING, left_ms, NOW_MS);
+	return g;
+}
+
+/* Renewals may leave the tasks out: what is left is known from long ago until
+ * the answer to the checkpoint has them. */
+static void test_late_report(void)
+{
+	struct gang *g = running_gang(RUN_MS);
+
+	gang_preempt(g, NOW_MS);
+	for (guint i = 0; i < MEMBERS; i++) {
+		gang_on_result(g, i, WORKER_CHECKPOINT, FALSE, NOW_MS);
 		report(g, i, SEEN_RUNNING);
+	}
+	g_assert_cmpint(g->outcome, ==, GANG_OUTCOME_PREEMPTED);
+	g_assert_cmpint(gang_remaining_ms(g, RUN_MS), ==, LEFT_MS);
+	gang_free(g);
+}
+
+/* A gang whose grace ends before all checkpoints are written starts anew. */
+static void test_grace_over(void)
+{
+	struct gang *g = running_gang(LEFT_MS);
+
 	gang_preempt(g, NOW_MS);
 	gang_on_result(g, 0, WORKER_CHECKPOINT, FALSE, NOW_MS);
 	gang_tick(g, NOW_MS + GANG_CHECKPOINT_GRACE_MS - 1);
@@ -129,6 +152,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gang/recovered-checkpoints", test_recovered);
+	g_test_add_func("/gang/late-report", test_late_report);
 	g_test_add_func("/gang/grace-over", test_grace_over);
 	return g_test_run();
 }
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -579,6 +579,45 @@
 	endpoint_table_free(t);
 }
 
+/* What sets none aside: the last that can serve, or a single slow answer. */
+struct outlier_case {
+	const char *path; /* of the test */
+	guint endpoints;
+	guint usual;   /* answers of each before the event */
+	guint repeats; /* of the event, at the first endpoint */
+	enum outlier_event event;
+	int64_t latency_us;
+	guint ejected;
+};
+
+static const struct outlier_case outlier_cases[] = {
+	{ "/requests/outlier-last-slow", 1, 20, 50, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-last-failed", 1, 20, 50, OUTLIER_FAILED, 0, 0 },
+	{ "/requests/outlier-last-refused", 1, 20, 1, OUTLIER_REFUSED, 0, 1 },
+	{ "/requests/outlier-one-slow", 2, 20, 1, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-first-slow", 2, 0, 1, OUTLIER_OK, 1000000, 0 },
+	{ "/requests/outlier-many-slow", 2, 20, 8, OUTLIER_OK, 1000000, 1 },
+	{ "/requests/outlier-two-failed", 2, 20, 3, OUTLIER_FAILED, 0, 1 },
+};
+
+#define USUAL_US 1000
+
+static void test_outlier(gconstpointer data)
+{
+	const struct outlier_case *c = data;
+	struct endpoint_table *t = make_table(c->endpoints, 0);
+	struct outlier_policy o = { 0 };
+
+	for (guint i = 0; i < c->usual * c->endpoints; i++)
+		outlier_record(&o, t, t->endpoints->pdata[i % c->endpoints],
+			       OUTLIER_OK, REQUEST_SPOT, USUAL_US, 0);
+	for (guint i = 0; i < c->repeats; i++)
+		outlier_record(&o, t, t->endpoints->pdata[0], c->event,
+			       REQUEST_SPOT, c->latency_us, 0);
+	g_assert_cmpuint(t->ejected_count, ==, c->ejected);
+	endpoint_table_free(t);
+}
+
 static void test_decisions(void)
 {
 	struct decision_log *log = decision_log_new(2);
@@ -592,6 +631,52 @@
 	decision_log_free(log);
 }
 
+#define DUE_SEEDS 200
+#define DUE_ITEMS 40
+#define DUE_STEP_MS 20
+
+/* A look that comes before anything is due must find nothing. */
+static void run_due_seed(guint32 seed)
+{
+	struct admission *a = make_admission();
+	struct admission_item items[DUE_ITEMS] = { 0 };
+	GRand *rand = g_rand_new_with_seed(seed);
+	GPtrArray *late = g_ptr_array_new();
+	struct admission_item *shed;
+	struct admission_item *item;
+	guint offered = 0;
+
+	for (int64_t now_ms = 0; now_ms < 4000; now_ms += DUE_STEP_MS) {
+		gboolean is_due = admission_due_ms(a, now_ms) <= now_ms;
+
+		admission_expire(a, now_ms, late);
+		g_assert_true(is_due || late->len == 0);
+		g_ptr_array_set_size(late, 0);
+		item = g_rand_int_range(rand, 0, 4) == 0
+			       ? admission_next(a, now_ms, late)
+			       : NULL;
+		g_assert_true(is_due || (!item && late->len == 0));
+		if (item)
+			admission_done(a, item, g_rand_int_range(rand, 1, 900));
+		if (offered == DUE_ITEMS || g_rand_int_range(rand, 0, 5) > 0)
+			continue;
+		items[offered].class = (enum request_class)g_rand_int_range(
+			rand, 0, REQUEST_CLASS_COUNT);
+		items[offered].deadline_ms =
+			now_ms + g_rand_int_range(rand, 1, 1500);
+		admission_offer(a, &items[offered++], "large", now_ms, &shed);
+	}
+	g_ptr_array_unref(late);
+	g_rand_free(rand);
+	admission_free(a);
+}
+
+static void test_due(void)
+{
+	for (guint32 seed = 0; seed < DUE_SEEDS; seed++)
+		run_due_seed(seed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -607,11 +692,15 @@
 	g_test_add_func("/requests/admission-fair-share", test_fair_share);
 	g_test_add_func("/requests/admission-classes", test_class_order);
 	g_test_add_func("/requests/admission-late", test_late);
+	g_test_add_func("/requests/admission-due", test_due);
 	g_test_add_func("/requests/retry-budget", test_retry_budget);
 	g_test_add_func("/requests/outlier-cap", test_outlier_cap);
 	g_test_add_func("/requests/outlier-return", test_outlier_return);
 	g_test_add_func("/requests/outlier-again", test_outlier_again);
 	g_test_add_func("/requests/outlier-slow", test_outlier_slow);
+	for (guint i = 0; i < G_N_ELEMENTS(outlier_cases); i++)
+		g_test_add_data_func(outlier_cases[i].path, &outlier_cases[i],
+				     test_outlier);
 	g_test_add_func("/requests/decision-log", test_decisions);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/test_vm_list.c
@@ -0,0 +1,408 @@
+#include <glib.h>
+
+#include "base/util.h"
+#include "platform/vm_reader.h"
+#include "tests/cluster.h"
+#include "tests/fake_vms.h"
+
+/* The size to design for, and the changes of a day (docs/CAPACITY.md). */
+#define VMS 4300
+#define DAY_S 86400
+#define CHANGES 274
+/** Looked at: a part of a day, with its part of the changes. */
+#define SPAN_S 10800
+#define SETTLE_S 60
+
+#define VM(rest) "{\"service\":\"s\",\"failure_domain\":\"d0\"," rest "}"
+#define ENDPOINT(name, rest)                                                  \
+	VM("\"vm\":\"" name "\",\"role\":\"endpoint\",\"address\":\"127.0.0." \
+	   "1:1\"" rest)
+
+struct decode_case {
+	const char *body;
+	const char *kept; /* names and states, or NULL when there is no list */
+	const char *places; /* of the findings */
+	guint bad_count;
+};
+
+#define LIST(entries) "{\"vms\":[" entries "]}"
+
+static const struct decode_case decode_cases[] = {
+	{ LIST(""), "", "", 0 },
+	{ LIST(ENDPOINT("a", "") "," ENDPOINT("b", ",\"state\":\"leaving\"")),
+	  "a:0 b:1 ", "", 0 },
+	/* Members that are not known yet are passed over. */
+	{ LIST(ENDPOINT("a", ",\"zone\":{\"x\":[1]},\"price\":null")), "a:0 ",
+	  "", 0 },
+	{ "{\"next\":1,\"vms\":[]}", "", "", 0 },
+	/* Each of these is left out alone. */
+	{ LIST(ENDPOINT("a", ",\"state\":\"dreaming\"") "," ENDPOINT("b", "")),
+	  "b:0 ", "vms(a).state ", 1 },
+	{ LIST(ENDPOINT("b", "") "," VM(
+		  "\"vm\":\"a\",\"role\":\"oracle\",\"address\":\"127.0.0.1:1"
+		  "\"")),
+	  "b:0 ", "vms(a).role ", 1 },
+	{ LIST(VM("\"vm\":\"a\",\"role\":\"worker\",\"address\":\"here\"")), "",
+	  "vms(a) ", 1 },
+	{ LIST(VM("\"vm\":\"a\",\"role\":\"worker\"")), "", "vms(a).address ",
+	  1 },
+	{ LIST(ENDPOINT("a", ",\"cores\":-1,\"memory_mb\":1e9")), "",
+	  "vms(a).cores vms(a).memory_mb ", 1 },
+	{ LIST(ENDPOINT("a", ",\"cores\":9223372036854775807")), "",
+	  "vms(a).cores ", 1 },
+	{ LIST("null,7,[],{\"vm\":3}," ENDPOINT("", "")), "",
+	  "vms[0] vms[1] vms[2] vms[3].vm vms[3].role "
+	  "vms[3].service vms[3].failure_domain vms[3].address "
+	  "vms[4].vm ",
+	  5 },
+	/* The first sound entry of a name counts. */
+	{ LIST(ENDPOINT("a", ",\"state\":\"x\"") "," ENDPOINT(
+		  "a", ",\"state\":\"leaving\"") "," ENDPOINT("a", "")),
+	  "a:1 ", "vms(a).state vms(a) ", 2 },
+	/* No list at all. */
+	{ "[]", NULL, "vms ", 0 },
+	{ "{}", NULL, "vms ", 0 },
+	{ "{\"vms\":{}}", NULL, "vms ", 0 },
+};
+
+static char *kept_of(const struct vm_list *l)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < l->vms->len; i++) {
+		const struct vm_entry *vm = l->vms->pdata[i];
+
+		g_string_append_printf(text, "%s:%d ", vm->vm, (int)vm->state);
+		g_assert_true(vm_list_find(l, vm->vm) == vm);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static char *places_of(const struct finding_list *findings)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < finding_list_count(findings); i++)
+		g_string_append_printf(text, "%s ",
+				       finding_list_get(findings, i)->place);
+	return g_string_free(text, FALSE);
+}
+
+static void test_decode(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(decode_cases); i++) {
+		const struct decode_case *c = &decode_cases[i];
+		json_object *body = json_tokener_parse(c->body);
+		struct finding_list findings;
+		struct vm_list list;
+		char *kept;
+		char *places;
+
+		g_test_message("case %u", i);
+		g_assert_nonnull(body);
+		finding_list_init(&findings);
+		vm_list_init(&list);
+		g_assert_cmpint(vm_list_decode(&list, body, &findings), ==,
+				c->kept != NULL);
+		kept = kept_of(&list);
+		places = places_of(&findings);
+		g_assert_cmpstr(kept, ==, c->kept ? c->kept : "");
+		g_assert_cmpstr(places, ==, c->places);
+		g_assert_cmpuint(list.bad_count, ==, c->bad_count);
+		g_free(kept);
+		g_free(places);
+		vm_list_clear(&list);
+		finding_list_clear(&findings);
+		json_object_put(body);
+	}
+}
+
+static gboolean shows(const struct vm_reader *r, const struct fake_vms *f,
+		      guint vm)
+{
+	const struct vm_list *l = vm_reader_list(r);
+	char *name = g_strdup_printf("vm-%06u", vm);
+	const struct vm_entry *e = l ? vm_list_find(l, name) : NULL;
+
+	g_free(name);
+	return e && e->state == (f->is_leaving[vm] ? VM_LEAVING : VM_LIVE);
+}
+
+/*
+ * Bounds: of the 24 KB/s of an entry VM, whose two processes read, a tenth for
+ * each; a third where the platform lacks something. 3 s for the own domain.
+ */
+struct span_case {
+	const char *path;
+	guint vms;
+	struct fake_manner manner;
+	guint64 max_bytes_per_s;
+	int64_t max_own_s;   /* until a change of the own domain shows */
+	int64_t max_other_s; /* and of another one */
+};
+
+#define FULL_BYTES_PER_S 2400
+#define LACK_BYTES_PER_S 8000
+
+static const struct span_case span_cases[] = {
+	{ "/vm-list/span/full",
+	  VMS,
+	  { .has_etag = TRUE, .has_filter = TRUE },
+	  FULL_BYTES_PER_S,
+	  3,
+	  60 },
+	{ "/vm-list/span/etag-only",
+	  VMS,
+	  { .has_etag = TRUE },
+	  LACK_BYTES_PER_S,
+	  300,
+	  300 },
+	{ "/vm-list/span/filter-refused",
+	  VMS / 5,
+	  { .has_etag = TRUE, .refuses_filter = TRUE },
+	  LACK_BYTES_PER_S,
+	  3,
+	  3 },
+	{ "/vm-list/span/filter-only",
+	  VMS / 5,
+	  { .has_filter = TRUE },
+	  LACK_BYTES_PER_S,
+	  60,
+	  600 },
+	{ "/vm-list/span/neither", VMS / 5, { 0 }, LACK_BYTES_PER_S, 300, 300 },
+	{ "/vm-list/span/stuck",
+	  VMS / 5,
+	  { .has_etag = TRUE, .has_filter = TRUE, .is_stuck = TRUE },
+	  LACK_BYTES_PER_S,
+	  3600,
+	  3600 },
+	{ "/vm-list/span/backwards",
+	  VMS / 5,
+	  { .has_etag = TRUE, .has_filter = TRUE, .flips = TRUE },
+	  LACK_BYTES_PER_S,
+	  60,
+	  600 },
+};
+
+/* A change to be seen, and when it was made. */
+struct change {
+	guint vm;
+	int64_t at_s;
+};
+
+/* Drops the changes that show by now; keeps the longest time of any. */
+static void follow(const struct vm_reader *r, const struct fake_vms *f,
+		   GArray *open, int64_t now_s, int64_t *worst_s)
+{
+	for (guint i = open->len; i > 0; i--) {
+		const struct change *c =
+			&g_array_index(open, struct change, i - 1);
+		int64_t *worst = &worst_s[c->vm % FAKE_DOMAINS != 0];
+
+		*worst = MAX(*worst, now_s - c->at_s);
+		if (shows(r, f, c->vm))
+			g_array_remove_index_fast(open, i - 1);
+	}
+}
+
+/* Makes a change now and then; VM 0 is the one that flips. */
+static void maybe_change(struct fake_vms *f, GRand *rng, GArray *open,
+			 int64_t now_s)
+{
+	struct change c = { 1 + (guint)g_rand_int_range(rng, 0, f->vms - 1),
+			    now_s };
+
+	if (now_s < SETTLE_S || g_rand_int_range(rng, 0, DAY_S) >= CHANGES)
+		return;
+	/* More of the own domain's than its part, so that it is seen. */
+	if (f->changes % 3 == 0 && c.vm > FAKE_DOMAINS)
+		c.vm -= c.vm % FAKE_DOMAINS;
+	fake_vms_change(f, c.vm);
+	g_array_append_val(open, c);
+	f->changes++;
+}
+
+static int64_t counter_of(struct counters *counters, const char *name)
+{
+	return counters_counter(counters, name, "")->value;
+}
+
+static void check_span(const struct span_case *c, const struct fake_vms *f,
+		       struct counters *counters, const int64_t *worst_s)
+{
+	int64_t changes = counter_of(counters, "cs_vm_list_changes_total");
+	int64_t untold = counter_of(counters, "cs_vm_list_untold_total");
+
+	g_test_message("%u changes, %" G_GUINT64_FORMAT
+		       " bytes/s, %.2f reads/s, %d lists, own %d s, others "
+		       "%d s",
+		       f->changes, f->bytes / SPAN_S, (double)f->reads / SPAN_S,
+		       (int)changes, (int)worst_s[0], (int)worst_s[1]);
+	g_assert_cmpuint(f->bytes / SPAN_S, <=, c->max_bytes_per_s);
+	g_assert_cmpint(worst_s[0], <=, c->max_own_s);
+	g_assert_cmpint(worst_s[1], <=, c->max_other_s);
+	g_assert_cmpint(untold > 0, ==, c->manner.is_stuck);
+	/* What stayed the same is not taken over, ETag or not. */
+	if (!c->manner.flips)
+		g_assert_cmpint(changes, <=, FAKE_DOMAINS + 1 + 2 * f->changes);
+}
+
+/* A reader of the domain d0 on a platform of some manner. */
+struct world {
+	struct counters counters;
+	struct fake_vms fake;
+	struct vm_reader *reader;
+};
+
+static void world_init(struct world *w, const struct fake_manner *m, guint vms)
+{
+	struct vm_reader_spec spec = { &w->fake.base, "d0", &w->counters, 7 };
+
+	counters_init(&w->counters);
+	fake_vms_init(&w->fake, m, vms);
+	w->reader = vm_reader_new(&spec);
+}
+
+static void world_clear(struct world *w)
+{
+	vm_reader_free(w->reader);
+	fake_vms_clear(&w->fake);
+	counters_clear(&w->counters);
+}
+
+static void test_span(gconstpointer data)
+{
+	const struct span_case *c = data;
+	struct world w;
+	GRand *rng = g_rand_new_with_seed(11);
+	GArray *open = g_array_new(FALSE, FALSE, sizeof(struct change));
+	int64_t worst_s[2] = { 0, 0 };
+
+	world_init(&w, &c->manner, c->vms);
+	for (int64_t s = 0; s < SPAN_S; s++) {
+		maybe_change(&w.fake, rng, open, s);
+		fake_vms_step(&w.fake, w.reader, s * MS_PER_S);
+		follow(w.reader, &w.fake, open, s, worst_s);
+	}
+	check_span(c, &w.fake, &w.counters, worst_s);
+	g_assert_cmpuint(vm_reader_list(w.reader)->vms->len, ==, c->vms);
+	world_clear(&w);
+	g_array_unref(open);
+	g_rand_free(rng);
+}
+
+/* A body without any list: the last list stays in force. */
+static void test_refused(void)
+{
+	const struct fake_manner manner = { .has_etag = TRUE,
+					    .has_filter = TRUE };
+	struct world w;
+	int64_t refused;
+
+	world_init(&w, &manner, FAKE_DOMAINS);
+	g_assert_null(vm_reader_list(w.reader));
+	fake_vms_step(&w.fake, w.reader, 0);
+	fake_vms_change(&w.fake, 0);
+	w.fake.body = "{\"vms\":3}";
+	fake_vms_step(&w.fake, w.reader, 1000);
+	g_assert_false(shows(w.reader, &w.fake, 0));
+	refused = counter_of(&w.counters, "cs_vm_list_refused_total");
+	g_assert_cmpint(refused, ==, 1);
+	w.fake.body = NULL;
+	fake_vms_step(&w.fake, w.reader, 2000);
+	g_assert_true(shows(w.reader, &w.fake, 0));
+	vm_reader_step(w.reader, 3000);
+	world_clear(&w); /* with a call in flight */
+}
+
+/* Counts of the platform's stand-in. */
+static int64_t count_of(struct cluster *c, const char *platform,
+			const char *name)
+{
+	struct cluster_reply r =
+		cluster_call(c, "GET", platform, "/control/writes", NULL, NULL,
+			     CLUSTER_CALL_TIMEOUT_MS);
+	int64_t count =
+		json_object_get_int64(json_object_object_get(r.body, name));
+
+	cluster_reply_clear(&r);
+	return count;
+}
+
+struct awaited {
+	struct cluster *cluster;
+	const char *platform;
+	const char *name;
+	int64_t count;
+};
+
+static gboolean has_counted(void *data)
+{
+	const struct awaited *a = data;
+
+	return count_of(a->cluster, a->platform, a->name) >= a->count;
+}
+
+static void await_count(struct cluster *c, const char *platform,
+			const char *name, int64_t count)
+{
+	struct awaited a = { c, platform, name, count };
+
+	g_assert_true(cluster_wait(has_counted, &a, 20000));
+}
+
+#define TWO_VMS                                                                \
+	"{\"add_vms\":[" ENDPOINT("a",                                         \
+				  "") ",{\"vm\":\"b\",\"role\":"               \
+				      "\"endpoint\",\"service\":\"s\","        \
+				      "\"failure_domain\":\"d1\",\"address\":" \
+				      "\"127.0.0.1:2\"}]}"
+#define OWN_CHANGE "{\"add_vms\":[" ENDPOINT("a", ",\"state\":\"leaving\"") "]}"
+
+/* A real process asks on and gets a body only for a change: one for each part
+ * that it touches (own domain, all), and none for the other domain's. */
+static void test_bodies(void)
+{
+	struct cluster *c = cluster_new();
+	char *platform = cluster_address();
+	char *http = cluster_address();
+	char *link = cluster_address();
+	struct cluster_node node = { .node = "g0",
+				     .http = http,
+				     .link = link,
+				     .platform = platform,
+				     .failure_domain = "d0" };
+	struct cluster_process *p =
+		cluster_spawn(c, "cs-standin-platform", "platform",
+			      CLUSTER_ARGS("--listen", platform));
+	int64_t reads;
+
+	g_free(cluster_listening(p, 0));
+	cluster_control(c, platform, TWO_VMS);
+	cluster_spawn_node(c, "csgated", &node);
+	await_count(c, platform, "vm_bodies", 3);
+	reads = count_of(c, platform, "vm_reads");
+	await_count(c, platform, "vm_reads", reads + 8);
+	g_assert_cmpint(count_of(c, platform, "vm_bodies"), ==, 3);
+	cluster_control(c, platform, OWN_CHANGE);
+	await_count(c, platform, "vm_bodies", 5);
+	reads = count_of(c, platform, "vm_reads");
+	await_count(c, platform, "vm_reads", reads + 8);
+	g_assert_cmpint(count_of(c, platform, "vm_bodies"), ==, 5);
+	cluster_free(c);
+	g_free(platform);
+	g_free(http);
+	g_free(link);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/vm-list/decode", test_decode);
+	for (guint i = 0; i < G_N_ELEMENTS(span_cases); i++)
+		g_test_add_data_func(span_cases[i].path, &span_cases[i],
+				     test_span);
+	g_test_add_func("/vm-list/refused", test_refused);
+	g_test_add_func("/vm-list/bodies", test_bodies);
+	return g_test_run();
+}
