--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -124,9 +124,18 @@
 	gboolean is_file = g_file_test(check_vms, G_FILE_TEST_IS_REGULAR);
 	json_object *vms =
 		is_file ? read_vms_file(findings) : read_vms_platform(findings);
-
-	if (vms)
-		guarantee_check_vms(doc, vms, findings);
+	struct finding_list left_out; /* bad entries, as the servers do */
+	struct vm_list list;
+
+	finding_list_init(&left_out);
+	vm_list_init(&list);
+	if (vms && vm_list_decode(&list, vms, &left_out))
+		guarantee_check_vms(doc, &list, findings);
+	else if (vms)
+		finding_list_add(findings, check_vms, "{\"vms\":[VM...]}",
+				 "no list of VMs");
+	vm_list_clear(&list);
+	finding_list_clear(&left_out);
 	json_object_put(vms);
 }
 
--- a/tests/test_csctl.c
+++ b/tests/test_csctl.c
@@ -21,7 +21,14 @@
 	",\"accelerators\":8,\"cores\":1,\"memory_mb\":1,"               \
 	"\"adjacency\":\"rack\"}}]}]}"
 
-enum vms_from { VMS_NOT_GIVEN, VMS_FILE, VMS_PLATFORM, VMS_NOWHERE };
+enum vms_from {
+	VMS_NOT_GIVEN,
+	VMS_FILE,
+	VMS_NO_LIST, /* a file of something else */
+	VMS_PLATFORM,
+	VMS_NOWHERE,
+	VMS_FROM_COUNT,
+};
 
 static const struct {
 	const char *config;
@@ -40,12 +47,13 @@
 	{ CONFIG("3"), VMS_PLATFORM, 1,
 	  "client_accounts.a.salkhi.tov-a.g: no usable workers can hold it" },
 	{ CONFIG("2"), VMS_NOWHERE, 1, "neither a file nor a platform" },
+	{ CONFIG("2"), VMS_NO_LIST, 1, "no list of VMs" },
 	{ "{\"format\":1,\"surplus\":1}", VMS_FILE, 1, "surplus" },
 };
 
 struct world {
 	struct cluster *cluster;
-	char *vms[4]; /* by enum vms_from */
+	char *vms[VMS_FROM_COUNT];
 };
 
 static char *write_file(struct cluster *c, const char *name, const char *text)
@@ -85,6 +93,7 @@
 	p = cluster_spawn(w->cluster, "cs-standin-platform", "platform", NULL);
 	w->vms[VMS_NOT_GIVEN] = NULL;
 	w->vms[VMS_FILE] = write_file(w->cluster, "vms.json", VMS);
+	w->vms[VMS_NO_LIST] = write_file(w->cluster, "other.json", "{}");
 	w->vms[VMS_PLATFORM] = cluster_listening(p, 0);
 	w->vms[VMS_NOWHERE] = cluster_address();
 	cluster_spawn(w->cluster, "cs-standin-worker", "workers",
