--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -133,6 +133,9 @@
 	 */
 	if (vms && vm_list_decode(&list, vms, is_file ? findings : &left_out))
 		guarantee_check_vms(doc, &list, findings);
+	else if (vms)
+		finding_list_add(findings, check_vms, "{\"vms\":[VM...]}",
+				 "no list of VMs");
 	vm_list_clear(&list);
 	finding_list_clear(&left_out);
 	json_object_put(vms);
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -54,8 +54,9 @@
 	const char *pool;
 	const char *node;
 	const char *incarnation;
-	const char *policy;	/**< of placement */
-	gboolean shares_always; /**< also where that shortens no bound */
+	const char *policy;	     /**< of placement */
+	int64_t impossible_grace_ms; /**< 0 for the default */
+	gboolean shares_always;	     /**< also where that shortens no bound */
 	const struct scheduler_ops *ops;
 	void *data;
 };
--- a/job/scheduler_due.c
+++ b/job/scheduler_due.c
@@ -20,6 +20,7 @@
 		const struct worker_contact *c = item;
 
 		due_ms = MIN(due_ms, worker_contact_check_ms(c, lease_ms));
+		due_ms = MIN(due_ms, scheduler_forget_ms(s, c));
 		if (may_call && c->address)
 			due_ms = MIN(due_ms, worker_contact_call_ms(c, now_ms));
 	}
--- a/job/scheduler_state.h
+++ b/job/scheduler_state.h
@@ -37,6 +37,7 @@
 	struct pool *pool;
 	struct placement_policy *policy;
 	struct job_queue *queue;
+	int64_t impossible_grace_ms;
 	const struct config_doc *doc;
 	int64_t config_version;
 	gboolean needs_decision;
@@ -111,6 +112,9 @@
 			 int64_t now_ms);
 void scheduler_remove_tasks(struct scheduler *s, struct job_entry *e);
 void scheduler_mark_due(struct scheduler *s, const struct job_entry *e);
+/** Returns when a worker that is gone is forgotten, or WAKE_NEVER. */
+int64_t scheduler_forget_ms(const struct scheduler *s,
+			    const struct worker_contact *c);
 /** Tells the pool of workers that may be used, or no longer. */
 void scheduler_update_usable(struct scheduler *s, int64_t now_ms);
 void scheduler_check_workers(struct scheduler *s, int64_t now_ms);
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -5,6 +5,7 @@
 #include "job/scheduler_state.h"
 
 #include "base/log.h"
+#include "base/wake_plan.h"
 #include "job/task_name.h"
 
 struct worker_contact *scheduler_contact(struct scheduler *s, const char *name)
@@ -171,22 +172,25 @@
  * Off the platform's list, nothing can run there any more, and jobs that need
  * it have been told. Without a role nothing is called, so nothing expires.
  */
-static gboolean is_gone(const struct scheduler *s,
-			const struct worker_contact *c, int64_t now_ms)
+int64_t scheduler_forget_ms(const struct scheduler *s,
+			    const struct worker_contact *c)
 {
 	gboolean has_role =
 		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
 
-	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired))
-		return FALSE;
-	return g_hash_table_size(c->tasks) == 0 &&
-	       now_ms >= c->unlisted_ms + JOB_IMPOSSIBLE_GRACE_MS;
+	if (c->is_listed || c->is_in_flight || (has_role && !c->is_expired) ||
+	    g_hash_table_size(c->tasks) > 0)
+		return WAKE_NEVER;
+	return c->unlisted_ms + s->impossible_grace_ms;
 }
 
-static void forget_worker(struct scheduler *s, struct worker_contact *c)
+static void forget_worker(struct scheduler *s, struct worker_contact *c,
+			  int64_t now_ms)
 {
-	if (pool_remove_worker(s->pool, c->name) == STATUS_CONFLICT)
+	if (pool_remove_worker(s->pool, c->name) == STATUS_CONFLICT) {
+		c->unlisted_ms = now_ms; /* tried again as late */
 		return;
+	}
 	log_worker(s, "worker_forgotten", c);
 	worker_health_forget_worker(s->health, c->name);
 	g_hash_table_remove(s->workers, c->name);
@@ -210,8 +214,8 @@
 			on_contact_event(s, all->pdata[i], event, now_ms);
 	}
 	for (guint i = 0; i < all->len; i++) {
-		if (is_gone(s, all->pdata[i], now_ms))
-			forget_worker(s, all->pdata[i]);
+		if (now_ms >= scheduler_forget_ms(s, all->pdata[i]))
+			forget_worker(s, all->pdata[i], now_ms);
 	}
 	g_ptr_array_unref(all);
 }
@@ -456,7 +460,7 @@
 
 	if (!c || !c->is_in_flight || c->call_id != call_id)
 		return;
-	if (answer == WORKER_ANSWERED) {
+	if (answer == WORKER_ANSWERED && report) {
 		take_answer(s, c, report, now_ms);
 	} else {
 		worker_contact_on_failure(c, now_ms);
