--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -424,27 +424,31 @@
 	g_hash_table_unref(seen);
 }
 
-static void take_answer(struct scheduler *s, struct worker_contact *c,
+/* Takes a report that is news. */
+static void take_report(struct scheduler *s, struct worker_contact *c,
 			const struct worker_report *report, int64_t now_ms)
 {
-	int64_t period_ms =
-		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
-	int64_t as_of_ms = worker_contact_on_answer(c, period_ms, now_ms);
-	GPtrArray *entries;
+	GPtrArray *entries = entries_on(c);
 
-	if (report->is_unchanged) {
-		update_usable(s, c, now_ms);
-		return;
-	}
-	entries = entries_on(c);
 	worker_contact_on_tasks(c, report);
 	if (s->caretaker)
 		caretaker_on_report(s->caretaker, c->name, report->tasks);
 	take_results(c, report, now_ms);
-	take_tasks(s, c, report, as_of_ms, now_ms);
+	take_tasks(s, c, report, c->as_of_ms, now_ms);
 	for (guint i = 0; i < entries->len; i++)
 		scheduler_follow(s, entries->pdata[i], now_ms);
 	g_ptr_array_unref(entries);
+}
+
+static void on_answer(struct scheduler *s, struct worker_contact *c,
+		      const struct worker_report *report, int64_t now_ms)
+{
+	int64_t period_ms =
+		worker_renew_period_ms(s->listed_workers, scheduler_peers(s));
+
+	worker_contact_on_answer(c, period_ms, now_ms);
+	if (report && !report->is_unchanged)
+		take_report(s, c, report, now_ms);
 	update_usable(s, c, now_ms);
 }
 
@@ -457,7 +461,7 @@
 	if (!c || !c->is_in_flight || c->call_id != call_id)
 		return;
 	if (answer == WORKER_ANSWERED) {
-		take_answer(s, c, report, now_ms);
+		on_answer(s, c, report, now_ms);
 	} else {
 		worker_contact_on_failure(c, now_ms);
 		if (answer == WORKER_STALE_EPOCH)
