--- a/tests/test_member_faults.c
+++ b/tests/test_member_faults.c
@@ -171,9 +171,8 @@
 		fleet_cut_link(f, i, mode);
 }
 
-/* A gateway that starts without the platform and without peers says so, and
- * joins when it reaches them. */
-static void test_start_cut_off(void)
+/* Two of three, with a configuration; the third is a gateway. */
+static struct fleet *start_two(void)
 {
 	struct fleet *f = fleet_new(3, 0);
 	struct cluster_reply r;
@@ -185,6 +184,15 @@
 	r = fleet_post_config(f, 0, 0, "x");
 	g_assert_cmpuint(r.code, ==, 200);
 	cluster_reply_clear(&r);
+	return f;
+}
+
+/* A gateway that starts without the platform and without peers says so, and
+ * joins when it reaches them. */
+static void test_start_cut_off(void)
+{
+	struct fleet *f = start_two();
+
 	set_cut(f, "silent");
 	fleet_start(f, 2);
 	g_assert_true(fleet_wait_state(f, 2, 2, "alive", START_MS));
