--- a/job/scheduler_due.c
+++ b/job/scheduler_due.c
@@ -10,7 +10,7 @@
 {
 	gboolean may_call =
 		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
-	int64_t lease_ms = scheduler_lease_ms(s);
+	int64_t lease_ms = scheduler_longest_lease_ms(s);
 	int64_t due_ms = WAKE_NEVER;
 	GHashTableIter iter;
 	gpointer item;
@@ -45,8 +45,8 @@
 
 int64_t scheduler_due_ms(const struct scheduler *s, int64_t now_ms)
 {
-	int64_t due_ms = MIN(workers_due_ms(s, now_ms),
-			     scheduler_delegates_due_ms(s));
+	int64_t due_ms =
+		MIN(workers_due_ms(s, now_ms), scheduler_delegates_due_ms(s));
 
 	if (s->phase == SCHEDULER_CARETAKER)
 		return now_ms; /* judges by how long it saw parts of gangs */
