--- a/job/scheduler_due.c
+++ b/job/scheduler_due.c
@@ -10,7 +10,7 @@
 {
 	gboolean may_call =
 		s->phase != SCHEDULER_IDLE && s->phase != SCHEDULER_FENCED;
-	int64_t lease_ms = scheduler_lease_ms(s);
+	int64_t lease_ms = scheduler_longest_lease_ms(s);
 	int64_t due_ms = WAKE_NEVER;
 	GHashTableIter iter;
 	gpointer item;
--- a/standin/common/vm_directory.c
+++ b/standin/common/vm_directory.c
@@ -90,16 +90,16 @@
 	json_object *vms = json_object_new_array();
 	json_object *body = json_object_new_object();
 
+	for (size_t i = 0; d->raw && i < json_object_array_length(d->raw); i++)
+		json_object_array_add(
+			vms,
+			json_object_get(json_object_array_get_idx(d->raw, i)));
 	json_object_object_foreach(by_name, name, vm)
 	{
 		(void)name;
 		if (is_wanted(vm, domain))
 			json_object_array_add(vms, json_object_get(vm));
 	}
-	for (size_t i = 0; d->raw && i < json_object_array_length(d->raw); i++)
-		json_object_array_add(
-			vms,
-			json_object_get(json_object_array_get_idx(d->raw, i)));
 	json_object_object_add(body, "vms", vms);
 	json_object_put(by_name);
 	return body;
--- a/tests/test_renewals.c
+++ b/tests/test_renewals.c
@@ -97,17 +97,22 @@
 		{ TASK_DONE, TASK_RUNNING },
 		{ TASK_STOPPED, TASK_STOPPED },
 	};
+	int64_t empty = digest_of(none, states[0]);
+	int64_t digest;
+	int64_t same;
 
 	for (guint i = 0; i < G_N_ELEMENTS(states); i++) {
-		int64_t digest = digest_of(names, states[i]);
+		digest = digest_of(names, states[i]);
+		g_assert_cmpint(digest, !=, empty);
+		for (guint k = 0; k < i; k++) {
+			int64_t other = digest_of(names, states[k]);
 
-		g_assert_cmpint(digest, !=, digest_of(none, NULL));
-		for (guint k = 0; k < i; k++)
-			g_assert_cmpint(digest, !=,
-					digest_of(names, states[k]));
+			g_assert_cmpint(digest, !=, other);
+		}
 	}
-	g_assert_cmpint(digest_of(names, states[2]), ==,
-			digest_of(turned, states[2]));
+	digest = digest_of(names, states[0]);
+	same = digest_of(turned, states[0]);
+	g_assert_cmpint(digest, ==, same);
 }
 
 /* A holder, two delegates and workers that answer at once unless cut. */
@@ -123,6 +128,7 @@
 	int64_t held_ms[WORKERS]; /* a lease lasts until then */
 	int64_t longest_gap_ms;
 	guint holder_calls;
+	guint turns; /* that would follow at once, with nothing to do */
 	guint calls[DELEGATES];
 	gboolean is_scan_asked;
 	int64_t now_ms;
@@ -256,6 +262,7 @@
 				answer_holder(x, i);
 		}
 		scheduler_tick(x->holder, x->now_ms, x->now_ms);
+		x->turns += scheduler_due_ms(x->holder, x->now_ms) <= x->now_ms;
 		for (guint i = 0; i < DELEGATES; i++) {
 			if (x->is_dead[i])
 				continue;
@@ -280,6 +287,25 @@
 	memset(x->calls, 0, sizeof(x->calls));
 }
 
+static void list_workers(struct world *x, guint count)
+{
+	struct listed_worker list[WORKERS];
+	char names[WORKERS][8];
+
+	for (guint i = 0; i < count; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "w%u", i);
+		list[i] = (struct listed_worker){
+			.spec = { .name = names[i],
+				  .rack = "r",
+				  .address = "127.0.0.1:1",
+				  .accelerators = 1,
+				  .cores = 1,
+				  .memory_mb = 1 },
+		};
+	}
+	scheduler_on_workers(x->holder, list, count, x->now_ms);
+}
+
 /* Runs until the shares are dealt. */
 static struct world *world_open(void)
 {
@@ -292,24 +318,11 @@
 		.ops = &ops,
 		.data = x,
 	};
-	struct listed_worker list[WORKERS];
-	char names[WORKERS][8];
 
 	x->now_ms = 100000;
 	x->holder = scheduler_new(&spec);
 	scheduler_set_schedulers(x->holder, DELEGATES + 1);
-	for (guint i = 0; i < WORKERS; i++) {
-		g_snprintf(names[i], sizeof(names[i]), "w%u", i);
-		list[i] = (struct listed_worker){
-			.spec = { .name = names[i],
-				  .rack = "r",
-				  .address = "127.0.0.1:1",
-				  .accelerators = 1,
-				  .cores = 1,
-				  .memory_mb = 1 },
-		};
-	}
-	scheduler_on_workers(x->holder, list, WORKERS, x->now_ms);
+	list_workers(x, WORKERS);
 	for (guint i = 0; i < DELEGATES; i++) {
 		x->delegates[i] = renewal_delegate_new(POOL);
 		renewal_delegate_on_holder(x->delegates[i], "h", EPOCH);
@@ -581,6 +594,21 @@
 	renewal_grant_clear(&grant);
 }
 
+/* A lost worker that the platform no longer lists keeps no process awake. */
+static void test_unlisted(void)
+{
+	struct world *x = world_open();
+
+	x->is_cut_from_holder[WORKERS - 1] = TRUE;
+	x->is_cut_from_delegates[WORKERS - 1] = TRUE;
+	list_workers(x, WORKERS - 1);
+	run(x, 10000);
+	x->turns = 0;
+	run(x, worker_lease_ms(WORKERS, 1) + WORKER_EXPIRY_SLACK_MS);
+	g_assert_cmpuint(x->turns, ==, 0);
+	world_close(x);
+}
+
 /* A delegate's own view: grants late, out of order, old, of others. */
 static void test_grants(void)
 {
@@ -658,6 +686,7 @@
 	g_test_add_func("/renewals/failure-and-change",
 			test_failure_and_change);
 	g_test_add_func("/renewals/one-way-cut", test_one_way_cut);
+	g_test_add_func("/renewals/unlisted", test_unlisted);
 	g_test_add_func("/renewals/expiry", test_expiry);
 	g_test_add_func("/renewals/settled", test_settled);
 	g_test_add_func("/renewals/grants", test_grants);
