Tests: the last worker keeps its own rack but for the reclaim test

Cause: test_gangs /gangs/bad-worker failed (3 usable workers for 2): since the harness put the last worker into the rack of the others, small jobs were packed onto the others and too few failed on it. The test is right; the harness of the reclaim test had changed what it stands on.

Change: the rack is an option of the harness, as is the grace.

--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -13,6 +13,8 @@
 #define WORKER_MEMORY_MB 131072
 #define ROWS_PATH "/table/jobs/salkhi.tov-a%2F"
 
+static const struct gang_cluster_options defaults = { 0 };
+
 void gang_cluster_start_scheduler(struct gang_cluster *g, guint index)
 {
 	char *name = g_strdup_printf("sched%u-%u", index,
@@ -20,7 +22,7 @@
 	struct cluster_node node = { .node = name,
 				     .platform = g->platform,
 				     .impossible_grace_ms =
-					     g->impossible_grace_ms };
+					     g->options.impossible_grace_ms };
 
 	g_free(g->addresses[index]);
 	g->addresses[index] = cluster_address();
@@ -54,6 +56,12 @@
 	g_free(route);
 }
 
+/* The others are in rack r0. */
+static const char *last_rack(const struct gang_cluster *g)
+{
+	return g->options.is_one_rack ? "r0" : "r";
+}
+
 static void start_workers(struct gang_cluster *g, gboolean is_relayed)
 {
 	g->worker_processes[0] =
@@ -62,10 +70,11 @@
 					   "w", "--count", "2"));
 	g->worker_processes[1] = cluster_spawn(
 		g->cluster, "cs-standin-worker", "last-worker",
-		is_relayed ? CLUSTER_ARGS("--vm", "v0", "--rack", "r0",
-					  "--no-digest")
-			   : CLUSTER_ARGS("--platform", g->platform, "--vm",
-					  "v0", "--rack", "r0", "--no-digest"));
+		is_relayed
+			? CLUSTER_ARGS("--vm", "v0", "--rack", last_rack(g),
+				       "--no-digest")
+			: CLUSTER_ARGS("--platform", g->platform, "--vm", "v0",
+				       "--rack", last_rack(g), "--no-digest"));
 	g->workers[0] = cluster_listening(g->worker_processes[0], 0);
 	g->workers[1] = cluster_listening(g->worker_processes[0], 1);
 	g->workers[2] = cluster_listening(g->worker_processes[1], 0);
@@ -152,10 +161,11 @@
 
 static struct gang_cluster *start_all(guint schedulers, gboolean is_relayed,
 				      guint fillers,
-				      int64_t impossible_grace_ms)
+				      const struct gang_cluster_options *o)
 {
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
+	g->options = *o;
 	g->cluster = cluster_new();
 	g->kept = gang_history_new();
 	g->platform_process = cluster_spawn(g->cluster, "cs-standin-platform",
@@ -166,7 +176,6 @@
 	if (fillers)
 		start_fillers(g);
 	g->scheduler_count = schedulers;
-	g->impossible_grace_ms = impossible_grace_ms;
 	for (guint i = 0; i < schedulers; i++)
 		g->links[i] = cluster_address();
 	for (guint i = 0; i < schedulers; i++)
@@ -176,13 +185,13 @@
 
 struct gang_cluster *gang_cluster_start(guint schedulers, gboolean is_relayed)
 {
-	return start_all(schedulers, is_relayed, 0, 0);
+	return start_all(schedulers, is_relayed, 0, &defaults);
 }
 
 struct gang_cluster *gang_cluster_start_wide(guint schedulers,
 					     gboolean is_relayed, guint fillers)
 {
-	return start_all(schedulers, is_relayed, fillers, 0);
+	return start_all(schedulers, is_relayed, fillers, &defaults);
 }
 
 void gang_cluster_wait_ready(struct gang_cluster *g)
@@ -192,14 +201,13 @@
 
 struct gang_cluster *gang_cluster_open(guint schedulers)
 {
-	return gang_cluster_open_with(schedulers, 0);
+	return gang_cluster_open_with(schedulers, &defaults);
 }
 
-struct gang_cluster *gang_cluster_open_with(guint schedulers,
-					    int64_t impossible_grace_ms)
+struct gang_cluster *
+gang_cluster_open_with(guint schedulers, const struct gang_cluster_options *o)
 {
-	struct gang_cluster *g =
-		start_all(schedulers, FALSE, 0, impossible_grace_ms);
+	struct gang_cluster *g = start_all(schedulers, FALSE, 0, o);
 
 	gang_cluster_wait_ready(g);
 	return g;
@@ -449,7 +457,7 @@
 	g->worker_processes[1] = cluster_spawn(
 		g->cluster, "cs-standin-worker", name,
 		CLUSTER_ARGS("--platform", g->platform, "--vm", "v0", "--rack",
-			     "r0", "--no-digest"));
+			     last_rack(g), "--no-digest"));
 	g_free(g->workers[GANG_WORKERS - 1]);
 	g->workers[GANG_WORKERS - 1] =
 		cluster_listening(g->worker_processes[1], 0);
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -15,6 +15,11 @@
 #define GANG_WORKERS 3
 #define GANG_MAX_SCHEDULERS 3
 
+struct gang_cluster_options {
+	int64_t impossible_grace_ms; /**< of schedulers, 0 for the default */
+	gboolean is_one_rack;	     /**< else the last worker is in another */
+};
+
 struct gang_cluster {
 	struct cluster *cluster;
 	char *platform;
@@ -23,7 +28,7 @@
 	char *workers[GANG_WORKERS];		     /**< addresses */
 	char *relay_control; /**< NULL when no relay is in between */
 	guint scheduler_count;
-	int64_t impossible_grace_ms; /**< of schedulers, 0 for the default */
+	struct gang_cluster_options options;
 	struct cluster_process *schedulers[GANG_MAX_SCHEDULERS];
 	char *addresses[GANG_MAX_SCHEDULERS];
 	char *links[GANG_MAX_SCHEDULERS + 1]; /**< ends with NULL */
@@ -59,9 +64,9 @@
 /** Waits until a scheduler decides on all workers. */
 void gang_cluster_wait_ready(struct gang_cluster *g);
 
-/** Starts everything with another wait for lost workers, and waits. */
-struct gang_cluster *gang_cluster_open_with(guint schedulers,
-					    int64_t impossible_grace_ms);
+/** Starts everything with options and waits. */
+struct gang_cluster *
+gang_cluster_open_with(guint schedulers, const struct gang_cluster_options *o);
 
 /** Starts everything and waits. */
 struct gang_cluster *gang_cluster_open(guint schedulers);
--- a/tests/test_gangs_impossible.c
+++ b/tests/test_gangs_impossible.c
@@ -12,7 +12,6 @@
 #define TIMEOUT_MS INT64_C(30000)
 /* The scheduler's setting, in place of ten minutes. */
 #define GRACE_MS INT64_C(6000)
-#define LONG_GRACE_MS INT64_C(600000)
 /* Until a worker that does not answer counts as lost (docs/design/gangs.md). */
 #define LOST_MS (WORKER_RENEW_MIN_MS + 3000)
 /* Decisions for what depends on time alone; the write; reading it. */
@@ -25,6 +24,9 @@
 static const struct gang_submission gang = { "gang", 3, 8, 300, NULL, FALSE };
 static const struct gang_submission small = { "small", 1, 1, 100, NULL, FALSE };
 
+static const struct gang_cluster_options short_grace = { .impossible_grace_ms =
+								 GRACE_MS };
+
 static void submit(struct gang_cluster *g, const struct gang_submission *job)
 {
 	gang_cluster_submit(g, job);
@@ -49,7 +51,7 @@
 /* The worker never comes back. */
 static void test_told_later(void)
 {
-	struct gang_cluster *g = gang_cluster_open_with(1, GRACE_MS);
+	struct gang_cluster *g = gang_cluster_open_with(1, &short_grace);
 	int64_t lost_ms;
 	int64_t took_ms;
 	char *reason;
@@ -78,7 +80,7 @@
 /* The worker comes back within the time. */
 static void test_back_in_time(void)
 {
-	struct gang_cluster *g = gang_cluster_open_with(1, LONG_GRACE_MS);
+	struct gang_cluster *g = gang_cluster_open(1);
 
 	gang_cluster_kill_worker(g);
 	cluster_sleep(LOST_MS);
--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -332,11 +332,13 @@
 			==, 0);
 }
 
+static const struct gang_cluster_options one_rack = { .is_one_rack = TRUE };
+
 static void test_reclaim(gconstpointer data)
 {
 	struct run r = { .c = data };
 
-	r.cluster = gang_cluster_open(r.c->schedulers);
+	r.cluster = gang_cluster_open_with(r.c->schedulers, &one_rack);
 	fill(&r);
 	claim(&r);
 	if (r.c->heal)
