--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -116,6 +116,14 @@
 	guint64 unknown;
 };
 
+static void assert_columns(const char *text)
+{
+	g_assert_nonnull(strstr(text, " sent "));
+	g_assert_nonnull(strstr(text, " done "));
+	g_assert_nonnull(strstr(text, " not_run "));
+	g_assert_nonnull(strstr(text, " unknown "));
+}
+
 static struct counts counts_of(const struct cluster_process *p, const char *way)
 {
 	struct counts c = { 0 };
@@ -126,10 +134,7 @@
 	char *end;
 
 	g_test_message("%s", text);
-	g_assert_nonnull(strstr(text, " sent "));
-	g_assert_nonnull(strstr(text, " done "));
-	g_assert_nonnull(strstr(text, " not_run "));
-	g_assert_nonnull(strstr(text, " unknown "));
+	assert_columns(text);
 	g_assert_nonnull(line);
 	end = (char *)line + strlen(start);
 	for (guint i = 0; i < G_N_ELEMENTS(columns); i++)
@@ -199,6 +204,18 @@
 	return gateway_count(w, "requests_done") > 20;
 }
 
+static void assert_killed(struct world *w, struct counts gateway,
+			  struct counts direct)
+{
+	g_assert_cmpuint(gateway.sent, ==, 100);
+	g_assert_cmpuint(gateway.done, >=, 20);
+	g_assert_cmpuint(gateway.unknown, >, 0);
+	g_assert_cmpuint(gateway.done, ==,
+			 gateway_count(w, "requests_done") - 1);
+	g_assert_cmpuint(direct.sent, ==, 100);
+	g_assert_cmpuint(direct.not_run, >, 0);
+}
+
 /* The runner is killed under way: what was running there is unknown. */
 static void test_unknown(void)
 {
@@ -207,19 +224,11 @@
 		w, CLUSTER_ARGS("-s", w->gateway, "-e", w->endpoint, "-a", "a",
 				"--service", "salkhi", "-n", "100", "-c", "32",
 				"-w", "30"));
-	struct counts c;
 
 	g_assert_true(cluster_wait(has_runs, w, TIMEOUT_MS));
 	cluster_signal(w->runner, SIGKILL);
 	g_assert_cmpint(cluster_wait_exit(p, RUN_TIMEOUT_MS), ==, 1);
-	c = counts_of(p, "gateway");
-	g_assert_cmpuint(c.sent, ==, 100);
-	g_assert_cmpuint(c.done, >=, 20);
-	g_assert_cmpuint(c.unknown, >, 0);
-	g_assert_cmpuint(c.done, ==, gateway_count(w, "requests_done") - 1);
-	c = counts_of(p, "direct");
-	g_assert_cmpuint(c.sent, ==, 100);
-	g_assert_cmpuint(c.not_run, >, 0);
+	assert_killed(w, counts_of(p, "gateway"), counts_of(p, "direct"));
 	world_free(w);
 }
 
