Renewals: a worker is asked for its tasks again when a gang is added to it

Cause: a gang that is found in a row later than the reports waits for reports of its members; a settled worker would not repeat its tasks while they stay the same. Change: a worker with a new member is not settled until a report younger than that.

--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -54,6 +54,8 @@
 
 		if (!c)
 			c = add_unlisted(s, m->worker, now_ms);
+		/* What is known of the worker may be no news, but for it. */
+		c->commanded_ms = now_ms;
 		ref->entry = e;
 		ref->member = i;
 		g_hash_table_insert(c->tasks, g_strdup(m->task), ref);
