--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -317,6 +317,7 @@
 		.node = settings_of(k)->node,
 		.incarnation = incarnation_of(k),
 		.policy = PLACEMENT_POLICY_DEFAULT,
+		.impossible_grace_ms = settings_of(k)->impossible_grace_ms,
 		.ops = &ops,
 		.data = p,
 	};
@@ -399,8 +400,10 @@
 	int64_t now_ms = util_monotonic_ms();
 
 	/* As for calls: a process that was paused must not grant either. */
-	return has_role(p, now_ms) &&
-	       scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
+	if (!has_role(p, now_ms))
+		return FALSE;
+	tell_event(p);
+	return scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
 					   grant);
 }
 
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -54,8 +54,9 @@
 	const char *pool;
 	const char *node;
 	const char *incarnation;
-	const char *policy;	/**< of placement */
-	gboolean shares_always; /**< also where that shortens no bound */
+	const char *policy;	     /**< of placement */
+	int64_t impossible_grace_ms; /**< 0 for the default */
+	gboolean shares_always;	     /**< also where that shortens no bound */
 	const struct scheduler_ops *ops;
 	void *data;
 };
@@ -160,6 +161,14 @@
 /** Explains a job; NULL when it is not known here. Free with put. */
 json_object *scheduler_explain(const struct scheduler *s, const char *id);
 
+/**
+ * Explains the guarantees of a client account; NULL unless this process
+ * decides and the account has some here. Free with put.
+ */
+json_object *scheduler_explain_guarantee(const struct scheduler *s,
+					 const char *client_account,
+					 int64_t now_ms);
+
 void scheduler_get_stats(const struct scheduler *s,
 			 struct scheduler_stats *stats);
 const char *scheduler_phase_name(enum scheduler_phase phase);
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -17,7 +17,10 @@
 {
 	char *name = g_strdup_printf("sched%u-%u", index,
 				     g->cluster->processes->len);
-	struct cluster_node node = { .node = name, .platform = g->platform };
+	struct cluster_node node = { .node = name,
+				     .platform = g->platform,
+				     .impossible_grace_ms =
+					     g->impossible_grace_ms };
 
 	g_free(g->addresses[index]);
 	g->addresses[index] = cluster_address();
@@ -148,7 +151,8 @@
 }
 
 static struct gang_cluster *start_all(guint schedulers, gboolean is_relayed,
-				      guint fillers)
+				      guint fillers,
+				      int64_t impossible_grace_ms)
 {
 	struct gang_cluster *g = g_new0(struct gang_cluster, 1);
 
@@ -162,6 +166,7 @@
 	if (fillers)
 		start_fillers(g);
 	g->scheduler_count = schedulers;
+	g->impossible_grace_ms = impossible_grace_ms;
 	for (guint i = 0; i < schedulers; i++)
 		g->links[i] = cluster_address();
 	for (guint i = 0; i < schedulers; i++)
@@ -171,13 +176,13 @@
 
 struct gang_cluster *gang_cluster_start(guint schedulers, gboolean is_relayed)
 {
-	return start_all(schedulers, is_relayed, 0);
+	return start_all(schedulers, is_relayed, 0, 0);
 }
 
 struct gang_cluster *gang_cluster_start_wide(guint schedulers,
 					     gboolean is_relayed, guint fillers)
 {
-	return start_all(schedulers, is_relayed, fillers);
+	return start_all(schedulers, is_relayed, fillers, 0);
 }
 
 void gang_cluster_wait_ready(struct gang_cluster *g)
@@ -187,7 +192,14 @@
 
 struct gang_cluster *gang_cluster_open(guint schedulers)
 {
-	struct gang_cluster *g = gang_cluster_start(schedulers, FALSE);
+	return gang_cluster_open_with(schedulers, 0);
+}
+
+struct gang_cluster *gang_cluster_open_with(guint schedulers,
+					    int64_t impossible_grace_ms)
+{
+	struct gang_cluster *g =
+		start_all(schedulers, FALSE, 0, impossible_grace_ms);
 
 	gang_cluster_wait_ready(g);
 	return g;
