--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -34,6 +34,12 @@
 	g_free(name);
 }
 
+/* The others are in rack r0. */
+static const char *last_rack(const struct gang_cluster *g)
+{
+	return g->options.is_one_rack ? "r0" : "r";
+}
+
 /* Lists the last worker under the relay's address, as it does itself. */
 static void relay_last_worker(struct gang_cluster *g)
 {
@@ -45,9 +51,10 @@
 	char *body = g_strdup_printf(
 		"{\"add_vms\":[{\"vm\":\"v0\",\"role\":\"worker\","
 		"\"service\":\"salkhi\",\"failure_domain\":\"tov-a\","
-		"\"rack\":\"r0\",\"state\":\"live\",\"address\":\"%s\","
+		"\"rack\":\"%s\",\"state\":\"live\",\"address\":\"%s\","
 		"\"accelerators\":%d,\"cores\":%d,\"memory_mb\":%d}]}",
-		address, WORKER_ACCELERATORS, WORKER_CORES, WORKER_MEMORY_MB);
+		last_rack(g), address, WORKER_ACCELERATORS, WORKER_CORES,
+		WORKER_MEMORY_MB);
 
 	g->relay_control = cluster_log_value(p, "control", 0);
 	cluster_control(g->cluster, g->platform, body);
@@ -56,12 +63,6 @@
 	g_free(route);
 }
 
-/* The others are in rack r0. */
-static const char *last_rack(const struct gang_cluster *g)
-{
-	return g->options.is_one_rack ? "r0" : "r";
-}
-
 static void start_workers(struct gang_cluster *g, gboolean is_relayed)
 {
 	g->worker_processes[0] =
