Explanations share one set of field macros; events of gangs counted once

Ruled out: one set for all schemas: those that are decoded have bounds of their own.

Change: SCHEMA_OUT_* in base/schema.h for structs that are only encoded; count_events(); the assertion is on a variable.

--- a/base/schema.h
+++ b/base/schema.h
@@ -48,6 +48,18 @@
 	const struct field_spec *fields; /**< ends with a NULL name */
 };
 
+/* Fields of a struct that is only encoded, named as its members. */
+#define SCHEMA_OUT_FIELD(type_, member, field_type)                 \
+	{                                                           \
+		.name = #member, .type = (field_type),              \
+		.offset = offsetof(type_, member), .max = INT64_MAX \
+	}
+#define SCHEMA_OUT_STRING(type_, member) \
+	SCHEMA_OUT_FIELD(type_, member, FIELD_STRING)
+#define SCHEMA_OUT_INT(type_, member) SCHEMA_OUT_FIELD(type_, member, FIELD_INT)
+#define SCHEMA_OUT_STRINGS(type_, member) \
+	SCHEMA_OUT_FIELD(type_, member, FIELD_STRINGS)
+
 /** Looks up the place of a path in a source text, for findings. */
 typedef char *(*schema_place_fn)(const char *path, const void *data);
 
--- a/job/guarantee_explanation.c
+++ b/job/guarantee_explanation.c
@@ -5,30 +5,14 @@
 #include "job/guarantee_plan.h"
 #include "job/placement/reclaim.h"
 
-#define STRING_FIELD(type_, member)                                  \
-	{                                                            \
-		.name = #member, .type = FIELD_STRING,               \
-		.offset = offsetof(type_, member), .max = G_MAXINT32 \
-	}
-#define INT_FIELD(type_, member)                                     \
-	{                                                            \
-		.name = #member, .type = FIELD_INT,                  \
-		.offset = offsetof(type_, member), .max = G_MAXINT64 \
-	}
-#define STRINGS_FIELD(type_, member)                                 \
-	{                                                            \
-		.name = #member, .type = FIELD_STRINGS,              \
-		.offset = offsetof(type_, member), .max = G_MAXINT32 \
-	}
-
 static const struct field_spec guarantee_fields[] = {
-	STRING_FIELD(struct guarantee_explanation, name),
-	STRING_FIELD(struct guarantee_explanation, state),
-	INT_FIELD(struct guarantee_explanation, since_ms),
-	STRING_FIELD(struct guarantee_explanation, reason),
-	STRINGS_FIELD(struct guarantee_explanation, workers),
-	STRINGS_FIELD(struct guarantee_explanation, used_by),
-	STRINGS_FIELD(struct guarantee_explanation, would_stop),
+	SCHEMA_OUT_STRING(struct guarantee_explanation, name),
+	SCHEMA_OUT_STRING(struct guarantee_explanation, state),
+	SCHEMA_OUT_INT(struct guarantee_explanation, since_ms),
+	SCHEMA_OUT_STRING(struct guarantee_explanation, reason),
+	SCHEMA_OUT_STRINGS(struct guarantee_explanation, workers),
+	SCHEMA_OUT_STRINGS(struct guarantee_explanation, used_by),
+	SCHEMA_OUT_STRINGS(struct guarantee_explanation, would_stop),
 	{ 0 },
 };
 
@@ -37,10 +21,10 @@
 };
 
 static const struct field_spec account_fields[] = {
-	STRING_FIELD(struct account_explanation, client_account),
-	STRING_FIELD(struct account_explanation, pool),
-	INT_FIELD(struct account_explanation, epoch),
-	STRINGS_FIELD(struct account_explanation, lines),
+	SCHEMA_OUT_STRING(struct account_explanation, client_account),
+	SCHEMA_OUT_STRING(struct account_explanation, pool),
+	SCHEMA_OUT_INT(struct account_explanation, epoch),
+	SCHEMA_OUT_STRINGS(struct account_explanation, lines),
 	{ .name = "guarantees",
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct account_explanation, guarantees),
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -297,12 +297,14 @@
 void gang_cluster_poke(struct gang_cluster *g, const char *id)
 {
 	struct holder_wait w = { g, -1 };
+	gboolean is_found;
 	char *body = g_strdup_printf(
 		"{\"pool\":\"" GANG_POOL "\",\"id\":\"%s\"}", id);
 	struct cluster_reply r;
 
 	/* A busy machine may be late to say who it is. */
-	g_assert_true(cluster_wait(has_holder, &w, READY_TIMEOUT_MS));
+	is_found = cluster_wait(has_holder, &w, READY_TIMEOUT_MS);
+	g_assert_true(is_found);
 	r = cluster_call(g->cluster, "POST", g->addresses[w.holder],
 			 "/v1/jobs/poke", body, NULL, CLUSTER_CALL_TIMEOUT_MS);
 	g_assert_cmpuint(r.code, ==, 202);
@@ -428,8 +430,9 @@
 	return events;
 }
 
-guint gang_cluster_events(struct gang_cluster *g, const char *id,
-			  const char *event)
+/* Counts events of a job; last_ms takes the time of the last, if any. */
+static guint count_events(struct gang_cluster *g, const char *id,
+			  const char *event, int64_t *last_ms)
 {
 	GArray *events = all_events(g);
 	char *prefix = g_strconcat(id, "/", NULL);
@@ -439,15 +442,34 @@
 		const struct gang_event *e =
 			&g_array_index(events, struct gang_event, i);
 
-		if (g_str_has_prefix(e->task, prefix) &&
-		    g_str_equal(e->event, event))
-			count++;
+		if (!g_str_has_prefix(e->task, prefix) ||
+		    !g_str_equal(e->event, event))
+			continue;
+		*last_ms = e->time_ms;
+		count++;
 	}
 	g_free(prefix);
 	g_array_unref(events);
 	return count;
 }
 
+guint gang_cluster_events(struct gang_cluster *g, const char *id,
+			  const char *event)
+{
+	int64_t last_ms;
+
+	return count_events(g, id, event, &last_ms);
+}
+
+int64_t gang_cluster_last_ms(struct gang_cluster *g, const char *id,
+			     const char *event)
+{
+	int64_t last_ms = 0;
+
+	count_events(g, id, event, &last_ms);
+	return last_ms;
+}
+
 static gboolean has_events(void *data)
 {
 	const struct wait *w = data;
@@ -510,26 +532,6 @@
 	return fault;
 }
 
-int64_t gang_cluster_last_ms(struct gang_cluster *g, const char *id,
-			     const char *event)
-{
-	GArray *events = all_events(g);
-	char *prefix = g_strconcat(id, "/", NULL);
-	int64_t last_ms = 0;
-
-	for (guint i = 0; i < events->len; i++) {
-		const struct gang_event *e =
-			&g_array_index(events, struct gang_event, i);
-
-		if (g_str_has_prefix(e->task, prefix) &&
-		    g_str_equal(e->event, event))
-			last_ms = e->time_ms;
-	}
-	g_free(prefix);
-	g_array_unref(events);
-	return last_ms;
-}
-
 static gboolean is_configured(void *data)
 {
 	struct gang_cluster *g = data;
