--- a/daemon/vm_watch.c
+++ b/daemon/vm_watch.c
@@ -54,10 +54,10 @@
 }
 
 /* Without endpoints of its own the gateway depends on the others'. */
-static void hurry(struct vm_watch *w)
+static void read_others(struct vm_watch *w)
 {
 	if (w->spec.endpoints->live_count[ENDPOINT_LOCAL] == 0)
-		vm_reader_hurry(w->spec.reader);
+		vm_reader_read_ahead(w->spec.reader);
 }
 
 static void on_list(const struct vm_list *list, void *data)
@@ -65,7 +65,7 @@
 	struct vm_watch *w = data;
 
 	take_list(w, list);
-	hurry(w);
+	read_others(w);
 	w->spec.on_change(w->spec.data);
 }
 
@@ -87,7 +87,7 @@
 	if (list && has_leaving(w->spec.endpoints))
 		on_list(list, w);
 	else
-		hurry(w);
+		read_others(w);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/tests/request_world.c
+++ b/tests/request_world.c
@@ -213,7 +213,7 @@
 }
 
 struct request_call *request_world_send(struct request_world *w, guint gateway,
-					const struct request_spec *r)
+					const struct request_call_spec *r)
 {
 	char *key =
 		r->key ? g_strdup_printf("\"idempotency_key\":\"%s\",", r->key)
@@ -329,7 +329,7 @@
 
 void request_world_send_some(struct request_world *w, guint count)
 {
-	const struct request_spec r = { NULL, 0, 5, DEADLINE_MS };
+	const struct request_call_spec r = { NULL, 0, 5, DEADLINE_MS };
 
 	for (guint i = 0; i < count; i++) {
 		struct request_call *call =
--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -35,7 +35,7 @@
 	gboolean is_done;
 };
 
-struct request_spec {
+struct request_call_spec {
 	const char *key; /* NULL: repeatable */
 	int attempt;
 	int work_ms;
@@ -58,7 +58,7 @@
 
 /** Sends a request by a gateway; the call is to be freed. */
 struct request_call *request_world_send(struct request_world *w, guint gateway,
-					const struct request_spec *r);
+					const struct request_call_spec *r);
 
 /** Sends short repeatable requests by turns and asserts that all are done. */
 void request_world_send_some(struct request_world *w, guint count);
--- a/tests/test_requests_endpoints.c
+++ b/tests/test_requests_endpoints.c
@@ -11,7 +11,7 @@
 
 static void warm_up(struct request_world *w)
 {
-	const struct request_spec r = { NULL, 0, 5, DEADLINE_MS };
+	const struct request_call_spec r = { NULL, 0, 5, DEADLINE_MS };
 
 	for (guint i = 0; i < WARM_UP_REQUESTS; i++) {
 		struct request_call *call = request_world_send(w, 0, &r);
@@ -49,7 +49,7 @@
 static void test_repeatable(const void *data)
 {
 	const struct retry_case *c = data;
-	const struct request_spec r = { NULL, 0, 5, DEADLINE_MS };
+	const struct request_call_spec r = { NULL, 0, 5, DEADLINE_MS };
 	struct request_world *w = request_world_new();
 
 	warm_up(w);
@@ -122,8 +122,8 @@
 {
 	for (guint i = 0; i < QUEUED_REQUESTS; i++) {
 		char *key = g_strdup_printf("queued-%u", i);
-		const struct request_spec r = { key, 1, QUEUED_WORK_MS,
-						QUEUED_DEADLINE_MS };
+		const struct request_call_spec r = { key, 1, QUEUED_WORK_MS,
+						     QUEUED_DEADLINE_MS };
 
 		calls[i] = request_world_send(w, 0, &r);
 		g_free(key);
@@ -230,7 +230,7 @@
 static void send_and_expect(struct request_world *w, guint count,
 			    const char *answer)
 {
-	const struct request_spec r = { NULL, 0, 5, 800 };
+	const struct request_call_spec r = { NULL, 0, 5, 800 };
 
 	for (guint i = 0; i < count; i++) {
 		struct request_call *call = request_world_send(w, 0, &r);
@@ -268,8 +268,8 @@
 static void test_drain(void)
 {
 	struct request_world *w = request_world_new();
-	const struct request_spec slow = { NULL, 0, 700, 2500 };
-	const struct request_spec late = { NULL, 0, 5, DEADLINE_MS };
+	const struct request_call_spec slow = { NULL, 0, 700, 2500 };
+	const struct request_call_spec late = { NULL, 0, 5, DEADLINE_MS };
 	struct request_call *calls[8];
 	struct request_call *refused;
 
--- a/tests/test_requests_faults.c
+++ b/tests/test_requests_faults.c
@@ -179,7 +179,7 @@
 {
 	const struct fault_case *f = data;
 	struct request_world *w = request_world_new();
-	struct request_spec r = { "k", f->attempt, WORK_MS, DEADLINE_MS };
+	struct request_call_spec r = { "k", f->attempt, WORK_MS, DEADLINE_MS };
 	struct request_call *first;
 	struct request_call *retry;
 
@@ -211,8 +211,8 @@
 static void test_stopped(void)
 {
 	struct request_world *w = request_world_new();
-	struct request_spec r = { "k", 1, WORK_MS, DEADLINE_MS * 4 };
-	struct request_spec again = { "k", 2, WORK_MS, 800 };
+	struct request_call_spec r = { "k", 1, WORK_MS, DEADLINE_MS * 4 };
+	struct request_call_spec again = { "k", 2, WORK_MS, 800 };
 	struct request_call *first = request_world_send(w, 0, &r);
 	struct request_call *retry;
 
@@ -238,7 +238,7 @@
 static void test_same_key(void)
 {
 	struct request_world *w = request_world_new();
-	struct request_spec r = { "k", 0, WORK_MS, DEADLINE_MS };
+	struct request_call_spec r = { "k", 0, WORK_MS, DEADLINE_MS };
 	struct request_call *calls[4];
 
 	for (guint i = 0; i < G_N_ELEMENTS(calls); i++)
@@ -262,7 +262,7 @@
 
 static void storm_send(struct request_world *w, struct storm_key *k, guint i)
 {
-	struct request_spec r = { NULL, 1, 100, DEADLINE_MS };
+	struct request_call_spec r = { NULL, 1, 100, DEADLINE_MS };
 
 	k->key = g_strdup_printf("storm-%u", i);
 	r.key = k->key;
@@ -271,7 +271,7 @@
 
 static void storm_retry(struct request_world *w, struct storm_key *k)
 {
-	const struct request_spec r = { k->key, 2, 100, DEADLINE_MS };
+	const struct request_call_spec r = { k->key, 2, 100, DEADLINE_MS };
 
 	request_call_wait(k->call);
 	if (k->call->body)
