--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -2,17 +2,7 @@
 #include <string.h>
 
 #include "base/util.h"
-#include "platform/platform.h"
-#include "tests/cluster.h"
-
-#define TIMEOUT_MS INT64_C(300)
-
-struct fixture {
-	struct cluster *cluster;
-	char *address;
-	struct counters counters;
-	struct platform *platform;
-};
+#include "tests/platform_fixture.h"
 
 /* What came of a call, copied from its result. */
 struct outcome {
@@ -23,33 +13,6 @@
 	char *text;	 /* keys and values of all rows, or the object */
 };
 
-static void fixture_set_up(struct fixture *f, gconstpointer data)
-{
-	struct cluster_process *p;
-	struct platform_spec spec = {
-		.kind = "http",
-		.failure_domain = "tov-a",
-		.timeout_ms = TIMEOUT_MS,
-		.counters = &f->counters,
-	};
-
-	f->cluster = cluster_new();
-	p = cluster_spawn(f->cluster, "cs-standin-platform", "platform", NULL);
-	f->address = cluster_listening(p, 0);
-	counters_init(&f->counters);
-	spec.address = f->address;
-	f->platform = platform_new(&spec);
-	g_assert_nonnull(f->platform);
-}
-
-static void fixture_tear_down(struct fixture *f, gconstpointer data)
-{
-	platform_free(f->platform);
-	counters_clear(&f->counters);
-	g_free(f->address);
-	cluster_free(f->cluster);
-}
-
 static void on_result(const struct platform_result *r, void *data)
 {
 	struct outcome *o = data;
@@ -88,8 +51,8 @@
 	g_assert_true(cluster_wait(is_done, o, CLUSTER_CALL_TIMEOUT_MS));
 }
 
-static struct outcome commit(struct fixture *f, const struct table_write *w,
-			     guint count)
+static struct outcome commit(struct platform_fixture *f,
+			     const struct table_write *w, guint count)
 {
 	struct outcome o = { 0 };
 
@@ -98,8 +61,8 @@
 	return o;
 }
 
-static enum status put(struct fixture *f, const char *key, int64_t expected,
-		       const char *value, int64_t *version)
+static enum status put(struct platform_fixture *f, const char *key,
+		       int64_t expected, const char *value, int64_t *version)
 {
 	json_object *json = value ? json_object_new_string(value) : NULL;
 	struct table_write w = { "t", key, expected, json };
@@ -112,7 +75,7 @@
 	return o.status;
 }
 
-static struct outcome get(struct fixture *f, const char *key)
+static struct outcome get(struct platform_fixture *f, const char *key)
 {
 	struct outcome o = { 0 };
 
@@ -121,7 +84,8 @@
 	return o;
 }
 
-static void assert_row(struct fixture *f, const char *key, const char *text)
+static void assert_row(struct platform_fixture *f, const char *key,
+		       const char *text)
 {
 	struct outcome o = get(f, key);
 
@@ -156,7 +120,7 @@
 	{ EXPECT_FIRST, STATUS_CONFLICT, "y", "a/b c=z " },
 };
 
-static void test_compare_and_set(struct fixture *f, gconstpointer data)
+static void test_compare_and_set(struct platform_fixture *f, gconstpointer data)
 {
 	int64_t versions[] = { [EXPECT_ABSENT] = 0, [EXPECT_NEVER] = 5, 0, 0 };
 
@@ -176,7 +140,7 @@
 	}
 }
 
-static void test_all_or_nothing(struct fixture *f, gconstpointer data)
+static void test_all_or_nothing(struct platform_fixture *f, gconstpointer data)
 {
 	json_object *json = json_object_new_string("v");
 	struct table_write bad[] = { { "t", "a", 0, json },
@@ -197,7 +161,7 @@
 	json_object_put(json);
 }
 
-static void test_scan(struct fixture *f, gconstpointer data)
+static void test_scan(struct platform_fixture *f, gconstpointer data)
 {
 	struct outcome o = { 0 };
 
@@ -210,7 +174,7 @@
 	g_free(o.text);
 }
 
-static void test_objects(struct fixture *f, gconstpointer data)
+static void test_objects(struct platform_fixture *f, gconstpointer data)
 {
 	json_object *json = json_object_new_string("v");
 	struct outcome o = { 0 };
@@ -232,7 +196,7 @@
 	json_object_put(json);
 }
 
-static void test_vm_list(struct fixture *f, gconstpointer data)
+static void test_vm_list(struct platform_fixture *f, gconstpointer data)
 {
 	const struct vm_list_query query = { NULL, NULL };
 	struct outcome o = { 0 };
@@ -276,7 +240,7 @@
 	  STATUS_OK, TRUE },
 };
 
-static void test_trouble(struct fixture *f, gconstpointer data)
+static void test_trouble(struct platform_fixture *f, gconstpointer data)
 {
 	const struct trouble_case *tc = data;
 	struct outcome o;
@@ -288,17 +252,19 @@
 	g_assert_cmpint(o.status, ==, tc->read);
 	g_free(o.text);
 	cluster_control(f->cluster, f->address, tc->recovery);
-	cluster_sleep(2 * TIMEOUT_MS); /* a late write may still land */
+	cluster_sleep(
+		2 *
+		PLATFORM_FIXTURE_TIMEOUT_MS); /* a late write may still land */
 	assert_row(f, "a", tc->has_effect ? "a=v " : NULL);
 }
 
-static void test_nothing_there(struct fixture *f, gconstpointer data)
+static void test_nothing_there(struct platform_fixture *f, gconstpointer data)
 {
 	char *address = cluster_address();
 	struct platform_spec spec = { .kind = "http",
 				      .address = address,
 				      .failure_domain = "tov-a",
-				      .timeout_ms = TIMEOUT_MS,
+				      .timeout_ms = PLATFORM_FIXTURE_TIMEOUT_MS,
 				      .counters = &f->counters };
 	struct platform *kept = f->platform;
 
@@ -311,7 +277,7 @@
 	g_free(address);
 }
 
-static void test_forget(struct fixture *f, gconstpointer data)
+static void test_forget(struct platform_fixture *f, gconstpointer data)
 {
 	struct outcome forgotten = { 0 };
 	struct outcome kept = { 0 };
@@ -325,7 +291,7 @@
 	g_free(kept.text);
 }
 
-static int64_t counter_value(struct fixture *f, const char *name)
+static int64_t counter_value(struct platform_fixture *f, const char *name)
 {
 	return counters_counter(&f->counters, name, "")->value;
 }
@@ -339,7 +305,7 @@
 }
 
 /* An outage: after a few failures nothing is sent, but for the probes. */
-static void test_breaker(struct fixture *f, gconstpointer data)
+static void test_breaker(struct platform_fixture *f, gconstpointer data)
 {
 	int64_t sent;
 
@@ -380,7 +346,7 @@
 }
 
 /* More writes than the budget: those beyond it are certainly not sent. */
-static void test_budget(struct fixture *f, gconstpointer data)
+static void test_budget(struct platform_fixture *f, gconstpointer data)
 {
 	json_object *json = json_object_new_string("v");
 	struct burst b = { 0 };
@@ -409,7 +375,7 @@
 
 static const struct {
 	const char *path;
-	void (*test)(struct fixture *f, gconstpointer data);
+	void (*test)(struct platform_fixture *f, gconstpointer data);
 } cases[] = {
 	{ "/platform/breaker", test_breaker },
 	{ "/platform/budget", test_budget },
@@ -426,11 +392,12 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
-		g_test_add(cases[i].path, struct fixture, NULL, fixture_set_up,
-			   cases[i].test, fixture_tear_down);
+		g_test_add(cases[i].path, struct platform_fixture, NULL,
+			   platform_fixture_set_up, cases[i].test,
+			   platform_fixture_tear_down);
 	for (guint i = 0; i < G_N_ELEMENTS(trouble_cases); i++)
-		g_test_add(trouble_cases[i].path, struct fixture,
-			   &trouble_cases[i], fixture_set_up, test_trouble,
-			   fixture_tear_down);
+		g_test_add(trouble_cases[i].path, struct platform_fixture,
+			   &trouble_cases[i], platform_fixture_set_up,
+			   test_trouble, platform_fixture_tear_down);
 	return g_test_run();
 }
--- a/tests/test_read_back.c
+++ b/tests/test_read_back.c
@@ -3,13 +3,12 @@
 
 #include "base/util.h"
 #include "platform/resolved_commit.h"
-#include "tests/cluster.h"
+#include "tests/platform_fixture.h"
 
 #define OURS "ours"
 #define OTHERS "others"
 #define SEEDS 20000
 #define MAX_STEPS 60
-#define TIMEOUT_MS INT64_C(300)
 
 /*
  * The decision against a model of the store: a row, writes under way that may
@@ -153,13 +152,6 @@
 }
 
 /* The same over the real client and the platform's stand-in. */
-struct fixture {
-	struct cluster *cluster;
-	char *address;
-	struct counters counters;
-	struct platform *platform;
-};
-
 struct outcome {
 	gboolean is_done;
 	enum status status;
@@ -167,32 +159,6 @@
 	char *row_id; /* commit id of the row that decided */
 };
 
-static void fixture_set_up(struct fixture *f, gconstpointer data)
-{
-	struct cluster_process *p;
-	struct platform_spec spec = {
-		.kind = "http",
-		.failure_domain = "tov-a",
-		.timeout_ms = TIMEOUT_MS,
-		.counters = &f->counters,
-	};
-
-	f->cluster = cluster_new();
-	p = cluster_spawn(f->cluster, "cs-standin-platform", "platform", NULL);
-	f->address = cluster_listening(p, 0);
-	counters_init(&f->counters);
-	spec.address = f->address;
-	f->platform = platform_new(&spec);
-}
-
-static void fixture_tear_down(struct fixture *f, gconstpointer data)
-{
-	platform_free(f->platform);
-	counters_clear(&f->counters);
-	g_free(f->address);
-	cluster_free(f->cluster);
-}
-
 static void on_outcome(const struct platform_result *r, gboolean may_have,
 		       void *data)
 {
@@ -221,8 +187,8 @@
 	return value;
 }
 
-static struct resolved_commit *start(struct fixture *f, const char *commit_id,
-				     struct outcome *o)
+static struct resolved_commit *start(struct platform_fixture *f,
+				     const char *commit_id, struct outcome *o)
 {
 	json_object *value = value_of(commit_id);
 	struct table_write w = { "t", "a", TABLE_ABSENT, value };
@@ -255,7 +221,7 @@
 	  STATUS_UNKNOWN, FALSE },
 };
 
-static void test_trouble(struct fixture *f, gconstpointer data)
+static void test_trouble(struct platform_fixture *f, gconstpointer data)
 {
 	const struct trouble_case *tc = data;
 	struct outcome other = { 0 };
@@ -278,7 +244,7 @@
 	g_free(o.row_id);
 }
 
-static void test_cancel(struct fixture *f, gconstpointer data)
+static void test_cancel(struct platform_fixture *f, gconstpointer data)
 {
 	json_object *value = json_object_new_object();
 	struct table_write w = { "t", "a", TABLE_ABSENT, value };
@@ -297,10 +263,11 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/read-back/interleavings", test_interleavings);
 	for (guint i = 0; i < G_N_ELEMENTS(trouble_cases); i++)
-		g_test_add(trouble_cases[i].path, struct fixture,
-			   &trouble_cases[i], fixture_set_up, test_trouble,
-			   fixture_tear_down);
-	g_test_add("/read-back/cancel", struct fixture, NULL, fixture_set_up,
-		   test_cancel, fixture_tear_down);
+		g_test_add(trouble_cases[i].path, struct platform_fixture,
+			   &trouble_cases[i], platform_fixture_set_up,
+			   test_trouble, platform_fixture_tear_down);
+	g_test_add("/read-back/cancel", struct platform_fixture, NULL,
+		   platform_fixture_set_up, test_cancel,
+		   platform_fixture_tear_down);
 	return g_test_run();
 }
