Tests: a program's exit code counts; the fleet frees the reply it hands on

Ruled out: a leak of the product: the three programs are the users of the fleet, and daemons' reports are looked for in their logs (cluster_free).

Change: a program with all cases passed and an exit code fails; fleet_status() clears the reply.

A made-up program with one passed case and exit code 1: '3 passed, 0 failed' before, '3 passed, 1 failed' after.

Conclusion: the sanitizers' verdict on test programs counts now.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -138,12 +138,15 @@
 json_object *fleet_status(struct fleet *f, guint node)
 {
 	struct cluster_reply r;
+	json_object *status;
 
 	if (f->nodes[node].is_silent || !f->nodes[node].process)
 		return NULL;
 	r = cluster_call(f->cluster, "GET", f->nodes[node].http, "/v1/status",
 			 NULL, NULL, STATUS_TIMEOUT_MS);
-	return r.body;
+	status = json_object_get(r.body);
+	cluster_reply_clear(&r);
+	return status;
 }
 
 /* Returns the element of a list whose member has a value; not owned. */
--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -51,6 +51,10 @@
 	if [ "$seen" != "${plan:-none}" ]; then
 		echo "FAILED $name: $seen of ${plan:-none} cases, exit code $code"
 		failed=$((failed + 1))
+	elif [ "$code" -ne 0 ] && ! grep -q '^not ok' "$log"; then
+		# Such as a sanitizer's report at the end.
+		echo "FAILED $name: exit code $code"
+		failed=$((failed + 1))
 	fi
 	grep -E '^(not ok|Bail out|.*ERROR)' "$log" | head -n 20
 }
