Stand-ins: one set of control fields and one way to take them over

Cause: read over the whole change: runner, relay, worker and platform each had their own unset value, the same function that takes a member over if it was given, and the same descriptions of fields.

Ruled out: a macro for strings and lists too; each of those stands once.

Change: STANDIN_FLAG, STANDIN_INT, STANDIN_ENUM and standin_set() in standin/common; the four programs use them. No name, bound or default changed.

Conclusion: no change of behaviour.

--- a/standin/common/standin.c
+++ b/standin/common/standin.c
@@ -190,6 +190,12 @@
 	return G_SOURCE_REMOVE;
 }
 
+void standin_set(int64_t *member, int64_t value)
+{
+	if (value != STANDIN_UNSET)
+		*member = value;
+}
+
 void standin_register(const struct standin_options *o,
 		      const struct standin_vm *vms, guint count)
 {
--- a/standin/common/standin.h
+++ b/standin/common/standin.h
@@ -38,6 +38,30 @@
 	int64_t memory_mb;
 };
 
+/** Value of a member of a control body that was not given. */
+#define STANDIN_UNSET INT64_C(-1)
+
+/* Fields of a stand-in's struct control_body, for its schema. */
+#define STANDIN_FIELD(name_, member, type_)              \
+	.name = (name_), .type = (type_),                \
+	.offset = offsetof(struct control_body, member), \
+	.fallback = STANDIN_UNSET
+#define STANDIN_FLAG(name_, member)                      \
+	{                                                \
+		STANDIN_FIELD(name_, member, FIELD_BOOL) \
+	}
+#define STANDIN_INT(member, max_)                                        \
+	{                                                                \
+		STANDIN_FIELD(#member, member, FIELD_INT), .max = (max_) \
+	}
+#define STANDIN_ENUM(member, names_)                                          \
+	{                                                                     \
+		STANDIN_FIELD(#member, member, FIELD_ENUM), .names = (names_) \
+	}
+
+/** Takes a member of a control body over, if it was given. */
+void standin_set(int64_t *member, int64_t value);
+
 /**
  * Parses the command line: the common options and those of the program.
  *
--- a/standin/cs-standin-platform.c
+++ b/standin/cs-standin-platform.c
@@ -126,38 +126,16 @@
 static const struct schema commit_schema = { sizeof(struct commit_body),
 					     commit_fields };
 
-#define CONTROL_UNSET INT64_C(-1)
-
 static const struct field_spec control_fields[] = {
-	{ .name = "mode",
-	  .type = FIELD_ENUM,
-	  .offset = offsetof(struct control_body, mode),
-	  .names = mode_names,
-	  .fallback = CONTROL_UNSET },
-	{ .name = "slow_ms",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, slow_ms),
-	  .max = MAX_SLOW_MS,
-	  .fallback = CONTROL_UNSET },
-	{ .name = "lose_answers",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, lose_answers),
-	  .max = INT32_MAX,
-	  .fallback = CONTROL_UNSET },
+	STANDIN_ENUM(mode, mode_names),
+	STANDIN_INT(slow_ms, MAX_SLOW_MS),
+	STANDIN_INT(lose_answers, INT32_MAX),
 	{ .name = "lose_table",
 	  .type = FIELD_STRING,
 	  .offset = offsetof(struct control_body, lose_table),
 	  .max = KEY_MAX_BYTES },
-	{ .name = "vm_lag_ms",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, vm_lag_ms),
-	  .max = MAX_SLOW_MS,
-	  .fallback = CONTROL_UNSET },
-	{ .name = "vm_list",
-	  .type = FIELD_ENUM,
-	  .offset = offsetof(struct control_body, vm_list),
-	  .names = vm_directory_mode_names,
-	  .fallback = CONTROL_UNSET },
+	STANDIN_INT(vm_lag_ms, MAX_SLOW_MS),
+	STANDIN_ENUM(vm_list, vm_directory_mode_names),
 	{ .name = "raw_vms",
 	  .type = FIELD_JSON,
 	  .offset = offsetof(struct control_body, raw_vms) },
@@ -407,12 +385,6 @@
 		vm_directory_set_raw(d, body->raw_vms);
 }
 
-static void set_unless_unset(int64_t *member, int64_t value)
-{
-	if (value != CONTROL_UNSET)
-		*member = value;
-}
-
 static void handle_control(struct store *s, struct http_request *r)
 {
 	struct control_body body = { 0 };
@@ -421,11 +393,11 @@
 	if (!standin_decode(r, &control_schema, &body))
 		return;
 	has_cut = json_object_object_get_ex(http_request_json(r), "cut", NULL);
-	set_unless_unset(&s->mode, body.mode);
-	set_unless_unset(&s->slow_ms, body.slow_ms);
-	set_unless_unset(&s->lose_answers, body.lose_answers);
-	set_unless_unset(&s->vms.lag_ms, body.vm_lag_ms);
-	set_unless_unset(&s->vms.mode, body.vm_list);
+	standin_set(&s->mode, body.mode);
+	standin_set(&s->slow_ms, body.slow_ms);
+	standin_set(&s->lose_answers, body.lose_answers);
+	standin_set(&s->vms.lag_ms, body.vm_lag_ms);
+	standin_set(&s->vms.mode, body.vm_list);
 	if (body.lose_table) {
 		g_free(s->lose_table);
 		s->lose_table = g_strdup(body.lose_table);
--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -18,8 +18,6 @@
 #define MAX_ROUTES 1000
 #define MAX_ONLY_BYTES 64
 #define ALL_ROUTES INT64_C(-1)
-#define CONTROL_UNSET INT64_C(-1)
-
 enum mode {
 	MODE_PASS,
 	MODE_SILENT,
@@ -297,21 +295,13 @@
 };
 
 static const struct field_spec control_fields[] = {
-	{ .name = "mode",
-	  .type = FIELD_ENUM,
-	  .offset = offsetof(struct control_body, mode),
-	  .names = mode_names,
-	  .fallback = CONTROL_UNSET },
+	STANDIN_ENUM(mode, mode_names),
 	{ .name = "only",
 	  .type = FIELD_STRING,
 	  .offset = offsetof(struct control_body, only),
 	  .min = 1,
 	  .max = MAX_ONLY_BYTES },
-	{ .name = "delay_ms",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, delay_ms),
-	  .max = MAX_DELAY_MS,
-	  .fallback = CONTROL_UNSET },
+	STANDIN_INT(delay_ms, MAX_DELAY_MS),
 	{ .name = "silence_open",
 	  .type = FIELD_BOOL,
 	  .offset = offsetof(struct control_body, silence_open) },
@@ -328,13 +318,12 @@
 
 static void change_route(struct route *r, const struct control_body *body)
 {
-	if (body->mode != CONTROL_UNSET) {
+	if (body->mode != STANDIN_UNSET) {
 		r->mode = body->mode;
 		g_free(r->only);
 		r->only = g_strdup(body->only);
 	}
-	if (body->delay_ms != CONTROL_UNSET)
-		r->delay_ms = body->delay_ms;
+	standin_set(&r->delay_ms, body->delay_ms);
 	for (guint i = r->links->len; i > 0; i--) {
 		struct link *link = r->links->pdata[i - 1];
 
--- a/standin/cs-standin-runner.c
+++ b/standin/cs-standin-runner.c
@@ -13,8 +13,6 @@
 #define MAX_WORK_MS 3600000
 #define DEFAULT_SLOTS 8
 #define MAX_CONNECTIONS 64
-#define CONTROL_UNSET INT64_C(-1)
-
 struct runner {
 	struct http_server *server;
 	struct standin_vm vm;
@@ -71,23 +69,12 @@
 
 static const struct schema run_schema = { sizeof(struct run_body), run_fields };
 
-#define CONTROL_FLAG(name_, member)                              \
-	{                                                        \
-		.name = (name_), .type = FIELD_BOOL,             \
-		.offset = offsetof(struct control_body, member), \
-		.fallback = CONTROL_UNSET                        \
-	}
-
 static const struct field_spec control_fields[] = {
-	{ .name = "delay_ms",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, delay_ms),
-	  .max = MAX_WORK_MS,
-	  .fallback = CONTROL_UNSET },
-	CONTROL_FLAG("silent", is_silent),
-	CONTROL_FLAG("leaving", is_leaving),
-	CONTROL_FLAG("fail", is_failing),
-	CONTROL_FLAG("wrong_id", has_wrong_id),
+	STANDIN_INT(delay_ms, MAX_WORK_MS),
+	STANDIN_FLAG("silent", is_silent),
+	STANDIN_FLAG("leaving", is_leaving),
+	STANDIN_FLAG("fail", is_failing),
+	STANDIN_FLAG("wrong_id", has_wrong_id),
 	{ 0 },
 };
 
@@ -232,12 +219,6 @@
 	http_request_reply(request, SOUP_STATUS_OK, body);
 }
 
-static void set_unless_unset(int64_t *member, int64_t value)
-{
-	if (value != CONTROL_UNSET)
-		*member = value;
-}
-
 static void handle_control(struct http_request *request, void *data)
 {
 	struct runner *r = data;
@@ -245,11 +226,11 @@
 
 	if (!standin_decode(request, &control_schema, &body))
 		return;
-	set_unless_unset(&r->delay_ms, body.delay_ms);
-	set_unless_unset(&r->is_silent, body.is_silent);
-	set_unless_unset(&r->is_leaving, body.is_leaving);
-	set_unless_unset(&r->is_failing, body.is_failing);
-	set_unless_unset(&r->has_wrong_id, body.has_wrong_id);
+	standin_set(&r->delay_ms, body.delay_ms);
+	standin_set(&r->is_silent, body.is_silent);
+	standin_set(&r->is_leaving, body.is_leaving);
+	standin_set(&r->is_failing, body.is_failing);
+	standin_set(&r->has_wrong_id, body.has_wrong_id);
 	standin_reply_done(request);
 }
 
--- a/standin/cs-standin-worker.c
+++ b/standin/cs-standin-worker.c
@@ -312,22 +312,10 @@
 static const struct schema commands_schema = { sizeof(struct commands_body),
 					       commands_fields };
 
-#define CONTROL_UNSET INT64_C(-1)
-
 static const struct field_spec control_fields[] = {
-	{ .name = "fail_tasks",
-	  .type = FIELD_BOOL,
-	  .offset = offsetof(struct control_body, is_failing),
-	  .fallback = CONTROL_UNSET },
-	{ .name = "silent",
-	  .type = FIELD_BOOL,
-	  .offset = offsetof(struct control_body, is_silent),
-	  .fallback = CONTROL_UNSET },
-	{ .name = "delay_ms",
-	  .type = FIELD_INT,
-	  .offset = offsetof(struct control_body, delay_ms),
-	  .max = MAX_TIME_MS,
-	  .fallback = CONTROL_UNSET },
+	STANDIN_FLAG("fail_tasks", is_failing),
+	STANDIN_FLAG("silent", is_silent),
+	STANDIN_INT(delay_ms, MAX_TIME_MS),
 	{ 0 },
 };
 
@@ -551,12 +539,6 @@
 	http_request_reply(r, SOUP_STATUS_OK, encode_report(w, NULL));
 }
 
-static void set_unless_unset(int64_t *member, int64_t value)
-{
-	if (value != CONTROL_UNSET)
-		*member = value;
-}
-
 static void handle_control(struct http_request *r, void *data)
 {
 	struct worker *w = data;
@@ -564,9 +546,9 @@
 
 	if (!standin_decode(r, &control_schema, &body))
 		return;
-	set_unless_unset(&w->is_failing, body.is_failing);
-	set_unless_unset(&w->is_silent, body.is_silent);
-	set_unless_unset(&w->delay_ms, body.delay_ms);
+	standin_set(&w->is_failing, body.is_failing);
+	standin_set(&w->is_silent, body.is_silent);
+	standin_set(&w->delay_ms, body.delay_ms);
 	standin_reply_done(r);
 }
 
