Bad bodies logged by one function; workers of other domains passed over first

Cause: pool_runner.c and worker_http.c had the same log line; an answer without a report was guarded twice, in scheduler_on_worker() and in on_answer(), where the general rule is; a new VM list made a pool's name for each of its VMs.

Ruled out: one line for the platform's client and the settings too: they make a status and print to the operator.

Change: daemon/bad_body; the outer guard is gone; role and failure domain are compared before the name is made.

Conclusion: no change of behaviour.

--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -94,12 +94,16 @@
 
 	for (guint i = 0; i < list->vms->len; i++) {
 		const struct vm_entry *vm = list->vms->pdata[i];
-		char *pool = g_strdup_printf("%s.%s", vm->service, domain);
-		struct listed_worker w = listed_worker_of(vm);
-
-		if (vm->role == VM_WORKER &&
-		    g_str_equal(vm->failure_domain, domain) &&
-		    g_str_equal(pool, pool_runner_pool(p)))
+		struct listed_worker w;
+		char *pool;
+
+		/* Of a long list few are workers of the own domain. */
+		if (vm->role != VM_WORKER ||
+		    !g_str_equal(vm->failure_domain, domain))
+			continue;
+		w = listed_worker_of(vm);
+		pool = g_strdup_printf("%s.%s", vm->service, domain);
+		if (g_str_equal(pool, pool_runner_pool(p)))
 			g_array_append_val(workers, w);
 		g_free(pool);
 	}
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "base/log.h"
 #include "base/util.h"
+#include "daemon/bad_body.h"
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
@@ -96,20 +96,6 @@
 	g_free(c);
 }
 
-static void log_bad_body(const struct pool_runner *p, const char *what,
-			 const struct finding_list *findings)
-{
-	char *text = finding_list_text(findings);
-	struct log_line line;
-
-	log_begin(&line, LOG_LEVEL_ERROR, "bad_body");
-	log_str(&line, "pool", p->pool);
-	log_str(&line, "from", what);
-	log_str(&line, "findings", text);
-	log_end(&line);
-	g_free(text);
-}
-
 static void on_worker_reply(const struct http_reply *reply, void *data)
 {
 	struct worker_request *c = data;
@@ -204,7 +190,7 @@
 	finding_list_init(&findings);
 	is_good = job_record_decode(r, row->value, &findings);
 	if (!is_good)
-		log_bad_body(p, row->key, &findings);
+		bad_body_log(p->pool, row->key, &findings);
 	finding_list_clear(&findings);
 	return is_good;
 }
--- a/daemon/worker_http.c
+++ b/daemon/worker_http.c
@@ -2,7 +2,7 @@
 
 #include <libsoup/soup.h>
 
-#include "base/log.h"
+#include "daemon/bad_body.h"
 #include "daemon/http_service.h"
 #include "job/worker_contact.h"
 
@@ -30,20 +30,6 @@
 	return http;
 }
 
-static void log_bad_report(const char *pool, const char *worker,
-			   const struct finding_list *findings)
-{
-	char *text = finding_list_text(findings);
-	struct log_line line;
-
-	log_begin(&line, LOG_LEVEL_ERROR, "bad_body");
-	log_str(&line, "pool", pool);
-	log_str(&line, "from", worker);
-	log_str(&line, "findings", text);
-	log_end(&line);
-	g_free(text);
-}
-
 enum worker_answer worker_http_decode(const struct http_reply *reply,
 				      const char *pool, const char *worker,
 				      struct worker_report *report)
@@ -58,7 +44,7 @@
 	finding_list_init(&findings);
 	is_good = worker_report_decode(report, reply->body, &findings);
 	if (!is_good)
-		log_bad_report(pool, worker, &findings);
+		bad_body_log(pool, worker, &findings);
 	finding_list_clear(&findings);
 	return is_good ? WORKER_ANSWERED : WORKER_FAILED;
 }
--- a/job/scheduler_workers.c
+++ b/job/scheduler_workers.c
@@ -466,7 +466,7 @@
 
 	if (!c || !c->is_in_flight || c->call_id != call_id)
 		return;
-	if (answer == WORKER_ANSWERED && report) {
+	if (answer == WORKER_ANSWERED) {
 		on_answer(s, c, report, now_ms);
 	} else {
 		worker_contact_on_failure(c, now_ms);
