Configuration: a change costs by its size, bodies are held as compact text

A process that polls read the whole body from the object store whenever its poll came before the push; the first change stayed in the history for peers that lag.

Ruled out: the check of the operators' configuration, which happens at one process only; the links, whose changes were small already. Keeping only the decoded form loses members that a newer program knows; a job read from the store when it is submitted puts a read on that path.

Change: config/config_body holds entities as text with their digests and shares them from one version to the next; config/config_doc_change decodes what a change names; jobs are decoded when they are submitted. The digest is a sum over the entities. Pollers wait one poll for the push; large changes are not kept for peers, and the memory of a large body is given back.

--- a/bench/shared_sim.h
+++ b/bench/shared_sim.h
@@ -148,8 +148,9 @@
 		if (!s->is_poller[i] || (is_cut && i < s->domain_size))
 			continue;
 		is_polled[i] = TRUE;
+		/* The poll that sees the head, and one more for the pushes. */
 		times[i] = g_rand_double_range(rand, 0, SIM_POLL_MS) +
-			   2 * SIM_CALL_MS + SIM_APPLY_MS;
+			   SIM_POLL_MS + 2 * SIM_CALL_MS + SIM_APPLY_MS;
 	}
 	while (is_changed) {
 		is_changed = FALSE;
@@ -210,12 +211,14 @@
 		"\"gust-map\",\"pool\":\"salkhi.region-0\",\"shape\":{"
 		"\"members\":2,\"accelerators\":8,\"cores\":8,\"memory_mb\":"
 		"4096,\"adjacency\":\"rack\"}}]}]}");
+	struct config_body *base = config_body_new(before);
+	struct config_body *body = config_body_new(after);
 	struct config_delta d = { 0 };
 	GByteArray *bytes;
 	json_object *json;
 	double size;
 
-	config_delta_make(before, 1, after, 2, &d);
+	config_delta_make(base, 1, body, 2, &d);
 	json = schema_encode(&config_delta_schema, &d);
 	bytes = pack_encode(json);
 	size = bytes->len + FRAME_HEADER_BYTES;
@@ -223,6 +226,8 @@
 	json_object_put(json);
 	json_object_put(before);
 	json_object_put(after);
+	config_body_unref(base);
+	config_body_unref(body);
 	schema_clear(&config_delta_schema, &d);
 	return size;
 }
--- a/config/config_delta.c
+++ b/config/config_delta.c
@@ -5,11 +5,7 @@
 #define NAME_MAX_BYTES 64
 #define DIGEST_BYTES 64
 #define MAX_REMOVED 20000
-#define NAME_MEMBER "name"
-#define FORMAT_MEMBER "format"
-
-static const char *const list_names[] = { "services", "client_accounts",
-					  "jobs" };
+#define LARGE_ENTITIES 200
 
 static const struct field_spec list_fields[] = {
 	{ .name = "list",
@@ -51,7 +47,7 @@
 	{ .name = "lists",
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct config_delta, lists),
-	  .max = G_N_ELEMENTS(list_names),
+	  .max = CONFIG_LIST_COUNT,
 	  .schema = &list_schema },
 	{ 0 },
 };
@@ -80,183 +76,173 @@
 const struct schema config_request_schema = { sizeof(struct config_request),
 					      request_fields };
 
-static const char *name_of(json_object *entity)
+static const struct config_entity *find_same(const struct config_body *base,
+					     guint list,
+					     const struct config_entity *e)
 {
-	const char *name = json_object_get_string(
-		json_object_object_get(entity, NAME_MEMBER));
+	const struct config_entity *before =
+		config_body_find(base, list, e->name);
 
-	return name ? name : "";
+	if (!before ||
+	    memcmp(before->digest, e->digest, sizeof(e->digest)) != 0)
+		return NULL;
+	return before;
 }
 
-static size_t length_of(json_object *list)
-{
-	return list ? json_object_array_length(list) : 0;
-}
-
-/* Returns name to entity; neither is owned. */
-static GHashTable *index_list(json_object *list)
+static void compare_lists(const struct config_body *base,
+			  const struct config_body *body, guint list,
+			  struct config_list_delta *out)
 {
-	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+	for (guint i = 0; i < config_body_count(body, list); i++) {
+		const struct config_entity *e = config_body_get(body, list, i);
 
-	for (size_t i = 0; i < length_of(list); i++) {
-		json_object *entity = json_object_array_get_idx(list, i);
+		if (!find_same(base, list, e))
+			json_object_array_add(out->set,
+					      json_tokener_parse(e->text));
+	}
+	for (guint i = 0; i < config_body_count(base, list); i++) {
+		const struct config_entity *e = config_body_get(base, list, i);
 
-		g_hash_table_insert(index, (gpointer)name_of(entity), entity);
+		if (!config_body_find(body, list, e->name))
+			g_ptr_array_add(out->removed, g_strdup(e->name));
 	}
-	return index;
 }
 
-static gint compare_names(gconstpointer a, gconstpointer b)
+void config_delta_make(const struct config_body *base, int64_t base_version,
+		       const struct config_body *body, int64_t version,
+		       struct config_delta *out)
 {
-	return strcmp(a, b);
+	out->base_version = base_version;
+	out->version = version;
+	out->format = config_body_format(body);
+	out->digest = config_body_digest(body);
+	out->lists = g_array_new(FALSE, TRUE, sizeof(struct config_list_delta));
+	for (guint i = 0; i < CONFIG_LIST_COUNT; i++) {
+		struct config_list_delta list = {
+			.list = g_strdup(config_list_names[i]),
+			.set = json_object_new_array(),
+			.removed = g_ptr_array_new_with_free_func(g_free),
+		};
+
+		compare_lists(base, body, i, &list);
+		g_array_append_val(out->lists, list);
+	}
 }
 
-static void digest_list(GChecksum *checksum, json_object *list)
+void config_list_change_init(struct config_list_change *c,
+			     const struct config_delta *d, guint list)
 {
-	GHashTable *index = index_list(list);
-	GList *names = g_hash_table_get_keys(index);
+	*c = (struct config_list_change){
+		.set = g_hash_table_new(g_str_hash, g_str_equal),
+		.removed = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+	for (guint i = 0; i < d->lists->len; i++) {
+		const struct config_list_delta *l =
+			&g_array_index(d->lists, struct config_list_delta, i);
 
-	names = g_list_sort(names, compare_names);
-	for (GList *n = names; n; n = n->next) {
-		json_object *entity = g_hash_table_lookup(index, n->data);
-		const char *text = json_object_to_json_string_ext(
-			entity, JSON_C_TO_STRING_PLAIN);
+		if (config_list_index(l->list) != (int)list)
+			continue;
+		if (json_object_is_type(l->set, json_type_array))
+			c->entities = l->set;
+		for (guint j = 0; l->removed && j < l->removed->len; j++)
+			g_hash_table_add(c->removed, l->removed->pdata[j]);
+	}
+	for (size_t i = 0; i < config_list_change_count(c); i++) {
+		json_object *e = json_object_array_get_idx(c->entities, i);
 
-		g_checksum_update(checksum, (const guchar *)text,
-				  (gssize)strlen(text) + 1);
+		g_hash_table_insert(c->set, (gpointer)config_entity_name(e), e);
 	}
-	g_list_free(names);
-	g_hash_table_unref(index);
 }
 
-char *config_digest(json_object *body)
+void config_list_change_clear(struct config_list_change *c)
 {
-	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
-	char *digest;
-
-	for (guint i = 0; i < G_N_ELEMENTS(list_names); i++) {
-		const char *name = list_names[i];
+	g_hash_table_unref(c->set);
+	g_hash_table_unref(c->removed);
+}
 
-		g_checksum_update(checksum, (const guchar *)name,
-				  (gssize)strlen(name) + 1);
-		digest_list(checksum, json_object_object_get(body, name));
-	}
-	digest = g_strdup(g_checksum_get_string(checksum));
-	g_checksum_free(checksum);
-	return digest;
+size_t config_list_change_count(const struct config_list_change *c)
+{
+	return c->entities ? json_object_array_length(c->entities) : 0;
 }
 
-static void compare_lists(json_object *base, json_object *list,
-			  struct config_list_delta *out)
+gboolean config_list_change_is_empty(const struct config_list_change *c)
 {
-	GHashTable *old = index_list(base);
-	GHashTable *new = index_list(list);
+	return !g_hash_table_size(c->set) && !g_hash_table_size(c->removed);
+}
 
-	for (size_t i = 0; i < length_of(list); i++) {
-		json_object *entity = json_object_array_get_idx(list, i);
-		json_object *before = g_hash_table_lookup(old, name_of(entity));
+/* Keeps the base's order; new entities come last. */
+static void apply_list(const struct config_list_change *c, guint list,
+		       const struct config_body *base, struct config_body *out)
+{
+	for (guint i = 0; i < config_body_count(base, list); i++) {
+		const struct config_entity *e = config_body_get(base, list, i);
+		json_object *after = g_hash_table_lookup(c->set, e->name);
 
-		if (!before || !json_object_equal(before, entity))
-			json_object_array_add(out->set,
-					      json_object_get(entity));
+		if (after)
+			config_body_add(out, list, after);
+		else if (!g_hash_table_contains(c->removed, e->name))
+			config_body_share(out, list, e);
 	}
-	for (size_t i = 0; i < length_of(base); i++) {
-		const char *name = name_of(json_object_array_get_idx(base, i));
+	for (size_t i = 0; i < config_list_change_count(c); i++) {
+		json_object *e = json_object_array_get_idx(c->entities, i);
 
-		if (!g_hash_table_contains(new, name))
-			g_ptr_array_add(out->removed, g_strdup(name));
+		if (!config_body_find(out, list, config_entity_name(e)))
+			config_body_add(out, list, e);
 	}
-	g_hash_table_unref(old);
-	g_hash_table_unref(new);
 }
 
-void config_delta_make(json_object *base, int64_t base_version,
-		       json_object *body, int64_t version,
-		       struct config_delta *out)
+static struct config_body *apply(const struct config_delta *d,
+				 const struct config_body *base)
 {
-	out->base_version = base_version;
-	out->version = version;
-	out->format = json_object_get_int64(
-		json_object_object_get(body, FORMAT_MEMBER));
-	out->digest = config_digest(body);
-	out->lists = g_array_new(FALSE, TRUE, sizeof(struct config_list_delta));
-	for (guint i = 0; i < G_N_ELEMENTS(list_names); i++) {
-		struct config_list_delta list = {
-			.list = g_strdup(list_names[i]),
-			.set = json_object_new_array(),
-			.removed = g_ptr_array_new_with_free_func(g_free),
-		};
+	struct config_body *body = config_body_new_empty(d->format);
 
-		compare_lists(json_object_object_get(base, list_names[i]),
-			      json_object_object_get(body, list_names[i]),
-			      &list);
-		g_array_append_val(out->lists, list);
+	for (guint i = 0; i < CONFIG_LIST_COUNT; i++) {
+		struct config_list_change c;
+
+		config_list_change_init(&c, d, i);
+		apply_list(&c, i, base, body);
+		config_list_change_clear(&c);
 	}
+	return body;
 }
 
-static gboolean is_removed(const struct config_list_delta *d, const char *name)
+char *config_delta_digest(const struct config_delta *d,
+			  const struct config_body *base)
 {
-	return g_ptr_array_find_with_equal_func(d->removed, name, g_str_equal,
-						NULL);
+	struct config_body *body = apply(d, base);
+	char *digest = config_body_digest(body);
+
+	config_body_unref(body);
+	return digest;
 }
 
-/* Keeps the base's order; new entities come last. */
-static json_object *apply_list(const struct config_list_delta *d,
-			       json_object *base)
+enum status config_delta_apply(const struct config_delta *d,
+			       const struct config_body *base,
+			       struct config_body **out)
 {
-	json_object *out = json_object_new_array();
-	GHashTable *set = index_list(d->set);
-	GHashTable *old = index_list(base);
-
-	for (size_t i = 0; i < length_of(base); i++) {
-		json_object *entity = json_object_array_get_idx(base, i);
-		json_object *after = g_hash_table_lookup(set, name_of(entity));
-
-		if (after)
-			entity = after;
-		else if (is_removed(d, name_of(entity)))
-			continue;
-		json_object_array_add(out, json_object_get(entity));
-	}
-	for (size_t i = 0; i < length_of(d->set); i++) {
-		json_object *entity = json_object_array_get_idx(d->set, i);
+	struct config_body *body = apply(d, base);
+	enum status status = STATUS_OK;
+	char *digest = config_body_digest(body);
 
-		if (!g_hash_table_contains(old, name_of(entity)))
-			json_object_array_add(out, json_object_get(entity));
-	}
-	g_hash_table_unref(set);
-	g_hash_table_unref(old);
-	return out;
+	if (g_str_equal(digest, d->digest))
+		*out = config_body_ref(body);
+	else
+		status = status_fail(STATUS_CONFLICT, "digest differs");
+	config_body_unref(body);
+	g_free(digest);
+	return status;
 }
 
-enum status config_delta_apply(const struct config_delta *d, json_object *base,
-			       json_object **out)
+gboolean config_delta_is_large(const struct config_delta *d)
 {
-	json_object *body = json_object_new_object();
-	enum status status = STATUS_OK;
-	char *digest;
+	size_t count = 0;
 
-	json_object_object_add(body, FORMAT_MEMBER,
-			       json_object_new_int64(d->format));
 	for (guint i = 0; i < d->lists->len; i++) {
-		const struct config_list_delta *list =
+		const struct config_list_delta *l =
 			&g_array_index(d->lists, struct config_list_delta, i);
 
-		if (list->set &&
-		    !json_object_is_type(list->set, json_type_array))
-			continue;
-		json_object_object_add(
-			body, list->list,
-			apply_list(list,
-				   json_object_object_get(base, list->list)));
+		count += l->set ? json_object_array_length(l->set) : 0;
+		count += l->removed ? l->removed->len : 0;
 	}
-	digest = config_digest(body);
-	if (g_str_equal(digest, d->digest))
-		*out = body;
-	else
-		status = status_fail(STATUS_CONFLICT, "digest differs");
-	if (status != STATUS_OK)
-		json_object_put(body);
-	g_free(digest);
-	return status;
+	return count >= LARGE_ENTITIES;
 }
--- a/config/config_doc.c
+++ b/config/config_doc.c
@@ -153,9 +153,12 @@
 					  config_doc_fields };
 
 struct checker {
-	const struct config_doc *doc;
 	const struct schema_source *source;
 	struct finding_list *findings;
+	GHashTable *services; /**< sets of names */
+	GHashTable *accounts;
+	GHashTable *jobs;
+	GHashTable *pools; /**< set of SERVICE.FAILURE_DOMAIN */
 };
 
 static void report(struct checker *c, const char *allowed, const char *problem,
@@ -211,14 +214,29 @@
 	return NULL;
 }
 
-static void check_shape(struct checker *c, const struct shape *s,
-			const char *path)
+static gboolean fits_adjacency(const struct shape *s)
 {
-	if (s->adjacency == ADJACENCY_WORKER &&
-	    shape_accelerators(s) > MAX_ACCELERATORS)
-		report(c, "at most 64 accelerators on one worker",
-		       "shape is too large for its adjacency", "%s.adjacency",
-		       path);
+	return s->adjacency != ADJACENCY_WORKER ||
+	       shape_accelerators(s) <= MAX_ACCELERATORS;
+}
+
+static void report_adjacency(struct checker *c, const char *path)
+{
+	report(c, "at most 64 accelerators on one worker",
+	       "shape is too large for its adjacency", "%s.adjacency", path);
+}
+
+static void check_guaranteed_shape(struct checker *c, GHashTable *seen,
+				   const struct guaranteed_shape *g,
+				   const char *path)
+{
+	if (!g_hash_table_add(seen, g->name))
+		report(c, "each name once", "duplicate name", "%s.name", path);
+	if (!g_hash_table_contains(c->pools, g->pool))
+		report(c, "SERVICE.FAILURE_DOMAIN of services", "unknown pool",
+		       "%s.pool", path);
+	if (!fits_adjacency(&g->shape))
+		report_adjacency(c, path);
 }
 
 static void check_account(struct checker *c, const struct client_account *a,
@@ -226,22 +244,19 @@
 {
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 
-	if (!find_service(c->doc, a->service))
+	check_name(c, c->accounts, "client_accounts", index, a->name);
+	if (!g_hash_table_contains(c->services, a->service))
 		report(c, "a name of services", "unknown service",
 		       "client_accounts[%u].service", index);
 	for (guint i = 0; i < a->guaranteed_shapes->len; i++) {
-		const struct guaranteed_shape *g = &g_array_index(
-			a->guaranteed_shapes, struct guaranteed_shape, i);
 		char *path = g_strdup_printf(
 			"client_accounts[%u].guaranteed_shapes[%u]", index, i);
 
-		if (!g_hash_table_add(seen, g->name))
-			report(c, "each name once", "duplicate name", "%s.name",
-			       path);
-		if (!config_doc_has_pool(c->doc, g->pool))
-			report(c, "SERVICE.FAILURE_DOMAIN of services",
-			       "unknown pool", "%s.pool", path);
-		check_shape(c, &g->shape, path);
+		check_guaranteed_shape(c, seen,
+				       &g_array_index(a->guaranteed_shapes,
+						      struct guaranteed_shape,
+						      i),
+				       path);
 		g_free(path);
 	}
 	g_hash_table_unref(seen);
@@ -249,49 +264,68 @@
 
 static void check_job(struct checker *c, const struct job_spec *j, guint index)
 {
-	char *path = g_strdup_printf("jobs[%u]", index);
-
-	if (!config_doc_find_account(c->doc, j->client_account))
+	check_name(c, c->jobs, "jobs", index, j->name);
+	if (!g_hash_table_contains(c->accounts, j->client_account))
 		report(c, "a name of client_accounts", "unknown client account",
-		       "%s.client_account", path);
-	if (!config_doc_has_pool(c->doc, j->pool))
+		       "jobs[%u].client_account", index);
+	if (!g_hash_table_contains(c->pools, j->pool))
 		report(c, "SERVICE.FAILURE_DOMAIN of services", "unknown pool",
-		       "%s.pool", path);
-	check_shape(c, &j->shape, path);
-	g_free(path);
+		       "jobs[%u].pool", index);
+	if (!fits_adjacency(&j->shape)) {
+		char *path = g_strdup_printf("jobs[%u]", index);
+
+		report_adjacency(c, path);
+		g_free(path);
+	}
+}
+
+static void check_service(struct checker *c, const struct service_spec *s,
+			  guint index)
+{
+	check_name(c, c->services, "services", index, s->name);
+	for (guint i = 0; i < s->failure_domains->len; i++)
+		g_hash_table_add(c->pools,
+				 g_strconcat(s->name, ".",
+					     s->failure_domains->pdata[i],
+					     NULL));
+}
+
+static GHashTable *name_set(void)
+{
+	return g_hash_table_new(g_str_hash, g_str_equal);
 }
 
 gboolean config_doc_check(const struct config_doc *doc,
 			  const struct schema_source *source,
 			  struct finding_list *findings)
 {
-	struct checker c = { doc, source, findings };
 	guint before = finding_list_count(findings);
-	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *accounts = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	struct checker c = {
+		.source = source,
+		.findings = findings,
+		.services = name_set(),
+		.accounts = name_set(),
+		.jobs = name_set(),
+		.pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL),
+	};
 
 	for (guint i = 0; i < doc->services->len; i++)
-		check_name(&c, services, "services", i,
-			   g_array_index(doc->services, struct service_spec, i)
-				   .name);
-	for (guint i = 0; i < doc->client_accounts->len; i++) {
-		const struct client_account *a = &g_array_index(
-			doc->client_accounts, struct client_account, i);
-
-		check_name(&c, accounts, "client_accounts", i, a->name);
-		check_account(&c, a, i);
-	}
-	for (guint i = 0; i < doc->jobs->len; i++) {
-		const struct job_spec *j =
-			&g_array_index(doc->jobs, struct job_spec, i);
-
-		check_name(&c, jobs, "jobs", i, j->name);
-		check_job(&c, j, i);
-	}
-	g_hash_table_unref(services);
-	g_hash_table_unref(accounts);
-	g_hash_table_unref(jobs);
+		check_service(
+			&c,
+			&g_array_index(doc->services, struct service_spec, i),
+			i);
+	for (guint i = 0; i < doc->client_accounts->len; i++)
+		check_account(&c,
+			      &g_array_index(doc->client_accounts,
+					     struct client_account, i),
+			      i);
+	for (guint i = 0; i < doc->jobs->len; i++)
+		check_job(&c, &g_array_index(doc->jobs, struct job_spec, i), i);
+	g_hash_table_unref(c.services);
+	g_hash_table_unref(c.accounts);
+	g_hash_table_unref(c.jobs);
+	g_hash_table_unref(c.pools);
 	return finding_list_count(findings) == before;
 }
 
@@ -327,19 +361,6 @@
 	return NULL;
 }
 
-const struct job_spec *config_doc_find_job(const struct config_doc *doc,
-					   const char *name)
-{
-	for (guint i = 0; i < doc->jobs->len; i++) {
-		const struct job_spec *j =
-			&g_array_index(doc->jobs, struct job_spec, i);
-
-		if (g_str_equal(j->name, name))
-			return j;
-	}
-	return NULL;
-}
-
 gboolean config_doc_has_pool(const struct config_doc *doc, const char *pool)
 {
 	const char *dot = strchr(pool, '.');
--- a/config/config_doc.h
+++ b/config/config_doc.h
@@ -110,8 +110,6 @@
 
 const struct client_account *
 config_doc_find_account(const struct config_doc *doc, const char *name);
-const struct job_spec *config_doc_find_job(const struct config_doc *doc,
-					   const char *name);
 
 /** Tells whether POOL is SERVICE.FAILURE_DOMAIN of a known service. */
 gboolean config_doc_has_pool(const struct config_doc *doc, const char *pool);
--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -212,7 +212,7 @@
 static void handle_get(struct http_request *request, void *data)
 {
 	struct config_routes *r = data;
-	json_object *config = config_service_body(r->service);
+	const struct config_body *config = config_service_body(r->service);
 	json_object *body;
 
 	if (!http_service_allow_operator(r->kernel, request))
@@ -221,7 +221,8 @@
 	json_object_object_add(
 		body, "version",
 		json_object_new_int64(config_service_version(r->service)));
-	json_object_object_add(body, "config", json_object_get(config));
+	json_object_object_add(body, "config",
+			       config ? config_body_encode(config) : NULL);
 	http_request_reply(request, SOUP_STATUS_OK, body);
 }
 
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -1,5 +1,7 @@
 #include "config/config_service.h"
 
+#include <malloc.h>
+
 #include "base/json_text.h"
 #include "base/log.h"
 #include "base/util.h"
@@ -13,6 +15,10 @@
 #define POLL_MS 500
 /** The same for the others, in case that no push reaches them. */
 #define SLOW_POLL_MS INT64_C(20000)
+/** The pushes of a change have this long before its whole body is read. */
+#define PUSH_WAIT_MS INT64_C(400)
+/** From a large change to giving back the memory that taking it needed. */
+#define TRIM_DELAY_MS 1000
 
 struct subscriber {
 	config_fn fn;
@@ -28,44 +34,99 @@
 	GArray *subscribers;	  /**< of struct subscriber */
 	int64_t fetching_version; /**< 0 when no body is being read */
 	int64_t read_ms;	  /**< of the last reading of the head */
+	int64_t behind_ms;	/**< since when it has stayed behind the head */
+	int64_t behind_version; /**< that was in force then, -1 for none */
 	gboolean is_reading;
 	guint timer;
+	guint trim_timer; /**< 0 for none */
 };
 
 static const char *const origin_names[] = { "store", "near", "far" };
 
-enum status config_service_offer(struct config_service *s, int64_t version,
-				 json_object *body, enum config_origin origin)
+static void log_offer(enum status status, int64_t version,
+		      enum config_origin origin,
+		      const struct finding_list *findings)
 {
-	json_object *base = json_object_get(s->current.body);
-	int64_t base_version = s->current.version;
-	struct finding_list findings;
 	struct log_line line;
-	enum status status;
 
-	finding_list_init(&findings);
-	status = config_version_offer(&s->current, version, body, &findings);
 	if (status == STATUS_CONFLICT)
-		goto out;
+		return;
 	log_begin(&line, status == STATUS_OK ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR,
 		  status == STATUS_OK ? "config_in_force" : "config_unsound");
 	log_int(&line, "config_version", version);
 	log_str(&line, "origin", origin_names[origin]);
-	log_int(&line, "findings", finding_list_count(&findings));
+	log_int(&line, "findings", finding_list_count(findings));
 	log_end(&line);
-	if (status != STATUS_OK)
-		goto out;
+}
+
+static void tell_subscribers(struct config_service *s)
+{
 	for (guint i = 0; i < s->subscribers->len; i++) {
 		const struct subscriber *sub =
 			&g_array_index(s->subscribers, struct subscriber, i);
 
-		sub->fn(&s->current.doc, version, sub->data);
+		sub->fn(&s->current.doc, s->current.version, sub->data);
 	}
+}
+
+static gboolean on_trim(gpointer data)
+{
+	struct config_service *s = data;
+
+	s->trim_timer = 0;
+	malloc_trim(0);
+	return G_SOURCE_REMOVE;
+}
+
+/* The library keeps what was freed; the callers free their bodies later. */
+static void release_memory(struct config_service *s)
+{
+	if (!s->trim_timer)
+		s->trim_timer = g_timeout_add(TRIM_DELAY_MS, on_trim, s);
+}
+
+enum status config_service_offer(struct config_service *s, int64_t version,
+				 json_object *body, enum config_origin origin)
+{
+	struct config_body *base = config_body_ref(s->current.body);
+	int64_t base_version = s->current.version;
+	struct finding_list findings;
+	enum status status;
+
+	finding_list_init(&findings);
+	status = config_version_offer(&s->current, version, body, &findings);
+	log_offer(status, version, origin, &findings);
+	if (status != STATUS_OK)
+		goto out;
+	tell_subscribers(s);
+	if (s->spread)
+		config_spread_push_whole(s->spread, origin, base, base_version);
+	release_memory(s);
+out:
+	config_body_unref(base);
+	finding_list_clear(&findings);
+	return status;
+}
+
+enum status config_service_offer_delta(struct config_service *s,
+				       const struct config_delta *d,
+				       json_object *json,
+				       enum config_origin origin)
+{
+	struct finding_list findings;
+	enum status status;
+
+	finding_list_init(&findings);
+	status = config_version_offer_delta(&s->current, d, &findings);
+	log_offer(status, d->version, origin, &findings);
+	if (status != STATUS_OK)
+		goto out;
+	tell_subscribers(s);
 	if (s->spread)
-		config_spread_push(s->spread, origin, base, base_version, body,
-				   version);
+		config_spread_push(s->spread, origin, d, json);
+	if (config_delta_is_large(d))
+		release_memory(s);
 out:
-	json_object_put(base);
 	finding_list_clear(&findings);
 	return status;
 }
@@ -81,6 +142,27 @@
 				     CONFIG_FROM_STORE);
 }
 
+/*
+ * A change reaches a process by a push of one entity or by a read of them all.
+ * So a process that hears of a new head waits while its version still rises.
+ */
+static gboolean must_fetch(struct config_service *s, int64_t head_version)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	if (head_version <= s->current.version) {
+		s->behind_version = -1;
+		return FALSE;
+	}
+	if (!s->spread || !s->current.version)
+		return TRUE;
+	if (s->behind_version != s->current.version) {
+		s->behind_version = s->current.version;
+		s->behind_ms = now_ms;
+	}
+	return now_ms - s->behind_ms >= PUSH_WAIT_MS;
+}
+
 static void on_head(const struct platform_result *result, void *data)
 {
 	struct config_service *s = data;
@@ -93,7 +175,7 @@
 	finding_list_init(&findings);
 	if (schema_decode(&config_head_schema, result->rows[0].value, &head, "",
 			  NULL, &findings) &&
-	    head.version > s->current.version && !s->fetching_version) {
+	    must_fetch(s, head.version) && !s->fetching_version) {
 		s->fetching_version = head.version;
 		platform_object_get(platform_of(s->kernel), head.object,
 				    on_body, s);
@@ -142,6 +224,8 @@
 
 	if (s->timer)
 		g_source_remove(s->timer);
+	if (s->trim_timer)
+		g_source_remove(s->trim_timer);
 	if (s->kernel)
 		platform_forget(platform_of(s->kernel), s);
 	g_clear_pointer(&s->routes, config_routes_free);
@@ -164,6 +248,7 @@
 	s->base.class = &config_service_class;
 	s->subscribers = g_array_new(FALSE, FALSE, sizeof(struct subscriber));
 	config_version_init(&s->current);
+	s->behind_version = -1;
 	return &s->base;
 }
 
@@ -177,7 +262,7 @@
 	return s->current.version;
 }
 
-json_object *config_service_body(const struct config_service *s)
+const struct config_body *config_service_body(const struct config_service *s)
 {
 	return s->current.body;
 }
--- a/config/config_service.h
+++ b/config/config_service.h
@@ -12,6 +12,8 @@
 
 #include "base/kernel.h"
 #include "base/status.h"
+#include "config/config_body.h"
+#include "config/config_delta.h"
 #include "config/config_doc.h"
 
 #define CONFIG_SERVICE "config"
@@ -30,14 +32,17 @@
 
 struct service *config_service_new(void);
 
-/** Returns the configuration in force, or NULL before there is one. */
+/**
+ * Returns the configuration in force, or NULL before there is one. It is
+ * without jobs, which config_doc_named_job() takes from the body.
+ */
 const struct config_doc *config_service_doc(const struct config_service *s);
 
 /** Returns the version in force, 0 before there is one. */
 int64_t config_service_version(const struct config_service *s);
 
-/** Returns the body in force as it was accepted, or NULL; not owned. */
-json_object *config_service_body(const struct config_service *s);
+/** Returns the body in force, or NULL; not owned. */
+const struct config_body *config_service_body(const struct config_service *s);
 
 /**
  * Puts an accepted configuration in force, if it is newer, and passes it on.
@@ -48,6 +53,17 @@
 enum status config_service_offer(struct config_service *s, int64_t version,
 				 json_object *body, enum config_origin origin);
 
+/**
+ * Puts the change of the version in force into force and passes it on.
+ *
+ * @param json	the change as it came
+ * @return	as config_version_offer_delta()
+ */
+enum status config_service_offer_delta(struct config_service *s,
+				       const struct config_delta *d,
+				       json_object *json,
+				       enum config_origin origin);
+
 /** Registers a function to be called after each change. */
 void config_service_subscribe(struct config_service *s, config_fn fn,
 			      void *data);
--- a/config/config_spread.c
+++ b/config/config_spread.c
@@ -54,10 +54,9 @@
 
 static void take_delta(struct config_spread *s,
 		       const struct link_identity *from,
-		       const struct config_delta *d)
+		       const struct config_delta *d, json_object *json)
 {
 	int64_t version = config_service_version(s->service);
-	json_object *body = NULL;
 
 	if (d->version <= version)
 		return;
@@ -65,12 +64,8 @@
 		send_request(s, from->node, FALSE);
 		return;
 	}
-	if (config_delta_apply(d, config_service_body(s->service), &body) ==
-	    STATUS_OK)
-		config_service_offer(s->service, d->version, body,
-				     origin_of(s, from));
-	json_object_put(body);
-	if (config_service_version(s->service) == version)
+	if (config_service_offer_delta(s->service, d, json,
+				       origin_of(s, from)) != STATUS_OK)
 		send_request(s, from->node, TRUE);
 }
 
@@ -82,7 +77,7 @@
 
 	finding_list_init(&findings);
 	if (schema_decode(&config_delta_schema, json, &d, "", NULL, &findings))
-		take_delta(data, from, &d);
+		take_delta(data, from, &d, json);
 	schema_clear(&config_delta_schema, &d);
 	finding_list_clear(&findings);
 }
@@ -106,12 +101,13 @@
 {
 	struct config_whole w = {
 		.version = config_service_version(s->service),
-		.config = config_service_body(s->service),
+		.config = config_body_encode(config_service_body(s->service)),
 	};
 	json_object *body = schema_encode(&config_whole_schema, &w);
 
 	link_service_send(s->link, node, MESSAGE_CONFIG_BODY, body);
 	json_object_put(body);
+	json_object_put(w.config);
 }
 
 /* Answers by the changes since the peer's version, or by the whole body. */
@@ -191,33 +187,53 @@
 	g_free(s);
 }
 
-static void keep(struct config_spread *s, json_object *delta, int64_t base)
+static void forget_history(struct config_spread *s)
+{
+	g_ptr_array_set_size(s->history, 0);
+	g_array_set_size(s->bases, 0);
+}
+
+/* A peer that needs a large change gets the whole body instead. */
+static void keep(struct config_spread *s, const struct config_delta *d,
+		 json_object *json)
 {
+	if (config_delta_is_large(d)) {
+		forget_history(s);
+		return;
+	}
 	if (s->history->len == MAX_HISTORY) {
 		g_ptr_array_remove_index(s->history, 0);
 		g_array_remove_index(s->bases, 0);
 	}
-	g_ptr_array_add(s->history, json_object_get(delta));
-	g_array_append_val(s->bases, base);
+	g_ptr_array_add(s->history, json_object_get(json));
+	g_array_append_val(s->bases, d->base_version);
 }
 
 void config_spread_push(struct config_spread *s, enum config_origin origin,
-			json_object *base, int64_t base_version,
-			json_object *body, int64_t version)
+			const struct config_delta *d, json_object *json)
 {
-	struct config_delta d = { 0 };
-	json_object *json;
-
-	config_delta_make(base, base_version, body, version, &d);
-	json = schema_encode(&config_delta_schema, &d);
-	schema_clear(&config_delta_schema, &d);
-	keep(s, json, base_version);
+	keep(s, d, json);
 	if (origin != CONFIG_FROM_NEAR)
 		link_service_broadcast_domain(s->link, MESSAGE_CONFIG_DELTA,
 					      json);
 	if (origin != CONFIG_FROM_FAR)
 		link_service_broadcast_bridges(s->link, MESSAGE_CONFIG_DELTA,
 					       json);
+}
+
+void config_spread_push_whole(struct config_spread *s,
+			      enum config_origin origin,
+			      const struct config_body *base,
+			      int64_t base_version)
+{
+	struct config_delta d = { 0 };
+	json_object *json;
+
+	config_delta_make(base, base_version, config_service_body(s->service),
+			  config_service_version(s->service), &d);
+	json = schema_encode(&config_delta_schema, &d);
+	config_spread_push(s, origin, &d, json);
+	schema_clear(&config_delta_schema, &d);
 	json_object_put(json);
 }
 
--- a/config/config_spread.h
+++ b/config/config_spread.h
@@ -23,11 +23,20 @@
 /**
  * Pushes a change.
  *
- * @param base	body that was in force before, NULL for none
+ * @param json	the same change, encoded
  */
 void config_spread_push(struct config_spread *s, enum config_origin origin,
-			json_object *base, int64_t base_version,
-			json_object *body, int64_t version);
+			const struct config_delta *d, json_object *json);
+
+/**
+ * Pushes the change from a body to the one in force.
+ *
+ * @param base	body that was in force before, NULL for none
+ */
+void config_spread_push_whole(struct config_spread *s,
+			      enum config_origin origin,
+			      const struct config_body *base,
+			      int64_t base_version);
 
 /** Tells whether this process is one of those that poll the table. */
 gboolean config_spread_is_poller(const struct config_spread *s);
--- a/config/config_version.c
+++ b/config/config_version.c
@@ -1,5 +1,7 @@
 #include "config/config_version.h"
 
+#include "config/config_doc_change.h"
+
 static gboolean is_higher(int64_t version, int64_t in_force)
 {
 	return version > in_force;
@@ -13,12 +15,17 @@
 void config_version_clear(struct config_version *v)
 {
 	config_doc_clear(&v->doc);
-	if (v->body)
-		json_object_put(v->body);
-	v->body = NULL;
+	g_clear_pointer(&v->body, config_body_unref);
 	v->version = 0;
 }
 
+static enum status refuse_old(const struct config_version *v)
+{
+	return status_fail(STATUS_CONFLICT,
+			   "version %" G_GINT64_FORMAT " is in force already",
+			   v->version);
+}
+
 enum status config_version_offer(struct config_version *v, int64_t version,
 				 json_object *body,
 				 struct finding_list *findings)
@@ -26,10 +33,7 @@
 	struct config_doc doc = { 0 };
 
 	if (!v->is_newer(version, v->version))
-		return status_fail(STATUS_CONFLICT,
-				   "version %" G_GINT64_FORMAT
-				   " is in force already",
-				   v->version);
+		return refuse_old(v);
 	if (!config_doc_decode(body, &doc, NULL, findings)) {
 		config_doc_clear(&doc);
 		return status_fail(STATUS_INVALID, "configuration is unsound");
@@ -37,6 +41,33 @@
 	config_version_clear(v);
 	v->version = version;
 	v->doc = doc;
-	v->body = json_object_get(body);
+	config_doc_drop_jobs(&v->doc);
+	v->body = config_body_new(body);
+	return STATUS_OK;
+}
+
+enum status config_version_offer_delta(struct config_version *v,
+				       const struct config_delta *d,
+				       struct finding_list *findings)
+{
+	struct config_body *body = NULL;
+	enum status status;
+
+	if (!v->is_newer(d->version, v->version))
+		return refuse_old(v);
+	if (d->base_version != v->version)
+		return status_fail(STATUS_CONFLICT,
+				   "a change of version %" G_GINT64_FORMAT,
+				   d->base_version);
+	status = config_delta_apply(d, v->body, &body);
+	if (status != STATUS_OK)
+		return status;
+	if (!config_doc_change(&v->doc, d, findings)) {
+		config_body_unref(body);
+		return status_fail(STATUS_INVALID, "configuration is unsound");
+	}
+	config_body_unref(v->body);
+	v->body = body;
+	v->version = d->version;
 	return STATUS_OK;
 }
--- a/config/config_version.h
+++ b/config/config_version.h
@@ -12,12 +12,14 @@
 
 #include "base/finding.h"
 #include "base/status.h"
+#include "config/config_body.h"
+#include "config/config_delta.h"
 #include "config/config_doc.h"
 
 struct config_version {
-	int64_t version;       /**< 0 before there is one */
-	struct config_doc doc; /**< zeroed before there is one */
-	json_object *body;     /**< as accepted; NULL before there is one */
+	int64_t version;	  /**< 0 before there is one */
+	struct config_doc doc;	  /**< zeroed before there is one */
+	struct config_body *body; /**< NULL before there is one */
 	/** Tells whether a version replaces another one; fixed but in tests. */
 	gboolean (*is_newer)(int64_t version, int64_t in_force);
 };
@@ -37,4 +39,14 @@
 				 json_object *body,
 				 struct finding_list *findings);
 
+/**
+ * Puts the version in force that follows the present one by a change.
+ *
+ * @return	as config_version_offer(); STATUS_CONFLICT also when the change
+ *		is one of another base
+ */
+enum status config_version_offer_delta(struct config_version *v,
+				       const struct config_delta *d,
+				       struct finding_list *findings);
+
 #endif
--- a/daemon/job_api.c
+++ b/daemon/job_api.c
@@ -187,7 +187,9 @@
 	if (!doc)
 		return;
 	finding_list_init(&findings);
-	if (job_submission_decode(body, doc, &record, &findings))
+	if (job_submission_decode(body, doc,
+				  config_service_body(config_of(api)), &record,
+				  &findings))
 		submit(api, r, doc, &record);
 	else
 		http_request_reply_findings(r, &findings);
--- a/job/job_submission.c
+++ b/job/job_submission.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "config/config_doc_change.h"
+
 #define NAME_MAX_BYTES 64
 #define POOL_MAX_BYTES 130
 #define CLASS_UNSET INT64_C(-1)
@@ -84,13 +86,10 @@
 		finding_list_add(findings, "shape", "", "missing");
 }
 
-static void check_named(const struct submission *x,
-			const struct config_doc *doc,
+static void check_named(const struct submission *x, const struct job_spec *spec,
 			struct finding_list *findings)
 {
-	const struct job_spec *spec = config_doc_find_job(doc, x->job);
-
-	if (!spec) {
+	if (!spec->name) {
 		finding_list_add(findings, "job", "a job of the configuration",
 				 "no such job");
 		return;
@@ -141,12 +140,12 @@
 	r->is_checkpointable = x->is_checkpointable;
 }
 
-static void make_record(const struct submission *x,
-			const struct config_doc *doc, struct job_record *r)
+static void make_record(const struct submission *x, const struct job_spec *spec,
+			struct job_record *r)
 {
 	r->id = g_strdup(x->id);
 	if (x->job)
-		take_named(x, config_doc_find_job(doc, x->job), r);
+		take_named(x, spec, r);
 	else
 		take_own_shape(x, r);
 	if (!r->expected_run_ms)
@@ -157,23 +156,29 @@
 }
 
 gboolean job_submission_decode(json_object *body, const struct config_doc *doc,
+			       const struct config_body *jobs,
 			       struct job_record *r,
 			       struct finding_list *findings)
 {
 	struct submission x = { 0 };
+	struct job_spec spec = { 0 };
 
 	if (!schema_decode(&submission_schema, body, &x, "", NULL, findings))
 		goto out;
 	check_id(x.id, findings);
-	if (x.job)
-		check_named(&x, doc, findings);
-	else
+	if (x.job) {
+		if (!config_doc_named_job(jobs, x.job, &spec))
+			schema_clear(&job_spec_schema, &spec);
+		check_named(&x, &spec, findings);
+	} else {
 		check_own_shape(&x, findings);
+	}
 	if (finding_list_count(findings))
 		goto out;
-	make_record(&x, doc, r);
+	make_record(&x, &spec, r);
 	check_references(r, doc, findings);
 out:
+	schema_clear(&job_spec_schema, &spec);
 	schema_clear(&submission_schema, &x);
 	return finding_list_count(findings) == 0;
 }
--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -221,12 +221,14 @@
 {
 	struct config_doc doc = { 0 };
 	struct job_record record = { 0 };
+	struct config_body *jobs = NULL;
 	struct finding_list findings;
 
 	finding_list_init(&findings);
 	if (config_doc_decode(json, &doc, NULL, &findings))
-		config_doc_check(&doc, NULL, &findings);
-	job_submission_decode(json, &doc, &record, &findings);
+		jobs = config_body_new(json);
+	job_submission_decode(json, &doc, jobs, &record, &findings);
+	config_body_unref(jobs);
 	job_record_clear(&record);
 	config_doc_clear(&doc);
 	finding_list_clear(&findings);
--- a/tests/test_shared.c
+++ b/tests/test_shared.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "config/config_body.h"
 #include "config/config_delta.h"
 #include "config/config_doc.h"
 #include "shared/member_table.h"
@@ -28,14 +29,23 @@
 	{ BODY(ACCOUNT("x", "1")), BODY(""), 0, 1 },
 };
 
+static struct config_body *parse(const char *text)
+{
+	json_object *json = json_tokener_parse(text);
+	struct config_body *b = config_body_new(json);
+
+	json_object_put(json);
+	return b;
+}
+
 static void test_delta(void)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(delta_cases); i++) {
 		const struct delta_case *c = &delta_cases[i];
-		json_object *base =
-			c->base ? json_tokener_parse(c->base) : NULL;
-		json_object *body = json_tokener_parse(c->body);
-		json_object *result = NULL;
+		struct config_body *base = c->base ? parse(c->base) : NULL;
+		struct config_body *body = parse(c->body);
+		struct config_body *result = NULL;
+		json_object *json;
 		struct config_delta d = { 0 };
 		struct config_list_delta *accounts;
 		struct config_doc doc = { 0 };
@@ -49,23 +59,25 @@
 		g_assert_cmpuint(accounts->removed->len, ==, c->removed);
 		g_assert_cmpint(config_delta_apply(&d, base, &result), ==,
 				STATUS_OK);
-		g_assert_true(config_doc_decode(result, &doc, NULL, &findings));
+		json = config_body_encode(result);
+		g_assert_true(config_doc_decode(json, &doc, NULL, &findings));
+		json_object_put(json);
 		config_doc_clear(&doc);
 		finding_list_clear(&findings);
 		schema_clear(&config_delta_schema, &d);
-		json_object_put(base);
-		json_object_put(body);
-		json_object_put(result);
+		config_body_unref(base);
+		config_body_unref(body);
+		config_body_unref(result);
 	}
 }
 
 /* A delta over another base than its own is refused by the digest. */
 static void test_delta_wrong_base(void)
 {
-	json_object *base = json_tokener_parse(BODY(ACCOUNT("x", "1")));
-	json_object *other = json_tokener_parse(BODY(ACCOUNT("y", "1")));
-	json_object *body = json_tokener_parse(BODY(ACCOUNT("x", "2")));
-	json_object *result = NULL;
+	struct config_body *base = parse(BODY(ACCOUNT("x", "1")));
+	struct config_body *other = parse(BODY(ACCOUNT("y", "1")));
+	struct config_body *body = parse(BODY(ACCOUNT("x", "2")));
+	struct config_body *result = NULL;
 	struct config_delta d = { 0 };
 
 	config_delta_make(base, 1, body, 2, &d);
@@ -73,9 +85,9 @@
 			STATUS_CONFLICT);
 	g_assert_null(result);
 	schema_clear(&config_delta_schema, &d);
-	json_object_put(base);
-	json_object_put(other);
-	json_object_put(body);
+	config_body_unref(base);
+	config_body_unref(other);
+	config_body_unref(body);
 }
 
 static GPtrArray *names(const char *stem, guint count)
