Platform tests: the budget is checked by what was sent, whatever the load

Cause: /platform/budget failed once at a load of 21. Its bounds of 75 to 150 were on writes that were done within their timeout of 500 ms. 60 copies at once: 53 failed, with 0 to 60 done: their connections were not open by then, which the test is not about (those writes end as unavailable or unknown, truthfully).

Ruled out: a fault of the budget: the writes sent were 75 and what the time allows in each of the 60.

Change: the bounds are on the writes sent, at least 75 and at most the bucket and its rate for the time that passed, which is less than 150 where the burst ends within half a second; all others have to be unavailable. The bounds on the platform's own count of commits stay.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -339,6 +339,8 @@
 }
 
 #define BURST_WRITES 400
+#define BUDGET_PER_S 100 /* of writes, and the most that is saved up */
+#define BUDGET_OPEN 75	 /* but for the reserve of leases and claims */
 
 static gboolean burst_is_over(void *data)
 {
@@ -351,6 +353,8 @@
 	json_object *json = json_object_new_string("v");
 	struct burst b = { 0 };
 	struct cluster_reply r;
+	int64_t since_ms = util_monotonic_ms();
+	int64_t sent = -counter_value(f, "cs_platform_writes_total");
 	int64_t commits;
 
 	for (int i = 0; i < BURST_WRITES; i++) {
@@ -361,8 +365,13 @@
 		g_free(key);
 	}
 	g_assert_true(cluster_wait(burst_is_over, &b, CLUSTER_CALL_TIMEOUT_MS));
-	g_assert_cmpuint(b.done, >=, 75); /* the bucket but for the reserve */
-	g_assert_cmpuint(b.done, <=, 150);
+	sent += counter_value(f, "cs_platform_writes_total");
+	g_assert_cmpint(sent, >=, BUDGET_OPEN);
+	g_assert_cmpint(sent, <=,
+			BUDGET_PER_S + 1 +
+				(util_monotonic_ms() - since_ms) *
+					BUDGET_PER_S / MS_PER_S);
+	g_assert_cmpint(b.unavailable, >=, BURST_WRITES - sent);
 	r = cluster_call(f->cluster, "GET", f->address, "/control/writes", NULL,
 			 NULL, CLUSTER_CALL_TIMEOUT_MS);
 	commits = json_object_get_int64(
