Unknown commits: the piece that no writer used is gone, its cases moved

Cause: platform_commit_resolved() and the decision under it (read_back) were used by their test only; the acceptance of configurations, the writer of jobs' rows and the claims each read back in their own way.

Ruled out: one piece for all. The acceptance finds its change in the head's list when others came after it, and says unknown when that list is too short; the writer of rows also tells the same job from another one and goes on when the platform is out of reach; a cancel writes another value over the version read. What is alike is the call of platform_read() after a failure, not the decision.

Change: resolved_commit and read_back removed. test_read_back runs its cases against what stays: the 20,000 orders against config_acceptance, the seven troubles over the client and the stand-in against job_row_writer. New checks: the row that is left is read and has its first version; a case for the same job submitted before. The check "no commit id given" is gone with the function that took one: the writers make their own. The winner's row and may_have_been_in_force are gone with their only user; for them stand the row's owner and the outcomes other and same.

Conclusion: no change of behaviour; the product's own paths are tested now.

--- a/tests/test_read_back.c
+++ b/tests/test_read_back.c
@@ -1,8 +1,8 @@
 #include <glib.h>
 #include <string.h>
 
-#include "base/util.h"
-#include "platform/resolved_commit.h"
+#include "config/config_acceptance.h"
+#include "daemon/job_row_writer.h"
 #include "tests/platform_fixture.h"
 
 #define OURS "ours"
@@ -10,18 +10,24 @@
 #define SEEDS 20000
 #define MAX_STEPS 60
 
+/* Of the reads in a store in trouble, one in so many is answered. */
+#define TROUBLED_READS 40
+#define READS 3
+
 /*
- * The decision against a model of the store: a row, writes under way that may
- * land late or never, answers that may be lost, and another writer.
+ * The acceptance of a configuration against a model of the store: a row, writes
+ * under way that may land late or never, answers that may be lost, and another
+ * writer.
  */
 struct model {
 	GRand *rng;
 	GString *trace;
 	int64_t version;
-	char holder; /* '-' nobody, 'u' us, 'o' another */
+	struct config_head head;
 	guint our_effects;
 	guint under_way; /* our writes that may still land */
-	int64_t expected;
+	gboolean is_troubled;
+	struct config_acceptance acceptance;
 };
 
 static void note(struct model *m, const char *event)
@@ -29,12 +35,21 @@
 	g_string_append_printf(m->trace, "%s ", event);
 }
 
+static void put_head(struct model *m, const char *commit_id)
+{
+	struct config_head next = { 0 };
+
+	config_head_next(&m->head, "operator", commit_id, &next);
+	config_head_clear(&m->head);
+	m->head = next;
+	m->version++;
+}
+
 static gboolean land(struct model *m)
 {
-	if (m->version != m->expected)
+	if (m->version != m->acceptance.expected_row_version)
 		return FALSE;
-	m->version++;
-	m->holder = 'u';
+	put_head(m, OURS);
 	m->our_effects++;
 	note(m, "landed");
 	return TRUE;
@@ -48,8 +63,7 @@
 		land(m);
 	}
 	if (g_rand_int_range(m->rng, 0, 8) == 0) {
-		m->version++;
-		m->holder = 'o';
+		put_head(m, OTHERS);
 		note(m, "other");
 	}
 }
@@ -77,21 +91,42 @@
 	}
 }
 
-static enum read_back_action model_read(struct model *m, struct read_back *r)
+static gboolean is_read_answered(struct model *m)
 {
-	if (g_rand_int_range(m->rng, 0, 3) == 0) {
+	if (m->is_troubled && m->acceptance.call == ACCEPTANCE_READ_BACK)
+		return g_rand_int_range(m->rng, 0, TROUBLED_READS) == 0;
+	return g_rand_int_range(m->rng, 0, READS) != 0;
+}
+
+static void model_read(struct model *m)
+{
+	static const struct config_head none;
+
+	if (!is_read_answered(m)) {
 		note(m, "read-failed");
-		return read_back_on_read(r, STATUS_UNAVAILABLE, 0, NULL);
+		config_acceptance_on_read(&m->acceptance, STATUS_UNAVAILABLE,
+					  TABLE_ABSENT, &none);
+		return;
 	}
 	note(m, "read");
-	if (!m->version)
-		return read_back_on_read(r, STATUS_NOT_FOUND, 0, NULL);
-	return read_back_on_read(r, STATUS_OK, m->version,
-				 m->holder == 'u' ? OURS : OTHERS);
+	config_acceptance_on_read(&m->acceptance,
+				  m->version ? STATUS_OK : STATUS_NOT_FOUND,
+				  m->version, &m->head);
+}
+
+static void model_call(struct model *m)
+{
+	if (m->acceptance.call == ACCEPTANCE_PUT_BODY)
+		config_acceptance_on_put(&m->acceptance, STATUS_OK);
+	else if (m->acceptance.call == ACCEPTANCE_COMMIT_HEAD)
+		config_acceptance_on_commit(&m->acceptance, model_commit(m));
+	else
+		model_read(m);
 }
 
-static gboolean outcome_is_good(struct model *m, const struct read_back *r)
+static gboolean outcome_is_good(struct model *m)
 {
+	enum acceptance_outcome outcome = m->acceptance.outcome;
 	guint effects_then = m->our_effects;
 	gboolean is_good = TRUE;
 
@@ -100,77 +135,63 @@
 		land(m);
 	}
 	is_good &= m->our_effects <= 1;
-	if (r->status == STATUS_OK)
+	if (outcome == ACCEPTANCE_ACCEPTED)
 		is_good &= effects_then == 1;
-	if (r->status == STATUS_UNAVAILABLE)
-		is_good &= m->our_effects == 0;
-	if (r->status == STATUS_CONFLICT)
-		is_good &= m->our_effects == effects_then;
-	if (r->status == STATUS_CONFLICT && !r->may_have_been_in_force)
+	if (outcome == ACCEPTANCE_UNAVAILABLE || outcome == ACCEPTANCE_CONFLICT)
 		is_good &= m->our_effects == 0;
 	return is_good;
 }
 
-static enum status run_model(guint32 seed)
+static enum acceptance_outcome run_model(guint32 seed)
 {
 	struct model m = { .rng = g_rand_new_with_seed(seed),
-			   .trace = g_string_new(NULL),
-			   .holder = '-' };
-	enum read_back_action next = READ_BACK_COMMIT;
-	struct read_back r;
-
-	if (g_rand_boolean(m.rng)) {
-		m.version = 7;
-		m.holder = 'o';
-	}
-	m.expected = m.version;
-	read_back_init(&r, OURS, m.expected, 3, 8);
-	for (int i = 0; i < MAX_STEPS && next != READ_BACK_DONE; i++) {
+			   .trace = g_string_new(NULL) };
+	enum acceptance_outcome outcome;
+
+	if (g_rand_boolean(m.rng))
+		put_head(&m, OTHERS);
+	m.is_troubled = g_rand_boolean(m.rng);
+	config_acceptance_init(&m.acceptance, m.head.version, "operator", OURS,
+			       FALSE);
+	for (int i = 0;
+	     i < MAX_STEPS && m.acceptance.call != ACCEPTANCE_FINISHED; i++) {
 		model_drift(&m);
-		next = next == READ_BACK_COMMIT
-			       ? read_back_on_commit(&r, model_commit(&m))
-			       : model_read(&m, &r);
+		model_call(&m);
 	}
-	if (next != READ_BACK_DONE || !outcome_is_good(&m, &r))
-		g_error("seed %u ends %s: %s", seed, status_name(r.status),
-			m.trace->str);
+	outcome = m.acceptance.outcome;
+	if (outcome == ACCEPTANCE_PENDING || !outcome_is_good(&m))
+		g_error("seed %u ends %d: %s", seed, outcome, m.trace->str);
+	config_acceptance_clear(&m.acceptance);
+	config_head_clear(&m.head);
 	g_string_free(m.trace, TRUE);
 	g_rand_free(m.rng);
-	return r.status;
+	return outcome;
 }
 
 static void test_interleavings(void)
 {
-	guint seen[STATUS_COUNT] = { 0 };
+	guint seen[ACCEPTANCE_UNKNOWN + 1] = { 0 };
 
 	for (guint32 seed = 1; seed <= SEEDS; seed++)
 		seen[run_model(seed)]++;
-	g_assert_cmpuint(seen[STATUS_OK], >, 0);
-	g_assert_cmpuint(seen[STATUS_CONFLICT], >, 0);
-	g_assert_cmpuint(seen[STATUS_UNKNOWN], >, 0);
-	g_assert_cmpuint(seen[STATUS_UNAVAILABLE], >, 0);
+	g_assert_cmpuint(seen[ACCEPTANCE_ACCEPTED], >, 0);
+	g_assert_cmpuint(seen[ACCEPTANCE_CONFLICT], >, 0);
+	g_assert_cmpuint(seen[ACCEPTANCE_UNKNOWN], >, 0);
+	g_assert_cmpuint(seen[ACCEPTANCE_UNAVAILABLE], >, 0);
 }
 
-/* The same over the real client and the platform's stand-in. */
+/* The row of a job over the real client and the platform's stand-in. */
 struct outcome {
 	gboolean is_done;
-	enum status status;
-	gboolean may_have;
-	char *row_id; /* commit id of the row that decided */
+	enum row_outcome row;
 };
 
-static void on_outcome(const struct platform_result *r, gboolean may_have,
-		       void *data)
+static void on_outcome(enum row_outcome row, void *data)
 {
 	struct outcome *o = data;
-	json_object *id = NULL;
 
 	o->is_done = TRUE;
-	o->status = r->status;
-	o->may_have = may_have;
-	if (r->row_count && r->rows[0].value)
-		id = json_object_object_get(r->rows[0].value, COMMIT_ID_MEMBER);
-	o->row_id = g_strdup(id ? json_object_get_string(id) : "");
+	o->row = row;
 }
 
 static gboolean is_done(void *data)
@@ -178,84 +199,112 @@
 	return ((struct outcome *)data)->is_done;
 }
 
-static json_object *value_of(const char *commit_id)
+static struct job_row_writer *start(struct platform_fixture *f,
+				    const char *account, struct outcome *o)
+{
+	struct job_record r = {
+		.id = "j",
+		.pool = "train.tov-a",
+		.client_account = (char *)account,
+		.family = "",
+		.shape = { .members = 1, .cores = 1, .memory_mb = 1 },
+		.run_ms = 1000,
+		.reason = "",
+	};
+
+	return job_row_submit(f->platform, &r, on_outcome, o);
+}
+
+/* Reads the row that the case leaves. */
+struct row_seen {
+	gboolean is_done;
+	int64_t version;
+	char *account;
+};
+
+static void on_row(const struct platform_result *result, void *data)
 {
-	json_object *value = json_object_new_object();
+	struct row_seen *seen = data;
+	json_object *account;
 
-	json_object_object_add(value, COMMIT_ID_MEMBER,
-			       json_object_new_string(commit_id));
-	return value;
+	seen->is_done = TRUE;
+	if (result->status != STATUS_OK)
+		return;
+	account =
+		json_object_object_get(result->rows[0].value, "client_account");
+	seen->version = result->rows[0].version;
+	seen->account = g_strdup(json_object_get_string(account));
+}
+
+static gboolean is_row_seen(void *data)
+{
+	return ((struct row_seen *)data)->is_done;
 }
 
-static struct resolved_commit *start(struct platform_fixture *f,
-				     const char *commit_id, struct outcome *o)
+/* One version of the row was ever made, by whom the case says. */
+static void check_row(struct platform_fixture *f, const char *account)
 {
-	json_object *value = value_of(commit_id);
-	struct table_write w = { "t", "a", TABLE_ABSENT, value };
-	struct resolved_commit *c;
+	struct row_seen seen = { 0 };
 
-	c = platform_commit_resolved(f->platform, &w, 1, on_outcome, o);
-	json_object_put(value);
-	return c;
+	platform_read(f->platform, JOBS_TABLE, "train.tov-a/j", on_row, &seen);
+	g_assert_true(
+		cluster_wait(is_row_seen, &seen, CLUSTER_CALL_TIMEOUT_MS));
+	g_assert_cmpint(seen.version, ==, 1);
+	g_assert_cmpstr(seen.account, ==, account);
+	g_free(seen.account);
 }
 
 struct trouble_case {
 	const char *path;
 	const char *trouble;
-	const char *row_id;  /* of the row that decided */
+	const char *first;   /* account of a writer before, or NULL */
+	const char *row;     /* account of the row in the end, or NULL */
 	int64_t recovery_ms; /* until the platform is well again */
-	enum status status;
-	gboolean other_first; /* another writer has the row already */
+	enum row_outcome outcome;
 };
 
 static const struct trouble_case trouble_cases[] = {
-	{ "/read-back/well", "{}", "", 0, STATUS_OK, FALSE },
-	{ "/read-back/lost-answer", "{\"lose_answers\":1}", OURS, 0, STATUS_OK,
-	  FALSE },
-	{ "/read-back/other-first", "{}", OTHERS, 0, STATUS_CONFLICT, TRUE },
-	{ "/read-back/down-a-while", "{\"mode\":\"down\"}", "", 200, STATUS_OK,
-	  FALSE },
-	{ "/read-back/late-write", "{\"mode\":\"slow\",\"slow_ms\":400}", OURS,
-	  350, STATUS_OK, FALSE },
-	{ "/read-back/down-for-long", "{\"mode\":\"down\"}", "", 60000,
-	  STATUS_UNKNOWN, FALSE },
+	{ "/read-back/well", "{}", NULL, OURS, 0, ROW_WRITTEN },
+	{ "/read-back/lost-answer", "{\"lose_answers\":1}", NULL, OURS, 0,
+	  ROW_WRITTEN },
+	{ "/read-back/other-first", "{}", OTHERS, OTHERS, 0, ROW_OTHER },
+	{ "/read-back/same-first", "{}", OURS, OURS, 0, ROW_SAME },
+	{ "/read-back/down-a-while", "{\"mode\":\"down\"}", NULL, OURS, 200,
+	  ROW_WRITTEN },
+	{ "/read-back/late-write", "{\"mode\":\"slow\",\"slow_ms\":400}", NULL,
+	  OURS, 350, ROW_WRITTEN },
+	{ "/read-back/down-for-long", "{\"mode\":\"down\"}", NULL, NULL, 60000,
+	  ROW_UNKNOWN },
 };
 
 static void test_trouble(struct platform_fixture *f, gconstpointer data)
 {
 	const struct trouble_case *tc = data;
-	struct outcome other = { 0 };
+	struct outcome first = { 0 };
 	struct outcome o = { 0 };
 
-	if (tc->other_first) {
-		start(f, OTHERS, &other);
+	if (tc->first) {
+		start(f, tc->first, &first);
 		g_assert_true(
-			cluster_wait(is_done, &other, CLUSTER_CALL_TIMEOUT_MS));
+			cluster_wait(is_done, &first, CLUSTER_CALL_TIMEOUT_MS));
 	}
 	cluster_control(f->cluster, f->address, tc->trouble);
 	start(f, OURS, &o);
 	if (!cluster_wait(is_done, &o, MIN(tc->recovery_ms, 10000)))
 		cluster_control(f->cluster, f->address, "{\"mode\":\"ok\"}");
 	g_assert_true(cluster_wait(is_done, &o, CLUSTER_CALL_TIMEOUT_MS));
-	g_assert_cmpint(o.status, ==, tc->status);
-	if (tc->row_id[0])
-		g_assert_cmpstr(o.row_id, ==, tc->row_id);
-	g_free(other.row_id);
-	g_free(o.row_id);
+	g_assert_cmpint(o.row, ==, tc->outcome);
+	if (tc->row)
+		check_row(f, tc->row);
 }
 
 static void test_cancel(struct platform_fixture *f, gconstpointer data)
 {
-	json_object *value = json_object_new_object();
-	struct table_write w = { "t", "a", TABLE_ABSENT, value };
 	struct outcome o = { 0 };
 
-	g_assert_null(platform_commit_resolved(f->platform, &w, 1, on_outcome,
-					       &o)); /* no commit id */
-	resolved_commit_cancel(start(f, OURS, &o));
+	job_row_writer_free(start(f, OURS, &o));
 	cluster_sleep(100);
 	g_assert_false(o.is_done);
-	json_object_put(value);
 }
 
 int main(int argc, char **argv)
