Events in virtual time: one queue for benches and explorations

Cause: the explorer, the gangs' world, the simulation of jobs and that of requests each had a sequence of events, a count for those of one time and the same comparison.

Ruled out: a place in base/: nothing of the product runs in virtual time; a copy in tests/ for the explorations: it would stand twice again.

Change: bench/sim/event_queue, a library that benches and tests link; an event has struct queued_event as its first member. Makefile: bench/sim is built, formatted and linted like the rest.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,11 @@
 CORE_OBJ  := $(CORE_SRC:%.c=$(BUILD)/%.o)
 CORE_LIB  := $(BUILD)/libcorianderstep.a
 
+# Virtual time: what benches and explorations share.
+SIM_SRC	  := $(wildcard bench/sim/*.c)
+SIM_OBJ	  := $(SIM_SRC:%.c=$(BUILD)/%.o)
+SIM_LIB	  := $(BUILD)/libsim.a
+
 # One main file a program; a test file is a program too.
 PROG_SRC  := $(wildcard cli/*.c standin/*.c bench/*.c examples/*.c)
 PROGS	  := $(patsubst %.c,$(BUILD)/bin/%,$(notdir $(PROG_SRC)))
@@ -28,8 +33,8 @@
 TESTS	  := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 TEST_LIB  := $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(TEST_SRC),\
 	     $(wildcard tests/*.c)))
-ALL_SRC	  := $(CORE_SRC) $(PROG_SRC) $(wildcard tests/*.c)
-ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench tests))
+ALL_SRC	  := $(CORE_SRC) $(SIM_SRC) $(PROG_SRC) $(wildcard tests/*.c)
+ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench bench/sim tests))
 
 .PHONY: all deps check demo bench format format-check lint clean programs
 all: deps
@@ -52,6 +57,8 @@
 	bench/run_bench.sh $(BUILD)
 
 $(CORE_LIB): $(CORE_OBJ)
+$(SIM_LIB): $(SIM_OBJ)
+$(CORE_LIB) $(SIM_LIB):
 	@rm -f $@
 	ar rcs $@ $^
 
@@ -60,14 +67,15 @@
 	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 
 define PROGRAM_RULE
-$$(BUILD)/bin/$(notdir $(1:%.c=%)): $$(BUILD)/$(1:%.c=%.o) $$(CORE_LIB)
+$$(BUILD)/bin/$(notdir $(1:%.c=%)): $$(BUILD)/$(1:%.c=%.o) \
+		$(if $(filter bench/%,$(1)),$$(SIM_LIB)) $$(CORE_LIB)
 	@mkdir -p $$(@D)
-	$$(CC) $$(CFLAGS) $$< $$(CORE_LIB) $$(LDLIBS) -o $$@
+	$$(CC) $$(CFLAGS) $$^ $$(LDLIBS) -o $$@
 endef
 $(foreach src,$(PROG_SRC),$(eval $(call PROGRAM_RULE,$(src))))
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB) $(CORE_LIB)
-	$(CC) $(CFLAGS) $< $(TEST_LIB) $(CORE_LIB) $(LDLIBS) -o $@
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB) $(SIM_LIB) $(CORE_LIB)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
 format:
 	clang-format -i $(ALL_SRC) $(ALL_HDR)
--- a/bench/job_sim.h
+++ b/bench/job_sim.h
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "bench/job_trace.h"
+#include "bench/sim/event_queue.h"
 #include "job/job_queue.h"
 #include "job/pool_state.h"
 #include "job/worker_health.h"
@@ -69,8 +70,7 @@
 };
 
 struct event {
-	int64_t time_ms;
-	uint64_t number;
+	struct queued_event base; /* time in ms */
 	enum event_kind kind;
 	struct sim_job *job;
 	guint attempt;
@@ -105,26 +105,15 @@
 	struct job_queue *queue;
 	struct placement_policy *policy;
 	struct worker_health *health;
-	GSequence *events;
+	struct event_queue events;
 	GHashTable *jobs; /* id to struct sim_job */
 	struct sim_job *all;
 	GHashTable *active; /* account/shape to number of jobs in the system */
 	gboolean forgets_stops; /* the policy is not told of earlier stops */
 	int64_t now_ms;
-	uint64_t number;
 	struct sim_stats stats;
 };
 
-static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct event *x = a;
-	const struct event *y = b;
-
-	if (x->time_ms != y->time_ms)
-		return x->time_ms < y->time_ms ? -1 : 1;
-	return x->number < y->number ? -1 : 1;
-}
-
 static void event_free(gpointer data)
 {
 	struct event *e = data;
@@ -138,12 +127,10 @@
 {
 	struct event *e = g_new0(struct event, 1);
 
-	e->time_ms = time_ms;
-	e->number = s->number++;
 	e->kind = kind;
 	e->job = job;
 	e->attempt = job ? job->attempt : 0;
-	g_sequence_insert_sorted(s->events, e, compare_events, NULL);
+	event_queue_add(&s->events, &e->base, time_ms);
 }
 
 static gboolean is_bad_worker(const struct sim *s, const struct worker_cell *w)
@@ -689,7 +676,7 @@
 	s->policy = placement_policy_new(policy);
 	s->queue = job_queue_new(s->policy->class->discipline);
 	s->health = worker_health_new();
-	s->events = g_sequence_new(event_free);
+	event_queue_init(&s->events, event_free);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->active =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -710,7 +697,7 @@
 	g_free(s->all);
 	g_hash_table_unref(s->active);
 	g_hash_table_unref(s->jobs);
-	g_sequence_free(s->events);
+	event_queue_clear(&s->events);
 	worker_health_free(s->health);
 	job_queue_free(s->queue);
 	placement_policy_free(s->policy);
@@ -719,17 +706,16 @@
 
 static void sim_run(struct sim *s)
 {
-	while (g_sequence_get_length(s->events) > 0) {
-		GSequenceIter *iter = g_sequence_get_begin_iter(s->events);
-		struct event *e = g_sequence_get(iter);
+	struct event *e;
 
-		s->now_ms = e->time_ms;
+	while ((e = (struct event *)event_queue_first(&s->events))) {
+		s->now_ms = e->base.time;
 		if (!is_stale(e)) {
 			event_fns[e->kind](s, e);
 			if (e->kind != EVENT_SAMPLE)
 				decide(s);
 		}
-		g_sequence_remove(iter);
+		event_queue_remove_first(&s->events);
 	}
 }
 
--- a/bench/request_model.h
+++ b/bench/request_model.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <gsl/gsl_rng.h>
 
+#include "bench/sim/event_queue.h"
 #include "request/admission.h"
 #include "request/endpoint_table.h"
 #include "request/outlier.h"
@@ -139,8 +140,7 @@
 };
 
 struct event {
-	int64_t time_us;
-	uint64_t order;
+	struct queued_event base; /* time in us */
 	enum event_kind kind;
 	struct sim_request *request;
 	struct gateway *gateway;
@@ -152,8 +152,7 @@
 
 struct sim {
 	const struct scenario *s;
-	GSequence *events;
-	uint64_t order;
+	struct event_queue events;
 	int64_t now_us;
 	struct gateway *gateways;
 	struct runner *runners;
@@ -178,30 +177,18 @@
 	return m->now_us / US_PER_MILLI;
 }
 
-static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct event *x = a;
-	const struct event *y = b;
-
-	if (x->time_us != y->time_us)
-		return x->time_us < y->time_us ? -1 : 1;
-	return x->order < y->order ? -1 : 1;
-}
-
 static struct event *push(struct sim *m, int64_t delay_us, enum event_kind kind,
 			  struct sim_request *r)
 {
 	struct event *e = g_new0(struct event, 1);
 
-	e->time_us = m->now_us + delay_us;
-	e->order = m->order++;
 	e->kind = kind;
 	e->request = r;
 	if (r) {
 		r->refs++;
 		e->flight = r->flight;
 	}
-	g_sequence_insert_sorted(m->events, e, compare_events, NULL);
+	event_queue_add(&m->events, &e->base, m->now_us + delay_us);
 	return e;
 }
 
--- a/bench/request_sim.h
+++ b/bench/request_sim.h
@@ -492,7 +492,7 @@
 static void sim_init(struct sim *m, const struct scenario *s)
 {
 	*m = (struct sim){ .s = s };
-	m->events = g_sequence_new(g_free);
+	event_queue_init(&m->events, g_free);
 	m->rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(m->rng, SEED);
 	m->rand = g_rand_new_with_seed(SEED);
@@ -513,7 +513,7 @@
 		endpoint_table_free(m->gateways[i].table);
 		g_free(m->gateways[i].policy);
 	}
-	g_sequence_free(m->events);
+	event_queue_clear(&m->events);
 	g_array_unref(m->spot_ms);
 	gsl_rng_free(m->rng);
 	g_rand_free(m->rand);
@@ -523,12 +523,13 @@
 
 static void sim_run(struct sim *m)
 {
-	while (!g_sequence_is_empty(m->events)) {
-		GSequenceIter *first = g_sequence_get_begin_iter(m->events);
-		struct event e = *(struct event *)g_sequence_get(first);
+	const struct event *first;
 
-		g_sequence_remove(first);
-		m->now_us = e.time_us;
+	while ((first = (struct event *)event_queue_first(&m->events))) {
+		struct event e = *first;
+
+		event_queue_remove_first(&m->events);
+		m->now_us = e.base.time;
 		handle(m, &e);
 		if (e.request)
 			request_unref(e.request);
--- a/tests/explorer.c
+++ b/tests/explorer.c
@@ -3,8 +3,7 @@
 #define TRACE_TAIL_BYTES 6000
 
 struct event {
-	int64_t time_ms;
-	int64_t number;
+	struct queued_event base; /* time in ms */
 	explorer_fn fn;
 	void *data;
 	GDestroyNotify free;
@@ -19,27 +18,15 @@
 	g_free(event);
 }
 
-static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct event *x = a;
-	const struct event *y = b;
-
-	if (x->time_ms != y->time_ms)
-		return x->time_ms < y->time_ms ? -1 : 1;
-	return x->number < y->number ? -1 : 1;
-}
-
 void explorer_after(struct explorer *e, int64_t delay_ms, explorer_fn fn,
 		    void *data, GDestroyNotify free)
 {
 	struct event *event = g_new0(struct event, 1);
 
-	event->time_ms = e->now_ms + delay_ms;
-	event->number = e->count++;
 	event->fn = fn;
 	event->data = data;
 	event->free = free;
-	g_sequence_insert_sorted(e->events, event, compare_events, NULL);
+	event_queue_add(&e->events, &event->base, e->now_ms + delay_ms);
 }
 
 static void note(struct explorer *e, const char *format, va_list args)
@@ -89,15 +76,15 @@
 static void run_until(struct explorer *e, const struct explorer_world *w,
 		      void *world, int64_t end_ms)
 {
-	while (!e->violation && !g_sequence_is_empty(e->events)) {
-		GSequenceIter *first = g_sequence_get_begin_iter(e->events);
-		struct event *event = g_sequence_get(first);
+	struct event *event;
 
-		if (event->time_ms > end_ms)
+	while (!e->violation &&
+	       (event = (struct event *)event_queue_first(&e->events))) {
+		if (event->base.time > end_ms)
 			break;
-		e->now_ms = event->time_ms;
+		e->now_ms = event->base.time;
 		event->fn(event->data);
-		g_sequence_remove(first);
+		event_queue_remove_first(&e->events);
 		w->check(world);
 	}
 	e->now_ms = end_ms;
@@ -121,12 +108,13 @@
 {
 	struct explorer e = {
 		.rand = g_rand_new_with_seed(seed),
-		.events = g_sequence_new(event_free),
 		.trace = g_string_new(NULL),
 	};
-	void *world = w->new (&e, plant);
+	void *world;
 	char *text = NULL;
 
+	event_queue_init(&e.events, event_free);
+	world = w->new (&e, plant);
 	run_until(&e, w, world, w->faulty_ms);
 	w->heal(world);
 	run_until(&e, w, world, w->faulty_ms + w->settle_ms);
@@ -134,7 +122,7 @@
 		w->check_settled(world);
 	if (e.violation)
 		text = describe(&e, w, seed);
-	g_sequence_free(e.events);
+	event_queue_clear(&e.events);
 	w->free(world);
 	g_rand_free(e.rand);
 	g_string_free(e.trace, TRUE);
--- a/tests/explorer.h
+++ b/tests/explorer.h
@@ -9,13 +9,14 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "bench/sim/event_queue.h"
+
 typedef void (*explorer_fn)(void *data);
 
 struct explorer {
 	GRand *rand;
 	int64_t now_ms;
-	GSequence *events; /**< ordered by time, then by number */
-	int64_t count;
+	struct event_queue events;
 	GString *trace;
 	char *violation; /**< NULL while all invariants hold */
 };
--- a/tests/gang_sim.c
+++ b/tests/gang_sim.c
@@ -47,16 +47,6 @@
 	g_free(e);
 }
 
-static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct event *x = a;
-	const struct event *y = b;
-
-	if (x->at_ms != y->at_ms)
-		return x->at_ms < y->at_ms ? -1 : 1;
-	return x->order < y->order ? -1 : 1;
-}
-
 struct event *gang_sim_event(struct gang_sim *s, enum event_kind kind,
 			     guint node)
 {
@@ -70,9 +60,7 @@
 
 void gang_sim_post(struct gang_sim *s, struct event *e, int64_t delay_ms)
 {
-	e->at_ms = s->now_ms + delay_ms;
-	e->order = s->sequence++;
-	g_sequence_insert_sorted(s->events, e, compare_events, NULL);
+	event_queue_add(&s->events, &e->base, s->now_ms + delay_ms);
 }
 
 /* Time on the network: mostly short, now and then beyond every timeout. */
@@ -707,15 +695,13 @@
 
 void gang_sim_step(struct gang_sim *s)
 {
-	GSequenceIter *first = g_sequence_get_begin_iter(s->events);
-	struct event *e = g_sequence_get(first);
+	struct event *e = (struct event *)event_queue_first(&s->events);
 	struct sim_node *n = &s->nodes[e->node];
 
-	s->now_ms = e->at_ms;
+	s->now_ms = e->base.time;
 	if (is_for_node(e) && e->life == n->life &&
 	    s->now_ms < n->paused_until_ms) {
-		e->at_ms = n->paused_until_ms;
-		g_sequence_sort_changed(first, compare_events, NULL);
+		event_queue_delay_first(&s->events, n->paused_until_ms);
 		return;
 	}
 	for (guint i = 0; i < WORKERS; i++)
@@ -728,7 +714,7 @@
 		submit_step(s);
 	}
 	check(s);
-	g_sequence_remove(first);
+	event_queue_remove_first(&s->events);
 }
 
 gboolean gang_sim_all_ended(const struct gang_sim *s)
@@ -748,7 +734,7 @@
 	s->planted = planted;
 	s->is_past_lease =
 		planted == PLANTED_EPOCH_IGNORED || g_rand_boolean(s->rand);
-	s->events = g_sequence_new(gang_sim_event_free);
+	event_queue_init(&s->events, gang_sim_event_free);
 	s->starts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->holder = -1;
@@ -769,7 +755,7 @@
 		gang_sim_worker_clear(&s->workers[i]);
 	for (guint i = 0; i < JOBS; i++)
 		job_record_clear(&s->rows[i].record);
-	g_sequence_free(s->events);
+	event_queue_clear(&s->events);
 	g_hash_table_unref(s->starts);
 	g_queue_clear_full(&s->trace, g_free);
 	g_rand_free(s->rand);
--- a/tests/gang_sim.h
+++ b/tests/gang_sim.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "bench/sim/event_queue.h"
 #include "job/gang.h"
 #include "job/placement/placement.h"
 #include "job/renewal_delegate.h"
@@ -91,8 +92,7 @@
 	enum planted planted;
 	gboolean is_past_lease; /* holders act past their lease */
 	int64_t now_ms;
-	GSequence *events; /* of struct event */
-	guint64 sequence;
+	struct event_queue events;
 	struct sim_node nodes[NODES];
 	struct sim_worker workers[WORKERS];
 	struct sim_row rows[JOBS];
@@ -126,8 +126,7 @@
 };
 
 struct event {
-	int64_t at_ms;
-	guint64 order;
+	struct queued_event base; /* time in ms */
 	enum event_kind kind;
 	guint node;
 	guint life;
