Guarantees: slots, plan, moves, binding and checks in files of their own

Ruled out: the search in a file apart from the plan: it is 30 lines that only guarantee_plan_repair() calls.

Functions are renamed to their file (guarantee_slots_set(), guarantee_move(), guarantee_bind()); their code is as it was.

Conclusion: no change of behaviour.

--- a/job/guarantee_explanation.c
+++ b/job/guarantee_explanation.c
@@ -3,6 +3,7 @@
 #include "base/schema.h"
 #include "base/util.h"
 #include "job/guarantee_plan.h"
+#include "job/guarantee_slots.h"
 #include "job/placement/reclaim.h"
 
 static const struct field_spec guarantee_fields[] = {
--- a/job/guarantee_plan.h
+++ b/job/guarantee_plan.h
@@ -12,42 +12,16 @@
 /** Steps of the exhaustive search before it gives up. */
 #define GUARANTEE_PLAN_STEPS 20000
 
-/** Moves a slot to a worker, or takes it off with NULL. */
-void guarantee_plan_set(struct pool *pool, struct slot *slot,
-			struct worker_cell *worker);
-
 /** Plans all slots that have no worker; moves idle ones where that helps. */
 void guarantee_plan_repair(struct pool *pool);
 
+/** Plans the slots of one guarantee that have no worker, without a search. */
+void guarantee_plan_one(struct pool *pool, struct guarantee *g);
+
 /** Takes idle slots off a worker that is not usable any more. */
 void guarantee_plan_drop_worker(struct pool *pool, struct worker_cell *worker);
 
 /** Returns the place of a guarantee in the configuration; free it. */
 char *guarantee_plan_place(const struct pool *pool, const struct guarantee *g);
 
-/** Tells whether a slot is in use by a guaranteed job. */
-gboolean slot_is_used(const struct slot *slot);
-
-/** Tells whether any slot of a guarantee is in use. */
-gboolean guarantee_is_used(const struct guarantee *g);
-
-/**
- * Moves idle slots of one guarantee to given workers, as near each other as
- * it needs. Idle slots of others that are in the way are planned elsewhere.
- *
- * @return	FALSE, and nothing changed, when a slot would lose its place
- */
-gboolean guarantee_plan_move(struct pool *pool, struct slot **slots,
-			     struct worker_cell **targets, guint count);
-
-/**
- * Finds the slots for a guaranteed job on given workers, moving idle slots
- * there if needed.
- *
- * @param slots	out, one a member
- * @return	FALSE when the job is not within its account's guarantees there
- */
-gboolean guarantee_plan_bind(struct pool *pool, const struct pool_job *job,
-			     GPtrArray *workers, struct slot **slots);
-
 #endif
--- a/job/placement/own.c
+++ b/job/placement/own.c
@@ -1,6 +1,7 @@
 #include "job/placement/own.h"
 
-#include "job/guarantee_plan.h"
+#include "job/guarantee_move.h"
+#include "job/guarantee_slots.h"
 #include "job/reservation.h"
 
 /* Workers, and racks, that are compared for the least loss. */
@@ -264,8 +265,7 @@
 		const struct place *p = &g_array_index(places, struct place, i);
 		for (guint k = 0; k < count; k++)
 			targets[k] = p->worker;
-		if (!guarantee_plan_move(o->reclaim.pool, slots, targets,
-					 count))
+		if (!guarantee_move(o->reclaim.pool, slots, targets, count))
 			continue;
 		o->runner_up = old;
 		break;
@@ -406,16 +406,16 @@
 		for (int64_t k = 0; k < g->shape.members; k++)
 			before[k] = g->slots[k].worker;
 		choose_targets(o, g, p->rack, targets, &n);
-		if (!guarantee_plan_move(pool, slots, targets,
-					 (guint)g->shape.members))
+		if (!guarantee_move(pool, slots, targets,
+				    (guint)g->shape.members))
 			continue;
 		n = evaluate(o, c);
 		if (n >= 0 && (loss < 0 || n < loss)) {
 			loss = n;
 			o->runner_up = old;
 		} else {
-			guarantee_plan_move(pool, slots, before,
-					    (guint)g->shape.members);
+			guarantee_move(pool, slots, before,
+				       (guint)g->shape.members);
 		}
 	}
 	g_array_unref(places);
--- a/job/pool.c
+++ b/job/pool.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "base/util.h"
+#include "job/guarantee_binding.h"
 #include "job/guarantee_plan.h"
+#include "job/guarantee_slots.h"
 #include "job/pool_state.h"
 
 void placement_init(struct placement *p)
@@ -299,7 +301,7 @@
 	if (placement->is_guaranteed) {
 		r->is_guaranteed = TRUE;
 		r->slots = g_new0(struct slot *, MAX(workers->len, 1));
-		if (!guarantee_plan_bind(pool, job, workers, r->slots)) {
+		if (!guarantee_bind(pool, job, workers, r->slots)) {
 			status_fail(status, "job %s is not within a guarantee",
 				    job->id);
 			goto fail;
@@ -333,7 +335,7 @@
 
 		if (slot->worker && !slot->worker->is_usable &&
 		    !slot_is_used(slot))
-			guarantee_plan_set(pool, slot, NULL);
+			guarantee_slots_set(pool, slot, NULL);
 	}
 }
 
@@ -501,8 +503,7 @@
 {
 	g_free(r->slots);
 	r->slots = g_new0(struct slot *, r->workers->len);
-	r->is_guaranteed =
-		guarantee_plan_bind(pool, &r->job, r->workers, r->slots);
+	r->is_guaranteed = guarantee_bind(pool, &r->job, r->workers, r->slots);
 	if (!r->is_guaranteed)
 		g_clear_pointer(&r->slots, g_free);
 }
--- a/tests/test_pool_property.c
+++ b/tests/test_pool_property.c
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "job/guarantee_plan.h"
+#include "job/guarantee_slots.h"
 #include "job/job_queue.h"
 #include "job/pool_state.h"
 
