The gangs' world of the exploration in files of one matter each

Ruled out: a file for each kind of event: a message and its answer belong together.

Change: gang_sim_messages, _table, _node, _faults, _check beside _worker; what they know of each other is in gang_sim_parts.h. gang_sim.c keeps the events and the opening, 192 lines. The code is as it was, but that closing a node, which stood twice, is one function.

Conclusion: no change of an outcome.

--- a/tests/gang_sim.h
+++ b/tests/gang_sim.h
@@ -153,31 +153,10 @@
 /** Handles the next event and checks the world after it. */
 void gang_sim_step(struct gang_sim *s);
 
-/** Tells whether every job has come to its end. */
-gboolean gang_sim_all_ended(const struct gang_sim *s);
-
-/* For gang_sim*.c only. */
-
-void gang_sim_trace(struct gang_sim *s, const char *format, ...)
-	G_GNUC_PRINTF(2, 3);
+/** Records a broken invariant; the first one counts. */
 void gang_sim_violate(struct gang_sim *s, const char *what, const char *where);
-struct event *gang_sim_event(struct gang_sim *s, enum event_kind kind,
-			     guint node);
-void gang_sim_event_free(gpointer data);
-void gang_sim_post(struct gang_sim *s, struct event *e, int64_t delay_ms);
-
-/** Time on the network: mostly short, now and then beyond every timeout. */
-int64_t gang_sim_network_ms(struct gang_sim *s);
 
-/** Returns the index of a job by its name. */
-guint gang_sim_job(const char *id);
-
-void gang_sim_worker_init(struct sim_worker *w, guint index);
-void gang_sim_worker_clear(struct sim_worker *w);
-void gang_sim_worker_crash(struct gang_sim *s, struct sim_worker *w);
-
-/** Lets time pass at a worker: tasks end, leases lapse, reports lag. */
-void gang_sim_worker_step(struct gang_sim *s, struct sim_worker *w);
-void gang_sim_worker_on_call(struct gang_sim *s, struct event *e);
+/** Tells whether every job has come to its end. */
+gboolean gang_sim_all_ended(const struct gang_sim *s);
 
 #endif
--- a/tests/gang_sim_worker.c
+++ b/tests/gang_sim_worker.c
@@ -1,7 +1,7 @@
 /*
  * The workers of the exploration: what they obey, report and refuse.
  */
-#include "tests/gang_sim.h"
+#include "tests/gang_sim_parts.h"
 
 #include <string.h>
 
