bench_jobs: its simulation and its workloads are .c files

Change: bench/sim/job_sim (events and their order), job_sim_start (starting and ending), job_sim_events, job_sim_sample, job_trace; job_sim_parts.h for what they know of each other. Functions and structs have the prefix job_sim.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -7,7 +7,7 @@
 #include <math.h>
 #include <stdio.h>
 
-#include "bench/job_sim.h"
+#include "bench/sim/job_sim.h"
 #include "job/placement/migrate.h"
 
 #define FIRST_SEED 20261
@@ -115,7 +115,7 @@
 	return !j->trace->fails && !j->trace->is_wave && j->end_ms >= 0;
 }
 
-static void measure_times(const struct sim *s, struct result *r)
+static void measure_times(const struct job_sim *s, struct result *r)
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
 	GArray *slowdowns = g_array_new(FALSE, FALSE, sizeof(double));
@@ -149,7 +149,7 @@
 	g_array_unref(slowdowns);
 }
 
-static void measure_urgent(const struct sim *s, struct result *r)
+static void measure_urgent(const struct job_sim *s, struct result *r)
 {
 	GArray *waits = g_array_new(FALSE, FALSE, sizeof(double));
 
@@ -171,11 +171,11 @@
 			      gboolean forgets_stops)
 {
 	struct result r = { .policy = policy };
-	struct sim s;
+	struct job_sim s;
 
-	sim_init(&s, trace, policy);
+	job_sim_init(&s, trace, policy);
 	s.forgets_stops = forgets_stops;
-	sim_run(&s);
+	job_sim_run(&s);
 	r.stats = s.stats;
 	measure_times(&s, &r);
 	measure_urgent(&s, &r);
@@ -183,7 +183,7 @@
 	r.free_share =
 		s.stats.stranded_sum / MAX(s.stats.waiting_free_sum, 1e-9);
 	r.utilisation = s.stats.used_sum / s.stats.samples;
-	sim_clear(&s);
+	job_sim_clear(&s);
 	return r;
 }
 
--- /dev/null
+++ b/bench/sim/job_sim_sample.c
@@ -0,0 +1,99 @@
+/* Samples: what is free, what is stranded, what is broken. */
+#include "bench/sim/job_sim_parts.h"
+
+/* Free accelerators that could host members of a shape now. */
+static int64_t hosts(const struct job_sim *s, const struct shape *shape)
+{
+	struct resources need = resources_of_member(shape);
+	int64_t in_pool = 0;
+	int64_t in_near = 0;
+
+	for (guint i = 0; i < s->pool->racks->len; i++) {
+		const struct rack_cell *rack = s->pool->racks->pdata[i];
+		int64_t in_rack = 0;
+
+		for (guint k = 0; k < rack->workers->len; k++) {
+			int64_t n = resources_times(
+				worker_cell_free(rack->workers->pdata[k]),
+				need);
+
+			in_rack += n;
+			if (shape->adjacency == ADJACENCY_WORKER)
+				in_near += n / shape->members * shape->members;
+		}
+		in_pool += in_rack;
+		if (shape->adjacency == ADJACENCY_RACK)
+			in_near += in_rack / shape->members * shape->members;
+	}
+	if (shape->adjacency == ADJACENCY_NONE)
+		in_near = in_pool / shape->members * shape->members;
+	return in_near * shape->accelerators;
+}
+
+struct stranding {
+	const struct job_sim *sim;
+	GHashTable *hosts; /* shape to accelerators, as pointers */
+	int64_t free;
+	double weight;
+	double stranded;
+};
+
+static void add_stranded(const struct pool_job *job, void *data)
+{
+	struct stranding *x = data;
+	double weight = (double)shape_accelerators(&job->shape);
+	char *key;
+	int64_t n;
+
+	if (weight == 0 || x->free == 0)
+		return;
+	key = g_strdup_printf("%d/%d/%d/%d", (int)job->shape.members,
+			      (int)job->shape.accelerators,
+			      (int)job->shape.cores, (int)job->shape.adjacency);
+	if (!g_hash_table_contains(x->hosts, key))
+		g_hash_table_insert(
+			x->hosts, g_strdup(key),
+			GINT_TO_POINTER((gint)hosts(x->sim, &job->shape)));
+	n = GPOINTER_TO_INT(g_hash_table_lookup(x->hosts, key));
+	g_free(key);
+	x->weight += weight;
+	x->stranded += weight * (double)(x->free - MIN(n, x->free));
+}
+
+static void check_plan(struct job_sim *s)
+{
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (!pool_check_books(s->pool, &findings) ||
+	    (s->pool->unheld == 0 &&
+	     !pool_check_guarantees(s->pool, &findings)))
+		s->stats.broken_plans++;
+	finding_list_clear(&findings);
+}
+
+void job_sim_sample(struct job_sim *s, struct job_event *e)
+{
+	struct stranding x = { .sim = s };
+	int64_t usable = 0;
+
+	for (guint i = 0; i < s->pool->workers->len; i++) {
+		const struct worker_cell *w = s->pool->workers->pdata[i];
+
+		x.free += MAX(worker_cell_free(w).accelerators, 0);
+		usable += w->is_usable ? w->capacity.accelerators : 0;
+	}
+	x.hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job_queue_foreach(s->queue, add_stranded, &x);
+	g_hash_table_unref(x.hosts);
+	s->stats.samples++;
+	s->stats.free_sum += (double)x.free / (double)MAX(usable, 1);
+	s->stats.used_sum += (double)(usable - x.free) / (double)MAX(usable, 1);
+	if (x.weight > 0) {
+		s->stats.stranded_sum +=
+			x.stranded / x.weight / (double)MAX(usable, 1);
+		s->stats.waiting_free_sum +=
+			(double)x.free / (double)MAX(usable, 1);
+	}
+	check_plan(s);
+}
--- /dev/null
+++ b/bench/sim/job_sim_start.c
@@ -0,0 +1,212 @@
+/* How simulated jobs start, wait for others to stop, and end. */
+#include "bench/sim/job_sim_parts.h"
+
+/* A checkpoint is given this long before the job is stopped. */
+#define CHECKPOINT_GRACE_MS 1000
+/* Stopping a job that has no checkpoint. */
+#define STOP_DELAY_MS 100
+/* Bound of the letter for urgent work, also taken for any reclaim. */
+#define START_BOUND_MS 1500
+/* Time until a task fails on a bad worker, or of a bad job. */
+#define FAIL_AFTER_MS 5000
+#define BAD_WORKER_EVERY 50
+
+static gboolean is_bad_worker(const struct job_sim *s,
+			      const struct worker_cell *w)
+{
+	return s->trace->workload->has_bad_workers &&
+	       w->index % BAD_WORKER_EVERY == BAD_WORKER_EVERY / 2;
+}
+
+static char *shape_key(const struct pool_job *j)
+{
+	return g_strdup_printf(
+		"%s/%d/%d/%d", j->client_account, (int)j->shape.members,
+		(int)j->shape.accelerators, (int)j->shape.adjacency);
+}
+
+gint job_sim_count_active(struct job_sim *s, const struct pool_job *j,
+			  gint change)
+{
+	char *key = shape_key(j);
+	gint n = GPOINTER_TO_INT(g_hash_table_lookup(s->active, key));
+
+	g_hash_table_insert(s->active, key, GINT_TO_POINTER(n + change));
+	return n;
+}
+
+void job_sim_submit(struct job_sim *s, struct sim_job *j)
+{
+	struct pool_job job;
+
+	j->state = SIM_WAITING;
+	j->attempt++;
+	j->is_stopping = FALSE;
+	j->blockers = 0;
+	job = j->trace->job;
+	job.stops = s->forgets_stops ? 0 : j->stops;
+	job_queue_submit(s->queue, &job, j->trace->arrival_ms);
+}
+
+void job_sim_end_job(struct job_sim *s, struct sim_job *j)
+{
+	j->state = SIM_ENDED;
+	job_sim_count_active(s, &j->trace->job, -1);
+	worker_health_forget_job(s->health, j->trace->job.id);
+}
+
+/* Returns the worker that fails a job, or NULL. */
+static const char *failing_worker(const struct job_sim *s,
+				  const struct sim_job *j)
+{
+	const struct running_job *r =
+		pool_running_job(s->pool, j->trace->job.id);
+
+	for (guint i = 0; i < r->workers->len; i++) {
+		const struct worker_cell *w = r->workers->pdata[i];
+
+		if (j->trace->fails || is_bad_worker(s, w))
+			return w->name;
+	}
+	return NULL;
+}
+
+static void check_start(struct job_sim *s, struct sim_job *j)
+{
+	int64_t waited_ms = s->now_ms + START_DELAY_MS - j->trace->arrival_ms;
+	const struct running_job *r =
+		pool_running_job(s->pool, j->trace->job.id);
+
+	if (r->workers->len != j->trace->job.shape.members)
+		s->stats.partial_gangs++;
+	if (j->first_start_ms >= 0)
+		return;
+	j->first_start_ms = s->now_ms + START_DELAY_MS;
+	if (!j->is_owed || j->was_hit)
+		return;
+	s->stats.owed++;
+	if (waited_ms > START_BOUND_MS)
+		s->stats.violations++;
+}
+
+static void start(struct job_sim *s, struct sim_job *j)
+{
+	const char *worker = failing_worker(s, j);
+	int64_t start_ms = s->now_ms + START_DELAY_MS;
+
+	check_start(s, j);
+	j->state = SIM_RUNNING;
+	j->started_ms = start_ms;
+	if (worker) {
+		g_free(j->worker);
+		j->worker = g_strdup(worker);
+		job_sim_schedule(s, start_ms + FAIL_AFTER_MS, EVENT_FAIL, j);
+		return;
+	}
+	job_sim_schedule(s, start_ms + j->remaining_ms, EVENT_END, j);
+}
+
+void job_sim_wake_waiters(struct job_sim *s, struct sim_job *j)
+{
+	GArray *waiters = j->waiters;
+
+	j->waiters = NULL;
+	for (guint i = 0; waiters && i < waiters->len; i++) {
+		struct waiter *w = &g_array_index(waiters, struct waiter, i);
+
+		if (w->job->attempt != w->attempt ||
+		    w->job->state != SIM_STARTING)
+			continue;
+		if (--w->job->blockers == 0)
+			start(s, w->job);
+	}
+	if (waiters)
+		g_array_unref(waiters);
+}
+
+int64_t job_sim_keep_progress(const struct job_sim *s, struct sim_job *j,
+			      int64_t most_lost_ms)
+{
+	int64_t ran_ms = 0;
+	int64_t lost_ms;
+
+	if (j->state == SIM_RUNNING)
+		ran_ms = MAX(s->now_ms - j->started_ms, 0);
+	lost_ms = j->trace->job.is_checkpointable ? MIN(ran_ms, most_lost_ms)
+						  : ran_ms;
+	if (j->trace->job.is_checkpointable)
+		j->remaining_ms = MAX(j->remaining_ms - (ran_ms - lost_ms), 1);
+	else
+		j->remaining_ms = j->trace->run_ms;
+	return lost_ms * MAX(shape_accelerators(&j->trace->job.shape), 1);
+}
+
+static void preempt(struct job_sim *s, struct sim_job *victim,
+		    struct sim_job *j, gboolean is_move)
+{
+	struct waiter w = { j, j->attempt };
+	gboolean has_grace = victim->trace->job.is_checkpointable;
+
+	if (!victim->waiters)
+		victim->waiters =
+			g_array_new(FALSE, FALSE, sizeof(struct waiter));
+	g_array_append_val(victim->waiters, w);
+	j->blockers++;
+	if (victim->is_stopping)
+		return;
+	victim->is_stopping = TRUE;
+	s->stats.preempted++;
+	victim->moves += is_move;
+	s->stats.most_moves = MAX(s->stats.most_moves, victim->moves);
+	job_sim_schedule(
+		s,
+		s->now_ms + (has_grace ? CHECKPOINT_GRACE_MS : STOP_DELAY_MS),
+		EVENT_STOPPED, victim);
+}
+
+static void take_decision(struct job_sim *s, const struct job_decision *d)
+{
+	struct sim_job *j = g_hash_table_lookup(s->jobs, d->job_id);
+	gboolean is_move = !d->placement.is_guaranteed &&
+			   j->trace->job.class != JOB_CLASS_URGENT;
+
+	j->state = SIM_STARTING;
+	for (guint i = 0; i < d->placement.preempt->len; i++)
+		preempt(s,
+			g_hash_table_lookup(s->jobs,
+					    d->placement.preempt->pdata[i]),
+			j, is_move);
+	if (j->blockers == 0)
+		start(s, j);
+}
+
+static void refuse(struct job_sim *s, const struct job_decision *d)
+{
+	struct sim_job *j = g_hash_table_lookup(s->jobs, d->job_id);
+
+	s->stats.refused++;
+	job_sim_end_job(s, j);
+}
+
+void job_sim_decide(struct job_sim *s)
+{
+	enum status status;
+
+	do {
+		struct job_decision d;
+		int64_t began_us = g_get_monotonic_time();
+		uint64_t visits = pool_visits(s->pool);
+
+		job_decision_init(&d);
+		status = job_queue_decide(s->queue, s->pool, s->policy,
+					  s->now_ms, &d);
+		s->stats.decide_us += g_get_monotonic_time() - began_us;
+		s->stats.visits += pool_visits(s->pool) - visits;
+		s->stats.decisions++;
+		if (status == STATUS_OK)
+			take_decision(s, &d);
+		else if (status == STATUS_REFUSED)
+			refuse(s, &d);
+		job_decision_clear(&d);
+	} while (status != STATUS_NOT_FOUND);
+}
--- a/bench/job_trace.h
+++ b/bench/sim/job_trace.c
@@ -1,60 +1,7 @@
-/**
- * @file
- * Seeded workloads for bench_jobs: pools in the sizes that users have or plan,
- * their guarantees and the jobs that arrive. Included by one program only.
- */
-#ifndef BENCH_JOB_TRACE_H
-#define BENCH_JOB_TRACE_H
-
-#include <glib.h>
+#include "bench/sim/job_trace.h"
+
 #include <gsl/gsl_randist.h>
 #include <gsl/gsl_rng.h>
-#include <stdint.h>
-
-#include "config/config_doc.h"
-#include "job/pool.h"
-
-#define TRACE_POOL "salkhi.tov-a"
-#define MINUTE_MS (INT64_C(60) * 1000)
-#define HOUR_MS (60 * MINUTE_MS)
-#define MAX_GUARANTEES 64
-
-/** A pool and what arrives in it. */
-struct workload {
-	const char *name;
-	guint accelerator_workers; /**< with 8 accelerators each */
-	guint plain_workers;	   /**< without */
-	int64_t cores;		   /**< of each worker */
-	int64_t memory_mb;	   /**< of each worker */
-	guint accounts;
-	guint seeds;
-	guint copies; /**< of each account's guaranteed shapes */
-	guint jobs;
-	double load; /**< offered work by capacity of the scarcer resource */
-	double median_run_ms;
-	gboolean is_letter; /**< the letter's mix of shapes, else the brief's */
-	gboolean has_rack_loss;
-	gboolean has_cancel_waves;
-	gboolean has_bad_workers;
-	double burst_small; /**< part of the small jobs that come in bursts */
-	double burst_large; /**< part of the large jobs that come in bursts */
-};
-
-struct trace_job {
-	struct pool_job job; /**< strings owned */
-	int64_t arrival_ms;
-	int64_t run_ms;	       /**< true run time */
-	gboolean fails;	       /**< wherever it runs */
-	gboolean is_wave;      /**< cancelled in a wave */
-	gboolean is_guarantee; /**< has exactly a guaranteed shape */
-};
-
-struct trace {
-	const struct workload *workload;
-	struct config_doc doc;
-	GArray *jobs;	    /**< of struct trace_job, by arrival */
-	int64_t horizon_ms; /**< of arrivals */
-};
 
 struct shape_choice {
 	double weight;
@@ -300,7 +247,7 @@
 	g_array_sort(t->jobs, compare_arrival);
 }
 
-static void trace_init(struct trace *t, const struct workload *w, guint seed)
+void trace_init(struct trace *t, const struct workload *w, guint seed)
 {
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
 
@@ -318,7 +265,7 @@
 	gsl_rng_free(rng);
 }
 
-static void trace_clear(struct trace *t)
+void trace_clear(struct trace *t)
 {
 	for (guint i = 0; i < t->jobs->len; i++) {
 		struct trace_job *j =
@@ -335,5 +282,3 @@
 					    struct client_account, i));
 	g_array_unref(t->doc.client_accounts);
 }
-
-#endif
