csctl check: a file without a list of VMs is one finding

Cause: the decoding of the list added "vms: missing" and check_guarantees() added "FILE: no list of VMs" for the same fault.

Ruled out: only the finding of the decoding: it doesn't name the file; only the other one: it doesn't say why.

Change: the entries' findings are collected apart; one finding names the file and the reason. A file's unsound entries are reported as before, a platform's are left out as before.

Conclusion: each fault is named once.

--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -118,26 +118,45 @@
 	return vms;
 }
 
+static void report_entries(const struct finding_list *entries,
+			   struct finding_list *findings)
+{
+	for (guint i = 0; i < finding_list_count(entries); i++) {
+		const struct finding *f = finding_list_get(entries, i);
+
+		finding_list_add(findings, f->place, f->allowed, "%s",
+				 f->problem);
+	}
+}
+
 static void check_guarantees(const struct config_doc *doc,
 			     struct finding_list *findings)
 {
 	gboolean is_file = g_file_test(check_vms, G_FILE_TEST_IS_REGULAR);
 	json_object *vms =
 		is_file ? read_vms_file(findings) : read_vms_platform(findings);
-	struct finding_list left_out;
+	struct finding_list entries;
 	struct vm_list list;
 
-	finding_list_init(&left_out);
+	finding_list_init(&entries);
 	vm_list_init(&list);
+	if (!vms)
+		goto out;
+	if (!vm_list_decode(&list, vms, &entries)) {
+		finding_list_add(findings, check_vms, "{\"vms\":[VM...]}",
+				 "no list of VMs: %s %s",
+				 finding_list_get(&entries, 0)->place,
+				 finding_list_get(&entries, 0)->problem);
+		goto out;
+	}
 	/* A platform may list what is not known here; a file is the operator's.
 	 */
-	if (vms && vm_list_decode(&list, vms, is_file ? findings : &left_out))
-		guarantee_check_vms(doc, &list, findings);
-	else if (vms)
-		finding_list_add(findings, check_vms, "{\"vms\":[VM...]}",
-				 "no list of VMs");
+	if (is_file)
+		report_entries(&entries, findings);
+	guarantee_check_vms(doc, &list, findings);
+out:
 	vm_list_clear(&list);
-	finding_list_clear(&left_out);
+	finding_list_clear(&entries);
 	json_object_put(vms);
 }
 
--- a/tests/test_csctl.c
+++ b/tests/test_csctl.c
@@ -35,20 +35,25 @@
 	enum vms_from from;
 	int exit_code;
 	const char *says;
+	const char *also; /* or NULL */
 } check_cases[] = {
-	{ CONFIG("2"), VMS_NOT_GIVEN, 0,
-	  "guarantees: not checked against VMs" },
-	{ CONFIG("3"), VMS_NOT_GIVEN, 0,
-	  "guarantees: not checked against VMs" },
-	{ CONFIG("2"), VMS_FILE, 0, "guarantees: can all be held at once" },
+	{ CONFIG("2"), VMS_NOT_GIVEN, 0, "guarantees: not checked against VMs",
+	  NULL },
+	{ CONFIG("3"), VMS_NOT_GIVEN, 0, "guarantees: not checked against VMs",
+	  NULL },
+	{ CONFIG("2"), VMS_FILE, 0, "guarantees: can all be held at once",
+	  NULL },
 	{ CONFIG("3"), VMS_FILE, 1,
-	  "client_accounts.a.salkhi.tov-a.g: no usable workers can hold it" },
-	{ CONFIG("2"), VMS_PLATFORM, 0, "guarantees: can all be held at once" },
+	  "client_accounts.a.salkhi.tov-a.g: no usable workers can hold it",
+	  NULL },
+	{ CONFIG("2"), VMS_PLATFORM, 0, "guarantees: can all be held at once",
+	  NULL },
 	{ CONFIG("3"), VMS_PLATFORM, 1,
-	  "client_accounts.a.salkhi.tov-a.g: no usable workers can hold it" },
-	{ CONFIG("2"), VMS_NOWHERE, 1, "neither a file nor a platform" },
-	{ CONFIG("2"), VMS_NO_LIST, 1, "no list of VMs" },
-	{ "{\"format\":1,\"surplus\":1}", VMS_FILE, 1, "surplus" },
+	  "client_accounts.a.salkhi.tov-a.g: no usable workers can hold it",
+	  NULL },
+	{ CONFIG("2"), VMS_NOWHERE, 1, "neither a file nor a platform", NULL },
+	{ CONFIG("2"), VMS_NO_LIST, 1, "no list of VMs", "1 findings" },
+	{ "{\"format\":1,\"surplus\":1}", VMS_FILE, 1, "surplus", NULL },
 };
 
 struct world {
@@ -124,6 +129,8 @@
 	g_assert_cmpint(cluster_wait_exit(p, TIMEOUT_MS), ==,
 			check_cases[i].exit_code);
 	g_assert_cmpuint(cluster_grep(p, check_cases[i].says), >, 0);
+	if (check_cases[i].also)
+		g_assert_cmpuint(cluster_grep(p, check_cases[i].also), >, 0);
 	g_free(log);
 	g_free(file);
 	g_free(name);
