Rows of the table: one way to decode what was read

Cause: config_writer, pool_lease_service, config_service and holder_client each decoded the first row of a read with a list of findings that nobody looks at.

Ruled out: the writer of jobs' rows and the claims too: their rows have decoders of their own, and an unsound row means something else to each.

Change: platform/table_row: the status of the read, or invalid; four callers.

Conclusion: no change of behaviour.

--- a/config/config_service.c
+++ b/config/config_service.c
@@ -8,6 +8,7 @@
 #include "config/config_spread.h"
 #include "config/config_version.h"
 #include "daemon/platform_service.h"
+#include "platform/table_row.h"
 
 /** From one reading of the head to the next, by those that poll for all. */
 #define POLL_MS 500
@@ -84,22 +85,16 @@
 static void on_head(const struct platform_result *result, void *data)
 {
 	struct config_service *s = data;
-	struct finding_list findings;
 	struct config_head head = { 0 };
 
 	s->is_reading = FALSE;
-	if (result->status != STATUS_OK)
-		return;
-	finding_list_init(&findings);
-	if (schema_decode(&config_head_schema, result->rows[0].value, &head, "",
-			  NULL, &findings) &&
+	if (table_row_decode(result, &config_head_schema, &head) == STATUS_OK &&
 	    head.version > s->current.version && !s->fetching_version) {
 		s->fetching_version = head.version;
 		platform_object_get(platform_of(s->kernel), head.object,
 				    on_body, s);
 	}
 	config_head_clear(&head);
-	finding_list_clear(&findings);
 }
 
 static gboolean is_poll_due(const struct config_service *s, int64_t now_ms)
--- a/config/config_writer.c
+++ b/config/config_writer.c
@@ -1,6 +1,7 @@
 #include "config/config_writer.h"
 
 #include "base/util.h"
+#include "platform/table_row.h"
 
 #define READ_BACK_DELAY_MS 250
 
@@ -25,21 +26,15 @@
 static void on_read(const struct platform_result *result, void *data)
 {
 	struct config_writer *w = data;
-	struct finding_list findings;
 	struct config_head head = { 0 };
-	enum status status = result->status;
+	enum status status =
+		table_row_decode(result, &config_head_schema, &head);
 	int64_t row_version = TABLE_ABSENT;
 
-	finding_list_init(&findings);
-	if (status == STATUS_OK) {
+	if (result->status == STATUS_OK)
 		row_version = result->rows[0].version;
-		if (!schema_decode(&config_head_schema, result->rows[0].value,
-				   &head, "", NULL, &findings))
-			status = STATUS_INVALID;
-	}
 	config_acceptance_on_read(&w->acceptance, status, row_version, &head);
 	config_head_clear(&head);
-	finding_list_clear(&findings);
 	advance(w);
 }
 
--- a/daemon/holder_client.c
+++ b/daemon/holder_client.c
@@ -4,6 +4,7 @@
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
+#include "platform/table_row.h"
 #include "shared/lease_row.h"
 
 #define CALL_TIMEOUT_MS INT64_C(1000)
@@ -140,12 +141,8 @@
 	struct holder_call *c = data;
 	const struct http_reply none = { .status = STATUS_UNAVAILABLE };
 	struct lease_row row = { 0 };
-	struct finding_list findings;
 
-	finding_list_init(&findings);
-	if (result->status == STATUS_OK &&
-	    schema_decode(&lease_row_schema, result->rows[0].value, &row, "",
-			  NULL, &findings) &&
+	if (table_row_decode(result, &lease_row_schema, &row) == STATUS_OK &&
 	    !lease_row_is_released(&row)) {
 		keep_holder(c->client, c->pool, row.address);
 		send_to(c, row.address);
@@ -153,7 +150,6 @@
 		end_call(c, &none);
 	}
 	lease_row_clear(&row);
-	finding_list_clear(&findings);
 }
 
 static void find_holder(struct holder_call *c)
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -8,6 +8,7 @@
 #include "config/config_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
+#include "platform/table_row.h"
 #include "shared/lease_protocol.h"
 #include "shared/membership_service.h"
 #include "shared/pool_share.h"
@@ -166,25 +167,18 @@
 static void on_read(const struct platform_result *result, void *data)
 {
 	struct pool_lease *l = data;
-	struct finding_list findings;
 	struct lease_row row = { 0 };
-	enum status status = result->status;
+	enum status status = table_row_decode(result, &lease_row_schema, &row);
 	int64_t version = TABLE_ABSENT;
 	int64_t now_ms = util_monotonic_ms();
 
-	finding_list_init(&findings);
-	if (status == STATUS_OK) {
+	if (result->status == STATUS_OK)
 		version = result->rows[0].version;
-		if (!schema_decode(&lease_row_schema, result->rows[0].value,
-				   &row, "", NULL, &findings))
-			status = STATUS_INVALID;
-	}
 	update_ranks(l->service, now_ms);
 	lease_protocol_on_read(&l->protocol, now_ms, status, version,
 			       status == STATUS_OK ? &row : NULL);
 	arm(l, now_ms);
 	lease_row_clear(&row);
-	finding_list_clear(&findings);
 }
 
 static void on_commit(const struct platform_result *result, void *data)
