Migrations: racks and workers are compared by one function

Cause: find_rack() and find_worker() were the same loop over an index, but for how the list of one place is filled.

Ruled out: find_anywhere() too: it fills one list over many racks.

Change: find_place() with a function that fills a list at one place.

Conclusion: no change of behaviour.

--- a/job/placement/migrate.c
+++ b/job/placement/migrate.c
@@ -101,43 +101,40 @@
 	return list;
 }
 
-static GPtrArray *find_rack(struct reclaim *r)
+/* Fills a list with the workers for all members at one place of an index. */
+typedef void (*fill_fn)(struct reclaim *r, guint index, GPtrArray *list);
+
+static void fill_rack(struct reclaim *r, guint index, GPtrArray *list)
 {
-	struct pool *pool = r->pool;
-	struct cell_cursor c = cell_index_from_top(&pool->racks_free);
-	GPtrArray *best = NULL;
-	int64_t loss = 0;
-	guint tries = PLACES_COMPARED;
-	guint index;
+	const struct rack_cell *rack = r->pool->racks->pdata[index];
 
-	while (tries-- > 0 &&
-	       cell_index_previous(&pool->racks_free, &c, &index)) {
-		const struct rack_cell *rack = pool->racks->pdata[index];
-		GPtrArray *list = g_ptr_array_new();
+	fill(r, rack->workers, list);
+}
 
-		fill(r, rack->workers, list);
-		best = keep_best(r, best, list, &loss);
-	}
-	return best;
+static void fill_worker(struct reclaim *r, guint index, GPtrArray *list)
+{
+	struct worker_cell *w = r->pool->workers->pdata[index];
+
+	if (reservation_allows(r->pool, w, r->job, r->now_ms))
+		pick_fill(list, w, reclaim_room(r, w),
+			  resources_of_member(&r->job->shape),
+			  r->job->shape.members);
 }
 
-static GPtrArray *find_worker(struct reclaim *r)
+/* Compares the few places that have the most that is free. */
+static GPtrArray *find_place(struct reclaim *r, const struct cell_index *free,
+			     fill_fn fill_at)
 {
-	struct pool *pool = r->pool;
-	struct cell_cursor c = cell_index_from_top(&pool->free);
+	struct cell_cursor c = cell_index_from_top(free);
 	GPtrArray *best = NULL;
 	int64_t loss = 0;
 	guint tries = PLACES_COMPARED;
 	guint index;
 
-	while (tries-- > 0 && cell_index_previous(&pool->free, &c, &index)) {
-		struct worker_cell *w = pool->workers->pdata[index];
+	while (tries-- > 0 && cell_index_previous(free, &c, &index)) {
 		GPtrArray *list = g_ptr_array_new();
 
-		if (reservation_allows(pool, w, r->job, r->now_ms))
-			pick_fill(list, w, reclaim_room(r, w),
-				  resources_of_member(&r->job->shape),
-				  r->job->shape.members);
+		fill_at(r, index, list);
 		best = keep_best(r, best, list, &loss);
 	}
 	return best;
@@ -167,9 +164,9 @@
 	if (shape_accelerators(&r->job->shape) > r->pool->free_accelerators)
 		return NULL;
 	if (r->job->shape.adjacency == ADJACENCY_RACK)
-		best = find_rack(r);
+		best = find_place(r, &r->pool->racks_free, fill_rack);
 	else if (r->job->shape.adjacency == ADJACENCY_WORKER)
-		best = find_worker(r);
+		best = find_place(r, &r->pool->free, fill_worker);
 	else
 		best = find_anywhere(r);
 	if (best)
