Tests of gangs: a holder is signalled and a shared gang started in one place

Cause: two faults sent a signal to the holder, and four tests ran a gang until delegates renewed its workers, each by the same lines.

Ruled out: the setups of test_lease_faults and test_config_faults: what is alike there is the order of the scenario, and it reads better in place.

Change: signal_holder(); run_shared_gang() and find_holder() with the assertions that stood in the tests.

Conclusion: no assertion changed.

--- a/tests/gang_faults.c
+++ b/tests/gang_faults.c
@@ -18,12 +18,17 @@
 	 1000)
 #define RESTART_MS INT64_C(5000)
 
-static void kill_scheduler(struct gang_cluster *g)
+static void signal_holder(struct gang_cluster *g, int signal)
 {
 	int holder = gang_cluster_holder(g);
 
 	if (holder >= 0)
-		cluster_signal(g->schedulers[holder], SIGKILL);
+		cluster_signal(g->schedulers[holder], signal);
+}
+
+static void kill_scheduler(struct gang_cluster *g)
+{
+	signal_holder(g, SIGKILL);
 }
 
 static void restart_schedulers(struct gang_cluster *g)
@@ -36,10 +41,7 @@
 
 static void pause_scheduler(struct gang_cluster *g)
 {
-	int holder = gang_cluster_holder(g);
-
-	if (holder >= 0)
-		cluster_signal(g->schedulers[holder], SIGSTOP);
+	signal_holder(g, SIGSTOP);
 }
 
 static void resume_schedulers(struct gang_cluster *g)
--- a/tests/test_gangs_wide.c
+++ b/tests/test_gangs_wide.c
@@ -56,6 +56,21 @@
 	return g;
 }
 
+/* Runs the gang until delegates renew all that it runs on. */
+static void run_shared_gang(struct gang_cluster *g)
+{
+	run_gang(g, 600000);
+	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
+}
+
+static int find_holder(struct gang_cluster *g)
+{
+	int holder = gang_cluster_holder(g);
+
+	g_assert_cmpint(holder, >=, 0);
+	return holder;
+}
+
 /* Just after it was renewed, the longest time before the next renewal. */
 static void test_worker_lost(void)
 {
@@ -77,8 +92,7 @@
 {
 	struct gang_cluster *g = open_wide(FALSE);
 
-	run_gang(g, 600000);
-	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
+	run_shared_gang(g);
 	cluster_sleep(worker_renew_period_ms(ALL_WORKERS, SCHEDULERS));
 	gang_cluster_kill_worker(g);
 	g_assert_true(gang_cluster_wait_events(g, "gang", "stopped",
@@ -107,10 +121,8 @@
 	struct gang_cluster *g = open_wide(FALSE);
 	int holder;
 
-	run_gang(g, 600000);
-	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
-	holder = gang_cluster_holder(g);
-	g_assert_cmpint(holder, >=, 0);
+	run_shared_gang(g);
+	holder = find_holder(g);
 	cluster_signal(g->schedulers[(holder + 1) % SCHEDULERS], SIGKILL);
 	go_on(g);
 	g_assert_cmpint(gang_cluster_status(g, (guint)holder, "delegates"), ==,
@@ -124,10 +136,8 @@
 	struct gang_cluster *g = open_wide(FALSE);
 	int holder;
 
-	run_gang(g, 600000);
-	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
-	holder = gang_cluster_holder(g);
-	g_assert_cmpint(holder, >=, 0);
+	run_shared_gang(g);
+	holder = find_holder(g);
 	cluster_signal(g->schedulers[holder], SIGSTOP);
 	go_on(g);
 	cluster_signal(g->schedulers[holder], SIGCONT);
@@ -145,8 +155,7 @@
 {
 	struct gang_cluster *g = open_wide(TRUE);
 
-	run_gang(g, 600000);
-	g_assert_true(cluster_wait(is_shared, g, TIMEOUT_MS));
+	run_shared_gang(g);
 	for (guint i = 0; i < SILENCES; i++) {
 		cluster_sleep(worker_renew_period_ms(ALL_WORKERS, SCHEDULERS));
 		cluster_control(g->cluster, g->relay_control,
