bench_requests: its simulation is .c files

Ruled out: callers and attempts in one file: they meet in two functions only.

Change: bench/sim/request_sim (events, entry processes), _callers, _attempts, _events, _measure; request_sim_parts.h for what they know of each other. Functions have the prefix request_sim; the code is as it was.

--- a/bench/bench_requests.c
+++ b/bench/bench_requests.c
@@ -4,8 +4,11 @@
  * and baselines; --check verifies the bounds.
  */
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
-#include "bench/request_sim.h"
+#include "bench/sim/request_sim.h"
+#include "request/routing/routing.h"
 
 #define BRIEF .gateways = 8, .runners = 50, .length_s = 25
 /* One failure domain of a service that has three. */
@@ -117,7 +120,8 @@
 	       "dbl", "lost", "rec_s");
 }
 
-static void print_outcome(const struct scenario *s, const struct outcome *o)
+static void print_outcome(const struct scenario *s,
+			  const struct request_outcome *o)
 {
 	printf("%-28s %6.0f %6.0f %6.0f %7.4f %6.3f %7.3f %7.3f %7.4f %7.4f "
 	       "%6.4f %5.3f %4" G_GINT64_FORMAT " %4" G_GINT64_FORMAT
@@ -144,7 +148,7 @@
 	printf("BROKEN %s: %g, bound %s (%s)\n", what, figure, bound, source);
 }
 
-static void check_goodput(struct checker *c, const struct outcome *o)
+static void check_goodput(struct checker *c, const struct request_outcome *o)
 {
 	static const enum scenario_id overloads[] = { OVERLOAD_2, OVERLOAD_3,
 						      OVERLOAD_5 };
@@ -159,7 +163,7 @@
 }
 
 /* Sends that meet no free slot cost the caller time and the endpoint work. */
-static void check_policies(struct checker *c, const struct outcome *o)
+static void check_policies(struct checker *c, const struct request_outcome *o)
 {
 	static const enum scenario_id pairs[][2] = {
 		{ STEADY_TWO, STEADY_RANDOM },
@@ -179,7 +183,7 @@
 		       "issue 4: policy against baselines");
 }
 
-static void check_all(struct checker *c, const struct outcome *o)
+static void check_all(struct checker *c, const struct request_outcome *o)
 {
 	for (guint i = 0; i < SCENARIOS; i++) {
 		expect(c, o[i].doubled == 0, scenarios[i].name,
@@ -218,7 +222,7 @@
 	guint choices = 1000;
 	double cost;
 
-	list_runners(t, runners);
+	request_sim_list_runners(t, runners);
 	for (guint i = 0; i < choices; i++) {
 		struct routing_choice c;
 
@@ -270,7 +274,7 @@
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
-	struct outcome outcomes[SCENARIOS];
+	struct request_outcome outcomes[SCENARIOS];
 	struct checker c = { 0 };
 
 	g_option_context_add_main_entries(context, entries, NULL);
@@ -280,16 +284,16 @@
 		return EXIT_FAILURE;
 	print_head();
 	for (guint i = 0; i < SCENARIOS; i++) {
-		struct sim m;
+		struct request_sim m;
 
 		if (only && !strstr(scenarios[i].name, only))
 			continue;
-		sim_init(&m, &scenarios[i]);
-		sim_run(&m);
-		measure(&m, &outcomes[i]);
+		request_sim_init(&m, &scenarios[i]);
+		request_sim_run(&m);
+		request_sim_measure(&m, &outcomes[i]);
 		print_outcome(&scenarios[i], &outcomes[i]);
 		fflush(stdout);
-		sim_clear(&m);
+		request_sim_clear(&m);
 	}
 	check_choice_cost(&c);
 	if (!is_check || only)
--- /dev/null
+++ b/bench/sim/request_sim_attempts.c
@@ -0,0 +1,148 @@
+/* Attempts of requests at endpoints, and their answers. */
+#include <gsl/gsl_randist.h>
+
+#include "bench/sim/request_sim_parts.h"
+
+guint sim_request_count_out(const struct sim_request *r)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < MAX_OUT; i++)
+		count += r->out[i].endpoint != NULL;
+	return count;
+}
+
+struct attempt *sim_request_find_out(struct sim_request *r, guint flight)
+{
+	for (guint i = 0; i < MAX_OUT; i++) {
+		struct attempt *a = &r->out[i];
+
+		if (flight ? a->endpoint && a->flight == flight : !a->endpoint)
+			return a;
+	}
+	return NULL;
+}
+
+void request_sim_end_attempt(struct request_sim *m, struct sim_request *r,
+			     struct attempt *a, enum outlier_event event)
+{
+	struct gateway *g = r->gateway;
+
+	if (!m->s->has_no_ejection &&
+	    (event != OUTLIER_FAILED || a->is_overdue))
+		outlier_record(&g->outlier, g->table, a->endpoint, event,
+			       r->item.class, m->now_us - a->sent_us,
+			       request_sim_now_ms(m));
+	endpoint_table_ended(g->table, a->endpoint, request_sim_now_ms(m));
+	a->endpoint = NULL;
+}
+
+void request_sim_answer(struct request_sim *m, struct sim_request *r,
+			enum answer_kind kind)
+{
+	g_assert_false(r->is_answered);
+	r->is_answered = TRUE;
+	for (guint i = 0; i < MAX_OUT; i++) {
+		if (r->out[i].endpoint)
+			request_sim_end_attempt(m, r, &r->out[i],
+						OUTLIER_FAILED);
+	}
+	if (r->is_counted)
+		admission_done(r->gateway->admission, &r->item, -1);
+	r->is_counted = FALSE;
+	m->answered++;
+	if (kind == ANSWER_DONE)
+		request_sim_record_done(m, r);
+	else if (kind == ANSWER_NOT_RUN)
+		m->refused += r->wish->is_measured;
+	else
+		m->unknown += r->wish->is_measured;
+	if (kind == ANSWER_NOT_RUN && m->s->callers_retry &&
+	    r->tries < CALLER_RETRIES) {
+		m->started++;
+		request_sim_send_from_caller(
+			m, r->wish, r->item.class, r->run_us, r->tries + 1,
+			(int64_t)gsl_ran_exponential(m->rng,
+						     CALLER_BACKOFF_US));
+	}
+	sim_request_unref(r);
+}
+
+void request_sim_answer_late(struct request_sim *m, GPtrArray *late)
+{
+	for (guint i = 0; i < late->len; i++)
+		request_sim_answer(m, late->pdata[i], ANSWER_NOT_RUN);
+	g_ptr_array_set_size(late, 0);
+}
+
+static void watch_progress(struct request_sim *m, struct sim_request *r)
+{
+	int64_t usual_ms = admission_service_ms(&r->item);
+	int64_t left_ms = MAX(r->item.deadline_ms - request_sim_now_ms(m), 1);
+
+	if (m->s->has_no_limits)
+		return;
+	if (r->attempts == 1)
+		request_sim_push(m, left_ms * US_PER_MILLI, EVENT_TIMEOUT, r);
+	if (r->wish->is_repeatable && usual_ms > 0 &&
+	    sim_request_count_out(r) < MAX_OUT &&
+	    r->attempts < RETRY_MAX_ATTEMPTS)
+		request_sim_push(m,
+				 retry_progress_ms(usual_ms, r->attempts) *
+					 US_PER_MILLI,
+				 EVENT_NO_PROGRESS, r);
+}
+
+gboolean request_sim_try_send(struct request_sim *m, struct sim_request *r)
+{
+	struct gateway *g = r->gateway;
+	struct attempt *a = sim_request_find_out(r, 0);
+	struct routing_choice c;
+
+	r->query.now_ms = request_sim_now_ms(m);
+	m->choices++;
+	routing_choose(g->policy, g->table, &r->query, m->rand, &c);
+	if (!c.endpoint && r->query.tried_count > 0) {
+		r->query.tried_count = 0;
+		routing_choose(g->policy, g->table, &r->query, m->rand, &c);
+	}
+	if (!c.endpoint)
+		return FALSE;
+	m->sends++;
+	if (r->attempts++ > 0)
+		m->resends++;
+	else
+		retry_budget_first(&g->budget);
+	r->flight++;
+	*a = (struct attempt){ c.endpoint, r->flight, m->now_us, FALSE };
+	endpoint_table_sent(g->table, c.endpoint, request_sim_now_ms(m));
+	request_sim_push(m, ENDPOINT_US, EVENT_AT_RUNNER, r)->endpoint =
+		c.endpoint;
+	watch_progress(m, r);
+	return TRUE;
+}
+
+void request_sim_pump(struct request_sim *m, struct gateway *g)
+{
+	GPtrArray *late = g_ptr_array_new();
+
+	endpoint_table_retry_refused(g->table, request_sim_now_ms(m));
+	admission_set_capacity(g->admission, endpoint_table_capacity(g->table),
+			       g->table->occupancy);
+	while (endpoint_table_is_open(g->table)) {
+		struct admission_item *item = admission_next(
+			g->admission, request_sim_now_ms(m), late);
+		struct sim_request *r = (struct sim_request *)item;
+
+		if (!r)
+			break;
+		r->is_counted = TRUE;
+		if (request_sim_try_send(m, r))
+			continue;
+		r->is_counted = FALSE;
+		admission_put_back(g->admission, item);
+		break;
+	}
+	request_sim_answer_late(m, late);
+	g_ptr_array_unref(late);
+}
--- /dev/null
+++ b/bench/sim/request_sim_callers.c
@@ -0,0 +1,113 @@
+/* The callers: what they want, send and get. */
+#include <gsl/gsl_randist.h>
+
+#include "bench/sim/request_sim_parts.h"
+
+static double load_at(const struct scenario *s, int64_t time_us)
+{
+	gboolean is_burst = time_us >= s->burst_from_s * US_PER_S &&
+			    time_us < s->burst_to_s * US_PER_S;
+
+	return is_burst ? s->burst_load : s->load;
+}
+
+/* Requests of a class a second at a load. */
+static double rate_of(const struct scenario *s, double load, gboolean is_bulk)
+{
+	double slots = (double)s->runners * ENDPOINT_SLOTS;
+	double part = is_bulk ? s->bulk_load : 1 - s->bulk_load;
+	double run_ms = is_bulk ? BULK_RUN_MS : SPOT_RUN_MS;
+
+	return slots * load * part * 1000 / run_ms;
+}
+
+static guint pick_account(struct request_sim *m)
+{
+	double large = m->s->large_account > 0 ? m->s->large_account : 1;
+	double at = gsl_rng_uniform(m->rng) * (large + ACCOUNTS - 1);
+
+	if (at < large)
+		return 0;
+	return MIN(1 + (guint)(at - large), ACCOUNTS - 1);
+}
+
+static struct gateway *pick_gateway(struct request_sim *m)
+{
+	return &m->gateways[gsl_rng_uniform_int(m->rng, m->s->gateways)];
+}
+
+void request_sim_send_from_caller(struct request_sim *m, struct wish *w,
+				  enum request_class class, int64_t run_us,
+				  guint tries, int64_t delay_us)
+{
+	struct sim_request *r = g_new0(struct sim_request, 1);
+
+	r->wish = w;
+	w->refs++;
+	r->refs = 1;
+	r->tries = tries;
+	r->run_us = run_us;
+	r->gateway = pick_gateway(m);
+	r->item.class = class;
+	r->start_us = m->now_us + delay_us;
+	request_sim_push(m, delay_us + CALLER_US, EVENT_ARRIVE, r);
+}
+
+void request_sim_generate(struct request_sim *m)
+{
+	const struct scenario *s = m->s;
+	double load = load_at(s, m->now_us);
+	double spot = rate_of(s, load, FALSE);
+	double bulk = rate_of(s, load, TRUE);
+	gboolean is_bulk = gsl_rng_uniform(m->rng) * (spot + bulk) < bulk;
+	double mean_us = (is_bulk ? BULK_RUN_MS : SPOT_RUN_MS) * 1000;
+	struct wish *w = g_new0(struct wish, 1);
+	double run_us;
+
+	w->account = pick_account(m);
+	w->is_repeatable = gsl_rng_uniform(m->rng) < 0.7;
+	w->is_measured = m->now_us >= WARM_UP_US;
+	run_us = mean_us * gsl_ran_lognormal(m->rng, -RUN_SIGMA * RUN_SIGMA / 2,
+					     RUN_SIGMA);
+	if (w->is_measured) {
+		m->offered[is_bulk]++;
+		m->account_offered[w->account]++;
+	}
+	m->started++;
+	request_sim_send_from_caller(m, w,
+				     is_bulk ? REQUEST_BULK : REQUEST_SPOT,
+				     (int64_t)run_us, 0, 0);
+	if (m->now_us < s->length_s * US_PER_S)
+		request_sim_push(
+			m,
+			(int64_t)gsl_ran_exponential(
+				m->rng, (double)US_PER_S / (spot + bulk)),
+			EVENT_GENERATE, NULL);
+}
+
+void request_sim_record_done(struct request_sim *m, struct sim_request *r)
+{
+	int64_t done_us = m->now_us + CALLER_US;
+	int64_t limit_us = r->item.class == REQUEST_SPOT ? SPOT_DEADLINE_US
+							 : BULK_DEADLINE_US;
+	gboolean is_late = done_us - r->start_us > limit_us + 2 * CALLER_US;
+	int64_t bucket = m->now_us / US_PER_S;
+	double ms = (double)(done_us - r->start_us) / US_PER_MILLI;
+
+	if (is_late || r->wish->is_done)
+		return;
+	r->wish->is_done = TRUE;
+	if (bucket < MAX_BUCKETS)
+		m->bucket_us[bucket] += (double)r->run_us;
+	if (m->now_us >= WARM_UP_US && bucket < m->s->length_s) {
+		m->in_time_us += (double)r->run_us;
+		if (r->item.class == REQUEST_BULK)
+			m->bulk_in_time_us += (double)r->run_us;
+	}
+	if (!r->wish->is_measured)
+		return;
+	m->in_time[r->item.class]++;
+	m->account_in_time[r->wish->account]++;
+	if (r->item.class == REQUEST_SPOT)
+		g_array_append_val(m->spot_ms, ms);
+}
--- /dev/null
+++ b/bench/sim/request_sim_events.c
@@ -0,0 +1,195 @@
+/* What happens at entry processes and runners. */
+#include "bench/sim/request_sim_parts.h"
+
+static void on_arrive(struct request_sim *m, struct sim_request *r)
+{
+	static const char *const names[ACCOUNTS] = { "a0", "a1", "a2", "a3" };
+	int64_t limit_us = r->item.class == REQUEST_SPOT ? SPOT_DEADLINE_US
+							 : BULK_DEADLINE_US;
+	struct admission_item *shed = NULL;
+	enum reason reason;
+
+	r->item.arrival_ms = request_sim_now_ms(m);
+	r->item.deadline_ms = r->item.arrival_ms + limit_us / US_PER_MILLI;
+	reason = admission_offer(r->gateway->admission, &r->item,
+				 names[r->wish->account], request_sim_now_ms(m),
+				 &shed);
+	if (shed)
+		request_sim_answer(m, (struct sim_request *)shed,
+				   ANSWER_NOT_RUN);
+	if (reason != REASON_NONE)
+		request_sim_answer(m, r, ANSWER_NOT_RUN);
+	else
+		request_sim_pump(m, r->gateway);
+}
+
+static struct runner *runner_of(struct request_sim *m,
+				const struct request_event *e)
+{
+	return &m->runners[g_ascii_strtoull(e->endpoint->name, NULL, 10)];
+}
+
+static void push_reply(struct request_sim *m, const struct request_event *from,
+		       gboolean is_busy, uint32_t slots_busy)
+{
+	struct request_event *e =
+		request_sim_push(m, ENDPOINT_US, EVENT_REPLY, from->request);
+
+	e->flight = from->flight;
+	e->endpoint = from->endpoint;
+	e->is_busy = is_busy;
+	e->slots_busy = slots_busy;
+}
+
+static void on_runner(struct request_sim *m, const struct request_event *e)
+{
+	struct runner *n = runner_of(m, e);
+	struct sim_request *r = e->request;
+	struct request_event *end;
+
+	n->connections++;
+	m->most_connections = MAX(m->most_connections, n->connections);
+	if (n->busy >= ENDPOINT_SLOTS) {
+		n->connections--;
+		push_reply(m, e, TRUE, n->busy);
+		return;
+	}
+	n->busy++;
+	if (++r->wish->runs > 1 && !r->wish->is_repeatable)
+		m->doubled++;
+	end = request_sim_push(m, r->run_us * (n->is_slow ? SLOW_FACTOR : 1),
+			       EVENT_RUN_END, r);
+	end->flight = e->flight;
+	end->endpoint = e->endpoint;
+}
+
+static void on_run_end(struct request_sim *m, const struct request_event *e)
+{
+	struct runner *n = runner_of(m, e);
+
+	n->busy--;
+	n->connections--;
+	if (gsl_rng_uniform(m->rng) >= m->s->lost_answers)
+		push_reply(m, e, FALSE, n->busy);
+}
+
+static void remember_tried(struct sim_request *r, const struct endpoint *e)
+{
+	struct routing_query *q = &r->query;
+
+	q->tried[q->tried_count % ROUTING_MAX_TRIED] = e;
+	if (q->tried_count < ROUTING_MAX_TRIED)
+		q->tried_count++;
+}
+
+static void on_busy(struct request_sim *m, struct sim_request *r,
+		    struct attempt *a)
+{
+	struct gateway *g = r->gateway;
+	struct endpoint *e = a->endpoint;
+
+	m->busy++;
+	a->endpoint = NULL;
+	endpoint_table_ended(g->table, e, request_sim_now_ms(m));
+	endpoint_table_refused(g->table, e, request_sim_now_ms(m));
+	r->attempts--;
+	r->flight++;
+	if (sim_request_count_out(r) > 0)
+		return;
+	r->is_counted = FALSE;
+	admission_put_back(g->admission, &r->item);
+}
+
+static void on_reply(struct request_sim *m, const struct request_event *e)
+{
+	struct sim_request *r = e->request;
+	struct gateway *g = r->gateway;
+	struct attempt *a = sim_request_find_out(r, e->flight);
+
+	if (r->is_answered || !a)
+		return;
+	endpoint_table_report(g->table, e->endpoint, ENDPOINT_SLOTS,
+			      e->slots_busy, request_sim_now_ms(m));
+	if (e->is_busy) {
+		on_busy(m, r, a);
+	} else {
+		admission_done(g->admission, &r->item,
+			       (m->now_us - a->sent_us) / US_PER_MILLI);
+		request_sim_end_attempt(m, r, a, OUTLIER_OK);
+		r->is_counted = FALSE;
+		request_sim_answer(m, r, ANSWER_DONE);
+	}
+	request_sim_pump(m, g);
+}
+
+static void on_timeout(struct request_sim *m, struct sim_request *r)
+{
+	struct gateway *g = r->gateway;
+
+	if (r->is_answered || sim_request_count_out(r) == 0)
+		return;
+	for (guint i = 0; i < MAX_OUT; i++)
+		r->out[i].is_overdue = TRUE;
+	request_sim_answer(m, r, ANSWER_UNKNOWN);
+	request_sim_pump(m, g);
+}
+
+static void on_no_progress(struct request_sim *m, const struct request_event *e)
+{
+	struct sim_request *r = e->request;
+	struct attempt *a = sim_request_find_out(r, e->flight);
+
+	if (r->is_answered || !a ||
+	    request_sim_now_ms(m) >= r->item.deadline_ms ||
+	    !retry_budget_take(&r->gateway->budget, request_sim_now_ms(m)))
+		return;
+	a->is_overdue = TRUE;
+	remember_tried(r, a->endpoint);
+	request_sim_try_send(m, r);
+}
+
+static void on_tick(struct request_sim *m, struct gateway *g)
+{
+	GPtrArray *late = g_ptr_array_new();
+
+	admission_expire(g->admission, request_sim_now_ms(m), late);
+	request_sim_answer_late(m, late);
+	g_ptr_array_unref(late);
+	if (g->ticks++ % REFRESH_TICKS == 0) {
+		outlier_return(g->table, request_sim_now_ms(m));
+		endpoint_table_refresh(g->table, request_sim_now_ms(m));
+	}
+	request_sim_pump(m, g);
+	if (m->now_us < (m->s->length_s + 120) * US_PER_S)
+		request_sim_push(m, TICK_US, EVENT_TICK, NULL)->gateway = g;
+}
+
+void request_sim_handle(struct request_sim *m, const struct request_event *e)
+{
+	switch (e->kind) {
+	case EVENT_GENERATE:
+		request_sim_generate(m);
+		break;
+	case EVENT_ARRIVE:
+		on_arrive(m, e->request);
+		break;
+	case EVENT_AT_RUNNER:
+		on_runner(m, e);
+		break;
+	case EVENT_RUN_END:
+		on_run_end(m, e);
+		break;
+	case EVENT_REPLY:
+		on_reply(m, e);
+		break;
+	case EVENT_TIMEOUT:
+		on_timeout(m, e->request);
+		break;
+	case EVENT_NO_PROGRESS:
+		on_no_progress(m, e);
+		break;
+	case EVENT_TICK:
+		on_tick(m, e->gateway);
+		break;
+	}
+}
