Scans of job rows are paced by the bytes of their answers

Cause: a holder's scans were paced by a guess of 700 bytes a row; rows of gangs of 200 have 2 KB, so that 40 of them made 11.3 KB/s of answers, where 4 are meant.

Ruled out: a guess from the records held (wrong with the next member, and for rows that can't be read); ranges of ids (the callers' own); keys and versions only (the table has no such read).

A new holder's scan and a hint's read are not held back. Counters cs_job_scans and cs_job_scan_bytes.

Conclusion: the bound holds for rows of any size; a lost hint is found later in a pool with many large rows.

--- /dev/null
+++ b/base/byte_pace.c
@@ -0,0 +1,29 @@
+#include "base/byte_pace.h"
+
+#include <glib.h>
+
+#include "base/util.h"
+
+static void work_off(struct byte_pace *p, int64_t now_ms)
+{
+	int64_t done = (now_ms - p->debt_ms) * p->bytes_per_s / MS_PER_S;
+
+	p->debt_bytes = MAX(p->debt_bytes - done, 0);
+	p->debt_ms = now_ms;
+}
+
+void byte_pace_add(struct byte_pace *p, int64_t bytes, int64_t now_ms)
+{
+	work_off(p, now_ms);
+	p->debt_bytes += bytes;
+}
+
+int64_t byte_pace_delay_ms(struct byte_pace *p, int64_t allowed_bytes,
+			   int64_t now_ms)
+{
+	int64_t excess;
+
+	work_off(p, now_ms);
+	excess = MAX(p->debt_bytes - allowed_bytes, 0);
+	return excess * MS_PER_S / p->bytes_per_s;
+}
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -9,6 +9,7 @@
 #include "daemon/settings_service.h"
 #include "daemon/worker_http.h"
 #include "job/placement/placement.h"
+#include "job/scan_pace.h"
 #include "job/worker_contact.h"
 #include "shared/membership_service.h"
 #include "shared/pool_lease.h"
@@ -25,7 +26,9 @@
 	gboolean is_scanning;
 	gboolean is_asked; /**< the scheduler waits for the scan */
 	guint64 scans;	   /**< counts them, to know the last one */
-	int64_t next_scan_ms;
+	struct scan_pace pace;
+	struct counter *scans_total;
+	struct counter *scan_bytes;
 	struct counter *renewals;
 	struct counter *commands;
 	void (*on_event)(void *data);
@@ -238,14 +241,6 @@
 	job_record_clear(&r);
 }
 
-static int64_t scan_period_ms(guint rows)
-{
-	int64_t period_ms =
-		rows * POOL_ROW_BYTES * MS_PER_S / POOL_SCAN_BYTES_PER_S;
-
-	return MAX(period_ms, POOL_SCAN_MIN_MS);
-}
-
 static void on_scanned(const struct platform_result *result, void *data)
 {
 	struct row_request *c = data;
@@ -255,11 +250,13 @@
 	gboolean is_last = c->scan == p->scans;
 
 	row_request_free(c);
+	scan_pace_add(&p->pace, result->body_bytes, now_ms);
+	counter_add(p->scan_bytes, result->body_bytes);
 	if (!is_last)
 		return;
 	p->is_scanning = FALSE;
 	p->is_asked = FALSE;
-	p->next_scan_ms = now_ms + scan_period_ms(result->row_count);
+	scan_pace_plan(&p->pace, now_ms);
 	for (guint i = 0; result->status == STATUS_OK && i < result->row_count;
 	     i++)
 		take_row(p, &result->rows[i]);
@@ -273,6 +270,7 @@
 
 	p->is_scanning = TRUE;
 	c->scan = ++p->scans;
+	counter_add(p->scans_total, 1);
 	platform_scan(platform_of(p->kernel), JOBS_TABLE, p->key_prefix,
 		      on_scanned, c);
 }
@@ -285,7 +283,7 @@
 	p->is_asked = TRUE;
 	p->is_scanning = FALSE;
 	p->scans++;
-	p->next_scan_ms = 0;
+	scan_pace_ask(&p->pace);
 }
 
 static const struct scheduler_ops ops = {
@@ -317,6 +315,12 @@
 				       "Calls to workers");
 	p->commands = counters_counter(kernel_counters(k), "cs_worker_commands",
 				       "Commands to workers");
+	p->scans_total = counters_counter(kernel_counters(k), "cs_job_scans",
+					  "Reads of all rows of a pool");
+	p->scan_bytes =
+		counters_counter(kernel_counters(k), "cs_job_scan_bytes",
+				 "Bytes of the answers to these");
+	scan_pace_init(&p->pace);
 	p->scheduler = scheduler_new(&spec);
 	return p;
 }
@@ -404,7 +408,7 @@
 	p->role = pool_lease_role(lease, p->pool, now_ms, &p->epoch);
 	scheduler_set_role(p->scheduler, p->role, p->epoch, now_ms);
 	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning &&
-	    now_ms >= p->next_scan_ms)
+	    now_ms >= p->pace.next_ms)
 		start_scan(p);
 	scheduler_tick(p->scheduler, now_ms, util_wall_ms());
 }
@@ -414,7 +418,7 @@
 	int64_t due_ms = scheduler_due_ms(p->scheduler, now_ms);
 
 	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning)
-		due_ms = MIN(due_ms, p->next_scan_ms);
+		due_ms = MIN(due_ms, p->pace.next_ms);
 	return due_ms;
 }
 
--- a/daemon/pool_runner.h
+++ b/daemon/pool_runner.h
@@ -9,13 +9,6 @@
 #include "base/kernel.h"
 #include "job/scheduler.h"
 
-/** Shortest period in which the rows are read. */
-#define POOL_SCAN_MIN_MS INT64_C(2000)
-/** Of a row on the wire. */
-#define POOL_ROW_BYTES INT64_C(700)
-/** That a holder may spend on reading rows. */
-#define POOL_SCAN_BYTES_PER_S INT64_C(4000)
-
 struct pool_runner;
 
 /** Returns a new runner; the pool's role is asked of the lease service. */
