VM list: read entry by entry, held in one allocation an entry

Cause: a process that reads a list of 4,300 VMs (946 KB) at its start parsed it as one JSON value, ten times its bytes, beside a copy of its text; an entry that was held took six allocations, its service, failure domain and rack among them, and each part of the list kept an index by name that nobody asked.

Change: base/json_elements walks an array of a body, json-c parses one element at a time; the HTTP client gives such a body as bytes, neither parsed nor copied. An entry is one allocation with interned texts; parts give their index back. A body that is no sound JSON is refused by the reader now and counted there (cs_vm_list_refused_total), no failure of the platform's any more; a second `vms` is refused. Tests: test_platform and fake_vms give the body as bytes; the cases of decode run on both ways, and mutated bodies have to give the same in both.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -30,6 +30,7 @@
 	guint timer;
 	gboolean is_sent;
 	gboolean is_cancelled;
+	gboolean wants_bytes;
 	http_reply_fn on_reply;
 	void *data;
 };
@@ -135,6 +136,23 @@
 		soup_message_metrics_get_response_body_bytes_received(m);
 }
 
+/* Returns the text of the reply, to be freed; a large body isn't copied. */
+static char *take_body(const struct http_call *call, GBytes *bytes,
+		       struct http_reply *reply)
+{
+	char *text;
+
+	if (call->wants_bytes) {
+		reply->bytes = bytes;
+		return NULL;
+	}
+	reply->body = parse_body(bytes);
+	text = g_strndup(g_bytes_get_data(bytes, NULL),
+			 g_bytes_get_size(bytes));
+	reply->text = text;
+	return text;
+}
+
 static void on_done(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct http_call *call = data;
@@ -150,10 +168,7 @@
 		goto out;
 	if (bytes) {
 		reply.code = soup_message_get_status(call->message);
-		reply.body = parse_body(bytes);
-		text = g_strndup(g_bytes_get_data(bytes, NULL),
-				 g_bytes_get_size(bytes));
-		reply.text = text;
+		text = take_body(call, bytes, &reply);
 		reply.etag = soup_message_headers_get_one(
 			soup_message_get_response_headers(call->message),
 			"ETag");
@@ -216,6 +231,7 @@
 	call->client = c;
 	call->message = soup_message_new(spec->method, uri);
 	call->cancellable = g_cancellable_new();
+	call->wants_bytes = spec->wants_bytes;
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
 	soup_message_add_flags(call->message, SOUP_MESSAGE_COLLECT_METRICS);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -24,6 +24,7 @@
 	guint code;	   /**< HTTP status code, 0 without an answer */
 	json_object *body; /**< NULL when absent or not JSON; not owned */
 	const char *text;  /**< the body as it came, NULL without an answer */
+	GBytes *bytes;	   /**< the body, when it was asked for as bytes */
 	const char *etag;  /**< the header, NULL when there is none */
 };
 
@@ -41,6 +42,8 @@
 	 * that has gone silent costs the call.
 	 */
 	gboolean may_reuse;
+	/** The body is given as bytes only: for large ones. */
+	gboolean wants_bytes;
 	/** Pairs of header name and value, ends with NULL; may be NULL. */
 	const char *const *headers;
 	http_reply_fn on_reply;
--- a/config/config_routes.c
+++ b/config/config_routes.c
@@ -163,7 +163,7 @@
 	finding_list_init(&findings);
 	vm_list_init(&list);
 	if (result->status == STATUS_OK &&
-	    vm_list_decode(&list, result->object, &findings))
+	    vm_list_decode_bytes(&list, result->bytes, &findings))
 		check_guarantees(data, &list);
 	else
 		refuse_unchecked(data);
--- a/tests/fake_vms.c
+++ b/tests/fake_vms.c
@@ -1,6 +1,5 @@
 #include "tests/fake_vms.h"
 
-#include <json-c/json.h>
 #include <string.h>
 
 struct list_call {
@@ -102,15 +101,14 @@
 			int domain, const char *etag)
 {
 	char *text = f->body ? g_strdup(f->body) : fake_text(f, domain);
-	json_object *body = json_tokener_parse(text);
-	struct platform_result result = {
-		.status = STATUS_OK, .object = body, .text = text, .etag = etag
-	};
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+	struct platform_result result = { .status = STATUS_OK,
+					  .bytes = body,
+					  .etag = etag };
 
-	f->bytes += strlen(text);
+	f->bytes += g_bytes_get_size(body);
 	c->fn(&result, c->data);
-	json_object_put(body);
-	g_free(text);
+	g_bytes_unref(body);
 }
 
 static void answer(struct fake_vms *f, const struct list_call *c)
--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -337,6 +337,34 @@
 	finding_list_clear(&findings);
 }
 
+/* Read entry by entry a body gives what it gives when it is parsed whole. */
+static void check_vm_bytes(const GByteArray *bytes, json_object *root,
+			   gboolean is_sound)
+{
+	GBytes *body = g_bytes_new(bytes->data, bytes->len);
+	struct finding_list findings;
+	struct vm_list parsed;
+	struct vm_list read;
+	gboolean is_parsed;
+	gboolean is_read;
+
+	finding_list_init(&findings);
+	vm_list_init(&parsed);
+	vm_list_init(&read);
+	is_parsed = vm_list_decode(&parsed, root, &findings);
+	is_read = vm_list_decode_bytes(&read, body, &findings);
+	g_assert_true(is_parsed || !is_read);
+	g_assert_true(is_read || !is_parsed || !is_sound);
+	if (is_read) {
+		g_assert_cmpuint(read.vms->len, ==, parsed.vms->len);
+		g_assert_cmpuint(read.bad_count, ==, parsed.bad_count);
+	}
+	vm_list_clear(&read);
+	vm_list_clear(&parsed);
+	finding_list_clear(&findings);
+	g_bytes_unref(body);
+}
+
 static void test_vm_list(void)
 {
 	for (guint32 seed = 1; seed <= ROUNDS; seed++) {
@@ -346,14 +374,17 @@
 		GByteArray *bytes = g_byte_array_new();
 		struct finding_list findings;
 		struct json_text t = { 0 };
+		gboolean is_sound;
 
 		check_vm_list(body);
 		g_byte_array_append(bytes, (const guint8 *)text, strlen(text));
 		mutate(rng, bytes);
 		finding_list_init(&findings);
-		json_text_parse(&t, "body", (const char *)bytes->data,
-				bytes->len, JSON_STRICT, &findings);
+		is_sound =
+			json_text_parse(&t, "body", (const char *)bytes->data,
+					bytes->len, JSON_STRICT, &findings);
 		check_vm_list(t.root);
+		check_vm_bytes(bytes, t.root, is_sound);
 		json_text_clear(&t);
 		finding_list_clear(&findings);
 		g_byte_array_unref(bytes);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -35,6 +35,9 @@
 		g_string_append(text,
 				json_object_to_json_string_ext(
 					r->object, JSON_C_TO_STRING_PLAIN));
+	if (r->bytes)
+		g_string_append_len(text, g_bytes_get_data(r->bytes, NULL),
+				    (gssize)g_bytes_get_size(r->bytes));
 	if (r->conflict_key)
 		g_string_append(text, r->conflict_key);
 	o->text = g_string_free(text, FALSE);
--- a/tests/test_vm_list.c
+++ b/tests/test_vm_list.c
@@ -1,4 +1,6 @@
 #include <glib.h>
+#include <malloc.h>
+#include <string.h>
 
 #include "base/util.h"
 #include "platform/vm_reader.h"
@@ -88,32 +90,102 @@
 	return g_string_free(text, FALSE);
 }
 
+static gboolean decode_parsed(struct vm_list *l, const char *text,
+			      struct finding_list *findings)
+{
+	json_object *body = json_tokener_parse(text);
+	gboolean is_list;
+
+	g_assert_nonnull(body);
+	is_list = vm_list_decode(l, body, findings);
+	json_object_put(body);
+	return is_list;
+}
+
+static gboolean decode_bytes(struct vm_list *l, const char *text,
+			     struct finding_list *findings)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+	gboolean is_list = vm_list_decode_bytes(l, body, findings);
+
+	g_bytes_unref(body);
+	return is_list;
+}
+
+typedef gboolean (*decode_fn)(struct vm_list *l, const char *text,
+			      struct finding_list *findings);
+
+static void check_decode(const struct decode_case *c, decode_fn decode)
+{
+	struct finding_list findings;
+	struct vm_list list;
+	char *kept;
+	char *places;
+
+	g_test_message("%s", c->body);
+	finding_list_init(&findings);
+	vm_list_init(&list);
+	g_assert_cmpint(decode(&list, c->body, &findings), ==, c->kept != NULL);
+	kept = kept_of(&list);
+	places = places_of(&findings);
+	g_assert_cmpstr(kept, ==, c->kept ? c->kept : "");
+	g_assert_cmpstr(places, ==, c->places);
+	g_assert_cmpuint(list.bad_count, ==, c->bad_count);
+	g_free(kept);
+	g_free(places);
+	vm_list_clear(&list);
+	finding_list_clear(&findings);
+}
+
 static void test_decode(void)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(decode_cases); i++) {
-		const struct decode_case *c = &decode_cases[i];
-		json_object *body = json_tokener_parse(c->body);
+		check_decode(&decode_cases[i], decode_parsed);
+		check_decode(&decode_cases[i], decode_bytes);
+	}
+}
+
+/* Bodies that are refused as a whole, and where. */
+static const struct {
+	const char *body;
+	const char *places;
+} unsound_cases[] = {
+	{ "", "byte 0 " },
+	{ "{\"vms\":[", "byte 8 " },
+	{ "{\"vms\":[]", "byte 9 " },
+	{ "{\"vms\":[{\"vm\":\"a\"", "byte 8 " },
+	{ LIST(ENDPOINT("a", "")) " x", "byte 99 " },
+	{ "{\"vms\":[7,]}", "byte 10 " },
+	{ "{\"vms\":[7 8]}", "byte 10 " },
+	{ "{\"vms\":[],}", "byte 10 " },
+	{ "{\"vms\" []}", "byte 7 " },
+	{ "{vms:[]}", "byte 1 " },
+	{ "{\"vms\":[],\"vms\":[]}", "byte 16 " },
+	{ "{/**/\"vms\":[]}", "byte 1 " },
+	{ "{\"vms\":[\"\xff\"]}", "byte 8 " },
+	{ "{\"vms\":[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]}", "byte 8 " },
+	{ "7", "byte 0 " },
+	{ "{\"x\":{\"vms\":[]}}", "vms " },
+};
+
+static void test_unsound(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(unsound_cases); i++) {
 		struct finding_list findings;
 		struct vm_list list;
-		char *kept;
 		char *places;
 
-		g_test_message("case %u", i);
-		g_assert_nonnull(body);
+		g_test_message("%s", unsound_cases[i].body);
 		finding_list_init(&findings);
 		vm_list_init(&list);
-		g_assert_cmpint(vm_list_decode(&list, body, &findings), ==,
-				c->kept != NULL);
-		kept = kept_of(&list);
+		g_assert_false(
+			decode_bytes(&list, unsound_cases[i].body, &findings));
 		places = places_of(&findings);
-		g_assert_cmpstr(kept, ==, c->kept ? c->kept : "");
-		g_assert_cmpstr(places, ==, c->places);
-		g_assert_cmpuint(list.bad_count, ==, c->bad_count);
-		g_free(kept);
+		g_assert_true(
+			g_str_has_suffix(places, unsound_cases[i].places));
 		g_free(places);
 		vm_list_clear(&list);
 		finding_list_clear(&findings);
-		json_object_put(body);
 	}
 }
 
@@ -291,6 +363,48 @@
 	g_rand_free(rng);
 }
 
+/*
+ * The two processes of a VM have 32 MB: a twentieth is each one's for the list
+ * that it holds, a tenth while it reads it at the start.
+ */
+#define CONTROL_BYTES (32 << 20)
+#define MAX_HELD_BYTES (CONTROL_BYTES / 20)
+#define MAX_START_BYTES (CONTROL_BYTES / 10)
+/** After which every part was read. */
+#define HELD_S 60
+
+/* All from one heap that only grows: its size is the peak. */
+static void grow_only(void)
+{
+	mallopt(M_MMAP_THRESHOLD, CONTROL_BYTES);
+	mallopt(M_TRIM_THRESHOLD, CONTROL_BYTES);
+}
+
+static void test_memory(void)
+{
+	const struct fake_manner manner = { .has_etag = TRUE,
+					    .has_filter = TRUE };
+	struct world w;
+	struct mallinfo2 before;
+	struct mallinfo2 start;
+	struct mallinfo2 held;
+
+	world_init(&w, &manner, VMS);
+	before = mallinfo2();
+	fake_vms_step(&w.fake, w.reader, 0);
+	start = mallinfo2();
+	for (int64_t s = 1; s <= HELD_S; s++)
+		fake_vms_step(&w.fake, w.reader, s * MS_PER_S);
+	held = mallinfo2();
+	g_assert_cmpuint(vm_reader_list(w.reader)->vms->len, ==, VMS);
+	g_test_message("%zu KB more at the start, %zu KB held",
+		       (start.arena - before.arena) / 1024,
+		       (held.uordblks - before.uordblks) / 1024);
+	g_assert_cmpuint(start.arena - before.arena, <=, MAX_START_BYTES);
+	g_assert_cmpuint(held.uordblks - before.uordblks, <=, MAX_HELD_BYTES);
+	world_clear(&w);
+}
+
 /* A body without any list: the last list stays in force. */
 static void test_refused(void)
 {
@@ -397,8 +511,11 @@
 
 int main(int argc, char **argv)
 {
+	grow_only();
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/vm-list/memory", test_memory);
 	g_test_add_func("/vm-list/decode", test_decode);
+	g_test_add_func("/vm-list/unsound", test_unsound);
 	for (guint i = 0; i < G_N_ELEMENTS(span_cases); i++)
 		g_test_add_data_func(span_cases[i].path, &span_cases[i],
 				     test_span);
