Memory that a burst leaves unused is given back

Cause: after a takeover of 380 workers a holder has 5 to 7 MB of heap in use and as much free in holes, which the C library keeps; memory was given back after a large VM list only, by its reader.

Ruled out: fewer calls at once at a takeover, since connections stay open for 5 s after their answer; giving back in each place that makes a burst; another allocator.

Gauge of private bytes in base/process_usage. bench/measure_capacity.sh memory, and peak_kb in its lines.

--- a/base/process_usage.c
+++ b/base/process_usage.c
@@ -12,21 +12,37 @@
 	return (int64_t)t->tv_sec * G_USEC_PER_SEC + t->tv_usec;
 }
 
-/* Returns 0 where the system does not tell. */
-static int64_t resident_bytes(void)
+struct resident {
+	int64_t all_bytes;
+	int64_t file_bytes; /* part of it: pages of files */
+};
+
+/* Zeroes where the system does not tell. */
+static struct resident read_resident(void)
 {
-	int64_t pages = 0;
+	struct resident r = { 0 };
+	int64_t page_bytes = sysconf(_SC_PAGESIZE);
 	char *text = NULL;
 	char **fields;
 
 	if (!g_file_get_contents(STATM_FILE, &text, NULL, NULL))
-		return 0;
-	fields = g_strsplit(text, " ", 3);
-	if (fields[0] && fields[1])
-		pages = g_ascii_strtoll(fields[1], NULL, 10);
+		return r;
+	fields = g_strsplit(text, " ", 4);
+	if (g_strv_length(fields) > 2) {
+		r.all_bytes = g_ascii_strtoll(fields[1], NULL, 10) * page_bytes;
+		r.file_bytes =
+			g_ascii_strtoll(fields[2], NULL, 10) * page_bytes;
+	}
 	g_strfreev(fields);
 	g_free(text);
-	return pages * sysconf(_SC_PAGESIZE);
+	return r;
+}
+
+int64_t process_usage_private_bytes(void)
+{
+	struct resident r = read_resident();
+
+	return r.all_bytes - r.file_bytes;
 }
 
 void process_usage_update(struct counters *counters)
@@ -39,7 +55,7 @@
 		    timeval_us(&usage.ru_utime) + timeval_us(&usage.ru_stime));
 	counter_set(counters_gauge(counters, "cs_process_resident_bytes",
 				   "Resident memory, bytes"),
-		    resident_bytes());
+		    read_resident().all_bytes);
 	counter_set(counters_gauge(counters, "cs_process_peak_bytes",
 				   "Peak resident memory, bytes"),
 		    usage.ru_maxrss * BYTES_PER_KB);
--- a/bench/measure_capacity.sh
+++ b/bench/measure_capacity.sh
@@ -2,7 +2,7 @@
 # Measures on real processes what docs/CAPACITY.md works its slopes out from.
 # Not part of CI: it reads the processor's clock. Usage:
 #   bench/measure_capacity.sh BUILD \
-#	[workers|tasks|renewals|members|config|endpoints]
+#	[workers|tasks|renewals|members|config|endpoints|memory]
 # Each line of output is one run: key=value pairs, rates per second.
 set -u
 build=$1
@@ -83,7 +83,7 @@
 			-v b="${after[i]:-0}" -v s="$seconds" \
 			'BEGIN { printf " %s=%.1f", n, (b - a) / s }')
 	done
-	echo "$line resident_kb=$(($(counter "$at" cs_process_resident_bytes) / 1024))"
+	echo "$line resident_kb=$(($(counter "$at" cs_process_resident_bytes) / 1024)) peak_kb=$(($(counter "$at" cs_process_peak_bytes) / 1024))"
 }
 
 apply_plan() { # HTTP_PORT
@@ -239,7 +239,57 @@
 	done
 }
 
-for matter in workers tasks renewals members config endpoints; do
+# add_vms COUNT: in ten other failure domains, 8 entry VMs and 42 endpoints each.
+add_vms() {
+	awk -v n="$1" 'BEGIN {
+		printf "{\"add_vms\":["
+		for (i = 0; i < n; i++) {
+			k = int(i / 10)
+			role = k < 8 ? "entry" : k < 50 ? "endpoint" : "worker"
+			printf "%s{\"vm\":\"vm-%06d\",\"role\":\"%s\",", \
+				i ? "," : "", i, role
+			printf "\"service\":\"salkhi\",\"failure_domain\":" \
+				"\"far-%d\",\"rack\":\"rack-%04d\",", \
+				i % 10, i / 40
+			printf "\"address\":\"10.1.%d.%d:7301\",", \
+				i / 256, i % 256
+			printf "\"accelerators\":8,\"cores\":64," \
+				"\"memory_mb\":131072}"
+		}
+		printf "]}"
+	}' >"$dir/vms.json"
+	exec 3<>"/dev/tcp/127.0.0.1/$port"
+	printf 'POST /control HTTP/1.1\r\nHost: platform\r\n%s\r\n%s%d\r\n\r\n' \
+		'Connection: close' 'Content-Length: ' \
+		"$(wc -c <"$dir/vms.json")" >&3
+	cat "$dir/vms.json" >&3
+	cat <&3 >"$dir/vms.out"
+	exec 3>&-
+}
+
+# Memory of both processes of a VM, the scheduler a holder of 380 workers and
+# 8,000 tasks, with a list of VMs of full size: its peak is from the start.
+measure_memory() {
+	local vms
+	for vms in 0 4300; do
+		platform
+		[ "$vms" = 0 ] || add_vms "$vms"
+		workers 380
+		sleep 2
+		daemon csschedd s0 $((port + 200))
+		daemon csgated g0 $((port + 210))
+		sleep 15
+		apply_plan $((port + 200))
+		sleep 2
+		submit_jobs 40 $((port + 210))
+		sleep 20
+		sample "matter=memory vms=$vms part=holder" $((port + 200))
+		sample "matter=memory vms=$vms part=gateway" $((port + 210))
+		end_run
+	done
+}
+
+for matter in workers tasks renewals members config endpoints memory; do
 	if [ "$only" = all ] || [ "$only" = "$matter" ]; then
 		"measure_$matter"
 	fi
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "config/settings.h"
+#include "daemon/heap_service.h"
 #include "daemon/http_service.h"
 #include "daemon/settings_service.h"
 
@@ -67,6 +68,7 @@
 	log_open(s->node, (enum log_level)s->log_level);
 	kernel_register(k, settings_service_new(s));
 	kernel_register(k, http_service_new());
+	kernel_register(k, heap_service_new());
 	for (const service_new_fn *fn = spec->services; *fn; fn++)
 		kernel_register(k, (*fn)());
 	log_begin(&line, LOG_LEVEL_INFO, "start");
