--- a/config/config_service.c
+++ b/config/config_service.c
@@ -1,7 +1,5 @@
 #include "config/config_service.h"
 
-#include <malloc.h>
-
 #include "base/json_text.h"
 #include "base/log.h"
 #include "base/util.h"
@@ -18,8 +16,6 @@
 #define SLOW_POLL_MS INT64_C(20000)
 /** The pushes of a change have this long before its whole body is read. */
 #define PUSH_WAIT_MS INT64_C(400)
-/** From a large change to giving back the memory that taking it needed. */
-#define TRIM_DELAY_MS 1000
 
 struct subscriber {
 	config_fn fn;
@@ -39,7 +35,6 @@
 	int64_t behind_version; /**< that was in force then, -1 for none */
 	gboolean is_reading;
 	guint timer;
-	guint trim_timer; /**< 0 for none */
 };
 
 static const char *const origin_names[] = { "store", "near", "far" };
@@ -70,22 +65,6 @@
 	}
 }
 
-static gboolean on_trim(gpointer data)
-{
-	struct config_service *s = data;
-
-	s->trim_timer = 0;
-	malloc_trim(0);
-	return G_SOURCE_REMOVE;
-}
-
-/* The library keeps what was freed; the callers free their bodies later. */
-static void release_memory(struct config_service *s)
-{
-	if (!s->trim_timer)
-		s->trim_timer = g_timeout_add(TRIM_DELAY_MS, on_trim, s);
-}
-
 enum status config_service_offer(struct config_service *s, int64_t version,
 				 json_object *body, enum config_origin origin)
 {
@@ -102,7 +81,6 @@
 	tell_subscribers(s);
 	if (s->spread)
 		config_spread_push_whole(s->spread, origin, base, base_version);
-	release_memory(s);
 out:
 	config_body_unref(base);
 	finding_list_clear(&findings);
@@ -126,9 +104,8 @@
 	if (s->spread)
 		config_spread_push(s->spread, origin, d, json);
 	if (config_delta_is_large(d))
-		release_memory(s);
-out:
-	finding_list_clear(&findings);
+	out:
+		finding_list_clear(&findings);
 	return status;
 }
 
@@ -219,8 +196,6 @@
 
 	if (s->timer)
 		g_source_remove(s->timer);
-	if (s->trim_timer)
-		g_source_remove(s->trim_timer);
 	if (s->kernel)
 		platform_forget(platform_of(s->kernel), s);
 	g_clear_pointer(&s->routes, config_routes_free);
