Renewals of one point of the period share the turns of the main loop

Cause: a renewal costs 14 turns of the main loop, each of which walks over all sources: libsoup's sessions, timers of idle connections, sockets. Renewals came one by one, each with turns of its own.

Ruled out: a lower rate (the bound on gangs in part grows); fewer turns a call in our own code alone (nearly all turns are libsoup's and GIO's).

Change: a period has 8 points of the clock; a renewal is due at the last point that is no later than a period from the answer, or one point before, so that bursts spread. The rate, the lease and the bound are the same. /renewals/shares counts the turns in which a delegate calls: at most one a point. A period of less than 8 ms in a grant divides by nothing.

--- a/job/renewal_delegate.c
+++ b/job/renewal_delegate.c
@@ -217,8 +217,8 @@
 	w->next_call_ms = now_ms + d->period_ms;
 	if (!w->has_failed) {
 		take_report(w, report);
-		w->next_call_ms -=
-			worker_renew_early_ms(w->name, call_id, d->period_ms);
+		w->next_call_ms = worker_renew_next_ms(w->name, call_id,
+						       d->period_ms, now_ms);
 	}
 	if (w->has_failed || w->seen_digest != w->digest)
 		d->next_report_ms = 0;
--- a/job/worker_contact.c
+++ b/job/worker_contact.c
@@ -144,8 +144,8 @@
 	c->is_expired = FALSE;
 	c->first_failure_ms = 0;
 	c->as_of_ms = as_of_ms;
-	c->next_call_ms = now_ms + period_ms -
-			  worker_renew_early_ms(c->name, c->call_id, period_ms);
+	c->next_call_ms =
+		worker_renew_next_ms(c->name, c->call_id, period_ms, now_ms);
 	if (!c->is_fenced) {
 		c->is_fenced = TRUE;
 		c->fenced_ms = now_ms;
@@ -244,12 +244,16 @@
 	return renew_period_ms(workers, schedulers);
 }
 
-int64_t worker_renew_early_ms(const char *worker, int64_t call_id,
-			      int64_t period_ms)
+int64_t worker_renew_next_ms(const char *worker, int64_t call_id,
+			     int64_t period_ms, int64_t now_ms)
 {
 	uint64_t mix = util_mix64(g_str_hash(worker) + (uint64_t)call_id);
+	int64_t grid_ms = MAX(period_ms / WORKER_RENEW_POINTS, 1);
+	int64_t next_ms = now_ms + period_ms;
 
-	return (int64_t)(mix % (uint64_t)(period_ms / WORKER_RENEW_EARLY + 1));
+	if (mix % 2)
+		next_ms -= grid_ms;
+	return next_ms - next_ms % grid_ms;
 }
 
 int64_t worker_lease_ms(guint workers, guint schedulers)
--- a/job/worker_contact.h
+++ b/job/worker_contact.h
@@ -33,8 +33,11 @@
 	 WORKER_RETRY_MS + WORKER_EXPIRY_SLACK_MS)
 /** Renewals a second of one process. */
 #define WORKER_RENEWALS_PER_S INT64_C(10)
-/** One part in this many of a period by which a renewal may be early. */
-#define WORKER_RENEW_EARLY 8
+/**
+ * Points in a period at which renewals are made: those of one point share the
+ * turns of the main loop. Some are a point early, to spread them.
+ */
+#define WORKER_RENEW_POINTS 8
 
 /** What a worker's state changed to. */
 enum contact_event {
@@ -159,9 +162,12 @@
 /** Returns the period of renewals that keeps within each one's rate. */
 int64_t worker_renew_period_ms(guint workers, guint schedulers);
 
-/** Returns the part of a period by which a renewal is early, to spread them. */
-int64_t worker_renew_early_ms(const char *worker, int64_t call_id,
-			      int64_t period_ms);
+/**
+ * Returns when to renew next after a call that was answered: a point of the
+ * clock that divides the period, no later than a period from now.
+ */
+int64_t worker_renew_next_ms(const char *worker, int64_t call_id,
+			     int64_t period_ms, int64_t now_ms);
 
 /** Returns the lease that goes with the period and outlasts a takeover. */
 int64_t worker_lease_ms(guint workers, guint schedulers);
--- a/tests/test_renewals.c
+++ b/tests/test_renewals.c
@@ -130,6 +130,7 @@
 	guint holder_calls;
 	guint turns; /* that would follow at once, with nothing to do */
 	guint calls[DELEGATES];
+	guint call_turns[DELEGATES]; /* in which it called a worker */
 	gboolean is_scan_asked;
 	int64_t now_ms;
 	struct pending {
@@ -212,6 +213,7 @@
 {
 	struct renewal_delegate *d = x->delegates[index];
 	const struct delegated_worker *w;
+	guint before = x->calls[index];
 
 	while ((w = renewal_delegate_next(d, x->now_ms))) {
 		struct worker_report report = { 0 };
@@ -228,6 +230,7 @@
 					   &report, x->now_ms);
 		worker_report_clear(&report);
 	}
+	x->call_turns[index] += x->calls[index] > before ? 1 : 0;
 }
 
 static void run_report(struct world *x, guint index)
@@ -285,6 +288,7 @@
 	x->holder_calls = 0;
 	x->longest_gap_ms = 0;
 	memset(x->calls, 0, sizeof(x->calls));
+	memset(x->call_turns, 0, sizeof(x->call_turns));
 }
 
 static void list_workers(struct world *x, guint count)
@@ -344,21 +348,28 @@
 	g_free(x);
 }
 
-/* Each one renews its share, within its rate, and none is left out. */
+/*
+ * Each one renews its share, within its rate, and none is left out. The main
+ * loop turns for a point of the period, not for each worker.
+ */
 static void test_shares(void)
 {
 	struct world *x = world_open();
 	int64_t period_ms = worker_renew_period_ms(WORKERS, DELEGATES + 1);
 	guint most = (guint)(INT64_C(10) * WORKER_RENEWALS_PER_S *
-			     WORKER_RENEW_EARLY / (WORKER_RENEW_EARLY - 1)) +
+			     WORKER_RENEW_POINTS / (WORKER_RENEW_POINTS - 1)) +
 		     RATE_SLACK * SHARE;
 
+	guint points =
+		(guint)(INT64_C(10000) * WORKER_RENEW_POINTS / period_ms) + 1;
+
 	run(x, 10000);
 	g_assert_cmpint(x->longest_gap_ms, <=, period_ms + 2 * TICK_MS);
 	g_assert_cmpuint(x->holder_calls, <=, most);
 	for (guint i = 0; i < DELEGATES; i++) {
 		g_assert_cmpuint(x->calls[i], >, SHARE);
 		g_assert_cmpuint(x->calls[i], <=, most);
+		g_assert_cmpuint(x->call_turns[i], <=, points);
 	}
 	world_close(x);
 }
