HTTP sessions by need; the holder keeps connections to workers as well

Cause: a holder has called every worker and so had all of the client's 128 sessions, each a source of the main loop for good: 63% of its samples were in GLib, most of them in the walk over sources. It also opened a connection for each renewal, since a kept one that is silent would have cost a worker.

Ruled out: a fixed small number of sessions (each call looks at all idle connections of its session); a lower rate (a longer bound); a smaller share of the holder (0.4 s are left in the bound at 380 workers).

Change: a session for each 8 addresses of the last 6 s. Calls to workers without commands take a kept connection; what fails on one, or is silent for a third of the timeout, goes anew over a new one within the same timeout. TCP gives up on such a connection what is not acknowledged within the timeout, so that a renewal does not arrive when a cut path heals. Checks: /idle/renewals, /http-client/sessions-by-need, /http-client/silent-connection.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -1,6 +1,8 @@
 #include "base/http_client.h"
 
 #include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 
 #include "base/json_text.h"
@@ -11,29 +13,61 @@
 /*
  * A session looks at all its idle connections for each call, and each session
  * costs every turn of the main loop: neither one for all addresses nor one for
- * each will do. The addresses are spread over a fixed number of sessions.
+ * each will do. There are as many as the addresses in use need.
  */
-#define SESSION_COUNT 128
+#define ADDRESSES_PER_SESSION 8
+/** From the last call to an address until it is forgotten. */
+#define ADDRESS_IDLE_MS ((int64_t)IDLE_TIMEOUT_S * MS_PER_S + 1000)
+/** A kept connection may be silent for one part in this many of the timeout. */
+#define SILENT_PART 3
 
 struct http_client {
-	SoupSession *sessions[SESSION_COUNT]; /**< made on first use */
+	GPtrArray *sessions;   /**< of struct http_session */
+	GHashTable *addresses; /**< "IP:PORT" to struct http_address */
+	int64_t swept_ms;
 	GHashTable *calls; /**< set of struct http_call in flight */
 	guint max_calls;
 	guint max_per_address;
 	struct http_traffic traffic;
 };
 
+/** A session and the addresses in use that are called over it. */
+struct http_session {
+	SoupSession *soup;
+	guint addresses;
+};
+
+struct http_address {
+	struct http_session *session;
+	guint calls; /**< in flight */
+	int64_t used_ms;
+};
+
 struct http_call {
 	struct http_client *client; /**< NULL once the client is freed */
+	struct http_address *address;
 	SoupMessage *message;
+	GBytes *body; /**< NULL for none */
 	GCancellable *cancellable;
 	guint timer;
+	int64_t due_ms; /**< end of the timeout */
+	int64_t timeout_ms;
+	gboolean may_retry; /**< on a new connection */
 	gboolean is_sent;
 	gboolean is_cancelled;
 	http_reply_fn on_reply;
 	void *data;
 };
 
+static void http_session_free(gpointer data)
+{
+	struct http_session *s = data;
+
+	soup_session_abort(s->soup);
+	g_object_unref(s->soup);
+	g_free(s);
+}
+
 struct http_client *http_client_new(guint max_calls, guint max_per_address)
 {
 	struct http_client *c = g_new0(struct http_client, 1);
@@ -41,26 +75,77 @@
 	c->max_calls = max_calls;
 	c->max_per_address = max_per_address;
 	c->calls = g_hash_table_new(NULL, NULL);
+	c->sessions = g_ptr_array_new_with_free_func(http_session_free);
+	c->addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return c;
 }
 
-static SoupSession *session_for(struct http_client *c, const char *address)
+static struct http_session *session_with_room(struct http_client *c)
 {
-	SoupSession **session =
-		&c->sessions[g_str_hash(address) % SESSION_COUNT];
+	struct http_session *s;
+
+	for (guint i = 0; i < c->sessions->len; i++) {
+		s = c->sessions->pdata[i];
+		if (s->addresses < ADDRESSES_PER_SESSION)
+			return s;
+	}
+	s = g_new0(struct http_session, 1);
+	s->soup = soup_session_new_with_options(
+		"max-conns", (int)c->max_calls, "max-conns-per-host",
+		(int)c->max_per_address, "timeout", 0, "idle-timeout",
+		IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+	g_ptr_array_add(c->sessions, s);
+	return s;
+}
 
-	if (!*session)
-		*session = soup_session_new_with_options(
-			"max-conns", (int)c->max_calls, "max-conns-per-host",
-			(int)c->max_per_address, "timeout", 0, "idle-timeout",
-			IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
-	return *session;
+/* Forgets the addresses that have no connection left. */
+static void sweep_addresses(struct http_client *c, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	c->swept_ms = now_ms;
+	g_hash_table_iter_init(&iter, c->addresses);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct http_address *a = item;
+
+		if (a->calls || now_ms < a->used_ms + ADDRESS_IDLE_MS)
+			continue;
+		a->session->addresses--;
+		g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = c->sessions->len; i-- > 0;) {
+		const struct http_session *s = c->sessions->pdata[i];
+
+		if (!s->addresses)
+			g_ptr_array_remove_index_fast(c->sessions, i);
+	}
+}
+
+static struct http_address *take_address(struct http_client *c,
+					 const char *address)
+{
+	int64_t now_ms = util_monotonic_ms();
+	struct http_address *a;
+
+	if (now_ms >= c->swept_ms + ADDRESS_IDLE_MS)
+		sweep_addresses(c, now_ms);
+	a = g_hash_table_lookup(c->addresses, address);
+	if (!a) {
+		a = g_new0(struct http_address, 1);
+		a->session = session_with_room(c);
+		a->session->addresses++;
+		g_hash_table_insert(c->addresses, g_strdup(address), a);
+	}
+	a->calls++;
+	return a;
 }
 
-static void session_free(SoupSession *session)
+static void release_address(struct http_address *a)
 {
-	soup_session_abort(session);
-	g_object_unref(session);
+	a->calls--;
+	a->used_ms = util_monotonic_ms();
 }
 
 static void detach(struct http_call *call)
@@ -79,20 +164,28 @@
 	while (g_hash_table_iter_next(&iter, &call, NULL))
 		detach(call);
 	g_hash_table_unref(c->calls);
-	for (guint i = 0; i < SESSION_COUNT; i++)
-		g_clear_pointer(&c->sessions[i], session_free);
+	g_ptr_array_unref(c->sessions);
+	g_hash_table_unref(c->addresses);
 	g_free(c);
 }
 
+static void drop_message(struct http_call *call)
+{
+	g_signal_handlers_disconnect_by_data(call->message, call);
+	g_clear_object(&call->message);
+	g_clear_object(&call->cancellable);
+}
+
 static void call_free(struct http_call *call)
 {
 	if (call->client)
 		g_hash_table_remove(call->client->calls, call);
+	if (call->client && call->address)
+		release_address(call->address);
 	if (call->timer)
 		g_source_remove(call->timer);
-	g_signal_handlers_disconnect_by_data(call->message, call);
-	g_object_unref(call->message);
-	g_object_unref(call->cancellable);
+	drop_message(call);
+	g_clear_pointer(&call->body, g_bytes_unref);
 	g_free(call);
 }
 
@@ -103,6 +196,23 @@
 	call->is_sent = TRUE;
 }
 
+/* Only new connections tell; they are not given up before the timeout. */
+static void on_network_event(SoupMessage *message, GSocketClientEvent event,
+			     GIOStream *stream, gpointer data)
+{
+	struct http_call *call = data;
+	GSocket *socket;
+
+	call->may_retry = FALSE;
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(stream))
+		return;
+	/* What waits on a cut path must not arrive after the call has ended. */
+	socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    (gint)call->timeout_ms, NULL);
+}
+
 static gboolean on_timeout(gpointer data)
 {
 	struct http_call *call = data;
@@ -112,6 +222,23 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void arm_timeout(struct http_call *call)
+{
+	int64_t left_ms = call->due_ms - util_monotonic_ms();
+
+	call->timer = g_timeout_add((guint)MAX(left_ms, 0), on_timeout, call);
+}
+
+static gboolean on_silent(gpointer data)
+{
+	struct http_call *call = data;
+
+	if (call->may_retry)
+		return on_timeout(call);
+	arm_timeout(call);
+	return G_SOURCE_REMOVE;
+}
+
 static json_object *parse_body(GBytes *bytes)
 {
 	gsize len = 0;
@@ -135,6 +262,55 @@
 		soup_message_metrics_get_response_body_bytes_received(m);
 }
 
+static void on_done(GObject *source, GAsyncResult *result, gpointer data);
+
+static void start(struct http_call *call)
+{
+	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
+			 call);
+	soup_session_send_and_read_async(call->address->session->soup,
+					 call->message, G_PRIORITY_DEFAULT,
+					 call->cancellable, on_done, call);
+}
+
+static void set_message(struct http_call *call, SoupMessage *message)
+{
+	call->message = message;
+	call->cancellable = g_cancellable_new();
+	soup_message_add_flags(message, SOUP_MESSAGE_COLLECT_METRICS);
+	if (call->body)
+		soup_message_set_request_body_from_bytes(
+			message, "application/json", call->body);
+}
+
+static void copy_header(const char *name, const char *value, gpointer out)
+{
+	soup_message_headers_replace(out, name, value);
+}
+
+/* The kept connection has ended or is silent. */
+static void send_anew(struct http_call *call)
+{
+	SoupMessage *old = g_object_ref(call->message);
+	SoupMessage *message = soup_message_new_from_uri(
+		soup_message_get_method(old), soup_message_get_uri(old));
+
+	drop_message(call);
+	if (call->timer)
+		g_source_remove(call->timer);
+	call->may_retry = FALSE;
+	soup_message_headers_foreach(soup_message_get_request_headers(old),
+				     copy_header,
+				     soup_message_get_request_headers(message));
+	set_message(call, message);
+	soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	g_signal_connect(message, "network-event", G_CALLBACK(on_network_event),
+			 call);
+	arm_timeout(call);
+	start(call);
+	g_object_unref(old);
+}
+
 static void on_done(GObject *source, GAsyncResult *result, gpointer data)
 {
 	struct http_call *call = data;
@@ -146,6 +322,11 @@
 	bytes = soup_session_send_and_read_finish(SOUP_SESSION(source), result,
 						  &error);
 	count_traffic(call);
+	if (!bytes && call->may_retry && !call->is_cancelled) {
+		send_anew(call);
+		g_clear_error(&error);
+		return;
+	}
 	if (call->is_cancelled)
 		goto out;
 	if (bytes) {
@@ -179,16 +360,12 @@
 		soup_message_headers_replace(out, headers[i], headers[i + 1]);
 }
 
-static void set_body(SoupMessage *message, json_object *body)
+static GBytes *body_bytes(json_object *body)
 {
 	const char *text;
-	GBytes *bytes;
 
 	text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
-	bytes = g_bytes_new(text, strlen(text));
-	soup_message_set_request_body_from_bytes(message, "application/json",
-						 bytes);
-	g_bytes_unref(bytes);
+	return g_bytes_new(text, strlen(text));
 }
 
 /* Ends a call that was never given to a session. */
@@ -214,22 +391,28 @@
 	char *uri = g_strdup_printf("http://%s%s", spec->address, spec->path);
 
 	call->client = c;
-	call->message = soup_message_new(spec->method, uri);
-	call->cancellable = g_cancellable_new();
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
-	soup_message_add_flags(call->message, SOUP_MESSAGE_COLLECT_METRICS);
-	if (spec->may_reuse)
-		soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
-	set_headers(call->message, spec->headers);
+	call->timeout_ms = spec->timeout_ms;
+	call->due_ms = util_monotonic_ms() + spec->timeout_ms;
+	call->may_retry = spec->may_reuse;
 	if (spec->body)
-		set_body(call->message, spec->body);
-	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
-			 call);
+		call->body = body_bytes(spec->body);
+	set_message(call, soup_message_new(spec->method, uri));
+	set_headers(call->message, spec->headers);
 	g_free(uri);
 	return call;
 }
 
+static void arm_silent(struct http_call *call)
+{
+	soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
+	g_signal_connect(call->message, "network-event",
+			 G_CALLBACK(on_network_event), call);
+	call->timer = g_timeout_add((guint)(call->timeout_ms / SILENT_PART),
+				    on_silent, call);
+}
+
 struct http_call *http_client_send(struct http_client *c,
 				   const struct http_call_spec *spec)
 {
@@ -241,10 +424,12 @@
 		call->timer = g_timeout_add(0, on_refused, call);
 		return call;
 	}
-	call->timer = g_timeout_add(spec->timeout_ms, on_timeout, call);
-	soup_session_send_and_read_async(session_for(c, spec->address),
-					 call->message, G_PRIORITY_DEFAULT,
-					 call->cancellable, on_done, call);
+	call->address = take_address(c, spec->address);
+	if (spec->may_reuse)
+		arm_silent(call);
+	else
+		arm_timeout(call);
+	start(call);
 	return call;
 }
 
@@ -263,3 +448,8 @@
 {
 	return g_hash_table_size(c->calls);
 }
+
+guint http_client_sessions(const struct http_client *c)
+{
+	return c->sessions->len;
+}
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -36,9 +36,10 @@
 	json_object *body;   /**< may be NULL; not taken over */
 	int64_t timeout_ms;
 	/**
-	 * Takes a connection that is open already, and sends anew when that
-	 * has ended: only for calls that may reach the other side twice. One
-	 * that has gone silent costs the call.
+	 * Takes a connection that is open already, and sends anew on a new one
+	 * when that has ended or is silent for a part of the timeout: only for
+	 * calls that may reach the other side twice. Such a connection gives
+	 * up what is not acknowledged within the timeout.
 	 */
 	gboolean may_reuse;
 	/** Pairs of header name and value, ends with NULL; may be NULL. */
@@ -80,6 +81,9 @@
 
 struct http_traffic http_client_traffic(const struct http_client *c);
 
+/** Returns the number of sessions, each of which costs every turn. */
+guint http_client_sessions(const struct http_client *c);
+
 /** Returns the number of calls in flight. */
 guint http_client_in_flight(const struct http_client *c);
 
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -143,9 +143,8 @@
 		c->unsent_source = g_idle_add(on_unsent, c);
 		return;
 	}
-	/* A connection that went silent must not make a worker look lost. */
-	c->http = worker_http_send(p->kernel, address, call, FALSE,
-				   on_worker_reply, c);
+	c->http =
+		worker_http_send(p->kernel, address, call, on_worker_reply, c);
 	counter_add(p->renewals, 1);
 	counter_add(p->commands, call->commands->len);
 }
--- a/daemon/renewal_service.c
+++ b/daemon/renewal_service.c
@@ -75,9 +75,7 @@
 	worker_call_init(&call, d->pool, d->epoch, settings_of(s->kernel)->node,
 			 d->lease_ms);
 	call.known = g_strdup(w->worker_digest);
-	/* What fails here is looked at by the holder, on a new connection. */
-	c->http = worker_http_send(s->kernel, w->address, &call, TRUE, on_reply,
-				   c);
+	c->http = worker_http_send(s->kernel, w->address, &call, on_reply, c);
 	worker_call_clear(&call);
 	counter_add(s->renewals, 1);
 }
--- a/daemon/worker_http.c
+++ b/daemon/worker_http.c
@@ -10,8 +10,7 @@
 
 struct http_call *worker_http_send(struct kernel *k, const char *address,
 				   const struct worker_call *call,
-				   gboolean may_reuse, http_reply_fn on_reply,
-				   void *data)
+				   http_reply_fn on_reply, void *data)
 {
 	json_object *body = schema_encode(&worker_call_schema, call);
 	const struct http_call_spec spec = {
@@ -20,7 +19,8 @@
 		.path = COMMANDS_PATH,
 		.body = body,
 		.timeout_ms = WORKER_CALL_TIMEOUT_MS,
-		.may_reuse = may_reuse,
+		/* What is only renewed may be renewed twice. */
+		.may_reuse = !call->commands->len,
 		.on_reply = on_reply,
 		.data = data,
 	};
--- a/daemon/worker_http.h
+++ b/daemon/worker_http.h
@@ -10,14 +10,12 @@
 #include "job/scheduler.h"
 
 /**
- * Sends a call; the callback comes as http_client_send() has it.
- *
- * @param may_reuse	as in struct http_call_spec
+ * Sends a call; the callback comes as http_client_send() has it. A call without
+ * commands takes a connection that is open already, if there is one.
  */
 struct http_call *worker_http_send(struct kernel *k, const char *address,
 				   const struct worker_call *call,
-				   gboolean may_reuse, http_reply_fn on_reply,
-				   void *data);
+				   http_reply_fn on_reply, void *data);
 
 /**
  * Tells what a reply means and decodes the report in it.
--- a/tests/test_gangs_wide.c
+++ b/tests/test_gangs_wide.c
@@ -139,7 +139,7 @@
 
 /*
  * All open connections to a worker go silent, for good, again and again: its
- * gang goes on, since the holder looks itself and over a new connection.
+ * gang goes on, since each renewal goes anew over a new connection.
  */
 static void test_silent_connections(void)
 {
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,6 +1,8 @@
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "base/http_client.h"
@@ -12,6 +14,9 @@
 #define MAX_CALLS 1000
 #define MAX_PER_ADDRESS 4
 #define MAX_GROWTH 1.2
+/** From the last call to an address until its session may end. */
+#define FORGOTTEN_MS 7000
+#define SILENT_TIMEOUT_MS 1500
 
 static uint64_t recv_calls;
 
@@ -27,6 +32,24 @@
 	return next(fd, buffer, len, flags);
 }
 
+static int user_timeout_ms;
+static uint64_t user_timeouts;
+
+/* Stands before the C library's own, to see the fence of kept connections. */
+int setsockopt(int fd, int level, int name, const void *value, socklen_t len)
+{
+	static int (*next)(int, int, int, const void *, socklen_t);
+
+	if (!next)
+		next = (int (*)(int, int, int, const void *, socklen_t))dlsym(
+			RTLD_NEXT, "setsockopt");
+	if (level == IPPROTO_TCP && name == TCP_USER_TIMEOUT) {
+		user_timeout_ms = *(const int *)value;
+		user_timeouts++;
+	}
+	return next(fd, level, name, value, len);
+}
+
 static void handle(struct http_request *r, void *data)
 {
 	http_request_reply(r, SOUP_STATUS_OK, json_object_new_object());
@@ -119,6 +142,129 @@
 		http_server_free(servers[i]);
 }
 
+static gboolean on_elapsed(gpointer data)
+{
+	*(gboolean *)data = TRUE;
+	return G_SOURCE_REMOVE;
+}
+
+/* Each session costs every turn: there are no more than addresses need. */
+static void test_sessions_by_need(void)
+{
+	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
+	struct http_server *servers[MAX_SERVERS];
+	struct tally t = { 0 };
+	gboolean is_over = FALSE;
+
+	for (guint i = 0; i < MAX_SERVERS; i++) {
+		servers[i] = new_server();
+		call(c, servers[i], &t);
+	}
+	await(&t, MAX_SERVERS);
+	g_assert_cmpuint(http_client_sessions(c), <=, MAX_SERVERS / 4);
+	g_timeout_add(FORGOTTEN_MS, on_elapsed, &is_over);
+	while (!is_over)
+		g_main_context_iteration(NULL, TRUE);
+	call(c, servers[0], &t);
+	await(&t, MAX_SERVERS + 1);
+	g_assert_cmpuint(t.answered, ==, MAX_SERVERS + 1);
+	g_assert_cmpuint(http_client_sessions(c), ==, 1);
+	http_client_free(c);
+	for (guint i = 0; i < MAX_SERVERS; i++)
+		http_server_free(servers[i]);
+}
+
+/* A server that keeps some requests, as a connection that went silent. */
+struct silence {
+	guint requests;
+	guint from; /* number of the first one that it keeps */
+	guint until;
+	GPtrArray *kept;
+};
+
+static void handle_silent(struct http_request *r, void *data)
+{
+	struct silence *s = data;
+	guint number = s->requests++;
+
+	if (number >= s->from && number < s->until)
+		g_ptr_array_add(s->kept, r);
+	else
+		handle(r, NULL);
+}
+
+static const struct silence_case {
+	const char *what;
+	gboolean may_reuse;
+	guint from;
+	guint until;
+	guint requests; /* in all, of two calls */
+	enum status status;
+} silence_cases[] = {
+	{ "none", TRUE, 0, 0, 2, STATUS_OK },
+	{ "the kept connection", TRUE, 1, 2, 3, STATUS_OK },
+	{ "the new one too", TRUE, 1, 3, 3, STATUS_UNKNOWN },
+	{ "a new one", FALSE, 1, 2, 2, STATUS_UNKNOWN },
+};
+
+static void post_twice(const struct silence_case *x, const char *address)
+{
+	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
+	struct tally t = { 0 };
+	struct http_call_spec spec = {
+		.method = "POST",
+		.address = address,
+		.path = "/",
+		.timeout_ms = SILENT_TIMEOUT_MS,
+		.may_reuse = x->may_reuse,
+		.on_reply = on_reply,
+		.data = &t,
+	};
+	int64_t begun_ms = g_get_monotonic_time() / 1000;
+
+	for (guint i = 1; i <= 2; i++) {
+		http_client_send(c, &spec);
+		await(&t, i);
+	}
+	g_assert_cmpint(t.last_status, ==, x->status);
+	if (x->status == STATUS_OK)
+		g_assert_cmpint(g_get_monotonic_time() / 1000 - begun_ms, <,
+				SILENT_TIMEOUT_MS);
+	http_client_free(c);
+}
+
+/* A kept connection that is silent costs a part of the timeout, not the call.
+ */
+static void test_silent(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(silence_cases); i++) {
+		const struct silence_case *x = &silence_cases[i];
+		struct silence silence = { 0, x->from, x->until,
+					   g_ptr_array_new() };
+		struct http_server *s = http_server_new(1024);
+		char *address;
+
+		g_test_message("%s", x->what);
+		http_server_route(s, "POST", "/", handle_silent, &silence);
+		g_assert_cmpint(http_server_listen(s, "127.0.0.1", 0), ==,
+				STATUS_OK);
+		address = g_strdup_printf("127.0.0.1:%u", http_server_port(s));
+		user_timeouts = 0;
+		post_twice(x, address);
+		g_assert_cmpuint(silence.requests, ==, x->requests);
+		/* One on each connection that may be kept. */
+		g_assert_cmpuint(user_timeouts, ==,
+				 x->may_reuse ? x->requests - 1 : 0);
+		if (x->may_reuse)
+			g_assert_cmpint(user_timeout_ms, ==, SILENT_TIMEOUT_MS);
+		for (guint k = 0; k < silence.kept->len; k++)
+			http_request_abandon(silence.kept->pdata[k]);
+		g_ptr_array_unref(silence.kept);
+		http_server_free(s);
+		g_free(address);
+	}
+}
+
 static void test_too_many_calls(void)
 {
 	struct http_client *c = http_client_new(2, MAX_PER_ADDRESS);
@@ -143,5 +289,7 @@
 	g_test_add_func("/http-client/cost-by-addresses",
 			test_cost_by_addresses);
 	g_test_add_func("/http-client/too-many-calls", test_too_many_calls);
+	g_test_add_func("/http-client/sessions-by-need", test_sessions_by_need);
+	g_test_add_func("/http-client/silent-connection", test_silent);
 	return g_test_run();
 }
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -1,17 +1,26 @@
 /*
  * How often the main loops of an idle entry VM turn: for the periodic work
- * that docs/design/wake-timer.md lists, and for nothing else.
+ * that docs/design/wake-timer.md lists, and for nothing else; and how often
+ * that of a scheduler which renews the leases of a share of workers.
  */
 #include <glib.h>
 #include <string.h>
 
+#include "base/util.h"
+#include "job/worker_contact.h"
 #include "tests/cluster.h"
+#include "tests/gang_cluster.h"
 
 #define READY_TIMEOUT_MS 20000
 #define SAMPLE_S 5
 /** Turns for a frame on a link, and for a call over HTTP, at most. */
 #define FRAME_TURNS 2
 #define CALL_TURNS 10
+/** Turns for all renewals of one point of the period, at most. */
+#define POINT_TURNS (3 * CALL_TURNS)
+/** An eighth of the workers of the largest pool. */
+#define SHARE 48
+#define RENEWALS_SAMPLE_S 10
 
 /** What an idle process does by its own timers, per second. */
 struct idle_case {
@@ -74,17 +83,22 @@
 	g_free(vm->platform);
 }
 
-static char *read_counters(struct idle *vm, guint i)
+static char *counters_of(struct cluster *c, const char *address)
 {
 	struct cluster_reply r =
-		cluster_call(vm->cluster, "GET", vm->http[i], "/v1/counters",
-			     NULL, NULL, CLUSTER_CALL_TIMEOUT_MS);
+		cluster_call(c, "GET", address, "/v1/counters", NULL, NULL,
+			     CLUSTER_CALL_TIMEOUT_MS);
 	char *text = g_strdup(r.text ? r.text : "");
 
 	cluster_reply_clear(&r);
 	return text;
 }
 
+static char *read_counters(struct idle *vm, guint i)
+{
+	return counters_of(vm->cluster, vm->http[i]);
+}
+
 static int64_t value_of(const char *counters, const char *name)
 {
 	char *key = g_strdup_printf("\n%s ", name);
@@ -165,9 +179,50 @@
 	close_vm(&vm);
 }
 
+/* Those of one point of the period share their turns. */
+static void check_renewals(const char *before, const char *after)
+{
+	int64_t period_ms = worker_renew_period_ms(SHARE, 1);
+	int64_t points = (RENEWALS_SAMPLE_S + 1) * MS_PER_S *
+			 WORKER_RENEW_POINTS / period_ms;
+	int64_t turns = grown(before, after, "cs_main_loop_turns_total");
+	int64_t calls = grown(before, after, "cs_worker_calls");
+	double most = cases[1].timers * (RENEWALS_SAMPLE_S + 1) +
+		      (double)(POINT_TURNS * points) + 2 * CALL_TURNS;
+
+	for (guint i = 0; i < G_N_ELEMENTS(call_counters); i++)
+		most += CALL_TURNS *
+			(double)grown(before, after, call_counters[i]);
+	g_test_message("%d calls to workers: %d turns, at most %.0f",
+		       (int)calls, (int)turns, most);
+	g_assert_cmpint(calls, >=,
+			SHARE * (RENEWALS_SAMPLE_S * MS_PER_S / period_ms));
+	g_assert_cmpfloat((double)turns, <=, most);
+}
+
+static void test_renewals(void)
+{
+	struct gang_cluster *g =
+		gang_cluster_start_wide(1, FALSE, SHARE - GANG_WORKERS);
+	char *before;
+	char *after;
+
+	gang_cluster_wait_ready(g);
+	/* They spread over the points. */
+	cluster_sleep(2 * worker_renew_period_ms(SHARE, 1));
+	before = counters_of(g->cluster, g->addresses[0]);
+	cluster_sleep(RENEWALS_SAMPLE_S * MS_PER_S);
+	after = counters_of(g->cluster, g->addresses[0]);
+	check_renewals(before, after);
+	g_free(before);
+	g_free(after);
+	gang_cluster_close(g);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/idle/turns", test_turns);
+	g_test_add_func("/idle/renewals", test_renewals);
 	return g_test_run();
 }
