A report without news does not make the holder look at all that is due

Cause: each delegate's report made the holder look at 380 contacts and all gangs at the next point of the grid, 7 times a second, though most reports only put deadlines off.

Ruled out: reports of all delegates at one time (their clocks differ); a longer period of reports (it is part of the grants' life).

Change: the holder looks after a report that names a failure or a change, or whose answer holds a share; after a new deal the share is sent in any case. test_renewals checks in all its cases that nothing is due sooner after any other report.

--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -383,13 +383,17 @@
 				       struct renewal_grant *grant)
 {
 	int64_t now_ms = util_monotonic_ms();
+	gboolean is_granted;
 
 	/* As for calls: a process that was paused must not grant either. */
 	if (!has_role(p, now_ms))
 		return FALSE;
-	tell_event(p);
-	return scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
-					   grant);
+	is_granted = scheduler_on_renewal_report(p->scheduler, node, report,
+						 now_ms, grant);
+	/* Most say nothing new, and put off what is due. */
+	if (report->failed->len || report->changes->len || grant->has_workers)
+		tell_event(p);
+	return is_granted;
 }
 
 void pool_runner_tick(struct pool_runner *p)
--- a/job/scheduler_renewals.c
+++ b/job/scheduler_renewals.c
@@ -242,9 +242,6 @@
 		    worker_contact_may_be_shared(c, now_ms))
 			grant_worker(c, grant, now_ms);
 	}
-	grant->has_workers = grant->version != report->version;
-	if (!grant->has_workers)
-		renewal_grant_forget_workers(grant);
 }
 
 gboolean scheduler_on_renewal_report(struct scheduler *s, const char *node,
@@ -253,15 +250,20 @@
 				     struct renewal_grant *grant)
 {
 	const char *own_name;
+	gboolean is_dealt;
 
 	if (!is_sharing(s) || report->epoch != s->epoch ||
 	    !g_str_equal(report->pool, s->pool_name))
 		return FALSE;
 	own_name = hear_delegate(s, node, now_ms);
 	take_report(s, report, now_ms);
-	if (s->is_share_stale)
+	is_dealt = s->is_share_stale;
+	if (is_dealt)
 		deal_shares(s);
 	fill_grant(s, own_name, report, now_ms, grant);
+	grant->has_workers = is_dealt || grant->version != report->version;
+	if (!grant->has_workers)
+		renewal_grant_forget_workers(grant);
 	scheduler_finish_event(s, now_ms);
 	return TRUE;
 }
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -17,7 +17,7 @@
 #define FRAME_TURNS 2
 #define CALL_TURNS 10
 /** Turns for all renewals of one point of the period, at most. */
-#define POINT_TURNS (3 * CALL_TURNS)
+#define POINT_TURNS (INT64_C(3) * CALL_TURNS)
 /** An eighth of the workers of the largest pool. */
 #define SHARE 48
 #define RENEWALS_SAMPLE_S 10
--- a/tests/test_renewals.c
+++ b/tests/test_renewals.c
@@ -239,6 +239,7 @@
 	struct renewal_report report = { 0 };
 	struct renewal_grant grant = { 0 };
 	const char *node = index ? "d1" : "d0";
+	int64_t due_ms = scheduler_due_ms(x->holder, x->now_ms);
 
 	renewal_report_init(&report);
 	renewal_grant_init(&grant);
@@ -247,6 +248,11 @@
 	    scheduler_on_renewal_report(x->holder, node, &report, x->now_ms,
 					&grant))
 		renewal_delegate_on_grant(d, "h", &grant, x->now_ms);
+	/* Without news the holder does not look again: nothing is due sooner.
+	 */
+	if (!report.failed->len && !report.changes->len && !grant.has_workers)
+		g_assert_cmpint(scheduler_due_ms(x->holder, x->now_ms), >=,
+				due_ms);
 	renewal_report_clear(&report);
 	renewal_grant_clear(&grant);
 }
