--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -146,9 +146,8 @@
 		c->unsent_source = g_idle_add(on_unsent, c);
 		return;
 	}
-	/* A connection that went silent must not make a worker look lost. */
-	c->http = worker_http_send(p->kernel, address, call, FALSE,
-				   on_worker_reply, c);
+	c->http =
+		worker_http_send(p->kernel, address, call, on_worker_reply, c);
 	counter_add(p->renewals, 1);
 	counter_add(p->commands, call->commands->len);
 }
@@ -388,13 +387,17 @@
 				       struct renewal_grant *grant)
 {
 	int64_t now_ms = util_monotonic_ms();
+	gboolean is_granted;
 
 	/* As for calls: a process that was paused must not grant either. */
 	if (!has_role(p, now_ms))
 		return FALSE;
-	tell_event(p);
-	return scheduler_on_renewal_report(p->scheduler, node, report, now_ms,
-					   grant);
+	is_granted = scheduler_on_renewal_report(p->scheduler, node, report,
+						 now_ms, grant);
+	/* Most say nothing new, and put off what is due. */
+	if (report->failed->len || report->changes->len || grant->has_workers)
+		tell_event(p);
+	return is_granted;
 }
 
 void pool_runner_tick(struct pool_runner *p)
