Links and rows between two versions: versions agreed, unknown members kept

Cause: processes of two versions always run side by side, and a message with one member more was refused whole: members took each other for dead, a configuration did not spread. A job's row with one member more was not run at all, and a row or head written back by an older process would have lost what a newer one added.

Ruled out: one version refused when different (a fleet split at each rollout); feature bits (each combination is a protocol of its own to test); tolerant readers alone (nothing tells a sender what a peer understands, nothing says why a peer is refused).

Change: hello and welcome carry the oldest and newest version a side speaks, the highest common one is spoken and shown (link_up, link_version in the status); without one the link is refused with a reason (link_refused, cs_link_refused). Version 1 is the one before, which refuses unknown members: a link it ends on a hello with versions is tried again without. Version 2 passes over unknown members of messages, lease and claim rows, workers' reports and accepted configurations (passed_over in config_in_force), and counts unknown types (cs_link_unknown_frames). Jobs' rows, the configuration's head and its recent changes keep unknown members when written back (FIELD_REST), those of embedded objects too. What operators and callers send stays strict. The configuration's digest covers unknown members of the body; without any it is what it was, and where a change can't carry them the body is asked for whole.

--- a/base/finding.h
+++ b/base/finding.h
@@ -14,7 +14,8 @@
 };
 
 struct finding_list {
-	GPtrArray *items; /**< of struct finding */
+	GPtrArray *items;  /**< of struct finding */
+	guint passed_over; /**< unknown members that are no findings */
 };
 
 void finding_list_init(struct finding_list *list);
--- a/base/schema.c
+++ b/base/schema.c
@@ -182,6 +182,51 @@
 	return TRUE;
 }
 
+static const struct field_spec *find_field(const struct schema *schema,
+					   const char *name)
+{
+	for (const struct field_spec *f = schema->fields; f->name; f++) {
+		if (f->type != FIELD_REST && g_str_equal(f->name, name))
+			return f;
+	}
+	return NULL;
+}
+
+/* Returns what no field takes, or NULL. */
+static json_object *rest_of(const struct schema *schema, json_object *json)
+{
+	json_object *rest = NULL;
+
+	json_object_object_foreach(json, key, value)
+	{
+		const struct field_spec *f = find_field(schema, key);
+		json_object *kept = NULL;
+
+		if (f && (f->type != FIELD_OBJECT ||
+			  !json_object_is_type(value, json_type_object)))
+			continue;
+		if (f)
+			kept = rest_of(f->schema, value);
+		else
+			kept = json_object_get(value);
+		if (f && !kept)
+			continue;
+		if (!rest)
+			rest = json_object_new_object();
+		json_object_object_add(rest, key, kept);
+	}
+	return rest;
+}
+
+static gboolean has_rest(const struct schema *schema)
+{
+	for (const struct field_spec *f = schema->fields; f->name; f++) {
+		if (f->type == FIELD_REST)
+			return TRUE;
+	}
+	return FALSE;
+}
+
 static gboolean decode_json(struct decoder *d, const struct field_spec *f,
 			    json_object *json, void *member, const char *path)
 {
@@ -241,16 +286,6 @@
 	return is_good;
 }
 
-static const struct field_spec *find_field(const struct schema *schema,
-					   const char *name)
-{
-	for (const struct field_spec *f = schema->fields; f->name; f++) {
-		if (g_str_equal(f->name, name))
-			return f;
-	}
-	return NULL;
-}
-
 static char *field_names(const struct schema *schema)
 {
 	GString *text = g_string_new(NULL);
@@ -261,6 +296,25 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Of a row: unknown members are kept by its field for them. */
+static gboolean decode_row(struct decoder *d, const struct schema *schema,
+			   json_object *json, void *out, const char *path)
+{
+	gboolean was_open = d->is_open;
+	gboolean is_good = TRUE;
+
+	d->is_open = TRUE;
+	for (const struct field_spec *f = schema->fields; f->name; f++) {
+		if (f->type == FIELD_REST)
+			*(json_object **)((char *)out + f->offset) =
+				rest_of(schema, json);
+		else
+			is_good &= decode_field(d, f, json, out, path);
+	}
+	d->is_open = was_open;
+	return is_good;
+}
+
 static gboolean decode_object(struct decoder *d, const struct schema *schema,
 			      json_object *json, void *out, const char *path)
 {
@@ -268,14 +322,20 @@
 
 	if (!check_type(d, json, json_type_object, path, "an object"))
 		return FALSE;
+	if (has_rest(schema))
+		return decode_row(d, schema, json, out, path);
 	json_object_object_foreach(json, key, value)
 	{
 		char *allowed;
 		char *at;
 
 		(void)value;
-		if (d->is_open || find_field(schema, key))
+		if (find_field(schema, key))
+			continue;
+		if (d->is_open) {
+			d->findings->passed_over++;
 			continue;
+		}
 		allowed = field_names(schema);
 		at = join_path(path, key);
 		add_finding(d, at, allowed, "unknown member");
@@ -353,19 +413,39 @@
 		return encode_strings(*(GPtrArray *const *)member);
 	case FIELD_JSON:
 		return json_object_get(*(json_object *const *)member);
+	case FIELD_REST:
+		break;
 	}
 	return NULL;
 }
 
+static void add_rest(json_object *json, json_object *rest)
+{
+	if (!rest)
+		return;
+	json_object_object_foreach(rest, key, value)
+	{
+		json_object *known = json_object_object_get(json, key);
+
+		if (known)
+			add_rest(known, value);
+		else
+			json_object_object_add(json, key,
+					       json_object_get(value));
+	}
+}
+
 json_object *schema_encode(const struct schema *schema, const void *in)
 {
 	json_object *json = json_object_new_object();
 
 	for (const struct field_spec *f = schema->fields; f->name; f++) {
-		json_object *value =
-			encode_field(f, (const char *)in + f->offset);
+		const void *member = (const char *)in + f->offset;
+		json_object *value = encode_field(f, member);
 
-		if (value)
+		if (f->type == FIELD_REST)
+			add_rest(json, *(json_object *const *)member);
+		else if (value)
 			json_object_object_add(json, f->name, value);
 	}
 	return json;
@@ -393,7 +473,7 @@
 			clear_array(f->schema, *(GArray **)member);
 		else if (f->type == FIELD_STRINGS && *(GPtrArray **)member)
 			g_ptr_array_unref(*(GPtrArray **)member);
-		else if (f->type == FIELD_JSON)
+		else if (f->type == FIELD_JSON || f->type == FIELD_REST)
 			json_object_put(*(json_object **)member);
 	}
 	memset(data, 0, schema->size);
--- a/base/schema.h
+++ b/base/schema.h
@@ -6,7 +6,7 @@
  * FIELD_STRING, int64_t for FIELD_INT, FIELD_BOOL and FIELD_ENUM, double for
  * FIELD_REAL, an embedded struct for FIELD_OBJECT, GArray * of structs for
  * FIELD_ARRAY, GPtrArray * of char * for FIELD_STRINGS and json_object * for
- * FIELD_JSON.
+ * FIELD_JSON and FIELD_REST.
  */
 #ifndef BASE_SCHEMA_H
 #define BASE_SCHEMA_H
@@ -27,6 +27,11 @@
 	FIELD_ARRAY,   /**< min and max are its count of elements */
 	FIELD_STRINGS, /**< min and max are its count of elements */
 	FIELD_JSON,    /**< any value, kept as it is */
+	/**
+	 * The unknown members of the object and of those embedded in it; NULL
+	 * without any. They are encoded again.
+	 */
+	FIELD_REST,
 };
 
 struct schema;
@@ -48,6 +53,16 @@
 	const struct field_spec *fields; /**< ends with a NULL name */
 };
 
+/**
+ * Field of a row that a process of a later version may have written: unknown
+ * members are no findings, and outlive a write by this process.
+ */
+#define SCHEMA_REST_FIELD(type_, member)          \
+	{                                         \
+		.name = "", .type = FIELD_REST,   \
+		.offset = offsetof(type_, member) \
+	}
+
 /* Fields of a struct that is only encoded, named as its members. */
 #define SCHEMA_OUT_FIELD(type_, member, field_type)                 \
 	{                                                           \
@@ -82,7 +97,10 @@
 		       const struct schema_source *source,
 		       struct finding_list *findings);
 
-/** Decodes an object of an outside system: unknown members are passed over. */
+/**
+ * Decodes an object of an outside system, or of a process that may be of a
+ * later version: unknown members are passed over.
+ */
 gboolean schema_decode_open(const struct schema *schema, json_object *json,
 			    void *out, const char *path,
 			    struct finding_list *findings);
--- a/config/config_delta.c
+++ b/config/config_delta.c
@@ -5,6 +5,8 @@
 #define NAME_MAX_BYTES 64
 #define DIGEST_BYTES 64
 #define MAX_REMOVED 20000
+/** Lists of a delta, those of later versions included. */
+#define MAX_LISTS 64
 #define NAME_MEMBER "name"
 #define FORMAT_MEMBER "format"
 
@@ -51,7 +53,7 @@
 	{ .name = "lists",
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct config_delta, lists),
-	  .max = G_N_ELEMENTS(list_names),
+	  .max = MAX_LISTS,
 	  .schema = &list_schema },
 	{ 0 },
 };
@@ -129,6 +131,43 @@
 	g_hash_table_unref(index);
 }
 
+static gboolean is_known(const char *name)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(list_names); i++) {
+		if (g_str_equal(list_names[i], name))
+			return TRUE;
+	}
+	return g_str_equal(name, FORMAT_MEMBER);
+}
+
+/*
+ * Members of a later version, which a delta of this one leaves out: the digest
+ * then differs and the body is asked for whole. Without any the digest is that
+ * of the lists alone.
+ */
+static void digest_unknown(GChecksum *checksum, json_object *body)
+{
+	GList *names = NULL;
+
+	json_object_object_foreach(body, key, value)
+	{
+		(void)value;
+		if (!is_known(key))
+			names = g_list_insert_sorted(names, key, compare_names);
+	}
+	for (GList *n = names; n; n = n->next) {
+		const char *text = json_object_to_json_string_ext(
+			json_object_object_get(body, n->data),
+			JSON_C_TO_STRING_PLAIN);
+
+		g_checksum_update(checksum, n->data,
+				  (gssize)strlen(n->data) + 1);
+		g_checksum_update(checksum, (const guchar *)text,
+				  (gssize)strlen(text) + 1);
+	}
+	g_list_free(names);
+}
+
 char *config_digest(json_object *body)
 {
 	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
@@ -141,6 +180,7 @@
 				  (gssize)strlen(name) + 1);
 		digest_list(checksum, json_object_object_get(body, name));
 	}
+	digest_unknown(checksum, body);
 	digest = g_strdup(g_checksum_get_string(checksum));
 	g_checksum_free(checksum);
 	return digest;
--- a/config/config_doc.c
+++ b/config/config_doc.c
@@ -304,6 +304,14 @@
 	return config_doc_check(doc, source, findings);
 }
 
+gboolean config_doc_decode_accepted(json_object *json, struct config_doc *doc,
+				    struct finding_list *findings)
+{
+	if (!schema_decode_open(&config_doc_schema, json, doc, "", findings))
+		return FALSE;
+	return config_doc_check(doc, NULL, findings);
+}
+
 void config_doc_clear(struct config_doc *doc)
 {
 	schema_clear(&config_doc_schema, doc);
--- a/config/config_doc.h
+++ b/config/config_doc.h
@@ -95,6 +95,13 @@
 			   const struct schema_source *source,
 			   struct finding_list *findings);
 
+/**
+ * Decodes and checks a configuration that a process has accepted, which may be
+ * of a later version: unknown members are passed over.
+ */
+gboolean config_doc_decode_accepted(json_object *json, struct config_doc *doc,
+				    struct finding_list *findings);
+
 /**
  * Checks what the schema can't: names unique, references to services,
  * accounts and pools resolved, shapes that fit their adjacency.
--- a/config/config_head.c
+++ b/config/config_head.c
@@ -22,6 +22,7 @@
 
 static const struct field_spec change_fields[] = {
 	CHANGE_FIELDS(struct config_change),
+	SCHEMA_REST_FIELD(struct config_change, rest),
 	{ 0 },
 };
 
@@ -41,6 +42,7 @@
 	  .offset = offsetof(struct config_head, recent),
 	  .max = CONFIG_HEAD_RECENT,
 	  .schema = &change_schema },
+	SCHEMA_REST_FIELD(struct config_head, rest),
 	{ 0 },
 };
 
@@ -66,12 +68,13 @@
 }
 
 static void add_change(GArray *list, int64_t version, const char *operator_name,
-		       const char *commit_id)
+		       const char *commit_id, json_object *rest)
 {
 	struct config_change c = {
 		.version = version,
 		.operator_name = g_strdup(operator_name),
 		.commit_id = g_strdup(commit_id),
+		.rest = json_object_get(rest),
 	};
 
 	g_array_append_val(list, c);
@@ -97,7 +100,8 @@
 			previous->recent, struct config_change, i);
 
 		add_change(out->recent, c->version, c->operator_name,
-			   c->commit_id);
+			   c->commit_id, c->rest);
 	}
-	add_change(out->recent, out->version, operator_name, commit_id);
+	add_change(out->recent, out->version, operator_name, commit_id, NULL);
+	out->rest = json_object_get(previous->rest);
 }
--- a/config/config_head.h
+++ b/config/config_head.h
@@ -21,6 +21,7 @@
 	int64_t version;
 	char *operator_name;
 	char *commit_id;
+	json_object *rest; /**< members of a later version, or NULL */
 };
 
 struct config_head {
@@ -28,7 +29,8 @@
 	char *object; /**< name of the body in the object store */
 	char *operator_name;
 	char *commit_id;
-	GArray *recent; /**< of struct config_change, oldest first */
+	GArray *recent;	   /**< of struct config_change, oldest first */
+	json_object *rest; /**< members of a later version, or NULL */
 };
 
 extern const struct schema config_head_schema;
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -52,6 +52,7 @@
 	log_int(&line, "config_version", version);
 	log_str(&line, "origin", origin_names[origin]);
 	log_int(&line, "findings", finding_list_count(&findings));
+	log_int(&line, "passed_over", findings.passed_over);
 	log_end(&line);
 	if (status != STATUS_OK)
 		goto out;
--- a/config/config_spread.c
+++ b/config/config_spread.c
@@ -81,7 +81,7 @@
 	struct finding_list findings;
 
 	finding_list_init(&findings);
-	if (schema_decode(&config_delta_schema, json, &d, "", NULL, &findings))
+	if (schema_decode_open(&config_delta_schema, json, &d, "", &findings))
 		take_delta(data, from, &d);
 	schema_clear(&config_delta_schema, &d);
 	finding_list_clear(&findings);
@@ -95,7 +95,7 @@
 	struct finding_list findings;
 
 	finding_list_init(&findings);
-	if (schema_decode(&config_whole_schema, json, &w, "", NULL, &findings))
+	if (schema_decode_open(&config_whole_schema, json, &w, "", &findings))
 		config_service_offer(s->service, w.version, w.config,
 				     origin_of(s, from));
 	schema_clear(&config_whole_schema, &w);
@@ -140,8 +140,8 @@
 	struct finding_list findings;
 
 	finding_list_init(&findings);
-	if (schema_decode(&config_request_schema, json, &request, "", NULL,
-			  &findings) &&
+	if (schema_decode_open(&config_request_schema, json, &request, "",
+			       &findings) &&
 	    request.have_version < config_service_version(s->service))
 		answer_request(s, from->node, &request);
 	finding_list_clear(&findings);
--- a/config/config_version.c
+++ b/config/config_version.c
@@ -30,7 +30,7 @@
 				   "version %" G_GINT64_FORMAT
 				   " is in force already",
 				   v->version);
-	if (!config_doc_decode(body, &doc, NULL, findings)) {
+	if (!config_doc_decode_accepted(body, &doc, findings)) {
 		config_doc_clear(&doc);
 		return status_fail(STATUS_INVALID, "configuration is unsound");
 	}
--- a/daemon/holder_client.c
+++ b/daemon/holder_client.c
@@ -144,8 +144,8 @@
 
 	finding_list_init(&findings);
 	if (result->status == STATUS_OK &&
-	    schema_decode(&lease_row_schema, result->rows[0].value, &row, "",
-			  NULL, &findings) &&
+	    schema_decode_open(&lease_row_schema, result->rows[0].value, &row,
+			       "", &findings) &&
 	    !lease_row_is_released(&row)) {
 		keep_holder(c->client, c->pool, row.address);
 		send_to(c, row.address);
--- a/daemon/job_service.c
+++ b/daemon/job_service.c
@@ -190,7 +190,7 @@
 	if (!body)
 		return;
 	finding_list_init(&findings);
-	if (schema_decode(&poke_schema, body, &poke, "", NULL, &findings)) {
+	if (schema_decode_open(&poke_schema, body, &poke, "", &findings)) {
 		p = find_runner(s, poke.pool);
 		if (p)
 			pool_runner_poke(p, poke.id);
--- a/job/job_record.c
+++ b/job/job_record.c
@@ -66,6 +66,7 @@
 	  .max = GANG_MAX_MEMBERS },
 	STRING_FIELD(reason, FALSE, REASON_MAX_BYTES),
 	STRING_FIELD(commit_id, FALSE, NAME_MAX_BYTES),
+	SCHEMA_REST_FIELD(struct job_record, rest),
 	{ 0 },
 };
 
@@ -97,6 +98,7 @@
 	to->family = g_strdup(from->family);
 	to->reason = g_strdup(from->reason);
 	to->commit_id = g_strdup(from->commit_id);
+	to->rest = json_object_get(from->rest);
 	to->placement = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; from->placement && i < from->placement->len; i++)
 		g_ptr_array_add(to->placement,
--- a/job/job_record.h
+++ b/job/job_record.h
@@ -53,6 +53,7 @@
 	GPtrArray *placement; /**< of char *, the worker of each member */
 	char *reason;	      /**< why it is in this state */
 	char *commit_id;      /**< random id of the last write */
+	json_object *rest;    /**< members of a later version, or NULL */
 };
 
 extern const struct schema job_record_schema;
--- a/link/link_connection.h
+++ b/link/link_connection.h
@@ -26,6 +26,8 @@
 	int64_t sent_frames;
 	int64_t received_bytes;
 	int64_t received_frames;
+	int64_t unknown_frames; /**< of types without a handler */
+	int64_t refused_links;	/**< by either side, for their versions */
 };
 
 /** @param stream	taken over by reference */
--- a/link/link_inbound.c
+++ b/link/link_inbound.c
@@ -40,37 +40,57 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void send_welcome(struct link_inbound *i, const char *nonce)
+/* In the form of the hello: one of version 1 knows no versions. */
+static void send_welcome(struct link_inbound *i, const struct link_hello *hello)
 {
 	struct link_hello welcome = { 0 };
 	json_object *json;
 
 	link_identity_copy(&welcome.identity, i->spec.identity);
+	if (hello->versions.newest > 0)
+		welcome.versions = *i->spec.versions;
 	welcome.nonce = util_random_id();
-	welcome.mac = link_identity_mac(&welcome.identity, i->spec.secret,
-					"accept", nonce);
-	json = schema_encode(&link_hello_schema, &welcome);
+	welcome.mac = link_hello_mac(&welcome, i->spec.secret, "accept",
+				     hello->nonce);
+	json = link_hello_encode(&welcome);
 	link_connection_send(i->connection, MESSAGE_WELCOME, json);
 	json_object_put(json);
 	schema_clear(&link_hello_schema, &welcome);
 }
 
+static void send_refusal(struct link_inbound *i)
+{
+	struct link_refusal refusal = { *i->spec.versions,
+					(char *)"no common version" };
+	json_object *json = schema_encode(&link_refusal_schema, &refusal);
+
+	i->spec.traffic->refused_links++;
+	link_connection_send(i->connection, MESSAGE_REFUSAL, json);
+	json_object_put(json);
+}
+
+static void answer_hello(struct link_inbound *i, const struct link_hello *hello)
+{
+	if (link_versions_common(i->spec.versions, &hello->versions) == 0) {
+		send_refusal(i);
+		return;
+	}
+	i->is_proved = TRUE;
+	link_identity_copy(&i->identity, &hello->identity);
+	send_welcome(i, hello);
+}
+
 static void take_hello(struct link_inbound *i, uint8_t type, json_object *body)
 {
 	struct link_hello hello = { 0 };
 	struct finding_list findings;
 
 	finding_list_init(&findings);
-	i->is_proved = type == MESSAGE_HELLO &&
-		       schema_decode(&link_hello_schema, body, &hello, "", NULL,
-				     &findings);
-	i->is_proved =
-		i->is_proved &&
-		link_hello_is_genuine(&hello, i->spec.secret, "open", i->nonce);
-	if (i->is_proved) {
-		link_identity_copy(&i->identity, &hello.identity);
-		send_welcome(i, hello.nonce);
-	}
+	if (type == MESSAGE_HELLO &&
+	    schema_decode_open(&link_hello_schema, body, &hello, "",
+			       &findings) &&
+	    link_hello_is_genuine(&hello, i->spec.secret, "open", i->nonce))
+		answer_hello(i, &hello);
 	schema_clear(&link_hello_schema, &hello);
 	finding_list_clear(&findings);
 	if (!i->is_proved)
--- a/link/link_inbound.h
+++ b/link/link_inbound.h
@@ -15,6 +15,7 @@
 
 struct link_inbound_spec {
 	const struct link_identity *identity; /**< of this process */
+	const struct link_versions *versions; /**< that this process speaks */
 	const char *secret;
 	struct link_poll *poll;
 	struct link_traffic *traffic;
--- a/link/link_peer.c
+++ b/link/link_peer.c
@@ -17,9 +17,13 @@
 	GCancellable *connecting; /**< NULL when no attempt is under way */
 	struct link_connection *connection;
 	struct link_identity identity; /**< valid while @is_up */
+	int64_t version;	       /**< agreed on, valid while @is_up */
 	char *nonce;
 	gboolean is_up;
-	gboolean has_sent; /**< since the last tick: needs no ping */
+	/** The hello goes without versions: the last one was not answered. */
+	gboolean is_plain;
+	gboolean is_refused; /**< said in the log; until the link is up */
+	gboolean has_sent;   /**< since the last tick: needs no ping */
 	gint delay_ms;
 	int64_t started_ms; /**< of the attempt under way */
 	int64_t acked_ms;
@@ -39,6 +43,8 @@
 
 static void drop(struct link_peer *p)
 {
+	if (p->is_up)
+		p->is_plain = FALSE;
 	p->is_up = FALSE;
 	link_identity_clear(&p->identity);
 	if (p->connecting)
@@ -59,11 +65,24 @@
 	p->delay_ms = MIN(p->delay_ms * 2, MAX_DELAY_MS);
 }
 
+/*
+ * A process of version 1 ends the link on a hello with versions, as on any
+ * member that it does not know; so the next hello goes without, and so on in
+ * turn.
+ */
+static void choose_hello(struct link_peer *p)
+{
+	if (!p->is_up && p->nonce &&
+	    p->spec.versions->oldest <= LINK_VERSION_STRICT)
+		p->is_plain = !p->is_plain;
+}
+
 static void on_closed(void *data)
 {
 	struct link_peer *p = data;
 
 	p->connection = NULL;
+	choose_hello(p);
 	retry_later(p);
 }
 
@@ -75,15 +94,17 @@
 	json_object *json;
 
 	finding_list_init(&findings);
-	if (!schema_decode(&link_challenge_schema, body, &challenge, "", NULL,
-			   &findings))
+	if (!schema_decode_open(&link_challenge_schema, body, &challenge, "",
+				&findings))
 		goto out;
 	p->nonce = util_random_id();
 	link_identity_copy(&hello.identity, p->spec.identity);
+	if (!p->is_plain)
+		hello.versions = *p->spec.versions;
 	hello.nonce = g_strdup(p->nonce);
-	hello.mac = link_identity_mac(&hello.identity, p->spec.secret, "open",
-				      challenge.nonce);
-	json = schema_encode(&link_hello_schema, &hello);
+	hello.mac =
+		link_hello_mac(&hello, p->spec.secret, "open", challenge.nonce);
+	json = link_hello_encode(&hello);
 	link_connection_send(p->connection, MESSAGE_HELLO, json);
 	json_object_put(json);
 out:
@@ -99,13 +120,17 @@
 	gboolean is_good;
 
 	finding_list_init(&findings);
-	is_good = p->nonce && schema_decode(&link_hello_schema, body, &hello,
-					    "", NULL, &findings);
+	is_good = p->nonce && schema_decode_open(&link_hello_schema, body,
+						 &hello, "", &findings);
 	is_good = is_good && link_hello_is_genuine(&hello, p->spec.secret,
 						   "accept", p->nonce);
-	if (is_good) {
+	if (is_good)
+		p->version =
+			link_versions_common(p->spec.versions, &hello.versions);
+	if (is_good && p->version > 0) {
 		link_identity_copy(&p->identity, &hello.identity);
 		p->is_up = TRUE;
+		p->is_refused = FALSE;
 		p->acked_ms = util_monotonic_ms();
 		p->delay_ms = MIN_DELAY_MS;
 		p->spec.on_up(p, p->spec.data);
@@ -116,6 +141,38 @@
 	finding_list_clear(&findings);
 }
 
+static void log_refusal(struct link_peer *p, const struct link_refusal *r)
+{
+	struct log_line line;
+
+	if (p->is_refused)
+		return;
+	p->is_refused = TRUE;
+	log_begin(&line, LOG_LEVEL_ERROR, "link_refused");
+	log_str(&line, "address", p->address);
+	log_str(&line, "reason", r->reason);
+	log_int(&line, "own_oldest", p->spec.versions->oldest);
+	log_int(&line, "own_newest", p->spec.versions->newest);
+	log_int(&line, "peer_oldest", r->versions.oldest);
+	log_int(&line, "peer_newest", r->versions.newest);
+	log_end(&line);
+}
+
+static void take_refusal(struct link_peer *p, json_object *body)
+{
+	struct link_refusal refusal = { 0 };
+	struct finding_list findings;
+
+	finding_list_init(&findings);
+	if (schema_decode_open(&link_refusal_schema, body, &refusal, "",
+			       &findings))
+		log_refusal(p, &refusal);
+	p->spec.traffic->refused_links++;
+	schema_clear(&link_refusal_schema, &refusal);
+	finding_list_clear(&findings);
+	retry_later(p);
+}
+
 static void on_frame(uint8_t type, json_object *body, void *data)
 {
 	struct link_peer *p = data;
@@ -126,6 +183,10 @@
 		answer_challenge(p, body);
 	else if (type == MESSAGE_WELCOME && !p->is_up)
 		take_welcome(p, body);
+	else if (type == MESSAGE_REFUSAL && !p->is_up)
+		take_refusal(p, body);
+	else if (p->is_up && type > MESSAGE_REFUSAL)
+		p->spec.traffic->unknown_frames++;
 	else
 		retry_later(p);
 }
@@ -216,6 +277,11 @@
 	return p->is_up ? &p->identity : NULL;
 }
 
+int64_t link_peer_version(const struct link_peer *p)
+{
+	return p->is_up ? p->version : 0;
+}
+
 enum status link_peer_send(struct link_peer *p, uint8_t type, json_object *body)
 {
 	if (!p->is_up)
--- a/link/link_peer.h
+++ b/link/link_peer.h
@@ -20,6 +20,7 @@
 struct link_peer_spec {
 	const char *address;		      /**< "IP:PORT" */
 	const struct link_identity *identity; /**< of this process */
+	const struct link_versions *versions; /**< that this process speaks */
 	const char *secret;
 	struct link_poll *poll;
 	struct link_traffic *traffic;
@@ -41,6 +42,9 @@
 /** Returns who the other side proved to be, or NULL while the link is down. */
 const struct link_identity *link_peer_identity(const struct link_peer *p);
 
+/** Returns the version that both sides agreed on, 0 while the link is down. */
+int64_t link_peer_version(const struct link_peer *p);
+
 /** Sends a frame; STATUS_UNAVAILABLE while the link is down. */
 enum status link_peer_send(struct link_peer *p, uint8_t type,
 			   json_object *body);
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -8,6 +8,8 @@
 #include "shared/pool_lease.h"
 
 #define MAX_INBOUND 512
+/** Types that a frame can have. */
+#define TYPE_COUNT (UINT8_MAX + 1)
 #define TICK_S 1
 /** Turns of the main loop that let closed connections end. */
 #define CLOSING_TURNS 64
@@ -32,21 +34,37 @@
 	GPtrArray *peers;	/**< of struct link_peer */
 	GHashTable *inbound;	/**< set of struct link_inbound */
 	GArray *up_subscribers; /**< of struct up_subscriber */
-	struct handler handlers[MESSAGE_TYPE_COUNT];
+	struct handler handlers[TYPE_COUNT];
 	struct link_traffic traffic;
+	gboolean is_unknown_logged[TYPE_COUNT];
 };
 
+/* A process of a later version may send what this one knows nothing of. */
+static void pass_over(struct link_service *s, const struct link_identity *from,
+		      uint8_t type)
+{
+	struct log_line line;
+
+	s->traffic.unknown_frames++;
+	if (s->is_unknown_logged[type])
+		return;
+	s->is_unknown_logged[type] = TRUE;
+	log_begin(&line, LOG_LEVEL_INFO, "link_unknown_type");
+	log_str(&line, "peer", from->node);
+	log_int(&line, "type", type);
+	log_end(&line);
+}
+
 static void on_frame(const struct link_identity *from, uint8_t type,
 		     json_object *body, void *data)
 {
 	struct link_service *s = data;
-	const struct handler *h;
+	const struct handler *h = &s->handlers[type];
 
-	if (type >= MESSAGE_TYPE_COUNT)
-		return;
-	h = &s->handlers[type];
 	if (h->fn)
 		h->fn(from, body, h->data);
+	else if (type != MESSAGE_PING)
+		pass_over(s, from, type);
 }
 
 static void on_ended(struct link_inbound *i, void *data)
@@ -62,6 +80,7 @@
 	struct link_service *s = data;
 	struct link_inbound_spec spec = {
 		.identity = &s->self,
+		.versions = &link_versions_own,
 		.secret = s->secret,
 		.poll = s->poll,
 		.traffic = &s->traffic,
@@ -85,6 +104,7 @@
 	log_str(&line, "peer", to->node);
 	log_str(&line, "incarnation", to->incarnation);
 	log_str(&line, "address", link_peer_address(peer));
+	log_int(&line, "version", link_peer_version(peer));
 	log_end(&line);
 	for (guint i = 0; i < s->up_subscribers->len; i++) {
 		const struct up_subscriber *sub = &g_array_index(
@@ -230,6 +250,7 @@
 	struct link_peer_spec spec = {
 		.address = address,
 		.identity = &s->self,
+		.versions = &link_versions_own,
 		.secret = s->secret,
 		.poll = s->poll,
 		.traffic = &s->traffic,
@@ -311,6 +332,18 @@
 	return out;
 }
 
+int64_t link_service_version(const struct link_service *s, const char *node)
+{
+	for (guint i = 0; i < s->peers->len; i++) {
+		const struct link_identity *to =
+			link_peer_identity(s->peers->pdata[i]);
+
+		if (to && g_str_equal(to->node, node))
+			return link_peer_version(s->peers->pdata[i]);
+	}
+	return 0;
+}
+
 const struct link_traffic *link_service_traffic(const struct link_service *s)
 {
 	return &s->traffic;
--- a/link/link_service.h
+++ b/link/link_service.h
@@ -61,6 +61,9 @@
 /** Returns the identities to which a link is up; of struct link_identity *. */
 GPtrArray *link_service_peers(const struct link_service *s);
 
+/** Returns the version spoken on the link to a node, 0 while it is down. */
+int64_t link_service_version(const struct link_service *s, const char *node);
+
 const struct link_traffic *link_service_traffic(const struct link_service *s);
 
 #endif
--- a/link/message.h
+++ b/link/message.h
@@ -11,6 +11,7 @@
 	MESSAGE_WELCOME,       /**< struct link_hello */
 	MESSAGE_PING,	       /**< empty; answered on the same connection */
 	MESSAGE_ACK,	       /**< empty */
+	MESSAGE_REFUSAL,       /**< struct link_refusal, before the end */
 	/* The types below are handled by services. */
 	MESSAGE_FIRST_OF_SERVICES = 16,
 	MESSAGE_HEARTBEAT = 16, /**< struct heartbeat */
@@ -19,7 +20,6 @@
 	MESSAGE_CONFIG_REQUEST, /**< struct config_request */
 	MESSAGE_RENEWAL_REPORT, /**< struct renewal_report */
 	MESSAGE_RENEWAL_GRANT,	/**< struct renewal_grant */
-	MESSAGE_TYPE_COUNT = 64,
 };
 
 #endif
--- a/shared/membership_service.c
+++ b/shared/membership_service.c
@@ -76,7 +76,7 @@
 	struct finding_list findings;
 
 	finding_list_init(&findings);
-	if (!schema_decode(&heartbeat_schema, body, &h, "", NULL, &findings))
+	if (!schema_decode_open(&heartbeat_schema, body, &h, "", &findings))
 		goto out;
 	member_table_on_heartbeat(&s->table, util_monotonic_ms(), from, &h);
 	log_states(s);
@@ -203,6 +203,12 @@
 	counter_set(counters_gauge(c, "cs_link_received_frames",
 				   "received on links"),
 		    t->received_frames);
+	counter_set(counters_gauge(c, "cs_link_unknown_frames",
+				   "of types not known here"),
+		    t->unknown_frames);
+	counter_set(counters_gauge(c, "cs_link_refused",
+				   "links refused for their versions"),
+		    t->refused_links);
 }
 
 static void beat(struct membership_service *s, int64_t now_ms)
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -175,8 +175,9 @@
 	finding_list_init(&findings);
 	if (status == STATUS_OK) {
 		version = result->rows[0].version;
-		if (!schema_decode(&lease_row_schema, result->rows[0].value,
-				   &row, "", NULL, &findings))
+		if (!schema_decode_open(&lease_row_schema,
+					result->rows[0].value, &row, "",
+					&findings))
 			status = STATUS_INVALID;
 	}
 	update_ranks(l->service, now_ms);
--- a/shared/status_service.c
+++ b/shared/status_service.c
@@ -4,6 +4,7 @@
 #include "config/config_service.h"
 #include "daemon/http_service.h"
 #include "daemon/settings_service.h"
+#include "link/link_service.h"
 #include "shared/membership_service.h"
 #include "shared/pool_lease.h"
 
@@ -21,6 +22,7 @@
 	int64_t role;
 	int64_t state;
 	int64_t config_version;
+	int64_t link_version; /**< spoken with it, 0 while no link is up */
 };
 
 struct process_status {
@@ -58,6 +60,7 @@
 	NAMED_FIELD(struct member_status, role, link_role_names),
 	NAMED_FIELD(struct member_status, state, member_state_names),
 	INT_FIELD(struct member_status, config_version),
+	INT_FIELD(struct member_status, link_version),
 	{ 0 },
 };
 
@@ -100,8 +103,12 @@
 static const struct schema process_schema = { sizeof(struct process_status),
 					      process_fields };
 
-static void add_members(const struct member_table *t, GArray *out)
+static void add_members(const struct kernel *k, const struct member_table *t,
+			GArray *out)
 {
+	const struct link_service *link =
+		(const struct link_service *)kernel_find(k, LINK_SERVICE);
+
 	for (guint i = 0; i < t->members->len; i++) {
 		const struct member *m = g_ptr_array_index(t->members, i);
 		const struct link_identity *id = &m->record.identity;
@@ -113,6 +120,8 @@
 			.role = id->role,
 			.state = m->record.state,
 			.config_version = m->record.config_version,
+			.link_version =
+				link ? link_service_version(link, id->node) : 0,
 		};
 
 		g_array_append_val(out, status);
@@ -136,7 +145,7 @@
 	if (config)
 		out->config_version = config_service_version(config);
 	if (membership_of(k))
-		add_members(membership_service_table(membership_of(k)),
+		add_members(k, membership_service_table(membership_of(k)),
 			    out->members);
 	leases = (const struct pool_lease_service *)kernel_find(
 		k, POOL_LEASE_SERVICE);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -147,8 +147,7 @@
 
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
 		h.identity.node = (char *)cases[i].node;
-		h.mac = link_identity_mac(&h.identity, "secret", "open",
-					  "nonce");
+		h.mac = link_hello_mac(&h, "secret", "open", "nonce");
 		h.identity.node = "g1";
 		g_assert_cmpint(link_hello_is_genuine(&h, cases[i].secret,
 						      cases[i].side,
--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -56,6 +56,7 @@
 	{ "link_identity", &link_identity_schema },
 	{ "link_hello", &link_hello_schema },
 	{ "link_challenge", &link_challenge_schema },
+	{ "link_refusal", &link_refusal_schema },
 };
 
 static json_object *random_struct(GRand *rng, const struct schema *schema);
@@ -124,6 +125,7 @@
 	case FIELD_STRINGS:
 		return random_array(rng, f);
 	case FIELD_JSON:
+	case FIELD_REST:
 		return json_object_new_int(g_rand_int_range(rng, 0, 100));
 	}
 	return NULL;
@@ -217,6 +219,62 @@
 	return is_good;
 }
 
+/* Adds members that no schema has, at any depth. */
+static void add_members(GRand *rng, json_object *json)
+{
+	size_t count = 0;
+
+	if (json_object_is_type(json, json_type_array))
+		count = json_object_array_length(json);
+	for (size_t i = 0; i < count; i++)
+		add_members(rng, json_object_array_get_idx(json, i));
+	if (!json_object_is_type(json, json_type_object))
+		return;
+	json_object_object_foreach(json, key, value)
+	{
+		(void)key;
+		add_members(rng, value);
+	}
+	if (g_rand_boolean(rng))
+		json_object_object_add(json, "later",
+				       json_object_new_string("x"));
+}
+
+static json_object *through_open(const struct schema *schema, json_object *json)
+{
+	struct finding_list findings;
+	void *data = g_malloc0(schema->size);
+	json_object *out;
+
+	finding_list_init(&findings);
+	g_assert_true(schema_decode_open(schema, json, data, "", &findings));
+	out = schema_encode(schema, data);
+	schema_clear(schema, data);
+	g_free(data);
+	finding_list_clear(&findings);
+	return out;
+}
+
+/* What a later version adds is passed over, and changes nothing else. */
+static void check_added(GRand *rng, const struct schema *schema,
+			json_object *json)
+{
+	json_object *expected = through_open(schema, json);
+	json_object *seen;
+
+	add_members(rng, json);
+	seen = through_open(schema, json);
+	json_object_object_foreach(expected, key, value)
+	{
+		if (!json_object_is_type(value, json_type_object) &&
+		    !json_object_is_type(value, json_type_array))
+			g_assert_true(json_object_equal(
+				value, json_object_object_get(seen, key)));
+	}
+	json_object_put(expected);
+	json_object_put(seen);
+}
+
 static void check_submission(json_object *json)
 {
 	struct config_doc doc = { 0 };
@@ -273,6 +331,7 @@
 	if (unpacked)
 		check_decode(c->schema, unpacked);
 	json_object_put(unpacked);
+	check_added(rng, c->schema, json);
 	g_byte_array_unref(packed);
 	g_byte_array_unref(bytes);
 	json_object_put(json);
