--- a/config/config_body.c
+++ b/config/config_body.c
@@ -21,7 +21,9 @@
 struct config_body {
 	gint references;
 	int64_t format;
-	uint64_t digest[DIGEST_WORDS]; /**< sum of the entities' digests */
+	/** Sum of the digests of the entities and of each unknown member. */
+	uint64_t digest[DIGEST_WORDS];
+	json_object *rest; /**< members of a later version, or NULL */
 	struct entity_list lists[CONFIG_LIST_COUNT];
 };
 
@@ -97,6 +99,50 @@
 	return b;
 }
 
+static void add_digest(struct config_body *b, const guint8 *digest)
+{
+	for (guint i = 0; i < DIGEST_WORDS; i++) {
+		uint64_t word;
+
+		memcpy(&word, digest + i * sizeof(word), sizeof(word));
+		b->digest[i] += GUINT64_FROM_LE(word);
+	}
+}
+
+static void add_unknown(struct config_body *b, const char *name,
+			json_object *value)
+{
+	const char *text =
+		json_object_to_json_string_ext(value, JSON_C_TO_STRING_PLAIN);
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	guint8 digest[DIGEST_BYTES];
+	gsize len = DIGEST_BYTES;
+
+	g_checksum_update(checksum, (const guchar *)name,
+			  (gssize)strlen(name) + 1);
+	g_checksum_update(checksum, (const guchar *)text, (gssize)strlen(text));
+	g_checksum_get_digest(checksum, digest, &len);
+	g_checksum_free(checksum);
+	add_digest(b, digest);
+	if (!b->rest)
+		b->rest = json_object_new_object();
+	json_object_object_add(b->rest, name, json_object_get(value));
+}
+
+/*
+ * Members of a later version are kept. A change can't carry them: its digest
+ * then differs and the body is asked for whole.
+ */
+static void keep_unknown(struct config_body *b, json_object *json)
+{
+	json_object_object_foreach(json, key, value)
+	{
+		if (config_list_index(key) < 0 &&
+		    !g_str_equal(key, FORMAT_MEMBER))
+			add_unknown(b, key, value);
+	}
+}
+
 struct config_body *config_body_new(json_object *json)
 {
 	struct config_body *b = config_body_new_empty(json_object_get_int64(
@@ -111,6 +157,7 @@
 			config_body_add(b, i,
 					json_object_array_get_idx(list, j));
 	}
+	keep_unknown(b, json);
 	return b;
 }
 
@@ -129,6 +176,7 @@
 		g_hash_table_unref(b->lists[i].by_name);
 		g_ptr_array_unref(b->lists[i].entities);
 	}
+	json_object_put(b->rest);
 	g_free(b);
 }
 
@@ -153,6 +201,12 @@
 	for (guint i = 0; i < CONFIG_LIST_COUNT; i++)
 		json_object_object_add(out, config_list_names[i],
 				       encode_list(&b->lists[i]));
+	if (!b->rest)
+		return out;
+	json_object_object_foreach(b->rest, key, value)
+	{
+		json_object_object_add(out, key, json_object_get(value));
+	}
 	return out;
 }
 
@@ -191,12 +245,7 @@
 /* Takes over a reference. */
 static void add(struct config_body *b, guint list, struct config_entity *e)
 {
-	for (guint i = 0; i < DIGEST_WORDS; i++) {
-		uint64_t word;
-
-		memcpy(&word, e->digest + i * sizeof(word), sizeof(word));
-		b->digest[i] += GUINT64_FROM_LE(word);
-	}
+	add_digest(b, e->digest);
 	g_ptr_array_add(b->lists[list].entities, e);
 	g_hash_table_insert(b->lists[list].by_name, (gpointer)e->name, e);
 }
--- a/config/config_doc_change.c
+++ b/config/config_doc_change.c
@@ -61,10 +61,10 @@
 			continue;
 		path = g_strdup_printf("%s.%s", list_name, name);
 		g_array_set_size(l->fresh, l->fresh->len + 1);
-		is_good &= schema_decode(
+		is_good &= schema_decode_open(
 			l->schema, e,
 			element(l->fresh, l->schema, l->fresh->len - 1), path,
-			NULL, findings);
+			findings);
 		g_free(path);
 	}
 	return is_good;
@@ -201,7 +201,7 @@
 	finding_list_init(&findings);
 	json = json_tokener_parse(e->text);
 	is_good =
-		schema_decode(&job_spec_schema, json, out, "", NULL, &findings);
+		schema_decode_open(&job_spec_schema, json, out, "", &findings);
 	json_object_put(json);
 	finding_list_clear(&findings);
 	return is_good;
