--- a/config/config_delta.c
+++ b/config/config_delta.c
@@ -5,6 +5,8 @@
 #define NAME_MAX_BYTES 64
 #define DIGEST_BYTES 64
 #define MAX_REMOVED 20000
+/** Lists of a delta, those of later versions included. */
+#define MAX_LISTS 64
 #define LARGE_ENTITIES 200
 
 static const struct field_spec list_fields[] = {
@@ -47,7 +49,7 @@
 	{ .name = "lists",
 	  .type = FIELD_ARRAY,
 	  .offset = offsetof(struct config_delta, lists),
-	  .max = CONFIG_LIST_COUNT,
+	  .max = MAX_LISTS,
 	  .schema = &list_schema },
 	{ 0 },
 };
