Claims: old rows are deleted by all gateways, by epochs in the table

Cause: rows of the table claims were never deleted.

Ruled out: wall clocks with a margin (one clock ahead deletes what callers rely on); a deleter that remembers versions (lost with its VM); one gateway by a lease (25 rows a second); a row of keys a minute (lacks what a killed gateway claimed). docs/design/claim-expiry.md.

Change: rows carry an epoch and go three epochs later; request/claim_expiry decides, request/claim_walk walks by hash, daemon/claim_sweeper deletes by compare-and-set. An attempt that lands later than the retention does not run. Keys of rows begin with a hash: all gateways of a service are to be stopped for this change. Deletes share no transaction with claims.

--- a/base/util.h
+++ b/base/util.h
@@ -14,6 +14,9 @@
 /** Returns the monotonic time in milliseconds. */
 int64_t util_monotonic_ms(void);
 
+/** Returns the same with the time for which the VM was suspended, in ms. */
+int64_t util_boot_ms(void);
+
 /** Returns the wall clock in milliseconds since the epoch. */
 int64_t util_wall_ms(void);
 
--- a/config/settings.c
+++ b/config/settings.c
@@ -13,6 +13,8 @@
 #define MAX_PLATFORM_TIMEOUT_MS 60000
 #define DEFAULT_IMPOSSIBLE_GRACE_MS 600000
 #define MAX_IMPOSSIBLE_GRACE_MS 86400000
+#define DEFAULT_CLAIM_RETENTION_MS 3600000
+#define MAX_CLAIM_RETENTION_MS 604800000
 #define DEFAULT_LOG_LEVEL 1
 
 static const char *const log_level_names[] = { "debug", "info", "warn", "error",
@@ -65,6 +67,12 @@
 	  .min = 1000,
 	  .max = MAX_IMPOSSIBLE_GRACE_MS,
 	  .fallback = DEFAULT_IMPOSSIBLE_GRACE_MS },
+	{ .name = "claim_retention_ms",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, claim_retention_ms),
+	  .min = 1000,
+	  .max = MAX_CLAIM_RETENTION_MS,
+	  .fallback = DEFAULT_CLAIM_RETENTION_MS },
 	{ 0 },
 };
 
--- a/config/settings.h
+++ b/config/settings.h
@@ -28,6 +28,7 @@
 	int64_t drain_timeout_ms;
 	int64_t platform_timeout_ms;
 	int64_t impossible_grace_ms; /**< that jobs wait for lost workers */
+	int64_t claim_retention_ms;  /**< that rows of claims are kept */
 };
 
 extern const struct schema settings_schema;
--- a/daemon/claim_store.c
+++ b/daemon/claim_store.c
@@ -4,6 +4,8 @@
 #include "request/claim.h"
 
 #define MAX_BATCH 64
+/** While claims wait, each so many transactions one is for deletes. */
+#define DELETE_TURN 4
 
 struct pending_write {
 	char *key;
@@ -15,7 +17,10 @@
 
 struct claim_store {
 	struct platform *platform;
-	GQueue waiting;	  /**< of struct pending_write */
+	GQueue waiting; /**< of struct pending_write */
+	GQueue deletes; /**< the same; share no transaction with the others,
+			     which a conflict would delay */
+	guint turn;
 	GPtrArray *batch; /**< being committed */
 	int64_t last_commit_ms;
 	int64_t gap_ms; /**< between transactions */
@@ -42,6 +47,7 @@
 
 	s->platform = platform;
 	g_queue_init(&s->waiting);
+	g_queue_init(&s->deletes);
 	s->batch = g_ptr_array_new();
 	s->commits = counters_counter(counters, "claim_commits",
 				      "transactions on the table claims");
@@ -57,6 +63,7 @@
 	if (s->timer)
 		g_source_remove(s->timer);
 	g_queue_clear_full(&s->waiting, pending_write_free);
+	g_queue_clear_full(&s->deletes, pending_write_free);
 	g_ptr_array_set_free_func(s->batch, pending_write_free);
 	g_ptr_array_unref(s->batch);
 	g_free(s);
@@ -81,7 +88,8 @@
 	int64_t due_ms = s->last_commit_ms + s->gap_ms;
 	int64_t wait_ms = MAX(due_ms - util_monotonic_ms(), 0);
 
-	if (s->batch->len > 0 || s->timer || g_queue_is_empty(&s->waiting))
+	if (s->batch->len > 0 || s->timer ||
+	    (g_queue_is_empty(&s->waiting) && g_queue_is_empty(&s->deletes)))
 		return;
 	s->timer = g_timeout_add((guint)wait_ms, on_gap_over, s);
 }
@@ -114,6 +122,11 @@
 	return FALSE;
 }
 
+static GQueue *queue_of(struct claim_store *s, const struct pending_write *w)
+{
+	return w->value ? &s->waiting : &s->deletes;
+}
+
 /* The row that conflicts fails alone; the others are committed again. */
 static void on_conflict(struct claim_store *s, GPtrArray *batch,
 			const char *conflict_key)
@@ -128,7 +141,7 @@
 		else if (g_str_equal(w->key, conflict_key))
 			finish(w, STATUS_CONFLICT, 0);
 		else
-			g_queue_push_head(&s->waiting, w);
+			g_queue_push_head(queue_of(s, w), w);
 	}
 }
 
@@ -151,14 +164,28 @@
 	schedule(s);
 }
 
+static GQueue *next_queue(struct claim_store *s)
+{
+	if (g_queue_is_empty(&s->waiting))
+		return &s->deletes;
+	if (g_queue_is_empty(&s->deletes) || ++s->turn % DELETE_TURN)
+		return &s->waiting;
+	return &s->deletes;
+}
+
 static void commit_batch(struct claim_store *s)
 {
+	GQueue *queue = next_queue(s);
 	struct table_write writes[MAX_BATCH];
 	guint count = 0;
 
-	while (count < MAX_BATCH && !g_queue_is_empty(&s->waiting)) {
-		struct pending_write *w = g_queue_pop_head(&s->waiting);
+	while (count < MAX_BATCH && !g_queue_is_empty(queue)) {
+		struct pending_write *w = g_queue_peek_head(queue);
 
+		/* Both would be good by the version, and the last one stand. */
+		if (batch_has(s->batch, w->key))
+			break;
+		g_queue_pop_head(queue);
 		g_ptr_array_add(s->batch, w);
 		writes[count++] = (struct table_write){
 			.table = CLAIM_TABLE,
@@ -184,7 +211,7 @@
 	w->value = value;
 	w->fn = fn;
 	w->data = data;
-	g_queue_push_tail(&s->waiting, w);
+	g_queue_push_tail(queue_of(s, w), w);
 	schedule(s);
 }
 
@@ -194,15 +221,21 @@
 	platform_read(s->platform, CLAIM_TABLE, key, fn, data);
 }
 
-void claim_store_forget(struct claim_store *s, const void *data)
+static void forget_in(GQueue *queue, const void *data)
 {
-	platform_forget(s->platform, data);
-	for (GList *l = s->waiting.head; l; l = l->next) {
+	for (GList *l = queue->head; l; l = l->next) {
 		struct pending_write *w = l->data;
 
 		if (w->data == data)
 			w->fn = NULL;
 	}
+}
+
+void claim_store_forget(struct claim_store *s, const void *data)
+{
+	platform_forget(s->platform, data);
+	forget_in(&s->waiting, data);
+	forget_in(&s->deletes, data);
 	for (guint i = 0; i < s->batch->len; i++) {
 		struct pending_write *w = g_ptr_array_index(s->batch, i);
 
--- a/daemon/claims.c
+++ b/daemon/claims.c
@@ -1,10 +1,11 @@
 #include "daemon/claims.h"
 
 #include "base/util.h"
+#include "daemon/claim_peer.h"
 #include "daemon/claim_store.h"
+#include "daemon/claim_sweeper.h"
 
 #define WAIT_MS 50
-#define ASK_TIMEOUT_MS INT64_C(500)
 /** After the answer, a row is tried to be written for so long. */
 #define RECORD_PATIENCE_MS INT64_C(60000)
 /** Larger results are not kept in the table. */
@@ -12,6 +13,7 @@
 
 struct claims {
 	struct claim_store *store;
+	struct claim_sweeper *sweeper;
 	struct http_client *http;
 	GHashTable *by_key;	   /**< key to struct driver, owned */
 	GHashTable *by_request_id; /**< request id to struct driver */
@@ -22,6 +24,8 @@
 struct driver {
 	struct claims *claims;
 	char *key;
+	char *row_key;	  /**< in the table */
+	int64_t begin_ms; /**< by util_boot_ms() */
 	struct claim claim;
 	GPtrArray *handles; /**< of struct claim_handle, the first leads */
 	struct http_call *ask;
@@ -66,6 +70,7 @@
 	g_ptr_array_unref(d->handles);
 	claim_clear(&d->claim);
 	json_object_put(d->result);
+	g_free(d->row_key);
 	g_free(d->key);
 	g_free(d);
 }
@@ -73,10 +78,19 @@
 struct claims *claims_new(const struct claims_spec *spec)
 {
 	struct claims *c = g_new0(struct claims, 1);
+	struct claim_sweeper_spec sweeper = {
+		.platform = spec->platform,
+		.http = spec->http,
+		.counters = spec->counters,
+		.node = spec->node,
+		.retention_ms = spec->retention_ms,
+	};
 
 	c->spec = *spec;
 	c->http = spec->http;
 	c->store = claim_store_new(spec->platform, spec->counters);
+	sweeper.store = c->store;
+	c->sweeper = claim_sweeper_new(&sweeper);
 	c->by_request_id = g_hash_table_new(g_str_hash, g_str_equal);
 	c->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  driver_free);
@@ -87,6 +101,7 @@
 {
 	g_hash_table_unref(c->by_key);
 	g_hash_table_unref(c->by_request_id);
+	claim_sweeper_free(c->sweeper);
 	claim_store_free(c->store);
 	g_free(c);
 }
@@ -173,50 +188,21 @@
 	run_step(d, d->is_given_up ? CLAIM_STEP_ANSWER : step);
 }
 
-static enum claim_peer peer_state(const struct driver *d,
-				  const struct http_reply *reply)
-{
-	json_object *incarnation = NULL;
-	json_object *is_pending = NULL;
-
-	if (reply->status == STATUS_UNAVAILABLE)
-		return CLAIM_PEER_ENDED;
-	if (reply->status != STATUS_OK || !reply->body)
-		return CLAIM_PEER_SILENT;
-	json_object_object_get_ex(reply->body, "incarnation", &incarnation);
-	json_object_object_get_ex(reply->body, "is_pending", &is_pending);
-	if (!json_object_is_type(incarnation, json_type_string))
-		return CLAIM_PEER_ENDED;
-	if (!g_str_equal(json_object_get_string(incarnation),
-			 d->claim.peer_incarnation))
-		return CLAIM_PEER_ENDED;
-	return json_object_get_boolean(is_pending) ? CLAIM_PEER_PENDING
-						   : CLAIM_PEER_ENDED;
-}
-
 static void on_asked(const struct http_reply *reply, void *data)
 {
 	struct driver *d = data;
 
 	d->ask = NULL;
 	d->is_busy = FALSE;
-	run_step(d, claim_on_peer(&d->claim, peer_state(d, reply)));
+	run_step(d, claim_on_peer(&d->claim,
+				  claim_peer_state(reply,
+						   d->claim.peer_incarnation)));
 }
 
 static void step_ask(struct driver *d)
 {
-	char *path = g_strdup_printf("/v1/claims/%s", d->claim.peer_request_id);
-	struct http_call_spec call = {
-		.method = "GET",
-		.address = d->claim.peer_address,
-		.path = path,
-		.timeout_ms = ASK_TIMEOUT_MS,
-		.on_reply = on_asked,
-		.data = d,
-	};
-
-	d->ask = http_client_send(d->claims->http, &call);
-	g_free(path);
+	d->ask = claim_peer_ask(d->claims->http, d->claim.peer_address,
+				d->claim.peer_request_id, on_asked, d);
 }
 
 static gboolean on_waited(gpointer data)
@@ -242,12 +228,26 @@
 		run_step(d, claim_on_deadline(&d->claim));
 }
 
+static const struct claim_epoch *epoch_of(const struct claims *c)
+{
+	return claim_sweeper_epoch(c->sweeper);
+}
+
+/* Else the row of an earlier attempt may have been deleted unseen. */
+static gboolean is_in_time(const struct driver *d)
+{
+	return claim_epoch_is_in_time(epoch_of(d->claims), d->begin_ms,
+				      util_boot_ms());
+}
+
 /* A claim that was or may have been written is taken back. */
 static void release(struct driver *d)
 {
 	begin_background(d);
 	d->is_given_up = FALSE;
-	run_step(d, claim_write(&d->claim, CLAIM_NOT_RUN, d->reason, NULL));
+	run_step(d, claim_write(&d->claim,
+				is_in_time(d) ? CLAIM_NOT_RUN : CLAIM_UNKNOWN,
+				d->reason, NULL));
 }
 
 static void step_answer(struct driver *d)
@@ -266,6 +266,14 @@
 		driver_end(d);
 }
 
+static void end_too_late(struct driver *d)
+{
+	set_answer(d, ANSWER_UNKNOWN, REASON_CLAIM_UNREACHABLE, NULL);
+	tell_answer(d, NULL);
+	begin_background(d);
+	run_step(d, claim_write(&d->claim, CLAIM_UNKNOWN, d->reason, NULL));
+}
+
 static void step_landed(struct driver *d)
 {
 	struct claim_handle *h = leader(d);
@@ -274,6 +282,10 @@
 		driver_end(d);
 		return;
 	}
+	if (!is_in_time(d)) {
+		end_too_late(d);
+		return;
+	}
 	if (d->claim.own.state == CLAIM_CLAIMED) {
 		h->events->on_won(h->data);
 		return;
@@ -293,14 +305,16 @@
 static void step_read(struct driver *d)
 {
 	d->is_busy = TRUE;
-	claim_store_read(d->claims->store, d->key, on_read, d);
+	claim_store_read(d->claims->store, d->row_key, on_read, d);
 }
 
 static void step_write(struct driver *d)
 {
 	d->is_busy = TRUE;
 	d->has_written = TRUE;
-	claim_store_write(d->claims->store, d->key, d->claim.version,
+	d->claim.own.epoch =
+		claim_epoch_for_row(epoch_of(d->claims), util_boot_ms());
+	claim_store_write(d->claims->store, d->row_key, d->claim.version,
 			  claim_row_value(&d->claim), on_write, d);
 }
 
@@ -342,6 +356,8 @@
 
 	d->claims = c;
 	d->key = g_strdup(key);
+	d->row_key = claim_row_key(key);
+	d->begin_ms = util_boot_ms();
 	d->deadline_ms = deadline_ms;
 	d->handles = g_ptr_array_new();
 	claim_init(&d->claim, &spec);
--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -26,7 +26,8 @@
 	struct counters *counters;
 	const char *node;
 	const char *incarnation;
-	const char *address; /**< "IP:PORT" of this process's HTTP server */
+	int64_t retention_ms; /**< shortest life of a row */
+	const char *address;  /**< "IP:PORT" of this process's HTTP server */
 };
 
 /** What happens to a claim; each may free the request, never the handle. */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -272,6 +272,7 @@
 		.counters = kernel_counters(k),
 		.node = settings_of(k)->node,
 		.incarnation = incarnation_of(k),
+		.retention_ms = settings_of(k)->claim_retention_ms,
 		.address = settings_of(k)->http,
 	};
 	struct wake_timer_spec timer = {
--- a/request/claim.c
+++ b/request/claim.c
@@ -1,6 +1,8 @@
 #include "request/claim.h"
 
 #define TEXT_MAX_BYTES 256
+#define HASH_DIGITS 8
+#define HASH_BASE 16
 
 static const char *const claim_state_names[] = { "claimed", "done", "not run",
 						 "unknown", NULL };
@@ -26,6 +28,10 @@
 	  .type = FIELD_INT,
 	  .offset = offsetof(struct claim_row, attempt),
 	  .max = INT32_MAX },
+	{ .name = "epoch",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct claim_row, epoch),
+	  .max = INT64_MAX },
 	{ .name = "result",
 	  .type = FIELD_JSON,
 	  .offset = offsetof(struct claim_row, result) },
@@ -36,6 +42,23 @@
 const struct schema claim_row_schema = { sizeof(struct claim_row),
 					 claim_row_fields };
 
+uint32_t claim_key_hash(const char *key)
+{
+	char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+	uint32_t hash;
+
+	digest[HASH_DIGITS] = '\0';
+	hash = (uint32_t)g_ascii_strtoull(digest, NULL, HASH_BASE);
+	g_free(digest);
+	return hash;
+}
+
+char *claim_row_key(const char *key)
+{
+	return g_strdup_printf("%08x/%s", claim_key_hash(key), key);
+}
+
 void claim_init(struct claim *c, const struct claim_spec *spec)
 {
 	*c = (struct claim){ .version = TABLE_ABSENT };
--- a/request/claim.h
+++ b/request/claim.h
@@ -39,12 +39,19 @@
 	char *address;	 /**< HTTP address of the claimant */
 	int64_t state;	 /**< enum claim_state */
 	int64_t attempt; /**< number given by the caller, 0 for none */
+	int64_t epoch;	 /**< request/claim_expiry.h */
 	json_object *result;
 	char *commit_id; /**< the same in all writes of one attempt */
 };
 
 extern const struct schema claim_row_schema;
 
+/** Returns the hash that the row's key of an idempotency key begins with. */
+uint32_t claim_key_hash(const char *key);
+
+/** Returns the row's key, such as "0123abcd/ACCOUNT/KEY"; free it. */
+char *claim_row_key(const char *key);
+
 enum claim_step {
 	CLAIM_STEP_READ,   /**< read the row, then claim_on_read() */
 	CLAIM_STEP_WRITE,  /**< claim_row_value() from version, then
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -226,6 +226,9 @@
 	if (node->impossible_grace_ms)
 		add_int(json, "impossible_grace_ms", node->impossible_grace_ms,
 			0);
+	if (node->claim_retention_ms)
+		add_int(json, "claim_retention_ms", node->claim_retention_ms,
+			0);
 	for (guint i = 0; node->seeds && node->seeds[i]; i++)
 		json_object_array_add(seeds,
 				      json_object_new_string(node->seeds[i]));
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -52,6 +52,7 @@
 	int64_t platform_timeout_ms;
 	int64_t drain_timeout_ms;
 	int64_t impossible_grace_ms;
+	int64_t claim_retention_ms; /**< 0 for the default */
 };
 
 typedef gboolean (*cluster_condition)(void *data);
--- a/tests/request_world.c
+++ b/tests/request_world.c
@@ -65,7 +65,9 @@
 	char *link = cluster_address();
 	struct cluster_node node = { .node = name,
 				     .link = link,
-				     .platform = w->platform };
+				     .platform = w->platform,
+				     .claim_retention_ms =
+					     w->claim_retention_ms };
 
 	w->addresses[i] = cluster_address();
 	node.http = w->addresses[i];
@@ -117,6 +119,11 @@
 }
 
 struct request_world *request_world_new(void)
+{
+	return request_world_new_with(0);
+}
+
+struct request_world *request_world_new_with(int64_t claim_retention_ms)
 {
 	struct request_world *w = g_new0(struct request_world, 1);
 	struct config_wait post = { w, NULL, NULL };
@@ -124,6 +131,7 @@
 		g_strdup_printf("{\"base_version\":0,\"config\":%s}", CONFIG);
 	struct cluster_process *p;
 
+	w->claim_retention_ms = claim_retention_ms;
 	w->cluster = cluster_new();
 	p = cluster_spawn(w->cluster, "cs-standin-platform", "platform", NULL);
 	w->platform = cluster_listening(p, 0);
--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -26,6 +26,7 @@
 	char *runners[RUNNERS];
 	char *relayed[RUNNERS];
 	char *relay_control;
+	int64_t claim_retention_ms; /**< of gateways, 0 for the default */
 };
 
 /* A request that is under way. */
@@ -44,6 +45,10 @@
 
 /** Starts all and waits until both gateways serve. */
 struct request_world *request_world_new(void);
+
+/** Does so with a retention of claims. */
+struct request_world *request_world_new_with(int64_t claim_retention_ms);
+
 void request_world_free(struct request_world *w);
 
 /** Adds a VM to the platform's list, or changes it. */
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "request/claim.h"
+#include "request/claim_expiry.h"
 
 /*
  * Cases: the inputs to one attempt, in order, and the step that each gives.
@@ -335,6 +336,20 @@
 #define ATTEMPTS 4
 #define MAX_STEPS 400
 #define SEEDS 20000
+/* With rows that expire: ticks of the model are its time. */
+#define EXPIRY_STEPS 2400
+#define EXPIRY_SEEDS 4000
+#define PERIOD_MS 120
+
+/* What is taken out, to see whether the model notices. */
+enum plant {
+	PLANT_NONE,
+	PLANT_EARLY,	/* rows go an epoch after they were written */
+	PLANT_LATE_RUN, /* an attempt that took too long still runs */
+	PLANT_STALE,	/* rows carry an epoch that was read long ago */
+	PLANT_RELEASE,	/* a claim in doubt is taken back however late */
+	PLANTS,
+};
 
 enum model_state {
 	MODEL_UNBORN,
@@ -353,7 +368,11 @@
 	/* A write on its way to the table. */
 	json_object *write;
 	int64_t write_version;
-	guint born; /* place in the order in which they began */
+	guint born;		  /* place in the order in which they began */
+	struct claim_epoch epoch; /* as its process knows it */
+	int64_t begin_ms;
+	int64_t sent_ms;   /* of the write on its way */
+	int64_t paused_ms; /* does nothing before */
 };
 
 struct model {
@@ -367,6 +386,17 @@
 	guint born; /* attempts so far */
 	gboolean is_numbered;
 	guint last_refused; /* newest attempt that was answered "not run" */
+	guint faults;
+	/* Rows that expire. */
+	gboolean is_expiring;
+	enum plant plant;
+	int64_t now_ms;
+	int64_t epoch; /* in the table */
+	int64_t epoch_ms;
+	int64_t last_sent_ms; /* of the last write that took effect */
+	struct claim_epoch sweeper;
+	int64_t late_delete; /* version, 0 for none on its way */
+	guint deleted;
 };
 
 static gboolean chance(struct model *m, double p)
@@ -380,6 +410,7 @@
 	gboolean is_good = current == a->write_version;
 
 	if (is_good) {
+		m->last_sent_ms = MAX(m->last_sent_ms, a->sent_ms);
 		json_object_put(m->value);
 		m->value = a->write;
 		m->version = ++m->counter;
@@ -401,8 +432,8 @@
 		return;
 	/* It speaks for this attempt and all earlier ones of the key. */
 	for (guint i = 0; i < ATTEMPTS; i++)
-		g_assert_false(m->attempts[i].has_run &&
-			       m->attempts[i].born <= a->born);
+		m->faults += m->attempts[i].has_run &&
+			     m->attempts[i].born <= a->born;
 	m->last_refused = MAX(m->last_refused, a->born);
 	m->not_run_answers++;
 }
@@ -412,8 +443,13 @@
 	g_assert_false(a->has_run);
 	a->has_run = TRUE;
 	m->runs++;
-	g_assert_cmpuint(m->runs, ==, 1);
-	g_assert_cmpuint(a->born, >, m->last_refused);
+	m->faults += m->runs != 1 || a->born <= m->last_refused;
+}
+
+static gboolean is_too_late(const struct model *m, const struct attempt *a)
+{
+	return m->is_expiring && m->plant != PLANT_LATE_RUN &&
+	       !claim_epoch_is_in_time(&a->epoch, a->begin_ms, m->now_ms);
 }
 
 static void step_landed(struct model *m, struct attempt *a)
@@ -422,6 +458,11 @@
 
 	if (a->claim.is_background) {
 		a->state = MODEL_ENDED;
+	} else if (is_too_late(m, a)) {
+		note_answer(m, a, ANSWER_UNKNOWN);
+		a->claim.is_background = TRUE;
+		a->step = claim_write(&a->claim, CLAIM_UNKNOWN, REASON_NONE,
+				      NULL);
 	} else if (a->claim.own.state == CLAIM_CLAIMED) {
 		if (chance(m, 0.2)) {
 			kind = ANSWER_NOT_RUN;
@@ -451,7 +492,11 @@
 		return;
 	}
 	a->claim.is_background = TRUE;
-	a->step = claim_write(&a->claim, CLAIM_NOT_RUN, REASON_NONE, NULL);
+	a->step = claim_write(&a->claim,
+			      m->plant != PLANT_RELEASE && is_too_late(m, a)
+				      ? CLAIM_UNKNOWN
+				      : CLAIM_NOT_RUN,
+			      REASON_NONE, NULL);
 }
 
 static void step_read(struct model *m, struct attempt *a)
@@ -473,6 +518,12 @@
 {
 	if (a->write)
 		apply_write(m, a);
+	if (m->is_expiring)
+		a->claim.own.epoch =
+			m->plant == PLANT_STALE
+				? a->epoch.value
+				: claim_epoch_for_row(&a->epoch, m->now_ms);
+	a->sent_ms = m->now_ms;
 	a->write = claim_row_value(&a->claim);
 	a->write_version = a->claim.version;
 	if (chance(m, 0.3)) {
@@ -550,21 +601,123 @@
 	}
 }
 
+static void learn_epoch(struct model *m, struct claim_epoch *e)
+{
+	claim_epoch_on_read(e, STATUS_OK, m->epoch, m->epoch, m->now_ms,
+			    m->now_ms);
+}
+
+static gboolean is_working(const struct model *m, const char *id)
+{
+	for (guint i = 0; i < ATTEMPTS; i++) {
+		const struct attempt *a = &m->attempts[i];
+
+		if (a->state == MODEL_WORKING &&
+		    g_str_equal(a->claim.own.request_id, id))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static gboolean may_go(struct model *m, const struct claim_row *row)
+{
+	gboolean is_claimed = row->state == CLAIM_CLAIMED;
+
+	if (m->plant == PLANT_EARLY)
+		return row->epoch && m->sweeper.value > row->epoch;
+	switch (claim_epoch_fate(&m->sweeper, row->epoch, is_claimed,
+				 m->now_ms)) {
+	case CLAIM_FATE_GO:
+		return TRUE;
+	case CLAIM_FATE_ASK:
+		return !is_working(m, row->request_id);
+	case CLAIM_FATE_ADOPT:
+		json_object_object_add(m->value, "epoch",
+				       json_object_new_int64(m->sweeper.value));
+		m->version = ++m->counter;
+		return FALSE;
+	default:
+		return FALSE;
+	}
+}
+
+static void apply_delete(struct model *m)
+{
+	if (m->value && m->late_delete == m->version) {
+		g_clear_pointer(&m->value, json_object_put);
+		m->deleted++;
+	}
+	m->late_delete = 0;
+}
+
+/* A delete may take effect now, later or never. */
+static void sweep(struct model *m)
+{
+	struct claim_row row = { 0 };
+	struct finding_list findings;
+
+	if (m->late_delete && chance(m, 0.3))
+		apply_delete(m);
+	if (!m->value || m->late_delete)
+		return;
+	finding_list_init(&findings);
+	g_assert_true(schema_decode(&claim_row_schema, m->value, &row, "", NULL,
+				    &findings));
+	if (may_go(m, &row) && chance(m, 0.9)) {
+		m->late_delete = m->version;
+		if (chance(m, 0.5))
+			apply_delete(m);
+	}
+	schema_clear(&claim_row_schema, &row);
+	finding_list_clear(&findings);
+}
+
+static void expiry_tick(struct model *m, struct attempt *a)
+{
+	m->now_ms++;
+	if (m->now_ms - m->epoch_ms >= PERIOD_MS && chance(m, 0.1)) {
+		m->epoch++;
+		m->epoch_ms = m->now_ms;
+	}
+	if (chance(m, 0.05))
+		learn_epoch(m, &m->sweeper);
+	if (chance(m, 0.1))
+		sweep(m);
+	if (chance(m, 0.02))
+		learn_epoch(m, &a->epoch);
+	if (a->state == MODEL_WORKING && chance(m, 0.01))
+		a->paused_ms =
+			m->now_ms + g_rand_int_range(m->rand, 1, 5 * PERIOD_MS);
+}
+
+/* Callers keep to the retention. */
+static gboolean may_retry(const struct model *m)
+{
+	return !m->is_expiring || !m->last_sent_ms ||
+	       m->now_ms - m->last_sent_ms < PERIOD_MS;
+}
+
 static void model_tick(struct model *m)
 {
 	guint n = (guint)g_rand_int_range(m->rand, 0, ATTEMPTS);
 	struct attempt *a = &m->attempts[n];
 	char *id;
 
+	if (m->is_expiring)
+		expiry_tick(m, a);
 	if (a->write && chance(m, 0.1))
 		apply_write(m, a);
+	if (m->now_ms < a->paused_ms)
+		return;
 	if (a->state == MODEL_WORKING && chance(m, 0.02)) {
 		a->state = MODEL_DEAD;
 	} else if (a->state == MODEL_WORKING) {
 		advance(m, a);
-	} else if (a->state == MODEL_UNBORN && chance(m, 0.1)) {
+	} else if (a->state == MODEL_UNBORN &&
+		   chance(m, m->is_expiring ? 0.02 : 0.1) && may_retry(m)) {
 		id = g_strdup_printf("%u", n);
 		a->born = ++m->born;
+		a->begin_ms = m->now_ms;
 		claim_make(&a->claim, id, id, m->is_numbered ? a->born : 0);
 		a->state = MODEL_WORKING;
 		a->step = claim_begin(&a->claim);
@@ -598,6 +751,7 @@
 		g_test_message("seed %u", seed);
 		for (int i = 0; i < MAX_STEPS; i++)
 			model_tick(&m);
+		g_assert_cmpuint(m.faults, ==, 0);
 		runs += m.runs;
 		not_run += m.not_run_answers;
 		model_clear(&m);
@@ -607,10 +761,59 @@
 	g_assert_cmpuint(not_run, >, SEEDS / 4);
 }
 
+static guint run_expiring(guint32 seed, enum plant plant, guint *deleted)
+{
+	struct model m = { .rand = g_rand_new_with_seed(seed),
+			   .is_numbered = seed % 2,
+			   .is_expiring = TRUE,
+			   .plant = plant,
+			   .epoch = 1 };
+	guint faults;
+
+	claim_epoch_init(&m.sweeper, PERIOD_MS);
+	for (guint i = 0; i < ATTEMPTS; i++)
+		claim_epoch_init(&m.attempts[i].epoch, PERIOD_MS);
+	for (int i = 0; i < EXPIRY_STEPS; i++)
+		model_tick(&m);
+	faults = m.faults;
+	*deleted += m.deleted;
+	model_clear(&m);
+	return faults;
+}
+
+static void test_expiry_seeds(void)
+{
+	guint deleted = 0;
+	guint faults;
+
+	for (guint32 seed = 1; seed <= EXPIRY_SEEDS; seed++) {
+		g_test_message("seed %u", seed);
+		faults = run_expiring(seed, PLANT_NONE, &deleted);
+		g_assert_cmpuint(faults, ==, 0);
+	}
+	g_assert_cmpuint(deleted, >, EXPIRY_SEEDS / 4);
+}
+
+static void test_expiry_planted(void)
+{
+	for (enum plant plant = PLANT_EARLY; plant < PLANTS; plant++) {
+		guint deleted = 0;
+		guint32 seed = 1;
+
+		while (seed <= EXPIRY_SEEDS &&
+		       !run_expiring(seed, plant, &deleted))
+			seed++;
+		g_test_message("plant %u found by seed %u", (guint)plant, seed);
+		g_assert_cmpuint(seed, <=, EXPIRY_SEEDS);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/claims/cases", test_cases);
 	g_test_add_func("/claims/interleavings", test_interleavings);
+	g_test_add_func("/claims/expiry/seeds", test_expiry_seeds);
+	g_test_add_func("/claims/expiry/planted", test_expiry_planted);
 	return g_test_run();
 }
