Benches: one count of bounds for four of them

Cause: bench_store, bench_shared, bench_recovery and, new, bench_config had the same check of a figure against its bound and the same closing line. Ruled out: bench_jobs, bench_requests and bench_placement too: their bounds go both ways or carry a workload. Conclusion: no bound changed.

--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "bench/sim/bounds.h"
 #include "config/config_version.h"
 
 /** The letter: 90 teams, 8,500 jobs a day, 32 MB a node for all control. */
@@ -17,20 +18,7 @@
 #define CHANGES 50
 #define KB 1024.0
 
-static guint passed;
-static guint failed;
-
-static void check(const char *figure, double value, double bound,
-		  const char *source)
-{
-	if (value <= bound) {
-		passed++;
-		return;
-	}
-	failed++;
-	printf("BROKEN %s: %.1f above %.1f (%s)\n", figure, value, bound,
-	       source);
-}
+static struct bounds bounds;
 
 /* Takes the text over. */
 static json_object *parse(char *text)
@@ -144,7 +132,8 @@
 		make_change(v, jobs, i, &d);
 		since_us = g_get_monotonic_time();
 		if (config_version_offer_delta(v, &d, &findings) != STATUS_OK)
-			check("change refused", 1, 0, "bench_config");
+			bounds_check(&bounds, "change refused", 1, 0,
+				     "bench_config");
 		r->change_us += (double)(g_get_monotonic_time() - since_us);
 		r->made = MAX(r->made, count_made(before, v->body));
 		config_body_unref(before);
@@ -166,7 +155,8 @@
 	config_version_init(&v);
 	finding_list_init(&findings);
 	if (config_version_offer(&v, 1, config, &findings) != STATUS_OK)
-		check("configuration refused", 1, 0, "bench_config");
+		bounds_check(&bounds, "configuration refused", 1, 0,
+			     "bench_config");
 	r.whole_us = (double)(g_get_monotonic_time() - since_us);
 	json_object_put(config);
 	run_changes(&v, jobs, &r);
@@ -191,12 +181,12 @@
 		       r.held_bytes / KB, r.whole_us, r.change_us, r.made);
 		if (!is_check)
 			continue;
-		check("bytes held", r.held_bytes, HELD_BYTES,
-		      "letter: 32 MB a node");
-		check("entities made by a change of one", r.made, 1,
-		      "docs/design/configuration.md");
+		bounds_check(&bounds, "bytes held", r.held_bytes, HELD_BYTES,
+			     "letter: 32 MB a node");
+		bounds_check(&bounds, "entities made by a change of one",
+			     r.made, 1, "docs/design/configuration.md");
 	}
 	if (is_check)
-		printf("%u passed, %u failed\n", passed, failed);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+		bounds_print(&bounds);
+	return bounds_exit_code(&bounds);
 }
--- a/bench/bench_recovery.c
+++ b/bench/bench_recovery.c
@@ -10,6 +10,7 @@
 
 #include "base/json_text.h"
 #include "base/util.h"
+#include "bench/sim/bounds.h"
 #include "job/gang.h"
 #include "job/placement/placement.h"
 #include "job/scheduler.h"
@@ -60,20 +61,7 @@
 	int64_t work_us;
 };
 
-static guint passed;
-static guint failed;
-
-static void check(const char *what, double figure, double bound,
-		  const char *source)
-{
-	if (figure <= bound) {
-		passed++;
-		return;
-	}
-	failed++;
-	printf("BROKEN %s: %.1f, bound %.1f (%s)\n", what, figure, bound,
-	       source);
-}
+static struct bounds bounds;
 
 static void call_worker(const char *worker, const char *address,
 			int64_t call_id, const struct worker_call *call,
@@ -338,21 +326,22 @@
 	       workers, tasks, b.rows->len, b.partial, b.calls, b.commands,
 	       b.writes, recovery_ms, (double)b.work_us / US_PER_MS,
 	       renewal_bytes);
-	check("recovery, virtual ms", (double)recovery_ms, MAX_RECOVERY_MS,
-	      "the report's lag, twice");
-	check("calls a worker", (double)b.calls / workers, MAX_CALLS_PER_WORKER,
-	      "design note on recovery");
-	check("bound on gangs in part, ms",
-	      (double)worker_partial_bound_ms(workers, DOMAIN_SCHEDULERS),
-	      MAX_PARTIAL_MS, "letter 1");
-	check("renewals, bytes a second", bytes_per_s, CONTROL_BYTES_PER_S,
-	      "letter 1");
+	bounds_check(&bounds, "recovery, virtual ms", (double)recovery_ms,
+		     MAX_RECOVERY_MS, "the report's lag, twice");
+	bounds_check(&bounds, "calls a worker", (double)b.calls / workers,
+		     MAX_CALLS_PER_WORKER, "design note on recovery");
+	bounds_check(
+		&bounds, "bound on gangs in part, ms",
+		(double)worker_partial_bound_ms(workers, DOMAIN_SCHEDULERS),
+		MAX_PARTIAL_MS, "letter 1");
+	bounds_check(&bounds, "renewals, bytes a second", bytes_per_s,
+		     CONTROL_BYTES_PER_S, "letter 1");
 	if (!b.partial)
-		check("commands without a fault", b.commands, MAX_COMMANDS,
-		      "issue 6");
+		bounds_check(&bounds, "commands without a fault", b.commands,
+			     MAX_COMMANDS, "issue 6");
 	else
-		check("stopped members", b.commands, 2.0 * GANG_MAX * b.partial,
-		      "only gangs in part");
+		bounds_check(&bounds, "stopped members", b.commands,
+			     2.0 * GANG_MAX * b.partial, "only gangs in part");
 	close_bench(&b);
 }
 
@@ -364,6 +353,6 @@
 	run(DOMAIN_WORKERS / 2, DOMAIN_TASKS / 2, 0);
 	run(DOMAIN_WORKERS, DOMAIN_TASKS, 0);
 	run(DOMAIN_WORKERS, DOMAIN_TASKS, 50);
-	printf("%u passed, %u failed\n", passed, failed);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	bounds_print(&bounds);
+	return bounds_exit_code(&bounds);
 }
--- a/bench/bench_shared.c
+++ b/bench/bench_shared.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #include "bench/shared_sim.h"
+#include "bench/sim/bounds.h"
 #include "shared/lease_protocol.h"
 
 /** Bounds, from docs and the letter. */
@@ -22,22 +23,14 @@
 #define ROUNDS 200U
 #define MERGE_ROUNDS 20000U
 
-static guint passed;
-static guint failed;
+static struct bounds bounds;
 static gboolean is_checking;
 
 static void check(const char *figure, double value, double bound,
 		  const char *source)
 {
-	if (!is_checking)
-		return;
-	if (value <= bound) {
-		passed++;
-		return;
-	}
-	failed++;
-	printf("BROKEN %s: %.1f above %.1f (%s)\n", figure, value, bound,
-	       source);
+	if (is_checking)
+		bounds_check(&bounds, figure, value, bound, source);
 }
 
 /* Prints p50, p99 and worst of a sample, which it sorts. */
@@ -208,6 +201,6 @@
 	measure_domain();
 	measure_merge();
 	if (is_checking)
-		printf("%u passed, %u failed\n", passed, failed);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+		bounds_print(&bounds);
+	return bounds_exit_code(&bounds);
 }
--- a/bench/bench_store.c
+++ b/bench/bench_store.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/util.h"
+#include "bench/sim/bounds.h"
 #include "platform/breaker.h"
 #include "platform/store_budget.h"
 
@@ -272,32 +273,21 @@
 	return r;
 }
 
-static guint passed;
-static guint failed;
-
-static void check(const char *figure, double value, double bound,
-		  const char *source)
-{
-	if (value <= bound) {
-		passed++;
-		return;
-	}
-	failed++;
-	printf("BROKEN %s: %.0f above %.0f (%s)\n", figure, value, bound,
-	       source);
-}
+static struct bounds bounds;
 
 static void check_result(const struct result *r, guint nodes)
 {
 	int64_t ideal_ms = (int64_t)nodes * BACKLOG * MS_PER_S / CAPACITY_PER_S;
 
-	check("writes offered in a second", (double)r->peak_per_s,
-	      (double)MAX_OFFERED_PER_S,
-	      "brief: several hundred writes a second");
-	check("wasted writes", (double)r->wasted, 0, "issue 6: not trampled");
-	check("ms until the backlog is through", (double)r->through_ms,
-	      (double)(ideal_ms + MAX_RECOVERY_MS),
-	      "issue 4: earlier goodput within 10 s");
+	bounds_check(&bounds, "writes offered in a second",
+		     (double)r->peak_per_s, (double)MAX_OFFERED_PER_S,
+		     "brief: several hundred writes a second");
+	bounds_check(&bounds, "wasted writes", (double)r->wasted, 0,
+		     "issue 6: not trampled");
+	bounds_check(&bounds, "ms until the backlog is through",
+		     (double)r->through_ms,
+		     (double)(ideal_ms + MAX_RECOVERY_MS),
+		     "issue 4: earlier goodput within 10 s");
 }
 
 /* The worst of each figure over all seeds. */
@@ -352,6 +342,6 @@
 		}
 	}
 	if (is_check)
-		printf("%u passed, %u failed\n", passed, failed);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+		bounds_print(&bounds);
+	return bounds_exit_code(&bounds);
 }
