Configuration: a process that is behind polls on until it is not

Cause: since pollers wait one poll for the push, a process that polls each 20 s only, and finds itself behind, would have waited 20 s more for its next poll. Ruled out: reading the whole body at once there: with links up the push is the rule. Change: while it is behind the head it polls each 500 ms. The case itself is not caused by a test: a process without peers is a poller, and one with peers hears of the version by their heartbeats. Conclusion: the longest way to a version is 20.5 s again, by the code.

--- a/config/config_service.c
+++ b/config/config_service.c
@@ -162,7 +162,7 @@
 	if (s->is_reading || s->fetching_version)
 		return FALSE;
 	return !s->spread || config_spread_is_poller(s->spread) ||
-	       now_ms - s->read_ms >= SLOW_POLL_MS;
+	       s->behind_version >= 0 || now_ms - s->read_ms >= SLOW_POLL_MS;
 }
 
 static gboolean on_poll(gpointer data)
