Configuration: the stray condition of a merge is gone, and a function nobody calls

Change: the condition is gone; config_list_change_is_empty() too, which nothing calls; has_same() tells what its callers asked for. Conclusion: one way out of the function again.

--- a/config/config_delta.c
+++ b/config/config_delta.c
@@ -78,17 +78,14 @@
 const struct schema config_request_schema = { sizeof(struct config_request),
 					      request_fields };
 
-static const struct config_entity *find_same(const struct config_body *base,
-					     guint list,
-					     const struct config_entity *e)
+static gboolean has_same(const struct config_body *base, guint list,
+			 const struct config_entity *e)
 {
 	const struct config_entity *before =
 		config_body_find(base, list, e->name);
 
-	if (!before ||
-	    memcmp(before->digest, e->digest, sizeof(e->digest)) != 0)
-		return NULL;
-	return before;
+	return before &&
+	       memcmp(before->digest, e->digest, sizeof(e->digest)) == 0;
 }
 
 static void compare_lists(const struct config_body *base,
@@ -98,7 +95,7 @@
 	for (guint i = 0; i < config_body_count(body, list); i++) {
 		const struct config_entity *e = config_body_get(body, list, i);
 
-		if (!find_same(base, list, e))
+		if (!has_same(base, list, e))
 			json_object_array_add(out->set,
 					      json_tokener_parse(e->text));
 	}
@@ -167,11 +164,6 @@
 	return c->entities ? json_object_array_length(c->entities) : 0;
 }
 
-gboolean config_list_change_is_empty(const struct config_list_change *c)
-{
-	return !g_hash_table_size(c->set) && !g_hash_table_size(c->removed);
-}
-
 /* Keeps the base's order; new entities come last. */
 static void apply_list(const struct config_list_change *c, guint list,
 		       const struct config_body *base, struct config_body *out)
--- a/config/config_delta.h
+++ b/config/config_delta.h
@@ -57,7 +57,6 @@
 			     const struct config_delta *d, guint list);
 void config_list_change_clear(struct config_list_change *c);
 size_t config_list_change_count(const struct config_list_change *c);
-gboolean config_list_change_is_empty(const struct config_list_change *c);
 
 /**
  * Fills a zeroed delta; schema_clear() it.
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -104,9 +104,8 @@
 	tell_subscribers(s);
 	if (s->spread)
 		config_spread_push(s->spread, origin, d, json);
-	if (config_delta_is_large(d))
-	out:
-		finding_list_clear(&findings);
+out:
+	finding_list_clear(&findings);
 	return status;
 }
 
