--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 LDLIBS	  = $(shell pkg-config --libs $(LIBS)) -lm
 
 # Folders that make up the library which every program links.
-CORE_DIRS := base client platform config link shared request request/routing \
-	     job job/placement daemon lib standin/common
+CORE_DIRS := base client store platform config link shared request request/routing \
+	     job job/placement sched entry daemon lib standin/common
 CORE_SRC  := $(wildcard $(addsuffix /*.c,$(CORE_DIRS)))
 CORE_OBJ  := $(CORE_SRC:%.c=$(BUILD)/%.o)
 CORE_LIB  := $(BUILD)/libcorianderstep.a
--- a/base/http_client.c
+++ b/base/http_client.c
@@ -420,13 +420,14 @@
 	return call;
 }
 
-static void arm_silent(struct http_call *call)
+static void arm_silent(struct http_call *call, int64_t silent_ms)
 {
 	soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
 	g_signal_connect(call->message, "network-event",
 			 G_CALLBACK(on_network_event), call);
-	call->timer = g_timeout_add((guint)(call->timeout_ms / SILENT_PART),
-				    on_silent, call);
+	call->timer = g_timeout_add(
+		(guint)(silent_ms ? silent_ms : call->timeout_ms / SILENT_PART),
+		on_silent, call);
 }
 
 struct http_call *http_client_send(struct http_client *c,
@@ -442,7 +443,7 @@
 	}
 	call->address = take_address(c, spec->address);
 	if (spec->may_reuse)
-		arm_silent(call);
+		arm_silent(call, spec->silent_ms);
 	else
 		arm_timeout(call);
 	start(call);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -12,6 +12,9 @@
 
 #include "base/status.h"
 
+/** Status code that libsoup has no name for. */
+#define HTTP_TOO_MANY_REQUESTS 429
+
 struct http_client;
 struct http_call;
 
@@ -43,6 +46,11 @@
 	 * up what is not acknowledged within the timeout.
 	 */
 	gboolean may_reuse;
+	/**
+	 * How long such a connection may be silent before that; 0 stands for a
+	 * part of the timeout.
+	 */
+	int64_t silent_ms;
 	/** The body is given as bytes only: for large ones. */
 	gboolean wants_bytes;
 	/** Pairs of header name and value, ends with NULL; may be NULL. */
--- a/base/util.c
+++ b/base/util.c
@@ -3,6 +3,7 @@
 #include <gio/gio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define RANDOM_ID_WORDS 4
 #define RANDOM_ID_DIGITS 32
@@ -12,6 +13,14 @@
 	return g_get_monotonic_time() / US_PER_MS;
 }
 
+int64_t util_boot_ms(void)
+{
+	struct timespec t = { 0 };
+
+	clock_gettime(CLOCK_BOOTTIME, &t);
+	return (int64_t)t.tv_sec * MS_PER_S + t.tv_nsec / (US_PER_MS * 1000);
+}
+
 int64_t util_wall_ms(void)
 {
 	return g_get_real_time() / US_PER_MS;
--- a/base/util.h
+++ b/base/util.h
@@ -14,6 +14,12 @@
 /** Returns the monotonic time in milliseconds. */
 int64_t util_monotonic_ms(void);
 
+/**
+ * Returns the monotonic time in milliseconds, the time that the VM was
+ * suspended included.
+ */
+int64_t util_boot_ms(void);
+
 /** Returns the wall clock in milliseconds since the epoch. */
 int64_t util_wall_ms(void);
 
--- a/bench/bench_store.c
+++ b/bench/bench_store.c
@@ -11,8 +11,8 @@
 
 #include "base/util.h"
 #include "bench/sim/bounds.h"
-#include "platform/breaker.h"
-#include "platform/store_budget.h"
+#include "store/breaker.h"
+#include "store/store_budget.h"
 
 #define SEEDS 5
 #define STEP_MS INT64_C(5)
--- a/config/config_service.c
+++ b/config/config_service.c
@@ -8,7 +8,7 @@
 #include "config/config_spread.h"
 #include "config/config_version.h"
 #include "daemon/platform_service.h"
-#include "platform/table_row.h"
+#include "store/table_row.h"
 
 /** From one reading of the head to the next, by those that poll for all. */
 #define POLL_MS 500
--- a/config/config_writer.c
+++ b/config/config_writer.c
@@ -1,7 +1,7 @@
 #include "config/config_writer.h"
 
 #include "base/util.h"
-#include "platform/table_row.h"
+#include "store/table_row.h"
 
 #define READ_BACK_DELAY_MS 250
 
--- a/config/config_writer.h
+++ b/config/config_writer.h
@@ -8,7 +8,7 @@
 #include <json-c/json.h>
 
 #include "config/config_acceptance.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 /** Called once when the outcome is known or given up. */
 typedef void (*config_writer_fn)(const struct config_acceptance *result,
--- a/daemon/claim_store.h
+++ b/daemon/claim_store.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #include "base/counters.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 /** Transactions a second that all entry processes of a service may use. */
 #define CLAIM_COMMITS_PER_S 250
--- a/daemon/claims.h
+++ b/daemon/claims.h
@@ -14,7 +14,7 @@
 
 #include "base/counters.h"
 #include "base/http_client.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "request/claim.h"
 
 struct claims;
--- a/daemon/holder_client.c
+++ b/daemon/holder_client.c
@@ -4,7 +4,7 @@
 #include "daemon/http_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
-#include "platform/table_row.h"
+#include "store/table_row.h"
 #include "shared/lease_row.h"
 
 #define CALL_TIMEOUT_MS INT64_C(1000)
--- a/daemon/job_row_writer.h
+++ b/daemon/job_row_writer.h
@@ -9,7 +9,7 @@
 #define DAEMON_JOB_ROW_WRITER_H
 
 #include "job/job_record.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 enum row_outcome {
 	ROW_WRITTEN,
--- a/daemon/platform_service.h
+++ b/daemon/platform_service.h
@@ -7,8 +7,8 @@
 #define DAEMON_PLATFORM_SERVICE_H
 
 #include "base/kernel.h"
-#include "platform/platform.h"
-#include "platform/vm_reader.h"
+#include "store/platform.h"
+#include "store/vm_reader.h"
 
 #define PLATFORM_SERVICE "platform"
 
--- a/daemon/vm_watch.h
+++ b/daemon/vm_watch.h
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "platform/vm_reader.h"
+#include "store/vm_reader.h"
 #include "request/endpoint_table.h"
 
 struct vm_watch;
--- /dev/null
+++ b/entry/election.c
@@ -0,0 +1,259 @@
+#include "entry/election.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "entry/entry_store.h"
+#include "entry/table_feed.h"
+#include "sched/leadership.h"
+
+#define TICK_MS 100
+/* Longest time that the store holds back an answer without changes. */
+#define WAIT_MS 1000
+/* Spread of the processes' attempts at a takeover. */
+#define JITTER_MS 150
+/* VMs with a small share of a core leave the duty to larger ones. */
+#define SMALL_CPU_SHARE 0.2
+#define SMALL_DELAY_MS 300
+
+struct election {
+	struct service base;
+	struct kernel *kernel;
+	struct platform *platform;
+	struct table_feed *feed;
+	struct leadership lead;
+	struct election_listener listener;
+	enum leadership_step step; /* of the write in flight */
+	gboolean is_held;	   /* the listener was told so */
+	gboolean is_releasing;
+	guint timer;
+};
+
+static struct election *find(const struct kernel *k)
+{
+	return (struct election *)kernel_find(k, ELECTION_SERVICE);
+}
+
+static void log_lease(const struct election *s, const char *event,
+		      const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, event);
+	log_int(&line, "epoch", s->lead.epoch);
+	log_int(&line, "version", s->lead.version);
+	log_str(&line, "holder", s->lead.holder);
+	if (reason)
+		log_str(&line, "reason", reason);
+	log_end(&line);
+}
+
+/* Tells the listener when the lease is no longer ours. */
+static void check_lost(struct election *s)
+{
+	if (!s->is_held || s->lead.is_holder)
+		return;
+	s->is_held = FALSE;
+	log_lease(s, "lease_lost", "another holder");
+	s->listener.on_lost(s->listener.data);
+}
+
+static void on_row(void *data, const struct table_row *row, int64_t store_ms)
+{
+	struct election *s = data;
+
+	if (!g_str_equal(row->key, LEADERSHIP_KEY))
+		return;
+	leadership_row(&s->lead, row->value, row->version, util_boot_ms());
+	check_lost(s);
+}
+
+static void on_synced(void *data)
+{
+	struct election *s = data;
+
+	if (!s->lead.is_known)
+		leadership_row(&s->lead, NULL, 0, util_boot_ms());
+}
+
+static void on_contact(void *data, gboolean is_good, int64_t store_ms)
+{
+	struct election *s = data;
+
+	if (!is_good)
+		leadership_no_contact(&s->lead, util_boot_ms());
+}
+
+static void take_conflict(struct election *s,
+			  const struct platform_result *result)
+{
+	for (guint i = 0; i < result->row_count; i++) {
+		const struct table_row *row = &result->rows[i];
+
+		if (g_str_equal(row->key, LEADERSHIP_KEY))
+			leadership_row(&s->lead, row->value, row->version,
+				       util_boot_ms());
+	}
+	check_lost(s);
+}
+
+static void gain(struct election *s)
+{
+	s->is_held = TRUE;
+	log_lease(s, "lease_acquired", NULL);
+	s->listener.on_gained(s->listener.data, s->lead.epoch,
+			      leadership_rival_ms(&s->lead));
+}
+
+static void on_written(const struct platform_result *result, void *data)
+{
+	struct election *s = data;
+
+	if (result->status == STATUS_OK) {
+		if (leadership_written(&s->lead, s->step, result->version,
+				       util_boot_ms())) {
+			/* An epoch before this one is over for good. */
+			if (s->is_held)
+				s->listener.on_lost(s->listener.data);
+			gain(s);
+		}
+		return;
+	}
+	leadership_failed(&s->lead);
+	if (result->status == STATUS_CONFLICT) {
+		take_conflict(s, result);
+		return;
+	}
+	if (s->step == LEADERSHIP_ACQUIRE)
+		leadership_no_contact(&s->lead, util_boot_ms());
+}
+
+static void write_row(struct election *s, json_object *row, platform_fn fn)
+{
+	struct table_write write = {
+		.table = LEADERSHIP_TABLE,
+		.key = LEADERSHIP_KEY,
+		.expected_version = s->lead.version,
+		.value = row,
+	};
+
+	platform_commit(s->platform, &write, 1, fn, s);
+	json_object_put(row);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct election *s = data;
+	int64_t now_ms = util_boot_ms();
+	enum leadership_step step = leadership_next(&s->lead, now_ms);
+
+	if (step == LEADERSHIP_NONE)
+		return G_SOURCE_CONTINUE;
+	s->step = step;
+	leadership_sent(&s->lead, now_ms);
+	write_row(s, leadership_encode(&s->lead, step), on_written);
+	return G_SOURCE_CONTINUE;
+}
+
+static enum status election_start(struct service *base, struct kernel *k)
+{
+	struct election *s = (struct election *)base;
+	const struct entry_settings *settings = entry_settings_of(k);
+	char *random = util_random_id();
+	char *self = g_strdup_printf("%s/%.8s", settings->node, random);
+	int64_t jitter_ms = g_random_int_range(0, JITTER_MS);
+	struct table_feed_spec spec = {
+		.platform = entry_platform_of(k),
+		.table = LEADERSHIP_TABLE,
+		.wait_ms = WAIT_MS,
+		.on_row = on_row,
+		.on_synced = on_synced,
+		.on_contact = on_contact,
+		.data = s,
+	};
+
+	if (settings->cpu_share < SMALL_CPU_SHARE)
+		jitter_ms += SMALL_DELAY_MS;
+	s->kernel = k;
+	s->platform = spec.platform;
+	leadership_init(&s->lead, self, jitter_ms);
+	s->feed = table_feed_new(&spec);
+	s->timer = g_timeout_add(TICK_MS, on_tick, s);
+	g_free(self);
+	g_free(random);
+	return STATUS_OK;
+}
+
+static void on_released(const struct platform_result *result, void *data)
+{
+	struct election *s = data;
+
+	s->is_releasing = FALSE;
+	log_lease(s, "lease_released", status_name(result->status));
+}
+
+static void election_drain(struct service *base)
+{
+	struct election *s = (struct election *)base;
+
+	s->lead.is_barred = TRUE;
+	if (!s->lead.is_holder)
+		return;
+	s->lead.is_holder = FALSE;
+	s->is_releasing = TRUE;
+	check_lost(s);
+	write_row(s, leadership_encode_release(&s->lead), on_released);
+}
+
+static gboolean election_is_idle(const struct service *base)
+{
+	return !((const struct election *)base)->is_releasing;
+}
+
+static void election_free(struct service *base)
+{
+	struct election *s = (struct election *)base;
+
+	if (s->timer)
+		g_source_remove(s->timer);
+	if (s->platform)
+		platform_forget(s->platform, s);
+	table_feed_free(s->feed);
+	leadership_clear(&s->lead);
+	g_free(s);
+}
+
+static const struct service_class election_class = {
+	.name = ELECTION_SERVICE,
+	.start = election_start,
+	.drain = election_drain,
+	.is_idle = election_is_idle,
+	.free = election_free,
+};
+
+struct service *election_new(void)
+{
+	struct election *s = g_new0(struct election, 1);
+
+	s->base.class = &election_class;
+	return &s->base;
+}
+
+void election_listen(const struct kernel *k,
+		     const struct election_listener *listener)
+{
+	find(k)->listener = *listener;
+}
+
+gboolean election_may_act(const struct kernel *k)
+{
+	return leadership_may_act(&find(k)->lead, util_boot_ms());
+}
+
+void election_fenced(const struct kernel *k)
+{
+	struct election *s = find(k);
+
+	s->lead.is_holder = FALSE;
+	leadership_no_contact(&s->lead, util_boot_ms());
+	check_lost(s);
+}
--- /dev/null
+++ b/entry/entry_settings.c
@@ -0,0 +1,96 @@
+#include "entry/entry_settings.h"
+
+#include "base/json_text.h"
+#include "base/util.h"
+
+#define NAME_MAX_BYTES 200
+#define MAX_MS 600000
+#define MAX_S 86400
+
+#define NEEDED(type_, member_, kind, least, most)                   \
+	{                                                           \
+		.name = #member_, .type = (kind),                   \
+		.is_required = TRUE,                                \
+		.offset = offsetof(struct type_, member_),          \
+		.min = (least), .max = (most),                      \
+	}
+
+static const struct field_spec store_fields[] = {
+	NEEDED(entry_store_settings, address, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_store_settings, writes_per_s, FIELD_REAL, 1, 1000000),
+	NEEDED(entry_store_settings, reads_per_s, FIELD_REAL, 1, 1000000),
+	{ 0 },
+};
+
+static const struct schema store_schema = { sizeof(struct entry_store_settings),
+					    store_fields };
+
+static const struct field_spec bound_fields[] = {
+	NEEDED(entry_bound_settings, lease_ms, FIELD_INT, 100, MAX_MS),
+	NEEDED(entry_bound_settings, stop_ms, FIELD_REAL, 0, MAX_MS),
+	NEEDED(entry_bound_settings, gang_ms, FIELD_INT, 1, MAX_MS),
+	NEEDED(entry_bound_settings, restore_ms, FIELD_REAL, 0, MAX_MS),
+	NEEDED(entry_bound_settings, remote_slowdown, FIELD_REAL, 1, 1000),
+	NEEDED(entry_bound_settings, grace_s, FIELD_REAL, 0, MAX_S),
+	NEEDED(entry_bound_settings, status_s, FIELD_REAL, 0, MAX_S),
+	{ 0 },
+};
+
+static const struct schema bound_schema = { sizeof(struct entry_bound_settings),
+					    bound_fields };
+
+static const struct field_spec entry_fields[] = {
+	NEEDED(entry_settings, node, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_settings, ip, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_settings, failure_domain, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_settings, frontend, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_settings, readiness, FIELD_STRING, 1, NAME_MAX_BYTES),
+	NEEDED(entry_settings, internal_port, FIELD_INT, 0, 65535),
+	NEEDED(entry_settings, cpu_share, FIELD_REAL, 0, 1024),
+	NEEDED(entry_settings, memory_mb, FIELD_INT, 1, INT32_MAX),
+	{ .name = "store",
+	  .type = FIELD_OBJECT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct entry_settings, store),
+	  .schema = &store_schema },
+	{ .name = "bounds",
+	  .type = FIELD_OBJECT,
+	  .is_required = TRUE,
+	  .offset = offsetof(struct entry_settings, bounds),
+	  .schema = &bound_schema },
+	{ 0 },
+};
+
+static const struct schema entry_schema = { sizeof(struct entry_settings),
+					    entry_fields };
+
+static void check_address(const char *file_name, const char *member,
+			  const char *address, struct finding_list *findings)
+{
+	char *host = NULL;
+	char *place;
+	uint16_t port;
+
+	if (!address || util_parse_endpoint(address, &host, &port)) {
+		g_free(host);
+		return;
+	}
+	place = g_strdup_printf("%s: %s", file_name, member);
+	finding_list_add(findings, place, "IP:PORT", "bad address %s", address);
+	g_free(place);
+}
+
+gboolean entry_settings_load(struct entry_settings *s, const char *file_name,
+			     struct finding_list *findings)
+{
+	json_text_decode_file(file_name, &entry_schema, s, findings);
+	check_address(file_name, "frontend", s->frontend, findings);
+	check_address(file_name, "readiness", s->readiness, findings);
+	check_address(file_name, "store.address", s->store.address, findings);
+	return finding_list_count(findings) == 0;
+}
+
+void entry_settings_clear(struct entry_settings *s)
+{
+	schema_clear(&entry_schema, s);
+}
--- /dev/null
+++ b/entry/entry_store.c
@@ -0,0 +1,103 @@
+#include "entry/entry_store.h"
+
+#include "store/breaker.h"
+#include "store/store_budget.h"
+#include "store/store_gate.h"
+
+/* Several times what a call takes while the store is slow. */
+#define CALL_TIMEOUT_MS 1500
+/* Share of the store's rates that one process may use at most. */
+#define PROCESS_SHARE 0.5
+/* Calls that a process may make at once, in seconds of its share. */
+#define BURST_S 0.5
+#define RESERVED_SHARE 0.25
+
+/* A few dozen processes share this store: the return after an outage takes
+ * about a second. */
+static const struct breaker_config breaker = {
+	.failures_to_open = 5,
+	.first_delay_ms = 100,
+	.max_delay_ms = 400,
+	.first_share = 0.25,
+	.growth = 2,
+	.decrease = 0.7,
+	.step_ms = 200,
+	.slack_ms = 50,
+};
+
+struct entry_store {
+	struct service base;
+	const struct entry_settings *settings;
+	struct store_budget_config budgets[STORE_CALL_COUNT];
+	struct store_gate_config gate;
+	struct platform *platform;
+};
+
+static struct entry_store *find(const struct kernel *k)
+{
+	return (struct entry_store *)kernel_find(k, ENTRY_STORE_SERVICE);
+}
+
+static struct store_budget_config budget(double rate_per_s)
+{
+	return (struct store_budget_config){
+		.rate_per_s = rate_per_s * PROCESS_SHARE,
+		.burst = MAX(rate_per_s * PROCESS_SHARE * BURST_S, 1),
+		.reserved = RESERVED_SHARE,
+	};
+}
+
+static enum status entry_store_start(struct service *base, struct kernel *k)
+{
+	struct entry_store *s = (struct entry_store *)base;
+	struct platform_spec spec = {
+		.kind = "steppe",
+		.address = s->settings->store.address,
+		.failure_domain = s->settings->failure_domain,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.counters = kernel_counters(k),
+		.gate = &s->gate,
+	};
+
+	s->budgets[STORE_CALL_READ] = budget(s->settings->store.reads_per_s);
+	s->budgets[STORE_CALL_WRITE] = budget(s->settings->store.writes_per_s);
+	s->gate.breaker = &breaker;
+	for (guint i = 0; i < STORE_CALL_COUNT; i++)
+		s->gate.budgets[i] = &s->budgets[i];
+	s->platform = platform_new(&spec);
+	return s->platform ? STATUS_OK : STATUS_INVALID;
+}
+
+static void entry_store_free(struct service *base)
+{
+	struct entry_store *s = (struct entry_store *)base;
+
+	if (s->platform)
+		platform_free(s->platform);
+	g_free(s);
+}
+
+static const struct service_class entry_store_class = {
+	.name = ENTRY_STORE_SERVICE,
+	.start = entry_store_start,
+	.free = entry_store_free,
+};
+
+struct service *entry_store_new(const struct entry_settings *settings)
+{
+	struct entry_store *s = g_new0(struct entry_store, 1);
+
+	s->base.class = &entry_store_class;
+	s->settings = settings;
+	return &s->base;
+}
+
+const struct entry_settings *entry_settings_of(const struct kernel *k)
+{
+	return find(k)->settings;
+}
+
+struct platform *entry_platform_of(const struct kernel *k)
+{
+	return find(k)->platform;
+}
--- /dev/null
+++ b/entry/pool_holder.c
@@ -0,0 +1,396 @@
+#include "entry/pool_holder.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "entry/config_feed.h"
+#include "entry/election.h"
+#include "entry/entry_store.h"
+#include "entry/frontend.h"
+#include "entry/progress_writer.h"
+#include "entry/table_feed.h"
+#include "entry/worker_calls.h"
+#include "platform/wire_worker.h"
+#include "sched/fleet_scheduler.h"
+
+/* Retries, lapsed leases and due repeats are looked at this often. */
+#define TICK_MS 100
+/* Answers that come together are planned together. */
+#define PLAN_DELAY_MS 3
+/* Longest time that the store holds back an answer without changes. */
+#define WAIT_MS 5000
+/* Workers' clocks may run 2% slow, and orders be on their way. */
+#define LEASE_STRETCH 1.03
+#define LEASE_SLACK_MS 500
+
+enum feed_kind {
+	FEED_JOBS,
+	FEED_CANCELS,
+	FEED_WORKERS,
+	FEED_USE,
+	FEED_COUNT,
+};
+
+struct pool_holder {
+	struct service base;
+	struct kernel *kernel;
+	struct platform *platform;
+	struct fleet_scheduler scheduler;
+	struct worker_calls *calls;
+	struct progress_writer *writer;
+	struct table_feed *feeds[FEED_COUNT];
+	/** Read once: nobody else writes it while the lease is ours. */
+	struct table_feed *progress;
+	GHashTable *cancels; /* ids whose jobs are not known yet */
+	GHashTable *in_use;  /* workers that a holder has recorded */
+	gboolean is_holding;
+	gboolean is_ready; /* everything stored has been read */
+	int64_t gained_ms;
+	guint tick;
+	guint plan_timer;
+};
+
+static void plan(struct pool_holder *s);
+
+static gboolean on_plan(gpointer data)
+{
+	struct pool_holder *s = data;
+
+	s->plan_timer = 0;
+	plan(s);
+	return G_SOURCE_REMOVE;
+}
+
+static void plan_soon(void *data)
+{
+	struct pool_holder *s = data;
+
+	if (s->is_ready && !s->plan_timer)
+		s->plan_timer = g_timeout_add(PLAN_DELAY_MS, on_plan, s);
+}
+
+/* A worker that a holder used and that is registered nowhere may run on. */
+static void check_unregistered(struct pool_holder *s)
+{
+	GHashTableIter iter;
+	gpointer id;
+
+	s->scheduler.unregistered_workers = FALSE;
+	g_hash_table_iter_init(&iter, s->in_use);
+	while (g_hash_table_iter_next(&iter, &id, NULL)) {
+		if (!fleet_worker(&s->scheduler.fleet, id))
+			s->scheduler.unregistered_workers = TRUE;
+	}
+}
+
+static void plan(struct pool_holder *s)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	if (!s->is_ready || !election_may_act(s->kernel))
+		return;
+	s->scheduler.config = config_feed_config(s->kernel);
+	if (now_ms < s->scheduler.unseen_until_ms)
+		check_unregistered(s);
+	worker_calls_hold_due(s->calls, now_ms);
+	fleet_scheduler_plan(&s->scheduler, now_ms);
+	progress_writer_write(s->writer, now_ms);
+	worker_calls_hold_due(s->calls, now_ms);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	plan(data);
+	return G_SOURCE_CONTINUE;
+}
+
+static void on_cancel_row(void *data, const struct table_row *row,
+			  int64_t store_ms)
+{
+	struct pool_holder *s = data;
+
+	if (row->is_deleted) {
+		g_hash_table_remove(s->cancels, row->key);
+		return;
+	}
+	if (fleet_job(&s->scheduler.fleet, row->key))
+		fleet_scheduler_cancel(&s->scheduler, row->key,
+				       util_monotonic_ms());
+	else
+		g_hash_table_add(s->cancels, g_strdup(row->key));
+	plan_soon(s);
+}
+
+static void on_job_row(void *data, const struct table_row *row,
+		       int64_t store_ms)
+{
+	struct pool_holder *s = data;
+	int64_t now_ms = util_monotonic_ms();
+
+	if (row->is_deleted)
+		return;
+	fleet_scheduler_job(&s->scheduler, row->key, row->value, row->version,
+			    store_ms, now_ms);
+	if (g_hash_table_remove(s->cancels, row->key))
+		fleet_scheduler_cancel(&s->scheduler, row->key, now_ms);
+	plan_soon(s);
+}
+
+static void on_progress_row(void *data, const struct table_row *row,
+			    int64_t store_ms)
+{
+	struct pool_holder *s = data;
+
+	if (!row->is_deleted)
+		fleet_scheduler_progress(&s->scheduler, row->key, row->value,
+					 row->version);
+}
+
+static void on_worker_row(void *data, const struct table_row *row,
+			  int64_t store_ms)
+{
+	struct pool_holder *s = data;
+	struct worker_registration reg = { 0 };
+	struct fleet_worker *w;
+	gboolean is_good = !row->is_deleted &&
+			   wire_worker_registration(row->value, &reg);
+
+	fleet_scheduler_worker(&s->scheduler, row->key, is_good ? &reg : NULL,
+			       util_monotonic_ms());
+	worker_registration_clear(&reg);
+	w = fleet_worker(&s->scheduler.fleet, row->key);
+	if (w && g_hash_table_contains(s->in_use, row->key))
+		w->is_recorded = TRUE;
+	plan_soon(s);
+}
+
+static void on_use_row(void *data, const struct table_row *row,
+		       int64_t store_ms)
+{
+	struct pool_holder *s = data;
+
+	if (row->is_deleted)
+		g_hash_table_remove(s->in_use, row->key);
+	else
+		g_hash_table_add(s->in_use, g_strdup(row->key));
+}
+
+static void start_feed(struct pool_holder *s, enum feed_kind kind);
+
+static void log_ready(const struct pool_holder *s)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "pool_taken_up");
+	log_int(&line, "epoch", s->scheduler.epoch);
+	log_int(&line, "jobs", g_hash_table_size(s->scheduler.fleet.jobs));
+	log_int(&line, "workers",
+		g_hash_table_size(s->scheduler.fleet.workers));
+	log_int(&line, "took_ms", util_monotonic_ms() - s->gained_ms);
+	log_int(&line, "unseen_for_ms",
+		s->scheduler.unseen_until_ms - util_monotonic_ms());
+	log_end(&line);
+}
+
+/* What is read builds on what was read before. */
+static void on_synced(void *data)
+{
+	struct pool_holder *s = data;
+	struct table_feed_spec progress = {
+		.platform = s->platform,
+		.table = JOB_PROGRESS_TABLE,
+		.wait_ms = WAIT_MS,
+		.on_row = on_progress_row,
+		.on_synced = on_synced,
+		.data = s,
+	};
+
+	if (s->is_ready)
+		return;
+	if (!table_feed_is_synced(s->feeds[FEED_JOBS]) ||
+	    !table_feed_is_synced(s->feeds[FEED_USE]))
+		return;
+	if (!s->progress) {
+		s->progress = table_feed_new(&progress);
+		return;
+	}
+	if (!table_feed_is_synced(s->progress))
+		return;
+	if (!s->feeds[FEED_CANCELS]) {
+		start_feed(s, FEED_CANCELS);
+		start_feed(s, FEED_WORKERS);
+		return;
+	}
+	if (!table_feed_is_synced(s->feeds[FEED_CANCELS]) ||
+	    !table_feed_is_synced(s->feeds[FEED_WORKERS]))
+		return;
+	s->is_ready = TRUE;
+	log_ready(s);
+	plan_soon(s);
+}
+
+static void start_feed(struct pool_holder *s, enum feed_kind kind)
+{
+	static const struct {
+		const char *table;
+		void (*on_row)(void *data, const struct table_row *row,
+			       int64_t store_ms);
+	} kinds[FEED_COUNT] = {
+		[FEED_JOBS] = { JOB_TABLE, on_job_row },
+		[FEED_CANCELS] = { JOB_CANCEL_TABLE, on_cancel_row },
+		[FEED_WORKERS] = { WIRE_WORKER_TABLE, on_worker_row },
+		[FEED_USE] = { WORKER_USE_TABLE, on_use_row },
+	};
+	struct table_feed_spec spec = {
+		.platform = s->platform,
+		.table = kinds[kind].table,
+		.wait_ms = WAIT_MS,
+		.on_row = kinds[kind].on_row,
+		.on_synced = on_synced,
+		.data = s,
+	};
+
+	s->feeds[kind] = table_feed_new(&spec);
+}
+
+static void stop_holding(struct pool_holder *s)
+{
+	for (guint i = 0; i < FEED_COUNT; i++)
+		g_clear_pointer(&s->feeds[i], table_feed_free);
+	g_clear_pointer(&s->progress, table_feed_free);
+	worker_calls_reset(s->calls);
+	progress_writer_reset(s->writer);
+	g_hash_table_remove_all(s->cancels);
+	g_hash_table_remove_all(s->in_use);
+	if (s->plan_timer)
+		g_source_remove(s->plan_timer);
+	s->plan_timer = 0;
+	s->is_holding = FALSE;
+	s->is_ready = FALSE;
+	fleet_scheduler_begin(&s->scheduler, 0, 0);
+}
+
+static void on_gained(void *data, int64_t epoch, int64_t rival_ms)
+{
+	struct pool_holder *s = data;
+	int64_t lease_ms =
+		(int64_t)((double)s->scheduler.bounds.lease_ms * LEASE_STRETCH);
+
+	if (s->is_holding)
+		stop_holding(s);
+	s->gained_ms = util_monotonic_ms();
+	fleet_scheduler_begin(&s->scheduler, epoch,
+			      s->gained_ms + rival_ms + lease_ms +
+				      LEASE_SLACK_MS);
+	s->is_holding = TRUE;
+	start_feed(s, FEED_JOBS);
+	start_feed(s, FEED_USE);
+}
+
+static void on_lost(void *data)
+{
+	stop_holding(data);
+}
+
+static void on_fenced(void *data)
+{
+	struct pool_holder *s = data;
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "fenced_by_worker");
+	log_int(&line, "epoch", s->scheduler.epoch);
+	log_end(&line);
+	election_fenced(s->kernel);
+}
+
+static void port_start(void *data, struct fleet_worker *w,
+		       const struct start_order *order)
+{
+	worker_calls_start(((struct pool_holder *)data)->calls, w, order);
+}
+
+static void port_stop(void *data, struct fleet_worker *w, const char *task,
+		      int64_t run)
+{
+	worker_calls_stop(((struct pool_holder *)data)->calls, w, task, run);
+}
+
+static enum status pool_holder_start(struct service *base, struct kernel *k)
+{
+	struct pool_holder *s = (struct pool_holder *)base;
+	const struct entry_settings *settings = entry_settings_of(k);
+	const struct fleet_bounds bounds = {
+		.lease_ms = settings->bounds.lease_ms,
+		.stop_ms = (int64_t)settings->bounds.stop_ms,
+		.gang_ms = settings->bounds.gang_ms,
+		.restore_ms = (int64_t)settings->bounds.restore_ms,
+		.remote_slowdown = settings->bounds.remote_slowdown,
+	};
+	const struct fleet_ports ports = {
+		.start = port_start,
+		.stop = port_stop,
+		.data = s,
+	};
+	const struct worker_calls_spec calls = {
+		.scheduler = &s->scheduler,
+		.counters = kernel_counters(k),
+		.on_news = plan_soon,
+		.on_fenced = on_fenced,
+		.data = s,
+	};
+	const struct progress_writer_spec writer = {
+		.platform = entry_platform_of(k),
+		.scheduler = &s->scheduler,
+		.counters = kernel_counters(k),
+		.status_ms = (int64_t)settings->bounds.status_s * MS_PER_S,
+		.on_written = plan_soon,
+		.data = s,
+	};
+	const struct election_listener listener = {
+		.on_gained = on_gained,
+		.on_lost = on_lost,
+		.data = s,
+	};
+
+	s->kernel = k;
+	s->platform = entry_platform_of(k);
+	fleet_scheduler_init(&s->scheduler, &bounds, &ports);
+	s->calls = worker_calls_new(&calls);
+	s->writer = progress_writer_new(&writer);
+	s->tick = g_timeout_add(TICK_MS, on_tick, s);
+	election_listen(k, &listener);
+	return STATUS_OK;
+}
+
+static void pool_holder_free(struct service *base)
+{
+	struct pool_holder *s = (struct pool_holder *)base;
+
+	if (s->tick) {
+		g_source_remove(s->tick);
+		stop_holding(s);
+		progress_writer_free(s->writer);
+		worker_calls_free(s->calls);
+		fleet_scheduler_clear(&s->scheduler);
+	}
+	g_hash_table_unref(s->cancels);
+	g_hash_table_unref(s->in_use);
+	g_free(s);
+}
+
+static const struct service_class pool_holder_class = {
+	.name = POOL_HOLDER_SERVICE,
+	.start = pool_holder_start,
+	.free = pool_holder_free,
+};
+
+struct service *pool_holder_new(void)
+{
+	struct pool_holder *s = g_new0(struct pool_holder, 1);
+
+	s->base.class = &pool_holder_class;
+	s->cancels =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->in_use =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return &s->base;
+}
--- /dev/null
+++ b/entry/progress_writer.c
@@ -0,0 +1,351 @@
+#include "entry/progress_writer.h"
+
+#include "base/log.h"
+#include "base/util.h"
+#include "entry/frontend.h"
+#include "entry/pool_holder.h"
+
+/* Rows of one transaction; the store takes 100. */
+#define BATCH_ROWS 60
+/* Before a batch that failed is written again. */
+#define RETRY_MS 100
+/* The lengths of the queues may be this old. */
+#define QUEUES_MS 700
+/* Ended jobs are removed so long after their state may be forgotten. */
+#define REMOVE_SLACK_MS 30000
+#define REMOVE_EACH_MS 5000
+
+struct progress_writer {
+	struct progress_writer_spec spec;
+	GPtrArray *job_ids;    /* of the batch in flight */
+	GPtrArray *worker_ids; /* recorded by the batch in flight */
+	gboolean is_writing;
+	gboolean has_all; /* the batch leaves nothing out */
+	int64_t retry_ms;
+	char *queues_written; /* text of the row */
+	char *queues_text;    /* in the batch in flight, or NULL */
+	int64_t queues_ms;
+	int64_t removed_ms;
+	struct histogram *latency;
+	struct counter *rows;
+	int64_t sent_ms;
+};
+
+struct batch {
+	GArray *writes; /* of struct table_write */
+	GPtrArray *values;
+};
+
+struct progress_writer *
+progress_writer_new(const struct progress_writer_spec *spec)
+{
+	struct progress_writer *w = g_new0(struct progress_writer, 1);
+
+	w->spec = *spec;
+	w->job_ids = g_ptr_array_new_with_free_func(g_free);
+	w->worker_ids = g_ptr_array_new_with_free_func(g_free);
+	w->latency = counters_histogram(spec->counters,
+					"cs_progress_write_latency_seconds",
+					"Time of a write of jobs' progress");
+	w->rows = counters_counter(spec->counters, "cs_progress_rows_total",
+				   "Rows of jobs' progress written");
+	return w;
+}
+
+void progress_writer_reset(struct progress_writer *w)
+{
+	platform_forget(w->spec.platform, w);
+	g_ptr_array_set_size(w->job_ids, 0);
+	g_ptr_array_set_size(w->worker_ids, 0);
+	w->is_writing = FALSE;
+	w->retry_ms = 0;
+	g_clear_pointer(&w->queues_written, g_free);
+	g_clear_pointer(&w->queues_text, g_free);
+}
+
+void progress_writer_free(struct progress_writer *w)
+{
+	if (!w)
+		return;
+	progress_writer_reset(w);
+	g_ptr_array_unref(w->job_ids);
+	g_ptr_array_unref(w->worker_ids);
+	g_free(w);
+}
+
+static void put_value(gpointer value)
+{
+	json_object_put(value);
+}
+
+static void batch_add(struct batch *b, const char *table, const char *key,
+		      int64_t version, json_object *value)
+{
+	struct table_write write = {
+		.table = table,
+		.key = key,
+		.expected_version = version,
+		.value = value,
+	};
+
+	g_array_append_val(b->writes, write);
+	if (value)
+		g_ptr_array_add(b->values, value);
+}
+
+static void add_jobs(struct progress_writer *w, struct batch *b)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	w->has_all = TRUE;
+	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_job *job = item;
+
+		if (!job->is_dirty)
+			continue;
+		if (b->writes->len >= BATCH_ROWS) {
+			w->has_all = FALSE;
+			break;
+		}
+		batch_add(b, JOB_PROGRESS_TABLE, job->id, job->progress_version,
+			  job_progress_encode(job));
+		job->is_dirty = FALSE;
+		job->is_saving = TRUE;
+		g_ptr_array_add(w->job_ids, g_strdup(job->id));
+	}
+}
+
+static void add_workers(struct progress_writer *w, struct batch *b)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_worker *worker = item;
+
+		if (w->has_all)
+			worker->saving_end = worker->processed_end;
+		if (worker->is_recorded || b->writes->len >= BATCH_ROWS)
+			continue;
+		batch_add(b, WORKER_USE_TABLE, worker->id, TABLE_ANY_VERSION,
+			  json_object_new_object());
+		g_ptr_array_add(w->worker_ids, g_strdup(worker->id));
+	}
+}
+
+static json_object *encode_queues(const struct fleet *f)
+{
+	json_object *row = json_object_new_object();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct fleet_job *job = item;
+		json_object *count = NULL;
+		int64_t n = 1;
+
+		if (fleet_job_has_ended(job) || job->has_started)
+			continue;
+		if (json_object_object_get_ex(row, job->route, &count))
+			n += json_object_get_int64(count);
+		json_object_object_add(row, job->route,
+				       json_object_new_int64(n));
+	}
+	return row;
+}
+
+static void add_queues(struct progress_writer *w, struct batch *b,
+		       int64_t now_ms)
+{
+	json_object *row;
+	const char *text;
+
+	if (now_ms - w->queues_ms < QUEUES_MS)
+		return;
+	row = encode_queues(&w->spec.scheduler->fleet);
+	text = json_object_to_json_string(row);
+	if (g_strcmp0(text, w->queues_written) == 0) {
+		json_object_put(row);
+		return;
+	}
+	w->queues_text = g_strdup(text);
+	w->queues_ms = now_ms;
+	batch_add(b, QUEUE_TABLE, QUEUE_KEY, TABLE_ANY_VERSION, row);
+}
+
+/* Removes the rows of jobs whose state may be forgotten. */
+static void add_removals(struct progress_writer *w, struct batch *b,
+			 int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	if (b->writes->len || now_ms - w->removed_ms < REMOVE_EACH_MS)
+		return;
+	w->removed_ms = now_ms;
+	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_job *job = item;
+
+		if (b->writes->len + 3 > BATCH_ROWS)
+			break;
+		if (!fleet_job_has_ended(job) || !job->ended_ms ||
+		    now_ms - job->ended_ms <
+			    w->spec.status_ms + REMOVE_SLACK_MS)
+			continue;
+		job->is_saving = TRUE;
+		g_ptr_array_add(w->job_ids, g_strdup(job->id));
+		batch_add(b, JOB_TABLE, job->id, TABLE_ANY_VERSION, NULL);
+		batch_add(b, JOB_PROGRESS_TABLE, job->id, TABLE_ANY_VERSION,
+			  NULL);
+		batch_add(b, JOB_CANCEL_TABLE, job->id, TABLE_ANY_VERSION,
+			  NULL);
+	}
+}
+
+static void take_written(struct progress_writer *w, int64_t version)
+{
+	struct fleet *f = &w->spec.scheduler->fleet;
+	GHashTableIter iter;
+	gpointer item;
+
+	counter_add(w->rows, w->job_ids->len);
+	for (guint i = 0; i < w->job_ids->len; i++) {
+		struct fleet_job *job = fleet_job(f, w->job_ids->pdata[i]);
+
+		if (!job)
+			continue;
+		job->is_saving = FALSE;
+		job->progress_version = version;
+	}
+	for (guint i = 0; i < w->worker_ids->len; i++) {
+		struct fleet_worker *worker =
+			fleet_worker(f, w->worker_ids->pdata[i]);
+
+		if (worker)
+			worker->is_recorded = TRUE;
+	}
+	if (w->queues_text) {
+		g_free(w->queues_written);
+		w->queues_written = g_steal_pointer(&w->queues_text);
+	}
+	if (!w->has_all)
+		return;
+	g_hash_table_iter_init(&iter, f->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_worker *worker = item;
+
+		worker->saved_end = worker->saving_end;
+	}
+}
+
+/* The batch had no effect, or nobody knows: it is written again. */
+static void take_back(struct progress_writer *w)
+{
+	struct fleet *f = &w->spec.scheduler->fleet;
+
+	g_clear_pointer(&w->queues_text, g_free);
+	for (guint i = 0; i < w->job_ids->len; i++) {
+		struct fleet_job *job = fleet_job(f, w->job_ids->pdata[i]);
+
+		if (!job)
+			continue;
+		job->is_saving = FALSE;
+		job->is_dirty = TRUE;
+	}
+}
+
+/* Another scheduler's rows, or our own whose answer was lost, are there. */
+static void take_conflict(struct progress_writer *w,
+			  const struct platform_result *result)
+{
+	struct fleet *f = &w->spec.scheduler->fleet;
+	struct log_line line;
+
+	for (guint i = 0; i < w->job_ids->len; i++) {
+		struct fleet_job *job = fleet_job(f, w->job_ids->pdata[i]);
+
+		/* A row that is not among the answer's does not exist. */
+		if (job)
+			job->progress_version = TABLE_ABSENT;
+	}
+	for (guint i = 0; i < result->row_count; i++) {
+		const struct table_row *row = &result->rows[i];
+
+		if (row->value && row->version)
+			fleet_scheduler_progress(w->spec.scheduler, row->key,
+						 row->value, row->version);
+	}
+	log_begin(&line, LOG_LEVEL_WARN, "progress_conflict");
+	log_int(&line, "rows", result->row_count);
+	log_end(&line);
+}
+
+static void on_written(const struct platform_result *result, void *data)
+{
+	struct progress_writer *w = data;
+	int64_t now_ms = util_monotonic_ms();
+
+	w->is_writing = FALSE;
+	histogram_record(w->latency, (now_ms - w->sent_ms) * US_PER_MS);
+	switch (result->status) {
+	case STATUS_OK:
+		take_written(w, result->version);
+		break;
+	case STATUS_CONFLICT:
+		take_back(w);
+		take_conflict(w, result);
+		break;
+	default:
+		take_back(w);
+		w->retry_ms = now_ms + RETRY_MS;
+		break;
+	}
+	g_ptr_array_set_size(w->job_ids, 0);
+	g_ptr_array_set_size(w->worker_ids, 0);
+	w->spec.on_written(w->spec.data);
+}
+
+/* Ends whose effects are stored already only need to be acknowledged. */
+static void acknowledge_all(struct progress_writer *w)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_worker *worker = item;
+
+		worker->saved_end = worker->processed_end;
+	}
+}
+
+void progress_writer_write(struct progress_writer *w, int64_t now_ms)
+{
+	struct batch b;
+
+	if (w->is_writing || now_ms < w->retry_ms)
+		return;
+	b.writes = g_array_new(FALSE, TRUE, sizeof(struct table_write));
+	b.values = g_ptr_array_new_with_free_func(put_value);
+	add_jobs(w, &b);
+	add_workers(w, &b);
+	add_queues(w, &b, now_ms);
+	add_removals(w, &b, now_ms);
+	if (b.writes->len) {
+		w->is_writing = TRUE;
+		w->sent_ms = now_ms;
+		platform_commit(w->spec.platform,
+				(const struct table_write *)(void *)
+					b.writes->data,
+				b.writes->len, on_written, w);
+	} else {
+		acknowledge_all(w);
+	}
+	g_array_unref(b.writes);
+	g_ptr_array_unref(b.values);
+}
--- /dev/null
+++ b/entry/worker_calls.c
@@ -0,0 +1,297 @@
+#include "entry/worker_calls.h"
+
+#include <libsoup/soup.h>
+
+#include "base/http_client.h"
+#include "base/log.h"
+#include "base/util.h"
+#include "platform/wire_worker.h"
+
+#define MAX_CALLS 2000
+/* A worker takes 64 connections of all callers; orders come in bursts. */
+#define MAX_CONNECTIONS_PER_WORKER 16
+/* An order is answered at once: several times a round trip between domains. */
+#define ORDER_TIMEOUT_MS 400
+/* Longest time that a worker holds back its lists while nothing ends. */
+#define HOLD_WAIT_MS 1000
+/* The answer of a worker that is alive is there so long after the wait. */
+#define HOLD_TIMEOUT_MS 600
+/* Before a call to a worker that did not answer. */
+#define HOLD_RETRY_MS 250
+#define CODE_MISDIRECTED 421
+
+struct worker_calls {
+	struct worker_calls_spec spec;
+	struct http_client *client;
+	uint32_t generation; /* rises with each reset */
+	struct histogram *start_latency;
+	struct counter *starts;
+	struct counter *stops;
+	struct counter *holds;
+	struct counter *unanswered;
+};
+
+struct order_call {
+	struct worker_calls *calls;
+	uint32_t generation;
+	char *worker;
+	char *task; /* NULL for a renewal */
+	int64_t run;
+	gboolean is_start;
+	int64_t sent_ms;
+};
+
+struct worker_calls *worker_calls_new(const struct worker_calls_spec *spec)
+{
+	struct worker_calls *c = g_new0(struct worker_calls, 1);
+
+	c->spec = *spec;
+	c->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_WORKER);
+	c->start_latency = counters_histogram(
+		spec->counters, "cs_task_start_latency_seconds",
+		"Time of an order to start a task");
+	c->starts = counters_counter(spec->counters, "cs_task_starts_total",
+				     "Orders to start a task");
+	c->stops = counters_counter(spec->counters, "cs_task_stops_total",
+				    "Orders to stop a task");
+	c->holds = counters_counter(spec->counters, "cs_worker_renewals_total",
+				    "Renewals of the leases of a worker");
+	c->unanswered =
+		counters_counter(spec->counters, "cs_worker_unanswered_total",
+				 "Calls to workers without an answer");
+	return c;
+}
+
+void worker_calls_free(struct worker_calls *c)
+{
+	if (!c)
+		return;
+	http_client_free(c->client);
+	g_free(c);
+}
+
+void worker_calls_reset(struct worker_calls *c)
+{
+	c->generation++;
+}
+
+static void order_call_free(struct order_call *o)
+{
+	g_free(o->worker);
+	g_free(o->task);
+	g_free(o);
+}
+
+static struct order_call *order_call_new(struct worker_calls *c,
+					 const struct fleet_worker *w,
+					 const char *task, int64_t run)
+{
+	struct order_call *o = g_new0(struct order_call, 1);
+
+	o->calls = c;
+	o->generation = c->generation;
+	o->worker = g_strdup(w->id);
+	o->task = g_strdup(task);
+	o->run = run;
+	o->sent_ms = util_monotonic_ms();
+	return o;
+}
+
+static void send_call(struct worker_calls *c, const struct fleet_worker *w,
+		      const char *path, json_object *body, int64_t timeout_ms,
+		      int64_t silent_ms, http_reply_fn fn,
+		      struct order_call *o)
+{
+	const char *const headers[] = { WIRE_HEADER_INCARNATION, w->id, NULL };
+	struct http_call_spec spec = {
+		.method = "POST",
+		.address = w->reg.address,
+		.path = path,
+		.body = body,
+		.timeout_ms = timeout_ms,
+		.may_reuse = TRUE, /* each of them has its effect once */
+		.silent_ms = silent_ms,
+		.headers = headers,
+		.on_reply = fn,
+		.data = o,
+	};
+
+	http_client_send(c->client, &spec);
+	json_object_put(body);
+}
+
+static enum order_outcome outcome_of(const struct http_reply *reply)
+{
+	if (reply->status == STATUS_UNAVAILABLE)
+		return ORDER_REFUSED;
+	if (reply->status != STATUS_OK)
+		return ORDER_NO_ANSWER;
+	return reply->code == SOUP_STATUS_OK ? ORDER_DONE : ORDER_REFUSED;
+}
+
+static gboolean is_fenced(const struct http_reply *reply)
+{
+	return reply->status == STATUS_OK &&
+	       reply->code == SOUP_STATUS_CONFLICT &&
+	       wire_worker_refusal(reply->body) == REFUSAL_EPOCH;
+}
+
+static void on_order_reply(const struct http_reply *reply, void *data)
+{
+	struct order_call *o = data;
+	struct worker_calls *c = o->calls;
+	int64_t now_ms = util_monotonic_ms();
+	enum order_outcome outcome = outcome_of(reply);
+	enum order_refusal refusal = REFUSAL_OTHER;
+
+	if (o->generation != c->generation)
+		goto out;
+	if (is_fenced(reply)) {
+		c->spec.on_fenced(c->spec.data);
+		goto out;
+	}
+	if (outcome == ORDER_NO_ANSWER)
+		counter_add(c->unanswered, 1);
+	if (outcome == ORDER_REFUSED && reply->body)
+		refusal = wire_worker_refusal(reply->body);
+	if (o->is_start) {
+		histogram_record(c->start_latency,
+				 (now_ms - o->sent_ms) * US_PER_MS);
+		fleet_scheduler_started(c->spec.scheduler, o->worker, o->task,
+					o->run, outcome, refusal, now_ms);
+	} else {
+		fleet_scheduler_stopped(c->spec.scheduler, o->worker, o->task,
+					o->run, outcome, now_ms);
+	}
+	c->spec.on_news(c->spec.data);
+out:
+	order_call_free(o);
+}
+
+void worker_calls_start(struct worker_calls *c, struct fleet_worker *w,
+			const struct start_order *order)
+{
+	struct order_call *o = order_call_new(c, w, order->task, order->run);
+
+	o->is_start = TRUE;
+	counter_add(c->starts, 1);
+	send_call(c, w, WIRE_PATH_START, wire_worker_start(order),
+		  ORDER_TIMEOUT_MS, 0, on_order_reply, o);
+}
+
+void worker_calls_stop(struct worker_calls *c, struct fleet_worker *w,
+		       const char *task, int64_t run)
+{
+	struct order_call *o = order_call_new(c, w, task, run);
+
+	counter_add(c->stops, 1);
+	send_call(c, w, WIRE_PATH_STOP,
+		  wire_worker_stop(task, run, c->spec.scheduler->epoch),
+		  ORDER_TIMEOUT_MS, 0, on_order_reply, o);
+}
+
+static void take_report(struct worker_calls *c, struct fleet_worker *w,
+			const struct http_reply *reply,
+			const struct order_call *o, int64_t now_ms)
+{
+	struct run_report report = { 0 };
+	struct log_line line;
+
+	if (wire_worker_report(reply->body, &report)) {
+		fleet_scheduler_report(c->spec.scheduler, w, &report,
+				       o->sent_ms, now_ms);
+		w->next_hold_ms = now_ms;
+	} else {
+		log_begin(&line, LOG_LEVEL_ERROR, "worker_report_unreadable");
+		log_str(&line, "worker", w->id);
+		log_end(&line);
+		w->next_hold_ms = now_ms + HOLD_RETRY_MS;
+	}
+	run_report_clear(&report);
+}
+
+static void note_failure(struct fleet_worker *w, const struct http_reply *reply,
+			 int64_t now_ms)
+{
+	struct log_line line;
+
+	w->next_hold_ms = now_ms + HOLD_RETRY_MS;
+	log_begin(&line, LOG_LEVEL_DEBUG, "worker_renewal_failed");
+	log_str(&line, "worker", w->id);
+	log_int(&line, "code", reply->code);
+	log_end(&line);
+}
+
+static void on_hold_reply(const struct http_reply *reply, void *data)
+{
+	struct order_call *o = data;
+	struct worker_calls *c = o->calls;
+	int64_t now_ms = util_monotonic_ms();
+	struct fleet_worker *w;
+
+	if (o->generation != c->generation)
+		goto out;
+	if (is_fenced(reply)) {
+		c->spec.on_fenced(c->spec.data);
+		goto out;
+	}
+	w = fleet_worker(&c->spec.scheduler->fleet, o->worker);
+	if (!w)
+		goto out;
+	w->is_holding = FALSE;
+	if (reply->status == STATUS_OK && reply->code == SOUP_STATUS_OK) {
+		take_report(c, w, reply, o, now_ms);
+	} else {
+		if (reply->status != STATUS_OK)
+			counter_add(c->unanswered, 1);
+		note_failure(w, reply, now_ms);
+	}
+	c->spec.on_news(c->spec.data);
+out:
+	order_call_free(o);
+}
+
+static void hold(struct worker_calls *c, struct fleet_worker *w, int64_t now_ms)
+{
+	struct hold_order order = {
+		.epoch = c->spec.scheduler->epoch,
+		.acked_end = w->saved_end,
+	};
+
+	if (w->has_clock)
+		order.lease_end_ms = fleet_scheduler_lease_end(
+			c->spec.scheduler, w, now_ms);
+	/* While ends wait to be stored the answer would come at once. */
+	if (w->has_clock && !w->hold_again &&
+	    w->saved_end == w->processed_end)
+		order.wait_ms = HOLD_WAIT_MS;
+	w->is_holding = TRUE;
+	w->hold_again = FALSE;
+	counter_add(c->holds, 1);
+	send_call(c, w, WIRE_PATH_HOLD, wire_worker_hold(&order),
+		  order.wait_ms + HOLD_TIMEOUT_MS,
+		  order.wait_ms + HOLD_TIMEOUT_MS, on_hold_reply,
+		  order_call_new(c, w, NULL, 0));
+}
+
+static gboolean is_due(const struct fleet_worker *w, int64_t now_ms)
+{
+	if (w->is_holding || !w->reg.address || now_ms < w->next_hold_ms)
+		return FALSE;
+	if (w->is_gone && !w->tasks->len)
+		return FALSE;
+	return w->hold_again || w->saved_end == w->processed_end ||
+	       now_ms >= w->next_hold_ms + HOLD_RETRY_MS;
+}
+
+void worker_calls_hold_due(struct worker_calls *c, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, c->spec.scheduler->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		if (is_due(item, now_ms))
+			hold(c, item, now_ms);
+	}
+}
--- a/job/guarantee_check.h
+++ b/job/guarantee_check.h
@@ -13,7 +13,7 @@
 #include "base/finding.h"
 #include "config/config_doc.h"
 #include "job/pool.h"
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 
 /**
  * Checks the guarantees of one pool on empty workers.
--- a/request/claim.h
+++ b/request/claim.h
@@ -19,7 +19,7 @@
 
 #include "base/schema.h"
 #include "base/status.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "request/request.h"
 
 #define CLAIM_TABLE "claims"
--- /dev/null
+++ b/sched/job_progress.c
@@ -0,0 +1,260 @@
+#include "sched/job_progress.h"
+
+static json_object *member(json_object *object, const char *name)
+{
+	json_object *value = NULL;
+
+	if (json_object_is_type(object, json_type_object))
+		json_object_object_get_ex(object, name, &value);
+	return value;
+}
+
+static int64_t int_member(json_object *object, const char *name)
+{
+	return json_object_get_int64(member(object, name));
+}
+
+static void add_int(json_object *object, const char *name, int64_t value)
+{
+	json_object_object_add(object, name, json_object_new_int64(value));
+}
+
+json_object *job_row_encode(const char *route, const char *account,
+			    const struct job_spec *spec,
+			    int64_t accepted_store_ms)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "route", json_object_new_string(route));
+	if (account)
+		json_object_object_add(row, "account",
+				       json_object_new_string(account));
+	add_int(row, "accepted_ms", accepted_store_ms);
+	json_object_object_add(row, "spec",
+			       schema_encode(&job_spec_schema, spec));
+	return row;
+}
+
+struct fleet_job *job_row_take(struct fleet *f, const char *id,
+			       json_object *row, int64_t *accepted_store_ms)
+{
+	const char *route = json_object_get_string(member(row, "route"));
+	const char *account = json_object_get_string(member(row, "account"));
+	struct job_spec spec = { 0 };
+	struct finding_list findings;
+	struct fleet_job *job = NULL;
+
+	finding_list_init(&findings);
+	if (route && schema_decode_open(&job_spec_schema, member(row, "spec"),
+					&spec, "", &findings)) {
+		job = fleet_add_job(f, id, route, account, &spec);
+		*accepted_store_ms = int_member(row, "accepted_ms");
+	}
+	finding_list_clear(&findings);
+	job_spec_clear(&spec);
+	return job;
+}
+
+/* Numbers of the tasks for which a condition holds; TRUE for all. */
+static json_object *encode_done(const struct fleet_step *step)
+{
+	json_object *list;
+
+	if (step->done_count == step->task_count)
+		return json_object_new_boolean(TRUE);
+	list = json_object_new_array();
+	for (guint i = 0; i < step->task_count; i++) {
+		if (step->tasks[i].state == TASK_DONE)
+			json_object_array_add(list, json_object_new_int64(i));
+	}
+	return list;
+}
+
+/* A task's number, its failures and the last run that failed. */
+static json_object *encode_failures(const struct fleet_step *step)
+{
+	json_object *map = json_object_new_array();
+
+	for (guint i = 0; i < step->task_count; i++) {
+		json_object *pair;
+
+		if (!step->tasks[i].failures)
+			continue;
+		pair = json_object_new_array();
+		json_object_array_add(pair, json_object_new_int64(i));
+		json_object_array_add(
+			pair, json_object_new_int64(step->tasks[i].failures));
+		json_object_array_add(
+			pair, json_object_new_int64(step->tasks[i].failed_run));
+		json_object_array_add(map, pair);
+	}
+	return map;
+}
+
+static json_object *encode_checkpoints(const struct fleet_step *step)
+{
+	json_object *map = json_object_new_array();
+
+	for (guint i = 0; i < step->task_count; i++) {
+		const struct fleet_task *t = &step->tasks[i];
+		json_object *pair;
+
+		if (!t->checkpoint || t->state == TASK_DONE)
+			continue;
+		pair = json_object_new_array();
+		json_object_array_add(pair, json_object_new_int64(i));
+		json_object_array_add(pair,
+				      json_object_new_string(t->checkpoint));
+		json_object_array_add(map, pair);
+	}
+	return map;
+}
+
+static json_object *encode_step(const struct fleet_step *step)
+{
+	json_object *json = json_object_new_object();
+
+	add_int(json, "occurrence", step->occurrence);
+	add_int(json, "step", step->index);
+	json_object_object_add(json, "done", encode_done(step));
+	json_object_object_add(json, "failures", encode_failures(step));
+	json_object_object_add(json, "checkpoints", encode_checkpoints(step));
+	add_int(json, "gang_failures", step->gang_failures);
+	add_int(json, "gang_failed_run", step->gang_failed_run);
+	return json;
+}
+
+static gboolean has_news(const struct fleet_step *step)
+{
+	if (step->done_count || step->gang_failures)
+		return TRUE;
+	for (guint i = 0; i < step->task_count; i++) {
+		if (step->tasks[i].failures || step->tasks[i].checkpoint)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+json_object *job_progress_encode(const struct fleet_job *job)
+{
+	json_object *row = json_object_new_object();
+	json_object *steps = json_object_new_array();
+	enum fleet_job_state state = job->state;
+
+	json_object_object_add(row, "state",
+			       json_object_new_string(fleet_job_state_name(state)));
+	for (guint i = 0; i < job->steps->len; i++) {
+		const struct fleet_step *step = job->steps->pdata[i];
+
+		if (!fleet_job_has_ended(job) && has_news(step))
+			json_object_array_add(steps, encode_step(step));
+	}
+	json_object_object_add(row, "steps", steps);
+	return row;
+}
+
+enum fleet_job_state job_progress_state(json_object *row)
+{
+	return fleet_job_state_of(json_object_get_string(member(row, "state")));
+}
+
+static gboolean row_has_done(json_object *done, guint index)
+{
+	if (json_object_is_type(done, json_type_boolean))
+		return json_object_get_boolean(done);
+	if (!json_object_is_type(done, json_type_array))
+		return FALSE;
+	for (size_t i = 0; i < json_object_array_length(done); i++) {
+		if (json_object_get_int64(json_object_array_get_idx(done, i)) ==
+		    index)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Returns an item of the list that starts with a number, or NULL. */
+static json_object *list_value(json_object *pairs, guint index, guint item)
+{
+	if (!json_object_is_type(pairs, json_type_array))
+		return NULL;
+	for (size_t i = 0; i < json_object_array_length(pairs); i++) {
+		json_object *pair = json_object_array_get_idx(pairs, i);
+
+		if (json_object_is_type(pair, json_type_array) &&
+		    json_object_array_length(pair) > item &&
+		    json_object_get_int64(json_object_array_get_idx(pair, 0)) ==
+			    index)
+			return json_object_array_get_idx(pair, item);
+	}
+	return NULL;
+}
+
+static gboolean merge_task(struct fleet_task *t, json_object *json)
+{
+	json_object *failures = member(json, "failures");
+	json_object *checkpoint =
+		list_value(member(json, "checkpoints"), t->index, 1);
+	guint known =
+		(guint)json_object_get_int64(list_value(failures, t->index, 1));
+	gboolean is_done = row_has_done(member(json, "done"), t->index);
+	gboolean has_more = t->failures > known ||
+			    (t->state == TASK_DONE && !is_done);
+
+	if (known > t->failures) {
+		t->failures = known;
+		t->failed_run = json_object_get_int64(
+			list_value(failures, t->index, 2));
+	}
+	if (checkpoint && !t->checkpoint)
+		t->checkpoint = g_strdup(json_object_get_string(checkpoint));
+	if (is_done && t->state != TASK_DONE) {
+		t->step->done_count++;
+		t->state = TASK_DONE;
+	}
+	return has_more;
+}
+
+static gboolean merge_step(struct fleet_step *step, json_object *json)
+{
+	guint known = (guint)int_member(json, "gang_failures");
+	gboolean has_more = step->gang_failures > known;
+
+	if (known > step->gang_failures) {
+		step->gang_failures = known;
+		step->gang_failed_run = int_member(json, "gang_failed_run");
+	}
+	for (guint i = 0; i < step->task_count; i++)
+		has_more |= merge_task(&step->tasks[i], json);
+	return has_more;
+}
+
+gboolean job_progress_merge(struct fleet_job *job, json_object *row)
+{
+	json_object *steps = member(row, "steps");
+	enum fleet_job_state state = job_progress_state(row);
+	gboolean has_more = FALSE;
+
+	if (state != FLEET_JOB_STATE_COUNT && state > job->state &&
+	    !fleet_job_has_ended(job))
+		job->state = state;
+	if (state != FLEET_JOB_STATE_COUNT && state != FLEET_JOB_QUEUED)
+		job->has_started = TRUE;
+	if (fleet_job_has_ended(job))
+		return state != job->state;
+	for (size_t i = 0; json_object_is_type(steps, json_type_array) &&
+			   i < json_object_array_length(steps);
+	     i++) {
+		json_object *json = json_object_array_get_idx(steps, i);
+		struct fleet_step *step;
+		guint occurrence = (guint)int_member(json, "occurrence");
+
+		while (job->occurrences <= occurrence &&
+		       job->occurrences < job_spec_occurrences(&job->spec))
+			fleet_job_add_occurrence(job);
+		step = fleet_job_step(job, occurrence,
+				      (guint)int_member(json, "step"));
+		if (step)
+			has_more |= merge_step(step, json);
+	}
+	return has_more;
+}
--- /dev/null
+++ b/sched/leadership.c
@@ -0,0 +1,140 @@
+#include "sched/leadership.h"
+
+/* A holder renews this often: a third of the time to a takeover. */
+#define RENEW_MS 500
+/* Silence after which the holder is taken for dead: a successor acts within
+ * two seconds of a kill. */
+#define SUSPECT_MS 1300
+/* A holder acts this long after its last confirmed renewal: outages of the
+ * store of up to about 4 s don't stop the work. */
+#define ACT_MS 4000
+
+void leadership_init(struct leadership *l, const char *self, int64_t jitter_ms)
+{
+	*l = (struct leadership){
+		.self = g_strdup(self),
+		.jitter_ms = jitter_ms,
+	};
+}
+
+void leadership_clear(struct leadership *l)
+{
+	g_free(l->self);
+	g_free(l->holder);
+}
+
+static json_object *member(json_object *object, const char *name)
+{
+	json_object *value = NULL;
+
+	if (json_object_is_type(object, json_type_object))
+		json_object_object_get_ex(object, name, &value);
+	return value;
+}
+
+void leadership_row(struct leadership *l, json_object *row, int64_t version,
+		    int64_t now_ms)
+{
+	const char *holder = json_object_get_string(member(row, "holder"));
+
+	if (l->is_known && version <= l->version && version)
+		return;
+	l->is_known = TRUE;
+	l->version = version;
+	l->changed_ms = now_ms;
+	l->epoch = MAX(l->epoch, json_object_get_int64(member(row, "epoch")));
+	g_free(l->holder);
+	l->holder = g_strdup(holder);
+	if (!holder || !holder[0])
+		l->was_released = TRUE;
+	else if (g_strcmp0(holder, l->self) != 0)
+		l->was_released = FALSE;
+	if (l->is_holder && g_strcmp0(holder, l->self) != 0)
+		l->is_holder = FALSE;
+}
+
+void leadership_no_contact(struct leadership *l, int64_t now_ms)
+{
+	l->changed_ms = now_ms;
+}
+
+static gboolean is_vacant(const struct leadership *l)
+{
+	/* A row of this very process whose write was answered too late. */
+	return !l->holder || !l->holder[0] ||
+	       g_str_equal(l->holder, l->self);
+}
+
+enum leadership_step leadership_next(const struct leadership *l, int64_t now_ms)
+{
+	if (!l->is_known || l->is_barred || l->sent_ms)
+		return LEADERSHIP_NONE;
+	if (l->is_holder)
+		return now_ms - l->renewed_ms >= RENEW_MS ? LEADERSHIP_RENEW
+							  : LEADERSHIP_NONE;
+	if (is_vacant(l))
+		return now_ms - l->changed_ms >= l->jitter_ms
+			       ? LEADERSHIP_ACQUIRE
+			       : LEADERSHIP_NONE;
+	return now_ms - l->changed_ms >= SUSPECT_MS + l->jitter_ms
+		       ? LEADERSHIP_ACQUIRE
+		       : LEADERSHIP_NONE;
+}
+
+static json_object *encode(const char *holder, int64_t epoch)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "holder", json_object_new_string(holder));
+	json_object_object_add(row, "epoch", json_object_new_int64(epoch));
+	return row;
+}
+
+json_object *leadership_encode(const struct leadership *l,
+			       enum leadership_step step)
+{
+	return encode(l->self,
+		      step == LEADERSHIP_ACQUIRE ? l->epoch + 1 : l->epoch);
+}
+
+json_object *leadership_encode_release(const struct leadership *l)
+{
+	return encode("", l->epoch);
+}
+
+void leadership_sent(struct leadership *l, int64_t now_ms)
+{
+	l->sent_ms = now_ms;
+}
+
+gboolean leadership_written(struct leadership *l, enum leadership_step step,
+			    int64_t version, int64_t now_ms)
+{
+	gboolean is_new = step == LEADERSHIP_ACQUIRE;
+
+	if (is_new)
+		l->epoch++;
+	l->is_holder = TRUE;
+	l->renewed_ms = l->sent_ms;
+	l->sent_ms = 0;
+	l->version = version;
+	l->changed_ms = now_ms;
+	g_free(l->holder);
+	l->holder = g_strdup(l->self);
+	return is_new;
+}
+
+void leadership_failed(struct leadership *l)
+{
+	l->sent_ms = 0;
+}
+
+gboolean leadership_may_act(const struct leadership *l, int64_t now_ms)
+{
+	return l->is_holder && now_ms - l->renewed_ms < ACT_MS;
+}
+
+int64_t leadership_rival_ms(const struct leadership *l)
+{
+	return l->was_released || l->epoch <= 1 ? 0 : ACT_MS;
+}
--- a/shared/lease_protocol.c
+++ b/shared/lease_protocol.c
@@ -1,7 +1,7 @@
 #include "shared/lease_protocol.h"
 
 #include "base/wake_plan.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #define RETRY_MS INT64_C(250)
 #define MAX_FAILED_RELEASES 8
--- a/shared/pool_lease_service.c
+++ b/shared/pool_lease_service.c
@@ -8,7 +8,7 @@
 #include "config/config_service.h"
 #include "daemon/platform_service.h"
 #include "daemon/settings_service.h"
-#include "platform/table_row.h"
+#include "store/table_row.h"
 #include "shared/lease_protocol.h"
 #include "shared/membership_service.h"
 #include "shared/pool_share.h"
--- a/shared/vm_list.h
+++ b/shared/vm_list.h
@@ -5,7 +5,7 @@
 #ifndef SHARED_VM_LIST_H
 #define SHARED_VM_LIST_H
 
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 #include "shared/member_table.h"
 
 /**
--- a/platform/breaker.c
+++ b/store/breaker.c
@@ -1,4 +1,4 @@
-#include "platform/breaker.h"
+#include "store/breaker.h"
 
 #define SHARE_FULL 1.0
 #define SLOW_FACTOR 2
--- a/platform/breaker.h
+++ b/store/breaker.h
@@ -4,8 +4,8 @@
  * the permitted share of the budget starts low and grows while calls succeed.
  * Pure: no clock, no sockets.
  */
-#ifndef PLATFORM_BREAKER_H
-#define PLATFORM_BREAKER_H
+#ifndef STORE_BREAKER_H
+#define STORE_BREAKER_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/platform/call_sender.c
+++ b/store/call_sender.c
@@ -1,4 +1,4 @@
-#include "platform/call_sender.h"
+#include "store/call_sender.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -6,9 +6,9 @@
 #include "base/http_client.h"
 #include "base/log.h"
 #include "base/util.h"
-#include "platform/platform_answer.h"
-#include "platform/platform_counters.h"
-#include "platform/store_gate.h"
+#include "store/platform_answer.h"
+#include "store/platform_counters.h"
+#include "store/store_gate.h"
 
 #define MAX_CONNECTIONS 16
 #define MAX_CALLS_IN_FLIGHT 1000
@@ -53,6 +53,7 @@
 static gboolean is_failure(const struct http_reply *reply)
 {
 	return reply->status != STATUS_OK ||
+	       reply->code == HTTP_TOO_MANY_REQUESTS ||
 	       reply->code >= SOUP_STATUS_INTERNAL_SERVER_ERROR;
 }
 
@@ -63,7 +64,10 @@
 	int64_t now_us = g_get_monotonic_time();
 	int64_t latency_us = now_us - call->sent_us;
 
-	histogram_record(s->counters.latency, latency_us);
+	if (call->wait_ms)
+		latency_us = 0; /* it was held back on purpose */
+	else
+		histogram_record(s->counters.latency, latency_us);
 	if (is_failure(reply))
 		store_gate_failure(&s->gate, call->generation,
 				   now_us / US_PER_MS);
@@ -95,7 +99,7 @@
 	count_traffic(s);
 	pump(s);
 	call->body_bytes = reply->text ? (int64_t)strlen(reply->text) : 0;
-	if (platform_answer_take(call, reply))
+	if (call->take_reply(call, reply))
 		goto out;
 	result.status = platform_answer_failure(call, reply);
 	counter_add(result.status == STATUS_UNKNOWN ? s->counters.unknown
@@ -120,6 +124,7 @@
 		.body = call->body,
 		.headers = headers,
 		.wants_bytes = call->take_answer == platform_answer_vm_list,
+		.may_reuse = call->may_reuse,
 		.on_reply = on_reply,
 		.data = call,
 	};
@@ -127,7 +132,7 @@
 	call->sent_us = g_get_monotonic_time();
 	call->generation = store_gate_generation(&s->gate);
 	http.timeout_ms =
-		s->timeout_ms - (call->sent_us - call->made_us) / US_PER_MS;
+		s->timeout_ms + call->wait_ms - (call->sent_us - call->made_us) / US_PER_MS;
 	counter_add(call->kind == STORE_CALL_WRITE ? s->counters.writes
 						   : s->counters.reads,
 		    1);
@@ -243,7 +248,9 @@
 	s->timeout_ms = spec->timeout_ms;
 	s->calls = g_hash_table_new_full(NULL, NULL, free_call, NULL);
 	s->rng = g_rand_new();
-	store_gate_init(&s->gate, s->rng, util_monotonic_ms());
+	store_gate_init(&s->gate,
+			spec->gate ? spec->gate : &store_gate_config_default,
+			s->rng, util_monotonic_ms());
 	platform_counters_init(&s->counters, spec->counters);
 	return s;
 }
--- a/platform/call_sender.h
+++ b/store/call_sender.h
@@ -3,11 +3,11 @@
  * Sends calls to the platform when the gate lets them pass, most urgent first,
  * and refuses those that would wait too long.
  */
-#ifndef PLATFORM_CALL_SENDER_H
-#define PLATFORM_CALL_SENDER_H
+#ifndef STORE_CALL_SENDER_H
+#define STORE_CALL_SENDER_H
 
-#include "platform/platform.h"
-#include "platform/platform_call.h"
+#include "store/platform.h"
+#include "store/platform_call.h"
 
 struct call_sender;
 
--- a/platform/http_platform.c
+++ b/store/http_platform.c
@@ -1,9 +1,9 @@
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 #include "base/util.h"
-#include "platform/call_sender.h"
-#include "platform/platform_answer.h"
-#include "platform/store_budget.h"
+#include "store/call_sender.h"
+#include "store/platform_answer.h"
+#include "store/store_budget.h"
 
 struct http_platform {
 	struct platform base;
--- a/platform/platform.c
+++ b/store/platform.c
@@ -1,6 +1,7 @@
-#include "platform/platform.h"
+#include "store/platform.h"
 
-#include "platform/http_platform.h"
+#include "platform/steppe_store.h"
+#include "store/http_platform.h"
 
 typedef struct platform *(*platform_new_fn)(const struct platform_spec *spec);
 
@@ -10,6 +11,7 @@
 	platform_new_fn create;
 } kinds[] = {
 	{ "http", http_platform_new },
+	{ "steppe", steppe_store_new },
 };
 
 struct platform *platform_new(const struct platform_spec *spec)
@@ -63,6 +65,18 @@
 	p->class->vm_list(p, query, fn, data);
 }
 
+void platform_page(struct platform *p, const struct table_page_query *query,
+		   platform_fn fn, void *data)
+{
+	p->class->page(p, query, fn, data);
+}
+
+void platform_watch(struct platform *p, const struct table_watch_query *query,
+		    platform_fn fn, void *data)
+{
+	p->class->watch(p, query, fn, data);
+}
+
 void platform_forget(struct platform *p, const void *data)
 {
 	p->class->forget(p, data);
--- a/platform/platform.h
+++ b/store/platform.h
@@ -4,8 +4,8 @@
  * object store and a lagging list of VMs. Kinds of platform are subclasses;
  * platform_new() chooses one from a table.
  */
-#ifndef PLATFORM_PLATFORM_H
-#define PLATFORM_PLATFORM_H
+#ifndef STORE_PLATFORM_H
+#define STORE_PLATFORM_H
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -16,11 +16,14 @@
 
 /** Expected version of a row that must not exist. */
 #define TABLE_ABSENT INT64_C(0)
+/** The row is written whatever its version is (kind "steppe"). */
+#define TABLE_ANY_VERSION INT64_C(-1)
 
 struct table_row {
 	const char *key;
 	int64_t version;    /**< rises with each write, never used again */
 	json_object *value; /**< not owned */
+	gboolean is_deleted; /**< of a watch: the row is gone */
 };
 
 struct table_write {
@@ -28,6 +31,7 @@
 	const char *key;
 	int64_t expected_version; /**< TABLE_ABSENT or that of the last read */
 	json_object *value;	  /**< NULL deletes the row; not taken over */
+	gboolean is_condition;	  /**< the row is compared, not written */
 };
 
 struct platform_result {
@@ -45,6 +49,10 @@
 	gboolean is_unchanged; /**< the VM list is that of the query's ETag */
 	const char *conflict_key; /**< of the row that conflicted */
 	int64_t body_bytes;	  /**< of the answer, 0 without one */
+	int64_t version;	  /**< newest of the table service, or 0 */
+	int64_t store_ms;	  /**< steady clock of the service, or 0 */
+	gboolean has_more;	  /**< a page ends before the range does */
+	gboolean is_history_gone; /**< a watch has to scan the table anew */
 };
 
 typedef void (*platform_fn)(const struct platform_result *result, void *data);
@@ -57,6 +65,21 @@
 	const char *etag;	    /**< of the list that is held, or NULL */
 };
 
+/** One page of a table, ordered by key. */
+struct table_page_query {
+	const char *table;
+	const char *from_key; /**< first one, "" for the start */
+	const char *to_key;   /**< excluded, "" for no end */
+	guint max_rows;
+};
+
+/** Changes of a table after a version; answered when there are any. */
+struct table_watch_query {
+	const char *table;
+	int64_t after_version;
+	int64_t wait_ms; /**< until an answer without changes */
+};
+
 struct platform_class {
 	const char *name;
 	void (*read)(struct platform *p, const char *table, const char *key,
@@ -71,6 +94,12 @@
 			   json_object *object, platform_fn fn, void *data);
 	void (*vm_list)(struct platform *p, const struct vm_list_query *query,
 			platform_fn fn, void *data);
+	/** NULL where the platform reads whole tables only. */
+	void (*page)(struct platform *p, const struct table_page_query *query,
+		     platform_fn fn, void *data);
+	/** NULL where the platform has no feed of changes. */
+	void (*watch)(struct platform *p, const struct table_watch_query *query,
+		      platform_fn fn, void *data);
 	/** Drops all callbacks of calls in flight that have this data. */
 	void (*forget)(struct platform *p, const void *data);
 	void (*free)(struct platform *p);
@@ -81,12 +110,16 @@
 	const struct platform_class *class;
 };
 
+struct store_gate_config;
+
 struct platform_spec {
-	const char *kind;	    /**< "http" */
+	const char *kind;	    /**< "http" or "steppe" */
 	const char *address;	    /**< "IP:PORT" */
 	const char *failure_domain; /**< of the caller */
 	int64_t timeout_ms;
 	struct counters *counters;
+	/** Limits of this process; NULL for those of a shared platform. */
+	const struct store_gate_config *gate;
 };
 
 /** Returns a new platform of a kind, or NULL with the last message set. */
@@ -118,6 +151,14 @@
 void platform_vm_list(struct platform *p, const struct vm_list_query *query,
 		      platform_fn fn, void *data);
 
+/** Reads a page; the platform must offer it. */
+void platform_page(struct platform *p, const struct table_page_query *query,
+		   platform_fn fn, void *data);
+
+/** Waits for changes; the platform must offer it. */
+void platform_watch(struct platform *p, const struct table_watch_query *query,
+		    platform_fn fn, void *data);
+
 /** Drops the callbacks of all calls in flight that have this data. */
 void platform_forget(struct platform *p, const void *data);
 
--- a/platform/platform_answer.c
+++ b/store/platform_answer.c
@@ -1,4 +1,4 @@
-#include "platform/platform_answer.h"
+#include "store/platform_answer.h"
 
 #include <libsoup/soup.h>
 
@@ -93,7 +93,11 @@
 {
 	struct row_body body = { 0 };
 	gboolean is_good = decode(&row_schema, reply->body, &body);
-	struct table_row row = { body.key, body.version, body.value };
+	struct table_row row = {
+		.key = body.key,
+		.version = body.version,
+		.value = body.value,
+	};
 	struct platform_result result = {
 		.status = STATUS_OK,
 		.rows = &row,
--- a/platform/platform_answer.h
+++ b/store/platform_answer.h
@@ -2,14 +2,14 @@
  * @file
  * Takes the platform's answers apart and tells each call its outcome.
  */
-#ifndef PLATFORM_PLATFORM_ANSWER_H
-#define PLATFORM_PLATFORM_ANSWER_H
+#ifndef STORE_PLATFORM_ANSWER_H
+#define STORE_PLATFORM_ANSWER_H
 
 #include <glib.h>
 
 #include "base/http_client.h"
 #include "base/status.h"
-#include "platform/platform_call.h"
+#include "store/platform_call.h"
 
 /* The answers of successful calls; each is a platform_answer_fn. */
 
--- a/platform/platform_call.c
+++ b/store/platform_call.c
@@ -1,4 +1,6 @@
-#include "platform/platform_call.h"
+#include "store/platform_call.h"
+
+#include "store/platform_answer.h"
 
 struct platform_call *platform_call_new(struct call_sender *sender,
 					const struct platform_call_spec *spec,
@@ -16,6 +18,10 @@
 	call->write_count = spec->write_count;
 	call->made_us = now_us;
 	call->take_answer = spec->take_answer;
+	call->take_reply = spec->take_reply ? spec->take_reply
+					    : platform_answer_take;
+	call->may_reuse = spec->may_reuse;
+	call->wait_ms = spec->wait_ms;
 	call->fn = spec->fn;
 	call->data = spec->data;
 	return call;
--- a/platform/platform_call.h
+++ b/store/platform_call.h
@@ -3,16 +3,16 @@
  * One call to the platform over HTTP: what to send, how to take its answer
  * apart and whom to tell.
  */
-#ifndef PLATFORM_PLATFORM_CALL_H
-#define PLATFORM_PLATFORM_CALL_H
+#ifndef STORE_PLATFORM_CALL_H
+#define STORE_PLATFORM_CALL_H
 
 #include <glib.h>
 #include <json-c/json.h>
 #include <stdint.h>
 
 #include "base/http_client.h"
-#include "platform/platform.h"
-#include "platform/store_gate.h"
+#include "store/platform.h"
+#include "store/store_gate.h"
 
 struct call_sender;
 struct platform_call;
@@ -32,6 +32,10 @@
 	enum store_call kind;
 	enum store_priority priority;
 	guint write_count; /**< rows that the answer must have, 0 for any */
+	/** Takes any whole reply; NULL for platform_answer_take(). */
+	platform_answer_fn take_reply;
+	gboolean may_reuse; /**< of struct http_call_spec */
+	int64_t wait_ms; /**< that the answer may be held back, 0 for none */
 };
 
 struct platform_call {
@@ -49,6 +53,9 @@
 	int64_t body_bytes; /**< of the answer */
 	guint refusal;	    /**< source that refuses it */
 	platform_answer_fn take_answer;
+	platform_answer_fn take_reply;
+	gboolean may_reuse;
+	int64_t wait_ms;
 	platform_fn fn;
 	void *data;
 };
--- a/platform/platform_counters.c
+++ b/store/platform_counters.c
@@ -1,4 +1,4 @@
-#include "platform/platform_counters.h"
+#include "store/platform_counters.h"
 
 void platform_counters_init(struct platform_counters *p, struct counters *c)
 {
--- a/platform/platform_counters.h
+++ b/store/platform_counters.h
@@ -2,8 +2,8 @@
  * @file
  * What the platform's client counts of its calls.
  */
-#ifndef PLATFORM_PLATFORM_COUNTERS_H
-#define PLATFORM_PLATFORM_COUNTERS_H
+#ifndef STORE_PLATFORM_COUNTERS_H
+#define STORE_PLATFORM_COUNTERS_H
 
 #include "base/counters.h"
 
--- a/platform/store_budget.c
+++ b/store/store_budget.c
@@ -1,4 +1,4 @@
-#include "platform/store_budget.h"
+#include "store/store_budget.h"
 
 #include "base/util.h"
 
--- a/platform/store_budget.h
+++ b/store/store_budget.h
@@ -3,8 +3,8 @@
  * The platform's reads or writes that one process may send: a token bucket in
  * which the last tokens are kept for calls of first priority. Pure: no clock.
  */
-#ifndef PLATFORM_STORE_BUDGET_H
-#define PLATFORM_STORE_BUDGET_H
+#ifndef STORE_STORE_BUDGET_H
+#define STORE_STORE_BUDGET_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/platform/store_gate.c
+++ b/store/store_gate.c
@@ -1,12 +1,20 @@
-#include "platform/store_gate.h"
+#include "store/store_gate.h"
 
-void store_gate_init(struct store_gate *g, GRand *rng, int64_t now_ms)
+const struct store_gate_config store_gate_config_default = {
+	.breaker = &breaker_config_default,
+	.budgets = {
+		[STORE_CALL_READ] = &store_budget_reads,
+		[STORE_CALL_WRITE] = &store_budget_writes,
+	},
+};
+
+void store_gate_init(struct store_gate *g,
+		     const struct store_gate_config *config, GRand *rng,
+		     int64_t now_ms)
 {
-	breaker_init(&g->breaker, &breaker_config_default);
-	store_budget_init(&g->budgets[STORE_CALL_READ], &store_budget_reads,
-			  now_ms);
-	store_budget_init(&g->budgets[STORE_CALL_WRITE], &store_budget_writes,
-			  now_ms);
+	breaker_init(&g->breaker, config->breaker);
+	for (guint i = 0; i < STORE_CALL_COUNT; i++)
+		store_budget_init(&g->budgets[i], config->budgets[i], now_ms);
 	g->rng = rng;
 }
 
--- a/platform/store_gate.h
+++ b/store/store_gate.h
@@ -4,14 +4,14 @@
  * outage and the slow return after it, the budgets for ordinary times. Pure:
  * no clock, no sockets.
  */
-#ifndef PLATFORM_STORE_GATE_H
-#define PLATFORM_STORE_GATE_H
+#ifndef STORE_STORE_GATE_H
+#define STORE_STORE_GATE_H
 
 #include <glib.h>
 #include <stdint.h>
 
-#include "platform/breaker.h"
-#include "platform/store_budget.h"
+#include "store/breaker.h"
+#include "store/store_budget.h"
 
 enum store_call {
 	STORE_CALL_READ,
@@ -25,13 +25,23 @@
 	STORE_REFUSE, /**< the platform is out of reach */
 };
 
+struct store_gate_config {
+	const struct breaker_config *breaker;
+	const struct store_budget_config *budgets[STORE_CALL_COUNT];
+};
+
+/** For a platform shared by many processes of the system. */
+extern const struct store_gate_config store_gate_config_default;
+
 struct store_gate {
 	struct breaker breaker;
 	struct store_budget budgets[STORE_CALL_COUNT];
 	GRand *rng; /**< not owned */
 };
 
-void store_gate_init(struct store_gate *g, GRand *rng, int64_t now_ms);
+void store_gate_init(struct store_gate *g,
+		     const struct store_gate_config *config, GRand *rng,
+		     int64_t now_ms);
 
 enum store_verdict store_gate_ask(struct store_gate *g, enum store_call call,
 				  enum store_priority priority, int64_t now_ms);
--- a/platform/table_row.c
+++ b/store/table_row.c
@@ -1,4 +1,4 @@
-#include "platform/table_row.h"
+#include "store/table_row.h"
 
 enum status table_row_decode(const struct platform_result *result,
 			     const struct schema *schema, void *out)
--- a/platform/table_row.h
+++ b/store/table_row.h
@@ -2,11 +2,11 @@
  * @file
  * Decodes the row that was read from the table service.
  */
-#ifndef PLATFORM_TABLE_ROW_H
-#define PLATFORM_TABLE_ROW_H
+#ifndef STORE_TABLE_ROW_H
+#define STORE_TABLE_ROW_H
 
 #include "base/schema.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 /**
  * Decodes the row of a platform_read() that has ended. Unknown members are
--- a/platform/vm_list.c
+++ b/store/vm_list.c
@@ -1,4 +1,4 @@
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 
 #include <string.h>
 
--- a/platform/vm_list.h
+++ b/store/vm_list.h
@@ -5,8 +5,8 @@
  * be taken is left out alone, with a finding. Of entries with one name the
  * first that can be taken counts.
  */
-#ifndef PLATFORM_VM_LIST_H
-#define PLATFORM_VM_LIST_H
+#ifndef STORE_VM_LIST_H
+#define STORE_VM_LIST_H
 
 #include <glib.h>
 #include <stdint.h>
--- a/platform/vm_reader.c
+++ b/store/vm_reader.c
@@ -1,9 +1,9 @@
-#include "platform/vm_reader.h"
+#include "store/vm_reader.h"
 
 #include <string.h>
 
 #include "base/log.h"
-#include "platform/vm_scope.h"
+#include "store/vm_scope.h"
 
 /** Failure domains beyond these are read with the whole list only. */
 #define MAX_PARTS 64
--- a/platform/vm_reader.h
+++ b/store/vm_reader.h
@@ -6,15 +6,15 @@
  * when it changed. The last list stays in force while the platform can't be
  * reached. Steps are driven from outside, so that tests have their own time.
  */
-#ifndef PLATFORM_VM_READER_H
-#define PLATFORM_VM_READER_H
+#ifndef STORE_VM_READER_H
+#define STORE_VM_READER_H
 
 #include <glib.h>
 #include <stdint.h>
 
 #include "base/counters.h"
-#include "platform/platform.h"
-#include "platform/vm_list.h"
+#include "store/platform.h"
+#include "store/vm_list.h"
 
 /** How often vm_reader_step() is to be called. */
 #define VM_READER_STEP_MS 1000
--- a/platform/vm_scope.c
+++ b/store/vm_scope.c
@@ -1,4 +1,4 @@
-#include "platform/vm_scope.h"
+#include "store/vm_scope.h"
 
 #include <string.h>
 
--- a/platform/vm_scope.h
+++ b/store/vm_scope.h
@@ -3,15 +3,15 @@
  * One part of the platform's list of VMs as it was last read, and when it is
  * to be read again. Pure: no calls, no clock.
  */
-#ifndef PLATFORM_VM_SCOPE_H
-#define PLATFORM_VM_SCOPE_H
+#ifndef STORE_VM_SCOPE_H
+#define STORE_VM_SCOPE_H
 
 #include <glib.h>
 #include <stdint.h>
 
 #include "base/byte_pace.h"
-#include "platform/platform.h"
-#include "platform/vm_list.h"
+#include "store/platform.h"
+#include "store/vm_list.h"
 
 enum vm_scope_kind {
 	VM_SCOPE_OWN,	/**< the own failure domain */
--- a/tests/config_world.c
+++ b/tests/config_world.c
@@ -1,7 +1,7 @@
 #include "tests/config_world.h"
 
 #include "config/config_version.h"
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #define PROCESSES 3
 #define OPERATORS 2
--- a/tests/fake_vms.h
+++ b/tests/fake_vms.h
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#include "platform/vm_reader.h"
+#include "store/vm_reader.h"
 
 #define FAKE_DOMAINS 10
 /** Of a call, counted beside the bodies. */
--- a/tests/lease_world.c
+++ b/tests/lease_world.c
@@ -1,6 +1,6 @@
 #include "tests/lease_world.h"
 
-#include "platform/platform.h"
+#include "store/platform.h"
 
 #define PROCESSES 3
 #define WORKERS 2
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -5,7 +5,7 @@
 #ifndef TESTS_PLATFORM_FIXTURE_H
 #define TESTS_PLATFORM_FIXTURE_H
 
-#include "platform/platform.h"
+#include "store/platform.h"
 #include "tests/cluster.h"
 
 /** Of each call, so that slow answers end soon. */
--- a/tests/test_mutation.c
+++ b/tests/test_mutation.c
@@ -15,7 +15,7 @@
 #include "link/link_identity.h"
 #include "link/pack.h"
 #include "link/pack_check.h"
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 #include "request/claim.h"
 #include "request/request.h"
 #include "shared/heartbeat.h"
--- a/tests/test_store_gate.c
+++ b/tests/test_store_gate.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "base/util.h"
-#include "platform/store_gate.h"
+#include "store/store_gate.h"
 
 #define SEEDS 200
 #define STEPS 2000
@@ -229,7 +229,7 @@
 		struct walk w = { .rng = g_rand_new_with_seed(seed) };
 
 		g_test_message("seed %u", seed);
-		store_gate_init(&w.gate, w.rng, 0);
+		store_gate_init(&w.gate, &store_gate_config_default, w.rng, 0);
 		for (int i = 0; i < STEPS; i++)
 			walk_step(&w);
 		g_rand_free(w.rng);
--- a/tests/test_vm_list.c
+++ b/tests/test_vm_list.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/util.h"
-#include "platform/vm_reader.h"
+#include "store/vm_reader.h"
 #include "tests/cluster.h"
 #include "tests/fake_vms.h"
 
