Orders without an answer are stopped before they count as refused; unwanted runs keep their room

(3) a process ended on SIGHUP. (4) after a takeover nothing started for 14.7 s: workers that had drained away still counted as in use. Ruled out: a stop that was confirmed too early (the lists were asked after it). Change: an unanswered order makes its run doubtful, and a doubtful run is only given up by a stop; a worker that lists unwanted runs gets nothing new; SIGHUP and changes of the file reload the settings; rows of workers that have left are removed.

--- a/base/kernel.c
+++ b/base/kernel.c
@@ -16,6 +16,8 @@
 	int64_t drain_deadline_ms;
 	gboolean is_draining;
 	gboolean has_ended;
+	void (*on_reload)(void *data);
+	void *reload_data;
 };
 
 struct kernel *kernel_new(int64_t drain_timeout_ms)
@@ -135,11 +137,27 @@
 	return G_SOURCE_CONTINUE;
 }
 
+void kernel_on_reload(struct kernel *k, void (*fn)(void *data), void *data)
+{
+	k->on_reload = fn;
+	k->reload_data = data;
+}
+
+static gboolean on_reload_signal(gpointer data)
+{
+	struct kernel *k = data;
+
+	if (k->on_reload)
+		k->on_reload(k->reload_data);
+	return G_SOURCE_CONTINUE;
+}
+
 enum status kernel_run(struct kernel *k)
 {
 	enum status status = STATUS_OK;
 	guint sigterm = g_unix_signal_add(SIGTERM, on_stop_signal, k);
 	guint sigint = g_unix_signal_add(SIGINT, on_stop_signal, k);
+	guint sighup = g_unix_signal_add(SIGHUP, on_reload_signal, k);
 
 	for (guint i = 0; i < k->services->len; i++) {
 		struct service *s = g_ptr_array_index(k->services, i);
@@ -155,5 +173,6 @@
 out:
 	g_source_remove(sigterm);
 	g_source_remove(sigint);
+	g_source_remove(sighup);
 	return status;
 }
--- a/base/kernel.h
+++ b/base/kernel.h
@@ -58,6 +58,9 @@
  */
 enum status kernel_run(struct kernel *k);
 
+/** Has a function called on SIGHUP; without one the signal is ignored. */
+void kernel_on_reload(struct kernel *k, void (*fn)(void *data), void *data);
+
 /** Starts draining as SIGTERM does. */
 void kernel_drain(struct kernel *k);
 
--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -2,6 +2,7 @@
  * The program of an entry VM: takes jobs of callers, and schedules the pool
  * while it holds the pool's lease.
  */
+#include <glib/gstdio.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -16,6 +17,8 @@
 #include "entry/pool_holder.h"
 
 #define PROGRAM "csentryd"
+/* The file may change without a signal. */
+#define LOOK_AT_FILE_MS 2000
 #define SETTINGS_VARIABLE "CORIANDERSTEP_SETTINGS"
 
 static const service_new_fn services[] = {
@@ -75,14 +78,67 @@
 	return is_good;
 }
 
-static int run(const struct entry_settings *s)
+/* The settings in force and the file that they came from. */
+struct settings_source {
+	struct entry_settings *settings;
+	const char *file_name;
+	int64_t changed_s; /* of the file */
+};
+
+static int64_t file_changed_s(const char *file_name)
+{
+	GStatBuf info;
+
+	return g_stat(file_name, &info) == 0 ? (int64_t)info.st_mtime : 0;
+}
+
+static void on_reload(void *data)
+{
+	struct settings_source *source = data;
+	struct entry_settings fresh = { 0 };
+	gboolean is_good = load_settings(&fresh, source->file_name);
+	struct log_line line;
+
+	source->changed_s = file_changed_s(source->file_name);
+	if (is_good) {
+		struct entry_settings old = *source->settings;
+
+		*source->settings = fresh;
+		fresh = old;
+	}
+	entry_settings_clear(&fresh);
+	log_begin(&line, is_good ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR, "reload");
+	log_str(&line, "outcome", is_good ? "in force" : "refused");
+	log_int(&line, "file_changed_s", source->changed_s);
+	log_end(&line);
+}
+
+static gboolean on_look_at_file(gpointer data)
+{
+	struct settings_source *source = data;
+
+	if (file_changed_s(source->file_name) != source->changed_s)
+		on_reload(source);
+	return G_SOURCE_CONTINUE;
+}
+
+static int run(struct entry_settings *s, const char *file_name)
 {
+	struct settings_source source = {
+		.settings = s,
+		.file_name = file_name,
+		.changed_s = file_changed_s(file_name),
+	};
+
 	struct kernel *k =
 		kernel_new((int64_t)(s->bounds.grace_s * MS_PER_S));
 	enum status status;
 	struct log_line line;
+	guint look;
 
 	log_open(s->node, LOG_LEVEL_INFO);
+	kernel_on_reload(k, on_reload, &source);
+	look = g_timeout_add(LOOK_AT_FILE_MS, on_look_at_file, &source);
 	kernel_register(k, entry_store_new(s));
 	for (guint i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_register(k, services[i]());
@@ -92,6 +148,7 @@
 	log_str(&line, "failure_domain", s->failure_domain);
 	log_end(&line);
 	status = kernel_run(k);
+	g_source_remove(look);
 	log_begin(&line, LOG_LEVEL_INFO, "stop");
 	log_str(&line, "status", status_name(status));
 	if (status != STATUS_OK)
@@ -124,7 +181,7 @@
 	}
 	if (!load_settings(&s, file_name))
 		goto out;
-	code = o.check_only ? EXIT_SUCCESS : run(&s);
+	code = o.check_only ? EXIT_SUCCESS : run(&s, file_name);
 out:
 	entry_settings_clear(&s);
 	g_free(o.settings_file);
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -269,6 +269,19 @@
 	fleet_scheduler_begin(&s->scheduler, 0, 0);
 }
 
+static struct fleet_bounds bounds_of(const struct kernel *k)
+{
+	const struct entry_settings *settings = entry_settings_of(k);
+
+	return (struct fleet_bounds){
+		.lease_ms = settings->bounds.lease_ms,
+		.stop_ms = (int64_t)settings->bounds.stop_ms,
+		.gang_ms = settings->bounds.gang_ms,
+		.restore_ms = (int64_t)settings->bounds.restore_ms,
+		.remote_slowdown = settings->bounds.remote_slowdown,
+	};
+}
+
 static void on_gained(void *data, int64_t epoch, int64_t rival_ms)
 {
 	struct pool_holder *s = data;
@@ -277,6 +290,7 @@
 
 	if (s->is_holding)
 		stop_holding(s);
+	s->scheduler.bounds = bounds_of(s->kernel);
 	s->gained_ms = util_monotonic_ms();
 	fleet_scheduler_begin(&s->scheduler, epoch,
 			      s->gained_ms + rival_ms + lease_ms +
@@ -318,13 +332,7 @@
 {
 	struct pool_holder *s = (struct pool_holder *)base;
 	const struct entry_settings *settings = entry_settings_of(k);
-	const struct fleet_bounds bounds = {
-		.lease_ms = settings->bounds.lease_ms,
-		.stop_ms = (int64_t)settings->bounds.stop_ms,
-		.gang_ms = settings->bounds.gang_ms,
-		.restore_ms = (int64_t)settings->bounds.restore_ms,
-		.remote_slowdown = settings->bounds.remote_slowdown,
-	};
+	const struct fleet_bounds bounds = bounds_of(k);
 	const struct fleet_ports ports = {
 		.start = port_start,
 		.stop = port_stop,
@@ -341,6 +349,7 @@
 		.platform = entry_platform_of(k),
 		.scheduler = &s->scheduler,
 		.counters = kernel_counters(k),
+		.in_use = s->in_use,
 		.status_ms = (int64_t)settings->bounds.status_s * MS_PER_S,
 		.on_written = plan_soon,
 		.data = s,
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -19,6 +19,7 @@
 	struct progress_writer_spec spec;
 	GPtrArray *job_ids;    /* of the batch in flight */
 	GPtrArray *worker_ids; /* recorded by the batch in flight */
+	GPtrArray *unused_ids; /* of workers removed by it */
 	gboolean is_writing;
 	gboolean has_all; /* the batch leaves nothing out */
 	int64_t retry_ms;
@@ -44,6 +45,7 @@
 	w->spec = *spec;
 	w->job_ids = g_ptr_array_new_with_free_func(g_free);
 	w->worker_ids = g_ptr_array_new_with_free_func(g_free);
+	w->unused_ids = g_ptr_array_new_with_free_func(g_free);
 	w->latency = counters_histogram(spec->counters,
 					"cs_progress_write_latency_seconds",
 					"Time of a write of jobs' progress");
@@ -57,6 +59,7 @@
 	platform_forget(w->spec.platform, w);
 	g_ptr_array_set_size(w->job_ids, 0);
 	g_ptr_array_set_size(w->worker_ids, 0);
+	g_ptr_array_set_size(w->unused_ids, 0);
 	w->is_writing = FALSE;
 	w->retry_ms = 0;
 	g_clear_pointer(&w->queues_written, g_free);
@@ -70,6 +73,7 @@
 	progress_writer_reset(w);
 	g_ptr_array_unref(w->job_ids);
 	g_ptr_array_unref(w->worker_ids);
+	g_ptr_array_unref(w->unused_ids);
 	g_free(w);
 }
 
@@ -128,7 +132,8 @@
 
 		if (w->has_all)
 			worker->saving_end = worker->processed_end;
-		if (worker->is_recorded || b->writes->len >= BATCH_ROWS)
+		if (worker->is_recorded || worker->is_gone ||
+		    b->writes->len >= BATCH_ROWS)
 			continue;
 		batch_add(b, WORKER_USE_TABLE, worker->id, TABLE_ANY_VERSION,
 			  json_object_new_object());
@@ -177,6 +182,35 @@
 	batch_add(b, QUEUE_TABLE, QUEUE_KEY, TABLE_ANY_VERSION, row);
 }
 
+/*
+ * Removes the rows of workers on which certainly nothing runs any more: they
+ * have lost their registration, and whatever ran there has ended.
+ */
+static void add_unused_workers(struct progress_writer *w, struct batch *b,
+			       int64_t now_ms)
+{
+	const struct fleet_scheduler *s = w->spec.scheduler;
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, w->spec.in_use);
+	while (g_hash_table_iter_next(&iter, &id, NULL)) {
+		const struct fleet_worker *worker =
+			fleet_worker(&s->fleet, id);
+		gboolean is_over = worker && worker->is_gone &&
+				   !worker->tasks->len &&
+				   (worker->reg.is_draining ||
+				    now_ms > worker->lease_bound_ms);
+
+		if (!worker && now_ms > s->unseen_until_ms)
+			is_over = TRUE;
+		if (!is_over || b->writes->len >= BATCH_ROWS)
+			continue;
+		batch_add(b, WORKER_USE_TABLE, id, TABLE_ANY_VERSION, NULL);
+		g_ptr_array_add(w->unused_ids, g_strdup(id));
+	}
+}
+
 /* Removes the rows of jobs whose state may be forgotten. */
 static void add_removals(struct progress_writer *w, struct batch *b,
 			 int64_t now_ms)
@@ -228,6 +262,16 @@
 
 		if (worker)
 			worker->is_recorded = TRUE;
+		g_hash_table_add(w->spec.in_use,
+				 g_strdup(w->worker_ids->pdata[i]));
+	}
+	for (guint i = 0; i < w->unused_ids->len; i++) {
+		struct fleet_worker *worker =
+			fleet_worker(f, w->unused_ids->pdata[i]);
+
+		if (worker)
+			worker->is_recorded = FALSE;
+		g_hash_table_remove(w->spec.in_use, w->unused_ids->pdata[i]);
 	}
 	if (w->queues_text) {
 		g_free(w->queues_written);
@@ -307,6 +351,7 @@
 	}
 	g_ptr_array_set_size(w->job_ids, 0);
 	g_ptr_array_set_size(w->worker_ids, 0);
+	g_ptr_array_set_size(w->unused_ids, 0);
 	w->spec.on_written(w->spec.data);
 }
 
@@ -334,6 +379,7 @@
 	b.values = g_ptr_array_new_with_free_func(put_value);
 	add_jobs(w, &b);
 	add_workers(w, &b);
+	add_unused_workers(w, &b, now_ms);
 	add_queues(w, &b, now_ms);
 	add_removals(w, &b, now_ms);
 	if (b.writes->len) {
--- a/entry/progress_writer.h
+++ b/entry/progress_writer.h
@@ -18,6 +18,8 @@
 	struct fleet_scheduler *scheduler;
 	struct counters *counters;
 	int64_t status_ms; /**< that an ended job is kept */
+	/** Ids of workers that the store says are in use; not owned. */
+	GHashTable *in_use;
 	void (*on_written)(void *data);
 	void *data;
 };
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -194,6 +194,7 @@
 	t->confirmed_ms = 0;
 	t->stop_answered_ms = 0;
 	t->is_stop_ordered = FALSE;
+	t->is_doubtful = FALSE;
 	t->is_order_out = FALSE;
 	t->percent = 0;
 }
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -49,6 +49,8 @@
 	double percent;		     /**< progress that was last told */
 	gboolean is_order_out;	     /**< an order is in flight */
 	gboolean is_stop_ordered;    /**< this run is to end */
+	/** An order to start this run had no answer: it may come late. */
+	gboolean is_doubtful;
 	uint64_t seen_report;	     /**< the last report that lists it */
 };
 
@@ -109,6 +111,8 @@
 	gboolean hold_again; /**< look at once when it returns */
 	int64_t next_hold_ms;
 	uint64_t reports; /**< taken in */
+	/** Runs that it lists and that aren't wanted there; they take room. */
+	guint unwanted_runs;
 };
 
 struct fleet {
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -101,6 +101,7 @@
 static gboolean is_usable(const struct round *r, const struct fleet_worker *w)
 {
 	return w->is_fenced && w->is_recorded && !w->is_gone &&
+	       !w->unwanted_runs &&
 	       !w->reg.is_draining && w->reg.address &&
 	       r->now_ms >= w->avoid_until_ms &&
 	       r->now_ms - w->contact_ms < CONTACT_MS;
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -489,6 +489,11 @@
 		log_task(s, t, "task_adopted", NULL);
 		return;
 	}
+	w->unwanted_runs++;
+	/* The members of a gang end together, but are listed one by one. */
+	if (t && t->state == TASK_DONE && t->step->spec->is_gang &&
+	    t->run == e->run)
+		return;
 	log_begin(&line, LOG_LEVEL_WARN, "run_unwanted");
 	log_str(&line, "task", e->task);
 	log_int(&line, "run", e->run);
@@ -531,6 +536,7 @@
 	w->reports++;
 	w->contact_ms = now_ms;
 	w->is_fenced = TRUE;
+	w->unwanted_runs = 0;
 	w->has_clock = TRUE;
 	w->clock_offset_ms = report->clock_ms - (asked_ms + now_ms) / 2;
 	for (guint i = 0; i < report->ended->len; i++) {
@@ -593,6 +599,7 @@
 		t->worker->contact_ms = now_ms;
 		return;
 	case ORDER_NO_ANSWER:
+		t->is_doubtful = TRUE;
 		t->worker->avoid_until_ms = MAX(t->worker->avoid_until_ms,
 						now_ms + AVOID_SILENT_MS);
 		t->ordered_ms = MIN(t->ordered_ms, now_ms - ORDER_RETRY_MS);
@@ -602,9 +609,12 @@
 	}
 	t->worker->avoid_until_ms =
 		MAX(t->worker->avoid_until_ms, now_ms + AVOID_SILENT_MS);
-	if (refusal == REFUSAL_OLD_RUN) {
-		/* It may have ended already: its end will be listed. */
-		fleet_stop_unit(s, t, "the run is over there", now_ms);
+	/* It may have ended already, or still come by an earlier order. */
+	if (refusal == REFUSAL_OLD_RUN || t->is_doubtful) {
+		fleet_stop_unit(s, t,
+				t->is_doubtful ? "an order had no answer"
+					       : "the run is over there",
+				now_ms);
 		return;
 	}
 	fleet_task_release(t);
