Preemption makes room worker by worker

Change: for each task of the unit the worker is taken where the cheapest tasks to stop make room for it.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -61,6 +61,7 @@
 	int64_t timeout_ms;
 	gboolean may_retry; /**< on a new connection */
 	gboolean is_sent;
+	gboolean was_resent;
 	gboolean is_cancelled;
 	gboolean wants_bytes;
 	http_reply_fn on_reply;
@@ -204,6 +205,15 @@
 	call->is_sent = TRUE;
 }
 
+/* The library sends it again: the kept connection had ended. */
+static void on_restarted(SoupMessage *message, gpointer data)
+{
+	struct http_call *call = data;
+
+	if (call->is_sent)
+		call->was_resent = TRUE;
+}
+
 /* Only new connections tell; they are not given up before the timeout. */
 static void on_network_event(SoupMessage *message, GSocketClientEvent event,
 			     GIOStream *stream, gpointer data)
@@ -235,7 +245,8 @@
 		return G_SOURCE_REMOVE;
 	call->is_cancelled = TRUE;
 	log_begin(&line, LOG_LEVEL_WARN, "http_call_stuck");
-	log_str(&line, "path", g_uri_get_path(soup_message_get_uri(call->message)));
+	log_str(&line, "path",
+		g_uri_get_path(soup_message_get_uri(call->message)));
 	log_int(&line, "late_ms", util_monotonic_ms() - call->due_ms);
 	log_end(&line);
 	if (call->client) {
@@ -321,6 +332,8 @@
 {
 	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
 			 call);
+	g_signal_connect(call->message, "restarted", G_CALLBACK(on_restarted),
+			 call);
 	soup_session_send_and_read_async(call->address->session->soup,
 					 call->message, G_PRIORITY_DEFAULT,
 					 call->cancellable, on_done, call);
@@ -344,6 +357,7 @@
 /* The kept connection has ended or is silent. */
 static void send_anew(struct http_call *call)
 {
+	gboolean was_sent = call->is_sent;
 	SoupMessage *old = g_object_ref(call->message);
 	SoupMessage *message = soup_message_new_from_uri(
 		soup_message_get_method(old), soup_message_get_uri(old));
@@ -352,6 +366,7 @@
 	if (call->timer)
 		g_source_remove(call->timer);
 	call->may_retry = FALSE;
+	call->was_resent = was_sent;
 	soup_message_headers_foreach(soup_message_get_request_headers(old),
 				     copy_header,
 				     soup_message_get_request_headers(message));
@@ -382,6 +397,7 @@
 	}
 	if (call->is_cancelled)
 		goto out;
+	reply.was_resent = call->was_resent;
 	if (bytes) {
 		reply.code = soup_message_get_status(call->message);
 		text = take_body(call, bytes, &reply);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -29,6 +29,11 @@
 	const char *text;  /**< the body as it came, NULL without an answer */
 	GBytes *bytes;	   /**< the body, when it was asked for as bytes */
 	const char *etag;  /**< the header, NULL when there is none */
+	/**
+	 * It was sent before on a connection that ended or was silent: that
+	 * sending may have its effect too, whatever this answer says.
+	 */
+	gboolean was_resent;
 };
 
 typedef void (*http_reply_fn)(const struct http_reply *reply, void *data);
--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -130,8 +130,7 @@
 		.changed_s = file_changed_s(file_name),
 	};
 
-	struct kernel *k =
-		kernel_new((int64_t)(s->bounds.grace_s * MS_PER_S));
+	struct kernel *k = kernel_new((int64_t)(s->bounds.grace_s * MS_PER_S));
 	enum status status;
 	struct log_line line;
 	guint look;
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -7,12 +7,11 @@
 #define MAX_MS 600000
 #define MAX_S 86400
 
-#define NEEDED(type_, member_, kind, least, most)                   \
-	{                                                           \
-		.name = #member_, .type = (kind),                   \
-		.is_required = TRUE,                                \
-		.offset = offsetof(struct type_, member_),          \
-		.min = (least), .max = (most),                      \
+#define NEEDED(type_, member_, kind, least, most)                          \
+	{                                                                  \
+		.name = #member_, .type = (kind), .is_required = TRUE,     \
+		.offset = offsetof(struct type_, member_), .min = (least), \
+		.max = (most),                                             \
 	}
 
 static const struct field_spec store_fields[] = {
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -12,18 +12,18 @@
 #include "base/finding.h"
 
 struct entry_store_settings {
-	char *address; /**< "IP:PORT" of the platform's store */
+	char *address;	     /**< "IP:PORT" of the platform's store */
 	double writes_per_s; /**< of all processes together */
 	double reads_per_s;
 };
 
 struct entry_bound_settings {
-	int64_t lease_ms;   /**< longest lease that workers grant */
-	double stop_ms;    /**< a stop of a task takes at most */
-	int64_t gang_ms;    /**< members of a gang wait for each other */
+	int64_t lease_ms;  /**< longest lease that workers grant */
+	double stop_ms;	   /**< a stop of a task takes at most */
+	int64_t gang_ms;   /**< members of a gang wait for each other */
 	double restore_ms; /**< to resume from a checkpoint */
 	double remote_slowdown;
-	double grace_s; /**< from SIGTERM to SIGKILL */
+	double grace_s;	 /**< from SIGTERM to SIGKILL */
 	double status_s; /**< that an ended job's state can be asked for */
 };
 
@@ -31,8 +31,8 @@
 	char *node;
 	char *ip;
 	char *failure_domain;
-	char *frontend;	 /**< "IP:PORT" for callers */
-	char *readiness; /**< "IP:PORT" for the balancer */
+	char *frontend;	       /**< "IP:PORT" for callers */
+	char *readiness;       /**< "IP:PORT" for the balancer */
 	int64_t internal_port; /**< for the system's other VMs */
 	double cpu_share;
 	int64_t memory_mb;
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -140,8 +140,8 @@
 	c->route = g_strdup(route->name);
 	key = http_request_header(c->request, WIRE_HEADER_KEY);
 	if (key && g_str_has_prefix(key, WIRE_KEY_SCHEME))
-		account = fleet_config_account_by_key(config,
-						      key + strlen(WIRE_KEY_SCHEME));
+		account = fleet_config_account_by_key(
+			config, key + strlen(WIRE_KEY_SCHEME));
 	if (!account && !route->is_public) {
 		answer(c, method, SOUP_STATUS_UNAUTHORIZED, "unknown key\n");
 		goto out;
@@ -170,8 +170,7 @@
 {
 	const char *deadline = http_request_header(r, WIRE_HEADER_DEADLINE);
 	struct call *c = g_new0(struct call, 1);
-	gint64 deadline_ms =
-		deadline ? g_ascii_strtoll(deadline, NULL, 10) : 0;
+	gint64 deadline_ms = deadline ? g_ascii_strtoll(deadline, NULL, 10) : 0;
 
 	c->frontend = s;
 	c->request = r;
@@ -450,7 +449,8 @@
 	http_server_route(s->server, "POST", "/", handle_post, s);
 	http_server_route(s->server, "GET", "/", handle_get, s);
 	http_server_route(s->server, "DELETE", "/", handle_delete, s);
-	http_server_route(s->ready_server, "GET", WIRE_READY_PATH, handle_ready, s);
+	http_server_route(s->ready_server, "GET", WIRE_READY_PATH, handle_ready,
+			  s);
 	http_server_route(s->ready_server, "GET", "/metrics", handle_counters,
 			  s);
 	status = listen_at(s->server, settings->frontend);
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -151,8 +151,8 @@
 	struct pool_holder *s = data;
 	struct worker_registration reg = { 0 };
 	struct fleet_worker *w;
-	gboolean is_good = !row->is_deleted &&
-			   wire_worker_registration(row->value, &reg);
+	gboolean is_good =
+		!row->is_deleted && wire_worker_registration(row->value, &reg);
 
 	fleet_scheduler_worker(&s->scheduler, row->key, is_good ? &reg : NULL,
 			       util_monotonic_ms());
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -195,8 +195,7 @@
 
 	g_hash_table_iter_init(&iter, w->spec.in_use);
 	while (g_hash_table_iter_next(&iter, &id, NULL)) {
-		const struct fleet_worker *worker =
-			fleet_worker(&s->fleet, id);
+		const struct fleet_worker *worker = fleet_worker(&s->fleet, id);
 		gboolean is_over = worker && worker->is_gone &&
 				   !worker->tasks->len &&
 				   (worker->reg.is_draining ||
@@ -385,10 +384,10 @@
 	if (b.writes->len) {
 		w->is_writing = TRUE;
 		w->sent_ms = now_ms;
-		platform_commit(w->spec.platform,
-				(const struct table_write *)(void *)
-					b.writes->data,
-				b.writes->len, on_written, w);
+		platform_commit(
+			w->spec.platform,
+			(const struct table_write *)(void *)b.writes->data,
+			b.writes->len, on_written, w);
 	} else {
 		acknowledge_all(w);
 	}
--- a/entry/table_feed.c
+++ b/entry/table_feed.c
@@ -12,9 +12,9 @@
 struct table_feed {
 	struct table_feed_spec spec;
 	char *table;
-	GHashTable *versions;	/* key to version of each row that is there */
-	GHashTable *found;	/* keys found by the scan under way, or NULL */
-	char *next_key;		/* of the scan */
+	GHashTable *versions; /* key to version of each row that is there */
+	GHashTable *found;    /* keys found by the scan under way, or NULL */
+	char *next_key;	      /* of the scan */
 	int64_t after_version;
 	int64_t scan_version; /* of the first page */
 	gboolean is_synced;
@@ -212,8 +212,8 @@
 
 	f->spec = *spec;
 	f->table = g_strdup(spec->table);
-	f->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    g_free);
+	f->versions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->retry_ms = FIRST_RETRY_MS;
 	f->rng = g_rand_new();
 	start_scan(f);
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -101,8 +101,7 @@
 
 static void send_call(struct worker_calls *c, const struct fleet_worker *w,
 		      const char *path, json_object *body, int64_t timeout_ms,
-		      int64_t silent_ms, http_reply_fn fn,
-		      struct order_call *o)
+		      int64_t silent_ms, http_reply_fn fn, struct order_call *o)
 {
 	const char *const headers[] = { WIRE_HEADER_INCARNATION, w->id, NULL };
 	struct http_call_spec spec = {
@@ -128,7 +127,9 @@
 		return ORDER_REFUSED;
 	if (reply->status != STATUS_OK)
 		return ORDER_NO_ANSWER;
-	return reply->code == SOUP_STATUS_OK ? ORDER_DONE : ORDER_REFUSED;
+	if (reply->code == SOUP_STATUS_OK)
+		return ORDER_DONE;
+	return reply->was_resent ? ORDER_NO_ANSWER : ORDER_REFUSED;
 }
 
 static gboolean is_fenced(const struct http_reply *reply)
@@ -261,11 +262,10 @@
 	};
 
 	if (w->has_clock)
-		order.lease_end_ms = fleet_scheduler_lease_end(
-			c->spec.scheduler, w, now_ms);
+		order.lease_end_ms =
+			fleet_scheduler_lease_end(c->spec.scheduler, w, now_ms);
 	/* While ends wait to be stored the answer would come at once. */
-	if (w->has_clock && !w->hold_again &&
-	    w->saved_end == w->processed_end)
+	if (w->has_clock && !w->hold_again && w->saved_end == w->processed_end)
 		order.wait_ms = HOLD_WAIT_MS;
 	w->is_holding = TRUE;
 	w->hold_again = FALSE;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 static const char *const state_names[FLEET_JOB_STATE_COUNT] = {
-	[FLEET_JOB_QUEUED] = "queued",       [FLEET_JOB_ACTIVE] = "active",
+	[FLEET_JOB_QUEUED] = "queued",	     [FLEET_JOB_ACTIVE] = "active",
 	[FLEET_JOB_COMPLETED] = "completed", [FLEET_JOB_FAILED] = "failed",
 	[FLEET_JOB_CANCELLED] = "cancelled",
 };
@@ -102,7 +102,8 @@
 
 gboolean fleet_job_has_ended(const struct fleet_job *job)
 {
-	return job->state == FLEET_JOB_COMPLETED || job->state == FLEET_JOB_FAILED ||
+	return job->state == FLEET_JOB_COMPLETED ||
+	       job->state == FLEET_JOB_FAILED ||
 	       job->state == FLEET_JOB_CANCELLED;
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -51,7 +51,7 @@
 	gboolean is_stop_ordered;    /**< this run is to end */
 	/** An order to start this run had no answer: it may come late. */
 	gboolean is_doubtful;
-	uint64_t seen_report;	     /**< the last report that lists it */
+	uint64_t seen_report; /**< the last report that lists it */
 };
 
 /** One step of one occurrence. */
@@ -94,7 +94,7 @@
 	GPtrArray *tasks;   /**< of struct fleet_task, not owned */
 	gboolean is_gone;   /**< its registration was removed */
 	int64_t gone_ms;
-	gboolean is_fenced; /**< it has answered under this epoch */
+	gboolean is_fenced;   /**< it has answered under this epoch */
 	gboolean is_recorded; /**< the store says that it is in use */
 	gboolean is_recording;
 	gboolean has_clock;
--- a/sched/fleet_config.h
+++ b/sched/fleet_config.h
@@ -11,15 +11,16 @@
 
 struct queue_route {
 	char *name;
-	char *host;	   /**< of callers' requests */
-	char *path_prefix; /**< what follows it is the job's id */
-	char *service;	   /**< whose workers run the tasks */
-	int64_t priority;  /**< 0 comes first and may preempt */
-	int64_t max_attempts; /**< failed runs of a task before it is given up */
-	double stretch;	      /**< of the longest chain, part of the objective */
+	char *host;	      /**< of callers' requests */
+	char *path_prefix;    /**< what follows it is the job's id */
+	char *service;	      /**< whose workers run the tasks */
+	int64_t priority;     /**< 0 comes first and may preempt */
+	int64_t max_attempts; /**< failed runs of a task before it is given up
+			       */
+	double stretch; /**< of the longest chain, part of the objective */
 	int64_t objective_ms; /**< added to the stretched chain */
 	int64_t timeout_ms;
-	int64_t is_public; /**< no key is needed */
+	int64_t is_public;	  /**< no key is needed */
 	int64_t advice_decide_ms; /**< policy service: for each call */
 	int64_t advice_each_ms;	  /**< policy service: for each worker */
 	int64_t advice_valid_ms;  /**< of a ticket; 0 without such a policy */
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -36,7 +36,7 @@
 struct round {
 	struct fleet_scheduler *s;
 	int64_t now_ms;
-	GArray *rooms; /* of struct room */
+	GArray *rooms;	  /* of struct room */
 	GPtrArray *racks; /* of char *, not owned */
 	guint reservations;
 };
@@ -52,8 +52,8 @@
 	int64_t before_ms = 0;
 
 	for (guint i = 0; i < step_spec_after_count(spec); i++)
-		before_ms = MAX(before_ms,
-				chain_ms(job, step_spec_after(spec, i)));
+		before_ms =
+			MAX(before_ms, chain_ms(job, step_spec_after(spec, i)));
 	return before_ms + spec->estimate_ms;
 }
 
@@ -101,8 +101,7 @@
 static gboolean is_usable(const struct round *r, const struct fleet_worker *w)
 {
 	return w->is_fenced && w->is_recorded && !w->is_gone &&
-	       !w->unwanted_runs &&
-	       !w->reg.is_draining && w->reg.address &&
+	       !w->unwanted_runs && !w->reg.is_draining && w->reg.address &&
 	       r->now_ms >= w->avoid_until_ms &&
 	       r->now_ms - w->contact_ms < CONTACT_MS;
 }
@@ -246,7 +245,8 @@
 		       struct choice *out)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	GArray *candidates =
+		g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	guint found = 0;
 
 	g_array_set_size(out->workers, 0);
@@ -314,8 +314,7 @@
 	} else {
 		for (guint i = 0; i < workers->len; i++)
 			fleet_start_tasks(
-				r->s,
-				(struct fleet_task **)&u->tasks->pdata[i],
+				r->s, (struct fleet_task **)&u->tasks->pdata[i],
 				(struct fleet_worker **)&workers->pdata[i], 1,
 				r->now_ms);
 	}
@@ -493,43 +492,86 @@
 	return FALSE;
 }
 
-/* The cheapest task to stop among the workers of a rack. */
-static struct fleet_task *cheapest_victim(const struct round *r,
-					  const struct unit *u,
-					  const char *rack,
-					  const GPtrArray *victims,
-					  double *cost)
+/* A task that may be stopped, and the work that this throws away. */
+struct victim {
+	struct fleet_task *task;
+	double lost;
+};
+
+static gint compare_victims(gconstpointer a, gconstpointer b)
+{
+	const struct victim *x = a;
+	const struct victim *y = b;
+
+	if (x->lost < y->lost)
+		return -1;
+	return x->lost > y->lost;
+}
+
+/*
+ * Finds the cheapest tasks of one worker whose stop makes room for one task
+ * more. Returns FALSE when there is no such room to make.
+ */
+static gboolean room_for_one(const struct round *r, const struct unit *u,
+			     const struct room *room, const GPtrArray *victims,
+			     GPtrArray *out, double *lost)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
-	struct fleet_task *best = NULL;
+	struct demand free = room->soon;
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct victim));
 
-	*cost = 0;
-	for (guint i = 0; i < r->rooms->len; i++) {
-		const struct room *room =
-			&g_array_index(r->rooms, struct room, i);
-		const struct fleet_worker *w = room->worker;
+	g_ptr_array_set_size(out, 0);
+	*lost = 0;
+	for (guint i = 0; i < room->worker->tasks->len; i++) {
+		struct victim v = { .task = room->worker->tasks->pdata[i] };
 
-		if (room->is_taken || !is_eligible(r, w, u->step) ||
-		    (rack && !g_str_equal(rack, rack_of(w))))
+		if (!may_preempt(r, u, v.task) || is_victim(victims, v.task))
 			continue;
-		for (guint k = 0; k < w->tasks->len; k++) {
-			struct fleet_task *t = w->tasks->pdata[k];
-			double lost;
+		v.lost = unit_lost_work(v.task, r->now_ms);
+		g_array_append_val(found, v);
+	}
+	g_array_sort(found, compare_victims);
+	for (guint i = 0; i < found->len && !demand_fits(&d, &free); i++) {
+		const struct victim *v =
+			&g_array_index(found, struct victim, i);
+		struct demand freed = fleet_task_demand(v->task);
+
+		demand_add(&free, &freed);
+		g_ptr_array_add(out, v->task);
+		*lost += v->lost;
+	}
+	g_array_unref(found);
+	return demand_fits(&d, &free);
+}
 
-			if (!may_preempt(r, u, t) || is_victim(victims, t))
-				continue;
-			/* Large ones first where both lose the same. */
-			lost = unit_lost_work(t, r->now_ms) + 1;
-			lost /= (double)MAX(
-				MIN(t->step->spec->accelerators,
-				    d.accelerators),
-				1);
-			if (!best || lost < *cost) {
-				best = t;
-				*cost = lost;
-			}
-		}
+/* Returns the room where one task more costs least, or NULL. */
+static struct room *cheapest_room(struct round *r, const struct unit *u,
+				  const char *rack, const GPtrArray *victims,
+				  GPtrArray *best_victims, double *best_lost)
+{
+	GPtrArray *found = g_ptr_array_new();
+	struct room *best = NULL;
+	int64_t best_left = 0;
+
+	for (guint i = 0; i < r->rooms->len; i++) {
+		struct room *room = &g_array_index(r->rooms, struct room, i);
+		int64_t left = room->soon.accelerators;
+		double lost;
+
+		if ((rack && !g_str_equal(rack, rack_of(room->worker))) ||
+		    !capacity_for(r, u, room, &room->worker->reg.capacity) ||
+		    !room_for_one(r, u, room, victims, found, &lost))
+			continue;
+		if (best && (lost > *best_lost ||
+			     (lost == *best_lost && left >= best_left)))
+			continue;
+		best = room;
+		best_left = left;
+		*best_lost = lost;
+		g_ptr_array_set_size(best_victims, 0);
+		g_ptr_array_extend(best_victims, found, NULL, NULL);
 	}
+	g_ptr_array_unref(found);
 	return best;
 }
 
@@ -538,18 +580,33 @@
 			     const char *rack, GPtrArray *victims,
 			     struct choice *c, double *cost)
 {
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	GPtrArray *more = g_ptr_array_new();
+	gboolean has_room = TRUE;
+	double lost = 0;
+
 	*cost = 0;
-	while (!choose(r, u, rack, ROOM_SOON, u->tasks->len, c)) {
-		double lost;
-		struct fleet_task *t =
-			cheapest_victim(r, u, rack, victims, &lost);
+	g_array_set_size(c->workers, 0);
+	for (guint n = 0; n < u->tasks->len && has_room; n++) {
+		struct room *room =
+			cheapest_room(r, u, rack, victims, more, &lost);
+		guint index;
 
-		if (!t)
-			return FALSE;
-		*cost += unit_lost_work(t, r->now_ms);
-		free_victim(r, t, victims);
+		has_room = room != NULL;
+		if (!has_room)
+			break;
+		for (guint i = 0; i < more->len; i++) {
+			if (!is_victim(victims, more->pdata[i]))
+				free_victim(r, more->pdata[i], victims);
+		}
+		demand_take(&room->soon, &d);
+		demand_take(&room->free, &d);
+		index = (guint)(room - (struct room *)(void *)r->rooms->data);
+		g_array_append_val(c->workers, index);
+		*cost += lost;
 	}
-	return TRUE;
+	g_ptr_array_unref(more);
+	return has_room;
 }
 
 static void restore_rooms(struct round *r, const GArray *saved)
@@ -591,8 +648,7 @@
 	find_victims(r, u, best, victims, c, &cost);
 	for (guint i = 0; i < victims->len; i++)
 		fleet_stop_unit(r->s, victims->pdata[i],
-				"room for a job of higher priority",
-				r->now_ms);
+				"room for a job of higher priority", r->now_ms);
 	take_room(r, u, c);
 out:
 	g_ptr_array_unref(victims);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -202,10 +202,10 @@
 int64_t fleet_scheduler_lease_end(const struct fleet_scheduler *s,
 				  struct fleet_worker *w, int64_t now_ms)
 {
-	int64_t bound_ms = now_ms +
-			   (int64_t)((double)s->bounds.lease_ms *
-				     (1 + CLOCK_DRIFT)) +
-			   LEASE_SLACK_MS;
+	int64_t bound_ms =
+		now_ms +
+		(int64_t)((double)s->bounds.lease_ms * (1 + CLOCK_DRIFT)) +
+		LEASE_SLACK_MS;
 
 	w->lease_bound_ms = MAX(w->lease_bound_ms, bound_ms);
 	return now_ms + w->clock_offset_ms + s->bounds.lease_ms;
@@ -238,8 +238,7 @@
 		.task = name,
 		.run = t->run,
 		.payload = t->step->job->spec.payload,
-		.lease_end_ms =
-			fleet_scheduler_lease_end(s, t->worker, now_ms),
+		.lease_end_ms = fleet_scheduler_lease_end(s, t->worker, now_ms),
 		.epoch = s->epoch,
 		.checkpoint = t->checkpoint,
 	};
@@ -540,8 +539,8 @@
 	w->has_clock = TRUE;
 	w->clock_offset_ms = report->clock_ms - (asked_ms + now_ms) / 2;
 	for (guint i = 0; i < report->ended->len; i++) {
-		const struct ended_entry *e = &g_array_index(
-			report->ended, struct ended_entry, i);
+		const struct ended_entry *e =
+			&g_array_index(report->ended, struct ended_entry, i);
 
 		if (e->number <= w->processed_end)
 			continue;
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -16,15 +16,16 @@
 
 /** Bounds of the deployment, from the settings. */
 struct fleet_bounds {
-	int64_t lease_ms;  /**< longest that a worker grants */
-	int64_t stop_ms;   /**< a stop takes at most */
-	int64_t gang_ms;   /**< members wait for each other at most */
-	int64_t restore_ms; /**< to resume from a checkpoint */
+	int64_t lease_ms;	/**< longest that a worker grants */
+	int64_t stop_ms;	/**< a stop takes at most */
+	int64_t gang_ms;	/**< members wait for each other at most */
+	int64_t restore_ms;	/**< to resume from a checkpoint */
 	double remote_slowdown; /**< off the data's rack, or over racks */
 };
 
 struct fleet_ports {
-	/** Sends an order; its answer comes back as fleet_scheduler_started(). */
+	/** Sends an order; its answer comes back as fleet_scheduler_started().
+	 */
 	void (*start)(void *data, struct fleet_worker *w,
 		      const struct start_order *order);
 	/** Sends a stop; see fleet_scheduler_stopped(). */
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -141,8 +141,9 @@
 	json_object *steps = json_object_new_array();
 	enum fleet_job_state state = job->state;
 
-	json_object_object_add(row, "state",
-			       json_object_new_string(fleet_job_state_name(state)));
+	json_object_object_add(
+		row, "state",
+		json_object_new_string(fleet_job_state_name(state)));
 	for (guint i = 0; i < job->steps->len; i++) {
 		const struct fleet_step *step = job->steps->pdata[i];
 
@@ -197,8 +198,8 @@
 	guint known =
 		(guint)json_object_get_int64(list_value(failures, t->index, 1));
 	gboolean is_done = row_has_done(member(json, "done"), t->index);
-	gboolean has_more = t->failures > known ||
-			    (t->state == TASK_DONE && !is_done);
+	gboolean has_more =
+		t->failures > known || (t->state == TASK_DONE && !is_done);
 
 	if (known > t->failures) {
 		t->failures = known;
--- a/sched/job_spec.h
+++ b/sched/job_spec.h
@@ -23,25 +23,25 @@
 	int64_t millicores; /**< of one task, as the other amounts */
 	int64_t memory_mb;
 	int64_t accelerators;
-	int64_t estimate_ms;   /**< rough, by the caller */
-	json_object *after;    /**< numbers of steps that come first, or NULL */
+	int64_t estimate_ms; /**< rough, by the caller */
+	json_object *after;  /**< numbers of steps that come first, or NULL */
 	int64_t is_checkpointed;
-	int64_t is_gang;       /**< tasks run only all together */
-	int64_t is_one_rack;   /**< slower when spread over racks */
-	char *required_label;  /**< of workers, or NULL */
-	char *data_rack;       /**< where the step is faster, or NULL */
+	int64_t is_gang;	/**< tasks run only all together */
+	int64_t is_one_rack;	/**< slower when spread over racks */
+	char *required_label;	/**< of workers, or NULL */
+	char *data_rack;	/**< where the step is faster, or NULL */
 	int64_t max_per_worker; /**< tasks on one worker, 0 for any */
 	int64_t is_speculative; /**< copies may run; the first end counts */
-	int64_t is_service;     /**< runs until the job is cancelled */
-	char *image;            /**< tasks of one image behave alike */
+	int64_t is_service;	/**< runs until the job is cancelled */
+	char *image;		/**< tasks of one image behave alike */
 	int64_t tail_target_ms; /**< of a service's response times, or 0 */
-	int64_t is_filler;      /**< takes cores that others leave unused */
-	int64_t may_miss;       /**< tasks of a service away at one time */
+	int64_t is_filler;	/**< takes cores that others leave unused */
+	int64_t may_miss;	/**< tasks of a service away at one time */
 };
 
 struct job_spec {
-	char *payload; /**< handed to the tasks as it is */
-	GArray *steps; /**< of struct step_spec */
+	char *payload;	      /**< handed to the tasks as it is */
+	GArray *steps;	      /**< of struct step_spec */
 	int64_t repeat_count; /**< 0 for a job that runs once, at once */
 	int64_t first_ms;     /**< due time of occurrence 0, since 1970 */
 	int64_t interval_ms;  /**< between occurrences */
@@ -60,8 +60,7 @@
 gboolean job_spec_check(const struct job_spec *spec,
 			struct finding_list *findings);
 
-const struct step_spec *job_spec_step(const struct job_spec *spec,
-				      guint index);
+const struct step_spec *job_spec_step(const struct job_spec *spec, guint index);
 
 /** Returns the number of occurrences, at least 1. */
 guint job_spec_occurrences(const struct job_spec *spec);
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -61,8 +61,7 @@
 static gboolean is_vacant(const struct leadership *l)
 {
 	/* A row of this very process whose write was answered too late. */
-	return !l->holder || !l->holder[0] ||
-	       g_str_equal(l->holder, l->self);
+	return !l->holder || !l->holder[0] || g_str_equal(l->holder, l->self);
 }
 
 enum leadership_step leadership_next(const struct leadership *l, int64_t now_ms)
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -26,10 +26,10 @@
 	gboolean is_known;  /**< the row, or its absence, has been read */
 	int64_t changed_ms; /**< when the row was last seen to change */
 	gboolean is_holder;
-	int64_t renewed_ms; /**< when the last confirmed renewal was sent */
-	int64_t sent_ms;    /**< when the write in flight was sent, or 0 */
-	int64_t jitter_ms;  /**< added before a takeover */
-	gboolean is_barred; /**< draining: takes no lease */
+	int64_t renewed_ms;    /**< when the last confirmed renewal was sent */
+	int64_t sent_ms;       /**< when the write in flight was sent, or 0 */
+	int64_t jitter_ms;     /**< added before a takeover */
+	gboolean is_barred;    /**< draining: takes no lease */
 	gboolean was_released; /**< by the holder before this one */
 };
 
--- a/sched/run_report.c
+++ b/sched/run_report.c
@@ -1,14 +1,14 @@
 #include "sched/run_report.h"
 
 static const char *const end_names[] = {
-	[RUN_DONE] = "done",	 [RUN_FAILED] = "failed",
+	[RUN_DONE] = "done",	   [RUN_FAILED] = "failed",
 	[RUN_STOPPED] = "stopped", [RUN_LAPSED] = "lapsed",
-	[RUN_BROKEN] = "broken", [RUN_ALONE] = "alone",
+	[RUN_BROKEN] = "broken",   [RUN_ALONE] = "alone",
 };
 
 static const char *const refusal_names[] = {
-	[REFUSAL_EPOCH] = "epoch", [REFUSAL_OLD_RUN] = "old_run",
-	[REFUSAL_LATE] = "late",   [REFUSAL_ROOM] = "room",
+	[REFUSAL_EPOCH] = "epoch",   [REFUSAL_OLD_RUN] = "old_run",
+	[REFUSAL_LATE] = "late",     [REFUSAL_ROOM] = "room",
 	[REFUSAL_TICKET] = "ticket", [REFUSAL_OTHER] = "other",
 };
 
--- a/store/call_sender.c
+++ b/store/call_sender.c
@@ -131,8 +131,8 @@
 
 	call->sent_us = g_get_monotonic_time();
 	call->generation = store_gate_generation(&s->gate);
-	http.timeout_ms =
-		s->timeout_ms + call->wait_ms - (call->sent_us - call->made_us) / US_PER_MS;
+	http.timeout_ms = s->timeout_ms + call->wait_ms -
+			  (call->sent_us - call->made_us) / US_PER_MS;
 	counter_add(call->kind == STORE_CALL_WRITE ? s->counters.writes
 						   : s->counters.reads,
 		    1);
--- a/store/platform.h
+++ b/store/platform.h
@@ -21,8 +21,8 @@
 
 struct table_row {
 	const char *key;
-	int64_t version;    /**< rises with each write, never used again */
-	json_object *value; /**< not owned */
+	int64_t version;     /**< rises with each write, never used again */
+	json_object *value;  /**< not owned */
 	gboolean is_deleted; /**< of a watch: the row is gone */
 };
 
--- a/store/platform_call.c
+++ b/store/platform_call.c
@@ -18,8 +18,8 @@
 	call->write_count = spec->write_count;
 	call->made_us = now_us;
 	call->take_answer = spec->take_answer;
-	call->take_reply = spec->take_reply ? spec->take_reply
-					    : platform_answer_take;
+	call->take_reply =
+		spec->take_reply ? spec->take_reply : platform_answer_take;
 	call->may_reuse = spec->may_reuse;
 	call->wait_ms = spec->wait_ms;
 	call->fn = spec->fn;
--- a/store/platform_call.h
+++ b/store/platform_call.h
@@ -35,7 +35,7 @@
 	/** Takes any whole reply; NULL for platform_answer_take(). */
 	platform_answer_fn take_reply;
 	gboolean may_reuse; /**< of struct http_call_spec */
-	int64_t wait_ms; /**< that the answer may be held back, 0 for none */
+	int64_t wait_ms;    /**< that the answer may be held back, 0 for none */
 };
 
 struct platform_call {
