Jobs are marked before their first start; writes are under the term's row; parts spread the store's commits

(3) a lease that was given back during a renewal was not given back. Ruled out: a term row that another takeover wrote (no conflict was logged). Change: a job is stored as active before its first start, under the condition that no other holder has taken over; a successor starts all others at once. Batches hold 48 rows. Jobs and cancels lie in 8 parts, what the holder writes in one. Failed writes are logged; the release is written again after a conflict.

--- a/entry/election.c
+++ b/entry/election.c
@@ -4,6 +4,7 @@
 #include "base/util.h"
 #include "entry/entry_store.h"
 #include "entry/table_feed.h"
+#include "sched/job_progress.h"
 #include "sched/leadership.h"
 
 #define TICK_MS 100
@@ -14,6 +15,8 @@
 /* VMs with a small share of a core leave the duty to larger ones. */
 #define SMALL_CPU_SHARE 0.2
 #define SMALL_DELAY_MS 300
+/* Writes that try to give the lease back before it is left to lapse. */
+#define MAX_RELEASES 3
 
 struct election {
 	struct service base;
@@ -25,6 +28,7 @@
 	enum leadership_step step; /* of the write in flight */
 	gboolean is_held;	   /* the listener was told so */
 	gboolean is_releasing;
+	guint releases; /* writes that give the lease back */
 	guint timer;
 };
 
@@ -101,7 +105,8 @@
 	s->is_held = TRUE;
 	log_lease(s, "lease_acquired", NULL);
 	s->listener.on_gained(s->listener.data, s->lead.epoch,
-			      leadership_rival_ms(&s->lead));
+			      leadership_rival_ms(&s->lead),
+			      s->lead.term_version);
 }
 
 static void on_written(const struct platform_result *result, void *data)
@@ -127,16 +132,26 @@
 		leadership_no_contact(&s->lead, util_boot_ms());
 }
 
-static void write_row(struct election *s, json_object *row, platform_fn fn)
+static void write_row(struct election *s, json_object *row,
+		      gboolean is_new_term, platform_fn fn)
 {
-	struct table_write write = {
-		.table = LEADERSHIP_TABLE,
-		.key = LEADERSHIP_KEY,
-		.expected_version = s->lead.version,
-		.value = row,
+	const struct table_write writes[] = {
+		{
+			.table = LEADERSHIP_TABLE,
+			.key = LEADERSHIP_KEY,
+			.expected_version = s->lead.version,
+			.value = row,
+		},
+		{
+			.table = LEADERSHIP_TABLE,
+			.part = HOLDER_PART,
+			.key = LEADERSHIP_TERM_KEY,
+			.expected_version = TABLE_ANY_VERSION,
+			.value = row,
+		},
 	};
 
-	platform_commit(s->platform, &write, 1, fn, s);
+	platform_commit(s->platform, writes, is_new_term ? 2 : 1, fn, s);
 	json_object_put(row);
 }
 
@@ -150,7 +165,8 @@
 		return G_SOURCE_CONTINUE;
 	s->step = step;
 	leadership_sent(&s->lead, now_ms);
-	write_row(s, leadership_encode(&s->lead, step), on_written);
+	write_row(s, leadership_encode(&s->lead, step),
+		  step == LEADERSHIP_ACQUIRE, on_written);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -183,14 +199,30 @@
 	return STATUS_OK;
 }
 
+static void release(struct election *s);
+
 static void on_released(const struct platform_result *result, void *data)
 {
 	struct election *s = data;
 
+	/* A renewal that was under way has changed the row. */
+	if (result->status == STATUS_CONFLICT && s->releases < MAX_RELEASES) {
+		take_conflict(s, result);
+		if (g_strcmp0(s->lead.holder, s->lead.self) == 0) {
+			release(s);
+			return;
+		}
+	}
 	s->is_releasing = FALSE;
 	log_lease(s, "lease_released", status_name(result->status));
 }
 
+static void release(struct election *s)
+{
+	s->releases++;
+	write_row(s, leadership_encode_release(&s->lead), FALSE, on_released);
+}
+
 static void election_drain(struct service *base)
 {
 	struct election *s = (struct election *)base;
@@ -201,7 +233,7 @@
 	s->lead.is_holder = FALSE;
 	s->is_releasing = TRUE;
 	check_lost(s);
-	write_row(s, leadership_encode_release(&s->lead), on_released);
+	release(s);
 }
 
 static gboolean election_is_idle(const struct service *base)
--- a/entry/election.h
+++ b/entry/election.h
@@ -15,8 +15,10 @@
 	 * The lease is ours from now on.
 	 *
 	 * @param rival_ms	how long the holder before may still act
+	 * @param term_version	of the row that only a takeover writes
 	 */
-	void (*on_gained)(void *data, int64_t epoch, int64_t rival_ms);
+	void (*on_gained)(void *data, int64_t epoch, int64_t rival_ms,
+			  int64_t term_version);
 	void (*on_lost)(void *data);
 	void *data;
 };
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -229,6 +229,7 @@
 {
 	struct table_write write = {
 		.table = JOB_TABLE,
+		.part = job_part(c->id),
 		.key = c->id,
 		.expected_version = TABLE_ABSENT,
 		.value = c->row,
@@ -320,8 +321,8 @@
 	if (result->row_count)
 		state = job_progress_state(result->rows[0].value);
 	if (state == FLEET_JOB_STATE_COUNT) {
-		platform_read(c->frontend->platform, JOB_TABLE, c->id,
-			      on_job_row, c);
+		platform_read_part(c->frontend->platform, JOB_TABLE,
+				   job_part(c->id), c->id, on_job_row, c);
 		return;
 	}
 	answer_json(c, "GET", wire_job_state(fleet_job_state_name(state)),
@@ -336,12 +337,13 @@
 	if (!find_route(c, "GET"))
 		return;
 	if (!c->id[0])
-		platform_read(s->platform, QUEUE_TABLE, QUEUE_KEY, on_queue, c);
+		platform_read_part(s->platform, QUEUE_TABLE, HOLDER_PART,
+				   QUEUE_KEY, on_queue, c);
 	else if (!is_job_id(c->id))
 		answer(c, "GET", SOUP_STATUS_GONE, "no such job\n");
 	else
-		platform_read(s->platform, JOB_PROGRESS_TABLE, c->id,
-			      on_progress, c);
+		platform_read_part(s->platform, JOB_PROGRESS_TABLE, HOLDER_PART,
+				   c->id, on_progress, c);
 }
 
 static void on_cancelled(const struct platform_result *result, void *data)
@@ -363,6 +365,7 @@
 	struct call *c = data;
 	struct table_write write = {
 		.table = JOB_CANCEL_TABLE,
+		.part = job_part(c->id),
 		.key = c->id,
 		.expected_version = TABLE_ANY_VERSION,
 	};
@@ -389,8 +392,8 @@
 	if (!find_route(c, "DELETE"))
 		return;
 	if (is_job_id(c->id))
-		platform_read(s->platform, JOB_TABLE, c->id, on_job_to_cancel,
-			      c);
+		platform_read_part(s->platform, JOB_TABLE, job_part(c->id),
+				   c->id, on_job_to_cancel, c);
 	else
 		answer(c, "DELETE", SOUP_STATUS_GONE, "no such job\n");
 }
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -22,6 +22,8 @@
 #define LEASE_STRETCH 1.03
 #define LEASE_SLACK_MS 500
 
+static const char *const holder_parts[] = { HOLDER_PART, NULL };
+
 enum feed_kind {
 	FEED_JOBS,
 	FEED_CANCELS,
@@ -198,6 +200,7 @@
 	struct table_feed_spec progress = {
 		.platform = s->platform,
 		.table = JOB_PROGRESS_TABLE,
+		.parts = holder_parts,
 		.wait_ms = WAIT_MS,
 		.on_row = on_progress_row,
 		.on_synced = on_synced,
@@ -232,17 +235,19 @@
 {
 	static const struct {
 		const char *table;
+		const char *const *parts;
 		void (*on_row)(void *data, const struct table_row *row,
 			       int64_t store_ms);
 	} kinds[FEED_COUNT] = {
-		[FEED_JOBS] = { JOB_TABLE, on_job_row },
-		[FEED_CANCELS] = { JOB_CANCEL_TABLE, on_cancel_row },
-		[FEED_WORKERS] = { WIRE_WORKER_TABLE, on_worker_row },
-		[FEED_USE] = { WORKER_USE_TABLE, on_use_row },
+		[FEED_JOBS] = { JOB_TABLE, job_parts, on_job_row },
+		[FEED_CANCELS] = { JOB_CANCEL_TABLE, job_parts, on_cancel_row },
+		[FEED_WORKERS] = { WIRE_WORKER_TABLE, NULL, on_worker_row },
+		[FEED_USE] = { WORKER_USE_TABLE, holder_parts, on_use_row },
 	};
 	struct table_feed_spec spec = {
 		.platform = s->platform,
 		.table = kinds[kind].table,
+		.parts = kinds[kind].parts,
 		.wait_ms = WAIT_MS,
 		.on_row = kinds[kind].on_row,
 		.on_synced = on_synced,
@@ -282,7 +287,8 @@
 	};
 }
 
-static void on_gained(void *data, int64_t epoch, int64_t rival_ms)
+static void on_gained(void *data, int64_t epoch, int64_t rival_ms,
+		      int64_t term_version)
 {
 	struct pool_holder *s = data;
 	int64_t lease_ms =
@@ -295,6 +301,7 @@
 	fleet_scheduler_begin(&s->scheduler, epoch,
 			      s->gained_ms + rival_ms + lease_ms +
 				      LEASE_SLACK_MS);
+	progress_writer_begin(s->writer, term_version);
 	s->is_holding = TRUE;
 	start_feed(s, FEED_JOBS);
 	start_feed(s, FEED_USE);
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -4,9 +4,10 @@
 #include "base/util.h"
 #include "entry/frontend.h"
 #include "entry/pool_holder.h"
+#include "sched/leadership.h"
 
-/* Rows of one transaction; the store takes 100. */
-#define BATCH_ROWS 60
+/* The store takes 100 entries in a transaction; a row may need two. */
+#define BATCH_ROWS 48
 /* Before a batch that failed is written again. */
 #define RETRY_MS 100
 /* The lengths of the queues may be this old. */
@@ -20,6 +21,7 @@
 	GPtrArray *job_ids;    /* of the batch in flight */
 	GPtrArray *worker_ids; /* recorded by the batch in flight */
 	GPtrArray *unused_ids; /* of workers removed by it */
+	int64_t term_version;
 	gboolean is_writing;
 	gboolean has_all; /* the batch leaves nothing out */
 	int64_t retry_ms;
@@ -54,6 +56,11 @@
 	return w;
 }
 
+void progress_writer_begin(struct progress_writer *w, int64_t term_version)
+{
+	w->term_version = term_version;
+}
+
 void progress_writer_reset(struct progress_writer *w)
 {
 	platform_forget(w->spec.platform, w);
@@ -82,11 +89,12 @@
 	json_object_put(value);
 }
 
-static void batch_add(struct batch *b, const char *table, const char *key,
-		      int64_t version, json_object *value)
+static void batch_add_part(struct batch *b, const char *table, const char *part,
+			   const char *key, int64_t version, json_object *value)
 {
 	struct table_write write = {
 		.table = table,
+		.part = part,
 		.key = key,
 		.expected_version = version,
 		.value = value,
@@ -97,6 +105,12 @@
 		g_ptr_array_add(b->values, value);
 }
 
+static void batch_add(struct batch *b, const char *table, const char *key,
+		      int64_t version, json_object *value)
+{
+	batch_add_part(b, table, HOLDER_PART, key, version, value);
+}
+
 static void add_jobs(struct progress_writer *w, struct batch *b)
 {
 	GHashTableIter iter;
@@ -116,7 +130,7 @@
 		batch_add(b, JOB_PROGRESS_TABLE, job->id, job->progress_version,
 			  job_progress_encode(job));
 		job->is_dirty = FALSE;
-		job->is_saving = TRUE;
+		job->is_marking = job->state != FLEET_JOB_QUEUED;
 		g_ptr_array_add(w->job_ids, g_strdup(job->id));
 	}
 }
@@ -230,13 +244,13 @@
 		    now_ms - job->ended_ms <
 			    w->spec.status_ms + REMOVE_SLACK_MS)
 			continue;
-		job->is_saving = TRUE;
 		g_ptr_array_add(w->job_ids, g_strdup(job->id));
-		batch_add(b, JOB_TABLE, job->id, TABLE_ANY_VERSION, NULL);
+		batch_add_part(b, JOB_TABLE, job_part(job->id), job->id,
+			       TABLE_ANY_VERSION, NULL);
 		batch_add(b, JOB_PROGRESS_TABLE, job->id, TABLE_ANY_VERSION,
 			  NULL);
-		batch_add(b, JOB_CANCEL_TABLE, job->id, TABLE_ANY_VERSION,
-			  NULL);
+		batch_add_part(b, JOB_CANCEL_TABLE, job_part(job->id), job->id,
+			       TABLE_ANY_VERSION, NULL);
 	}
 }
 
@@ -252,7 +266,8 @@
 
 		if (!job)
 			continue;
-		job->is_saving = FALSE;
+		job->is_marked |= job->is_marking;
+		job->is_marking = FALSE;
 		job->progress_version = version;
 	}
 	for (guint i = 0; i < w->worker_ids->len; i++) {
@@ -297,7 +312,7 @@
 
 		if (!job)
 			continue;
-		job->is_saving = FALSE;
+		job->is_marking = FALSE;
 		job->is_dirty = TRUE;
 	}
 }
@@ -328,6 +343,19 @@
 	log_end(&line);
 }
 
+static void log_failure(const struct progress_writer *w,
+			const struct platform_result *result)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "progress_not_written");
+	log_str(&line, "status", status_name(result->status));
+	log_str(&line, "message", status_last_message());
+	log_int(&line, "jobs", w->job_ids->len);
+	log_int(&line, "took_ms", util_monotonic_ms() - w->sent_ms);
+	log_end(&line);
+}
+
 static void on_written(const struct platform_result *result, void *data)
 {
 	struct progress_writer *w = data;
@@ -344,6 +372,7 @@
 		take_conflict(w, result);
 		break;
 	default:
+		log_failure(w, result);
 		take_back(w);
 		w->retry_ms = now_ms + RETRY_MS;
 		break;
@@ -368,6 +397,20 @@
 	}
 }
 
+/* A holder that another one has replaced writes nothing any more. */
+static void add_term(const struct progress_writer *w, struct batch *b)
+{
+	struct table_write term = {
+		.table = LEADERSHIP_TABLE,
+		.part = HOLDER_PART,
+		.key = LEADERSHIP_TERM_KEY,
+		.expected_version = w->term_version,
+		.is_condition = TRUE,
+	};
+
+	g_array_append_val(b->writes, term);
+}
+
 void progress_writer_write(struct progress_writer *w, int64_t now_ms)
 {
 	struct batch b;
@@ -382,6 +425,7 @@
 	add_queues(w, &b, now_ms);
 	add_removals(w, &b, now_ms);
 	if (b.writes->len) {
+		add_term(w, &b);
 		w->is_writing = TRUE;
 		w->sent_ms = now_ms;
 		platform_commit(
--- a/entry/progress_writer.h
+++ b/entry/progress_writer.h
@@ -28,6 +28,9 @@
 progress_writer_new(const struct progress_writer_spec *spec);
 void progress_writer_free(struct progress_writer *w);
 
+/** Begins an epoch: writes are made while its term's row is unchanged. */
+void progress_writer_begin(struct progress_writer *w, int64_t term_version);
+
 /** Forgets the batch in flight: another epoch begins. */
 void progress_writer_reset(struct progress_writer *w);
 
--- a/entry/table_feed.c
+++ b/entry/table_feed.c
@@ -15,6 +15,7 @@
 	GHashTable *versions; /* key to version of each row that is there */
 	GHashTable *found;    /* keys found by the scan under way, or NULL */
 	char *next_key;	      /* of the scan */
+	guint part;	      /* that the scan reads */
 	int64_t after_version;
 	int64_t scan_version; /* of the first page */
 	gboolean is_synced;
@@ -125,6 +126,14 @@
 		f->spec.on_contact(f->spec.data, is_good, result->store_ms);
 }
 
+/* Returns the part that the scan reads, NULL after the last one. */
+static const char *part_name(const struct table_feed *f)
+{
+	if (!f->spec.parts)
+		return f->part ? NULL : "";
+	return f->spec.parts[f->part];
+}
+
 static void on_page(const struct platform_result *result, void *data)
 {
 	struct table_feed *f = data;
@@ -134,7 +143,7 @@
 		retry_later(f);
 		return;
 	}
-	if (!f->next_key)
+	if (!f->next_key && !f->part)
 		f->scan_version = result->version;
 	for (guint i = 0; i < result->row_count; i++) {
 		const struct table_row *row = &result->rows[i];
@@ -149,7 +158,9 @@
 			result->rows[result->row_count - 1].key, "!", NULL);
 	} else {
 		g_clear_pointer(&f->next_key, g_free);
-		end_scan(f, result->store_ms);
+		f->part++;
+		if (!part_name(f))
+			end_scan(f, result->store_ms);
 	}
 	call_next(f);
 }
@@ -158,6 +169,7 @@
 {
 	f->found = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_clear_pointer(&f->next_key, g_free);
+	f->part = 0;
 }
 
 static void on_changes(const struct platform_result *result, void *data)
@@ -190,6 +202,7 @@
 {
 	struct table_page_query page = {
 		.table = f->table,
+		.part = f->found ? part_name(f) : NULL,
 		.from_key = f->next_key,
 		.max_rows = PAGE_ROWS,
 	};
--- a/entry/table_feed.h
+++ b/entry/table_feed.h
@@ -14,6 +14,8 @@
 struct table_feed_spec {
 	struct platform *platform;
 	const char *table;
+	/** Parts to read, ends with NULL; NULL for the one without a name. */
+	const char *const *parts;
 	int64_t wait_ms; /**< longest time that a call is held back */
 	/** A row is new or changed; its value is NULL when it is deleted. */
 	void (*on_row)(void *data, const struct table_row *row,
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -81,8 +81,14 @@
 	enum fleet_job_state state;
 	gboolean is_cancelled; /**< asked for; its tasks are being stopped */
 	gboolean has_started;
-	gboolean is_dirty; /**< progress is not in the store yet */
-	gboolean is_saving;
+	/**
+	 * The store says that it is active. Nothing of it is started before
+	 * that, so that a successor knows which jobs run nowhere.
+	 */
+	gboolean is_marked;
+	gboolean is_inherited; /**< an earlier epoch may have started it */
+	gboolean is_dirty;     /**< progress is not in the store yet */
+	gboolean is_marking; /**< the write in flight says that it is active */
 	int64_t progress_version; /**< of its row, 0 for none */
 	int64_t ended_ms;
 };
--- a/sched/fleet_parts.h
+++ b/sched/fleet_parts.h
@@ -20,6 +20,9 @@
 		       struct fleet_worker **workers, guint count,
 		       int64_t now_ms);
 
+/** Has the store told that a job is active, which lets it be started. */
+void fleet_mark_job(struct fleet_job *job, int64_t now_ms);
+
 /** Starts what waits, where it has room or may make some. */
 void fleet_place_all(struct fleet_scheduler *s, int64_t now_ms);
 
@@ -31,7 +34,4 @@
 int64_t fleet_objective_ms(const struct fleet_scheduler *s,
 			   const struct fleet_job *job);
 
-/** Returns the time that a task is expected to need from its start. */
-int64_t fleet_task_work_ms(const struct fleet_task *t);
-
 #endif
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -31,6 +31,7 @@
 	gboolean is_guaranteed; /* within its account's guarantee */
 	int64_t objective_ms;
 	int64_t latest_start_ms; /* to end within the objective */
+	gboolean is_late;	 /* it can't end within it any more */
 };
 
 struct round {
@@ -41,28 +42,33 @@
 	guint reservations;
 };
 
-int64_t fleet_task_work_ms(const struct fleet_task *t)
+static int64_t step_ms(const struct fleet_scheduler *s,
+		       const struct fleet_job *job,
+		       const struct step_spec *spec)
 {
-	return t->step->spec->estimate_ms;
+	return run_times_expected_ms(s->run_times, job->route,
+				     spec->estimate_ms);
 }
 
-static int64_t chain_ms(const struct fleet_job *job, guint index)
+static int64_t chain_ms(const struct fleet_scheduler *s,
+			const struct fleet_job *job, guint index)
 {
 	const struct step_spec *spec = job_spec_step(&job->spec, index);
 	int64_t before_ms = 0;
 
 	for (guint i = 0; i < step_spec_after_count(spec); i++)
-		before_ms =
-			MAX(before_ms, chain_ms(job, step_spec_after(spec, i)));
-	return before_ms + spec->estimate_ms;
+		before_ms = MAX(before_ms,
+				chain_ms(s, job, step_spec_after(spec, i)));
+	return before_ms + step_ms(s, job, spec);
 }
 
-static int64_t longest_chain_ms(const struct fleet_job *job)
+static int64_t longest_chain_ms(const struct fleet_scheduler *s,
+				const struct fleet_job *job)
 {
 	int64_t longest_ms = 0;
 
 	for (guint i = 0; i < job->spec.steps->len; i++)
-		longest_ms = MAX(longest_ms, chain_ms(job, i));
+		longest_ms = MAX(longest_ms, chain_ms(s, job, i));
 	return longest_ms;
 }
 
@@ -74,16 +80,18 @@
 	if (!route)
 		return INT64_MAX;
 	return job->accepted_ms + route->objective_ms +
-	       (int64_t)(route->stretch * (double)longest_chain_ms(job));
+	       (int64_t)(route->stretch * (double)longest_chain_ms(s, job));
 }
 
 /* Work from this step to the end of the job. */
-static int64_t remaining_ms(const struct fleet_step *step)
+static int64_t remaining_ms(const struct fleet_scheduler *s,
+			    const struct fleet_step *step)
 {
 	const struct fleet_job *job = step->job;
-	int64_t rest_ms = longest_chain_ms(job) - chain_ms(job, step->index);
+	int64_t rest_ms =
+		longest_chain_ms(s, job) - chain_ms(s, job, step->index);
 
-	return rest_ms + step->spec->estimate_ms;
+	return rest_ms + step_ms(s, job, step->spec);
 }
 
 static gboolean is_eligible(const struct round *r, const struct fleet_worker *w,
@@ -307,6 +315,11 @@
 			g_array_index(r->rooms, struct room, index).worker);
 	}
 	take_room(r, u, c);
+	if (!u->step->job->is_marked) {
+		fleet_mark_job(u->step->job, r->now_ms);
+		g_ptr_array_unref(workers);
+		return;
+	}
 	if (u->step->spec->is_gang) {
 		fleet_start_tasks(r->s, (struct fleet_task **)u->tasks->pdata,
 				  (struct fleet_worker **)workers->pdata,
@@ -343,7 +356,8 @@
 	int64_t waited_ms = r->now_ms - u->step->ready_ms;
 
 	return (double)waited_ms <
-	       RACK_PATIENCE * (double)u->step->spec->estimate_ms;
+	       RACK_PATIENCE *
+		       (double)step_ms(r->s, u->step->job, u->step->spec);
 }
 
 /*
@@ -738,7 +752,8 @@
 	}
 	u->priority = fleet_priority(r->s, step->job);
 	u->objective_ms = fleet_objective_ms(r->s, step->job);
-	u->latest_start_ms = u->objective_ms - remaining_ms(step);
+	u->latest_start_ms = u->objective_ms - remaining_ms(r->s, step);
+	u->is_late = u->latest_start_ms < r->now_ms;
 	return u;
 }
 
@@ -749,6 +764,9 @@
 
 	if (step->done_count == step->task_count || !fleet_step_is_ready(step))
 		return;
+	/* Tasks that no worker lists may run on one that hasn't answered. */
+	if (step->job->is_inherited && r->now_ms < r->s->unseen_until_ms)
+		return;
 	if (!step->ready_ms)
 		step->ready_ms = r->now_ms;
 	u = unit_new(r, step);
@@ -852,6 +870,8 @@
 		return x->priority < y->priority ? -1 : 1;
 	if (x->is_guaranteed != y->is_guaranteed)
 		return x->is_guaranteed ? -1 : 1;
+	if (x->is_late != y->is_late)
+		return y->is_late ? -1 : 1;
 	if (x->latest_start_ms != y->latest_start_ms)
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	return compare_accepted(a, b);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -27,10 +27,12 @@
 {
 	*s = (struct fleet_scheduler){ .bounds = *bounds, .ports = *ports };
 	fleet_init(&s->fleet);
+	s->run_times = run_times_new();
 }
 
 void fleet_scheduler_clear(struct fleet_scheduler *s)
 {
+	run_times_free(s->run_times);
 	fleet_clear(&s->fleet);
 }
 
@@ -118,6 +120,10 @@
 	if (!job || version <= job->progress_version)
 		return;
 	job->progress_version = version;
+	if (job_progress_state(row) != FLEET_JOB_QUEUED) {
+		job->is_marked = TRUE;
+		job->is_inherited = TRUE;
+	}
 	if (job_progress_merge(job, row))
 		job->is_dirty = TRUE;
 }
@@ -287,11 +293,13 @@
 	}
 	if (!tasks[0]->step->first_start_ms)
 		tasks[0]->step->first_start_ms = now_ms;
-	if (!job->has_started) {
-		job->has_started = TRUE;
-		if (job->state == FLEET_JOB_QUEUED)
-			set_state(job, FLEET_JOB_ACTIVE, "first start", now_ms);
-	}
+	job->has_started = TRUE;
+}
+
+void fleet_mark_job(struct fleet_job *job, int64_t now_ms)
+{
+	if (job->state == FLEET_JOB_QUEUED)
+		set_state(job, FLEET_JOB_ACTIVE, "about to start", now_ms);
 }
 
 void fleet_stop_task(struct fleet_scheduler *s, struct fleet_task *t,
@@ -302,7 +310,6 @@
 	t->is_stop_ordered = TRUE;
 	if (t->state != TASK_DONE)
 		t->state = TASK_STOPPING;
-	t->ordered_ms = now_ms;
 	t->stop_answered_ms = 0;
 	log_task(s, t, "task_stop", reason);
 	send_stop(s, t);
@@ -351,6 +358,11 @@
 	struct fleet_step *step = t->step;
 	gboolean is_gang = step->spec->is_gang != 0;
 
+	if (t->worker == w && t->run == run && t->confirmed_ms &&
+	    !t->checkpoint && t->state == TASK_RUNNING)
+		run_times_observe(s->run_times, step->job->route,
+				  now_ms - t->ordered_ms);
+
 	for (guint i = 0; i < step->task_count; i++) {
 		struct fleet_task *member = &step->tasks[i];
 
@@ -429,6 +441,11 @@
 	log_str(&line, "end", run_end_name(e->end));
 	log_str(&line, "worker", w->id);
 	log_int(&line, "number", e->number);
+	if (t && t->worker == w && t->run == e->run) {
+		log_int(&line, "ran_ms", now_ms - t->ordered_ms);
+		log_int(&line, "accelerators", t->step->spec->accelerators);
+		log_int(&line, "saves", t->step->spec->is_checkpointed);
+	}
 	log_end(&line);
 	judge_worker(w, e->end, now_ms);
 	if (!t)
@@ -760,6 +777,5 @@
 				check_gang(s, step, now_ms);
 		}
 	}
-	if (now_ms >= s->unseen_until_ms)
-		fleet_place_all(s, now_ms);
+	fleet_place_all(s, now_ms);
 }
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -13,6 +13,7 @@
 #include "sched/fleet.h"
 #include "sched/fleet_config.h"
 #include "sched/job_progress.h"
+#include "sched/run_times.h"
 
 /** Bounds of the deployment, from the settings. */
 struct fleet_bounds {
@@ -39,6 +40,7 @@
 	const struct fleet_config *config; /**< not owned; may be NULL */
 	struct fleet_bounds bounds;
 	struct fleet_ports ports;
+	struct run_times *run_times;
 	int64_t epoch;
 	int64_t runs; /**< started under this epoch */
 	/**
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -1,5 +1,14 @@
 #include "sched/job_progress.h"
 
+const char *const job_parts[] = {
+	"a", "b", "c", "d", "e", "f", "g", "h", NULL
+};
+
+const char *job_part(const char *id)
+{
+	return job_parts[g_str_hash(id) % (G_N_ELEMENTS(job_parts) - 1)];
+}
+
 static json_object *member(json_object *object, const char *name)
 {
 	json_object *value = NULL;
--- a/sched/job_progress.h
+++ b/sched/job_progress.h
@@ -15,6 +15,18 @@
 #define JOB_PROGRESS_TABLE "progress"
 #define JOB_CANCEL_TABLE "cancels"
 
+/**
+ * What the holder of the pool writes is in one part, in batches. What callers
+ * cause is spread over several, as commits within a part wait for each other.
+ */
+#define HOLDER_PART "holder"
+
+/** Parts of the tables of jobs and cancels, ends with NULL. */
+extern const char *const job_parts[];
+
+/** Returns the part of a job's rows. */
+const char *job_part(const char *id);
+
 /** Encodes an accepted job; free with put. */
 json_object *job_row_encode(const char *route, const char *account,
 			    const struct job_spec *spec,
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -111,8 +111,10 @@
 {
 	gboolean is_new = step == LEADERSHIP_ACQUIRE;
 
-	if (is_new)
+	if (is_new) {
 		l->epoch++;
+		l->term_version = version;
+	}
 	l->is_holder = TRUE;
 	l->renewed_ms = l->sent_ms;
 	l->sent_ms = 0;
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -17,14 +17,20 @@
 
 #define LEADERSHIP_TABLE "leases"
 #define LEADERSHIP_KEY "pool"
+/**
+ * Written with each takeover only. A holder's writes are under the condition
+ * that this row has the version of its own takeover.
+ */
+#define LEADERSHIP_TERM_KEY "term"
 
 struct leadership {
-	char *self;	    /**< this incarnation of this process */
-	char *holder;	    /**< in the row, NULL or "" for none */
-	int64_t epoch;	    /**< in the row */
-	int64_t version;    /**< of the row, 0 when it isn't there */
-	gboolean is_known;  /**< the row, or its absence, has been read */
-	int64_t changed_ms; /**< when the row was last seen to change */
+	char *self;	      /**< this incarnation of this process */
+	char *holder;	      /**< in the row, NULL or "" for none */
+	int64_t epoch;	      /**< in the row */
+	int64_t version;      /**< of the row, 0 when it isn't there */
+	int64_t term_version; /**< of the term's row, by our takeover */
+	gboolean is_known;    /**< the row, or its absence, has been read */
+	int64_t changed_ms;   /**< when the row was last seen to change */
 	gboolean is_holder;
 	int64_t renewed_ms;    /**< when the last confirmed renewal was sent */
 	int64_t sent_ms;       /**< when the write in flight was sent, or 0 */
--- /dev/null
+++ b/sched/run_times.c
@@ -0,0 +1,56 @@
+#include "sched/run_times.h"
+
+/* Weight of a new observation, once there are as many as its inverse. */
+#define OBSERVATION_WEIGHT 0.05
+/* Observations before they are trusted more than estimates. */
+#define MIN_OBSERVATIONS 5
+
+struct run_time_mean {
+	double mean_ms;
+	guint count;
+};
+
+struct run_times {
+	GHashTable *means; /* route to struct run_time_mean */
+};
+
+struct run_times *run_times_new(void)
+{
+	struct run_times *t = g_new0(struct run_times, 1);
+
+	t->means =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return t;
+}
+
+void run_times_free(struct run_times *t)
+{
+	if (!t)
+		return;
+	g_hash_table_unref(t->means);
+	g_free(t);
+}
+
+void run_times_observe(struct run_times *t, const char *route, int64_t ran_ms)
+{
+	struct run_time_mean *m = g_hash_table_lookup(t->means, route);
+	double weight;
+
+	if (!m) {
+		m = g_new0(struct run_time_mean, 1);
+		g_hash_table_insert(t->means, g_strdup(route), m);
+	}
+	m->count++;
+	weight = MAX(1.0 / m->count, OBSERVATION_WEIGHT);
+	m->mean_ms += weight * ((double)ran_ms - m->mean_ms);
+}
+
+int64_t run_times_expected_ms(const struct run_times *t, const char *route,
+			      int64_t estimate_ms)
+{
+	const struct run_time_mean *m = g_hash_table_lookup(t->means, route);
+
+	if (!m || m->count < MIN_OBSERVATIONS)
+		return estimate_ms;
+	return (int64_t)m->mean_ms;
+}
--- a/store/platform.c
+++ b/store/platform.c
@@ -35,6 +35,12 @@
 	p->class->read(p, table, key, fn, data);
 }
 
+void platform_read_part(struct platform *p, const char *table, const char *part,
+			const char *key, platform_fn fn, void *data)
+{
+	p->class->read_part(p, table, part, key, fn, data);
+}
+
 void platform_scan(struct platform *p, const char *table, const char *prefix,
 		   platform_fn fn, void *data)
 {
--- a/store/platform.h
+++ b/store/platform.h
@@ -32,6 +32,11 @@
 	int64_t expected_version; /**< TABLE_ABSENT or that of the last read */
 	json_object *value;	  /**< NULL deletes the row; not taken over */
 	gboolean is_condition;	  /**< the row is compared, not written */
+	/**
+	 * Of the table; commits within one part are done one after another.
+	 * NULL for the one without a name (kind "steppe").
+	 */
+	const char *part;
 };
 
 struct platform_result {
@@ -68,6 +73,7 @@
 /** One page of a table, ordered by key. */
 struct table_page_query {
 	const char *table;
+	const char *part;     /**< as in a write */
 	const char *from_key; /**< first one, "" for the start */
 	const char *to_key;   /**< excluded, "" for no end */
 	guint max_rows;
@@ -84,6 +90,10 @@
 	const char *name;
 	void (*read)(struct platform *p, const char *table, const char *key,
 		     platform_fn fn, void *data);
+	/** Reads a row of a named part; NULL where there are no parts. */
+	void (*read_part)(struct platform *p, const char *table,
+			  const char *part, const char *key, platform_fn fn,
+			  void *data);
 	void (*scan)(struct platform *p, const char *table, const char *prefix,
 		     platform_fn fn, void *data);
 	void (*commit)(struct platform *p, const struct table_write *writes,
@@ -134,6 +144,10 @@
 void platform_read(struct platform *p, const char *table, const char *key,
 		   platform_fn fn, void *data);
 
+/** Reads a row of a named part; no row is no failure. */
+void platform_read_part(struct platform *p, const char *table, const char *part,
+			const char *key, platform_fn fn, void *data);
+
 /** Reads all rows whose key starts with a prefix, ordered by key. */
 void platform_scan(struct platform *p, const char *table, const char *prefix,
 		   platform_fn fn, void *data);
