Tests of the fleet scheduler and of the lease, in tables of cases

Change: cases for unanswered orders, unwanted runs, takeovers, workers without a registration, preemption, gang ends, marks and the lease.

--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -210,13 +210,8 @@
 	g_hash_table_iter_init(&iter, w->spec.in_use);
 	while (g_hash_table_iter_next(&iter, &id, NULL)) {
 		const struct fleet_worker *worker = fleet_worker(&s->fleet, id);
-		gboolean is_over = worker && worker->is_gone &&
-				   !worker->tasks->len &&
-				   (worker->reg.is_draining ||
-				    now_ms > worker->lease_bound_ms);
+		gboolean is_over = fleet_worker_is_over(s, worker, now_ms);
 
-		if (!worker && now_ms > s->unseen_until_ms)
-			is_over = TRUE;
 		if (!is_over || b->writes->len >= BATCH_ROWS)
 			continue;
 		batch_add(b, WORKER_USE_TABLE, id, TABLE_ANY_VERSION, NULL);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -205,6 +205,21 @@
 	*reg = (struct worker_registration){ 0 };
 }
 
+gboolean fleet_worker_is_over(const struct fleet_scheduler *s,
+			      const struct fleet_worker *w, int64_t now_ms)
+{
+	/* By then the leases that the holder before gave have run out. */
+	if (now_ms > s->unseen_until_ms && !w)
+		return TRUE;
+	if (!w || !w->is_gone || w->tasks->len)
+		return FALSE;
+	if (w->reg.is_draining)
+		return TRUE;
+	/* One that never answered runs what that holder started. */
+	return now_ms > w->lease_bound_ms &&
+	       (w->is_fenced || now_ms > s->unseen_until_ms);
+}
+
 int64_t fleet_scheduler_lease_end(const struct fleet_scheduler *s,
 				  struct fleet_worker *w, int64_t now_ms)
 {
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -110,6 +110,13 @@
 const struct queue_route *fleet_scheduler_route(const struct fleet_scheduler *s,
 						const struct fleet_job *job);
 
+/**
+ * Tells whether certainly nothing runs on a worker any more that has lost its
+ * registration; NULL stands for one that has never been seen registered.
+ */
+gboolean fleet_worker_is_over(const struct fleet_scheduler *s,
+			      const struct fleet_worker *w, int64_t now_ms);
+
 /** Returns the lease end to order, on the worker's clock. */
 int64_t fleet_scheduler_lease_end(const struct fleet_scheduler *s,
 				  struct fleet_worker *w, int64_t now_ms);
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -40,7 +40,7 @@
 				       json_object_new_string(account));
 	add_int(row, "accepted_ms", accepted_store_ms);
 	json_object_object_add(row, "spec",
-			       schema_encode(&job_spec_schema, spec));
+			       schema_encode(&job_spec_row_schema, spec));
 	return row;
 }
 
@@ -54,8 +54,9 @@
 	struct fleet_job *job = NULL;
 
 	finding_list_init(&findings);
-	if (route && schema_decode_open(&job_spec_schema, member(row, "spec"),
-					&spec, "", &findings)) {
+	if (route &&
+	    schema_decode_open(&job_spec_row_schema, member(row, "spec"), &spec,
+			       "", &findings)) {
 		job = fleet_add_job(f, id, route, account, &spec);
 		*accepted_store_ms = int_member(row, "accepted_ms");
 	}
--- a/sched/job_spec.c
+++ b/sched/job_spec.c
@@ -47,11 +47,12 @@
 	{ 0 },
 };
 
-const struct schema job_spec_schema = { sizeof(struct job_spec), job_fields };
+const struct schema job_spec_row_schema = { sizeof(struct job_spec),
+					    job_fields };
 
 void job_spec_clear(struct job_spec *spec)
 {
-	schema_clear(&job_spec_schema, spec);
+	schema_clear(&job_spec_row_schema, spec);
 }
 
 const struct step_spec *job_spec_step(const struct job_spec *spec, guint index)
--- a/sched/job_spec.h
+++ b/sched/job_spec.h
@@ -48,7 +48,7 @@
 };
 
 /** The form that is kept in a row, by the project's own names. */
-extern const struct schema job_spec_schema;
+extern const struct schema job_spec_row_schema;
 
 void job_spec_clear(struct job_spec *spec);
 
--- /dev/null
+++ b/tests/test_fleet_scheduler.c
@@ -0,0 +1,568 @@
+/* The fleet scheduler against a worker pool of a test, in tables of cases. */
+#include <glib.h>
+#include <string.h>
+
+#include "sched/fleet_scheduler.h"
+#include "sched/leadership.h"
+
+#define SERVICE "salkhi"
+#define MAX_ORDERS 64
+#define T0_MS INT64_C(1000000)
+#define LEASE_MS 10000
+
+struct order {
+	gboolean is_start;
+	char *worker;
+	char *task;
+	int64_t run;
+};
+
+struct world {
+	struct fleet_scheduler s;
+	struct fleet_config config;
+	struct order orders[MAX_ORDERS];
+	guint order_count;
+	int64_t now_ms;
+};
+
+static void add_order(struct world *w, gboolean is_start, const char *worker,
+		      const char *task, int64_t run)
+{
+	struct order *o = &w->orders[w->order_count++];
+
+	g_assert_cmpuint(w->order_count, <=, MAX_ORDERS);
+	o->is_start = is_start;
+	o->worker = g_strdup(worker);
+	o->task = g_strdup(task);
+	o->run = run;
+}
+
+static void port_start(void *data, struct fleet_worker *worker,
+		       const struct start_order *order)
+{
+	add_order(data, TRUE, worker->id, order->task, order->run);
+}
+
+static void port_stop(void *data, struct fleet_worker *worker, const char *task,
+		      int64_t run)
+{
+	add_order(data, FALSE, worker->id, task, run);
+}
+
+static void add_route(struct world *w, const char *name, int64_t priority)
+{
+	struct queue_route route = {
+		.name = g_strdup(name),
+		.host = g_strdup("h"),
+		.path_prefix = g_strdup("/"),
+		.service = g_strdup(SERVICE),
+		.priority = priority,
+		.max_attempts = 2,
+		.stretch = 3,
+		.objective_ms = 1000,
+	};
+
+	g_array_append_val(w->config.routes, route);
+}
+
+static void world_init(struct world *w)
+{
+	const struct fleet_bounds bounds = {
+		.lease_ms = LEASE_MS,
+		.stop_ms = 200,
+		.gang_ms = 3000,
+		.remote_slowdown = 3,
+	};
+	const struct fleet_ports ports = { port_start, port_stop, w };
+
+	memset(w, 0, sizeof(*w));
+	w->now_ms = T0_MS;
+	w->config.routes = g_array_new(FALSE, TRUE, sizeof(struct queue_route));
+	add_route(w, "urgent", 0);
+	add_route(w, "bulk", 2);
+	fleet_scheduler_init(&w->s, &bounds, &ports);
+	w->s.config = &w->config;
+	fleet_scheduler_begin(&w->s, 7, 0);
+}
+
+static void clear_orders(struct world *w)
+{
+	for (guint i = 0; i < w->order_count; i++) {
+		g_free(w->orders[i].worker);
+		g_free(w->orders[i].task);
+	}
+	w->order_count = 0;
+}
+
+static void world_clear(struct world *w)
+{
+	clear_orders(w);
+	fleet_scheduler_clear(&w->s);
+	fleet_config_clear(&w->config);
+}
+
+static void report(struct world *w, const char *id, GArray *running,
+		   GArray *ended)
+{
+	struct run_report r = {
+		.clock_ms = w->now_ms,
+		.running = running ? running
+				   : g_array_new(FALSE, TRUE,
+						 sizeof(struct running_entry)),
+		.ended = ended ? ended
+			       : g_array_new(FALSE, TRUE,
+					     sizeof(struct ended_entry)),
+	};
+
+	fleet_scheduler_report(&w->s, fleet_worker(&w->s.fleet, id), &r,
+			       w->now_ms, w->now_ms);
+	run_report_clear(&r);
+}
+
+static GArray *running_list(const char *task, int64_t run)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct running_entry));
+	struct running_entry e = { .task = task, .run = run, .checkpoint = "" };
+
+	g_array_append_val(list, e);
+	return list;
+}
+
+static GArray *ended_list(int64_t number, const char *task, int64_t run,
+			  enum run_end end)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct ended_entry));
+	struct ended_entry e = { number, task, run, end, "" };
+
+	g_array_append_val(list, e);
+	return list;
+}
+
+static void register_worker(struct world *w, const char *id, const char *rack)
+{
+	struct worker_registration reg = {
+		.service = g_strdup(SERVICE),
+		.address = g_strdup("127.0.0.1:1"),
+		.failure_domain = g_strdup("tov-a"),
+		.rack = g_strdup(rack),
+		.capacity = { 64000, 131072, 8 },
+	};
+
+	fleet_scheduler_worker(&w->s, id, &reg, w->now_ms);
+	fleet_worker(&w->s.fleet, id)->is_recorded = TRUE;
+}
+
+static void add_worker(struct world *w, const char *id, const char *rack)
+{
+	register_worker(w, id, rack);
+	report(w, id, NULL, NULL);
+}
+
+static struct fleet_job *add_job(struct world *w, const char *id,
+				 const char *route, int64_t tasks,
+				 int64_t accelerators, gboolean is_gang)
+{
+	struct job_spec spec = { 0 };
+	struct step_spec step = {
+		.task_count = tasks,
+		.millicores = 1000,
+		.memory_mb = 1000,
+		.accelerators = accelerators,
+		.estimate_ms = 5000,
+		.is_gang = is_gang,
+		.is_one_rack = is_gang,
+	};
+	struct fleet_job *job;
+
+	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
+	g_array_append_val(spec.steps, step);
+	job = fleet_add_job(&w->s.fleet, id, route, NULL, &spec);
+	job->accepted_ms = w->now_ms;
+	job->is_marked = TRUE;
+	fleet_job_add_occurrence(job);
+	return job;
+}
+
+static guint count_orders(const struct world *w, gboolean is_start,
+			  const char *task_prefix)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < w->order_count; i++) {
+		if (w->orders[i].is_start == is_start &&
+		    g_str_has_prefix(w->orders[i].task, task_prefix))
+			n++;
+	}
+	return n;
+}
+
+static void plan_after(struct world *w, int64_t ms)
+{
+	w->now_ms += ms;
+	fleet_scheduler_plan(&w->s, w->now_ms);
+}
+
+/* What becomes of a start whose answers are these, and then what. */
+struct answer_case {
+	const char *name;
+	enum order_outcome first;
+	enum order_outcome second;
+	gboolean has_second;
+	gboolean moves; /* the task may be started elsewhere at once */
+};
+
+static const struct answer_case answer_cases[] = {
+	{ "refused", ORDER_REFUSED, ORDER_REFUSED, FALSE, TRUE },
+	{ "no-answer", ORDER_NO_ANSWER, ORDER_REFUSED, FALSE, FALSE },
+	/* Found in aol-slips trouble-1: the first attempt came late. */
+	{ "no-answer-then-refused", ORDER_NO_ANSWER, ORDER_REFUSED, TRUE,
+	  FALSE },
+};
+
+static void test_answers(gconstpointer data)
+{
+	const struct answer_case *c = data;
+	struct world w;
+	struct fleet_task *t;
+	struct order first;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	plan_after(&w, 1);
+	g_assert_cmpuint(w.order_count, ==, 1);
+	first = w.orders[0];
+	fleet_scheduler_started(&w.s, "w1", first.task, first.run, c->first,
+				REFUSAL_OTHER, w.now_ms);
+	if (c->has_second) {
+		plan_after(&w, 150);
+		fleet_scheduler_started(&w.s, "w1", first.task, first.run,
+					c->second, REFUSAL_OTHER, w.now_ms);
+	}
+	t = fleet_task(&w.s.fleet, "job.0.0.0");
+	g_assert_cmpint(t->worker == NULL, ==, c->moves);
+	if (!c->moves) {
+		/* Only a confirmed stop, or the end of the lease, frees it. */
+		plan_after(&w, 2000);
+		g_assert_nonnull(t->worker);
+		g_assert_cmpuint(count_orders(&w, FALSE, "job"), >=, 1);
+		fleet_scheduler_stopped(&w.s, "w1", "job.0.0.0", t->run,
+					ORDER_DONE, w.now_ms);
+		w.now_ms++;
+		report(&w, "w1", NULL, NULL);
+		g_assert_null(t->worker);
+	}
+	world_clear(&w);
+}
+
+/* A worker that lists what isn't wanted there gets nothing new. */
+static void test_unwanted_run(void)
+{
+	struct world w;
+
+	world_init(&w);
+	register_worker(&w, "w1", "r1");
+	report(&w, "w1", running_list("gone.0.0.0", 3), NULL);
+	g_assert_cmpuint(count_orders(&w, FALSE, "gone"), ==, 1);
+	add_job(&w, "job", "bulk", 1, 8, FALSE);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
+	report(&w, "w1", NULL, NULL);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	world_clear(&w);
+}
+
+/* A failure that is listed again after a takeover counts once. */
+static void test_failure_counts_once(void)
+{
+	struct world w;
+	struct fleet_job *job;
+	json_object *row;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	plan_after(&w, 1);
+	report(&w, "w1", NULL,
+	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
+	job = fleet_job(&w.s.fleet, "job");
+	row = job_progress_encode(job);
+	/* The successor reads the row, and the worker lists the end again. */
+	fleet_scheduler_begin(&w.s, 8, 0);
+	add_worker(&w, "w1", "r1");
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	fleet_scheduler_progress(&w.s, "job", row, 5);
+	report(&w, "w1", NULL,
+	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
+	g_assert_cmpint(job->state, !=, FLEET_JOB_FAILED);
+	g_assert_cmpuint(fleet_task(&w.s.fleet, "job.0.0.0")->failures, ==, 1);
+	json_object_put(row);
+	world_clear(&w);
+}
+
+/* Which jobs a successor may start while a worker hasn't answered. */
+struct takeover_case {
+	const char *name;
+	gboolean was_active;	/* the row says so */
+	gboolean has_answered;	/* the second worker has */
+	gboolean is_registered; /* the second worker is */
+	gboolean starts;
+};
+
+static const struct takeover_case takeover_cases[] = {
+	{ "fresh", FALSE, FALSE, TRUE, TRUE },
+	{ "active", TRUE, FALSE, TRUE, FALSE },
+	{ "active-all-answered", TRUE, TRUE, TRUE, TRUE },
+	{ "active-unregistered", TRUE, FALSE, FALSE, FALSE },
+};
+
+static void test_takeover(gconstpointer data)
+{
+	const struct takeover_case *c = data;
+	json_object *row = json_object_new_object();
+	struct world w;
+
+	world_init(&w);
+	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
+	add_worker(&w, "w1", "r1");
+	if (c->is_registered)
+		register_worker(&w, "w2", "r1");
+	if (c->has_answered)
+		report(&w, "w2", NULL, NULL);
+	w.s.unregistered_workers = !c->is_registered;
+	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	json_object_object_add(
+		row, "state",
+		json_object_new_string(c->was_active ? "active" : "queued"));
+	fleet_scheduler_progress(&w.s, "job", row, 5);
+	plan_after(&w, 1);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, c->starts ? 1 : 0);
+	if (!c->starts) {
+		/* The leases of the holder before have run out by then. */
+		plan_after(&w, 16000);
+		report(&w, "w1", NULL, NULL);
+		plan_after(&w, 1);
+		g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	}
+	json_object_put(row);
+	world_clear(&w);
+}
+
+/* A job is stored as active before anything of it is started. */
+static void test_mark_first(void)
+{
+	struct world w;
+	struct fleet_job *job;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	job->is_marked = FALSE;
+	plan_after(&w, 1);
+	g_assert_cmpuint(w.order_count, ==, 0);
+	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
+	g_assert_true(job->is_dirty);
+	job->is_marked = TRUE;
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	world_clear(&w);
+}
+
+/* When nothing can run any more on a worker without a registration. */
+struct over_case {
+	const char *name;
+	gboolean was_draining;
+	gboolean is_fenced;
+	int64_t after_ms;
+	gboolean is_over;
+};
+
+static const struct over_case over_cases[] = {
+	{ "drained", TRUE, TRUE, 0, TRUE },
+	/* Found in khuree-wind fresh-1f55: it ran what an earlier epoch had
+	 * started. */
+	{ "silent-never-answered", FALSE, FALSE, 1000, FALSE },
+	{ "silent-never-answered-late", FALSE, FALSE, 20000, TRUE },
+	{ "silent-leased", FALSE, TRUE, 1000, FALSE },
+	{ "silent-leased-late", FALSE, TRUE, 20000, TRUE },
+};
+
+static void test_over(gconstpointer data)
+{
+	const struct over_case *c = data;
+	struct fleet_worker *worker;
+	struct world w;
+
+	world_init(&w);
+	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
+	register_worker(&w, "w1", "r1");
+	worker = fleet_worker(&w.s.fleet, "w1");
+	if (c->is_fenced) {
+		report(&w, "w1", NULL, NULL);
+		fleet_scheduler_lease_end(&w.s, worker, w.now_ms);
+	}
+	worker->reg.is_draining = c->was_draining;
+	fleet_scheduler_worker(&w.s, "w1", NULL, w.now_ms);
+	g_assert_cmpint(
+		fleet_worker_is_over(&w.s, worker, w.now_ms + c->after_ms), ==,
+		c->is_over);
+	world_clear(&w);
+}
+
+/*
+ * A gang of two whole workers comes to a rack full of single tasks: only the
+ * tasks of two workers are stopped. Found in khuree-wind scale-1, where the
+ * cheapest tasks of the whole rack were stopped one after the other.
+ */
+static void test_preemption(void)
+{
+	struct world w;
+
+	world_init(&w);
+	for (guint i = 0; i < 4; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "w%u", i);
+		add_worker(&w, id, "r1");
+	}
+	add_job(&w, "small", "bulk", 32, 1, FALSE);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "small"), ==, 32);
+	for (guint i = 0; i < 32; i++)
+		fleet_scheduler_started(&w.s, w.orders[i].worker,
+					w.orders[i].task, w.orders[i].run,
+					ORDER_DONE, REFUSAL_OTHER, w.now_ms);
+	clear_orders(&w);
+	add_job(&w, "large", "urgent", 2, 8, TRUE);
+	plan_after(&w, 500);
+	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
+	/* Nothing more is stopped while these stops are under way. */
+	plan_after(&w, 100);
+	g_assert_cmpuint(count_orders(&w, TRUE, "large"), ==, 0);
+	for (guint i = 0; i < 32; i++) {
+		const struct fleet_task *t;
+		char name[24];
+
+		g_snprintf(name, sizeof(name), "small.0.0.%u", i);
+		t = fleet_task(&w.s.fleet, name);
+		g_assert_true(t->worker != NULL);
+	}
+	world_clear(&w);
+}
+
+/* One end of a gang stands for all; one failure ends and counts for all. */
+static void test_gang_ends(gconstpointer data)
+{
+	enum run_end end = *(const enum run_end *)data;
+	struct world w;
+	struct fleet_job *job;
+	struct fleet_step *step;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r1");
+	job = add_job(&w, "job", "bulk", 2, 8, TRUE);
+	plan_after(&w, 1);
+	g_assert_cmpuint(w.order_count, ==, 2);
+	g_assert_cmpint(w.orders[0].run, ==, w.orders[1].run);
+	report(&w, w.orders[0].worker, NULL,
+	       ended_list(1, w.orders[0].task, w.orders[0].run, end));
+	step = fleet_job_step(job, 0, 0);
+	if (end == RUN_DONE) {
+		g_assert_cmpint(job->state, ==, FLEET_JOB_COMPLETED);
+		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 0);
+	} else {
+		g_assert_cmpuint(step->gang_failures, ==,
+				 end == RUN_FAILED ? 1 : 0);
+		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 1);
+	}
+	world_clear(&w);
+}
+
+/* When a process writes the lease's row, and whether it may act. */
+struct lease_case {
+	const char *name;
+	const char *holder; /* in the row, NULL for no row */
+	int64_t silent_ms;  /* since the row last changed */
+	enum leadership_step step;
+};
+
+static const struct lease_case lease_cases[] = {
+	{ "no-row", NULL, 0, LEADERSHIP_ACQUIRE },
+	{ "released", "", 0, LEADERSHIP_ACQUIRE },
+	{ "renewed", "other", 600, LEADERSHIP_NONE },
+	{ "silent", "other", 1500, LEADERSHIP_ACQUIRE },
+	/* Its own write took effect and the answer was lost. */
+	{ "own", "self", 0, LEADERSHIP_ACQUIRE },
+};
+
+static void test_lease(gconstpointer data)
+{
+	const struct lease_case *c = data;
+	json_object *row = NULL;
+	struct leadership l;
+
+	if (c->holder) {
+		row = json_object_new_object();
+		json_object_object_add(row, "holder",
+				       json_object_new_string(c->holder));
+		json_object_object_add(row, "epoch", json_object_new_int64(3));
+	}
+	leadership_init(&l, "self", 0);
+	g_assert_cmpint(leadership_next(&l, T0_MS), ==, LEADERSHIP_NONE);
+	leadership_row(&l, row, row ? 9 : 0, T0_MS);
+	g_assert_cmpint(leadership_next(&l, T0_MS + c->silent_ms), ==, c->step);
+	json_object_put(row);
+	leadership_clear(&l);
+}
+
+/* A holder acts for a bounded time after its last confirmed renewal. */
+static void test_lease_bound(void)
+{
+	struct leadership l;
+
+	leadership_init(&l, "self", 0);
+	leadership_row(&l, NULL, 0, T0_MS);
+	leadership_sent(&l, T0_MS);
+	g_assert_true(leadership_written(&l, LEADERSHIP_ACQUIRE, 1, T0_MS + 9));
+	g_assert_true(leadership_may_act(&l, T0_MS + 3000));
+	g_assert_cmpint(leadership_next(&l, T0_MS + 600), ==, LEADERSHIP_RENEW);
+	g_assert_false(leadership_may_act(&l, T0_MS + 4000));
+	leadership_clear(&l);
+}
+
+#define ADD_CASES(path, cases, fn)                                            \
+	do {                                                                  \
+		for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {             \
+			char *at =                                            \
+				g_strdup_printf(path "/%s", (cases)[i].name); \
+			g_test_add_data_func(at, &(cases)[i], (fn));          \
+			g_free(at);                                           \
+		}                                                             \
+	} while (0)
+
+static const enum run_end gang_ends[] = { RUN_DONE, RUN_FAILED, RUN_BROKEN };
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES("/fleet/answer", answer_cases, test_answers);
+	ADD_CASES("/fleet/takeover", takeover_cases, test_takeover);
+	ADD_CASES("/fleet/over", over_cases, test_over);
+	ADD_CASES("/leadership/step", lease_cases, test_lease);
+	g_test_add_func("/fleet/unwanted-run", test_unwanted_run);
+	g_test_add_func("/fleet/failure-once", test_failure_counts_once);
+	g_test_add_func("/fleet/mark-first", test_mark_first);
+	g_test_add_func("/fleet/preemption", test_preemption);
+	g_test_add_func("/leadership/bound", test_lease_bound);
+	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++) {
+		char *at = g_strdup_printf("/fleet/gang-end/%s",
+					   run_end_name(gang_ends[i]));
+
+		g_test_add_data_func(at, &gang_ends[i], test_gang_ends);
+		g_free(at);
+	}
+	return g_test_run();
+}
