A stand-in of the users' platform and tests of csentryd over real processes; logs on standard output never block

Change: cs-standin-steppe (store with feed, workers under leases), test_entry with a table of faults (lost answers, store down, holder killed, terminated, paused), answers, cancels, refusals at once. A job has begun when there is progress or a run of it. Logs of csentryd go to standard output, at most 1000 lines a second, and are left out and counted rather than waited for.

--- a/base/log.c
+++ b/base/log.c
@@ -1,8 +1,11 @@
 #include "base/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/util.h"
 
@@ -12,6 +15,15 @@
 static char *node_name;
 static enum log_level minimum_level = LOG_LEVEL_INFO;
 
+/* Where lines go, and what was left out. */
+static struct {
+	gboolean is_output; /* standard output, bounded */
+	double tokens;
+	int64_t filled_ms;
+	uint64_t dropped;
+	uint64_t dropped_said;
+} output;
+
 static const struct {
 	const char *name;
 	int priority;
@@ -33,11 +45,56 @@
 	.format = format_line,
 };
 
+static gboolean take_token(void)
+{
+	int64_t now_ms = util_monotonic_ms();
+	double earned = (double)(now_ms - output.filled_ms) * LOG_LINES_PER_S /
+			(double)MS_PER_S;
+
+	output.filled_ms = now_ms;
+	output.tokens = MIN(output.tokens + earned, LOG_LINES_PER_S);
+	if (output.tokens < 1)
+		return FALSE;
+	output.tokens -= 1;
+	return TRUE;
+}
+
+/* Writes a text whole or not at all, unless it is longer than a pipe takes. */
+static gboolean write_whole(const char *text)
+{
+	gsize len = strlen(text);
+	gssize n;
+
+	do
+		n = write(STDOUT_FILENO, text, len);
+	while (n < 0 && errno == EINTR);
+	return n == (gssize)len;
+}
+
+static void write_output(const char *text)
+{
+	char *with_count = NULL;
+
+	if (output.dropped > output.dropped_said)
+		with_count = g_strdup_printf(
+			"event=log_lines_dropped count=%" G_GUINT64_FORMAT
+			"\n%s",
+			output.dropped - output.dropped_said, text);
+	if (take_token() && write_whole(with_count ? with_count : text))
+		output.dropped_said = output.dropped;
+	else
+		output.dropped++;
+	g_free(with_count);
+}
+
 /* The library's own stream appender puts its name before each line. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
-	return fputs(event->evt_rendered_msg, stderr);
+	if (!output.is_output)
+		return fputs(event->evt_rendered_msg, stderr);
+	write_output(event->evt_rendered_msg);
+	return 0;
 }
 
 static const log4c_appender_type_t line_appender = {
@@ -66,6 +123,24 @@
 	minimum_level = level;
 }
 
+void log_open_output(const char *node, enum log_level level)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	log_open(node, level);
+	output.is_output = TRUE;
+	output.tokens = LOG_LINES_PER_S;
+	output.filled_ms = util_monotonic_ms();
+	if (flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0)
+		fprintf(stderr, "standard output may block: %s\n",
+			g_strerror(errno));
+}
+
+uint64_t log_lines_dropped(void)
+{
+	return output.dropped;
+}
+
 void log_close(void)
 {
 	if (!category)
--- a/base/log.h
+++ b/base/log.h
@@ -8,6 +8,9 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Lines a second; several times what a busy holder writes. */
+#define LOG_LINES_PER_S 1000
+
 enum log_level {
 	LOG_LEVEL_DEBUG,
 	LOG_LEVEL_INFO,
@@ -27,6 +30,16 @@
  * @param node	the name of this process, part of each line
  */
 void log_open(const char *node, enum log_level level);
+
+/**
+ * Opens the log on standard output, without ever waiting for its reader: at
+ * most LOG_LINES_PER_S are written, and what the reader doesn't take is left
+ * out. How many lines were left out is said with the next line that is not.
+ */
+void log_open_output(const char *node, enum log_level level);
+
+/** Returns the number of lines left out since the log was opened. */
+uint64_t log_lines_dropped(void);
 void log_close(void);
 
 /** Starts a line for an event, such as "route" or "lease_acquired". */
--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -135,7 +135,7 @@
 	struct log_line line;
 	guint look;
 
-	log_open(s->node, LOG_LEVEL_INFO);
+	log_open_output(s->node, LOG_LEVEL_INFO);
 	kernel_on_reload(k, on_reload, &source);
 	look = g_timeout_add(LOOK_AT_FILE_MS, on_look_at_file, &source);
 	kernel_register(k, entry_store_new(s));
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -248,8 +248,6 @@
 	if (state != FLEET_JOB_STATE_COUNT && state > job->state &&
 	    !fleet_job_has_ended(job))
 		job->state = state;
-	if (state != FLEET_JOB_STATE_COUNT && state != FLEET_JOB_QUEUED)
-		job->has_started = TRUE;
 	if (fleet_job_has_ended(job))
 		return state != job->state;
 	for (size_t i = 0; json_object_is_type(steps, json_type_array) &&
@@ -266,6 +264,8 @@
 				      (guint)int_member(json, "step"));
 		if (step)
 			has_more |= merge_step(step, json);
+		/* An active job without any progress may not have begun. */
+		job->has_started = TRUE;
 	}
 	return has_more;
 }
--- /dev/null
+++ b/standin/cs-standin-steppe.c
@@ -0,0 +1,756 @@
+/*
+ * Stand-in for the Steppe Kite platform: its store of rows with a feed, and
+ * workers that run tasks under leases. Time-outs, outages and lost answers are
+ * switched by POST /control.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/http_client.h"
+#include "base/http_server.h"
+#include "base/util.h"
+
+#define MAX_BODY_BYTES ((gsize)4 << 20)
+#define PATH "/corianderstep"
+#define TICK_MS 5
+#define MAX_ENTRIES 100
+#define WORKER_CORES 64000
+#define WORKER_MEMORY_MB 131072
+#define WORKER_ACCELERATORS 8
+#define WORKERS_PER_RACK 8
+#define DEFAULT_RUN_MS 300
+
+struct row {
+	char *table;
+	char *part;
+	char *key;
+	char *value;
+	int64_t version;
+	gboolean is_deleted; /* kept for the feed */
+};
+
+struct waiting_feed {
+	struct http_request *request;
+	char *table;
+	int64_t after;
+	int64_t due_ms;
+};
+
+struct run {
+	char *task;
+	int64_t run;
+	int64_t end_ms;
+};
+
+struct end {
+	int64_t number;
+	char *task;
+	int64_t run;
+	const char *how;
+};
+
+struct waiting_hold {
+	struct http_request *request;
+	int64_t due_ms;
+};
+
+struct worker {
+	char *id;
+	struct http_server *server;
+	struct platform_standin *platform;
+	GHashTable *runs;    /* task to struct run */
+	GHashTable *highest; /* task to the highest run that ended, boxed */
+	GPtrArray *ends;     /* of struct end */
+	GPtrArray *holds;    /* of struct waiting_hold */
+	int64_t last_end;
+	int64_t epoch;
+	int64_t lease_ms; /* all that runs ends then */
+	int64_t starts;
+};
+
+struct platform_standin {
+	struct http_server *server;
+	GHashTable *rows; /* table, part and key to struct row */
+	GPtrArray *feeds; /* of struct waiting_feed */
+	GPtrArray *workers;
+	int64_t version;
+	int64_t lose_answers; /* commits that are done and not answered */
+	gboolean is_down;
+	int64_t commits;
+};
+
+static json_object *member(json_object *object, const char *name)
+{
+	json_object *value = NULL;
+
+	json_object_object_get_ex(object, name, &value);
+	return value;
+}
+
+static const char *text_of(json_object *object, const char *name)
+{
+	const char *text = json_object_get_string(member(object, name));
+
+	return text ? text : "";
+}
+
+static int64_t int_of(json_object *object, const char *name)
+{
+	return json_object_get_int64(member(object, name));
+}
+
+static void add_int(json_object *object, const char *name, int64_t value)
+{
+	json_object_object_add(object, name, json_object_new_int64(value));
+}
+
+static void add_text(json_object *object, const char *name, const char *value)
+{
+	json_object_object_add(object, name, json_object_new_string(value));
+}
+
+static void row_free(gpointer data)
+{
+	struct row *r = data;
+
+	g_free(r->table);
+	g_free(r->part);
+	g_free(r->key);
+	g_free(r->value);
+	g_free(r);
+}
+
+static char *row_id(const char *table, const char *part, const char *key)
+{
+	return g_strdup_printf("%s\n%s\n%s", table, part, key);
+}
+
+static json_object *row_json(const struct row *r)
+{
+	json_object *json = json_object_new_object();
+
+	add_text(json, "Table", r->table);
+	add_text(json, "part", r->part);
+	add_text(json, "Key", r->key);
+	add_int(json, "Ver", r->version);
+	if (r->is_deleted)
+		json_object_object_add(json, "Deleted",
+				       json_object_new_boolean(TRUE));
+	else
+		add_text(json, "Value", r->value);
+	return json;
+}
+
+static json_object *answer_body(const struct platform_standin *p,
+				json_object *rows)
+{
+	json_object *body = json_object_new_object();
+
+	if (rows)
+		json_object_object_add(body, "rows", rows);
+	add_int(body, "Ver", p->version);
+	add_int(body, "NowMs", util_monotonic_ms());
+	return body;
+}
+
+static void write_row(struct platform_standin *p, const char *table,
+		      const char *part, const char *key, const char *value)
+{
+	struct row *r = g_new0(struct row, 1);
+
+	r->table = g_strdup(table);
+	r->part = g_strdup(part);
+	r->key = g_strdup(key);
+	r->value = g_strdup(value);
+	r->version = p->version;
+	r->is_deleted = value == NULL;
+	g_hash_table_replace(p->rows, row_id(table, part, key), r);
+}
+
+static const struct row *find_row(const struct platform_standin *p,
+				  json_object *name)
+{
+	char *id = row_id(text_of(name, "Table"), text_of(name, "part"),
+			  text_of(name, "Key"));
+	const struct row *r = g_hash_table_lookup(p->rows, id);
+
+	g_free(id);
+	return r && !r->is_deleted ? r : NULL;
+}
+
+static gint compare_versions(gconstpointer a, gconstpointer b)
+{
+	const struct row *x = *(const struct row *const *)a;
+	const struct row *y = *(const struct row *const *)b;
+
+	return x->version < y->version ? -1 : x->version > y->version;
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	const struct row *x = *(const struct row *const *)a;
+	const struct row *y = *(const struct row *const *)b;
+
+	return strcmp(x->key, y->key);
+}
+
+/* Returns what has changed of a table, NULL when nothing has. */
+static json_object *changes(const struct platform_standin *p, const char *table,
+			    int64_t after)
+{
+	GPtrArray *found = g_ptr_array_new();
+	json_object *rows = NULL;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, p->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct row *r = item;
+
+		if (g_str_equal(r->table, table) && r->version > after)
+			g_ptr_array_add(found, item);
+	}
+	g_ptr_array_sort(found, compare_versions);
+	if (found->len)
+		rows = json_object_new_array();
+	for (guint i = 0; i < found->len; i++)
+		json_object_array_add(rows, row_json(found->pdata[i]));
+	g_ptr_array_unref(found);
+	return rows;
+}
+
+static void answer_feeds(struct platform_standin *p)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	for (guint i = p->feeds->len; i-- > 0;) {
+		struct waiting_feed *f = p->feeds->pdata[i];
+		json_object *rows;
+
+		if (p->is_down) {
+			http_request_abandon(f->request);
+			g_ptr_array_remove_index_fast(p->feeds, i);
+			continue;
+		}
+		rows = changes(p, f->table, f->after);
+		if (!rows && now_ms < f->due_ms)
+			continue;
+		http_request_reply(
+			f->request, 200,
+			answer_body(p, rows ? rows : json_object_new_array()));
+		g_ptr_array_remove_index_fast(p->feeds, i);
+	}
+}
+
+static void feed_free(gpointer data)
+{
+	struct waiting_feed *f = data;
+
+	g_free(f->table);
+	g_free(f);
+}
+
+static gboolean conditions_hold(const struct platform_standin *p,
+				json_object *conditions, json_object *current)
+{
+	gboolean holds = TRUE;
+
+	for (size_t i = 0; i < json_object_array_length(conditions); i++) {
+		json_object *c = json_object_array_get_idx(conditions, i);
+		const struct row *r = find_row(p, c);
+
+		if (r)
+			json_object_array_add(current, row_json(r));
+		if ((r ? r->version : 0) != int_of(c, "Ver"))
+			holds = FALSE;
+	}
+	return holds;
+}
+
+static void apply(struct platform_standin *p, json_object *body)
+{
+	json_object *sets = member(body, "SetKeys");
+	json_object *removals = member(body, "Remove");
+
+	p->version++;
+	p->commits++;
+	for (size_t i = 0; i < json_object_array_length(sets); i++) {
+		json_object *s = json_object_array_get_idx(sets, i);
+
+		write_row(p, text_of(s, "Table"), text_of(s, "part"),
+			  text_of(s, "Key"), text_of(s, "Value"));
+	}
+	for (size_t i = 0; i < json_object_array_length(removals); i++) {
+		json_object *r = json_object_array_get_idx(removals, i);
+
+		if (find_row(p, r))
+			write_row(p, text_of(r, "Table"), text_of(r, "part"),
+				  text_of(r, "Key"), NULL);
+	}
+}
+
+static void handle_commit(struct http_request *r, void *data)
+{
+	struct platform_standin *p = data;
+	json_object *body = http_request_json(r);
+	json_object *current;
+	size_t entries;
+
+	if (!body)
+		return;
+	if (p->is_down) {
+		http_request_abandon(r);
+		return;
+	}
+	entries = json_object_array_length(member(body, "ExpectedRev")) +
+		  json_object_array_length(member(body, "SetKeys")) +
+		  json_object_array_length(member(body, "Remove"));
+	if (entries > MAX_ENTRIES) {
+		http_request_reply_empty(r, 400);
+		return;
+	}
+	current = json_object_new_array();
+	if (!conditions_hold(p, member(body, "ExpectedRev"), current)) {
+		http_request_reply(r, 412, answer_body(p, current));
+		return;
+	}
+	json_object_put(current);
+	apply(p, body);
+	if (p->lose_answers > 0) {
+		p->lose_answers--;
+		http_request_abandon(r);
+	} else {
+		http_request_reply(r, 200, answer_body(p, NULL));
+	}
+	answer_feeds(p);
+}
+
+static void handle_page(struct http_request *r, void *data)
+{
+	struct platform_standin *p = data;
+	const char *table = http_request_query(r, "Table");
+	const char *part = http_request_query(r, "part");
+	const char *from = http_request_query(r, "From");
+	const char *to = http_request_query(r, "To");
+	json_object *rows = json_object_new_array();
+	GPtrArray *found = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, p->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct row *row = item;
+
+		if (!row->is_deleted && g_strcmp0(row->table, table) == 0 &&
+		    g_strcmp0(row->part, part ? part : "") == 0 &&
+		    (!from || strcmp(row->key, from) >= 0) &&
+		    (!to || strcmp(row->key, to) < 0))
+			g_ptr_array_add(found, item);
+	}
+	g_ptr_array_sort(found, compare_keys);
+	for (guint i = 0; i < found->len; i++)
+		json_object_array_add(rows, row_json(found->pdata[i]));
+	g_ptr_array_unref(found);
+	if (p->is_down) {
+		json_object_put(rows);
+		http_request_abandon(r);
+		return;
+	}
+	http_request_reply(r, 200, answer_body(p, rows));
+}
+
+static int64_t query_int(const struct http_request *r, const char *name)
+{
+	const char *text = http_request_query(r, name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
+static void handle_feed(struct http_request *r, void *data)
+{
+	struct platform_standin *p = data;
+	struct waiting_feed *f = g_new0(struct waiting_feed, 1);
+
+	f->request = r;
+	f->table = g_strdup(http_request_query(r, "Table"));
+	f->after = query_int(r, "After");
+	f->due_ms = util_monotonic_ms() + query_int(r, "WaitMs");
+	g_ptr_array_add(p->feeds, f);
+	answer_feeds(p);
+}
+
+static int64_t *box(int64_t value)
+{
+	int64_t *p = g_new(int64_t, 1);
+
+	*p = value;
+	return p;
+}
+
+static void end_run(struct worker *w, struct run *run, const char *how)
+{
+	struct end *e = g_new0(struct end, 1);
+
+	e->number = ++w->last_end;
+	e->task = g_strdup(run->task);
+	e->run = run->run;
+	e->how = how;
+	g_ptr_array_add(w->ends, e);
+	g_hash_table_replace(w->highest, g_strdup(run->task), box(run->run));
+	g_hash_table_remove(w->runs, run->task);
+}
+
+static void run_free(gpointer data)
+{
+	struct run *run = data;
+
+	g_free(run->task);
+	g_free(run);
+}
+
+static json_object *lists(const struct worker *w)
+{
+	json_object *body = json_object_new_object();
+	json_object *running = json_object_new_array();
+	json_object *ended = json_object_new_array();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, w->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct run *run = item;
+		json_object *e = json_object_new_array();
+
+		json_object_array_add(e, json_object_new_string(run->task));
+		json_object_array_add(e, json_object_new_int64(run->run));
+		json_object_array_add(e, json_object_new_string(""));
+		json_object_array_add(e, json_object_new_int64(50));
+		json_object_array_add(running, e);
+	}
+	for (guint i = 0; i < w->ends->len; i++) {
+		const struct end *end = w->ends->pdata[i];
+		json_object *e = json_object_new_array();
+
+		json_object_array_add(e, json_object_new_int64(end->number));
+		json_object_array_add(e, json_object_new_string(end->task));
+		json_object_array_add(e, json_object_new_int64(end->run));
+		json_object_array_add(e, json_object_new_string(end->how));
+		json_object_array_add(e, json_object_new_string(""));
+		json_object_array_add(ended, e);
+	}
+	add_int(body, "ClockMs", util_monotonic_ms());
+	json_object_object_add(body, "Running", running);
+	json_object_object_add(body, "Ended", ended);
+	return body;
+}
+
+static void answer_holds(struct worker *w)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	for (guint i = w->holds->len; i-- > 0;) {
+		struct waiting_hold *h = w->holds->pdata[i];
+
+		if (!w->ends->len && now_ms < h->due_ms)
+			continue;
+		http_request_reply(h->request, 200, lists(w));
+		g_ptr_array_remove_index_fast(w->holds, i);
+	}
+}
+
+/* Ends what is over by itself or by its lease. */
+static void work(struct worker *w)
+{
+	int64_t now_ms = util_monotonic_ms();
+	GPtrArray *over = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, w->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct run *run = item;
+
+		if (now_ms >= run->end_ms || now_ms >= w->lease_ms)
+			g_ptr_array_add(over, item);
+	}
+	for (guint i = 0; i < over->len; i++) {
+		struct run *run = over->pdata[i];
+
+		end_run(w, run, now_ms >= run->end_ms ? "done" : "lapsed");
+	}
+	g_ptr_array_unref(over);
+	answer_holds(w);
+}
+
+static void refuse(struct http_request *r, const char *reason)
+{
+	json_object *body = json_object_new_object();
+
+	add_int(body, "ClockMs", util_monotonic_ms());
+	add_text(body, "Reason", reason);
+	http_request_reply(r, 409, body);
+}
+
+static void accept(struct http_request *r)
+{
+	json_object *body = json_object_new_object();
+
+	add_int(body, "ClockMs", util_monotonic_ms());
+	http_request_reply(r, 200, body);
+}
+
+/* Checks what all orders carry; answers when the order is not obeyed. */
+static json_object *take_order(struct worker *w, struct http_request *r)
+{
+	const char *instance = http_request_header(r, "Expect-Instance");
+	json_object *body = http_request_json(r);
+
+	if (!body)
+		return NULL;
+	if (instance && !g_str_equal(instance, w->id)) {
+		http_request_reply_empty(r, 421);
+		return NULL;
+	}
+	if (int_of(body, "Fence") < w->epoch) {
+		refuse(r, "fence");
+		return NULL;
+	}
+	w->epoch = int_of(body, "Fence");
+	w->lease_ms = MAX(w->lease_ms, int_of(body, "UntilMs"));
+	return body;
+}
+
+/* How long a task runs stands in its payload, as "run_ms=N". */
+static int64_t run_ms(const char *payload)
+{
+	const char *at = strstr(payload, "run_ms=");
+
+	return at ? g_ascii_strtoll(at + strlen("run_ms="), NULL, 10)
+		  : DEFAULT_RUN_MS;
+}
+
+static void handle_start(struct http_request *r, void *data)
+{
+	struct worker *w = data;
+	json_object *body = take_order(w, r);
+	const int64_t *ended;
+	const char *task;
+	struct run *run;
+
+	if (!body)
+		return;
+	task = text_of(body, "Task");
+	ended = g_hash_table_lookup(w->highest, task);
+	run = g_hash_table_lookup(w->runs, task);
+	if (ended && int_of(body, "Run") <= *ended) {
+		refuse(r, "old");
+		return;
+	}
+	if (!run) {
+		run = g_new0(struct run, 1);
+		run->task = g_strdup(task);
+		run->run = int_of(body, "Run");
+		run->end_ms =
+			util_monotonic_ms() + run_ms(text_of(body, "Spec"));
+		g_hash_table_replace(w->runs, run->task, run);
+		w->starts++;
+	}
+	accept(r);
+}
+
+static void handle_stop(struct http_request *r, void *data)
+{
+	struct worker *w = data;
+	json_object *body = take_order(w, r);
+	struct run *run;
+
+	if (!body)
+		return;
+	run = g_hash_table_lookup(w->runs, text_of(body, "Task"));
+	if (run && run->run <= int_of(body, "Run"))
+		end_run(w, run, "stopped");
+	else if (!run)
+		g_hash_table_replace(w->highest,
+				     g_strdup(text_of(body, "Task")),
+				     box(int_of(body, "Run")));
+	accept(r);
+	answer_holds(w);
+}
+
+static void handle_hold(struct http_request *r, void *data)
+{
+	struct worker *w = data;
+	json_object *body = take_order(w, r);
+	struct waiting_hold *h;
+
+	if (!body)
+		return;
+	while (w->ends->len) {
+		const struct end *e = w->ends->pdata[0];
+
+		if (e->number > int_of(body, "AckCursor"))
+			break;
+		g_ptr_array_remove_index(w->ends, 0);
+	}
+	h = g_new0(struct waiting_hold, 1);
+	h->request = r;
+	h->due_ms = util_monotonic_ms() + int_of(body, "WaitMs");
+	g_ptr_array_add(w->holds, h);
+	answer_holds(w);
+}
+
+static void handle_control(struct http_request *r, void *data)
+{
+	struct platform_standin *p = data;
+	json_object *body = http_request_json(r);
+	json_object *answer;
+	int64_t starts = 0;
+
+	if (!body)
+		return;
+	if (member(body, "lose_answers"))
+		p->lose_answers = int_of(body, "lose_answers");
+	if (member(body, "down"))
+		p->is_down = json_object_get_boolean(member(body, "down"));
+	for (guint i = 0; i < p->workers->len; i++)
+		starts += ((const struct worker *)p->workers->pdata[i])->starts;
+	answer = json_object_new_object();
+	add_int(answer, "starts", starts);
+	add_int(answer, "commits", p->commits);
+	http_request_reply(r, 200, answer);
+	answer_feeds(p);
+}
+
+static void end_free(gpointer data)
+{
+	struct end *e = data;
+
+	g_free(e->task);
+	g_free(e);
+}
+
+static void register_worker(struct platform_standin *p, const struct worker *w,
+			    const char *service, guint index)
+{
+	char *value = g_strdup_printf(
+		"{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%u\","
+		"\"Zone\":\"tov-a\",\"State\":\"ready\","
+		"\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,\"Gpu\":%d},"
+		"\"Labels\":[\"a\",\"r%u\"],\"Sequence\":1}",
+		service, http_server_port(w->server), WORKER_CORES,
+		WORKER_MEMORY_MB, WORKER_ACCELERATORS,
+		index / WORKERS_PER_RACK);
+	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
+
+	p->version++;
+	write_row(p, "servers", "", w->id, encoded);
+	g_free(encoded);
+	g_free(value);
+}
+
+static gboolean add_worker(struct platform_standin *p, const char *service,
+			   guint index)
+{
+	struct worker *w = g_new0(struct worker, 1);
+
+	w->id = g_strdup_printf("i-%u", index);
+	w->platform = p;
+	w->server = http_server_new(MAX_BODY_BYTES);
+	w->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
+	w->highest =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->ends = g_ptr_array_new_with_free_func(end_free);
+	w->holds = g_ptr_array_new_with_free_func(g_free);
+	http_server_route(w->server, "POST", PATH "/run-start", handle_start,
+			  w);
+	http_server_route(w->server, "POST", PATH "/run-stop", handle_stop, w);
+	http_server_route(w->server, "POST", PATH "/hold", handle_hold, w);
+	g_ptr_array_add(p->workers, w);
+	if (http_server_listen(w->server, "127.0.0.1", 0) != STATUS_OK)
+		return FALSE;
+	register_worker(p, w, service, index);
+	return TRUE;
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct platform_standin *p = data;
+
+	for (guint i = 0; i < p->workers->len; i++)
+		work(p->workers->pdata[i]);
+	answer_feeds(p);
+	return G_SOURCE_CONTINUE;
+}
+
+/* The operator's configuration, read from a file. */
+static gboolean load_config(struct platform_standin *p, const char *file)
+{
+	char *encoded;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(file, &text, &len, NULL))
+		return FALSE;
+	encoded = g_base64_encode((const guchar *)text, len);
+	p->version++;
+	write_row(p, "op", "", "config", encoded);
+	g_free(encoded);
+	g_free(text);
+	return TRUE;
+}
+
+int main(int argc, char **argv)
+{
+	struct platform_standin p = { 0 };
+	char *listen = NULL;
+	char *service = NULL;
+	char *config = NULL;
+	gint workers = 2;
+	const GOptionEntry entries[] = {
+		{ "listen", 'l', 0, G_OPTION_ARG_STRING, &listen,
+		  "Address of the store", "IP:PORT" },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &service,
+		  "Service of the workers", "NAME" },
+		{ "config", 0, 0, G_OPTION_ARG_FILENAME, &config,
+		  "The operator's configuration, JSON", "FILE" },
+		{ "workers", 0, 0, G_OPTION_ARG_INT, &workers,
+		  "Number of workers", "N" },
+		G_OPTION_ENTRY_NULL,
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	char *host = NULL;
+	uint16_t port;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error) || !listen ||
+	    !service || !config || !util_parse_endpoint(listen, &host, &port)) {
+		fprintf(stderr, "cs-standin-steppe: %s\n",
+			error ? error->message : "an option is missing");
+		return EXIT_FAILURE;
+	}
+	g_option_context_free(context);
+	p.rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				       row_free);
+	p.feeds = g_ptr_array_new_with_free_func(feed_free);
+	p.workers = g_ptr_array_new();
+	p.server = http_server_new(MAX_BODY_BYTES);
+	http_server_route(p.server, "POST", PATH "/rows-tx", handle_commit, &p);
+	http_server_route(p.server, "GET", PATH "/rows-get", handle_page, &p);
+	http_server_route(p.server, "GET", PATH "/rows-feed", handle_feed, &p);
+	http_server_route(p.server, "POST", "/control", handle_control, &p);
+	if (!load_config(&p, config) ||
+	    http_server_listen(p.server, host, port) != STATUS_OK)
+		return EXIT_FAILURE;
+	for (gint i = 0; i < workers; i++) {
+		if (!add_worker(&p, service, (guint)i))
+			return EXIT_FAILURE;
+	}
+	g_timeout_add(TICK_MS, on_tick, &p);
+	printf("listening %s\n", listen);
+	fflush(stdout);
+	g_main_loop_run(g_main_loop_new(NULL, FALSE));
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,338 @@
+/*
+ * The program of an entry VM over the platform's wire: real processes against
+ * the stand-in of the platform, in a table of faults.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "tests/cluster.h"
+
+#define ENTRIES 2
+#define WORKERS 3
+#define WAIT_MS 20000
+#define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
+
+static const char config_text[] =
+	"{\"Version\":1,\"Routes\":[{\"Name\":\"spot\",\"Host\":\"wind."
+	"example\","
+	"\"PathPrefix\":\"/spot/\",\"Service\":\"salkhi\",\"Priority\":0,"
+	"\"MaxAttempts\":2,\"Stretch\":1.5,\"TargetLatencyMs\":250}],"
+	"\"Services\":[{\"Name\":\"salkhi\"}],\"Tenants\":[{\"Name\":"
+	"\"rescue\","
+	"\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}}]}";
+
+struct site {
+	struct cluster *cluster;
+	struct cluster_process *platform;
+	struct cluster_process *entries[ENTRIES];
+	char *store;
+	char *frontends[ENTRIES];
+	char *readiness[ENTRIES];
+};
+
+static char *write_file(struct cluster *c, const char *name, const char *text)
+{
+	char *file = g_build_filename(c->dir, name, NULL);
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	return file;
+}
+
+static void start_entry(struct site *s, guint i)
+{
+	char *text = g_strdup_printf(
+		"{\"node\":\"e%u\",\"ip\":\"127.0.0.1\","
+		"\"failure_domain\":\"tov-a\",\"frontend\":\"%s\","
+		"\"readiness\":\"%s\",\"internal_port\":0,\"cpu_share\":1.0,"
+		"\"memory_mb\":256,\"store\":{\"address\":\"%s\","
+		"\"writes_per_s\":500,\"reads_per_s\":2000},\"bounds\":{"
+		"\"lease_ms\":3000,\"stop_ms\":200,\"gang_ms\":3000,"
+		"\"restore_ms\":100,\"remote_slowdown\":3,\"grace_s\":3,"
+		"\"status_s\":120}}",
+		i, s->frontends[i], s->readiness[i], s->store);
+	char *name = g_strdup_printf("e%u.json", i);
+	char *file = write_file(s->cluster, name, text);
+	char *log =
+		g_strdup_printf("e%u-%u.log", i, s->cluster->processes->len);
+
+	s->entries[i] = cluster_spawn(s->cluster, "csentryd", log,
+				      CLUSTER_ARGS("--settings", file));
+	g_free(log);
+	g_free(file);
+	g_free(name);
+	g_free(text);
+}
+
+static gboolean is_ready(void *data)
+{
+	struct site *s = data;
+
+	for (guint i = 0; i < ENTRIES; i++) {
+		struct cluster_reply r =
+			cluster_call(s->cluster, "GET", s->readiness[i],
+				     "/corianderstep/readyz", NULL, NULL, 1000);
+		gboolean is_good = r.code == 200;
+
+		cluster_reply_clear(&r);
+		if (!is_good)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static struct site *site_new(void)
+{
+	struct site *s = g_new0(struct site, 1);
+	char *workers = g_strdup_printf("%d", WORKERS);
+	char *config;
+
+	s->cluster = cluster_new();
+	config = write_file(s->cluster, "config.json", config_text);
+	s->store = cluster_address();
+	s->platform = cluster_spawn(
+		s->cluster, "cs-standin-steppe", "platform.log",
+		CLUSTER_ARGS("--listen", s->store, "--service", "salkhi",
+			     "--config", config, "--workers", workers));
+	for (guint i = 0; i < ENTRIES; i++) {
+		s->frontends[i] = cluster_address();
+		s->readiness[i] = cluster_address();
+		start_entry(s, i);
+	}
+	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
+	g_free(config);
+	g_free(workers);
+	return s;
+}
+
+static void site_free(struct site *s)
+{
+	cluster_free(s->cluster);
+	for (guint i = 0; i < ENTRIES; i++) {
+		g_free(s->frontends[i]);
+		g_free(s->readiness[i]);
+	}
+	g_free(s->store);
+	g_free(s);
+}
+
+static guint call(struct site *s, guint entry, const char *method,
+		  const char *id, const char *body, char **text)
+{
+	const char *const headers[] = { KEY_HEADER };
+	char *path = g_strconcat("/spot/", id, NULL);
+	struct cluster_reply r =
+		cluster_call(s->cluster, method, s->frontends[entry], path,
+			     body, headers, CLUSTER_CALL_TIMEOUT_MS);
+	guint code = r.code;
+
+	if (text)
+		*text = g_strdup(r.text);
+	cluster_reply_clear(&r);
+	g_free(path);
+	return code;
+}
+
+static guint submit(struct site *s, guint entry, const char *id, guint run_ms)
+{
+	char *body = g_strdup_printf(
+		"{\"Spec\":\"run_ms=%u\",\"Steps\":[{\"Count\":2,\"Cpu\":1000,"
+		"\"MemMb\":100,\"Gpu\":4,\"EstimateMs\":%u,\"Gang\":true}]}",
+		run_ms, run_ms);
+	guint code = call(s, entry, "POST", id, body, NULL);
+
+	g_free(body);
+	return code;
+}
+
+struct job_wait {
+	struct site *site;
+	const char *id;
+	const char *state;
+	guint entry;
+};
+
+static gboolean has_state(void *data)
+{
+	struct job_wait *w = data;
+	gboolean is_there;
+	char *text = NULL;
+
+	call(w->site, w->entry, "GET", w->id, NULL, &text);
+	is_there = text && strstr(text, w->state);
+	g_free(text);
+	return is_there;
+}
+
+static void assert_state(struct site *s, guint entry, const char *id,
+			 const char *state)
+{
+	struct job_wait w = { s, id, state, entry };
+
+	g_assert_true(cluster_wait(has_state, &w, WAIT_MS));
+}
+
+static int64_t starts(struct site *s)
+{
+	struct cluster_reply r =
+		cluster_call(s->cluster, "POST", s->store, "/control", "{}",
+			     NULL, CLUSTER_CALL_TIMEOUT_MS);
+	json_object *value = NULL;
+	int64_t n;
+
+	g_assert_true(json_object_object_get_ex(r.body, "starts", &value));
+	n = json_object_get_int64(value);
+	cluster_reply_clear(&r);
+	return n;
+}
+
+/* The process that holds the pool's lease. */
+static guint holder(const struct site *s)
+{
+	guint found = 0;
+
+	for (guint i = 0; i < ENTRIES; i++) {
+		if (cluster_grep(s->entries[i], "event=lease_acquired"))
+			found = i;
+	}
+	return found;
+}
+
+struct fault {
+	const char *name;
+	const char *before;  /* control of the platform before the job */
+	const char *during;  /* while it runs */
+	const char *after;   /* before its state is asked for */
+	int holder_signal;   /* while it runs, 0 for none */
+	gboolean is_resumed; /* the holder goes on after a takeover */
+};
+
+static const struct fault faults[] = {
+	{ .name = "calm" },
+	{ .name = "lost-answers", .before = "{\"lose_answers\":2}" },
+	{ .name = "down",
+	  .during = "{\"down\":true}",
+	  .after = "{\"down\":false}" },
+	{ .name = "holder-killed", .holder_signal = SIGKILL },
+	{ .name = "holder-terminated", .holder_signal = SIGTERM },
+	{ .name = "holder-stopped",
+	  .holder_signal = SIGSTOP,
+	  .is_resumed = TRUE },
+};
+
+/* Whatever happens, the job is done and each task is started once. */
+static void test_fault(gconstpointer data)
+{
+	const struct fault *f = data;
+	struct site *s = site_new();
+	guint other = 1 - holder(s);
+	struct cluster_process *held = s->entries[holder(s)];
+
+	if (f->before)
+		cluster_control(s->cluster, s->store, f->before);
+	g_assert_cmpuint(submit(s, other, "00000000000000a1", 1200), ==, 200);
+	/* The same job again is the same job. */
+	g_assert_cmpuint(submit(s, other, "00000000000000a1", 1200), ==, 200);
+	assert_state(s, other, "00000000000000a1", "active");
+	if (f->during)
+		cluster_control(s->cluster, s->store, f->during);
+	if (f->holder_signal)
+		cluster_signal(held, f->holder_signal);
+	cluster_sleep(1500);
+	if (f->after)
+		cluster_control(s->cluster, s->store, f->after);
+	assert_state(s, other, "00000000000000a1", "completed");
+	g_assert_cmpint(starts(s), ==, 2);
+	if (f->is_resumed) {
+		cluster_signal(held, SIGCONT);
+		cluster_sleep(500);
+		g_assert_cmpuint(submit(s, other, "00000000000000a2", 200), ==,
+				 200);
+		assert_state(s, other, "00000000000000a2", "completed");
+		g_assert_cmpint(starts(s), ==, 4);
+	}
+	site_free(s);
+}
+
+/* What callers are told. */
+struct answer_case {
+	const char *name;
+	const char *method;
+	const char *id;
+	const char *body;
+	guint code;
+};
+
+static const struct answer_case answers[] = {
+	{ "unknown-job", "GET", "00000000000000ff", NULL, 410 },
+	{ "cancel-unknown", "DELETE", "00000000000000ff", NULL, 410 },
+	{ "no-id", "POST", "x", "{\"Steps\":[{\"Count\":1}]}", 404 },
+	{ "no-steps", "POST", "00000000000000b1", "{\"Steps\":[]}", 400 },
+	{ "cycle", "POST", "00000000000000b1",
+	  "{\"Steps\":[{\"Count\":1,\"After\":[0]}]}", 400 },
+	{ "waiting", "GET", "", NULL, 200 },
+};
+
+static void test_answers(void)
+{
+	struct site *s = site_new();
+
+	for (guint i = 0; i < G_N_ELEMENTS(answers); i++) {
+		const struct answer_case *c = &answers[i];
+
+		g_test_message("%s", c->name);
+		g_assert_cmpuint(call(s, 0, c->method, c->id, c->body, NULL),
+				 ==, c->code);
+	}
+	site_free(s);
+}
+
+/* A cancelled job is stopped, and stays cancelled. */
+static void test_cancel(void)
+{
+	struct site *s = site_new();
+
+	g_assert_cmpuint(submit(s, 0, "00000000000000c1", 60000), ==, 200);
+	assert_state(s, 0, "00000000000000c1", "active");
+	g_assert_cmpuint(call(s, 1, "DELETE", "00000000000000c1", NULL, NULL),
+			 ==, 200);
+	assert_state(s, 0, "00000000000000c1", "cancelled");
+	/* Its room is free again. */
+	g_assert_cmpuint(submit(s, 0, "00000000000000c2", 100), ==, 200);
+	assert_state(s, 1, "00000000000000c2", "completed");
+	site_free(s);
+}
+
+/* While the store is away nothing is accepted, and that is said at once. */
+static void test_refused_at_once(void)
+{
+	struct site *s = site_new();
+	int64_t began_us;
+	guint code = 0;
+
+	cluster_control(s->cluster, s->store, "{\"down\":true}");
+	cluster_sleep(1500); /* until the breaker has opened */
+	began_us = g_get_monotonic_time();
+	for (guint i = 0; i < 5 && code != 503; i++)
+		code = submit(s, 0, "00000000000000d1", 100);
+	g_assert_cmpuint(code, ==, 503);
+	g_assert_cmpint(g_get_monotonic_time() - began_us, <, 3000000);
+	cluster_control(s->cluster, s->store, "{\"down\":false}");
+	g_assert_cmpint(starts(s), ==, 0);
+	site_free(s);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
+		char *at = g_strdup_printf("/entry/%s", faults[i].name);
+
+		g_test_add_data_func(at, &faults[i], test_fault);
+		g_free(at);
+	}
+	g_test_add_func("/entry/answers", test_answers);
+	g_test_add_func("/entry/cancel", test_cancel);
+	g_test_add_func("/entry/refused-at-once", test_refused_at_once);
+	return g_test_run();
+}
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -370,6 +370,26 @@
 	world_clear(&w);
 }
 
+/* A job that was marked and never begun still waits, for a successor too. */
+static void test_marked_waits(void)
+{
+	json_object *row;
+	struct world w;
+	struct fleet_job *job;
+
+	world_init(&w);
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	job->state = FLEET_JOB_ACTIVE;
+	row = job_progress_encode(job);
+	fleet_scheduler_begin(&w.s, 8, 0);
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	fleet_scheduler_progress(&w.s, "job", row, 5);
+	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
+	g_assert_false(job->has_started);
+	json_object_put(row);
+	world_clear(&w);
+}
+
 /* When nothing can run any more on a worker without a registration. */
 struct over_case {
 	const char *name;
@@ -555,6 +575,7 @@
 	g_test_add_func("/fleet/unwanted-run", test_unwanted_run);
 	g_test_add_func("/fleet/failure-once", test_failure_counts_once);
 	g_test_add_func("/fleet/mark-first", test_mark_first);
+	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
 	g_test_add_func("/leadership/bound", test_lease_bound);
 	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++) {
