Work that a stop would throw away leaves the room that urgent jobs needed of late

Change: tasks without checkpoints are not placed in the room of the urgent jobs' recent peak (it halves in 6 s); tasks with checkpoints may use it meanwhile. Leaving workers are emptied by the time that is left; runs that stand still for 3 s or crawl at under a 4.5th of the usual speed are moved.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -198,6 +198,8 @@
 	t->is_doubtful = FALSE;
 	t->is_order_out = FALSE;
 	t->percent = 0;
+	t->first_percent = 0;
+	t->first_told_ms = 0;
 }
 
 void fleet_task_set_checkpoint(struct fleet_task *t, const char *checkpoint)
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -47,6 +47,8 @@
 	int64_t stop_answered_ms;    /**< 0 until a stop was answered */
 	int64_t moved_ms;	     /**< when its progress last grew */
 	double percent;		     /**< progress that was last told */
+	double first_percent;	     /**< that was told first of this run */
+	int64_t first_told_ms;	     /**< 0 until then */
 	gboolean is_order_out;	     /**< an order is in flight */
 	gboolean is_stop_ordered;    /**< this run is to end */
 	/** An order to start this run had no answer: it may come late. */
@@ -96,9 +98,10 @@
 struct fleet_worker {
 	char *id;
 	struct worker_registration reg;
-	struct demand used; /**< by all tasks that may run there */
-	GPtrArray *tasks;   /**< of struct fleet_task, not owned */
-	gboolean is_gone;   /**< its registration was removed */
+	struct demand used;	/**< by all tasks that may run there */
+	GPtrArray *tasks;	/**< of struct fleet_task, not owned */
+	int64_t drain_until_ms; /**< at least, while it drains */
+	gboolean is_gone;	/**< its registration was removed */
 	int64_t gone_ms;
 	gboolean is_fenced;   /**< it has answered under this epoch */
 	gboolean is_recorded; /**< the store says that it is in use */
--- a/sched/fleet_parts.h
+++ b/sched/fleet_parts.h
@@ -26,6 +26,10 @@
 /** Starts what waits, where it has room or may make some. */
 void fleet_place_all(struct fleet_scheduler *s, int64_t now_ms);
 
+/** Returns the time that a running task is expected to need still. */
+int64_t fleet_task_left_ms(const struct fleet_scheduler *s,
+			   const struct fleet_task *t, int64_t now_ms);
+
 /** Priority of a job's route, 0 comes first. */
 int64_t fleet_priority(const struct fleet_scheduler *s,
 		       const struct fleet_job *job);
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -10,6 +11,9 @@
 /* A unit that has found no room for this long has room kept for it. */
 #define RESERVE_AFTER_MS 3000
 #define MAX_RESERVATIONS 2
+/* The peak of the urgent jobs' need halves in this time without such need:
+ * bursts come again within seconds. */
+#define URGENT_HALF_LIFE_MS 6000
 #define MS_PER_CORE_UNIT 1000.0
 /* An accelerator counts as so many cores (platform's price of lost work). */
 #define CORES_PER_ACCELERATOR 8
@@ -40,6 +44,8 @@
 	GArray *rooms;	  /* of struct room */
 	GPtrArray *racks; /* of char *, not owned */
 	guint reservations;
+	int64_t capacity; /* accelerators of all usable workers */
+	int64_t unsaved;  /* held by tasks that a stop would throw away */
 };
 
 static int64_t step_ms(const struct fleet_scheduler *s,
@@ -315,6 +321,8 @@
 			g_array_index(r->rooms, struct room, index).worker);
 	}
 	take_room(r, u, c);
+	if (u->priority != 0 && !u->step->spec->is_checkpointed)
+		r->unsaved += u->step->spec->accelerators * workers->len;
 	if (!u->step->job->is_marked) {
 		fleet_mark_job(u->step->job, r->now_ms);
 		g_ptr_array_unref(workers);
@@ -707,11 +715,29 @@
 	r->reservations++;
 }
 
+/*
+ * Work that a stop throws away leaves room for urgent jobs, which would stop
+ * it; what saves its progress may use that room meanwhile.
+ */
+static gboolean leaves_urgent_room(const struct round *r, const struct unit *u,
+				   guint tasks)
+{
+	const struct step_spec *spec = u->step->spec;
+
+	if (u->priority == 0 || spec->is_checkpointed)
+		return TRUE;
+	return (double)(r->unsaved + spec->accelerators * tasks) <=
+	       (double)r->capacity - r->s->urgent_peak;
+}
+
 static void place_unit(struct round *r, struct unit *u)
 {
 	GPtrArray *options = rack_options(r, u);
 	struct choice c = { g_array_new(FALSE, FALSE, sizeof(guint)), 0 };
 
+	if (!leaves_urgent_room(r, u,
+				u->step->spec->is_gang ? u->tasks->len : 1))
+		goto out;
 	if (!u->step->spec->is_gang) {
 		if (place_singles(r, u, options, &c))
 			goto out;
@@ -877,6 +903,40 @@
 	return compare_accepted(a, b);
 }
 
+/* Sums up what runs, and what urgent jobs need now or needed of late. */
+static void update_urgent_peak(struct round *r, const GPtrArray *units)
+{
+	struct fleet_scheduler *s = r->s;
+	double passed_ms = (double)(r->now_ms - s->urgent_peak_ms);
+	int64_t urgent = 0;
+
+	for (guint i = 0; i < r->rooms->len; i++) {
+		const struct fleet_worker *w =
+			g_array_index(r->rooms, struct room, i).worker;
+
+		r->capacity += w->reg.capacity.accelerators;
+		for (guint k = 0; k < w->tasks->len; k++) {
+			const struct fleet_task *t = w->tasks->pdata[k];
+
+			if (t->is_stop_ordered)
+				continue;
+			if (fleet_priority(s, t->step->job) == 0)
+				urgent += t->step->spec->accelerators;
+			else if (!t->step->spec->is_checkpointed)
+				r->unsaved += t->step->spec->accelerators;
+		}
+	}
+	for (guint i = 0; i < units->len; i++) {
+		const struct unit *u = units->pdata[i];
+
+		if (u->priority == 0)
+			urgent += u->step->spec->accelerators * u->tasks->len;
+	}
+	s->urgent_peak *= exp2(-passed_ms / URGENT_HALF_LIFE_MS);
+	s->urgent_peak = MAX(s->urgent_peak, (double)urgent);
+	s->urgent_peak_ms = r->now_ms;
+}
+
 void fleet_place_all(struct fleet_scheduler *s, int64_t now_ms)
 {
 	struct round r = { .s = s, .now_ms = now_ms };
@@ -891,6 +951,7 @@
 	g_ptr_array_sort(units, compare_accepted);
 	mark_guaranteed(&r, units);
 	g_ptr_array_sort(units, compare_urgency);
+	update_urgent_peak(&r, units);
 	for (guint i = 0; i < units->len; i++)
 		place_unit(&r, units->pdata[i]);
 	g_ptr_array_unref(units);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -18,6 +18,20 @@
 /* After an order without an answer, others are chosen for this time. */
 #define AVOID_SILENT_MS 1000
 #define FAILURES_TO_AVOID 2
+/* A worker on which tasks stand still or crawl gets nothing for this time. */
+#define AVOID_SLOW_MS 5000
+/* Without progress for so long a task stands still; it is told of each hold. */
+#define STALL_MS 3000
+/* A run that takes so many times the usual time is slow; off its data's rack
+ * it may take 3 times (platform's bound). */
+#define SLOW_FACTOR 4.5
+/* What has come this far is left where it is. */
+#define MAX_PERCENT_TO_MOVE 50
+/* Progress over less time than this says little. */
+#define MIN_TOLD_MS 500
+#define MIN_JUDGED_MS 1500
+/* Left between the expected end of a task and that of its worker. */
+#define EVACUATION_MARGIN_MS 300
 /* Ends that a worker lists at most in one answer. */
 #define MAX_LISTED_ENDS 500
 
@@ -200,6 +214,8 @@
 	if (w->reg.born_ms && reg->born_ms > w->reg.born_ms)
 		forget_incarnation(w);
 	w->is_gone = FALSE;
+	if (reg->is_draining && !w->reg.is_draining)
+		w->drain_until_ms = now_ms + reg->drain_left_ms;
 	worker_registration_clear(&w->reg);
 	w->reg = *reg;
 	*reg = (struct worker_registration){ 0 };
@@ -243,6 +259,7 @@
 	log_str(&line, "task", name);
 	log_int(&line, "run", t->run);
 	log_int(&line, "epoch", s->epoch);
+	log_int(&line, "percent", (int64_t)t->percent);
 	if (t->worker)
 		log_str(&line, "worker", t->worker->id);
 	if (reason)
@@ -483,6 +500,17 @@
 	t->step->job->is_dirty = TRUE;
 }
 
+static void note_progress(struct fleet_task *t, double percent, int64_t now_ms)
+{
+	if (!t->first_told_ms) {
+		t->first_told_ms = now_ms;
+		t->first_percent = percent;
+	}
+	if (percent > t->percent)
+		t->moved_ms = now_ms;
+	t->percent = percent;
+}
+
 static void take_running(struct fleet_scheduler *s, struct fleet_worker *w,
 			 const struct running_entry *e, int64_t now_ms)
 {
@@ -495,10 +523,7 @@
 			t->state = TASK_RUNNING;
 		if (!t->confirmed_ms)
 			t->confirmed_ms = now_ms;
-		if (e->percent > t->percent) {
-			t->percent = e->percent;
-			t->moved_ms = now_ms;
-		}
+		note_progress(t, e->percent, now_ms);
 		fleet_task_set_checkpoint(t, e->checkpoint);
 		return;
 	}
@@ -510,7 +535,7 @@
 		t->ordered_ms = now_ms;
 		t->moved_ms = now_ms;
 		t->confirmed_ms = now_ms;
-		t->percent = e->percent;
+		note_progress(t, e->percent, now_ms);
 		t->seen_report = w->reports;
 		fleet_task_set_checkpoint(t, e->checkpoint);
 		t->step->job->has_started = TRUE;
@@ -741,6 +766,77 @@
 		fleet_job_add_occurrence(job);
 }
 
+/* Progress that a task makes in a second, 0 when nothing is known of it. */
+static double percent_per_s(const struct fleet_task *t, int64_t now_ms)
+{
+	int64_t told_ms = t->moved_ms - t->first_told_ms;
+
+	if (!t->first_told_ms || told_ms < MIN_TOLD_MS)
+		return 0;
+	return (t->percent - t->first_percent) * (double)MS_PER_S /
+	       (double)told_ms;
+}
+
+int64_t fleet_task_left_ms(const struct fleet_scheduler *s,
+			   const struct fleet_task *t, int64_t now_ms)
+{
+	double rate = percent_per_s(t, now_ms);
+	int64_t expected_ms = run_times_expected_ms(
+		s->run_times, t->step->job->route, t->step->spec->estimate_ms);
+
+	if (rate > 0)
+		return (int64_t)((100 - t->percent) * (double)MS_PER_S / rate) -
+		       (now_ms - t->moved_ms);
+	return MAX(expected_ms - (now_ms - t->ordered_ms), 0);
+}
+
+/* Tells why a task had better run elsewhere, or NULL. */
+static const char *trouble_of(const struct fleet_scheduler *s,
+			      const struct fleet_task *t, int64_t now_ms)
+{
+	int64_t expected_ms;
+	double rate;
+
+	if (t->state != TASK_RUNNING || !t->first_told_ms ||
+	    t->step->spec->is_service || t->percent >= 100 ||
+	    now_ms - t->worker->contact_ms > STALL_MS / 2)
+		return NULL;
+	if (now_ms - t->moved_ms > STALL_MS)
+		return "no progress";
+	expected_ms = run_times_expected_ms(s->run_times, t->step->job->route,
+					    t->step->spec->estimate_ms);
+	expected_ms = MAX(expected_ms, t->step->spec->estimate_ms);
+	rate = percent_per_s(t, now_ms);
+	if (rate <= 0 ||
+	    !run_times_is_known(s->run_times, t->step->job->route) ||
+	    t->percent > MAX_PERCENT_TO_MOVE ||
+	    now_ms - t->first_told_ms < MIN_JUDGED_MS)
+		return NULL;
+	if (100 * (double)MS_PER_S / rate < SLOW_FACTOR * (double)expected_ms)
+		return NULL;
+	return "slow progress";
+}
+
+/* Moves what stands still or crawls to other workers. */
+static void check_progress(struct fleet_scheduler *s, struct fleet_worker *w,
+			   int64_t now_ms)
+{
+	for (guint i = w->tasks->len; i-- > 0;) {
+		struct fleet_task *t;
+		const char *reason;
+
+		if (i >= w->tasks->len)
+			continue;
+		t = w->tasks->pdata[i];
+		reason = trouble_of(s, t, now_ms);
+		if (!reason)
+			continue;
+		w->avoid_until_ms =
+			MAX(w->avoid_until_ms, now_ms + AVOID_SLOW_MS);
+		fleet_stop_unit(s, t, reason, now_ms);
+	}
+}
+
 /* Moves what a leaving worker would not finish in time. */
 static void evacuate(struct fleet_scheduler *s, struct fleet_worker *w,
 		     int64_t now_ms)
@@ -751,7 +847,10 @@
 		if (i >= w->tasks->len)
 			continue;
 		t = w->tasks->pdata[i];
-		if (t->state == TASK_RUNNING)
+		if (t->state == TASK_RUNNING &&
+		    now_ms + fleet_task_left_ms(s, t, now_ms) +
+				    EVACUATION_MARGIN_MS >
+			    w->drain_until_ms)
 			fleet_stop_unit(s, t, "the worker leaves", now_ms);
 	}
 }
@@ -767,6 +866,7 @@
 		struct fleet_worker *w = item;
 
 		tend_worker(s, w, now_ms);
+		check_progress(s, w, now_ms);
 		if (w->reg.is_draining && !w->is_gone)
 			evacuate(s, w, now_ms);
 		if (!w->is_fenced)
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -41,6 +41,9 @@
 	struct fleet_bounds bounds;
 	struct fleet_ports ports;
 	struct run_times *run_times;
+	/** Accelerators that urgent jobs have needed of late, at most. */
+	double urgent_peak;
+	int64_t urgent_peak_ms; /**< when it was last updated */
 	int64_t epoch;
 	int64_t runs; /**< started under this epoch */
 	/**
--- a/sched/run_times.c
+++ b/sched/run_times.c
@@ -45,12 +45,19 @@
 	m->mean_ms += weight * ((double)ran_ms - m->mean_ms);
 }
 
+gboolean run_times_is_known(const struct run_times *t, const char *route)
+{
+	const struct run_time_mean *m = g_hash_table_lookup(t->means, route);
+
+	return m && m->count >= MIN_OBSERVATIONS;
+}
+
 int64_t run_times_expected_ms(const struct run_times *t, const char *route,
 			      int64_t estimate_ms)
 {
 	const struct run_time_mean *m = g_hash_table_lookup(t->means, route);
 
-	if (!m || m->count < MIN_OBSERVATIONS)
+	if (!run_times_is_known(t, route))
 		return estimate_ms;
 	return (int64_t)m->mean_ms;
 }
