--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -18,18 +18,12 @@
 /* After an order without an answer, others are chosen for this time. */
 #define AVOID_SILENT_MS 1000
 #define FAILURES_TO_AVOID 2
-/* A worker on which tasks stand still or crawl gets nothing for this time. */
-#define AVOID_SLOW_MS 5000
+/* A worker on which tasks stand still gets nothing for this time. */
+#define AVOID_STALLED_MS 5000
 /* Without progress for so long a task stands still; it is told of each hold. */
 #define STALL_MS 3000
-/* A run that takes so many times the usual time is slow; off its data's rack
- * it may take 3 times (platform's bound). */
-#define SLOW_FACTOR 4.5
-/* What has come this far is left where it is. */
-#define MAX_PERCENT_TO_MOVE 50
 /* Progress over less time than this says little. */
 #define MIN_TOLD_MS 500
-#define MIN_JUDGED_MS 1500
 /* Left between the expected end of a task and that of its worker. */
 #define EVACUATION_MARGIN_MS 300
 /* Ends that a worker lists at most in one answer. */
@@ -790,50 +784,32 @@
 	return MAX(expected_ms - (now_ms - t->ordered_ms), 0);
 }
 
-/* Tells why a task had better run elsewhere, or NULL. */
-static const char *trouble_of(const struct fleet_scheduler *s,
-			      const struct fleet_task *t, int64_t now_ms)
+/* Tells whether a task makes no progress though its worker answers. */
+static gboolean stands_still(const struct fleet_task *t, int64_t now_ms)
 {
-	int64_t expected_ms;
-	double rate;
-
 	if (t->state != TASK_RUNNING || !t->first_told_ms ||
 	    t->step->spec->is_service || t->percent >= 100 ||
-	    now_ms - t->worker->contact_ms > STALL_MS / 2)
-		return NULL;
-	if (now_ms - t->moved_ms > STALL_MS)
-		return "no progress";
-	expected_ms = run_times_expected_ms(s->run_times, t->step->job->route,
-					    t->step->spec->estimate_ms);
-	expected_ms = MAX(expected_ms, t->step->spec->estimate_ms);
-	rate = percent_per_s(t, now_ms);
-	if (rate <= 0 ||
-	    !run_times_is_known(s->run_times, t->step->job->route) ||
-	    t->percent > MAX_PERCENT_TO_MOVE ||
-	    now_ms - t->first_told_ms < MIN_JUDGED_MS)
-		return NULL;
-	if (100 * (double)MS_PER_S / rate < SLOW_FACTOR * (double)expected_ms)
-		return NULL;
-	return "slow progress";
+	    now_ms - t->worker->contact_ms > STALL_MS / 2 ||
+	    now_ms - t->moved_ms <= STALL_MS)
+		return FALSE;
+	return TRUE;
 }
 
-/* Moves what stands still or crawls to other workers. */
+/* Moves what stands still to other workers. */
 static void check_progress(struct fleet_scheduler *s, struct fleet_worker *w,
 			   int64_t now_ms)
 {
 	for (guint i = w->tasks->len; i-- > 0;) {
 		struct fleet_task *t;
-		const char *reason;
 
 		if (i >= w->tasks->len)
 			continue;
 		t = w->tasks->pdata[i];
-		reason = trouble_of(s, t, now_ms);
-		if (!reason)
+		if (!stands_still(t, now_ms))
 			continue;
 		w->avoid_until_ms =
-			MAX(w->avoid_until_ms, now_ms + AVOID_SLOW_MS);
-		fleet_stop_unit(s, t, reason, now_ms);
+			MAX(w->avoid_until_ms, now_ms + AVOID_STALLED_MS);
+		fleet_stop_unit(s, t, "no progress", now_ms);
 	}
 }
 
