--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -20,6 +20,14 @@
 #define WORKER_ACCELERATORS 8
 #define WORKERS_PER_RACK 8
 #define DEFAULT_RUN_MS 300
+#define DEFAULT_WORKERS 2
+
+struct options {
+	char *listen;
+	char *service;
+	char *config;
+	gint workers;
+};
 
 struct row {
 	char *table;
@@ -701,56 +709,72 @@
 	return TRUE;
 }
 
-int main(int argc, char **argv)
+/* Starts the store and the workers; FALSE when an address can't be had. */
+static gboolean start(struct platform_standin *p, const struct options *o)
+{
+	char *host = NULL;
+	gboolean is_good;
+	uint16_t port;
+
+	p->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					row_free);
+	p->feeds = g_ptr_array_new_with_free_func(feed_free);
+	p->workers = g_ptr_array_new();
+	p->server = http_server_new(MAX_BODY_BYTES);
+	http_server_route(p->server, "POST", PATH "/rows-tx", handle_commit, p);
+	http_server_route(p->server, "GET", PATH "/rows-get", handle_page, p);
+	http_server_route(p->server, "GET", PATH "/rows-feed", handle_feed, p);
+	http_server_route(p->server, "POST", "/control", handle_control, p);
+	is_good = util_parse_endpoint(o->listen, &host, &port) &&
+		  load_config(p, o->config) &&
+		  http_server_listen(p->server, host, port) == STATUS_OK;
+	for (gint i = 0; is_good && i < o->workers; i++)
+		is_good = add_worker(p, o->service, (guint)i);
+	g_free(host);
+	return is_good;
+}
+
+static gboolean parse_options(int argc, char **argv, struct options *o)
 {
-	struct platform_standin p = { 0 };
-	char *listen = NULL;
-	char *service = NULL;
-	char *config = NULL;
-	gint workers = 2;
 	const GOptionEntry entries[] = {
-		{ "listen", 'l', 0, G_OPTION_ARG_STRING, &listen,
+		{ "listen", 'l', 0, G_OPTION_ARG_STRING, &o->listen,
 		  "Address of the store", "IP:PORT" },
-		{ "service", 0, 0, G_OPTION_ARG_STRING, &service,
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &o->service,
 		  "Service of the workers", "NAME" },
-		{ "config", 0, 0, G_OPTION_ARG_FILENAME, &config,
+		{ "config", 0, 0, G_OPTION_ARG_FILENAME, &o->config,
 		  "The operator's configuration, JSON", "FILE" },
-		{ "workers", 0, 0, G_OPTION_ARG_INT, &workers,
+		{ "workers", 0, 0, G_OPTION_ARG_INT, &o->workers,
 		  "Number of workers", "N" },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
 	GError *error = NULL;
-	char *host = NULL;
-	uint16_t port;
+	gboolean is_good;
 
 	g_option_context_add_main_entries(context, entries, NULL);
-	if (!g_option_context_parse(context, &argc, &argv, &error) || !listen ||
-	    !service || !config || !util_parse_endpoint(listen, &host, &port)) {
+	is_good = g_option_context_parse(context, &argc, &argv, &error) &&
+		  o->listen && o->service && o->config;
+	if (!is_good)
 		fprintf(stderr, "cs-standin-steppe: %s\n",
 			error ? error->message : "an option is missing");
-		return EXIT_FAILURE;
-	}
+	g_clear_error(&error);
 	g_option_context_free(context);
-	p.rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				       row_free);
-	p.feeds = g_ptr_array_new_with_free_func(feed_free);
-	p.workers = g_ptr_array_new();
-	p.server = http_server_new(MAX_BODY_BYTES);
-	http_server_route(p.server, "POST", PATH "/rows-tx", handle_commit, &p);
-	http_server_route(p.server, "GET", PATH "/rows-get", handle_page, &p);
-	http_server_route(p.server, "GET", PATH "/rows-feed", handle_feed, &p);
-	http_server_route(p.server, "POST", "/control", handle_control, &p);
-	if (!load_config(&p, config) ||
-	    http_server_listen(p.server, host, port) != STATUS_OK)
+	return is_good;
+}
+
+int main(int argc, char **argv)
+{
+	struct platform_standin p = { 0 };
+	struct options o = { .workers = DEFAULT_WORKERS };
+	GMainLoop *loop;
+
+	if (!parse_options(argc, argv, &o) || !start(&p, &o))
 		return EXIT_FAILURE;
-	for (gint i = 0; i < workers; i++) {
-		if (!add_worker(&p, service, (guint)i))
-			return EXIT_FAILURE;
-	}
 	g_timeout_add(TICK_MS, on_tick, &p);
-	printf("listening %s\n", listen);
+	printf("listening %s\n", o.listen);
 	fflush(stdout);
-	g_main_loop_run(g_main_loop_new(NULL, FALSE));
+	loop = g_main_loop_new(NULL, FALSE);
+	g_main_loop_run(loop);
+	g_main_loop_unref(loop);
 	return EXIT_SUCCESS;
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -208,14 +208,14 @@
 };
 
 static const struct fault faults[] = {
-	{ .name = "calm" },
-	{ .name = "lost-answers", .before = "{\"lose_answers\":2}" },
-	{ .name = "down",
+	{ .name = "/entry/calm" },
+	{ .name = "/entry/lost-answers", .before = "{\"lose_answers\":2}" },
+	{ .name = "/entry/down",
 	  .during = "{\"down\":true}",
 	  .after = "{\"down\":false}" },
-	{ .name = "holder-killed", .holder_signal = SIGKILL },
-	{ .name = "holder-terminated", .holder_signal = SIGTERM },
-	{ .name = "holder-stopped",
+	{ .name = "/entry/holder-killed", .holder_signal = SIGKILL },
+	{ .name = "/entry/holder-terminated", .holder_signal = SIGTERM },
+	{ .name = "/entry/holder-stopped",
 	  .holder_signal = SIGSTOP,
 	  .is_resumed = TRUE },
 };
@@ -325,12 +325,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (guint i = 0; i < G_N_ELEMENTS(faults); i++) {
-		char *at = g_strdup_printf("/entry/%s", faults[i].name);
-
-		g_test_add_data_func(at, &faults[i], test_fault);
-		g_free(at);
-	}
+	for (guint i = 0; i < G_N_ELEMENTS(faults); i++)
+		g_test_add_data_func(faults[i].name, &faults[i], test_fault);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/refused-at-once", test_refused_at_once);
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -212,17 +212,18 @@
 };
 
 static const struct answer_case answer_cases[] = {
-	{ "refused", ORDER_REFUSED, ORDER_REFUSED, FALSE, TRUE },
-	{ "no-answer", ORDER_NO_ANSWER, ORDER_REFUSED, FALSE, FALSE },
-	/* Found in aol-slips trouble-1: the first attempt came late. */
-	{ "no-answer-then-refused", ORDER_NO_ANSWER, ORDER_REFUSED, TRUE,
+	{ "/fleet/answer/refused", ORDER_REFUSED, ORDER_REFUSED, FALSE, TRUE },
+	{ "/fleet/answer/no-answer", ORDER_NO_ANSWER, ORDER_REFUSED, FALSE,
 	  FALSE },
+	/* Found in aol-slips trouble-1: the first attempt came late. */
+	{ "/fleet/answer/no-answer-then-refused", ORDER_NO_ANSWER,
+	  ORDER_REFUSED, TRUE, FALSE },
 };
 
 static void test_answers(gconstpointer data)
 {
 	const struct answer_case *c = data;
-	struct world w;
+	struct world w = { 0 };
 	struct fleet_task *t;
 	struct order first;
 
@@ -258,7 +259,7 @@
 /* A worker that lists what isn't wanted there gets nothing new. */
 static void test_unwanted_run(void)
 {
-	struct world w;
+	struct world w = { 0 };
 
 	world_init(&w);
 	register_worker(&w, "w1", "r1");
@@ -276,7 +277,7 @@
 /* A failure that is listed again after a takeover counts once. */
 static void test_failure_counts_once(void)
 {
-	struct world w;
+	struct world w = { 0 };
 	struct fleet_job *job;
 	json_object *row;
 
@@ -311,17 +312,17 @@
 };
 
 static const struct takeover_case takeover_cases[] = {
-	{ "fresh", FALSE, FALSE, TRUE, TRUE },
-	{ "active", TRUE, FALSE, TRUE, FALSE },
-	{ "active-all-answered", TRUE, TRUE, TRUE, TRUE },
-	{ "active-unregistered", TRUE, FALSE, FALSE, FALSE },
+	{ "/fleet/takeover/fresh", FALSE, FALSE, TRUE, TRUE },
+	{ "/fleet/takeover/active", TRUE, FALSE, TRUE, FALSE },
+	{ "/fleet/takeover/active-all-answered", TRUE, TRUE, TRUE, TRUE },
+	{ "/fleet/takeover/active-unregistered", TRUE, FALSE, FALSE, FALSE },
 };
 
 static void test_takeover(gconstpointer data)
 {
 	const struct takeover_case *c = data;
 	json_object *row = json_object_new_object();
-	struct world w;
+	struct world w = { 0 };
 
 	world_init(&w);
 	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
@@ -353,7 +354,7 @@
 /* A job is stored as active before anything of it is started. */
 static void test_mark_first(void)
 {
-	struct world w;
+	struct world w = { 0 };
 	struct fleet_job *job;
 
 	world_init(&w);
@@ -374,7 +375,7 @@
 static void test_marked_waits(void)
 {
 	json_object *row;
-	struct world w;
+	struct world w = { 0 };
 	struct fleet_job *job;
 
 	world_init(&w);
@@ -400,20 +401,20 @@
 };
 
 static const struct over_case over_cases[] = {
-	{ "drained", TRUE, TRUE, 0, TRUE },
+	{ "/fleet/over/drained", TRUE, TRUE, 0, TRUE },
 	/* Found in khuree-wind fresh-1f55: it ran what an earlier epoch had
 	 * started. */
-	{ "silent-never-answered", FALSE, FALSE, 1000, FALSE },
-	{ "silent-never-answered-late", FALSE, FALSE, 20000, TRUE },
-	{ "silent-leased", FALSE, TRUE, 1000, FALSE },
-	{ "silent-leased-late", FALSE, TRUE, 20000, TRUE },
+	{ "/fleet/over/silent-never-answered", FALSE, FALSE, 1000, FALSE },
+	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, 20000, TRUE },
+	{ "/fleet/over/silent-leased", FALSE, TRUE, 1000, FALSE },
+	{ "/fleet/over/silent-leased-late", FALSE, TRUE, 20000, TRUE },
 };
 
 static void test_over(gconstpointer data)
 {
 	const struct over_case *c = data;
 	struct fleet_worker *worker;
-	struct world w;
+	struct world w = { 0 };
 
 	world_init(&w);
 	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
@@ -438,7 +439,7 @@
  */
 static void test_preemption(void)
 {
-	struct world w;
+	struct world w = { 0 };
 
 	world_init(&w);
 	for (guint i = 0; i < 4; i++) {
@@ -476,7 +477,7 @@
 static void test_gang_ends(gconstpointer data)
 {
 	enum run_end end = *(const enum run_end *)data;
-	struct world w;
+	struct world w = { 0 };
 	struct fleet_job *job;
 	struct fleet_step *step;
 
@@ -510,12 +511,12 @@
 };
 
 static const struct lease_case lease_cases[] = {
-	{ "no-row", NULL, 0, LEADERSHIP_ACQUIRE },
-	{ "released", "", 0, LEADERSHIP_ACQUIRE },
-	{ "renewed", "other", 600, LEADERSHIP_NONE },
-	{ "silent", "other", 1500, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/no-row", NULL, 0, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/released", "", 0, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/renewed", "other", 600, LEADERSHIP_NONE },
+	{ "/leadership/step/silent", "other", 1500, LEADERSHIP_ACQUIRE },
 	/* Its own write took effect and the answer was lost. */
-	{ "own", "self", 0, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/own", "self", 0, LEADERSHIP_ACQUIRE },
 };
 
 static void test_lease(gconstpointer data)
@@ -553,37 +554,37 @@
 	leadership_clear(&l);
 }
 
-#define ADD_CASES(path, cases, fn)                                            \
-	do {                                                                  \
-		for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {             \
-			char *at =                                            \
-				g_strdup_printf(path "/%s", (cases)[i].name); \
-			g_test_add_data_func(at, &(cases)[i], (fn));          \
-			g_free(at);                                           \
-		}                                                             \
+#define ADD_CASES(cases, fn)                                               \
+	do {                                                               \
+		for (guint i = 0; i < G_N_ELEMENTS(cases); i++)            \
+			g_test_add_data_func((cases)[i].name, &(cases)[i], \
+					     (fn));                        \
 	} while (0)
 
-static const enum run_end gang_ends[] = { RUN_DONE, RUN_FAILED, RUN_BROKEN };
+static const struct {
+	const char *name;
+	enum run_end end;
+} gang_ends[] = {
+	{ "/fleet/gang-end/done", RUN_DONE },
+	{ "/fleet/gang-end/failed", RUN_FAILED },
+	{ "/fleet/gang-end/broken", RUN_BROKEN },
+};
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	ADD_CASES("/fleet/answer", answer_cases, test_answers);
-	ADD_CASES("/fleet/takeover", takeover_cases, test_takeover);
-	ADD_CASES("/fleet/over", over_cases, test_over);
-	ADD_CASES("/leadership/step", lease_cases, test_lease);
+	ADD_CASES(answer_cases, test_answers);
+	ADD_CASES(takeover_cases, test_takeover);
+	ADD_CASES(over_cases, test_over);
+	ADD_CASES(lease_cases, test_lease);
 	g_test_add_func("/fleet/unwanted-run", test_unwanted_run);
 	g_test_add_func("/fleet/failure-once", test_failure_counts_once);
 	g_test_add_func("/fleet/mark-first", test_mark_first);
 	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
 	g_test_add_func("/leadership/bound", test_lease_bound);
-	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++) {
-		char *at = g_strdup_printf("/fleet/gang-end/%s",
-					   run_end_name(gang_ends[i]));
-
-		g_test_add_data_func(at, &gang_ends[i], test_gang_ends);
-		g_free(at);
-	}
+	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++)
+		g_test_add_data_func(gang_ends[i].name, &gang_ends[i].end,
+				     test_gang_ends);
 	return g_test_run();
 }
