--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -18,24 +18,17 @@
 };
 
 struct entry_bound_settings {
-	int64_t lease_ms;  /**< longest lease that workers grant */
-	double stop_ms;	   /**< a stop of a task takes at most */
-	int64_t gang_ms;   /**< members of a gang wait for each other */
-	double restore_ms; /**< to resume from a checkpoint */
-	double remote_slowdown;
-	double grace_s;	 /**< from SIGTERM to SIGKILL */
-	double status_s; /**< that an ended job's state can be asked for */
+	int64_t lease_ms; /**< longest lease that workers grant */
+	double grace_s;	  /**< from SIGTERM to SIGKILL */
+	double status_s;  /**< that an ended job's state can be asked for */
 };
 
 struct entry_settings {
 	char *node;
-	char *ip;
 	char *failure_domain;
-	char *frontend;	       /**< "IP:PORT" for callers */
-	char *readiness;       /**< "IP:PORT" for the balancer */
-	int64_t internal_port; /**< for the system's other VMs */
+	char *frontend;	 /**< "IP:PORT" for callers */
+	char *readiness; /**< "IP:PORT" for the balancer */
 	double cpu_share;
-	int64_t memory_mb;
 	struct entry_store_settings store;
 	struct entry_bound_settings bounds;
 };
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -280,10 +280,6 @@
 
 	return (struct fleet_bounds){
 		.lease_ms = settings->bounds.lease_ms,
-		.stop_ms = (int64_t)settings->bounds.stop_ms,
-		.gang_ms = settings->bounds.gang_ms,
-		.restore_ms = (int64_t)settings->bounds.restore_ms,
-		.remote_slowdown = settings->bounds.remote_slowdown,
 	};
 }
 
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -17,11 +17,7 @@
 
 /** Bounds of the deployment, from the settings. */
 struct fleet_bounds {
-	int64_t lease_ms;	/**< longest that a worker grants */
-	int64_t stop_ms;	/**< a stop takes at most */
-	int64_t gang_ms;	/**< members wait for each other at most */
-	int64_t restore_ms;	/**< to resume from a checkpoint */
-	double remote_slowdown; /**< off the data's rack, or over racks */
+	int64_t lease_ms; /**< longest that a worker grants */
 };
 
 struct fleet_ports {
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -1,5 +1,7 @@
 #include "sched/job_progress.h"
 
+#include "base/json_member.h"
+
 const char *const job_parts[] = {
 	"a", "b", "c", "d", "e", "f", "g", "h", NULL
 };
@@ -9,20 +11,6 @@
 	return job_parts[g_str_hash(id) % (G_N_ELEMENTS(job_parts) - 1)];
 }
 
-static json_object *member(json_object *object, const char *name)
-{
-	json_object *value = NULL;
-
-	if (json_object_is_type(object, json_type_object))
-		json_object_object_get_ex(object, name, &value);
-	return value;
-}
-
-static int64_t int_member(json_object *object, const char *name)
-{
-	return json_object_get_int64(member(object, name));
-}
-
 static void add_int(json_object *object, const char *name, int64_t value)
 {
 	json_object_object_add(object, name, json_object_new_int64(value));
@@ -47,18 +35,18 @@
 struct fleet_job *job_row_take(struct fleet *f, const char *id,
 			       json_object *row, int64_t *accepted_store_ms)
 {
-	const char *route = json_object_get_string(member(row, "route"));
-	const char *account = json_object_get_string(member(row, "account"));
+	const char *route = json_member_text(row, "route");
+	const char *account = json_member_text(row, "account");
 	struct job_spec spec = { 0 };
 	struct finding_list findings;
 	struct fleet_job *job = NULL;
 
 	finding_list_init(&findings);
 	if (route &&
-	    schema_decode_open(&job_spec_row_schema, member(row, "spec"), &spec,
-			       "", &findings)) {
+	    schema_decode_open(&job_spec_row_schema, json_member(row, "spec"),
+			       &spec, "", &findings)) {
 		job = fleet_add_job(f, id, route, account, &spec);
-		*accepted_store_ms = int_member(row, "accepted_ms");
+		*accepted_store_ms = json_member_int(row, "accepted_ms");
 	}
 	finding_list_clear(&findings);
 	job_spec_clear(&spec);
@@ -166,7 +154,7 @@
 
 enum fleet_job_state job_progress_state(json_object *row)
 {
-	return fleet_job_state_of(json_object_get_string(member(row, "state")));
+	return fleet_job_state_of(json_member_text(row, "state"));
 }
 
 static gboolean row_has_done(json_object *done, guint index)
@@ -202,12 +190,12 @@
 
 static gboolean merge_task(struct fleet_task *t, json_object *json)
 {
-	json_object *failures = member(json, "failures");
+	json_object *failures = json_member(json, "failures");
 	json_object *checkpoint =
-		list_value(member(json, "checkpoints"), t->index, 1);
+		list_value(json_member(json, "checkpoints"), t->index, 1);
 	guint known =
 		(guint)json_object_get_int64(list_value(failures, t->index, 1));
-	gboolean is_done = row_has_done(member(json, "done"), t->index);
+	gboolean is_done = row_has_done(json_member(json, "done"), t->index);
 	gboolean has_more =
 		t->failures > known || (t->state == TASK_DONE && !is_done);
 
@@ -227,12 +215,13 @@
 
 static gboolean merge_step(struct fleet_step *step, json_object *json)
 {
-	guint known = (guint)int_member(json, "gang_failures");
+	guint known = (guint)json_member_int(json, "gang_failures");
 	gboolean has_more = step->gang_failures > known;
 
 	if (known > step->gang_failures) {
 		step->gang_failures = known;
-		step->gang_failed_run = int_member(json, "gang_failed_run");
+		step->gang_failed_run =
+			json_member_int(json, "gang_failed_run");
 	}
 	for (guint i = 0; i < step->task_count; i++)
 		has_more |= merge_task(&step->tasks[i], json);
@@ -241,7 +230,7 @@
 
 gboolean job_progress_merge(struct fleet_job *job, json_object *row)
 {
-	json_object *steps = member(row, "steps");
+	json_object *steps = json_member(row, "steps");
 	enum fleet_job_state state = job_progress_state(row);
 	gboolean has_more = FALSE;
 
@@ -255,13 +244,13 @@
 	     i++) {
 		json_object *json = json_object_array_get_idx(steps, i);
 		struct fleet_step *step;
-		guint occurrence = (guint)int_member(json, "occurrence");
+		guint occurrence = (guint)json_member_int(json, "occurrence");
 
 		while (job->occurrences <= occurrence &&
 		       job->occurrences < job_spec_occurrences(&job->spec))
 			fleet_job_add_occurrence(job);
 		step = fleet_job_step(job, occurrence,
-				      (guint)int_member(json, "step"));
+				      (guint)json_member_int(json, "step"));
 		if (step)
 			has_more |= merge_step(step, json);
 		/* An active job without any progress may not have begun. */
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -1,5 +1,7 @@
 #include "sched/leadership.h"
 
+#include "base/json_member.h"
+
 /* A holder renews this often: a third of the time to a takeover. */
 #define RENEW_MS 500
 /* Silence after which the holder is taken for dead: a successor acts within
@@ -23,26 +25,17 @@
 	g_free(l->holder);
 }
 
-static json_object *member(json_object *object, const char *name)
-{
-	json_object *value = NULL;
-
-	if (json_object_is_type(object, json_type_object))
-		json_object_object_get_ex(object, name, &value);
-	return value;
-}
-
 void leadership_row(struct leadership *l, json_object *row, int64_t version,
 		    int64_t now_ms)
 {
-	const char *holder = json_object_get_string(member(row, "holder"));
+	const char *holder = json_member_text(row, "holder");
 
 	if (l->is_known && version <= l->version && version)
 		return;
 	l->is_known = TRUE;
 	l->version = version;
 	l->changed_ms = now_ms;
-	l->epoch = MAX(l->epoch, json_object_get_int64(member(row, "epoch")));
+	l->epoch = MAX(l->epoch, json_member_int(row, "epoch"));
 	g_free(l->holder);
 	l->holder = g_strdup(holder);
 	if (!holder || !holder[0])
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -42,14 +42,11 @@
 static void start_entry(struct site *s, guint i)
 {
 	char *text = g_strdup_printf(
-		"{\"node\":\"e%u\",\"ip\":\"127.0.0.1\","
-		"\"failure_domain\":\"tov-a\",\"frontend\":\"%s\","
-		"\"readiness\":\"%s\",\"internal_port\":0,\"cpu_share\":1.0,"
-		"\"memory_mb\":256,\"store\":{\"address\":\"%s\","
-		"\"writes_per_s\":500,\"reads_per_s\":2000},\"bounds\":{"
-		"\"lease_ms\":3000,\"stop_ms\":200,\"gang_ms\":3000,"
-		"\"restore_ms\":100,\"remote_slowdown\":3,\"grace_s\":3,"
-		"\"status_s\":120}}",
+		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
+		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"cpu_share\":1.0,"
+		"\"store\":{\"address\":\"%s\",\"writes_per_s\":500,"
+		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":3000,"
+		"\"grace_s\":3,\"status_s\":120}}",
 		i, s->frontends[i], s->readiness[i], s->store);
 	char *name = g_strdup_printf("e%u.json", i);
 	char *file = write_file(s->cluster, name, text);
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -69,9 +69,6 @@
 {
 	const struct fleet_bounds bounds = {
 		.lease_ms = LEASE_MS,
-		.stop_ms = 200,
-		.gang_ms = 3000,
-		.remote_slowdown = 3,
 	};
 	const struct fleet_ports ports = { port_start, port_stop, w };
 
