Each failed run counts once, in whatever order ends come; the urgent jobs' room is kept for wide steps

(2) a new test showed that a step of many single tasks was placed whole when there was room for its first task. Ruled out: ends that were acknowledged and not stored (they were told again). Change: the failed runs are kept as a set, in memory and in the row; as many tasks of a step are placed as leave the room.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -12,8 +12,11 @@
 {
 	struct fleet_step *step = data;
 
-	for (guint i = 0; i < step->task_count; i++)
+	for (guint i = 0; i < step->task_count; i++) {
 		g_free(step->tasks[i].checkpoint);
+		run_set_clear(&step->tasks[i].failed);
+	}
+	run_set_clear(&step->gang_failed);
 	g_free(step->tasks);
 	g_free(step);
 }
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -11,6 +11,7 @@
 
 #include "sched/job_spec.h"
 #include "sched/run_report.h"
+#include "sched/run_set.h"
 
 enum fleet_task_state {
 	TASK_WAITING,  /**< certainly runs nowhere */
@@ -39,18 +40,17 @@
 	enum fleet_task_state state;
 	struct fleet_worker *worker; /**< NULL unless it may run there */
 	int64_t run;		     /**< number of the last start */
-	guint failures;		     /**< of single tasks; see fleet_step */
-	int64_t failed_run;	     /**< the last of them, counted once */
-	char *checkpoint;	     /**< latest one, or NULL */
-	int64_t ordered_ms;	     /**< when the last order was first sent */
-	int64_t confirmed_ms;	     /**< when the worker said that it runs */
-	int64_t stop_answered_ms;    /**< 0 until a stop was answered */
-	int64_t moved_ms;	     /**< when its progress last grew */
-	double percent;		     /**< progress that was last told */
-	double first_percent;	     /**< that was told first of this run */
-	int64_t first_told_ms;	     /**< 0 until then */
-	gboolean is_order_out;	     /**< an order is in flight */
-	gboolean is_stop_ordered;    /**< this run is to end */
+	struct run_set failed;	  /**< runs of a single task; see fleet_step */
+	char *checkpoint;	  /**< latest one, or NULL */
+	int64_t ordered_ms;	  /**< when the last order was first sent */
+	int64_t confirmed_ms;	  /**< when the worker said that it runs */
+	int64_t stop_answered_ms; /**< 0 until a stop was answered */
+	int64_t moved_ms;	  /**< when its progress last grew */
+	double percent;		  /**< progress that was last told */
+	double first_percent;	  /**< that was told first of this run */
+	int64_t first_told_ms;	  /**< 0 until then */
+	gboolean is_order_out;	  /**< an order is in flight */
+	gboolean is_stop_ordered; /**< this run is to end */
 	/** An order to start this run had no answer: it may come late. */
 	gboolean is_doubtful;
 	uint64_t seen_report; /**< the last report that lists it */
@@ -65,10 +65,9 @@
 	struct fleet_task *tasks;
 	guint task_count;
 	guint done_count;
-	guint gang_failures;	 /**< runs of the whole gang that failed */
-	int64_t gang_failed_run; /**< the last of them, counted once */
-	int64_t first_start_ms;	 /**< 0 before any start */
-	int64_t ready_ms;	 /**< when it could first be started */
+	struct run_set gang_failed; /**< runs of the whole gang */
+	int64_t first_start_ms;	    /**< 0 before any start */
+	int64_t ready_ms;	    /**< when it could first be started */
 };
 
 struct fleet_job {
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -428,18 +428,23 @@
 	return has_found;
 }
 
-/* Starts as many tasks of a step without a gang as there is room for. */
+/*
+ * Starts as many tasks of a step without a gang as there is room for. Returns
+ * whether none that may be placed is left.
+ */
 static gboolean place_singles(struct round *r, struct unit *u,
-			      const GPtrArray *options, struct choice *c)
+			      const GPtrArray *options, guint allowed,
+			      struct choice *c)
 {
-	for (guint i = 0; i < options->len && u->tasks->len; i++) {
-		choose(r, u, options->pdata[i], ROOM_NOW, u->tasks->len, c);
+	for (guint i = 0; i < options->len && allowed; i++) {
+		choose(r, u, options->pdata[i], ROOM_NOW, allowed, c);
 		if (!c->workers->len)
 			continue;
 		start_unit(r, u, c);
+		allowed -= c->workers->len;
 		g_ptr_array_remove_range(u->tasks, 0, c->workers->len);
 	}
-	return u->tasks->len == 0;
+	return !allowed;
 }
 
 /* Work of a task that a stop throws away, in core-milliseconds. */
@@ -716,30 +721,32 @@
 }
 
 /*
- * Work that a stop throws away leaves room for urgent jobs, which would stop
- * it; what saves its progress may use that room meanwhile.
+ * Returns how many tasks of a unit may be placed. Work that a stop throws away
+ * leaves room for urgent jobs, which would stop it; what saves its progress may
+ * use that room meanwhile.
  */
-static gboolean leaves_urgent_room(const struct round *r, const struct unit *u,
-				   guint tasks)
+static guint tasks_allowed(const struct round *r, const struct unit *u)
 {
 	const struct step_spec *spec = u->step->spec;
+	double room = (double)(r->capacity - r->unsaved) - r->s->urgent_peak;
 
-	if (u->priority == 0 || spec->is_checkpointed)
-		return TRUE;
-	return (double)(r->unsaved + spec->accelerators * tasks) <=
-	       (double)r->capacity - r->s->urgent_peak;
+	if (u->priority == 0 || spec->is_checkpointed || !spec->accelerators)
+		return u->tasks->len;
+	if (room < (double)spec->accelerators)
+		return 0;
+	return MIN((guint)(room / (double)spec->accelerators), u->tasks->len);
 }
 
 static void place_unit(struct round *r, struct unit *u)
 {
 	GPtrArray *options = rack_options(r, u);
 	struct choice c = { g_array_new(FALSE, FALSE, sizeof(guint)), 0 };
+	guint allowed = tasks_allowed(r, u);
 
-	if (!leaves_urgent_room(r, u,
-				u->step->spec->is_gang ? u->tasks->len : 1))
+	if (!allowed || (u->step->spec->is_gang && allowed < u->tasks->len))
 		goto out;
 	if (!u->step->spec->is_gang) {
-		if (place_singles(r, u, options, &c))
+		if (place_singles(r, u, options, allowed, &c))
 			goto out;
 	} else if (choose_whole(r, u, options, ROOM_NOW, &c)) {
 		start_unit(r, u, &c);
@@ -933,6 +940,8 @@
 			urgent += u->step->spec->accelerators * u->tasks->len;
 	}
 	s->urgent_peak *= exp2(-passed_ms / URGENT_HALF_LIFE_MS);
+	if (s->urgent_peak < 1)
+		s->urgent_peak = 0;
 	s->urgent_peak = MAX(s->urgent_peak, (double)urgent);
 	s->urgent_peak_ms = r->now_ms;
 }
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -412,21 +412,14 @@
 	const struct queue_route *route =
 		fleet_scheduler_route(s, t->step->job);
 	struct fleet_step *step = t->step;
-	guint failures;
+	struct run_set *failed =
+		step->spec->is_gang ? &step->gang_failed : &t->failed;
 
-	if (step->spec->is_gang) {
-		if (run <= step->gang_failed_run)
-			return;
-		step->gang_failed_run = run;
-		failures = ++step->gang_failures;
-	} else {
-		if (run <= t->failed_run)
-			return;
-		t->failed_run = run;
-		failures = ++t->failures;
-	}
+	if (!run_set_add(failed, run))
+		return;
 	step->job->is_dirty = TRUE;
-	if (step->spec->is_service || !route || failures < route->max_attempts)
+	if (step->spec->is_service || !route ||
+	    run_set_count(failed) < route->max_attempts)
 		return;
 	set_state(step->job, FLEET_JOB_FAILED, "attempts are used up", now_ms);
 }
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -68,7 +68,7 @@
 	return list;
 }
 
-/* A task's number, its failures and the last run that failed. */
+/* Pairs of a task's number and its runs that failed. */
 static json_object *encode_failures(const struct fleet_step *step)
 {
 	json_object *map = json_object_new_array();
@@ -76,14 +76,12 @@
 	for (guint i = 0; i < step->task_count; i++) {
 		json_object *pair;
 
-		if (!step->tasks[i].failures)
+		if (!run_set_count(&step->tasks[i].failed))
 			continue;
 		pair = json_object_new_array();
 		json_object_array_add(pair, json_object_new_int64(i));
-		json_object_array_add(
-			pair, json_object_new_int64(step->tasks[i].failures));
-		json_object_array_add(
-			pair, json_object_new_int64(step->tasks[i].failed_run));
+		json_object_array_add(pair,
+				      run_set_encode(&step->tasks[i].failed));
 		json_object_array_add(map, pair);
 	}
 	return map;
@@ -117,17 +115,18 @@
 	json_object_object_add(json, "done", encode_done(step));
 	json_object_object_add(json, "failures", encode_failures(step));
 	json_object_object_add(json, "checkpoints", encode_checkpoints(step));
-	add_int(json, "gang_failures", step->gang_failures);
-	add_int(json, "gang_failed_run", step->gang_failed_run);
+	json_object_object_add(json, "gang_failures",
+			       run_set_encode(&step->gang_failed));
 	return json;
 }
 
 static gboolean has_news(const struct fleet_step *step)
 {
-	if (step->done_count || step->gang_failures)
+	if (step->done_count || run_set_count(&step->gang_failed))
 		return TRUE;
 	for (guint i = 0; i < step->task_count; i++) {
-		if (step->tasks[i].failures || step->tasks[i].checkpoint)
+		if (run_set_count(&step->tasks[i].failed) ||
+		    step->tasks[i].checkpoint)
 			return TRUE;
 	}
 	return FALSE;
@@ -171,8 +170,8 @@
 	return FALSE;
 }
 
-/* Returns an item of the list that starts with a number, or NULL. */
-static json_object *list_value(json_object *pairs, guint index, guint item)
+/* Returns the second of the pair that starts with a number, or NULL. */
+static json_object *list_value(json_object *pairs, guint index)
 {
 	if (!json_object_is_type(pairs, json_type_array))
 		return NULL;
@@ -180,30 +179,24 @@
 		json_object *pair = json_object_array_get_idx(pairs, i);
 
 		if (json_object_is_type(pair, json_type_array) &&
-		    json_object_array_length(pair) > item &&
+		    json_object_array_length(pair) == 2 &&
 		    json_object_get_int64(json_object_array_get_idx(pair, 0)) ==
 			    index)
-			return json_object_array_get_idx(pair, item);
+			return json_object_array_get_idx(pair, 1);
 	}
 	return NULL;
 }
 
 static gboolean merge_task(struct fleet_task *t, json_object *json)
 {
-	json_object *failures = json_member(json, "failures");
+	json_object *failures =
+		list_value(json_member(json, "failures"), t->index);
 	json_object *checkpoint =
-		list_value(json_member(json, "checkpoints"), t->index, 1);
-	guint known =
-		(guint)json_object_get_int64(list_value(failures, t->index, 1));
+		list_value(json_member(json, "checkpoints"), t->index);
 	gboolean is_done = row_has_done(json_member(json, "done"), t->index);
-	gboolean has_more =
-		t->failures > known || (t->state == TASK_DONE && !is_done);
+	gboolean has_more = run_set_merge(&t->failed, failures);
 
-	if (known > t->failures) {
-		t->failures = known;
-		t->failed_run = json_object_get_int64(
-			list_value(failures, t->index, 2));
-	}
+	has_more |= t->state == TASK_DONE && !is_done;
 	if (checkpoint && !t->checkpoint)
 		t->checkpoint = g_strdup(json_object_get_string(checkpoint));
 	if (is_done && t->state != TASK_DONE) {
@@ -215,14 +208,9 @@
 
 static gboolean merge_step(struct fleet_step *step, json_object *json)
 {
-	guint known = (guint)json_member_int(json, "gang_failures");
-	gboolean has_more = step->gang_failures > known;
+	gboolean has_more = run_set_merge(&step->gang_failed,
+					  json_member(json, "gang_failures"));
 
-	if (known > step->gang_failures) {
-		step->gang_failures = known;
-		step->gang_failed_run =
-			json_member_int(json, "gang_failed_run");
-	}
 	for (guint i = 0; i < step->task_count; i++)
 		has_more |= merge_task(&step->tasks[i], json);
 	return has_more;
--- /dev/null
+++ b/sched/run_set.c
@@ -0,0 +1,45 @@
+#include "sched/run_set.h"
+
+void run_set_clear(struct run_set *s)
+{
+	g_clear_pointer(&s->runs, g_array_unref);
+}
+
+guint run_set_count(const struct run_set *s)
+{
+	return s->runs ? s->runs->len : 0;
+}
+
+gboolean run_set_add(struct run_set *s, int64_t run)
+{
+	for (guint i = 0; i < run_set_count(s); i++) {
+		if (g_array_index(s->runs, int64_t, i) == run)
+			return FALSE;
+	}
+	if (!s->runs)
+		s->runs = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	g_array_append_val(s->runs, run);
+	return TRUE;
+}
+
+json_object *run_set_encode(const struct run_set *s)
+{
+	json_object *list = json_object_new_array();
+
+	for (guint i = 0; i < run_set_count(s); i++)
+		json_object_array_add(list, json_object_new_int64(g_array_index(
+						    s->runs, int64_t, i)));
+	return list;
+}
+
+gboolean run_set_merge(struct run_set *s, json_object *list)
+{
+	size_t told = 0;
+
+	if (json_object_is_type(list, json_type_array))
+		told = json_object_array_length(list);
+	for (size_t i = 0; i < told; i++)
+		run_set_add(s, json_object_get_int64(
+				       json_object_array_get_idx(list, i)));
+	return run_set_count(s) > told;
+}
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -217,6 +217,19 @@
 	  ORDER_REFUSED, TRUE, FALSE },
 };
 
+/* Only a confirmed stop, or the end of the lease, frees a doubtful task. */
+static void assert_stop_frees(struct world *w, struct fleet_task *t)
+{
+	plan_after(w, 2000);
+	g_assert_nonnull(t->worker);
+	g_assert_cmpuint(count_orders(w, FALSE, "job"), >=, 1);
+	fleet_scheduler_stopped(&w->s, "w1", "job.0.0.0", t->run, ORDER_DONE,
+				w->now_ms);
+	w->now_ms++;
+	report(w, "w1", NULL, NULL);
+	g_assert_null(t->worker);
+}
+
 static void test_answers(gconstpointer data)
 {
 	const struct answer_case *c = data;
@@ -239,17 +252,8 @@
 	}
 	t = fleet_task(&w.s.fleet, "job.0.0.0");
 	g_assert_cmpint(t->worker == NULL, ==, c->moves);
-	if (!c->moves) {
-		/* Only a confirmed stop, or the end of the lease, frees it. */
-		plan_after(&w, 2000);
-		g_assert_nonnull(t->worker);
-		g_assert_cmpuint(count_orders(&w, FALSE, "job"), >=, 1);
-		fleet_scheduler_stopped(&w.s, "w1", "job.0.0.0", t->run,
-					ORDER_DONE, w.now_ms);
-		w.now_ms++;
-		report(&w, "w1", NULL, NULL);
-		g_assert_null(t->worker);
-	}
+	if (!c->moves)
+		assert_stop_frees(&w, t);
 	world_clear(&w);
 }
 
@@ -294,11 +298,34 @@
 	report(&w, "w1", NULL,
 	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
 	g_assert_cmpint(job->state, !=, FLEET_JOB_FAILED);
-	g_assert_cmpuint(fleet_task(&w.s.fleet, "job.0.0.0")->failures, ==, 1);
+	g_assert_cmpuint(
+		run_set_count(&fleet_task(&w.s.fleet, "job.0.0.0")->failed), ==,
+		1);
 	json_object_put(row);
 	world_clear(&w);
 }
 
+/*
+ * After a takeover the ends of several workers come in any order: each failure
+ * counts. Found in aol-slips trouble-3, where a task was started again after
+ * its attempts were used up.
+ */
+static void test_failures_out_of_order(void)
+{
+	struct world w = { 0 };
+	struct fleet_job *job;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r1");
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	report(&w, "w2", NULL, ended_list(1, "job.0.0.0", 12, RUN_FAILED));
+	g_assert_cmpint(job->state, !=, FLEET_JOB_FAILED);
+	report(&w, "w1", NULL, ended_list(1, "job.0.0.0", 11, RUN_FAILED));
+	g_assert_cmpint(job->state, ==, FLEET_JOB_FAILED);
+	world_clear(&w);
+}
+
 /* Which jobs a successor may start while a worker hasn't answered. */
 struct takeover_case {
 	const char *name;
@@ -429,6 +456,19 @@
 	world_clear(&w);
 }
 
+/* Answers all starts that were ordered, and forgets the orders. */
+static void confirm_starts(struct world *w)
+{
+	for (guint i = 0; i < w->order_count; i++) {
+		const struct order *o = &w->orders[i];
+
+		if (o->is_start)
+			fleet_scheduler_started(&w->s, o->worker, o->task,
+						o->run, ORDER_DONE,
+						REFUSAL_OTHER, w->now_ms);
+	}
+}
+
 /*
  * A gang of two whole workers comes to a rack full of single tasks: only the
  * tasks of two workers are stopped. Found in khuree-wind scale-1, where the
@@ -448,25 +488,104 @@
 	add_job(&w, "small", "bulk", 32, 1, FALSE);
 	plan_after(&w, 1);
 	g_assert_cmpuint(count_orders(&w, TRUE, "small"), ==, 32);
-	for (guint i = 0; i < 32; i++)
-		fleet_scheduler_started(&w.s, w.orders[i].worker,
-					w.orders[i].task, w.orders[i].run,
-					ORDER_DONE, REFUSAL_OTHER, w.now_ms);
+	confirm_starts(&w);
 	clear_orders(&w);
 	add_job(&w, "large", "urgent", 2, 8, TRUE);
 	plan_after(&w, 500);
 	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
 	/* Nothing more is stopped while these stops are under way. */
 	plan_after(&w, 100);
+	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
 	g_assert_cmpuint(count_orders(&w, TRUE, "large"), ==, 0);
-	for (guint i = 0; i < 32; i++) {
-		const struct fleet_task *t;
-		char name[24];
+	world_clear(&w);
+}
+
+/*
+ * Work that a stop would throw away leaves the room that urgent jobs needed of
+ * late: bursts of them come again within seconds.
+ */
+static void test_urgent_room(void)
+{
+	struct world w = { 0 };
+	struct order urgent;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r1");
+	add_job(&w, "urgent", "urgent", 1, 8, FALSE);
+	plan_after(&w, 1);
+	urgent = w.orders[0];
+	report(&w, urgent.worker, NULL,
+	       ended_list(1, urgent.task, urgent.run, RUN_DONE));
+	add_job(&w, "bulk", "bulk", 16, 1, FALSE);
+	plan_after(&w, 100);
+	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), <=, 9);
+	confirm_starts(&w);
+	w.now_ms += 40000;
+	report(&w, "w1", NULL, NULL);
+	report(&w, "w2", NULL, NULL);
+	clear_orders(&w);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), ==, 16);
+	world_clear(&w);
+}
+
+/* A run whose worker answers and that makes no progress is moved. */
+static void test_stalled(void)
+{
+	struct world w = { 0 };
+	int64_t run;
 
-		g_snprintf(name, sizeof(name), "small.0.0.%u", i);
-		t = fleet_task(&w.s.fleet, name);
-		g_assert_true(t->worker != NULL);
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	plan_after(&w, 1);
+	run = w.orders[0].run;
+	for (guint i = 0; i < 4; i++) {
+		report(&w, "w1", running_list("job.0.0.0", run), NULL);
+		plan_after(&w, 700);
 	}
+	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 0);
+	report(&w, "w1", running_list("job.0.0.0", run), NULL);
+	plan_after(&w, 700);
+	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 1);
+	world_clear(&w);
+}
+
+/* Whether a run on a leaving worker is moved, by the time that is left. */
+struct drain_case {
+	const char *name;
+	int64_t left_ms;
+	guint stops;
+};
+
+static const struct drain_case drain_cases[] = {
+	{ "/fleet/drain/in-time", 8000, 0 },
+	{ "/fleet/drain/too-late", 2000, 1 },
+};
+
+static void test_drain(gconstpointer data)
+{
+	const struct drain_case *c = data;
+	struct worker_registration reg = {
+		.service = g_strdup(SERVICE),
+		.address = g_strdup("127.0.0.1:1"),
+		.capacity = { 64000, 131072, 8 },
+		.is_draining = TRUE,
+		.drain_left_ms = c->left_ms,
+	};
+	struct world w = { 0 };
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_job(&w, "job", "bulk", 1, 1, FALSE); /* of 5 s */
+	plan_after(&w, 1);
+	confirm_starts(&w);
+	fleet_scheduler_worker(&w.s, "w1", &reg, w.now_ms);
+	add_job(&w, "late", "bulk", 1, 1, FALSE);
+	plan_after(&w, 10);
+	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, c->stops);
+	g_assert_cmpuint(count_orders(&w, TRUE, "late"), ==, 0);
 	world_clear(&w);
 }
 
@@ -492,7 +611,7 @@
 		g_assert_cmpint(job->state, ==, FLEET_JOB_COMPLETED);
 		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 0);
 	} else {
-		g_assert_cmpuint(step->gang_failures, ==,
+		g_assert_cmpuint(run_set_count(&step->gang_failed), ==,
 				 end == RUN_FAILED ? 1 : 0);
 		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 1);
 	}
@@ -576,10 +695,15 @@
 	ADD_CASES(lease_cases, test_lease);
 	g_test_add_func("/fleet/unwanted-run", test_unwanted_run);
 	g_test_add_func("/fleet/failure-once", test_failure_counts_once);
+	g_test_add_func("/fleet/failures-out-of-order",
+			test_failures_out_of_order);
 	g_test_add_func("/fleet/mark-first", test_mark_first);
 	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
+	g_test_add_func("/fleet/urgent-room", test_urgent_room);
+	g_test_add_func("/fleet/stalled", test_stalled);
 	g_test_add_func("/leadership/bound", test_lease_bound);
+	ADD_CASES(drain_cases, test_drain);
 	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++)
 		g_test_add_data_func(gang_ends[i].name, &gang_ends[i].end,
 				     test_gang_ends);
