--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -638,7 +638,10 @@
 
 static void restore_rooms(struct round *r, const GArray *saved)
 {
-	memcpy(r->rooms->data, saved->data, saved->len * sizeof(struct room));
+	/* An empty array has no data to copy. */
+	if (saved->len)
+		memcpy(r->rooms->data, saved->data,
+		       saved->len * sizeof(struct room));
 }
 
 static GArray *copy_rooms(const struct round *r)
