Two fields that nothing read are gone

Cause: read over: the time of a step's first start and the time at which a worker lost its registration were written and never read. Change: both are removed; behaviour stays.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -66,7 +66,6 @@
 	guint task_count;
 	guint done_count;
 	struct run_set gang_failed; /**< runs of the whole gang */
-	int64_t first_start_ms;	    /**< 0 before any start */
 	int64_t ready_ms;	    /**< when it could first be started */
 };
 
@@ -101,9 +100,8 @@
 	GPtrArray *tasks;	/**< of struct fleet_task, not owned */
 	int64_t drain_until_ms; /**< at least, while it drains */
 	gboolean is_gone;	/**< its registration was removed */
-	int64_t gone_ms;
-	gboolean is_fenced;   /**< it has answered under this epoch */
-	gboolean is_recorded; /**< the store says that it is in use */
+	gboolean is_fenced;	/**< it has answered under this epoch */
+	gboolean is_recorded;	/**< the store says that it is in use */
 	gboolean is_recording;
 	gboolean has_clock;
 	int64_t clock_offset_ms; /**< its clock minus ours */
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -185,7 +185,6 @@
 		if (!w || w->is_gone)
 			return;
 		w->is_gone = TRUE;
-		w->gone_ms = now_ms;
 		log_begin(&line, LOG_LEVEL_INFO, "worker_gone");
 		log_str(&line, "worker", id);
 		log_int(&line, "was_draining", w->reg.is_draining);
@@ -317,8 +316,6 @@
 		log_task(s, t, "task_start", NULL);
 		send_start(s, t, now_ms);
 	}
-	if (!tasks[0]->step->first_start_ms)
-		tasks[0]->step->first_start_ms = now_ms;
 	job->has_started = TRUE;
 }
 
