--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -14,12 +14,6 @@
 /* The peak of the urgent jobs' need halves in this time without such need:
  * bursts come again within seconds. */
 #define URGENT_HALF_LIFE_MS 6000
-/* A task that ends by itself this soon isn't stopped: the stop takes as long
- * (200 to 900 ms on the platform's sites). */
-#define ENDING_MS 500
-/* A unit that waited longer for such ends has them stopped: an estimate may be
- * wrong, and a guarantee has to be met. */
-#define ENDING_PATIENCE_MS 700
 #define MS_PER_CORE_UNIT 1000.0
 /* An accelerator counts as so many cores (platform's price of lost work). */
 #define CORES_PER_ACCELERATOR 8
@@ -28,10 +22,9 @@
 /* What a worker has left within one round of placement. */
 struct room {
 	struct fleet_worker *worker;
-	struct demand free;   /* now */
-	struct demand soon;   /* and what is being stopped */
-	struct demand ending; /* and what is about to end by itself */
-	gboolean is_taken;    /* kept for a unit that waits */
+	struct demand free; /* now */
+	struct demand soon; /* and what is being stopped */
+	gboolean is_taken;  /* kept for a unit that waits */
 };
 
 /* Tasks that are placed together: a gang, or all that wait of a step. */
@@ -149,14 +142,6 @@
 	return strcmp(x->worker->id, y->worker->id);
 }
 
-/* Tells whether a task is about to end, by the progress that it told. */
-static gboolean is_ending(const struct round *r, const struct fleet_task *t)
-{
-	return t->state == TASK_RUNNING && !t->step->spec->is_service &&
-	       t->first_told_ms && t->percent > t->first_percent &&
-	       fleet_task_left_ms(r->s, t, r->now_ms) <= ENDING_MS;
-}
-
 static void collect_rooms(struct round *r)
 {
 	GHashTableIter iter;
@@ -170,7 +155,6 @@
 			continue;
 		room.free = fleet_worker_room(room.worker);
 		room.soon = room.free;
-		room.ending = room.free;
 		for (guint i = 0; i < room.worker->tasks->len; i++) {
 			const struct fleet_task *t =
 				room.worker->tasks->pdata[i];
@@ -178,8 +162,6 @@
 
 			if (t->is_stop_ordered)
 				demand_add(&room.soon, &d);
-			if (t->is_stop_ordered || is_ending(r, t))
-				demand_add(&room.ending, &d);
 		}
 		g_array_append_val(r->rooms, room);
 	}
@@ -239,28 +221,12 @@
 enum room_kind {
 	ROOM_NOW,
 	ROOM_SOON,
-	ROOM_ENDING,
 };
 
 static const struct demand *room_by(const struct room *room,
 				    enum room_kind kind)
 {
-	switch (kind) {
-	case ROOM_NOW:
-		return &room->free;
-	case ROOM_SOON:
-		return &room->soon;
-	default:
-		return &room->ending;
-	}
-}
-
-/* The room that a unit counts on without stopping anything more. */
-static enum room_kind room_awaited(const struct round *r, const struct unit *u)
-{
-	if (r->now_ms - u->step->ready_ms < ENDING_PATIENCE_MS)
-		return ROOM_ENDING;
-	return ROOM_SOON;
+	return kind == ROOM_NOW ? &room->free : &room->soon;
 }
 
 struct choice {
@@ -340,7 +306,6 @@
 
 		demand_take(&room->free, &d);
 		demand_take(&room->soon, &d);
-		demand_take(&room->ending, &d);
 	}
 }
 
@@ -514,8 +479,7 @@
 static gboolean may_preempt(const struct round *r, const struct unit *u,
 			    const struct fleet_task *t)
 {
-	if (t->is_stop_ordered || t->state == TASK_DONE ||
-	    (room_awaited(r, u) == ROOM_ENDING && is_ending(r, t)))
+	if (t->is_stop_ordered || t->state == TASK_DONE)
 		return FALSE;
 	return fleet_priority(r->s, t->step->job) > u->priority;
 }
@@ -537,11 +501,8 @@
 			struct room *room =
 				&g_array_index(r->rooms, struct room, k);
 
-			if (room->worker != t->worker)
-				continue;
-			demand_add(&room->soon, &d);
-			if (!is_ending(r, t))
-				demand_add(&room->ending, &d);
+			if (room->worker == t->worker)
+				demand_add(&room->soon, &d);
 		}
 	}
 	g_ptr_array_add(victims, victim);
@@ -583,7 +544,7 @@
 			     GPtrArray *out, double *lost)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
-	struct demand free = *room_by(room, room_awaited(r, u));
+	struct demand free = room->soon;
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct victim));
 
 	g_ptr_array_set_size(out, 0);
@@ -666,7 +627,6 @@
 				free_victim(r, more->pdata[i], victims);
 		}
 		demand_take(&room->soon, &d);
-		demand_take(&room->ending, &d);
 		demand_take(&room->free, &d);
 		index = (guint)(room - (struct room *)(void *)r->rooms->data);
 		g_array_append_val(c->workers, index);
@@ -795,8 +755,7 @@
 		start_unit(r, u, &c);
 		goto out;
 	}
-	if (choose_whole(r, u, options,
-			 u->priority == 0 ? room_awaited(r, u) : ROOM_SOON, &c))
+	if (choose_whole(r, u, options, ROOM_SOON, &c))
 		take_room(r, u, &c);
 	else if (u->priority == 0)
 		preempt(r, u, options, &c);
