Placement looks at the rooms of one rack; plans leave the holder time

Cause: on 350 workers in 18 racks each unit looked at all rooms for each rack, by comparing rack names, and each look asked for the route by its name. With 200 jobs (a scratch program over the pure scheduler) a plan took 7.27 ms of a whole core; a holder has half of one and plans after each batch of answers.

Change: rooms are sorted by rack, a rack is a span of them; a unit knows its service; what has no room is left before labels are compared. Plans take at most a third of the holder's time.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -16,6 +16,9 @@
 #define TICK_MS 100
 /* Answers that come together are planned together. */
 #define PLAN_DELAY_MS 3
+/* Between two plans passes this many times what one takes: renewals of the
+ * lease and answers of workers must not wait behind plans. */
+#define PLAN_SHARE 2
 /* Longest time that the store holds back an answer without changes. */
 #define WAIT_MS 5000
 /* Workers' clocks may run 2% slow, and orders be on their way. */
@@ -49,6 +52,8 @@
 	int64_t gained_ms;
 	guint tick;
 	guint plan_timer;
+	int64_t planned_ms; /* when the last plan ended */
+	int64_t plan_took_ms;
 };
 
 static void plan(struct pool_holder *s);
@@ -65,9 +70,11 @@
 static void plan_soon(void *data)
 {
 	struct pool_holder *s = data;
+	int64_t due_ms = s->planned_ms + PLAN_SHARE * s->plan_took_ms;
+	int64_t wait_ms = MAX(due_ms - util_monotonic_ms(), PLAN_DELAY_MS);
 
 	if (s->is_ready && !s->plan_timer)
-		s->plan_timer = g_timeout_add(PLAN_DELAY_MS, on_plan, s);
+		s->plan_timer = g_timeout_add((guint)wait_ms, on_plan, s);
 }
 
 /* A worker that a holder used and that is registered nowhere may run on. */
@@ -97,6 +104,8 @@
 	fleet_scheduler_plan(&s->scheduler, now_ms);
 	progress_writer_write(s->writer, now_ms);
 	worker_calls_hold_due(s->calls, now_ms);
+	s->planned_ms = util_monotonic_ms();
+	s->plan_took_ms = s->planned_ms - now_ms;
 }
 
 static gboolean on_tick(gpointer data)
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -27,10 +27,18 @@
 	gboolean is_taken;  /* kept for a unit that waits */
 };
 
+/* Workers of one rack: a span of the rooms, which are sorted by rack. */
+struct rack {
+	const char *name;
+	guint begin;
+	guint end; /* one past the last */
+};
+
 /* Tasks that are placed together: a gang, or all that wait of a step. */
 struct unit {
 	struct fleet_step *step;
-	GPtrArray *tasks; /* of struct fleet_task, all waiting */
+	GPtrArray *tasks;    /* of struct fleet_task, all waiting */
+	const char *service; /* of its route */
 	int64_t priority;
 	gboolean is_guaranteed; /* within its account's guarantee */
 	int64_t objective_ms;
@@ -41,8 +49,8 @@
 struct round {
 	struct fleet_scheduler *s;
 	int64_t now_ms;
-	GArray *rooms;	  /* of struct room */
-	GPtrArray *racks; /* of char *, not owned */
+	GArray *rooms; /* of struct room */
+	GArray *racks; /* of struct rack */
 	guint reservations;
 	int64_t capacity; /* accelerators of all usable workers */
 	int64_t unsaved;  /* held by tasks that a stop would throw away */
@@ -100,16 +108,13 @@
 	return rest_ms + step_ms(s, job, step->spec);
 }
 
-static gboolean is_eligible(const struct round *r, const struct fleet_worker *w,
-			    const struct fleet_step *step)
+static gboolean is_eligible(const struct unit *u, const struct fleet_worker *w)
 {
-	const struct queue_route *route =
-		fleet_scheduler_route(r->s, step->job);
+	const char *label = u->step->spec->required_label;
 
-	if (!route || !g_str_equal(route->service, w->reg.service))
+	if (!g_str_equal(u->service, w->reg.service))
 		return FALSE;
-	return !step->spec->required_label ||
-	       fleet_worker_has_label(w, step->spec->required_label);
+	return !label || fleet_worker_has_label(w, label);
 }
 
 static gboolean is_usable(const struct round *r, const struct fleet_worker *w)
@@ -125,21 +130,53 @@
 	return w->reg.rack ? w->reg.rack : NO_RACK;
 }
 
-static void add_rack(struct round *r, const char *rack)
+/* Adds a room, which comes after all others, to its rack. */
+static void add_to_rack(struct round *r, guint index)
+{
+	const struct room *room = &g_array_index(r->rooms, struct room, index);
+	struct rack new = { rack_of(room->worker), index, index };
+	struct rack *last = NULL;
+
+	if (r->racks->len)
+		last = &g_array_index(r->racks, struct rack, r->racks->len - 1);
+	if (!last || !g_str_equal(last->name, new.name)) {
+		g_array_append_val(r->racks, new);
+		last = &g_array_index(r->racks, struct rack, r->racks->len - 1);
+	}
+	last->end = index + 1;
+}
+
+/* Returns the rack of a name, NULL when no usable worker is there. */
+static const struct rack *find_rack(const struct round *r, const char *name)
 {
-	for (guint i = 0; i < r->racks->len; i++) {
-		if (g_str_equal(r->racks->pdata[i], rack))
-			return;
+	for (guint i = 0; name && i < r->racks->len; i++) {
+		const struct rack *rack =
+			&g_array_index(r->racks, struct rack, i);
+
+		if (g_str_equal(rack->name, name))
+			return rack;
 	}
-	g_ptr_array_add(r->racks, (gpointer)rack);
+	return NULL;
+}
+
+static guint rooms_begin(const struct rack *rack)
+{
+	return rack ? rack->begin : 0;
 }
 
-static gint compare_ids(gconstpointer a, gconstpointer b)
+/* Without a rack all rooms are meant. */
+static guint rooms_end(const struct round *r, const struct rack *rack)
+{
+	return rack ? rack->end : r->rooms->len;
+}
+
+static gint compare_rooms(gconstpointer a, gconstpointer b)
 {
 	const struct room *x = a;
 	const struct room *y = b;
+	int order = strcmp(rack_of(x->worker), rack_of(y->worker));
 
-	return strcmp(x->worker->id, y->worker->id);
+	return order ? order : strcmp(x->worker->id, y->worker->id);
 }
 
 static void collect_rooms(struct round *r)
@@ -165,10 +202,9 @@
 		}
 		g_array_append_val(r->rooms, room);
 	}
-	g_array_sort(r->rooms, compare_ids);
+	g_array_sort(r->rooms, compare_rooms);
 	for (guint i = 0; i < r->rooms->len; i++)
-		add_rack(r, rack_of(g_array_index(r->rooms, struct room, i)
-					    .worker));
+		add_to_rack(r, i);
 }
 
 /* Returns how many tasks fit into a room. */
@@ -200,15 +236,17 @@
 }
 
 /* Tasks of the unit that a worker may take, by a room. */
-static guint capacity_for(const struct round *r, const struct unit *u,
-			  const struct room *room, const struct demand *by)
+static guint capacity_for(const struct unit *u, const struct room *room,
+			  const struct demand *by)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
 	guint n;
 
-	if (room->is_taken || !is_eligible(r, room->worker, u->step))
+	if (room->is_taken)
 		return 0;
 	n = copies(by, &d);
+	if (!n || !is_eligible(u, room->worker))
+		return 0;
 	if (u->step->spec->max_per_worker) {
 		guint there = step_tasks_on(room->worker, u->step);
 		guint most = (guint)u->step->spec->max_per_worker;
@@ -255,8 +293,8 @@
  * tasks found one.
  */
 static gboolean choose(const struct round *r, const struct unit *u,
-		       const char *rack, enum room_kind kind, guint needed,
-		       struct choice *out)
+		       const struct rack *rack, enum room_kind kind,
+		       guint needed, struct choice *out)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
 	GArray *candidates =
@@ -265,15 +303,13 @@
 
 	g_array_set_size(out->workers, 0);
 	out->left = 0;
-	for (guint i = 0; i < r->rooms->len; i++) {
+	for (guint i = rooms_begin(rack); i < rooms_end(r, rack); i++) {
 		const struct room *room =
 			&g_array_index(r->rooms, struct room, i);
 		const struct demand *by = room_by(room, kind);
 		struct candidate c = { .index = i };
 
-		if (rack && !g_str_equal(rack, rack_of(room->worker)))
-			continue;
-		c.count = capacity_for(r, u, room, by);
+		c.count = capacity_for(u, room, by);
 		if (!c.count)
 			continue;
 		c.left = by->accelerators - c.count * d.accelerators;
@@ -344,17 +380,15 @@
 
 /* Tells whether a rack could hold the unit if it were empty. */
 static gboolean rack_could_hold(const struct round *r, const struct unit *u,
-				const char *rack)
+				const struct rack *rack)
 {
 	guint found = 0;
 
-	for (guint i = 0; i < r->rooms->len; i++) {
+	for (guint i = rack->begin; i < rack->end; i++) {
 		const struct room *room =
 			&g_array_index(r->rooms, struct room, i);
 
-		if (g_str_equal(rack, rack_of(room->worker)))
-			found += capacity_for(r, u, room,
-					      &room->worker->reg.capacity);
+		found += capacity_for(u, room, &room->worker->reg.capacity);
 	}
 	return found >= (u->step->spec->is_gang ? u->tasks->len : 1);
 }
@@ -375,10 +409,11 @@
 static GPtrArray *rack_options(const struct round *r, const struct unit *u)
 {
 	const struct step_spec *spec = u->step->spec;
+	const struct rack *near = find_rack(r, spec->data_rack);
 	GPtrArray *options = g_ptr_array_new();
 
-	if (spec->data_rack && rack_could_hold(r, u, spec->data_rack)) {
-		g_ptr_array_add(options, spec->data_rack);
+	if (near && rack_could_hold(r, u, near)) {
+		g_ptr_array_add(options, (gpointer)near);
 		if (has_patience(r, u))
 			return options;
 	}
@@ -386,11 +421,14 @@
 		gboolean could_hold = FALSE;
 
 		for (guint i = 0; i < r->racks->len; i++) {
-			if (!rack_could_hold(r, u, r->racks->pdata[i]))
+			struct rack *rack =
+				&g_array_index(r->racks, struct rack, i);
+
+			if (!rack_could_hold(r, u, rack))
 				continue;
 			could_hold = TRUE;
-			if (g_strcmp0(r->racks->pdata[i], spec->data_rack))
-				g_ptr_array_add(options, r->racks->pdata[i]);
+			if (rack != near)
+				g_ptr_array_add(options, rack);
 		}
 		if (could_hold && has_patience(r, u))
 			return options;
@@ -409,7 +447,7 @@
 	int64_t left = INT64_MAX;
 
 	for (guint i = 0; i < options->len; i++) {
-		const char *rack = options->pdata[i];
+		const struct rack *rack = options->pdata[i];
 
 		if (!choose(r, u, rack, kind, u->tasks->len, &c))
 			continue;
@@ -573,20 +611,20 @@
 
 /* Returns the room where one task more costs least, or NULL. */
 static struct room *cheapest_room(struct round *r, const struct unit *u,
-				  const char *rack, const GPtrArray *victims,
+				  const struct rack *rack,
+				  const GPtrArray *victims,
 				  GPtrArray *best_victims, double *best_lost)
 {
 	GPtrArray *found = g_ptr_array_new();
 	struct room *best = NULL;
 	int64_t best_left = 0;
 
-	for (guint i = 0; i < r->rooms->len; i++) {
+	for (guint i = rooms_begin(rack); i < rooms_end(r, rack); i++) {
 		struct room *room = &g_array_index(r->rooms, struct room, i);
 		int64_t left = room->soon.accelerators;
 		double lost;
 
-		if ((rack && !g_str_equal(rack, rack_of(room->worker))) ||
-		    !capacity_for(r, u, room, &room->worker->reg.capacity) ||
+		if (!capacity_for(u, room, &room->worker->reg.capacity) ||
 		    !room_for_one(r, u, room, victims, found, &lost))
 			continue;
 		if (best && (lost > *best_lost ||
@@ -604,7 +642,7 @@
 
 /* Finds whom to stop in a rack so that the unit fits; FALSE when it can't. */
 static gboolean find_victims(struct round *r, const struct unit *u,
-			     const char *rack, GPtrArray *victims,
+			     const struct rack *rack, GPtrArray *victims,
 			     struct choice *c, double *cost)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
@@ -657,7 +695,7 @@
 {
 	GArray *saved = copy_rooms(r);
 	GPtrArray *victims = g_ptr_array_new();
-	const char *best = NULL;
+	const struct rack *best = NULL;
 	double best_cost = 0;
 	gboolean has_found = FALSE;
 	double cost;
@@ -689,37 +727,34 @@
 static void reserve(struct round *r, const struct unit *u,
 		    const GPtrArray *options)
 {
-	const char *best = NULL;
+	const struct rack *best = NULL;
 	int64_t most = -1;
 
 	if (r->reservations >= MAX_RESERVATIONS ||
 	    r->now_ms - u->step->ready_ms < RESERVE_AFTER_MS)
 		return;
 	for (guint i = 0; i < options->len; i++) {
-		const char *rack = options->pdata[i];
+		const struct rack *rack = options->pdata[i];
 		int64_t found = 0;
 
-		for (guint k = 0; rack && k < r->rooms->len; k++) {
+		if (!rack)
+			continue;
+		for (guint k = rack->begin; k < rack->end; k++) {
 			const struct room *room =
 				&g_array_index(r->rooms, struct room, k);
 
-			if (!room->is_taken &&
-			    g_str_equal(rack, rack_of(room->worker)))
+			if (!room->is_taken)
 				found += room->soon.accelerators;
 		}
-		if (rack && found > most) {
+		if (found > most) {
 			most = found;
 			best = rack;
 		}
 	}
 	if (!best)
 		return;
-	for (guint k = 0; k < r->rooms->len; k++) {
-		struct room *room = &g_array_index(r->rooms, struct room, k);
-
-		if (g_str_equal(best, rack_of(room->worker)))
-			room->is_taken = TRUE;
-	}
+	for (guint k = best->begin; k < best->end; k++)
+		g_array_index(r->rooms, struct room, k).is_taken = TRUE;
 	r->reservations++;
 }
 
@@ -779,6 +814,7 @@
 	struct unit *u = g_new0(struct unit, 1);
 
 	u->step = step;
+	u->service = fleet_scheduler_route(r->s, step->job)->service;
 	u->tasks = g_ptr_array_new();
 	for (guint i = 0; i < step->task_count; i++) {
 		struct fleet_task *t = &step->tasks[i];
@@ -957,7 +993,7 @@
 	if (!s->config)
 		return;
 	r.rooms = g_array_new(FALSE, TRUE, sizeof(struct room));
-	r.racks = g_ptr_array_new();
+	r.racks = g_array_new(FALSE, TRUE, sizeof(struct rack));
 	collect_rooms(&r);
 	units = collect_units(&r);
 	g_ptr_array_sort(units, compare_accepted);
@@ -967,6 +1003,6 @@
 	for (guint i = 0; i < units->len; i++)
 		place_unit(&r, units->pdata[i]);
 	g_ptr_array_unref(units);
-	g_ptr_array_unref(r.racks);
+	g_array_unref(r.racks);
 	g_array_unref(r.rooms);
 }
