--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -14,6 +14,9 @@
 /* The peak of the urgent jobs' need halves in this time without such need:
  * bursts come again within seconds. */
 #define URGENT_HALF_LIFE_MS 6000
+/* Orders in flight at which no more are given: a small VM has to take up their
+ * answers (about 1 ms each) well within the time that an order may need. */
+#define MAX_ORDERS_OUT 64
 #define MS_PER_CORE_UNIT 1000.0
 /* An accelerator counts as so many cores (platform's price of lost work). */
 #define CORES_PER_ACCELERATOR 8
@@ -52,6 +55,7 @@
 	GArray *rooms; /* of struct room */
 	GArray *racks; /* of struct rack */
 	guint reservations;
+	guint orders_out; /* orders in flight */
 	int64_t capacity; /* accelerators of all usable workers */
 	int64_t unsaved;  /* held by tasks that a stop would throw away */
 };
@@ -199,6 +203,8 @@
 
 			if (t->is_stop_ordered)
 				demand_add(&room.soon, &d);
+			if (t->is_order_out)
+				r->orders_out++;
 		}
 		g_array_append_val(r->rooms, room);
 	}
@@ -357,6 +363,7 @@
 			g_array_index(r->rooms, struct room, index).worker);
 	}
 	take_room(r, u, c);
+	r->orders_out += workers->len;
 	if (u->priority != 0 && !u->step->spec->is_checkpointed)
 		r->unsaved += u->step->spec->accelerators * workers->len;
 	if (!u->step->job->is_marked) {
@@ -714,6 +721,7 @@
 		goto out;
 	g_ptr_array_set_size(victims, 0);
 	find_victims(r, u, best, victims, c, &cost);
+	r->orders_out += victims->len;
 	for (guint i = 0; i < victims->len; i++)
 		fleet_stop_unit(r->s, victims->pdata[i],
 				"room for a job of higher priority", r->now_ms);
@@ -761,18 +769,25 @@
 /*
  * Returns how many tasks of a unit may be placed. Work that a stop throws away
  * leaves room for urgent jobs, which would stop it; what saves its progress may
- * use that room meanwhile.
+ * use that room meanwhile. A gang is started whole, beyond the orders in
+ * flight.
  */
 static guint tasks_allowed(const struct round *r, const struct unit *u)
 {
 	const struct step_spec *spec = u->step->spec;
 	double room = (double)(r->capacity - r->unsaved) - r->s->urgent_peak;
+	guint orders = MAX_ORDERS_OUT - MIN(r->orders_out, MAX_ORDERS_OUT);
+	guint most = u->tasks->len;
 
+	if (!orders)
+		return 0;
+	if (!spec->is_gang)
+		most = MIN(most, orders);
 	if (u->priority == 0 || spec->is_checkpointed || !spec->accelerators)
-		return u->tasks->len;
+		return most;
 	if (room < (double)spec->accelerators)
 		return 0;
-	return MIN((guint)(room / (double)spec->accelerators), u->tasks->len);
+	return MIN((guint)(room / (double)spec->accelerators), most);
 }
 
 static void place_unit(struct round *r, struct unit *u)
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -500,6 +500,33 @@
 	world_clear(&w);
 }
 
+/* A burst of starts is given part by part, as the answers come. */
+static void test_orders_out(void)
+{
+	struct world w = { 0 };
+	guint first;
+
+	world_init(&w);
+	for (guint i = 0; i < 10; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "w%u", i);
+		add_worker(&w, id, "r1");
+	}
+	add_job(&w, "one", "bulk", 40, 1, FALSE);
+	add_job(&w, "two", "bulk", 40, 1, FALSE);
+	plan_after(&w, 1);
+	first = count_orders(&w, TRUE, "");
+	g_assert_cmpuint(first, ==, MAX_ORDERS);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, ""), ==, first);
+	confirm_starts(&w);
+	clear_orders(&w);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, ""), ==, 80 - first);
+	world_clear(&w);
+}
+
 /*
  * Work that a stop would throw away leaves the room that urgent jobs needed of
  * late: bursts of them come again within seconds.
@@ -700,6 +727,7 @@
 	g_test_add_func("/fleet/mark-first", test_mark_first);
 	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
+	g_test_add_func("/fleet/orders-out", test_orders_out);
 	g_test_add_func("/fleet/urgent-room", test_urgent_room);
 	g_test_add_func("/fleet/stalled", test_stalled);
 	g_test_add_func("/leadership/bound", test_lease_bound);
