--- a/tests/test_requests_faults.c
+++ b/tests/test_requests_faults.c
@@ -20,9 +20,26 @@
 			"{\"mode\":\"slow\",\"slow_ms\":300}");
 }
 
+/* The longest time that a process leaves a platform alone, and some slack. */
+#define PLATFORM_FOUND_MS 3000
+
+static gboolean has_platform(void *data)
+{
+	struct request_world *w = data;
+	const struct cluster_process *p = w->gateways[1];
+
+	return !cluster_grep(p, "event=platform_breaker state=open") ||
+	       cluster_grep(p, "event=platform_breaker state=recovering");
+}
+
+/*
+ * While its breaker is open the second gateway answers truthfully that it
+ * can't tell; it has to find the platform again within a bound.
+ */
 static void platform_up(struct request_world *w)
 {
 	cluster_control(w->cluster, w->platform, "{\"mode\":\"ok\"}");
+	g_assert_true(cluster_wait(has_platform, w, PLATFORM_FOUND_MS));
 }
 
 static void lose_claim_answer(struct request_world *w)
