--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -99,12 +99,35 @@
 	g_test_fail();
 }
 
+struct placement_wait {
+	struct run *run;
+	const char *id;
+	char *placement;
+};
+
+static gboolean has_placement(void *data)
+{
+	struct placement_wait *w = data;
+
+	g_free(w->placement);
+	w->placement = gang_cluster_row(w->run->cluster, w->id, "placement");
+	return w->placement[0] != '\0';
+}
+
+/* Returns the workers of a job that runs; a row may be read late. */
+static char *placement_of(struct run *r, const char *id)
+{
+	struct placement_wait w = { r, id, NULL };
+
+	g_assert_true(cluster_wait(has_placement, &w, TIMEOUT_MS));
+	return w.placement;
+}
+
 /* Takes the largest job off the last worker, so that least is lost there. */
 static void thin_last_worker(struct run *r)
 {
 	for (guint i = 0; i < GANG_WORKERS; i++) {
-		char *placement = gang_cluster_row(r->cluster, r->borrowed[i],
-						   "placement");
+		char *placement = placement_of(r, r->borrowed[i]);
 
 		if (strstr(placement, "v0")) {
 			r->was_running[i] = FALSE;
