--- a/tests/test_gangs_reclaim.c
+++ b/tests/test_gangs_reclaim.c
@@ -118,8 +118,9 @@
 static char *placement_of(struct run *r, const char *id)
 {
 	struct placement_wait w = { r, id, NULL };
+	gboolean is_placed = cluster_wait(has_placement, &w, TIMEOUT_MS);
 
-	g_assert_true(cluster_wait(has_placement, &w, TIMEOUT_MS));
+	g_assert_true(is_placed);
 	return w.placement;
 }
 
