One piece each for remote platforms, program start and stopping tasks

Read-over of the whole platform change; behaviour stays.

- Both kinds of platform that are called over HTTP had the same constructor, destructor, forget and send: store/remote_platform.
- csentryd and daemon_main() parsed the same command line and ended a run alike: daemon/program.
Findings went to standard error by the same three lines in five programs: finding_list_print().
- check_progress() and evacuate() were one loop with two conditions: stop_where().
- Gone, as nothing called or read them: http_client_stuck() and its count, fleet_remove_job(), fleet_remove_worker(), wire_worker_clock_ms(), wire_worker_born_ms(), is_recording, a unit's objective_ms (derived once), now_ms of fleet_stop_unit() and percent_per_s().
Three functions that only one file used are static.

Found and listed, not mended: ended jobs are never removed from the holder's memory; renewals are looked at twice a plan.

--- a/base/finding.c
+++ b/base/finding.c
@@ -1,6 +1,7 @@
 #include "base/finding.h"
 
 #include <stdarg.h>
+#include <stdio.h>
 
 static void finding_free(gpointer data)
 {
@@ -63,3 +64,11 @@
 	}
 	return g_string_free(text, FALSE);
 }
+
+void finding_list_print(const struct finding_list *list)
+{
+	char *text = finding_list_text(list);
+
+	fputs(text, stderr);
+	g_free(text);
+}
--- a/base/finding.h
+++ b/base/finding.h
@@ -38,4 +38,7 @@
 /** Returns all findings as text, one a line; free it. */
 char *finding_list_text(const struct finding_list *list);
 
+/** Prints all findings on standard error, one a line. */
+void finding_list_print(const struct finding_list *list);
+
 #endif
--- a/base/http_client.c
+++ b/base/http_client.c
@@ -35,7 +35,6 @@
 	guint max_calls;
 	guint max_per_address;
 	struct http_traffic traffic;
-	guint64 stuck; /* calls that the library never ended */
 };
 
 /** A session and the addresses in use that are called over it. */
@@ -250,7 +249,6 @@
 	log_int(&line, "late_ms", util_monotonic_ms() - call->due_ms);
 	log_end(&line);
 	if (call->client) {
-		call->client->stuck++;
 		g_hash_table_remove(call->client->calls, call);
 		release_address(call->address);
 		call->address = NULL;
@@ -523,11 +521,6 @@
 	return c->traffic;
 }
 
-guint64 http_client_stuck(const struct http_client *c)
-{
-	return c->stuck;
-}
-
 guint http_client_in_flight(const struct http_client *c)
 {
 	return g_hash_table_size(c->calls);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -100,9 +100,6 @@
 /** Returns the number of sessions, each of which costs every turn. */
 guint http_client_sessions(const struct http_client *c);
 
-/** Returns the number of calls that libsoup did not end after a cancel. */
-guint64 http_client_stuck(const struct http_client *c);
-
 /** Returns the number of calls in flight. */
 guint http_client_in_flight(const struct http_client *c);
 
--- a/cli/cs-load.c
+++ b/cli/cs-load.c
@@ -313,7 +313,6 @@
 {
 	struct finding_list findings;
 	gboolean is_good;
-	char *text;
 
 	finding_list_init(&findings);
 	if (rest)
@@ -335,9 +334,7 @@
 		    MAX_CONCURRENCY);
 	check_range(&findings, "work-ms", options.work_ms, 0, MAX_WORK_MS);
 	is_good = finding_list_count(&findings) == 0;
-	text = finding_list_text(&findings);
-	fprintf(stderr, "%s", text);
-	g_free(text);
+	finding_list_print(&findings);
 	finding_list_clear(&findings);
 	return is_good;
 }
--- a/cli/cscall.c
+++ b/cli/cscall.c
@@ -75,15 +75,12 @@
 	struct finding_list findings;
 	struct json_text t;
 	json_object *json = NULL;
-	char *message;
 
 	finding_list_init(&findings);
 	if (json_text_parse(&t, name, text, strlen(text), JSON_STRICT,
 			    &findings))
 		json = json_object_get(t.root);
-	message = finding_list_text(&findings);
-	fputs(message, stderr);
-	g_free(message);
+	finding_list_print(&findings);
 	json_text_clear(&t);
 	finding_list_clear(&findings);
 	return json;
--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -64,7 +64,6 @@
 	struct config_doc doc = { 0 };
 	json_object *json = NULL;
 	struct json_text t;
-	char *text;
 
 	finding_list_init(&findings);
 	if (json_text_load(&t, file_name, JSON_WITH_COMMENTS, &findings)) {
@@ -76,11 +75,9 @@
 		if (finding_list_count(&findings) == 0)
 			json = json_object_get(t.root);
 	}
-	text = finding_list_text(&findings);
-	fputs(text, stderr);
+	finding_list_print(&findings);
 	if (!json)
 		fprintf(stderr, "%u findings\n", finding_list_count(&findings));
-	g_free(text);
 	config_doc_clear(&doc);
 	json_text_clear(&t);
 	finding_list_clear(&findings);
--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -3,12 +3,12 @@
  * while it holds the pool's lease.
  */
 #include <glib/gstdio.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/log.h"
 #include "base/util.h"
 #include "daemon/daemon.h"
+#include "daemon/program.h"
 #include "entry/config_feed.h"
 #include "entry/election.h"
 #include "entry/entry_settings.h"
@@ -28,52 +28,14 @@
 	frontend_new,
 };
 
-struct options {
-	char *settings_file;
-	gboolean check_only;
-	gboolean show_version;
-};
-
-static gboolean parse_options(int argc, char **argv, struct options *o)
-{
-	const GOptionEntry entries[] = {
-		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &o->settings_file,
-		  "Settings file, JSON with comments (default: the file that "
-		  "the variable " SETTINGS_VARIABLE " names)",
-		  "FILE" },
-		{ "check", 'c', 0, G_OPTION_ARG_NONE, &o->check_only,
-		  "Check the settings and exit", NULL },
-		{ "version", 'V', 0, G_OPTION_ARG_NONE, &o->show_version,
-		  "Print the version and exit", NULL },
-		G_OPTION_ENTRY_NULL,
-	};
-	GOptionContext *context = g_option_context_new(NULL);
-	GError *error = NULL;
-	gboolean is_good;
-
-	g_option_context_set_summary(
-		context, "Takes jobs, and schedules the pool when elected.");
-	g_option_context_add_main_entries(context, entries, NULL);
-	is_good = g_option_context_parse(context, &argc, &argv, &error);
-	if (!is_good) {
-		fprintf(stderr, PROGRAM ": %s\n", error->message);
-		g_error_free(error);
-	}
-	g_option_context_free(context);
-	return is_good;
-}
-
 static gboolean load_settings(struct entry_settings *s, const char *file_name)
 {
 	struct finding_list findings;
 	gboolean is_good;
-	char *text;
 
 	finding_list_init(&findings);
 	is_good = entry_settings_load(s, file_name, &findings);
-	text = finding_list_text(&findings);
-	fputs(text, stderr);
-	g_free(text);
+	finding_list_print(&findings);
 	finding_list_clear(&findings);
 	return is_good;
 }
@@ -129,11 +91,10 @@
 		.file_name = file_name,
 		.changed_s = file_changed_s(file_name),
 	};
-
 	struct kernel *k = kernel_new((int64_t)(s->bounds.grace_s * MS_PER_S));
-	enum status status;
 	struct log_line line;
 	guint look;
+	int code;
 
 	log_open_output(s->node, LOG_LEVEL_INFO);
 	kernel_on_reload(k, on_reload, &source);
@@ -146,43 +107,30 @@
 	log_str(&line, "version", DAEMON_VERSION);
 	log_str(&line, "failure_domain", s->failure_domain);
 	log_end(&line);
-	status = kernel_run(k);
+	code = program_run(k);
 	g_source_remove(look);
-	log_begin(&line, LOG_LEVEL_INFO, "stop");
-	log_str(&line, "status", status_name(status));
-	if (status != STATUS_OK)
-		log_str(&line, "message", status_last_message());
-	log_end(&line);
-	kernel_free(k);
-	log_close();
-	return status == STATUS_OK ? EXIT_SUCCESS : EXIT_FAILURE;
+	return code;
 }
 
 int main(int argc, char **argv)
 {
-	const char *file_name = g_getenv(SETTINGS_VARIABLE);
+	const struct program_spec spec = {
+		.name = PROGRAM,
+		.summary = "Takes jobs, and schedules the pool when elected.",
+		.settings_variable = SETTINGS_VARIABLE,
+	};
+	struct program_options o = { 0 };
 	struct entry_settings s = { 0 };
-	struct options o = { 0 };
-	int code = EXIT_FAILURE;
+	int code;
 
-	if (!parse_options(argc, argv, &o))
+	if (!program_options_parse(&o, &spec, argc, argv, &code))
 		goto out;
-	if (o.show_version) {
-		printf(PROGRAM " " DAEMON_VERSION "\n");
-		code = EXIT_SUCCESS;
-		goto out;
-	}
-	if (o.settings_file)
-		file_name = o.settings_file;
-	if (!file_name) {
-		fprintf(stderr, PROGRAM ": --settings is missing\n");
-		goto out;
-	}
-	if (!load_settings(&s, file_name))
+	code = EXIT_FAILURE;
+	if (!load_settings(&s, o.settings_file))
 		goto out;
-	code = o.check_only ? EXIT_SUCCESS : run(&s, file_name);
+	code = o.check_only ? EXIT_SUCCESS : run(&s, o.settings_file);
 out:
 	entry_settings_clear(&s);
-	g_free(o.settings_file);
+	program_options_clear(&o);
 	return code;
 }
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -98,11 +98,6 @@
 	job->occurrences++;
 }
 
-void fleet_remove_job(struct fleet *f, struct fleet_job *job)
-{
-	g_hash_table_remove(f->jobs, job->id);
-}
-
 gboolean fleet_job_has_ended(const struct fleet_job *job)
 {
 	return job->state == FLEET_JOB_COMPLETED ||
@@ -232,11 +227,6 @@
 	return w;
 }
 
-void fleet_remove_worker(struct fleet *f, struct fleet_worker *w)
-{
-	g_hash_table_remove(f->workers, w->id);
-}
-
 struct demand fleet_worker_room(const struct fleet_worker *w)
 {
 	struct demand room = w->reg.capacity;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -102,7 +102,6 @@
 	gboolean is_gone;	/**< its registration was removed */
 	gboolean is_fenced;	/**< it has answered under this epoch */
 	gboolean is_recorded;	/**< the store says that it is in use */
-	gboolean is_recording;
 	gboolean has_clock;
 	int64_t clock_offset_ms; /**< its clock minus ours */
 	int64_t lease_bound_ms;	 /**< nothing runs later without a renewal */
@@ -139,9 +138,6 @@
 /** Adds the steps of the next occurrence. */
 void fleet_job_add_occurrence(struct fleet_job *job);
 
-/** Removes a job none of whose tasks is on a worker. */
-void fleet_remove_job(struct fleet *f, struct fleet_job *job);
-
 gboolean fleet_job_has_ended(const struct fleet_job *job);
 
 /** Returns the step of an occurrence, or NULL. */
@@ -172,9 +168,6 @@
 /** Returns the worker, added when it is new. */
 struct fleet_worker *fleet_add_worker(struct fleet *f, const char *id);
 
-/** Removes a worker without tasks. */
-void fleet_remove_worker(struct fleet *f, struct fleet_worker *w);
-
 /** Returns what is free, by the worker's registration. */
 struct demand fleet_worker_room(const struct fleet_worker *w);
 
--- a/sched/fleet_parts.h
+++ b/sched/fleet_parts.h
@@ -7,13 +7,12 @@
 
 #include "sched/fleet_scheduler.h"
 
-/** Orders a stop of a task that may run; the reason is for the log. */
-void fleet_stop_task(struct fleet_scheduler *s, struct fleet_task *t,
-		     const char *reason, int64_t now_ms);
-
-/** Stops all members of a gang, or the one task of another step. */
+/**
+ * Stops all members of a gang, or the one task of another step; the reason is
+ * for the log.
+ */
 void fleet_stop_unit(struct fleet_scheduler *s, struct fleet_task *t,
-		     const char *reason, int64_t now_ms);
+		     const char *reason);
 
 /** Starts waiting tasks on the workers chosen for them, under one run. */
 void fleet_start_tasks(struct fleet_scheduler *s, struct fleet_task **tasks,
@@ -26,16 +25,8 @@
 /** Starts what waits, where it has room or may make some. */
 void fleet_place_all(struct fleet_scheduler *s, int64_t now_ms);
 
-/** Returns the time that a running task is expected to need still. */
-int64_t fleet_task_left_ms(const struct fleet_scheduler *s,
-			   const struct fleet_task *t, int64_t now_ms);
-
 /** Priority of a job's route, 0 comes first. */
 int64_t fleet_priority(const struct fleet_scheduler *s,
 		       const struct fleet_job *job);
 
-/** Returns when a job has to end to be in time. */
-int64_t fleet_objective_ms(const struct fleet_scheduler *s,
-			   const struct fleet_job *job);
-
 #endif
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -43,8 +43,7 @@
 	GPtrArray *tasks;    /* of struct fleet_task, all waiting */
 	const char *service; /* of its route */
 	int64_t priority;
-	gboolean is_guaranteed; /* within its account's guarantee */
-	int64_t objective_ms;
+	gboolean is_guaranteed;	 /* within its account's guarantee */
 	int64_t latest_start_ms; /* to end within the objective */
 	gboolean is_late;	 /* it can't end within it any more */
 };
@@ -90,8 +89,9 @@
 	return longest_ms;
 }
 
-int64_t fleet_objective_ms(const struct fleet_scheduler *s,
-			   const struct fleet_job *job)
+/* When a job has to end to be in time. */
+static int64_t objective_ms(const struct fleet_scheduler *s,
+			    const struct fleet_job *job)
 {
 	const struct queue_route *route = fleet_scheduler_route(s, job);
 
@@ -724,7 +724,7 @@
 	r->orders_out += victims->len;
 	for (guint i = 0; i < victims->len; i++)
 		fleet_stop_unit(r->s, victims->pdata[i],
-				"room for a job of higher priority", r->now_ms);
+				"room for a job of higher priority");
 	take_room(r, u, c);
 out:
 	g_ptr_array_unref(victims);
@@ -838,8 +838,8 @@
 			g_ptr_array_add(u->tasks, t);
 	}
 	u->priority = fleet_priority(r->s, step->job);
-	u->objective_ms = fleet_objective_ms(r->s, step->job);
-	u->latest_start_ms = u->objective_ms - remaining_ms(r->s, step);
+	u->latest_start_ms =
+		objective_ms(r->s, step->job) - remaining_ms(r->s, step);
 	u->is_late = u->latest_start_ms < r->now_ms;
 	return u;
 }
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -325,8 +325,9 @@
 		set_state(job, FLEET_JOB_ACTIVE, "about to start", now_ms);
 }
 
-void fleet_stop_task(struct fleet_scheduler *s, struct fleet_task *t,
-		     const char *reason, int64_t now_ms)
+/* Orders a stop of a task that may run; the reason is for the log. */
+static void stop_task(struct fleet_scheduler *s, struct fleet_task *t,
+		      const char *reason)
 {
 	if (!t->worker || t->is_stop_ordered)
 		return;
@@ -339,17 +340,17 @@
 }
 
 void fleet_stop_unit(struct fleet_scheduler *s, struct fleet_task *t,
-		     const char *reason, int64_t now_ms)
+		     const char *reason)
 {
 	struct fleet_step *step = t->step;
 
 	if (!step->spec->is_gang) {
-		fleet_stop_task(s, t, reason, now_ms);
+		stop_task(s, t, reason);
 		return;
 	}
 	for (guint i = 0; i < step->task_count; i++) {
 		if (step->tasks[i].state != TASK_DONE)
-			fleet_stop_task(s, &step->tasks[i], reason, now_ms);
+			stop_task(s, &step->tasks[i], reason);
 	}
 }
 
@@ -480,7 +481,7 @@
 	if (e->end == RUN_FAILED)
 		count_failure(s, t, e->run, now_ms);
 	if (is_current && t->step->spec->is_gang)
-		fleet_stop_unit(s, t, "a member of the gang has ended", now_ms);
+		fleet_stop_unit(s, t, "a member of the gang has ended");
 	t->step->job->is_dirty = TRUE;
 }
 
@@ -653,13 +654,12 @@
 	if (refusal == REFUSAL_OLD_RUN || t->is_doubtful) {
 		fleet_stop_unit(s, t,
 				t->is_doubtful ? "an order had no answer"
-					       : "the run is over there",
-				now_ms);
+					       : "the run is over there");
 		return;
 	}
 	fleet_task_release(t);
 	if (t->step->spec->is_gang)
-		fleet_stop_unit(s, t, "a member was refused", now_ms);
+		fleet_stop_unit(s, t, "a member was refused");
 }
 
 void fleet_scheduler_stopped(struct fleet_scheduler *s, const char *worker,
@@ -685,8 +685,7 @@
 	switch (t->state) {
 	case TASK_STARTING:
 		if (now_ms - t->ordered_ms > START_GIVE_UP_MS)
-			fleet_stop_unit(s, t, "the start has no answer",
-					now_ms);
+			fleet_stop_unit(s, t, "the start has no answer");
 		else
 			send_start(s, t, now_ms);
 		break;
@@ -713,7 +712,7 @@
 			continue;
 		t = w->tasks->pdata[i];
 		if (fleet_job_has_ended(t->step->job) || t->state == TASK_DONE)
-			fleet_stop_task(s, t, "no longer wanted", now_ms);
+			stop_task(s, t, "no longer wanted");
 		retry_orders(s, t, now_ms);
 	}
 }
@@ -734,7 +733,7 @@
 			has_waiting = TRUE;
 	}
 	if (running && has_waiting && now_ms > s->unseen_until_ms)
-		fleet_stop_unit(s, running, "the gang is not whole", now_ms);
+		fleet_stop_unit(s, running, "the gang is not whole");
 }
 
 static void add_due_occurrences(struct fleet_job *job)
@@ -751,7 +750,7 @@
 }
 
 /* Progress that a task makes in a second, 0 when nothing is known of it. */
-static double percent_per_s(const struct fleet_task *t, int64_t now_ms)
+static double percent_per_s(const struct fleet_task *t)
 {
 	int64_t told_ms = t->moved_ms - t->first_told_ms;
 
@@ -761,10 +760,11 @@
 	       (double)told_ms;
 }
 
-int64_t fleet_task_left_ms(const struct fleet_scheduler *s,
-			   const struct fleet_task *t, int64_t now_ms)
+/* The time that a running task is expected to need still. */
+static int64_t left_ms(const struct fleet_scheduler *s,
+		       const struct fleet_task *t, int64_t now_ms)
 {
-	double rate = percent_per_s(t, now_ms);
+	double rate = percent_per_s(t);
 	int64_t expected_ms = run_times_expected_ms(
 		s->run_times, t->step->job->route, t->step->spec->estimate_ms);
 
@@ -775,50 +775,45 @@
 }
 
 /* Tells whether a task makes no progress though its worker answers. */
-static gboolean stands_still(const struct fleet_task *t, int64_t now_ms)
+static gboolean stands_still(const struct fleet_scheduler *s,
+			     const struct fleet_task *t, int64_t now_ms)
 {
-	if (t->state != TASK_RUNNING || !t->first_told_ms ||
-	    t->step->spec->is_service || t->percent >= 100 ||
-	    now_ms - t->worker->contact_ms > STALL_MS / 2 ||
-	    now_ms - t->moved_ms <= STALL_MS)
-		return FALSE;
-	return TRUE;
+	return t->state == TASK_RUNNING && t->first_told_ms &&
+	       !t->step->spec->is_service && t->percent < 100 &&
+	       now_ms - t->worker->contact_ms <= STALL_MS / 2 &&
+	       now_ms - t->moved_ms > STALL_MS;
 }
 
-/* Moves what stands still to other workers. */
-static void check_progress(struct fleet_scheduler *s, struct fleet_worker *w,
-			   int64_t now_ms)
+/* Tells whether a task would not end before its worker leaves. */
+static gboolean ends_too_late(const struct fleet_scheduler *s,
+			      const struct fleet_task *t, int64_t now_ms)
 {
-	for (guint i = w->tasks->len; i-- > 0;) {
-		struct fleet_task *t;
-
-		if (i >= w->tasks->len)
-			continue;
-		t = w->tasks->pdata[i];
-		if (!stands_still(t, now_ms))
-			continue;
-		w->avoid_until_ms =
-			MAX(w->avoid_until_ms, now_ms + AVOID_STALLED_MS);
-		fleet_stop_unit(s, t, "no progress", now_ms);
-	}
+	return t->state == TASK_RUNNING &&
+	       now_ms + left_ms(s, t, now_ms) + EVACUATION_MARGIN_MS >
+		       t->worker->drain_until_ms;
 }
 
-/* Moves what a leaving worker would not finish in time. */
-static void evacuate(struct fleet_scheduler *s, struct fleet_worker *w,
-		     int64_t now_ms)
+typedef gboolean (*task_check)(const struct fleet_scheduler *s,
+			       const struct fleet_task *t, int64_t now_ms);
+
+/* Stops the tasks of a worker that a check holds for; TRUE when there were. */
+static gboolean stop_where(struct fleet_scheduler *s, struct fleet_worker *w,
+			   task_check check, const char *reason, int64_t now_ms)
 {
+	gboolean has_stopped = FALSE;
+
 	for (guint i = w->tasks->len; i-- > 0;) {
 		struct fleet_task *t;
 
 		if (i >= w->tasks->len)
 			continue;
 		t = w->tasks->pdata[i];
-		if (t->state == TASK_RUNNING &&
-		    now_ms + fleet_task_left_ms(s, t, now_ms) +
-				    EVACUATION_MARGIN_MS >
-			    w->drain_until_ms)
-			fleet_stop_unit(s, t, "the worker leaves", now_ms);
+		if (!check(s, t, now_ms))
+			continue;
+		fleet_stop_unit(s, t, reason);
+		has_stopped = TRUE;
 	}
+	return has_stopped;
 }
 
 void fleet_scheduler_plan(struct fleet_scheduler *s, int64_t now_ms)
@@ -832,9 +827,12 @@
 		struct fleet_worker *w = item;
 
 		tend_worker(s, w, now_ms);
-		check_progress(s, w, now_ms);
+		if (stop_where(s, w, stands_still, "no progress", now_ms))
+			w->avoid_until_ms = MAX(w->avoid_until_ms,
+						now_ms + AVOID_STALLED_MS);
 		if (w->reg.is_draining && !w->is_gone)
-			evacuate(s, w, now_ms);
+			stop_where(s, w, ends_too_late, "the worker leaves",
+				   now_ms);
 		if (!w->is_fenced)
 			all_fenced = FALSE;
 		if (w->is_gone && !w->tasks->len && !w->is_holding &&
--- a/store/http_platform.c
+++ b/store/http_platform.c
@@ -1,21 +1,9 @@
 #include "store/http_platform.h"
 
-#include "base/util.h"
-#include "store/call_sender.h"
 #include "store/platform_answer.h"
+#include "store/remote_platform.h"
 #include "store/store_budget.h"
 
-struct http_platform {
-	struct platform base;
-	struct call_sender *sender;
-};
-
-static void send_call(struct platform *base,
-		      const struct platform_call_spec *spec)
-{
-	call_sender_send(((struct http_platform *)base)->sender, spec);
-}
-
 static char *escape(const char *text)
 {
 	return g_uri_escape_string(text, NULL, TRUE);
@@ -34,7 +22,7 @@
 		.data = data,
 	};
 
-	send_call(base, &spec);
+	remote_platform_send(base, &spec);
 	g_free(escaped);
 }
 
@@ -51,7 +39,7 @@
 		.data = data,
 	};
 
-	send_call(base, &spec);
+	remote_platform_send(base, &spec);
 	g_free(escaped);
 }
 
@@ -107,7 +95,7 @@
 		.write_count = count,
 	};
 
-	send_call(base, &spec);
+	remote_platform_send(base, &spec);
 }
 
 static void http_platform_object_get(struct platform *base, const char *name,
@@ -123,7 +111,7 @@
 		.data = data,
 	};
 
-	send_call(base, &spec);
+	remote_platform_send(base, &spec);
 	g_free(escaped);
 }
 
@@ -143,7 +131,7 @@
 		.kind = STORE_CALL_WRITE,
 	};
 
-	send_call(base, &spec);
+	remote_platform_send(base, &spec);
 	g_free(escaped);
 }
 
@@ -174,20 +162,7 @@
 		.data = data,
 	};
 
-	send_call(base, &spec);
-}
-
-static void http_platform_forget(struct platform *base, const void *data)
-{
-	call_sender_forget(((struct http_platform *)base)->sender, data);
-}
-
-static void http_platform_free(struct platform *base)
-{
-	struct http_platform *p = (struct http_platform *)base;
-
-	call_sender_free(p->sender);
-	g_free(p);
+	remote_platform_send(base, &spec);
 }
 
 static const struct platform_class http_platform_class = {
@@ -198,23 +173,11 @@
 	.object_get = http_platform_object_get,
 	.object_put = http_platform_object_put,
 	.vm_list = http_platform_vm_list,
-	.forget = http_platform_forget,
-	.free = http_platform_free,
+	.forget = remote_platform_forget,
+	.free = remote_platform_free,
 };
 
 struct platform *http_platform_new(const struct platform_spec *spec)
 {
-	struct http_platform *p;
-	char *host = NULL;
-	uint16_t port;
-
-	if (!util_parse_endpoint(spec->address, &host, &port)) {
-		status_fail(STATUS_INVALID, "bad address %s", spec->address);
-		return NULL;
-	}
-	g_free(host);
-	p = g_new0(struct http_platform, 1);
-	p->base.class = &http_platform_class;
-	p->sender = call_sender_new(spec);
-	return &p->base;
+	return remote_platform_new(&http_platform_class, spec);
 }
