Retries find the endpoint that was not tried, and in time

Ruled out: ejection (none was logged before), missing room (one request at a time), the retry budget (it now says so in a log line when it is used up).

Change: a sample that finds nothing looks at the whole list (entries without room leave it, so this is paid once); the first 16 run times count alike; an attempt has at most half of the time left before another is sent.

New cases: /requests/choice-untried, /requests/retry-progress, /requests/admission-usual-run; the first and last failed before, the second tests what did not exist.

--- a/bench/sim/request_sim_attempts.c
+++ b/bench/sim/request_sim_attempts.c
@@ -87,10 +87,11 @@
 	if (r->wish->is_repeatable && usual_ms > 0 &&
 	    sim_request_count_out(r) < MAX_OUT &&
 	    r->attempts < RETRY_MAX_ATTEMPTS)
-		request_sim_push(m,
-				 retry_progress_ms(usual_ms, r->attempts) *
-					 US_PER_MILLI,
-				 EVENT_NO_PROGRESS, r);
+		request_sim_push(
+			m,
+			retry_progress_ms(usual_ms, r->attempts, left_ms) *
+				US_PER_MILLI,
+			EVENT_NO_PROGRESS, r);
 }
 
 gboolean request_sim_try_send(struct request_sim *m, struct sim_request *r)
--- a/daemon/flight.h
+++ b/daemon/flight.h
@@ -80,6 +80,8 @@
 /** Notes an attempt that was not answered by what was asked for. */
 void flight_note_failure(const struct flight *f, const struct endpoint *e,
 			 const char *reason);
+/** Logs why an overdue attempt gets no other one beside it. */
+void flight_note_no_retry(const struct flight *f, const char *reason);
 void flight_note_route(struct flight *f, const struct routing_choice *choice);
 void flight_note_answer(struct flight *f, enum answer_kind kind,
 			enum reason reason);
--- a/daemon/flight_log.c
+++ b/daemon/flight_log.c
@@ -33,6 +33,18 @@
 	log_end(&line);
 }
 
+void flight_note_no_retry(const struct flight *f, const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "no_retry");
+	log_str(&line, "request", f->id);
+	log_str(&line, "reason", reason);
+	log_int(&line, "attempts", f->attempts);
+	log_int(&line, "config_version", f->dispatcher->config_version);
+	log_end(&line);
+}
+
 void flight_note_arrival(const struct flight *f)
 {
 	struct decision *note =
--- a/daemon/flight_send.c
+++ b/daemon/flight_send.c
@@ -119,8 +119,12 @@
 	int64_t now_ms = util_monotonic_ms();
 
 	f->timer = 0;
-	if (now_ms >= f->deadline_ms || !retry_budget_take(&d->budget, now_ms))
+	if (now_ms >= f->deadline_ms)
 		return G_SOURCE_REMOVE;
+	if (!retry_budget_take(&d->budget, now_ms)) {
+		flight_note_no_retry(f, "retry budget used up");
+		return G_SOURCE_REMOVE;
+	}
 	f->may_have_run = TRUE;
 	for (guint i = 0; i < FLIGHT_MAX_OUT; i++) {
 		if (!f->out[i].call)
@@ -134,10 +138,11 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void watch_progress(struct flight *f)
+static void watch_progress(struct flight *f, int64_t now_ms)
 {
 	int64_t usual_ms = admission_service_ms(&f->item);
-	int64_t ms = retry_progress_ms(usual_ms, f->attempts);
+	int64_t ms = retry_progress_ms(usual_ms, f->attempts,
+				       MAX(f->deadline_ms - now_ms, 0));
 
 	if (!f->spec.is_repeatable || usual_ms == 0 ||
 	    count_out(f) >= FLIGHT_MAX_OUT || f->attempts >= RETRY_MAX_ATTEMPTS)
@@ -167,7 +172,7 @@
 	flight_note_route(f, choice);
 	f->state = FLIGHT_SENT;
 	attempt_start(free_attempt(f), f, choice->endpoint, now_ms);
-	watch_progress(f);
+	watch_progress(f, now_ms);
 }
 
 /* Other failure domains are for what the own one can't serve in time. */
--- a/request/admission.c
+++ b/request/admission.c
@@ -118,6 +118,7 @@
 static void estimate_add(struct estimate *e, double value_ms)
 {
 	double error_ms = value_ms - e->mean_ms;
+	double weight;
 
 	e->samples++;
 	if (e->samples == 1) {
@@ -125,8 +126,10 @@
 		e->deviation_ms = value_ms / 2;
 		return;
 	}
-	e->mean_ms += error_ms / ESTIMATE_WEIGHT;
-	e->deviation_ms += (ABS(error_ms) - e->deviation_ms) / ESTIMATE_WEIGHT;
+	/* The first ones count alike: connections are set up for some. */
+	weight = MIN((double)e->samples, ESTIMATE_WEIGHT);
+	e->mean_ms += error_ms / weight;
+	e->deviation_ms += (ABS(error_ms) - e->deviation_ms) / weight;
 }
 
 static double estimate_ms(const struct estimate *e, double deviations)
--- a/request/retry_budget.c
+++ b/request/retry_budget.c
@@ -9,6 +9,8 @@
 #define DELAY_BASE_MS 4
 #define PROGRESS_FACTOR 4
 #define LEAST_PROGRESS_MS INT64_C(250)
+/** Leaves the next attempt as much time as this one had. */
+#define PROGRESS_LEFT_PART 2
 #define DELAY_MOST_MS 200
 
 void retry_budget_init(struct retry_budget *b, int64_t now_ms)
@@ -36,11 +38,12 @@
 	return TRUE;
 }
 
-int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts)
+int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts, int64_t left_ms)
 {
 	int64_t ms = MAX(PROGRESS_FACTOR * usual_ms, LEAST_PROGRESS_MS);
 
-	return ms << MIN(attempts - 1, RETRY_MAX_ATTEMPTS);
+	ms <<= MIN(attempts - 1, RETRY_MAX_ATTEMPTS);
+	return MIN(ms, left_ms / PROGRESS_LEFT_PART);
 }
 
 int64_t retry_delay_ms(uint32_t attempts, GRand *rand)
--- a/request/retry_budget.h
+++ b/request/retry_budget.h
@@ -27,11 +27,12 @@
 /**
  * Returns how long an attempt of a repeatable request may go without an answer
  * before another one is tried: some times the usual, twice as long with each
- * attempt, as run times vary a lot.
+ * attempt, as run times vary a lot, and at most half of the time left.
  *
  * @param attempts	including this one
+ * @param left_ms	until the deadline of the request
  */
-int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts);
+int64_t retry_progress_ms(int64_t usual_ms, uint32_t attempts, int64_t left_ms);
 
 /** Returns the delay before the retry after that many attempts. */
 int64_t retry_delay_ms(uint32_t attempts, GRand *rand);
--- a/request/routing/routing.c
+++ b/request/routing/routing.c
@@ -49,6 +49,22 @@
 	return !was_tried(q, e) && endpoint_table_has_room(t, e, q->now_ms);
 }
 
+/*
+ * Looks at every endpoint of a list. One that has no room leaves the list and
+ * the last one, which was looked at before, takes its place.
+ */
+static struct endpoint *find_any(struct endpoint_table *t, GPtrArray *list,
+				 const struct routing_query *q)
+{
+	for (guint i = list->len; i-- > 0;) {
+		struct endpoint *e = g_ptr_array_index(list, i);
+
+		if (routing_may_take(t, e, q))
+			return e;
+	}
+	return NULL;
+}
+
 struct endpoint *routing_sample(struct endpoint_table *t, GPtrArray *list,
 				const struct routing_query *q, GRand *rand)
 {
@@ -59,7 +75,7 @@
 		if (routing_may_take(t, e, q))
 			return e;
 	}
-	return NULL;
+	return find_any(t, list, q);
 }
 
 void routing_choose(struct routing_policy *p, struct endpoint_table *t,
--- a/request/routing/routing.h
+++ b/request/routing/routing.h
@@ -68,7 +68,7 @@
 			  const struct routing_query *q);
 
 /** For policies: returns a random endpoint of a list that may take it, or
- * NULL after a few tries. */
+ * NULL when none of them may. */
 struct endpoint *routing_sample(struct endpoint_table *t, GPtrArray *list,
 				const struct routing_query *q, GRand *rand);
 
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -311,6 +311,28 @@
 	g_free(p);
 }
 
+#define CHOICES 5000
+
+/* A retry finds the one endpoint that was not tried, each time. */
+static void test_choice_untried(void)
+{
+	struct routing_policy *p = routing_policy_new(ROUTING_POLICY_DEFAULT);
+	struct endpoint_table *t = make_table(2, 0);
+	const struct endpoint *tried = endpoint_table_find(t, "tov-a-1");
+	struct routing_query q = { .tried = { tried }, .tried_count = 1 };
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct routing_choice c;
+
+	for (int i = 0; i < CHOICES; i++) {
+		routing_choose(p, t, &q, rand, &c);
+		g_assert_nonnull(c.endpoint);
+		g_assert_true(c.endpoint != tried);
+	}
+	g_rand_free(rand);
+	endpoint_table_free(t);
+	g_free(p);
+}
+
 struct offer {
 	const char *account;
 	enum request_class class;
@@ -421,6 +443,31 @@
 	admission_free(a);
 }
 
+#define FIRST_RUN_MS 260 /* connections are set up for the first request */
+#define USUAL_RUN_MS 40
+#define USUAL_RUNS 12
+
+/* One slow first run is soon no longer taken for the usual. */
+static void test_usual_run(void)
+{
+	const struct admission_options options = { 0 };
+	const struct admission_account_spec account = {
+		.name = "a", .share = 1, .queued_requests = 100
+	};
+	struct admission *a = admission_new(&options);
+	struct admission_item items[1 + USUAL_RUNS];
+	GPtrArray *late = g_ptr_array_new();
+
+	admission_set_account(a, &account, 0);
+	offer_many(a, items, G_N_ELEMENTS(items), "a", REQUEST_SPOT);
+	for (guint i = 0; i < G_N_ELEMENTS(items); i++)
+		admission_done(a, admission_next(a, 0, late),
+			       i ? USUAL_RUN_MS : FIRST_RUN_MS);
+	g_assert_cmpint(admission_service_ms(&items[0]), <, FIRST_RUN_MS);
+	g_ptr_array_unref(late);
+	admission_free(a);
+}
+
 /* Spot goes first, and bulk still gets its least part of the slots. */
 static void test_class_order(void)
 {
@@ -508,6 +555,32 @@
 	g_rand_free(rand);
 }
 
+#define LEFT_MS 1500
+
+static const struct {
+	int64_t usual_ms;
+	uint32_t attempts;
+	int64_t left_ms;
+	int64_t progress_ms;
+} progress_cases[] = {
+	{ 5, 1, LEFT_MS, 250 },
+	{ 100, 1, LEFT_MS, 400 },
+	{ 100, 2, 4000, 800 },
+	{ 300, 1, LEFT_MS, LEFT_MS / 2 },
+	{ 100, 3, LEFT_MS, LEFT_MS / 2 },
+	{ 5, 1, 100, 50 },
+};
+
+/* Another copy is sent while there is still time for its answer. */
+static void test_retry_progress(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(progress_cases); i++)
+		g_assert_cmpint(retry_progress_ms(progress_cases[i].usual_ms,
+						  progress_cases[i].attempts,
+						  progress_cases[i].left_ms),
+				==, progress_cases[i].progress_ms);
+}
+
 /* Failing endpoints are set aside, but never more than a fifth of all. */
 static void test_outlier_cap(void)
 {
@@ -688,12 +761,15 @@
 	g_test_add_func("/requests/endpoint-restarted", test_restarted);
 	g_test_add_func("/requests/spill-over", test_spill);
 	g_test_add_func("/requests/choice", test_choice);
+	g_test_add_func("/requests/choice-untried", test_choice_untried);
 	g_test_add_func("/requests/admission-offers", test_offers);
 	g_test_add_func("/requests/admission-fair-share", test_fair_share);
 	g_test_add_func("/requests/admission-classes", test_class_order);
 	g_test_add_func("/requests/admission-late", test_late);
+	g_test_add_func("/requests/admission-usual-run", test_usual_run);
 	g_test_add_func("/requests/admission-due", test_due);
 	g_test_add_func("/requests/retry-budget", test_retry_budget);
+	g_test_add_func("/requests/retry-progress", test_retry_progress);
 	g_test_add_func("/requests/outlier-cap", test_outlier_cap);
 	g_test_add_func("/requests/outlier-return", test_outlier_return);
 	g_test_add_func("/requests/outlier-again", test_outlier_again);
