Work that a stop throws away is placed apart from the rooms of urgent jobs

A count of accelerators was left free for these jobs, but not whole workers: two fifths of the urgent tasks need one, and gangs need several of a rack, so tasks were stopped all the same.

Change: the first rooms, in the order of racks, are kept for what urgent jobs needed of late; work that a stop throws away goes to the others, everything else to the kept ones first. Nothing is kept while under half of the pool is in use. fleet_place.c is split by what its parts do: rooms, units, preemption, the room of urgent jobs.

Tests: /fleet/kept-rooms/apart, gang and idle-pool fail before.

--- /dev/null
+++ b/sched/fleet_preempt.c
@@ -0,0 +1,255 @@
+#include "sched/fleet_preempt.h"
+
+#include <string.h>
+
+#include "sched/fleet_parts.h"
+
+#define MS_PER_CORE_UNIT 1000.0
+/* An accelerator counts as so many cores (platform's price of lost work). */
+#define CORES_PER_ACCELERATOR 8
+
+/* Work of a task that a stop throws away, in core-milliseconds. */
+static double lost_work(const struct fleet_task *t, int64_t now_ms)
+{
+	const struct step_spec *spec = t->step->spec;
+	double cores = (double)spec->millicores / MS_PER_CORE_UNIT +
+		       (double)(spec->accelerators * CORES_PER_ACCELERATOR);
+	int64_t done_ms = now_ms - t->ordered_ms;
+
+	/* What runs with checkpoints is saved at the stop. */
+	if (spec->is_checkpointed)
+		done_ms = 0;
+	return cores * (double)done_ms;
+}
+
+static double unit_lost_work(const struct fleet_task *t, int64_t now_ms)
+{
+	const struct fleet_step *step = t->step;
+	double lost = 0;
+
+	if (!step->spec->is_gang)
+		return lost_work(t, now_ms);
+	for (guint i = 0; i < step->task_count; i++) {
+		if (step->tasks[i].worker)
+			lost += lost_work(&step->tasks[i], now_ms);
+	}
+	return lost;
+}
+
+/* Tells whether a unit may take the room of a task that runs. */
+static gboolean may_preempt(const struct fleet_round *r,
+			    const struct fleet_unit *u,
+			    const struct fleet_task *t)
+{
+	if (t->is_stop_ordered || t->state == TASK_DONE)
+		return FALSE;
+	return fleet_priority(r->s, t->step->job) > u->priority;
+}
+
+/* Adds what a stop of a task, or of its whole gang, frees. */
+static void free_victim(struct fleet_round *r, struct fleet_task *victim,
+			GPtrArray *victims)
+{
+	struct fleet_step *step = victim->step;
+
+	for (guint i = 0; i < step->task_count; i++) {
+		struct fleet_task *t = &step->tasks[i];
+		struct demand d = fleet_task_demand(t);
+
+		if (!t->worker || t->is_stop_ordered ||
+		    (t != victim && !step->spec->is_gang))
+			continue;
+		for (guint k = 0; k < r->rooms->len; k++) {
+			struct fleet_room *room =
+				&g_array_index(r->rooms, struct fleet_room, k);
+
+			if (room->worker == t->worker)
+				demand_add(&room->soon, &d);
+		}
+	}
+	g_ptr_array_add(victims, victim);
+}
+
+static gboolean is_victim(const GPtrArray *victims, const struct fleet_task *t)
+{
+	for (guint i = 0; i < victims->len; i++) {
+		const struct fleet_task *v = victims->pdata[i];
+
+		if (v == t || (v->step == t->step && v->step->spec->is_gang))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* A task that may be stopped, and the work that this throws away. */
+struct victim {
+	struct fleet_task *task;
+	double lost;
+};
+
+static gint compare_victims(gconstpointer a, gconstpointer b)
+{
+	const struct victim *x = a;
+	const struct victim *y = b;
+
+	if (x->lost < y->lost)
+		return -1;
+	return x->lost > y->lost;
+}
+
+/*
+ * Finds the cheapest tasks of one worker whose stop makes room for one task
+ * more. Returns FALSE when there is no such room to make.
+ */
+static gboolean room_for_one(const struct fleet_round *r,
+			     const struct fleet_unit *u,
+			     const struct fleet_room *room,
+			     const GPtrArray *victims, GPtrArray *out,
+			     double *lost)
+{
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	struct demand free = room->soon;
+	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct victim));
+
+	g_ptr_array_set_size(out, 0);
+	*lost = 0;
+	for (guint i = 0; i < room->worker->tasks->len; i++) {
+		struct victim v = { .task = room->worker->tasks->pdata[i] };
+
+		if (!may_preempt(r, u, v.task) || is_victim(victims, v.task))
+			continue;
+		v.lost = unit_lost_work(v.task, r->now_ms);
+		g_array_append_val(found, v);
+	}
+	g_array_sort(found, compare_victims);
+	for (guint i = 0; i < found->len && !demand_fits(&d, &free); i++) {
+		const struct victim *v =
+			&g_array_index(found, struct victim, i);
+		struct demand freed = fleet_task_demand(v->task);
+
+		demand_add(&free, &freed);
+		g_ptr_array_add(out, v->task);
+		*lost += v->lost;
+	}
+	g_array_unref(found);
+	return demand_fits(&d, &free);
+}
+
+/* Returns the room where one task more costs least, or NULL. */
+static struct fleet_room *
+cheapest_room(struct fleet_round *r, const struct fleet_unit *u,
+	      const struct fleet_rack *rack, const GPtrArray *victims,
+	      GPtrArray *best_victims, double *best_lost)
+{
+	GPtrArray *found = g_ptr_array_new();
+	struct fleet_room *best = NULL;
+	int64_t best_left = 0;
+
+	for (guint i = fleet_rack_begin(rack); i < fleet_rack_end(r, rack);
+	     i++) {
+		struct fleet_room *room =
+			&g_array_index(r->rooms, struct fleet_room, i);
+		int64_t left = room->soon.accelerators;
+		double lost;
+
+		if (!fleet_round_capacity(r, u, room,
+					  &room->worker->reg.capacity) ||
+		    !room_for_one(r, u, room, victims, found, &lost))
+			continue;
+		if (best && (lost > *best_lost ||
+			     (lost == *best_lost && left >= best_left)))
+			continue;
+		best = room;
+		best_left = left;
+		*best_lost = lost;
+		g_ptr_array_set_size(best_victims, 0);
+		g_ptr_array_extend(best_victims, found, NULL, NULL);
+	}
+	g_ptr_array_unref(found);
+	return best;
+}
+
+/* Finds whom to stop in a rack so that the unit fits; FALSE when it can't. */
+static gboolean find_victims(struct fleet_round *r, const struct fleet_unit *u,
+			     const struct fleet_rack *rack, GPtrArray *victims,
+			     struct room_choice *c, double *cost)
+{
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	GPtrArray *more = g_ptr_array_new();
+	gboolean has_room = TRUE;
+	double lost = 0;
+
+	*cost = 0;
+	g_array_set_size(c->workers, 0);
+	for (guint n = 0; n < u->tasks->len && has_room; n++) {
+		struct fleet_room *room =
+			cheapest_room(r, u, rack, victims, more, &lost);
+		guint index;
+
+		has_room = room != NULL;
+		if (!has_room)
+			break;
+		for (guint i = 0; i < more->len; i++) {
+			if (!is_victim(victims, more->pdata[i]))
+				free_victim(r, more->pdata[i], victims);
+		}
+		demand_take(&room->soon, &d);
+		demand_take(&room->free, &d);
+		index = (guint)(room -
+				(struct fleet_room *)(void *)r->rooms->data);
+		g_array_append_val(c->workers, index);
+		*cost += lost;
+	}
+	g_ptr_array_unref(more);
+	return has_room;
+}
+
+static void restore_rooms(struct fleet_round *r, const GArray *saved)
+{
+	/* An empty array has no data to copy. */
+	if (saved->len)
+		memcpy(r->rooms->data, saved->data,
+		       saved->len * sizeof(struct fleet_room));
+}
+
+static GArray *copy_rooms(const struct fleet_round *r)
+{
+	GArray *copy = g_array_new(FALSE, FALSE, sizeof(struct fleet_room));
+
+	g_array_append_vals(copy, r->rooms->data, r->rooms->len);
+	return copy;
+}
+
+void fleet_preempt(struct fleet_round *r, struct fleet_unit *u,
+		   const GPtrArray *options, struct room_choice *c)
+{
+	GArray *saved = copy_rooms(r);
+	GPtrArray *victims = g_ptr_array_new();
+	const struct fleet_rack *best = NULL;
+	double best_cost = 0;
+	gboolean has_found = FALSE;
+	double cost;
+
+	for (guint i = 0; i < options->len; i++) {
+		g_ptr_array_set_size(victims, 0);
+		if (find_victims(r, u, options->pdata[i], victims, c, &cost) &&
+		    (!has_found || (options->pdata[i] && cost < best_cost))) {
+			has_found = TRUE;
+			best = options->pdata[i];
+			best_cost = cost;
+		}
+		restore_rooms(r, saved);
+	}
+	if (!has_found)
+		goto out;
+	g_ptr_array_set_size(victims, 0);
+	find_victims(r, u, best, victims, c, &cost);
+	r->orders_out += victims->len;
+	for (guint i = 0; i < victims->len; i++)
+		fleet_stop_unit(r->s, victims->pdata[i],
+				"room for a job of higher priority");
+	fleet_round_take(r, u, c);
+out:
+	g_ptr_array_unref(victims);
+	g_array_unref(saved);
+}
--- /dev/null
+++ b/sched/fleet_round.c
@@ -0,0 +1,311 @@
+#include "sched/fleet_round.h"
+
+#include <string.h>
+
+#include "sched/fleet_urgent.h"
+
+/* A worker without an answer for this long gets nothing new. */
+#define CONTACT_MS 2500
+#define NO_RACK "-"
+
+static gboolean is_eligible(const struct fleet_unit *u,
+			    const struct fleet_worker *w)
+{
+	const char *label = u->step->spec->required_label;
+
+	if (!g_str_equal(u->service, w->reg.service))
+		return FALSE;
+	return !label || fleet_worker_has_label(w, label);
+}
+
+static gboolean is_usable(const struct fleet_round *r,
+			  const struct fleet_worker *w)
+{
+	return w->is_fenced && w->is_recorded && !w->is_gone &&
+	       !w->unwanted_runs && !w->reg.is_draining && w->reg.address &&
+	       r->now_ms >= w->avoid_until_ms &&
+	       r->now_ms - w->contact_ms < CONTACT_MS;
+}
+
+const char *fleet_rack_of(const struct fleet_worker *w)
+{
+	return w->reg.rack ? w->reg.rack : NO_RACK;
+}
+
+/* Adds a room, which comes after all others, to its rack. */
+static void add_to_rack(struct fleet_round *r, guint index)
+{
+	const struct fleet_room *room =
+		&g_array_index(r->rooms, struct fleet_room, index);
+	struct fleet_rack new = { fleet_rack_of(room->worker), index, index };
+	struct fleet_rack *last = NULL;
+
+	if (r->racks->len)
+		last = &g_array_index(r->racks, struct fleet_rack,
+				      r->racks->len - 1);
+	if (!last || !g_str_equal(last->name, new.name)) {
+		g_array_append_val(r->racks, new);
+		last = &g_array_index(r->racks, struct fleet_rack,
+				      r->racks->len - 1);
+	}
+	last->end = index + 1;
+}
+
+/* Returns the rack of a name, NULL when no usable worker is there. */
+const struct fleet_rack *fleet_round_rack(const struct fleet_round *r,
+					  const char *name)
+{
+	for (guint i = 0; name && i < r->racks->len; i++) {
+		const struct fleet_rack *rack =
+			&g_array_index(r->racks, struct fleet_rack, i);
+
+		if (g_str_equal(rack->name, name))
+			return rack;
+	}
+	return NULL;
+}
+
+guint fleet_rack_begin(const struct fleet_rack *rack)
+{
+	return rack ? rack->begin : 0;
+}
+
+/* Without a rack all rooms are meant. */
+guint fleet_rack_end(const struct fleet_round *r, const struct fleet_rack *rack)
+{
+	return rack ? rack->end : r->rooms->len;
+}
+
+static gint compare_rooms(gconstpointer a, gconstpointer b)
+{
+	const struct fleet_room *x = a;
+	const struct fleet_room *y = b;
+	int order = strcmp(fleet_rack_of(x->worker), fleet_rack_of(y->worker));
+
+	return order ? order : strcmp(x->worker->id, y->worker->id);
+}
+
+void fleet_round_collect(struct fleet_round *r)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, r->s->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_room room = { .worker = item };
+
+		if (!is_usable(r, room.worker))
+			continue;
+		demand_add(&r->total, &room.worker->reg.capacity);
+		demand_add(&r->in_use, &room.worker->used);
+		room.free = fleet_worker_room(room.worker);
+		room.soon = room.free;
+		for (guint i = 0; i < room.worker->tasks->len; i++) {
+			const struct fleet_task *t =
+				room.worker->tasks->pdata[i];
+			struct demand d = fleet_task_demand(t);
+
+			if (t->is_stop_ordered)
+				demand_add(&room.soon, &d);
+			if (t->is_order_out)
+				r->orders_out++;
+		}
+		g_array_append_val(r->rooms, room);
+	}
+	g_array_sort(r->rooms, compare_rooms);
+	for (guint i = 0; i < r->rooms->len; i++)
+		add_to_rack(r, i);
+}
+
+/* Returns how many tasks fit into a room. */
+static guint copies(const struct demand *room, const struct demand *d)
+{
+	int64_t n = INT32_MAX;
+
+	if (d->millicores > 0)
+		n = MIN(n, room->millicores / d->millicores);
+	if (d->memory_mb > 0)
+		n = MIN(n, room->memory_mb / d->memory_mb);
+	if (d->accelerators > 0)
+		n = MIN(n, room->accelerators / d->accelerators);
+	return (guint)CLAMP(n, 0, INT32_MAX);
+}
+
+static guint step_tasks_on(const struct fleet_worker *w,
+			   const struct fleet_step *step)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const struct fleet_task *t = w->tasks->pdata[i];
+
+		if (t->step == step)
+			n++;
+	}
+	return n;
+}
+
+/* Tasks of the unit that a worker may take, by a room. */
+guint fleet_round_capacity(const struct fleet_round *r,
+			   const struct fleet_unit *u,
+			   const struct fleet_room *room,
+			   const struct demand *by)
+{
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	guint n;
+
+	if (room->is_taken || !fleet_urgent_may_use(r, u, room))
+		return 0;
+	n = copies(by, &d);
+	if (!n || !is_eligible(u, room->worker))
+		return 0;
+	if (u->step->spec->max_per_worker) {
+		guint there = step_tasks_on(room->worker, u->step);
+		guint most = (guint)u->step->spec->max_per_worker;
+
+		n = MIN(n, most > there ? most - there : 0);
+	}
+	return MIN(n, u->tasks->len);
+}
+
+static const struct demand *room_by(const struct fleet_room *room,
+				    enum room_kind kind)
+{
+	return kind == ROOM_NOW ? &room->free : &room->soon;
+}
+
+struct candidate {
+	guint index;
+	guint count;
+	int64_t left;
+	gboolean is_last; /* it is for work of the other kind */
+};
+
+/* Unsaved work and all other work keep to their own rooms while they can. */
+static gboolean is_for_others(const struct fleet_round *r,
+			      const struct fleet_unit *u, guint room)
+{
+	return fleet_unit_is_unsaved(u) != (room >= r->first_open_room);
+}
+
+static gint compare_candidates(gconstpointer a, gconstpointer b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->is_last != y->is_last)
+		return x->is_last ? 1 : -1;
+	if (x->left != y->left)
+		return x->left < y->left ? -1 : 1;
+	return x->index < y->index ? -1 : 1;
+}
+
+/*
+ * Chooses workers of one rack, or of all, fullest first. Returns whether all
+ * tasks found one.
+ */
+gboolean fleet_round_choose(const struct fleet_round *r,
+			    const struct fleet_unit *u,
+			    const struct fleet_rack *rack, enum room_kind kind,
+			    guint needed, struct room_choice *out)
+{
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	GArray *candidates =
+		g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	guint found = 0;
+
+	g_array_set_size(out->workers, 0);
+	out->left = 0;
+	for (guint i = fleet_rack_begin(rack); i < fleet_rack_end(r, rack);
+	     i++) {
+		const struct fleet_room *room =
+			&g_array_index(r->rooms, struct fleet_room, i);
+		const struct demand *by = room_by(room, kind);
+		struct candidate c = { .index = i };
+
+		c.count = fleet_round_capacity(r, u, room, by);
+		if (!c.count)
+			continue;
+		c.left = by->accelerators - c.count * d.accelerators;
+		c.is_last = is_for_others(r, u, i);
+		found += c.count;
+		g_array_append_val(candidates, c);
+	}
+	g_array_sort(candidates, compare_candidates);
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct candidate *c =
+			&g_array_index(candidates, struct candidate, i);
+
+		for (guint k = 0; k < c->count && out->workers->len < needed;
+		     k++)
+			g_array_append_val(out->workers, c->index);
+		out->left += c->left;
+	}
+	g_array_unref(candidates);
+	return found >= needed;
+}
+
+void fleet_round_take(struct fleet_round *r, const struct fleet_unit *u,
+		      const struct room_choice *c)
+{
+	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+
+	for (guint i = 0; i < c->workers->len; i++) {
+		guint index = g_array_index(c->workers, guint, i);
+		struct fleet_room *room =
+			&g_array_index(r->rooms, struct fleet_room, index);
+
+		demand_take(&room->free, &d);
+		demand_take(&room->soon, &d);
+		demand_add(&r->in_use, &d);
+	}
+}
+
+/* Tells whether a rack could hold the unit if it were empty. */
+gboolean fleet_round_could_hold(const struct fleet_round *r,
+				const struct fleet_unit *u,
+				const struct fleet_rack *rack)
+{
+	guint found = 0;
+
+	for (guint i = rack->begin; i < rack->end; i++) {
+		const struct fleet_room *room =
+			&g_array_index(r->rooms, struct fleet_room, i);
+
+		found += fleet_round_capacity(r, u, room,
+					      &room->worker->reg.capacity);
+	}
+	return found >= (u->step->spec->is_gang ? u->tasks->len : 1);
+}
+
+/* Chooses the best of the options; FALSE when none holds the whole unit. */
+gboolean fleet_round_choose_whole(const struct fleet_round *r,
+				  const struct fleet_unit *u,
+				  const GPtrArray *options, enum room_kind kind,
+				  struct room_choice *out)
+{
+	struct room_choice c = { g_array_new(FALSE, FALSE, sizeof(guint)), 0 };
+	gboolean has_found = FALSE;
+	int64_t left = INT64_MAX;
+
+	for (guint i = 0; i < options->len; i++) {
+		const struct fleet_rack *rack = options->pdata[i];
+
+		if (!fleet_round_choose(r, u, rack, kind, u->tasks->len, &c))
+			continue;
+		if (rack && is_for_others(r, u, rack->begin))
+			c.left += r->total.accelerators;
+		if (has_found && (!rack || c.left >= left))
+			continue;
+		has_found = TRUE;
+		left = c.left;
+		g_array_set_size(out->workers, 0);
+		g_array_append_vals(out->workers, c.workers->data,
+				    c.workers->len);
+		/* The data's rack is faster than any other. */
+		if (u->step->spec->data_rack && i == 0)
+			break;
+	}
+	g_array_unref(c.workers);
+	return has_found;
+}
--- /dev/null
+++ b/sched/fleet_unit.c
@@ -0,0 +1,221 @@
+#include "sched/fleet_round.h"
+
+#include "sched/fleet_parts.h"
+
+int64_t fleet_step_ms(const struct fleet_scheduler *s,
+		      const struct fleet_job *job, const struct step_spec *spec)
+{
+	return run_times_expected_ms(s->run_times, job->route,
+				     spec->estimate_ms);
+}
+
+static int64_t chain_ms(const struct fleet_scheduler *s,
+			const struct fleet_job *job, guint index)
+{
+	const struct step_spec *spec = job_spec_step(&job->spec, index);
+	int64_t before_ms = 0;
+
+	for (guint i = 0; i < step_spec_after_count(spec); i++)
+		before_ms = MAX(before_ms,
+				chain_ms(s, job, step_spec_after(spec, i)));
+	return before_ms + fleet_step_ms(s, job, spec);
+}
+
+static int64_t longest_chain_ms(const struct fleet_scheduler *s,
+				const struct fleet_job *job)
+{
+	int64_t longest_ms = 0;
+
+	for (guint i = 0; i < job->spec.steps->len; i++)
+		longest_ms = MAX(longest_ms, chain_ms(s, job, i));
+	return longest_ms;
+}
+
+/* When a job has to end to be in time. */
+static int64_t objective_ms(const struct fleet_scheduler *s,
+			    const struct fleet_job *job)
+{
+	const struct queue_route *route = fleet_scheduler_route(s, job);
+
+	if (!route)
+		return INT64_MAX;
+	return job->accepted_ms + route->objective_ms +
+	       (int64_t)(route->stretch * (double)longest_chain_ms(s, job));
+}
+
+/* Work from this step to the end of the job. */
+static int64_t remaining_ms(const struct fleet_scheduler *s,
+			    const struct fleet_step *step)
+{
+	const struct fleet_job *job = step->job;
+	int64_t rest_ms =
+		longest_chain_ms(s, job) - chain_ms(s, job, step->index);
+
+	return rest_ms + fleet_step_ms(s, job, step->spec);
+}
+
+static void unit_free(gpointer data)
+{
+	struct fleet_unit *u = data;
+
+	g_ptr_array_unref(u->tasks);
+	g_free(u);
+}
+
+static struct fleet_unit *unit_new(const struct fleet_round *r,
+				   struct fleet_step *step)
+{
+	struct fleet_unit *u = g_new0(struct fleet_unit, 1);
+
+	u->step = step;
+	u->service = fleet_scheduler_route(r->s, step->job)->service;
+	u->tasks = g_ptr_array_new();
+	for (guint i = 0; i < step->task_count; i++) {
+		struct fleet_task *t = &step->tasks[i];
+
+		if (t->state == TASK_WAITING && !t->worker)
+			g_ptr_array_add(u->tasks, t);
+	}
+	u->priority = fleet_priority(r->s, step->job);
+	u->latest_start_ms =
+		objective_ms(r->s, step->job) - remaining_ms(r->s, step);
+	u->is_late = u->latest_start_ms < r->now_ms;
+	return u;
+}
+
+static void collect_step(const struct fleet_round *r, struct fleet_step *step,
+			 GPtrArray *units)
+{
+	struct fleet_unit *u;
+
+	if (step->done_count == step->task_count || !fleet_step_is_ready(step))
+		return;
+	/* Tasks that no worker lists may run on one that hasn't answered. */
+	if (step->job->is_inherited && r->now_ms < r->s->unseen_until_ms)
+		return;
+	if (!step->ready_ms)
+		step->ready_ms = r->now_ms;
+	u = unit_new(r, step);
+	if (!u->tasks->len ||
+	    (step->spec->is_gang && u->tasks->len < step->task_count)) {
+		unit_free(u);
+		return;
+	}
+	g_ptr_array_add(units, u);
+}
+
+static GPtrArray *collect(const struct fleet_round *r)
+{
+	GPtrArray *units = g_ptr_array_new_with_free_func(unit_free);
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, r->s->fleet.jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct fleet_job *job = item;
+
+		if (fleet_job_has_ended(job) ||
+		    !fleet_scheduler_route(r->s, job))
+			continue;
+		for (guint i = 0; i < job->steps->len; i++)
+			collect_step(r, job->steps->pdata[i], units);
+	}
+	return units;
+}
+
+static gint compare_accepted(gconstpointer a, gconstpointer b)
+{
+	const struct fleet_unit *x = *(const struct fleet_unit *const *)a;
+	const struct fleet_unit *y = *(const struct fleet_unit *const *)b;
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	if (x->step->job->accepted_version != y->step->job->accepted_version)
+		return x->step->job->accepted_version <
+				       y->step->job->accepted_version
+			       ? -1
+			       : 1;
+	return x->step->index < y->step->index ? -1 : 1;
+}
+
+/* Accelerators that an account's jobs of priority 0 hold or wait for. */
+static int64_t *account_use(GHashTable *uses, const char *account)
+{
+	int64_t *use = g_hash_table_lookup(uses, account);
+
+	if (!use) {
+		use = g_new0(int64_t, 1);
+		g_hash_table_insert(uses, (gpointer)account, use);
+	}
+	return use;
+}
+
+/* Marks the units that their accounts' guarantees cover, first come first. */
+static void mark_guaranteed(const struct fleet_round *r, GPtrArray *units)
+{
+	GHashTable *uses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, r->s->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct fleet_worker *w = item;
+
+		for (guint i = 0; i < w->tasks->len; i++) {
+			const struct fleet_task *t = w->tasks->pdata[i];
+			const struct fleet_job *job = t->step->job;
+
+			if (job->account && fleet_priority(r->s, job) == 0)
+				*account_use(uses, job->account) +=
+					t->step->spec->accelerators;
+		}
+	}
+	for (guint i = 0; i < units->len; i++) {
+		struct fleet_unit *u = units->pdata[i];
+		const char *account = u->step->job->account;
+		int64_t *use;
+
+		if (u->priority != 0 || !account)
+			continue;
+		use = account_use(uses, account);
+		*use += u->step->spec->accelerators * u->tasks->len;
+		u->is_guaranteed =
+			*use <= fleet_config_guaranteed(r->s->config, account);
+	}
+	g_hash_table_unref(uses);
+}
+
+/* Jobs that can still be in time come before those that are late anyway. */
+static gint compare_urgency(gconstpointer a, gconstpointer b)
+{
+	const struct fleet_unit *x = *(const struct fleet_unit *const *)a;
+	const struct fleet_unit *y = *(const struct fleet_unit *const *)b;
+
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	if (x->is_guaranteed != y->is_guaranteed)
+		return x->is_guaranteed ? -1 : 1;
+	if (x->is_late != y->is_late)
+		return y->is_late ? -1 : 1;
+	if (x->latest_start_ms != y->latest_start_ms)
+		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
+	return compare_accepted(a, b);
+}
+
+GPtrArray *fleet_units_collect(const struct fleet_round *r)
+{
+	GPtrArray *units = collect(r);
+
+	g_ptr_array_sort(units, compare_accepted);
+	mark_guaranteed(r, units);
+	g_ptr_array_sort(units, compare_urgency);
+	return units;
+}
+
+gboolean fleet_unit_is_unsaved(const struct fleet_unit *u)
+{
+	const struct step_spec *spec = u->step->spec;
+
+	return u->priority != 0 && !spec->is_checkpointed && spec->accelerators;
+}
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -557,6 +557,61 @@
 	world_clear(&w);
 }
 
+/* Lets urgent jobs need so many whole workers, and end at once. */
+static void remember_urgent(struct world *w, guint workers)
+{
+	add_job(w, "before", "urgent", workers, 8, FALSE);
+	plan_after(w, 1);
+	g_assert_cmpuint(count_orders(w, TRUE, "before"), ==, workers);
+	for (guint i = 0; i < w->order_count; i++) {
+		const struct order *o = &w->orders[i];
+
+		report(w, o->worker, NULL,
+		       ended_list(1, o->task, o->run, RUN_DONE));
+	}
+	clear_orders(w);
+}
+
+struct kept_case {
+	const char *path;
+	guint urgent; /* workers that urgent jobs needed */
+	gboolean is_gang;
+	gboolean is_apart; /* none may be in the first two workers */
+};
+
+static const struct kept_case kept_cases[] = {
+	/* Later urgent jobs find the first two workers without such work. */
+	{ "/fleet/kept-rooms/apart", 2, FALSE, TRUE },
+	{ "/fleet/kept-rooms/gang", 2, TRUE, TRUE },
+	/* Found in khuree-wind scale-2 --seed 75: a gang waited for 12 s
+	 * beside an idle pool. */
+	{ "/fleet/kept-rooms/idle-pool", 4, TRUE, FALSE },
+	{ "/fleet/kept-rooms/none", 0, TRUE, FALSE },
+};
+
+static void test_kept_rooms(const void *data)
+{
+	const struct kept_case *c = data;
+	struct world w = { 0 };
+	guint kept = 0;
+
+	world_init(&w);
+	add_worker(&w, "w0", "r1");
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r2");
+	add_worker(&w, "w3", "r2");
+	if (c->urgent)
+		remember_urgent(&w, c->urgent);
+	add_job(&w, "bulk", "bulk", 2, 8, c->is_gang);
+	plan_after(&w, 10);
+	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), ==, 2);
+	for (guint i = 0; i < w.order_count; i++)
+		kept += w.orders[i].worker[1] < '2';
+	if (c->is_apart)
+		g_assert_cmpuint(kept, ==, 0);
+	world_clear(&w);
+}
+
 /* A run whose worker answers and that makes no progress is moved. */
 static void test_stalled(void)
 {
@@ -729,6 +784,9 @@
 	g_test_add_func("/fleet/preemption", test_preemption);
 	g_test_add_func("/fleet/orders-out", test_orders_out);
 	g_test_add_func("/fleet/urgent-room", test_urgent_room);
+	for (guint i = 0; i < G_N_ELEMENTS(kept_cases); i++)
+		g_test_add_data_func(kept_cases[i].path, &kept_cases[i],
+				     test_kept_rooms);
 	g_test_add_func("/fleet/stalled", test_stalled);
 	g_test_add_func("/leadership/bound", test_lease_bound);
 	ADD_CASES(drain_cases, test_drain);
