A fault soak over real processes; the stand-in's workers know gangs

cs-soak runs four csentryd, the stand-in of the platform with eight workers and a relay on each path to the store and the workers. From a seed it kills, terminates, pauses and reloads entry VMs, cuts, silences, delays and resets connections, stops the store, loses its answers and its history, crashes workers and changes the configuration, in series that overlap. Callers submit, ask and cancel over kept connections. It checks LOST, REFUSED, TWICE, LIMIT, UNASKED, BUDGET, MIXED and CONFIG from the callers' answers and the workers' history, and that no process ends by itself. Clocks are not stepped: from outside that needs more than signals and sockets.

--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,17 @@
 TESTS	  := $(patsubst tests/%.c,$(BUILD)/tests/%,$(TEST_SRC))
 TEST_LIB  := $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(TEST_SRC),\
 	     $(wildcard tests/*.c)))
-ALL_SRC	  := $(CORE_SRC) $(SIM_SRC) $(PROG_SRC) $(wildcard tests/*.c)
-ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench bench/sim tests))
+# The fault soak is one program of all files of its folder.
+SOAK_OBJ  := $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c))
+SOAK	  := $(BUILD)/bin/cs-soak
+ALL_SRC	  := $(CORE_SRC) $(SIM_SRC) $(PROG_SRC) $(wildcard soak/*.c tests/*.c)
+ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench bench/sim soak tests))
 
-.PHONY: all deps check demo bench format format-check lint clean programs
+.PHONY: all deps check demo bench soak format format-check lint clean programs
 all: deps
 	$(MAKE) --no-print-directory programs
 
-programs: $(PROGS) $(TESTS)
+programs: $(PROGS) $(TESTS) $(SOAK)
 
 # Installs what is missing; does nothing on a machine that has everything.
 deps:
@@ -56,6 +59,10 @@
 bench: all
 	bench/run_bench.sh $(BUILD)
 
+# Seeds that once failed, and a few more.
+soak: all
+	CS_BUILD=$(BUILD) $(SOAK) --seed-file soak/seeds.txt --seeds 2 --seconds 10
+
 $(CORE_LIB): $(CORE_OBJ)
 $(SIM_LIB): $(SIM_OBJ)
 $(CORE_LIB) $(SIM_LIB):
@@ -74,6 +81,10 @@
 endef
 $(foreach src,$(PROG_SRC),$(eval $(call PROGRAM_RULE,$(src))))
 
+$(SOAK): $(SOAK_OBJ) $(BUILD)/tests/cluster.o $(CORE_LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB) $(SIM_LIB) $(CORE_LIB)
 	$(CC) $(CFLAGS) $^ $(LDLIBS) -o $@
 
--- /dev/null
+++ b/soak/cs-soak.c
@@ -0,0 +1,167 @@
+/**
+ * @file
+ * Fault soak: runs the program of the entry VMs over the stand-in of the users'
+ * platform, injects faults drawn from a seed, and checks what callers and
+ * workers see. Each seed is one run; one that breaks a promise keeps its logs.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/util.h"
+#include "soak/soak_check.h"
+#include "soak/soak_faults.h"
+#include "soak/soak_jobs.h"
+
+#define DEFAULT_SECONDS 15
+/* After the last fault: leases end, a successor takes over and what waited is
+ * run. */
+#define SETTLE_MS 40000
+
+struct options {
+	gint seed;
+	gint seeds;
+	gint seconds;
+	gchar *file;
+};
+
+struct settle_wait {
+	struct soak_site *site;
+	struct soak_jobs *jobs;
+};
+
+static gboolean is_settled(void *data)
+{
+	struct settle_wait *w = data;
+
+	return soak_jobs_are_settled(w->jobs);
+}
+
+static void print_findings(guint32 seed, const GPtrArray *findings,
+			   const char *dir)
+{
+	for (guint i = 0; i < findings->len; i++)
+		printf("seed=%u finding: %s\n", seed,
+		       (const char *)findings->pdata[i]);
+	if (findings->len)
+		printf("seed=%u logs kept in %s\n", seed, dir);
+}
+
+/* Returns whether every promise was kept. */
+static gboolean run_seed(guint32 seed, gint seconds)
+{
+	GPtrArray *findings = g_ptr_array_new_with_free_func(g_free);
+	GRand *rand = g_rand_new_with_seed(seed);
+	/* Callers draw from a row of their own: faults don't depend on them. */
+	GRand *callers = g_rand_new_with_seed(seed + 1);
+	struct soak_site *site = soak_site_new();
+	struct soak_faults *faults = soak_faults_new(site, rand);
+	struct soak_jobs *jobs = soak_jobs_new(site, callers, findings);
+	struct settle_wait wait = { site, jobs };
+	gboolean is_good;
+	guint starts;
+
+	soak_faults_run(faults, seconds * MS_PER_S);
+	soak_faults_heal(faults);
+	soak_jobs_stop(jobs);
+	cluster_wait(is_settled, &wait, SETTLE_MS);
+	soak_check_jobs(jobs, findings);
+	starts = soak_check_history(site, jobs, findings);
+	if (soak_faults_own_ends(faults))
+		g_ptr_array_add(findings,
+				g_strdup("FAULT an entry VM ended by itself"));
+	is_good = findings->len == 0;
+	printf("seed=%u jobs=%u starts=%u faults=%u config=%" G_GINT64_FORMAT
+	       " findings=%u\n",
+	       seed, g_hash_table_size(soak_jobs_all(jobs)), starts,
+	       soak_faults_count(faults), site->config_version, findings->len);
+	print_findings(seed, findings, site->cluster->dir);
+	fflush(stdout);
+	soak_jobs_free(jobs);
+	soak_faults_free(faults);
+	soak_site_free(site, !is_good);
+	g_rand_free(callers);
+	g_rand_free(rand);
+	g_ptr_array_unref(findings);
+	return is_good;
+}
+
+/* Reads the seeds of a file: a number at the start of each line, then text. */
+static GArray *read_seeds(const char *file)
+{
+	GArray *seeds = g_array_new(FALSE, FALSE, sizeof(guint32));
+	char *text = NULL;
+	char **lines;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL)) {
+		fprintf(stderr, "cs-soak: %s can't be read\n", file);
+		return seeds;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (guint i = 0; lines[i]; i++) {
+		guint32 seed = (guint32)g_ascii_strtoull(lines[i], NULL, 10);
+
+		if (seed)
+			g_array_append_val(seeds, seed);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return seeds;
+}
+
+static gboolean parse_options(int argc, char **argv, struct options *o)
+{
+	const GOptionEntry entries[] = {
+		{ "seed", 's', 0, G_OPTION_ARG_INT, &o->seed, "First seed",
+		  "N" },
+		{ "seeds", 'n', 0, G_OPTION_ARG_INT, &o->seeds,
+		  "Number of seeds, one run each", "N" },
+		{ "seconds", 't', 0, G_OPTION_ARG_INT, &o->seconds,
+		  "Seconds with faults in each run", "N" },
+		{ "seed-file", 'f', 0, G_OPTION_ARG_FILENAME, &o->file,
+		  "Runs the seeds of a file too", "FILE" },
+		G_OPTION_ENTRY_NULL,
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	gboolean is_good;
+
+	g_option_context_set_summary(context,
+				     "Randomized faults over real processes.");
+	g_option_context_add_main_entries(context, entries, NULL);
+	is_good = g_option_context_parse(context, &argc, &argv, &error);
+	if (!is_good)
+		fprintf(stderr, "cs-soak: %s\n", error->message);
+	g_clear_error(&error);
+	g_option_context_free(context);
+	return is_good;
+}
+
+int main(int argc, char **argv)
+{
+	struct options o = { .seed = 1,
+			     .seeds = 1,
+			     .seconds = DEFAULT_SECONDS };
+	guint passed = 0;
+	guint failed = 0;
+	GArray *seeds;
+
+	if (!parse_options(argc, argv, &o))
+		return EXIT_FAILURE;
+	seeds = o.file ? read_seeds(o.file)
+		       : g_array_new(FALSE, FALSE, sizeof(guint32));
+	for (gint i = 0; i < o.seeds; i++) {
+		guint32 seed = (guint32)(o.seed + i);
+
+		g_array_append_val(seeds, seed);
+	}
+	for (guint i = 0; i < seeds->len; i++) {
+		if (run_seed(g_array_index(seeds, guint32, i), o.seconds))
+			passed++;
+		else
+			failed++;
+	}
+	g_array_unref(seeds);
+	g_free(o.file);
+	printf("%u passed, %u failed\n", passed, failed);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/soak/soak_check.c
@@ -0,0 +1,369 @@
+#include "soak/soak_check.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/run_report.h"
+#include "standin/common/steppe_worker.h"
+
+/* After a cancel was acknowledged nothing of the job is started later than
+ * this: platform's cancel_ms, the longest fault, and what a holder that can't
+ * be reached may still do. */
+#define CANCEL_MS 12000
+
+/* One line of the history. */
+struct event {
+	int64_t time_ms;
+	char *kind;
+	char *worker;
+	char *task;
+	int64_t run;
+	char *how;
+};
+
+struct task_seen {
+	char *worker; /* where it runs, NULL for nowhere */
+	int64_t run;
+	int64_t done_ms;       /* first end as done that was acknowledged */
+	int64_t ended_ms;      /* first end as done, acknowledged or not */
+	guint failed;	       /* runs that failed and were acknowledged */
+	GArray *starts;	       /* times */
+	GHashTable *done_runs; /* "WORKER RUN" to the time of its end */
+};
+
+struct check {
+	GHashTable *jobs;
+	GHashTable *tasks;   /* name to struct task_seen */
+	GHashTable *workers; /* id to struct demand in use */
+	GPtrArray *findings;
+	guint starts;
+};
+
+static void task_seen_free(gpointer data)
+{
+	struct task_seen *t = data;
+
+	g_free(t->worker);
+	g_array_unref(t->starts);
+	g_hash_table_unref(t->done_runs);
+	g_free(t);
+}
+
+static struct task_seen *task_seen(struct check *c, const char *name)
+{
+	struct task_seen *t = g_hash_table_lookup(c->tasks, name);
+
+	if (t)
+		return t;
+	t = g_new0(struct task_seen, 1);
+	t->starts = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	t->done_runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(c->tasks, g_strdup(name), t);
+	return t;
+}
+
+static const struct soak_job *job_of(const struct check *c, const char *task)
+{
+	char *id = g_strndup(task, strcspn(task, "."));
+	const struct soak_job *job = g_hash_table_lookup(c->jobs, id);
+
+	g_free(id);
+	return job;
+}
+
+static struct demand demand_of(const struct soak_job *job)
+{
+	return (struct demand){ .millicores = job->millicores,
+				.memory_mb = job->memory_mb,
+				.accelerators = job->accelerators };
+}
+
+static void add_finding(struct check *c, const char *rule,
+			const struct event *e, const char *what)
+{
+	g_ptr_array_add(c->findings,
+			g_strdup_printf("%s time_ms=%" G_GINT64_FORMAT
+					" task=%s run=%" G_GINT64_FORMAT
+					" worker=%s: %s",
+					rule, e->time_ms, e->task, e->run,
+					e->worker, what));
+}
+
+static struct demand *worker_use(struct check *c, const char *worker)
+{
+	struct demand *use = g_hash_table_lookup(c->workers, worker);
+
+	if (!use) {
+		use = g_new0(struct demand, 1);
+		g_hash_table_insert(c->workers, g_strdup(worker), use);
+	}
+	return use;
+}
+
+static gboolean is_refused(const struct soak_job *job)
+{
+	return !job->accepted_ms && !job->may_be_known;
+}
+
+static void on_start(struct check *c, const struct event *e)
+{
+	const struct soak_job *job = job_of(c, e->task);
+	const struct demand room = {
+		.millicores = STEPPE_WORKER_MILLICORES,
+		.memory_mb = STEPPE_WORKER_MEMORY_MB,
+		.accelerators = STEPPE_WORKER_ACCELERATORS,
+	};
+	struct task_seen *t = task_seen(c, e->task);
+	struct demand *use;
+	struct demand d;
+
+	c->starts++;
+	if (!job) {
+		add_finding(c, "UNASKED", e, "no caller sent such a job");
+		return;
+	}
+	if (t->worker)
+		add_finding(c, "TWICE", e, "it runs already");
+	if (is_refused(job))
+		add_finding(c, "REFUSED", e, "its job was refused");
+	if (job->cancel_acked_ms &&
+	    e->time_ms > job->cancel_acked_ms + CANCEL_MS)
+		add_finding(c, "UNASKED", e, "its job was cancelled");
+	if (t->failed >= SOAK_MAX_ATTEMPTS)
+		add_finding(c, "BUDGET", e, "its attempts were used up");
+	d = demand_of(job);
+	use = worker_use(c, e->worker);
+	demand_add(use, &d);
+	if (!demand_fits(use, &room))
+		add_finding(c, "LIMIT", e, "the worker has no room");
+	g_free(t->worker);
+	t->worker = g_strdup(e->worker);
+	t->run = e->run;
+	g_array_append_val(t->starts, e->time_ms);
+}
+
+static void on_end(struct check *c, const struct event *e)
+{
+	const struct soak_job *job = job_of(c, e->task);
+	struct task_seen *t = task_seen(c, e->task);
+	struct demand d;
+
+	if (!job)
+		return;
+	d = demand_of(job);
+	demand_take(worker_use(c, e->worker), &d);
+	if (g_strcmp0(t->worker, e->worker) == 0 && t->run == e->run)
+		g_clear_pointer(&t->worker, g_free);
+	if (!g_str_equal(e->how, "done"))
+		return;
+	if (!t->ended_ms)
+		t->ended_ms = e->time_ms;
+	g_hash_table_insert(
+		t->done_runs,
+		g_strdup_printf("%s %" G_GINT64_FORMAT, e->worker, e->run),
+		g_memdup2(&e->time_ms, sizeof(e->time_ms)));
+}
+
+static void on_ack(struct check *c, const struct event *e)
+{
+	struct task_seen *t = task_seen(c, e->task);
+	char *key = g_strdup_printf("%s %" G_GINT64_FORMAT, e->worker, e->run);
+	const int64_t *done_ms = g_hash_table_lookup(t->done_runs, key);
+
+	if (done_ms && (!t->done_ms || *done_ms < t->done_ms))
+		t->done_ms = *done_ms;
+	if (g_str_equal(e->how, "failed"))
+		t->failed++;
+	g_free(key);
+}
+
+/* Whatever ran there is gone, and so are the ends that nobody has noted. */
+static void on_crash(struct check *c, const struct event *e)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_remove(c->workers, e->worker);
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct task_seen *t = item;
+
+		if (g_strcmp0(t->worker, e->worker) == 0)
+			g_clear_pointer(&t->worker, g_free);
+	}
+}
+
+static const struct {
+	const char *kind;
+	void (*take)(struct check *c, const struct event *e);
+} takers[] = {
+	{ "start", on_start },
+	{ "end", on_end },
+	{ "ack", on_ack },
+	{ "crash", on_crash },
+};
+
+/* Cuts the value of a key=value field out of a line; free it. */
+static char *field(const char *line, const char *key)
+{
+	char *pattern = g_strdup_printf(" %s=", key);
+	const char *at = strstr(line, pattern);
+	char *value = NULL;
+
+	if (at) {
+		at += strlen(pattern);
+		value = g_strndup(at, strcspn(at, " "));
+	}
+	g_free(pattern);
+	return value;
+}
+
+static void take_line(struct check *c, const char *line)
+{
+	char *time = field(line, "time_ms");
+	char *run = field(line, "run");
+	struct event e = {
+		.time_ms = time ? g_ascii_strtoll(time, NULL, 10) : 0,
+		.kind = field(line, "event"),
+		.worker = field(line, "worker"),
+		.task = field(line, "task"),
+		.run = run ? g_ascii_strtoll(run, NULL, 10) : 0,
+		.how = field(line, "how"),
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(takers); i++) {
+		if (g_strcmp0(takers[i].kind, e.kind) == 0)
+			takers[i].take(c, &e);
+	}
+	g_free(e.kind);
+	g_free(e.worker);
+	g_free(e.task);
+	g_free(e.how);
+	g_free(time);
+	g_free(run);
+}
+
+/* Ends that were noted stand for good: nothing is started after them. */
+static void check_starts_after_end(struct check *c)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, c->tasks);
+	while (g_hash_table_iter_next(&iter, &name, &item)) {
+		const struct task_seen *t = item;
+
+		for (guint i = 0; t->done_ms && i < t->starts->len; i++) {
+			int64_t start_ms = g_array_index(t->starts, int64_t, i);
+
+			if (start_ms > t->done_ms)
+				g_ptr_array_add(
+					c->findings,
+					g_strdup_printf(
+						"TWICE task=%s: started at "
+						"%" G_GINT64_FORMAT
+						" after it was done at "
+						"%" G_GINT64_FORMAT,
+						(const char *)name, start_ms,
+						t->done_ms));
+		}
+	}
+}
+
+/*
+ * When a task was done, 0 for never. A worker may crash after it has told of
+ * the end and before the acknowledgement.
+ */
+static int64_t done_ms(const struct check *c, const struct soak_job *job,
+		       guint index)
+{
+	char *name = g_strdup_printf("%s.0.0.%u", job->id, index);
+	const struct task_seen *t = g_hash_table_lookup(c->tasks, name);
+
+	g_free(name);
+	return t ? t->ended_ms : 0;
+}
+
+/* The end of one member of a gang stands for all. */
+static int64_t all_done_ms(const struct check *c, const struct soak_job *job)
+{
+	gboolean is_gang = job->kind == SOAK_JOB_SPOT;
+	int64_t all_ms = is_gang ? INT64_MAX : 0;
+
+	for (guint i = 0; i < job->tasks; i++) {
+		int64_t one_ms = done_ms(c, job, i);
+
+		if (is_gang && one_ms)
+			all_ms = MIN(all_ms, one_ms);
+		if (!is_gang)
+			all_ms = MAX(all_ms, one_ms ? one_ms : INT64_MAX);
+	}
+	return all_ms;
+}
+
+/* A job is told as completed only when each of its tasks has been done. */
+static void check_completed(struct check *c, const struct soak_job *job)
+{
+	if (job->completed_ms && all_done_ms(c, job) > job->completed_ms)
+		g_ptr_array_add(c->findings,
+				g_strdup_printf("MIXED job=%s: told as "
+						"completed at %" G_GINT64_FORMAT
+						" and not done by then",
+						job->id, job->completed_ms));
+}
+
+guint soak_check_history(const struct soak_site *site,
+			 const struct soak_jobs *jobs, GPtrArray *findings)
+{
+	struct check c = {
+		.jobs = soak_jobs_all(jobs),
+		.tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       task_seen_free),
+		.workers = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, g_free),
+		.findings = findings,
+	};
+	GHashTableIter iter;
+	gpointer item;
+	char *text = NULL;
+	char **lines;
+
+	g_assert_true(
+		g_file_get_contents(site->platform->log, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (guint i = 0; lines[i]; i++) {
+		if (g_str_has_prefix(lines[i], "history "))
+			take_line(&c, lines[i]);
+	}
+	check_starts_after_end(&c);
+	g_hash_table_iter_init(&iter, c.jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		check_completed(&c, item);
+	g_strfreev(lines);
+	g_free(text);
+	g_hash_table_unref(c.tasks);
+	g_hash_table_unref(c.workers);
+	return c.starts;
+}
+
+void soak_check_jobs(const struct soak_jobs *jobs, GPtrArray *findings)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, soak_jobs_all(jobs));
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		const struct soak_job *job = item;
+
+		if (job->accepted_ms && !job->has_ended)
+			g_ptr_array_add(
+				findings,
+				g_strdup_printf(
+					"LOST job=%s kind=%s: accepted "
+					"at %" G_GINT64_FORMAT " and not ended",
+					job->id, soak_job_kind_name(job->kind),
+					job->accepted_ms));
+	}
+}
--- /dev/null
+++ b/soak/soak_site.c
@@ -0,0 +1,199 @@
+#include "soak/soak_site.h"
+
+#define READY_MS 20000
+#define CALL_MS 1000
+#define KEY "k1"
+
+/* Routes are the three that jobs are sent to and a probe for each version. */
+static json_object *config_json(int64_t version)
+{
+	static const struct {
+		const char *name;
+		int64_t priority;
+	} routes[] = { { "spot", 0 }, { "bulk", 1 }, { "poison", 1 } };
+	GString *text = g_string_new(NULL);
+	json_object *json;
+
+	g_string_append_printf(text,
+			       "{\"Version\":%" G_GINT64_FORMAT
+			       ",\"Services\":[{\"Name\":\"salkhi\"}],"
+			       "\"Tenants\":[{\"Name\":\"rescue\",\"ApiKeys\":"
+			       "[\"" KEY "\"],\"Guaranteed\":{\"Gpu\":16}}],"
+			       "\"Routes\":[",
+			       version);
+	for (guint i = 0; i < G_N_ELEMENTS(routes); i++)
+		g_string_append_printf(
+			text,
+			"{\"Name\":\"%s\",\"Host\":\"wind.example\","
+			"\"PathPrefix\":\"/%s/\",\"Service\":\"salkhi\","
+			"\"Priority\":%" G_GINT64_FORMAT
+			",\"MaxAttempts\":%d,\"Stretch\":1.5,"
+			"\"TargetLatencyMs\":250}",
+			routes[i].name, routes[i].name, routes[i].priority,
+			SOAK_MAX_ATTEMPTS),
+			g_string_append_c(text, ',');
+	for (int64_t i = 1; i <= version; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"Name\":\"probe-%" G_GINT64_FORMAT
+			"\",\"Host\":\"wind.example\",\"PathPrefix\":"
+			"\"/probe-%" G_GINT64_FORMAT
+			"/\",\"Service\":\"salkhi\",\"Priority\":2,"
+			"\"MaxAttempts\":1,\"Stretch\":1.5,"
+			"\"TargetLatencyMs\":250}",
+			i > 1 ? "," : "", i, i);
+	g_string_append(text, "]}");
+	json = json_tokener_parse(text->str);
+	g_string_free(text, TRUE);
+	return json;
+}
+
+static char *write_file(struct cluster *c, const char *name, const char *text)
+{
+	char *file = g_build_filename(c->dir, name, NULL);
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	return file;
+}
+
+void soak_site_start_entry(struct soak_site *s, guint index)
+{
+	struct soak_entry *e = &s->entries[index];
+	char *text = g_strdup_printf(
+		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
+		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"cpu_share\":1.0,"
+		"\"store\":{\"address\":\"%s\",\"writes_per_s\":800,"
+		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":%d,"
+		"\"grace_s\":3,\"status_s\":120}}",
+		index, e->frontend, e->readiness, s->paths[index],
+		SOAK_LEASE_MS);
+	char *name = g_strdup_printf("e%u.json", index);
+	char *file = write_file(s->cluster, name, text);
+	char *log = g_strdup_printf("e%u-%u", index, e->boots++);
+
+	e->seen_config = 0;
+	e->process = cluster_spawn(s->cluster, "csentryd", log,
+				   CLUSTER_ARGS("--settings", file));
+	g_free(log);
+	g_free(file);
+	g_free(name);
+	g_free(text);
+}
+
+gboolean soak_site_is_ready(struct soak_site *s)
+{
+	for (guint i = 0; i < SOAK_ENTRIES; i++) {
+		struct cluster_reply r = cluster_call(
+			s->cluster, "GET", s->entries[i].readiness,
+			"/corianderstep/readyz", NULL, NULL, CALL_MS);
+		gboolean is_good = r.code == 200;
+
+		cluster_reply_clear(&r);
+		if (!is_good)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean is_ready(void *data)
+{
+	return soak_site_is_ready(data);
+}
+
+/* Starts the platform; its workers are registered with the relay's addresses.
+ */
+static void start_platform(struct soak_site *s, GPtrArray *routes)
+{
+	GPtrArray *args = g_ptr_array_new_with_free_func(g_free);
+	json_object *config = config_json(++s->config_version);
+	char *file = write_file(s->cluster, "config.json",
+				json_object_to_json_string(config));
+	const char *const fixed[] = { "--listen", s->store,   "--service",
+				      "salkhi",	  "--config", file,
+				      "--history" };
+
+	for (guint i = 0; i < G_N_ELEMENTS(fixed); i++)
+		g_ptr_array_add(args, g_strdup(fixed[i]));
+	for (guint i = SOAK_ENTRIES; i < SOAK_PATHS; i++) {
+		char *own = cluster_address();
+
+		g_ptr_array_add(args, g_strdup("--worker"));
+		g_ptr_array_add(args,
+				g_strdup_printf("%s=%s", own, s->paths[i]));
+		g_ptr_array_add(routes,
+				g_strdup_printf("%s=%s", s->paths[i], own));
+		g_free(own);
+	}
+	g_ptr_array_add(args, NULL);
+	s->platform = cluster_spawn(s->cluster, "cs-standin-steppe", "platform",
+				    (const char *const *)args->pdata);
+	json_object_put(config);
+	g_free(file);
+	g_ptr_array_unref(args);
+}
+
+static void start_relay(struct soak_site *s, const GPtrArray *routes)
+{
+	GPtrArray *args = g_ptr_array_new();
+	struct cluster_process *p;
+
+	for (guint i = 0; i < routes->len; i++) {
+		g_ptr_array_add(args, (gpointer) "--route");
+		g_ptr_array_add(args, routes->pdata[i]);
+	}
+	g_ptr_array_add(args, NULL);
+	p = cluster_spawn(s->cluster, "cs-standin-relay", "relay",
+			  (const char *const *)args->pdata);
+	s->relay = cluster_log_value(p, "control", 0);
+	g_ptr_array_unref(args);
+}
+
+struct soak_site *soak_site_new(void)
+{
+	struct soak_site *s = g_new0(struct soak_site, 1);
+	GPtrArray *routes = g_ptr_array_new_with_free_func(g_free);
+
+	s->cluster = cluster_new();
+	s->store = cluster_address();
+	for (guint i = 0; i < SOAK_PATHS; i++)
+		s->paths[i] = cluster_address();
+	for (guint i = 0; i < SOAK_ENTRIES; i++)
+		g_ptr_array_add(routes, g_strdup_printf("%s=%s", s->paths[i],
+							s->store));
+	start_platform(s, routes);
+	start_relay(s, routes);
+	for (guint i = 0; i < SOAK_ENTRIES; i++) {
+		s->entries[i].frontend = cluster_address();
+		s->entries[i].readiness = cluster_address();
+		soak_site_start_entry(s, i);
+	}
+	g_assert_true(cluster_wait(is_ready, s, READY_MS));
+	g_ptr_array_unref(routes);
+	return s;
+}
+
+void soak_site_free(struct soak_site *s, gboolean keeps_logs)
+{
+	s->cluster->keeps_logs = keeps_logs;
+	cluster_free(s->cluster);
+	for (guint i = 0; i < SOAK_ENTRIES; i++) {
+		g_free(s->entries[i].frontend);
+		g_free(s->entries[i].readiness);
+	}
+	for (guint i = 0; i < SOAK_PATHS; i++)
+		g_free(s->paths[i]);
+	g_free(s->relay);
+	g_free(s->store);
+	g_free(s);
+}
+
+void soak_site_change_config(struct soak_site *s)
+{
+	json_object *config = config_json(++s->config_version);
+	char *body = g_strdup_printf("{\"config\":%s}",
+				     json_object_to_json_string(config));
+
+	cluster_control(s->cluster, s->store, body);
+	g_free(body);
+	json_object_put(config);
+}
--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -7,26 +7,25 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/http_client.h"
 #include "base/http_server.h"
 #include "base/util.h"
+#include "standin/common/steppe_worker.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
 #define PATH "/corianderstep"
 #define TICK_MS 5
 #define MAX_ENTRIES 100
-#define WORKER_CORES 64000
-#define WORKER_MEMORY_MB 131072
-#define WORKER_ACCELERATORS 8
 #define WORKERS_PER_RACK 8
-#define DEFAULT_RUN_MS 300
 #define DEFAULT_WORKERS 2
+#define ANY_PORT "127.0.0.1:0"
 
 struct options {
 	char *listen;
 	char *service;
 	char *config;
 	gint workers;
+	char **worker_addresses; /* where each listens and is registered */
+	gboolean has_history;
 };
 
 struct row {
@@ -45,44 +44,15 @@
 	int64_t due_ms;
 };
 
-struct run {
-	char *task;
-	int64_t run;
-	int64_t end_ms;
-};
-
-struct end {
-	int64_t number;
-	char *task;
-	int64_t run;
-	const char *how;
-};
-
-struct waiting_hold {
-	struct http_request *request;
-	int64_t due_ms;
-};
-
-struct worker {
-	char *id;
-	struct http_server *server;
-	struct platform_standin *platform;
-	GHashTable *runs;    /* task to struct run */
-	GHashTable *highest; /* task to the highest run that ended, boxed */
-	GPtrArray *ends;     /* of struct end */
-	GPtrArray *holds;    /* of struct waiting_hold */
-	int64_t last_end;
-	int64_t epoch;
-	int64_t lease_ms; /* all that runs ends then */
-	int64_t starts;
-};
-
 struct platform_standin {
 	struct http_server *server;
-	GHashTable *rows; /* table, part and key to struct row */
-	GPtrArray *feeds; /* of struct waiting_feed */
-	GPtrArray *workers;
+	GHashTable *rows;	     /* table, part and key to struct row */
+	GPtrArray *feeds;	     /* of struct waiting_feed */
+	GPtrArray *workers;	     /* of struct steppe_worker */
+	GPtrArray *worker_addresses; /* that they are registered with */
+	char *service;
 	int64_t version;
+	int64_t forgotten;    /* changes up to this version are gone */
 	int64_t lose_answers; /* commits that are done and not answered */
 	gboolean is_down;
 	int64_t mute_jobs;   /* commits of jobs that are done, never answered */
@@ -398,6 +368,11 @@
 	struct platform_standin *p = data;
 	struct waiting_feed *f = g_new0(struct waiting_feed, 1);
 
+	if (query_int(r, "After") < p->forgotten) {
+		g_free(f);
+		http_request_reply_empty(r, 410);
+		return;
+	}
 	f->request = r;
 	f->table = g_strdup(http_request_query(r, "Table"));
 	f->after = query_int(r, "After");
@@ -406,230 +381,70 @@
 	answer_feeds(p);
 }
 
-static int64_t *box(int64_t value)
-{
-	int64_t *p = g_new(int64_t, 1);
-
-	*p = value;
-	return p;
-}
-
-static void end_run(struct worker *w, struct run *run, const char *how)
-{
-	struct end *e = g_new0(struct end, 1);
-
-	e->number = ++w->last_end;
-	e->task = g_strdup(run->task);
-	e->run = run->run;
-	e->how = how;
-	g_ptr_array_add(w->ends, e);
-	g_hash_table_replace(w->highest, g_strdup(run->task), box(run->run));
-	g_hash_table_remove(w->runs, run->task);
-}
-
-static void run_free(gpointer data)
-{
-	struct run *run = data;
-
-	g_free(run->task);
-	g_free(run);
-}
-
-static json_object *lists(const struct worker *w)
-{
-	json_object *body = json_object_new_object();
-	json_object *running = json_object_new_array();
-	json_object *ended = json_object_new_array();
-	GHashTableIter iter;
-	gpointer item;
-
-	g_hash_table_iter_init(&iter, w->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		const struct run *run = item;
-		json_object *e = json_object_new_array();
-
-		json_object_array_add(e, json_object_new_string(run->task));
-		json_object_array_add(e, json_object_new_int64(run->run));
-		json_object_array_add(e, json_object_new_string(""));
-		json_object_array_add(e, json_object_new_int64(50));
-		json_object_array_add(running, e);
-	}
-	for (guint i = 0; i < w->ends->len; i++) {
-		const struct end *end = w->ends->pdata[i];
-		json_object *e = json_object_new_array();
-
-		json_object_array_add(e, json_object_new_int64(end->number));
-		json_object_array_add(e, json_object_new_string(end->task));
-		json_object_array_add(e, json_object_new_int64(end->run));
-		json_object_array_add(e, json_object_new_string(end->how));
-		json_object_array_add(e, json_object_new_string(""));
-		json_object_array_add(ended, e);
-	}
-	add_int(body, "ClockMs", util_monotonic_ms());
-	json_object_object_add(body, "Running", running);
-	json_object_object_add(body, "Ended", ended);
-	return body;
-}
-
-static void answer_holds(struct worker *w)
-{
-	int64_t now_ms = util_monotonic_ms();
-
-	for (guint i = w->holds->len; i-- > 0;) {
-		struct waiting_hold *h = w->holds->pdata[i];
-
-		if (!w->ends->len && now_ms < h->due_ms)
-			continue;
-		http_request_reply(h->request, 200, lists(w));
-		g_ptr_array_remove_index_fast(w->holds, i);
-	}
-}
-
-/* Ends what is over by itself or by its lease. */
-static void work(struct worker *w)
+static void write_config(struct platform_standin *p, const char *text)
 {
-	int64_t now_ms = util_monotonic_ms();
-	GPtrArray *over = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer item;
-
-	g_hash_table_iter_init(&iter, w->runs);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		const struct run *run = item;
-
-		if (now_ms >= run->end_ms || now_ms >= w->lease_ms)
-			g_ptr_array_add(over, item);
-	}
-	for (guint i = 0; i < over->len; i++) {
-		struct run *run = over->pdata[i];
-
-		end_run(w, run, now_ms >= run->end_ms ? "done" : "lapsed");
-	}
-	g_ptr_array_unref(over);
-	answer_holds(w);
-}
-
-static void refuse(struct http_request *r, const char *reason)
-{
-	json_object *body = json_object_new_object();
-
-	add_int(body, "ClockMs", util_monotonic_ms());
-	add_text(body, "Reason", reason);
-	http_request_reply(r, 409, body);
-}
+	char *encoded = g_base64_encode((const guchar *)text, strlen(text));
 
-static void accept(struct http_request *r)
-{
-	json_object *body = json_object_new_object();
-
-	add_int(body, "ClockMs", util_monotonic_ms());
-	http_request_reply(r, 200, body);
-}
-
-/* Checks what all orders carry; answers when the order is not obeyed. */
-static json_object *take_order(struct worker *w, struct http_request *r)
-{
-	const char *instance = http_request_header(r, "Expect-Instance");
-	json_object *body = http_request_json(r);
-
-	if (!body)
-		return NULL;
-	if (instance && !g_str_equal(instance, w->id)) {
-		http_request_reply_empty(r, 421);
-		return NULL;
-	}
-	if (int_of(body, "Fence") < w->epoch) {
-		refuse(r, "fence");
-		return NULL;
-	}
-	w->epoch = int_of(body, "Fence");
-	w->lease_ms = MAX(w->lease_ms, int_of(body, "UntilMs"));
-	return body;
+	p->version++;
+	write_row(p, "op", "", "config", encoded);
+	g_free(encoded);
 }
 
-/* How long a task runs stands in its payload, as "run_ms=N". */
-static int64_t run_ms(const char *payload)
+static void write_worker(struct platform_standin *p, guint index)
 {
-	const char *at = strstr(payload, "run_ms=");
+	const struct steppe_worker *w = p->workers->pdata[index];
+	char *value = g_strdup_printf(
+		"{\"Service\":\"%s\",\"Address\":\"%s\","
+		"\"Zone\":\"tov-a\",\"State\":\"ready\","
+		"\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,\"Gpu\":%d},"
+		"\"Labels\":[\"a\",\"r%u\"],"
+		"\"born\":%" G_GINT64_FORMAT ",\"Sequence\":1}",
+		p->service, (const char *)p->worker_addresses->pdata[index],
+		STEPPE_WORKER_MILLICORES, STEPPE_WORKER_MEMORY_MB,
+		STEPPE_WORKER_ACCELERATORS, index / WORKERS_PER_RACK,
+		steppe_worker_born_ms(w));
+	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
 
-	return at ? g_ascii_strtoll(at + strlen("run_ms="), NULL, 10)
-		  : DEFAULT_RUN_MS;
+	p->version++;
+	write_row(p, "servers", "", steppe_worker_id(w), encoded);
+	g_free(encoded);
+	g_free(value);
 }
 
-static void handle_start(struct http_request *r, void *data)
+/* Adds a worker; addresses are "LISTEN=REGISTERED", NULL for any port. */
+static gboolean add_worker(struct platform_standin *p, const char *addresses,
+			   gboolean has_history)
 {
-	struct worker *w = data;
-	json_object *body = take_order(w, r);
-	const int64_t *ended;
-	const char *task;
-	struct run *run;
+	char **sides = g_strsplit(addresses ? addresses : ANY_PORT, "=", 2);
+	char *id = g_strdup_printf("i-%u", p->workers->len);
+	struct steppe_worker *w =
+		steppe_worker_new(id, sides[0], p->workers, has_history);
 
-	if (!body)
-		return;
-	task = text_of(body, "Task");
-	ended = g_hash_table_lookup(w->highest, task);
-	run = g_hash_table_lookup(w->runs, task);
-	if (ended && int_of(body, "Run") <= *ended) {
-		refuse(r, "old");
-		return;
-	}
-	if (!run) {
-		run = g_new0(struct run, 1);
-		run->task = g_strdup(task);
-		run->run = int_of(body, "Run");
-		run->end_ms =
-			util_monotonic_ms() + run_ms(text_of(body, "Spec"));
-		g_hash_table_replace(w->runs, run->task, run);
-		w->starts++;
+	g_free(id);
+	if (w) {
+		g_ptr_array_add(p->workers, w);
+		g_ptr_array_add(p->worker_addresses,
+				sides[1] ? g_strdup(sides[1])
+					 : steppe_worker_address(w));
+		write_worker(p, p->workers->len - 1);
 	}
-	accept(r);
+	g_strfreev(sides);
+	return w != NULL;
 }
 
-static void handle_stop(struct http_request *r, void *data)
+static void crash_worker(struct platform_standin *p, int64_t index)
 {
-	struct worker *w = data;
-	json_object *body = take_order(w, r);
-	struct run *run;
-
-	if (!body)
+	if (index < 0 || index >= p->workers->len)
 		return;
-	run = g_hash_table_lookup(w->runs, text_of(body, "Task"));
-	if (run && run->run <= int_of(body, "Run"))
-		end_run(w, run, "stopped");
-	else if (!run)
-		g_hash_table_replace(w->highest,
-				     g_strdup(text_of(body, "Task")),
-				     box(int_of(body, "Run")));
-	accept(r);
-	answer_holds(w);
-}
-
-static void handle_hold(struct http_request *r, void *data)
-{
-	struct worker *w = data;
-	json_object *body = take_order(w, r);
-	struct waiting_hold *h;
-
-	if (!body)
-		return;
-	while (w->ends->len) {
-		const struct end *e = w->ends->pdata[0];
-
-		if (e->number > int_of(body, "AckCursor"))
-			break;
-		g_ptr_array_remove_index(w->ends, 0);
-	}
-	h = g_new0(struct waiting_hold, 1);
-	h->request = r;
-	h->due_ms = util_monotonic_ms() + int_of(body, "WaitMs");
-	g_ptr_array_add(w->holds, h);
-	answer_holds(w);
+	steppe_worker_crash(p->workers->pdata[index]);
+	write_worker(p, (guint)index);
 }
 
 static void handle_control(struct http_request *r, void *data)
 {
 	struct platform_standin *p = data;
 	json_object *body = http_request_json(r);
+	json_object *config;
 	json_object *answer;
 	int64_t starts = 0;
 
@@ -643,8 +458,16 @@
 		p->refuse_jobs = int_of(body, "refuse_jobs");
 	if (member(body, "down"))
 		p->is_down = json_object_get_boolean(member(body, "down"));
+	if (member(body, "forget_changes"))
+		p->forgotten = p->version;
+	if (member(body, "crash_worker"))
+		crash_worker(p, int_of(body, "crash_worker"));
+	config = member(body, "config");
+	if (config)
+		write_config(p, json_object_to_json_string_ext(
+					config, JSON_C_TO_STRING_PLAIN));
 	for (guint i = 0; i < p->workers->len; i++)
-		starts += ((const struct worker *)p->workers->pdata[i])->starts;
+		starts += steppe_worker_starts(p->workers->pdata[i]);
 	answer = json_object_new_object();
 	add_int(answer, "starts", starts);
 	add_int(answer, "commits", p->commits);
@@ -652,64 +475,12 @@
 	answer_feeds(p);
 }
 
-static void end_free(gpointer data)
-{
-	struct end *e = data;
-
-	g_free(e->task);
-	g_free(e);
-}
-
-static void register_worker(struct platform_standin *p, const struct worker *w,
-			    const char *service, guint index)
-{
-	char *value = g_strdup_printf(
-		"{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%u\","
-		"\"Zone\":\"tov-a\",\"State\":\"ready\","
-		"\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,\"Gpu\":%d},"
-		"\"Labels\":[\"a\",\"r%u\"],\"Sequence\":1}",
-		service, http_server_port(w->server), WORKER_CORES,
-		WORKER_MEMORY_MB, WORKER_ACCELERATORS,
-		index / WORKERS_PER_RACK);
-	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
-
-	p->version++;
-	write_row(p, "servers", "", w->id, encoded);
-	g_free(encoded);
-	g_free(value);
-}
-
-static gboolean add_worker(struct platform_standin *p, const char *service,
-			   guint index)
-{
-	struct worker *w = g_new0(struct worker, 1);
-
-	w->id = g_strdup_printf("i-%u", index);
-	w->platform = p;
-	w->server = http_server_new(MAX_BODY_BYTES);
-	w->runs =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
-	w->highest =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	w->ends = g_ptr_array_new_with_free_func(end_free);
-	w->holds = g_ptr_array_new_with_free_func(g_free);
-	http_server_route(w->server, "POST", PATH "/run-start", handle_start,
-			  w);
-	http_server_route(w->server, "POST", PATH "/run-stop", handle_stop, w);
-	http_server_route(w->server, "POST", PATH "/hold", handle_hold, w);
-	g_ptr_array_add(p->workers, w);
-	if (http_server_listen(w->server, "127.0.0.1", 0) != STATUS_OK)
-		return FALSE;
-	register_worker(p, w, service, index);
-	return TRUE;
-}
-
 static gboolean on_tick(gpointer data)
 {
 	struct platform_standin *p = data;
 
 	for (guint i = 0; i < p->workers->len; i++)
-		work(p->workers->pdata[i]);
+		steppe_worker_tick(p->workers->pdata[i]);
 	answer_feeds(p);
 	return G_SOURCE_CONTINUE;
 }
@@ -717,16 +488,11 @@
 /* The operator's configuration, read from a file. */
 static gboolean load_config(struct platform_standin *p, const char *file)
 {
-	char *encoded;
 	char *text;
-	gsize len;
 
-	if (!g_file_get_contents(file, &text, &len, NULL))
+	if (!g_file_get_contents(file, &text, NULL, NULL))
 		return FALSE;
-	encoded = g_base64_encode((const guchar *)text, len);
-	p->version++;
-	write_row(p, "op", "", "config", encoded);
-	g_free(encoded);
+	write_config(p, text);
 	g_free(text);
 	return TRUE;
 }
@@ -742,6 +508,8 @@
 					row_free);
 	p->feeds = g_ptr_array_new_with_free_func(feed_free);
 	p->workers = g_ptr_array_new();
+	p->worker_addresses = g_ptr_array_new_with_free_func(g_free);
+	p->service = g_strdup(o->service);
 	p->server = http_server_new(MAX_BODY_BYTES);
 	http_server_route(p->server, "POST", PATH "/rows-tx", handle_commit, p);
 	http_server_route(p->server, "GET", PATH "/rows-get", handle_page, p);
@@ -750,8 +518,11 @@
 	is_good = util_parse_endpoint(o->listen, &host, &port) &&
 		  load_config(p, o->config) &&
 		  http_server_listen(p->server, host, port) == STATUS_OK;
-	for (gint i = 0; is_good && i < o->workers; i++)
-		is_good = add_worker(p, o->service, (guint)i);
+	for (guint i = 0;
+	     is_good && o->worker_addresses && o->worker_addresses[i]; i++)
+		is_good = add_worker(p, o->worker_addresses[i], o->has_history);
+	for (gint i = 0; is_good && !o->worker_addresses && i < o->workers; i++)
+		is_good = add_worker(p, NULL, o->has_history);
 	g_free(host);
 	return is_good;
 }
@@ -767,6 +538,13 @@
 		  "The operator's configuration, JSON", "FILE" },
 		{ "workers", 0, 0, G_OPTION_ARG_INT, &o->workers,
 		  "Number of workers", "N" },
+		{ "worker", 0, 0, G_OPTION_ARG_STRING_ARRAY,
+		  &o->worker_addresses,
+		  "Where a worker listens and is registered; may be repeated",
+		  "IP:PORT=IP:PORT" },
+		{ "history", 0, 0, G_OPTION_ARG_NONE, &o->has_history,
+		  "Print a line for each start, end and acknowledgement",
+		  NULL },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context = g_option_context_new(NULL);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -87,7 +87,8 @@
 	}
 	g_ptr_array_unref(c->processes);
 	http_client_free(c->client);
-	remove_dir(c->dir);
+	if (!c->keeps_logs)
+		remove_dir(c->dir);
 	g_free(c->dir);
 	g_free(c);
 }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -22,6 +22,7 @@
 	char *dir; /**< temporary folder with settings and logs */
 	struct http_client *client;
 	GPtrArray *processes; /**< of struct cluster_process */
+	gboolean keeps_logs;  /**< cluster_free() leaves the folder */
 };
 
 struct cluster_process {
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -133,7 +133,8 @@
 static guint submit(struct site *s, guint entry, const char *id, guint run_ms)
 {
 	char *body = g_strdup_printf(
-		"{\"Spec\":\"run_ms=%u\",\"Steps\":[{\"Count\":2,\"Cpu\":1000,"
+		"{\"Spec\":\"run_ms=%u "
+		"gang=2\",\"Steps\":[{\"Count\":2,\"Cpu\":1000,"
 		"\"MemMb\":100,\"Gpu\":4,\"EstimateMs\":%u,\"Gang\":true}]}",
 		run_ms, run_ms);
 	guint code = call(s, entry, "POST", id, body, NULL);
