Ended jobs leave the store and the holder's memory

Cause: the writer removed the rows of the first 16 jobs whose state may be forgotten and left them in its memory, so it removed the same ones every 5 s and never came to the others; while there was other progress to write it removed none. A removal whose answer was lost wrote the progress of the removed jobs anew.

Ruled out: removal within the batches of progress, since it touches several parts and would take each of them twice as long.

Change: removals are commits of their own, at most one a second, 16 jobs each, and a removed job leaves the memory once nothing of it may run.

--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -14,13 +14,17 @@
 #define QUEUES_MS 700
 /* Ended jobs are removed so long after their state may be forgotten. */
 #define REMOVE_SLACK_MS 30000
-#define REMOVE_EACH_MS 5000
+/* Removals are commits of their own over several parts, which take the store
+ * twice as long: one a second is a twentieth of what a part may do. */
+#define REMOVE_EACH_MS 1000
+#define ROWS_OF_JOB 3
 
 struct progress_writer {
 	struct progress_writer_spec spec;
-	GPtrArray *job_ids;    /* of the batch in flight */
-	GPtrArray *worker_ids; /* recorded by the batch in flight */
-	GPtrArray *unused_ids; /* of workers removed by it */
+	GPtrArray *job_ids;	/* of the batch in flight */
+	GPtrArray *removed_ids; /* of jobs that it removes */
+	GPtrArray *worker_ids;	/* recorded by the batch in flight */
+	GPtrArray *unused_ids;	/* of workers removed by it */
 	int64_t term_version;
 	gboolean is_writing;
 	gboolean has_all; /* the batch leaves nothing out */
@@ -46,6 +50,7 @@
 
 	w->spec = *spec;
 	w->job_ids = g_ptr_array_new_with_free_func(g_free);
+	w->removed_ids = g_ptr_array_new_with_free_func(g_free);
 	w->worker_ids = g_ptr_array_new_with_free_func(g_free);
 	w->unused_ids = g_ptr_array_new_with_free_func(g_free);
 	w->latency = counters_histogram(spec->counters,
@@ -61,12 +66,18 @@
 	w->term_version = term_version;
 }
 
-void progress_writer_reset(struct progress_writer *w)
+static void clear_batch(struct progress_writer *w)
 {
-	platform_forget(w->spec.platform, w);
 	g_ptr_array_set_size(w->job_ids, 0);
+	g_ptr_array_set_size(w->removed_ids, 0);
 	g_ptr_array_set_size(w->worker_ids, 0);
 	g_ptr_array_set_size(w->unused_ids, 0);
+}
+
+void progress_writer_reset(struct progress_writer *w)
+{
+	platform_forget(w->spec.platform, w);
+	clear_batch(w);
 	w->is_writing = FALSE;
 	w->retry_ms = 0;
 	g_clear_pointer(&w->queues_written, g_free);
@@ -79,6 +90,7 @@
 		return;
 	progress_writer_reset(w);
 	g_ptr_array_unref(w->job_ids);
+	g_ptr_array_unref(w->removed_ids);
 	g_ptr_array_unref(w->worker_ids);
 	g_ptr_array_unref(w->unused_ids);
 	g_free(w);
@@ -219,6 +231,14 @@
 	}
 }
 
+static gboolean may_be_forgotten(const struct progress_writer *w,
+				 const struct fleet_job *job, int64_t now_ms)
+{
+	return fleet_job_has_ended(job) && !job->is_dirty && job->ended_ms &&
+	       now_ms - job->ended_ms >= w->spec.status_ms + REMOVE_SLACK_MS &&
+	       !fleet_job_may_run(job);
+}
+
 /* Removes the rows of jobs whose state may be forgotten. */
 static void add_removals(struct progress_writer *w, struct batch *b,
 			 int64_t now_ms)
@@ -226,20 +246,18 @@
 	GHashTableIter iter;
 	gpointer item;
 
-	if (b->writes->len || now_ms - w->removed_ms < REMOVE_EACH_MS)
+	if (now_ms - w->removed_ms < REMOVE_EACH_MS)
 		return;
 	w->removed_ms = now_ms;
+	w->has_all = FALSE;
 	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+	while (g_hash_table_iter_next(&iter, NULL, &item) &&
+	       b->writes->len + ROWS_OF_JOB <= BATCH_ROWS) {
 		struct fleet_job *job = item;
 
-		if (b->writes->len + 3 > BATCH_ROWS)
-			break;
-		if (!fleet_job_has_ended(job) || !job->ended_ms ||
-		    now_ms - job->ended_ms <
-			    w->spec.status_ms + REMOVE_SLACK_MS)
+		if (!may_be_forgotten(w, job, now_ms))
 			continue;
-		g_ptr_array_add(w->job_ids, g_strdup(job->id));
+		g_ptr_array_add(w->removed_ids, g_strdup(job->id));
 		batch_add_part(b, JOB_TABLE, job_part(job->id), job->id,
 			       TABLE_ANY_VERSION, NULL);
 		batch_add(b, JOB_PROGRESS_TABLE, job->id, TABLE_ANY_VERSION,
@@ -265,6 +283,8 @@
 		job->is_marking = FALSE;
 		job->progress_version = version;
 	}
+	for (guint i = 0; i < w->removed_ids->len; i++)
+		fleet_remove_job(f, w->removed_ids->pdata[i]);
 	for (guint i = 0; i < w->worker_ids->len; i++) {
 		struct fleet_worker *worker =
 			fleet_worker(f, w->worker_ids->pdata[i]);
@@ -372,9 +392,7 @@
 		w->retry_ms = now_ms + RETRY_MS;
 		break;
 	}
-	g_ptr_array_set_size(w->job_ids, 0);
-	g_ptr_array_set_size(w->worker_ids, 0);
-	g_ptr_array_set_size(w->unused_ids, 0);
+	clear_batch(w);
 	w->spec.on_written(w->spec.data);
 }
 
@@ -414,11 +432,13 @@
 		return;
 	b.writes = g_array_new(FALSE, TRUE, sizeof(struct table_write));
 	b.values = g_ptr_array_new_with_free_func(put_value);
-	add_jobs(w, &b);
-	add_workers(w, &b);
-	add_unused_workers(w, &b, now_ms);
-	add_queues(w, &b, now_ms);
 	add_removals(w, &b, now_ms);
+	if (!b.writes->len) {
+		add_jobs(w, &b);
+		add_workers(w, &b);
+		add_unused_workers(w, &b, now_ms);
+		add_queues(w, &b, now_ms);
+	}
 	if (b.writes->len) {
 		add_term(w, &b);
 		w->is_writing = TRUE;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -78,6 +78,27 @@
 	return job;
 }
 
+gboolean fleet_job_may_run(const struct fleet_job *job)
+{
+	for (guint i = 0; i < job->steps->len; i++) {
+		const struct fleet_step *step = job->steps->pdata[i];
+
+		for (guint k = 0; k < step->task_count; k++) {
+			if (step->tasks[k].worker)
+				return TRUE;
+		}
+	}
+	return FALSE;
+}
+
+void fleet_remove_job(struct fleet *f, const char *id)
+{
+	const struct fleet_job *job = fleet_job(f, id);
+
+	g_return_if_fail(!job || !fleet_job_may_run(job));
+	g_hash_table_remove(f->jobs, id);
+}
+
 void fleet_job_add_occurrence(struct fleet_job *job)
 {
 	for (guint i = 0; i < job->spec.steps->len; i++) {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -135,6 +135,12 @@
 				const char *route, const char *account,
 				struct job_spec *spec);
 
+/** Forgets a job of which nothing may run; does nothing without one. */
+void fleet_remove_job(struct fleet *f, const char *id);
+
+/** Tells whether any of a job's tasks may run on a worker. */
+gboolean fleet_job_may_run(const struct fleet_job *job);
+
 /** Adds the steps of the next occurrence. */
 void fleet_job_add_occurrence(struct fleet_job *job);
 
--- /dev/null
+++ b/tests/test_progress_writer.c
@@ -0,0 +1,237 @@
+/* What the holder of a pool writes, against a store that the test answers. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/util.h"
+#include "entry/progress_writer.h"
+
+#define STATUS_MS INT64_C(1000)
+/* Long after the state of an ended job may be forgotten. */
+#define FORGOTTEN_MS INT64_C(3600000)
+#define STEP_MS 1200
+/* Less than what makes a job that has just ended old enough. */
+#define STEPS 24
+
+/* A store that keeps one commit until the test answers it. */
+struct fake_store {
+	struct platform base;
+	platform_fn fn;
+	void *data;
+	guint removed;	/* rows that the commit removes */
+	guint progress; /* rows of progress that it writes */
+	guint commits;
+};
+
+static void fake_commit(struct platform *p, const struct table_write *writes,
+			guint count, platform_fn fn, void *data)
+{
+	struct fake_store *f = (struct fake_store *)p;
+
+	g_assert_null(f->fn);
+	f->fn = fn;
+	f->data = data;
+	f->commits++;
+	f->removed = 0;
+	f->progress = 0;
+	for (guint i = 0; i < count; i++) {
+		if (writes[i].is_condition)
+			continue;
+		f->removed += writes[i].value == NULL;
+		f->progress += writes[i].value &&
+			       g_str_equal(writes[i].table, JOB_PROGRESS_TABLE);
+	}
+}
+
+static void fake_forget(struct platform *p, const void *data)
+{
+	((struct fake_store *)p)->fn = NULL;
+}
+
+static const struct platform_class fake_class = {
+	.name = "fake",
+	.commit = fake_commit,
+	.forget = fake_forget,
+};
+
+struct world {
+	struct fake_store store;
+	struct fleet_scheduler scheduler;
+	struct counters counters;
+	GHashTable *in_use;
+	struct progress_writer *writer;
+	int64_t now_ms;
+};
+
+static void on_written(void *data)
+{
+}
+
+static void world_init(struct world *w)
+{
+	const struct fleet_bounds bounds = { .lease_ms = 10000 };
+	const struct fleet_ports ports = { NULL };
+	struct progress_writer_spec spec = {
+		.platform = &w->store.base,
+		.scheduler = &w->scheduler,
+		.counters = &w->counters,
+		.status_ms = STATUS_MS,
+		.on_written = on_written,
+		.data = w,
+	};
+
+	w->store.base.class = &fake_class;
+	counters_init(&w->counters);
+	w->in_use =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	spec.in_use = w->in_use;
+	w->now_ms = util_monotonic_ms() + FORGOTTEN_MS;
+	fleet_scheduler_init(&w->scheduler, &bounds, &ports);
+	fleet_scheduler_begin(&w->scheduler, 1, 0);
+	w->writer = progress_writer_new(&spec);
+	progress_writer_begin(w->writer, 1);
+}
+
+static void world_clear(struct world *w)
+{
+	progress_writer_free(w->writer);
+	fleet_scheduler_clear(&w->scheduler);
+	g_hash_table_unref(w->in_use);
+	counters_clear(&w->counters);
+}
+
+static struct fleet_job *add_job(struct world *w, guint number)
+{
+	struct job_spec spec = { 0 };
+	struct step_spec step = { .task_count = 1, .millicores = 1000 };
+	char *id = g_strdup_printf("%016x", number);
+	struct fleet_job *job;
+
+	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
+	g_array_append_val(spec.steps, step);
+	job = fleet_add_job(&w->scheduler.fleet, id, "bulk", NULL, &spec);
+	fleet_job_add_occurrence(job);
+	g_free(id);
+	return job;
+}
+
+static void end_job(const struct world *w, struct fleet_job *job,
+		    int64_t ago_ms)
+{
+	job->state = FLEET_JOB_COMPLETED;
+	job->ended_ms = w->now_ms - ago_ms;
+}
+
+/* Answers the commit in flight, if there is one. */
+static void answer(struct world *w, enum status status)
+{
+	const struct platform_result result = {
+		.status = status,
+		.version = w->store.commits,
+	};
+	platform_fn fn = w->store.fn;
+
+	w->store.fn = NULL;
+	if (fn)
+		fn(&result, w->store.data);
+}
+
+static void step(struct world *w, enum status status)
+{
+	w->now_ms += STEP_MS;
+	progress_writer_write(w->writer, w->now_ms);
+	answer(w, status);
+}
+
+struct removal_case {
+	const char *path;
+	guint ended;
+	int64_t ended_ago_ms;
+	gboolean is_busy;  /* another job changes all the time */
+	enum status first; /* of the first removal */
+	guint left;	   /* jobs that are known in the end */
+};
+
+static const struct removal_case removal_cases[] = {
+	{ "/progress-writer/removed/some", 5, FORGOTTEN_MS, FALSE, STATUS_OK,
+	  1 },
+	/* More than one commit holds. */
+	{ "/progress-writer/removed/many", 100, FORGOTTEN_MS, FALSE, STATUS_OK,
+	  1 },
+	{ "/progress-writer/removed/busy", 100, FORGOTTEN_MS, TRUE, STATUS_OK,
+	  1 },
+	{ "/progress-writer/removed/unanswered", 5, FORGOTTEN_MS, FALSE,
+	  STATUS_UNKNOWN, 1 },
+	{ "/progress-writer/removed/refused", 5, FORGOTTEN_MS, FALSE,
+	  STATUS_UNAVAILABLE, 1 },
+	{ "/progress-writer/removed/too-early", 5, 0, FALSE, STATUS_OK, 6 },
+};
+
+/* Ended jobs leave the store and the memory, each once its time has come. */
+static void test_removal(const void *data)
+{
+	const struct removal_case *c = data;
+	struct world w = { 0 };
+	enum status status = c->first;
+	struct fleet_job *open;
+	guint removed = 0;
+
+	world_init(&w);
+	open = add_job(&w, 0);
+	for (guint i = 1; i <= c->ended; i++)
+		end_job(&w, add_job(&w, i), c->ended_ago_ms);
+	for (guint i = 0; i < STEPS; i++) {
+		gboolean is_removal;
+
+		open->is_dirty |= c->is_busy;
+		w.now_ms += STEP_MS;
+		progress_writer_write(w.writer, w.now_ms);
+		/* Only the open job has progress to write. */
+		g_assert_cmpuint(w.store.progress, <=, 1);
+		is_removal = w.store.fn && w.store.removed;
+		if (is_removal && status == STATUS_OK)
+			removed += w.store.removed;
+		answer(&w, is_removal ? status : STATUS_OK);
+		if (is_removal)
+			status = STATUS_OK;
+	}
+	g_assert_cmpuint(g_hash_table_size(w.scheduler.fleet.jobs), ==,
+			 c->left);
+	g_assert_cmpuint(removed, ==, 3 * (c->ended + 1 - c->left));
+	world_clear(&w);
+}
+
+/* A job of which a task may run is kept, whatever its state. */
+static void test_running_is_kept(void)
+{
+	struct world w = { 0 };
+	struct fleet_worker *worker;
+	struct fleet_job *job;
+	struct fleet_step *first;
+
+	world_init(&w);
+	job = add_job(&w, 1);
+	first = job->steps->pdata[0];
+	worker = fleet_add_worker(&w.scheduler.fleet, "w0");
+	worker->is_recorded = TRUE;
+	fleet_task_place(&first->tasks[0], worker);
+	end_job(&w, job, FORGOTTEN_MS);
+	step(&w, STATUS_OK);
+	step(&w, STATUS_OK);
+	g_assert_cmpuint(g_hash_table_size(w.scheduler.fleet.jobs), ==, 1);
+	fleet_task_release(&first->tasks[0]);
+	step(&w, STATUS_OK);
+	step(&w, STATUS_OK);
+	g_assert_cmpuint(g_hash_table_size(w.scheduler.fleet.jobs), ==, 0);
+	world_clear(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(removal_cases); i++)
+		g_test_add_data_func(removal_cases[i].path, &removal_cases[i],
+				     test_removal);
+	g_test_add_func("/progress-writer/running-is-kept",
+			test_running_is_kept);
+	return g_test_run();
+}
