A holder's epoch is the one that it has written

When the feed told of the row of a takeover before the write itself was answered, the process took the epoch from the row and then counted it up once more. It believed in 4 and the row said 3 until its next renewal; that was cut off, so the successor took 4 as well, and no worker could tell the two apart.

Ruled out: a fault of the stand-in's transaction (the conditions held: versions 59 and 79), a takeover written late (both were answered).

Change: the epoch is remembered when the write is sent. An answer that is older than another holder's row, which the feed told meanwhile, no longer makes a holder.

Tests: /leadership/takeover-row/own and /another fail before.

--- a/entry/election.c
+++ b/entry/election.c
@@ -164,7 +164,7 @@
 	if (step == LEADERSHIP_NONE)
 		return G_SOURCE_CONTINUE;
 	s->step = step;
-	leadership_sent(&s->lead, now_ms);
+	leadership_sent(&s->lead, step, now_ms);
 	write_row(s, leadership_encode(&s->lead, step),
 		  step == LEADERSHIP_ACQUIRE, on_written);
 	return G_SOURCE_CONTINUE;
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -82,11 +82,16 @@
 	return row;
 }
 
+/* The epoch that a step writes. */
+static int64_t step_epoch(const struct leadership *l, enum leadership_step step)
+{
+	return step == LEADERSHIP_ACQUIRE ? l->epoch + 1 : l->epoch;
+}
+
 json_object *leadership_encode(const struct leadership *l,
 			       enum leadership_step step)
 {
-	return encode(l->self,
-		      step == LEADERSHIP_ACQUIRE ? l->epoch + 1 : l->epoch);
+	return encode(l->self, step_epoch(l, step));
 }
 
 json_object *leadership_encode_release(const struct leadership *l)
@@ -94,9 +99,11 @@
 	return encode("", l->epoch);
 }
 
-void leadership_sent(struct leadership *l, int64_t now_ms)
+void leadership_sent(struct leadership *l, enum leadership_step step,
+		     int64_t now_ms)
 {
 	l->sent_ms = now_ms;
+	l->sent_epoch = step_epoch(l, step);
 }
 
 gboolean leadership_written(struct leadership *l, enum leadership_step step,
@@ -104,8 +111,14 @@
 {
 	gboolean is_new = step == LEADERSHIP_ACQUIRE;
 
+	/* The feed has told of another holder that came after it. */
+	if (version < l->version) {
+		l->sent_ms = 0;
+		return FALSE;
+	}
 	if (is_new) {
-		l->epoch++;
+		/* The feed may have told of this very row before. */
+		l->epoch = l->sent_epoch;
 		l->term_version = version;
 	}
 	l->is_holder = TRUE;
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -34,6 +34,7 @@
 	gboolean is_holder;
 	int64_t renewed_ms;    /**< when the last confirmed renewal was sent */
 	int64_t sent_ms;       /**< when the write in flight was sent, or 0 */
+	int64_t sent_epoch;    /**< that it writes */
 	int64_t jitter_ms;     /**< added before a takeover */
 	gboolean is_barred;    /**< draining: takes no lease */
 	gboolean was_released; /**< by the holder before this one */
@@ -67,9 +68,14 @@
 /** Returns the row that gives the lease back; free with put. */
 json_object *leadership_encode_release(const struct leadership *l);
 
-void leadership_sent(struct leadership *l, int64_t now_ms);
+void leadership_sent(struct leadership *l, enum leadership_step step,
+		     int64_t now_ms);
 
-/** The write took effect with a version; TRUE when the lease is new. */
+/**
+ * The write took effect with a version.
+ *
+ * @return	TRUE when the lease is new, and ours
+ */
 gboolean leadership_written(struct leadership *l, enum leadership_step step,
 			    int64_t version, int64_t now_ms);
 
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -744,7 +744,7 @@
 
 	leadership_init(&l, "self", 0);
 	leadership_row(&l, NULL, 0, T0_MS);
-	leadership_sent(&l, T0_MS);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS);
 	g_assert_true(leadership_written(&l, LEADERSHIP_ACQUIRE, 1, T0_MS + 9));
 	g_assert_true(leadership_may_act(&l, T0_MS + 3000));
 	g_assert_cmpint(leadership_next(&l, T0_MS + 600), ==, LEADERSHIP_RENEW);
@@ -768,6 +768,56 @@
 	{ "/fleet/gang-end/broken", RUN_BROKEN },
 };
 
+/* A row that the feed tells before the takeover's own answer is there. */
+struct takeover_row {
+	const char *path;
+	const char *holder; /* NULL for no row */
+	int64_t epoch;
+	int64_t version; /* the takeover is written as version 20 */
+	gboolean is_holder;
+};
+
+static const struct takeover_row takeover_rows[] = {
+	{ "/leadership/takeover-row/none", NULL, 0, 0, TRUE },
+	/* Found by the fault soak, seed 222: two holders of one epoch. */
+	{ "/leadership/takeover-row/own", "self", 4, 20, TRUE },
+	{ "/leadership/takeover-row/another", "third", 5, 21, FALSE },
+};
+
+static json_object *lease_row(const char *holder, int64_t epoch)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "holder", json_object_new_string(holder));
+	json_object_object_add(row, "epoch", json_object_new_int64(epoch));
+	return row;
+}
+
+/* The epoch is the one that was written, whichever is told first. */
+static void test_takeover_row(const void *data)
+{
+	const struct takeover_row *c = data;
+	json_object *row = lease_row("other", 3);
+	struct leadership l;
+
+	leadership_init(&l, "self", 0);
+	leadership_row(&l, row, 9, T0_MS);
+	json_object_put(row);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS + 2000);
+	if (c->holder) {
+		row = lease_row(c->holder, c->epoch);
+		leadership_row(&l, row, c->version, T0_MS + 2005);
+		json_object_put(row);
+	}
+	g_assert_cmpint(
+		leadership_written(&l, LEADERSHIP_ACQUIRE, 20, T0_MS + 2009),
+		==, c->is_holder);
+	g_assert_cmpint(leadership_may_act(&l, T0_MS + 2010), ==, c->is_holder);
+	if (c->is_holder)
+		g_assert_cmpint(l.epoch, ==, 4);
+	leadership_clear(&l);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -788,6 +838,9 @@
 		g_test_add_data_func(kept_cases[i].path, &kept_cases[i],
 				     test_kept_rooms);
 	g_test_add_func("/fleet/stalled", test_stalled);
+	for (guint j = 0; j < G_N_ELEMENTS(takeover_rows); j++)
+		g_test_add_data_func(takeover_rows[j].path, &takeover_rows[j],
+				     test_takeover_row);
 	g_test_add_func("/leadership/bound", test_lease_bound);
 	ADD_CASES(drain_cases, test_drain);
 	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++)
