Runs in a worker's new life are not taken for lost with the old one

A worker was started again under its id; the next order reached the new life, and only then, as the store had been silent, its registration told of the new life. All tasks on it were taken for lost, also the one that the new life ran.

Ruled out: the order sent twice (one start at each worker), a late order (it was answered 2 ms after it was sent).

Change: only what a former life has listed is lost at once. An order that was merely answered waits for the next lists, where a run that is missing is lost as before. Lists of a life that is over are left aside: they raised the count of ends, so that the new life's ends were acknowledged unseen; and the store's late word of the former life no longer takes the new one back.

Tests: /fleet/rebirth/runs-in-new and /fleet/outdated-report fail before; the other five cases hold before and after.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -216,6 +216,7 @@
 	t->is_stop_ordered = FALSE;
 	t->is_doubtful = FALSE;
 	t->is_order_out = FALSE;
+	t->listed_born_ms = 0;
 	t->percent = 0;
 	t->first_percent = 0;
 	t->first_told_ms = 0;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -54,6 +54,8 @@
 	/** An order to start this run had no answer: it may come late. */
 	gboolean is_doubtful;
 	uint64_t seen_report; /**< the last report that lists it */
+	/** Start of the worker's incarnation that listed it, 0 for none. */
+	int64_t listed_born_ms;
 };
 
 /** One step of one occurrence. */
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -163,9 +163,32 @@
 		fleet_task_release(w->tasks->pdata[w->tasks->len - 1]);
 }
 
-static void forget_incarnation(struct fleet_worker *w)
-{
-	lose_tasks(w, "the worker was started again");
+/*
+ * A worker was started again. What its former life has listed is gone. An order
+ * that was only answered may have reached the new life before we knew of it:
+ * that is told by the next lists.
+ */
+static void begin_incarnation(struct fleet_worker *w, int64_t born_ms)
+{
+	guint lost = 0;
+	struct log_line line;
+
+	for (guint i = w->tasks->len; i-- > 0;) {
+		struct fleet_task *t = w->tasks->pdata[i];
+
+		if (!t->listed_born_ms || t->listed_born_ms >= born_ms)
+			continue;
+		fleet_task_release(t);
+		lost++;
+	}
+	log_begin(&line, LOG_LEVEL_WARN, "worker_restarted");
+	log_str(&line, "worker", w->id);
+	log_int(&line, "born_ms", born_ms);
+	log_int(&line, "tasks_lost", lost);
+	log_int(&line, "tasks_to_be_listed", w->tasks->len);
+	log_end(&line);
+	w->reg.born_ms = born_ms;
+	w->hold_again = TRUE;
 	w->processed_end = 0;
 	w->saved_end = 0;
 	w->saving_end = 0;
@@ -205,7 +228,9 @@
 	}
 	w = fleet_add_worker(&s->fleet, id);
 	if (w->reg.born_ms && reg->born_ms > w->reg.born_ms)
-		forget_incarnation(w);
+		begin_incarnation(w, reg->born_ms);
+	/* The worker itself may have told of its new life before. */
+	reg->born_ms = MAX(reg->born_ms, w->reg.born_ms);
 	w->is_gone = FALSE;
 	if (reg->is_draining && !w->reg.is_draining)
 		w->drain_until_ms = now_ms + reg->drain_left_ms;
@@ -497,13 +522,15 @@
 }
 
 static void take_running(struct fleet_scheduler *s, struct fleet_worker *w,
-			 const struct running_entry *e, int64_t now_ms)
+			 const struct running_entry *e, int64_t born_ms,
+			 int64_t now_ms)
 {
 	struct fleet_task *t = fleet_task(&s->fleet, e->task);
 	struct log_line line;
 
 	if (t && t->worker == w && t->run == e->run) {
 		t->seen_report = w->reports;
+		t->listed_born_ms = born_ms;
 		if (t->state == TASK_STARTING)
 			t->state = TASK_RUNNING;
 		if (!t->confirmed_ms)
@@ -522,6 +549,7 @@
 		t->confirmed_ms = now_ms;
 		note_progress(t, e->percent, now_ms);
 		t->seen_report = w->reports;
+		t->listed_born_ms = born_ms;
 		fleet_task_set_checkpoint(t, e->checkpoint);
 		t->step->job->has_started = TRUE;
 		if (t->step->job->state == FLEET_JOB_QUEUED)
@@ -565,15 +593,29 @@
 	}
 }
 
+/* Lists of a life that is over say nothing of the present one. */
+static void log_old_report(const struct fleet_worker *w,
+			   const struct run_report *report)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "worker_report_outdated");
+	log_str(&line, "worker", w->id);
+	log_int(&line, "born_ms", report->born_ms);
+	log_int(&line, "known_born_ms", w->reg.born_ms);
+	log_end(&line);
+}
+
 void fleet_scheduler_report(struct fleet_scheduler *s, struct fleet_worker *w,
 			    const struct run_report *report, int64_t asked_ms,
 			    int64_t now_ms)
 {
-	if (report->born_ms && w->reg.born_ms &&
-	    report->born_ms > w->reg.born_ms) {
-		forget_incarnation(w);
-		w->reg.born_ms = report->born_ms;
+	if (report->born_ms && report->born_ms < w->reg.born_ms) {
+		log_old_report(w, report);
+		return;
 	}
+	if (w->reg.born_ms && report->born_ms > w->reg.born_ms)
+		begin_incarnation(w, report->born_ms);
 	w->reports++;
 	w->contact_ms = now_ms;
 	w->is_fenced = TRUE;
@@ -593,7 +635,7 @@
 		take_running(s, w,
 			     &g_array_index(report->running,
 					    struct running_entry, i),
-			     now_ms);
+			     report->born_ms, now_ms);
 	if (report->ended->len < MAX_LISTED_ENDS)
 		check_missing(s, w, asked_ms);
 }
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -768,6 +768,116 @@
 	{ "/fleet/gang-end/broken", RUN_BROKEN },
 };
 
+#define OLD_BORN_MS 5000
+#define NEW_BORN_MS 9000
+
+/* How a scheduler learns that a worker was started again, and what it knew. */
+struct rebirth_case {
+	const char *path;
+	gboolean was_listed;   /* by the former life */
+	gboolean is_in_new;    /* the order has reached the new life */
+	gboolean is_by_report; /* told by the worker's lists, not the store */
+	guint starts;	       /* in all, of one task */
+};
+
+static const struct rebirth_case rebirth_cases[] = {
+	{ "/fleet/rebirth/listed-by-old", TRUE, FALSE, FALSE, 2 },
+	{ "/fleet/rebirth/listed-by-old-report", TRUE, FALSE, TRUE, 2 },
+	/* Found by the fault soak, seed 310: it was started twice. */
+	{ "/fleet/rebirth/runs-in-new", FALSE, TRUE, FALSE, 1 },
+	{ "/fleet/rebirth/runs-in-new-report", FALSE, TRUE, TRUE, 1 },
+	{ "/fleet/rebirth/answered-by-old", FALSE, FALSE, FALSE, 2 },
+	{ "/fleet/rebirth/answered-by-old-report", FALSE, FALSE, TRUE, 2 },
+};
+
+static void report_of_life(struct world *w, const char *id, int64_t born_ms,
+			   GArray *running, GArray *ended)
+{
+	struct run_report r = {
+		.clock_ms = w->now_ms,
+		.born_ms = born_ms,
+		.running = running ? running
+				   : g_array_new(FALSE, TRUE,
+						 sizeof(struct running_entry)),
+		.ended = ended ? ended
+			       : g_array_new(FALSE, TRUE,
+					     sizeof(struct ended_entry)),
+	};
+
+	fleet_scheduler_report(&w->s, fleet_worker(&w->s.fleet, id), &r,
+			       w->now_ms, w->now_ms);
+	run_report_clear(&r);
+}
+
+static void register_life(struct world *w, const char *id, int64_t born_ms)
+{
+	struct worker_registration reg = {
+		.service = g_strdup(SERVICE),
+		.address = g_strdup("127.0.0.1:1"),
+		.failure_domain = g_strdup("tov-a"),
+		.rack = g_strdup("r1"),
+		.capacity = { 64000, 131072, 8 },
+		.born_ms = born_ms,
+	};
+
+	fleet_scheduler_worker(&w->s, id, &reg, w->now_ms);
+	fleet_worker(&w->s.fleet, id)->is_recorded = TRUE;
+}
+
+static void test_rebirth(const void *data)
+{
+	const struct rebirth_case *c = data;
+	struct world w = { 0 };
+	struct order o;
+
+	world_init(&w);
+	register_life(&w, "w1", OLD_BORN_MS);
+	report_of_life(&w, "w1", OLD_BORN_MS, NULL, NULL);
+	add_job(&w, "one", "urgent", 1, 8, FALSE);
+	plan_after(&w, 1);
+	g_assert_cmpuint(w.order_count, ==, 1);
+	o = w.orders[0];
+	fleet_scheduler_started(&w.s, o.worker, o.task, o.run, ORDER_DONE,
+				REFUSAL_OTHER, w.now_ms);
+	w.now_ms += 10;
+	if (c->was_listed)
+		report_of_life(&w, "w1", OLD_BORN_MS,
+			       running_list(o.task, o.run), NULL);
+	if (!c->is_by_report)
+		register_life(&w, "w1", NEW_BORN_MS);
+	plan_after(&w, 10);
+	report_of_life(&w, "w1", NEW_BORN_MS,
+		       c->is_in_new ? running_list(o.task, o.run) : NULL, NULL);
+	/* The store's word may come after the worker's own. */
+	register_life(&w, "w1", c->is_by_report ? OLD_BORN_MS : NEW_BORN_MS);
+	plan_after(&w, 10);
+	g_assert_cmpuint(count_orders(&w, TRUE, "one"), ==, c->starts);
+	world_clear(&w);
+}
+
+/* Lists of the former life that come late hide no end of the new one. */
+static void test_outdated_report(void)
+{
+	struct world w = { 0 };
+	struct fleet_job *job;
+	struct order o;
+
+	world_init(&w);
+	register_life(&w, "w1", OLD_BORN_MS);
+	report_of_life(&w, "w1", OLD_BORN_MS, NULL, NULL);
+	register_life(&w, "w1", NEW_BORN_MS);
+	report_of_life(&w, "w1", OLD_BORN_MS, NULL,
+		       ended_list(50, "other.0.0.0", 1, RUN_DONE));
+	job = add_job(&w, "one", "urgent", 1, 8, FALSE);
+	report_of_life(&w, "w1", NEW_BORN_MS, NULL, NULL);
+	plan_after(&w, 1);
+	o = w.orders[0];
+	report_of_life(&w, "w1", NEW_BORN_MS, NULL,
+		       ended_list(1, o.task, o.run, RUN_DONE));
+	g_assert_cmpint(job->state, ==, FLEET_JOB_COMPLETED);
+	world_clear(&w);
+}
+
 /* A row that the feed tells before the takeover's own answer is there. */
 struct takeover_row {
 	const char *path;
@@ -838,6 +948,10 @@
 		g_test_add_data_func(kept_cases[i].path, &kept_cases[i],
 				     test_kept_rooms);
 	g_test_add_func("/fleet/stalled", test_stalled);
+	for (guint j = 0; j < G_N_ELEMENTS(rebirth_cases); j++)
+		g_test_add_data_func(rebirth_cases[j].path, &rebirth_cases[j],
+				     test_rebirth);
+	g_test_add_func("/fleet/outdated-report", test_outdated_report);
 	for (guint j = 0; j < G_N_ELEMENTS(takeover_rows); j++)
 		g_test_add_data_func(takeover_rows[j].path, &takeover_rows[j],
 				     test_takeover_row);
