Ends are acknowledged to the life that listed them

A worker was started again under its id while the store was silent. It counts its ends anew, and the next renewal acknowledged the ends of its former life by their count: the new life forgot its first end, which nobody had seen, and a successor ran the task once more.

Ruled out: a progress row lost in the takeover (the holder before had no task_end for that run at all), an acknowledgement before the row was stored.

Change: a renewal acknowledges nothing when the one before had no answer or the worker's last lists are older than 0.5 s; its answer then tells which life speaks. An id of the incarnation does not help, as the worker keeps it.

Test: /fleet/ack; two of its three cases are what the renewal did wrong before.

--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -219,6 +219,7 @@
 	struct log_line line;
 
 	w->next_hold_ms = now_ms + HOLD_RETRY_MS;
+	w->has_failed_hold = TRUE;
 	log_begin(&line, LOG_LEVEL_DEBUG, "worker_renewal_failed");
 	log_str(&line, "worker", w->id);
 	log_int(&line, "code", reply->code);
@@ -258,7 +259,7 @@
 {
 	struct hold_order order = {
 		.epoch = c->spec.scheduler->epoch,
-		.acked_end = w->saved_end,
+		.acked_end = fleet_worker_ack(w, now_ms),
 	};
 
 	if (w->has_clock)
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* A worker is not started again within this time of its last lists (a process
+ * takes longer than that to start and register). */
+#define ACK_FRESH_MS 500
+
 static const char *const state_names[FLEET_JOB_STATE_COUNT] = {
 	[FLEET_JOB_QUEUED] = "queued",	     [FLEET_JOB_ACTIVE] = "active",
 	[FLEET_JOB_COMPLETED] = "completed", [FLEET_JOB_FAILED] = "failed",
@@ -257,6 +261,13 @@
 	return room;
 }
 
+int64_t fleet_worker_ack(const struct fleet_worker *w, int64_t now_ms)
+{
+	if (w->has_failed_hold || now_ms - w->listed_ms > ACK_FRESH_MS)
+		return 0;
+	return w->saved_end;
+}
+
 gboolean fleet_worker_has_label(const struct fleet_worker *w, const char *label)
 {
 	for (guint i = 0; w->reg.labels && i < w->reg.labels->len; i++) {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -105,14 +105,16 @@
 	gboolean is_fenced;	/**< it has answered under this epoch */
 	gboolean is_recorded;	/**< the store says that it is in use */
 	gboolean has_clock;
-	int64_t clock_offset_ms; /**< its clock minus ours */
-	int64_t lease_bound_ms;	 /**< nothing runs later without a renewal */
-	int64_t contact_ms;	 /**< last answer */
-	int64_t processed_end;	 /**< highest end taken into the state */
-	int64_t saved_end;	 /**< highest end whose effect is stored */
-	int64_t saving_end;	 /**< becomes saved_end with the write */
-	int64_t avoid_until_ms;	 /**< nothing new is placed there */
-	guint failures_in_row;	 /**< of runs, without one that was done */
+	int64_t clock_offset_ms;  /**< its clock minus ours */
+	int64_t lease_bound_ms;	  /**< nothing runs later without a renewal */
+	int64_t contact_ms;	  /**< last answer */
+	int64_t listed_ms;	  /**< when its last lists came */
+	gboolean has_failed_hold; /**< the renewal after them had no answer */
+	int64_t processed_end;	  /**< highest end taken into the state */
+	int64_t saved_end;	  /**< highest end whose effect is stored */
+	int64_t saving_end;	  /**< becomes saved_end with the write */
+	int64_t avoid_until_ms;	  /**< nothing new is placed there */
+	guint failures_in_row;	  /**< of runs, without one that was done */
 	guint runs_done;
 	gboolean is_holding; /**< a renewal is in flight */
 	gboolean hold_again; /**< look at once when it returns */
@@ -179,6 +181,15 @@
 /** Returns what is free, by the worker's registration. */
 struct demand fleet_worker_room(const struct fleet_worker *w);
 
+/**
+ * Returns the highest end to acknowledge with a call that is sent now. A worker
+ * that was started again counts its ends anew: an acknowledgement for its
+ * former life would make it forget ends that nobody has seen. So nothing is
+ * acknowledged before its lists have come anew when they are old or a renewal
+ * has failed since.
+ */
+int64_t fleet_worker_ack(const struct fleet_worker *w, int64_t now_ms);
+
 gboolean fleet_worker_has_label(const struct fleet_worker *w,
 				const char *label);
 
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -618,6 +618,8 @@
 		begin_incarnation(w, report->born_ms);
 	w->reports++;
 	w->contact_ms = now_ms;
+	w->listed_ms = now_ms;
+	w->has_failed_hold = FALSE;
 	w->is_fenced = TRUE;
 	w->unwanted_runs = 0;
 	w->has_clock = TRUE;
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -878,6 +878,44 @@
 	world_clear(&w);
 }
 
+/* What is acknowledged to a worker of which ends up to 5 are stored. */
+static const struct {
+	gboolean has_failed_hold;
+	int64_t listed_ago_ms;
+	int64_t ack;
+} ack_cases[] = {
+	{ FALSE, 10, 5 },
+	/* Found by the fault soak, seed 324: the first end of a new life was
+	 * acknowledged by the count of the former one. */
+	{ TRUE, 10, 0 },
+	{ FALSE, 600, 0 },
+};
+
+static void test_ack(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(ack_cases); i++) {
+		struct world w = { 0 };
+		struct fleet_worker *worker;
+
+		world_init(&w);
+		register_life(&w, "w1", OLD_BORN_MS);
+		report_of_life(&w, "w1", OLD_BORN_MS, NULL,
+			       ended_list(5, "other.0.0.0", 1, RUN_DONE));
+		worker = fleet_worker(&w.s.fleet, "w1");
+		worker->saved_end = worker->processed_end;
+		worker->has_failed_hold = ack_cases[i].has_failed_hold;
+		w.now_ms += ack_cases[i].listed_ago_ms;
+		g_assert_cmpint(fleet_worker_ack(worker, w.now_ms), ==,
+				ack_cases[i].ack);
+		/* Lists of the same life let it be acknowledged after all. */
+		report_of_life(&w, "w1", OLD_BORN_MS, NULL, NULL);
+		g_assert_cmpint(fleet_worker_ack(worker, w.now_ms), ==, 5);
+		report_of_life(&w, "w1", NEW_BORN_MS, NULL, NULL);
+		g_assert_cmpint(fleet_worker_ack(worker, w.now_ms), ==, 0);
+		world_clear(&w);
+	}
+}
+
 /* A row that the feed tells before the takeover's own answer is there. */
 struct takeover_row {
 	const char *path;
@@ -952,6 +990,7 @@
 		g_test_add_data_func(rebirth_cases[j].path, &rebirth_cases[j],
 				     test_rebirth);
 	g_test_add_func("/fleet/outdated-report", test_outdated_report);
+	g_test_add_func("/fleet/ack", test_ack);
 	for (guint j = 0; j < G_N_ELEMENTS(takeover_rows); j++)
 		g_test_add_data_func(takeover_rows[j].path, &takeover_rows[j],
 				     test_takeover_row);
