Tests of the lease in a file of their own; the soak keeps its retries in its jobs

Change: test_leadership.c has the cases of the lease; a job of the soak notes when it is sent again.

--- a/soak/soak_jobs.c
+++ b/soak/soak_jobs.c
@@ -91,8 +91,6 @@
 	return json;
 }
 
-static gboolean on_send_again(gpointer data);
-
 static void on_submitted(struct soak_jobs *j, struct soak_job *job,
 			 const struct http_reply *reply)
 {
@@ -106,15 +104,8 @@
 	/* A connection that was never made has told nothing. */
 	if (!is_refusal && reply->status != STATUS_UNAVAILABLE)
 		job->may_be_known = TRUE;
-	if (job->attempts < MAX_ATTEMPTS && !job->accepted_ms) {
-		struct call *again = g_new0(struct call, 1);
-
-		again->owner = j;
-		again->job = job;
-		job->calls++;
-		j->calls++;
-		g_timeout_add(RETRY_MS, on_send_again, again);
-	}
+	if (job->attempts < MAX_ATTEMPTS && !job->accepted_ms)
+		job->submit_again_ms = util_monotonic_ms() + RETRY_MS;
 }
 
 static void on_state(struct soak_jobs *j, struct soak_job *job,
@@ -232,18 +223,6 @@
 	g_free(path);
 }
 
-static gboolean on_send_again(gpointer data)
-{
-	struct call *c = data;
-
-	c->job->attempts++;
-	send_call(c->owner, c->job, CALL_SUBMIT, 0);
-	c->job->calls--;
-	c->owner->calls--;
-	g_free(c);
-	return G_SOURCE_REMOVE;
-}
-
 static void add_job(struct soak_jobs *j)
 {
 	struct soak_job *job = g_new0(struct soak_job, 1);
@@ -274,6 +253,24 @@
 	return job->accepted_ms && !job->has_ended;
 }
 
+/* Sends again what was refused or had no answer. */
+static void submit_again(struct soak_jobs *j, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, j->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct soak_job *job = item;
+
+		if (!job->submit_again_ms || now_ms < job->submit_again_ms)
+			continue;
+		job->submit_again_ms = 0;
+		job->attempts++;
+		send_call(j, job, CALL_SUBMIT, 0);
+	}
+}
+
 static void ask(struct soak_jobs *j)
 {
 	GHashTableIter iter;
@@ -317,6 +314,7 @@
 			g_rand_int_range(j->rand, 1,
 					 (gint32)j->site->config_version + 1));
 	}
+	submit_again(j, now_ms);
 	ask(j);
 	return G_SOURCE_CONTINUE;
 }
@@ -369,7 +367,9 @@
 
 	g_hash_table_iter_init(&iter, j->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		if (is_open(item) || ((struct soak_job *)item)->calls)
+		const struct soak_job *job = item;
+
+		if (is_open(job) || job->calls || job->submit_again_ms)
 			return FALSE;
 	}
 	return TRUE;
--- a/soak/soak_jobs.h
+++ b/soak/soak_jobs.h
@@ -24,6 +24,7 @@
 	int64_t memory_mb;
 	int64_t run_ms;
 	guint attempts;		 /**< submissions sent */
+	int64_t submit_again_ms; /**< 0 for not */
 	gboolean may_be_known;	 /**< one of them had no whole answer */
 	int64_t accepted_ms;	 /**< first 2xx, 0 for none */
 	int64_t cancel_acked_ms; /**< 0 for none */
--- /dev/null
+++ b/tests/test_leadership.c
@@ -0,0 +1,121 @@
+/* The lease on a pool: who takes and keeps it, in tables of cases. */
+#include <glib.h>
+
+#include "sched/leadership.h"
+
+#define T0_MS INT64_C(1000000)
+
+/* When a process writes the lease's row, and whether it may act. */
+struct lease_case {
+	const char *name;
+	const char *holder; /* in the row, NULL for no row */
+	int64_t silent_ms;  /* since the row last changed */
+	enum leadership_step step;
+};
+
+static const struct lease_case lease_cases[] = {
+	{ "/leadership/step/no-row", NULL, 0, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/released", "", 0, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/renewed", "other", 600, LEADERSHIP_NONE },
+	{ "/leadership/step/silent", "other", 1500, LEADERSHIP_ACQUIRE },
+	/* Its own write took effect and the answer was lost. */
+	{ "/leadership/step/own", "self", 0, LEADERSHIP_ACQUIRE },
+};
+
+static void test_lease(gconstpointer data)
+{
+	const struct lease_case *c = data;
+	json_object *row = NULL;
+	struct leadership l;
+
+	if (c->holder) {
+		row = json_object_new_object();
+		json_object_object_add(row, "holder",
+				       json_object_new_string(c->holder));
+		json_object_object_add(row, "epoch", json_object_new_int64(3));
+	}
+	leadership_init(&l, "self", 0);
+	g_assert_cmpint(leadership_next(&l, T0_MS), ==, LEADERSHIP_NONE);
+	leadership_row(&l, row, row ? 9 : 0, T0_MS);
+	g_assert_cmpint(leadership_next(&l, T0_MS + c->silent_ms), ==, c->step);
+	json_object_put(row);
+	leadership_clear(&l);
+}
+
+/* A holder acts for a bounded time after its last confirmed renewal. */
+static void test_lease_bound(void)
+{
+	struct leadership l;
+
+	leadership_init(&l, "self", 0);
+	leadership_row(&l, NULL, 0, T0_MS);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS);
+	g_assert_true(leadership_written(&l, LEADERSHIP_ACQUIRE, 1, T0_MS + 9));
+	g_assert_true(leadership_may_act(&l, T0_MS + 3000));
+	g_assert_cmpint(leadership_next(&l, T0_MS + 600), ==, LEADERSHIP_RENEW);
+	g_assert_false(leadership_may_act(&l, T0_MS + 4000));
+	leadership_clear(&l);
+}
+
+/* A row that the feed tells before the takeover's own answer is there. */
+struct takeover_row {
+	const char *name;
+	const char *holder; /* NULL for no row */
+	int64_t epoch;
+	int64_t version; /* the takeover is written as version 20 */
+	gboolean is_holder;
+};
+
+static const struct takeover_row takeover_rows[] = {
+	{ "/leadership/takeover-row/none", NULL, 0, 0, TRUE },
+	/* Found by the fault soak, seed 222: two holders of one epoch. */
+	{ "/leadership/takeover-row/own", "self", 4, 20, TRUE },
+	{ "/leadership/takeover-row/another", "third", 5, 21, FALSE },
+};
+
+static json_object *lease_row(const char *holder, int64_t epoch)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "holder", json_object_new_string(holder));
+	json_object_object_add(row, "epoch", json_object_new_int64(epoch));
+	return row;
+}
+
+/* The epoch is the one that was written, whichever is told first. */
+static void test_takeover_row(const void *data)
+{
+	const struct takeover_row *c = data;
+	json_object *row = lease_row("other", 3);
+	struct leadership l;
+
+	leadership_init(&l, "self", 0);
+	leadership_row(&l, row, 9, T0_MS);
+	json_object_put(row);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS + 2000);
+	if (c->holder) {
+		row = lease_row(c->holder, c->epoch);
+		leadership_row(&l, row, c->version, T0_MS + 2005);
+		json_object_put(row);
+	}
+	g_assert_cmpint(
+		leadership_written(&l, LEADERSHIP_ACQUIRE, 20, T0_MS + 2009),
+		==, c->is_holder);
+	g_assert_cmpint(leadership_may_act(&l, T0_MS + 2010), ==, c->is_holder);
+	if (c->is_holder)
+		g_assert_cmpint(l.epoch, ==, 4);
+	leadership_clear(&l);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(lease_cases); i++)
+		g_test_add_data_func(lease_cases[i].name, &lease_cases[i],
+				     test_lease);
+	for (guint i = 0; i < G_N_ELEMENTS(takeover_rows); i++)
+		g_test_add_data_func(takeover_rows[i].name, &takeover_rows[i],
+				     test_takeover_row);
+	g_test_add_func("/leadership/bound", test_lease_bound);
+	return g_test_run();
+}
