--- a/standin/common/steppe_worker.c
+++ b/standin/common/steppe_worker.c
@@ -4,7 +4,9 @@
 #include <string.h>
 
 #include "base/http_server.h"
+#include "base/json_member.h"
 #include "base/util.h"
+#include "standin/common/steppe_json.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
 #define PATH "/corianderstep"
@@ -50,36 +52,6 @@
 	gboolean has_history;
 };
 
-static json_object *member(json_object *object, const char *name)
-{
-	json_object *value = NULL;
-
-	json_object_object_get_ex(object, name, &value);
-	return value;
-}
-
-static const char *text_of(json_object *object, const char *name)
-{
-	const char *text = json_object_get_string(member(object, name));
-
-	return text ? text : "";
-}
-
-static int64_t int_of(json_object *object, const char *name)
-{
-	return json_object_get_int64(member(object, name));
-}
-
-static void add_int(json_object *object, const char *name, int64_t value)
-{
-	json_object_object_add(object, name, json_object_new_int64(value));
-}
-
-static void add_text(json_object *object, const char *name, const char *value)
-{
-	json_object_object_add(object, name, json_object_new_string(value));
-}
-
 static void print_history(const struct steppe_worker *w, const char *event,
 			  const char *task, int64_t run, const char *how)
 {
@@ -222,8 +194,8 @@
 		json_object_array_add(e, json_object_new_string(""));
 		json_object_array_add(ended, e);
 	}
-	add_int(body, "ClockMs", util_monotonic_ms());
-	add_int(body, "born", w->born_ms);
+	steppe_add_int(body, "ClockMs", util_monotonic_ms());
+	steppe_add_int(body, "born", w->born_ms);
 	json_object_object_add(body, "Running", running);
 	json_object_object_add(body, "Ended", ended);
 	return body;
@@ -282,8 +254,8 @@
 {
 	json_object *body = json_object_new_object();
 
-	add_int(body, "ClockMs", util_monotonic_ms());
-	add_text(body, "Reason", reason);
+	steppe_add_int(body, "ClockMs", util_monotonic_ms());
+	steppe_add_text(body, "Reason", reason);
 	http_request_reply(r, 409, body);
 }
 
@@ -291,7 +263,7 @@
 {
 	json_object *body = json_object_new_object();
 
-	add_int(body, "ClockMs", util_monotonic_ms());
+	steppe_add_int(body, "ClockMs", util_monotonic_ms());
 	http_request_reply(r, 200, body);
 }
 
@@ -307,12 +279,12 @@
 		http_request_reply_empty(r, 421);
 		return NULL;
 	}
-	if (int_of(body, "Fence") < w->epoch) {
+	if (json_member_int(body, "Fence") < w->epoch) {
 		refuse(r, "fence");
 		return NULL;
 	}
-	w->epoch = int_of(body, "Fence");
-	w->lease_ms = MAX(w->lease_ms, int_of(body, "UntilMs"));
+	w->epoch = json_member_int(body, "Fence");
+	w->lease_ms = MAX(w->lease_ms, json_member_int(body, "UntilMs"));
 	return body;
 }
 
@@ -335,21 +307,22 @@
 
 	if (!body)
 		return;
-	task = text_of(body, "Task");
+	task = steppe_text(body, "Task");
 	ended = g_hash_table_lookup(w->highest, task);
 	run = g_hash_table_lookup(w->runs, task);
-	if (ended && int_of(body, "Run") <= *ended) {
+	if (ended && json_member_int(body, "Run") <= *ended) {
 		refuse(r, "old");
 		return;
 	}
 	if (!run) {
 		run = g_new0(struct run, 1);
 		run->task = g_strdup(task);
-		run->run = int_of(body, "Run");
-		run->work_ms = payload_int(text_of(body, "Spec"),
+		run->run = json_member_int(body, "Run");
+		run->work_ms = payload_int(steppe_text(body, "Spec"),
 					   "run_ms=", DEFAULT_RUN_MS);
-		run->gang = payload_int(text_of(body, "Spec"), "gang=", 0);
-		run->is_failing = strstr(text_of(body, "Spec"), "fail") != NULL;
+		run->gang = payload_int(steppe_text(body, "Spec"), "gang=", 0);
+		run->is_failing =
+			strstr(steppe_text(body, "Spec"), "fail") != NULL;
 		g_hash_table_replace(w->runs, run->task, run);
 		w->starts++;
 		print_history(w, "start", task, run->run, "");
@@ -366,13 +339,13 @@
 
 	if (!body)
 		return;
-	run = g_hash_table_lookup(w->runs, text_of(body, "Task"));
-	if (run && run->run <= int_of(body, "Run"))
+	run = g_hash_table_lookup(w->runs, steppe_text(body, "Task"));
+	if (run && run->run <= json_member_int(body, "Run"))
 		end_run(w, run, "stopped");
 	else if (!run)
 		g_hash_table_replace(w->highest,
-				     g_strdup(text_of(body, "Task")),
-				     box(int_of(body, "Run")));
+				     g_strdup(steppe_text(body, "Task")),
+				     box(json_member_int(body, "Run")));
 	accept(r);
 	answer_holds(w);
 }
@@ -388,14 +361,14 @@
 	while (w->ends->len) {
 		const struct end *e = w->ends->pdata[0];
 
-		if (e->number > int_of(body, "AckCursor"))
+		if (e->number > json_member_int(body, "AckCursor"))
 			break;
 		print_history(w, "ack", e->task, e->run, e->how);
 		g_ptr_array_remove_index(w->ends, 0);
 	}
 	h = g_new0(struct waiting_hold, 1);
 	h->request = r;
-	h->due_ms = util_monotonic_ms() + int_of(body, "WaitMs");
+	h->due_ms = util_monotonic_ms() + json_member_int(body, "WaitMs");
 	g_ptr_array_add(w->holds, h);
 	answer_holds(w);
 }
--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -8,7 +8,9 @@
 #include <string.h>
 
 #include "base/http_server.h"
+#include "base/json_member.h"
 #include "base/util.h"
+#include "standin/common/steppe_json.h"
 #include "standin/common/steppe_worker.h"
 
 #define MAX_BODY_BYTES ((gsize)4 << 20)
@@ -60,36 +62,6 @@
 	int64_t commits;
 };
 
-static json_object *member(json_object *object, const char *name)
-{
-	json_object *value = NULL;
-
-	json_object_object_get_ex(object, name, &value);
-	return value;
-}
-
-static const char *text_of(json_object *object, const char *name)
-{
-	const char *text = json_object_get_string(member(object, name));
-
-	return text ? text : "";
-}
-
-static int64_t int_of(json_object *object, const char *name)
-{
-	return json_object_get_int64(member(object, name));
-}
-
-static void add_int(json_object *object, const char *name, int64_t value)
-{
-	json_object_object_add(object, name, json_object_new_int64(value));
-}
-
-static void add_text(json_object *object, const char *name, const char *value)
-{
-	json_object_object_add(object, name, json_object_new_string(value));
-}
-
 static void row_free(gpointer data)
 {
 	struct row *r = data;
@@ -110,15 +82,15 @@
 {
 	json_object *json = json_object_new_object();
 
-	add_text(json, "Table", r->table);
-	add_text(json, "part", r->part);
-	add_text(json, "Key", r->key);
-	add_int(json, "Ver", r->version);
+	steppe_add_text(json, "Table", r->table);
+	steppe_add_text(json, "part", r->part);
+	steppe_add_text(json, "Key", r->key);
+	steppe_add_int(json, "Ver", r->version);
 	if (r->is_deleted)
 		json_object_object_add(json, "Deleted",
 				       json_object_new_boolean(TRUE));
 	else
-		add_text(json, "Value", r->value);
+		steppe_add_text(json, "Value", r->value);
 	return json;
 }
 
@@ -129,8 +101,8 @@
 
 	if (rows)
 		json_object_object_add(body, "rows", rows);
-	add_int(body, "Ver", p->version);
-	add_int(body, "NowMs", util_monotonic_ms());
+	steppe_add_int(body, "Ver", p->version);
+	steppe_add_int(body, "NowMs", util_monotonic_ms());
 	return body;
 }
 
@@ -151,8 +123,8 @@
 static const struct row *find_row(const struct platform_standin *p,
 				  json_object *name)
 {
-	char *id = row_id(text_of(name, "Table"), text_of(name, "part"),
-			  text_of(name, "Key"));
+	char *id = row_id(steppe_text(name, "Table"), steppe_text(name, "part"),
+			  steppe_text(name, "Key"));
 	const struct row *r = g_hash_table_lookup(p->rows, id);
 
 	g_free(id);
@@ -242,7 +214,7 @@
 
 		if (r)
 			json_object_array_add(current, row_json(r));
-		if ((r ? r->version : 0) != int_of(c, "Ver"))
+		if ((r ? r->version : 0) != json_member_int(c, "Ver"))
 			holds = FALSE;
 	}
 	return holds;
@@ -250,33 +222,35 @@
 
 static void apply(struct platform_standin *p, json_object *body)
 {
-	json_object *sets = member(body, "SetKeys");
-	json_object *removals = member(body, "Remove");
+	json_object *sets = json_member(body, "SetKeys");
+	json_object *removals = json_member(body, "Remove");
 
 	p->version++;
 	p->commits++;
 	for (size_t i = 0; i < json_object_array_length(sets); i++) {
 		json_object *s = json_object_array_get_idx(sets, i);
 
-		write_row(p, text_of(s, "Table"), text_of(s, "part"),
-			  text_of(s, "Key"), text_of(s, "Value"));
+		write_row(p, steppe_text(s, "Table"), steppe_text(s, "part"),
+			  steppe_text(s, "Key"), steppe_text(s, "Value"));
 	}
 	for (size_t i = 0; i < json_object_array_length(removals); i++) {
 		json_object *r = json_object_array_get_idx(removals, i);
 
 		if (find_row(p, r))
-			write_row(p, text_of(r, "Table"), text_of(r, "part"),
-				  text_of(r, "Key"), NULL);
+			write_row(p, steppe_text(r, "Table"),
+				  steppe_text(r, "part"), steppe_text(r, "Key"),
+				  NULL);
 	}
 }
 
 static gboolean writes_job(json_object *body)
 {
-	json_object *sets = member(body, "SetKeys");
+	json_object *sets = json_member(body, "SetKeys");
 
 	return json_object_array_length(sets) > 0 &&
-	       g_str_equal(text_of(json_object_array_get_idx(sets, 0), "Table"),
-			   "jobs");
+	       g_str_equal(
+		       steppe_text(json_object_array_get_idx(sets, 0), "Table"),
+		       "jobs");
 }
 
 static void handle_commit(struct http_request *r, void *data)
@@ -297,15 +271,15 @@
 		http_request_reply_empty(r, 503);
 		return;
 	}
-	entries = json_object_array_length(member(body, "ExpectedRev")) +
-		  json_object_array_length(member(body, "SetKeys")) +
-		  json_object_array_length(member(body, "Remove"));
+	entries = json_object_array_length(json_member(body, "ExpectedRev")) +
+		  json_object_array_length(json_member(body, "SetKeys")) +
+		  json_object_array_length(json_member(body, "Remove"));
 	if (entries > MAX_ENTRIES) {
 		http_request_reply_empty(r, 400);
 		return;
 	}
 	current = json_object_new_array();
-	if (!conditions_hold(p, member(body, "ExpectedRev"), current)) {
+	if (!conditions_hold(p, json_member(body, "ExpectedRev"), current)) {
 		http_request_reply(r, 412, answer_body(p, current));
 		return;
 	}
@@ -450,27 +424,27 @@
 
 	if (!body)
 		return;
-	if (member(body, "lose_answers"))
-		p->lose_answers = int_of(body, "lose_answers");
-	if (member(body, "mute_jobs"))
-		p->mute_jobs = int_of(body, "mute_jobs");
-	if (member(body, "refuse_jobs"))
-		p->refuse_jobs = int_of(body, "refuse_jobs");
-	if (member(body, "down"))
-		p->is_down = json_object_get_boolean(member(body, "down"));
-	if (member(body, "forget_changes"))
+	if (json_member(body, "lose_answers"))
+		p->lose_answers = json_member_int(body, "lose_answers");
+	if (json_member(body, "mute_jobs"))
+		p->mute_jobs = json_member_int(body, "mute_jobs");
+	if (json_member(body, "refuse_jobs"))
+		p->refuse_jobs = json_member_int(body, "refuse_jobs");
+	if (json_member(body, "down"))
+		p->is_down = json_object_get_boolean(json_member(body, "down"));
+	if (json_member(body, "forget_changes"))
 		p->forgotten = p->version;
-	if (member(body, "crash_worker"))
-		crash_worker(p, int_of(body, "crash_worker"));
-	config = member(body, "config");
+	if (json_member(body, "crash_worker"))
+		crash_worker(p, json_member_int(body, "crash_worker"));
+	config = json_member(body, "config");
 	if (config)
 		write_config(p, json_object_to_json_string_ext(
 					config, JSON_C_TO_STRING_PLAIN));
 	for (guint i = 0; i < p->workers->len; i++)
 		starts += steppe_worker_starts(p->workers->pdata[i]);
 	answer = json_object_new_object();
-	add_int(answer, "starts", starts);
-	add_int(answer, "commits", p->commits);
+	steppe_add_int(answer, "starts", starts);
+	steppe_add_int(answer, "commits", p->commits);
 	http_request_reply(r, 200, answer);
 	answer_feeds(p);
 }
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -97,11 +97,12 @@
 	fleet_config_clear(&w->config);
 }
 
-static void report(struct world *w, const char *id, GArray *running,
-		   GArray *ended)
+static void report_of_life(struct world *w, const char *id, int64_t born_ms,
+			   GArray *running, GArray *ended)
 {
 	struct run_report r = {
 		.clock_ms = w->now_ms,
+		.born_ms = born_ms,
 		.running = running ? running
 				   : g_array_new(FALSE, TRUE,
 						 sizeof(struct running_entry)),
@@ -115,6 +116,12 @@
 	run_report_clear(&r);
 }
 
+static void report(struct world *w, const char *id, GArray *running,
+		   GArray *ended)
+{
+	report_of_life(w, id, 0, running, ended);
+}
+
 static GArray *running_list(const char *task, int64_t run)
 {
 	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct running_entry));
@@ -134,7 +141,8 @@
 	return list;
 }
 
-static void register_worker(struct world *w, const char *id, const char *rack)
+static void register_life(struct world *w, const char *id, const char *rack,
+			  int64_t born_ms)
 {
 	struct worker_registration reg = {
 		.service = g_strdup(SERVICE),
@@ -142,12 +150,18 @@
 		.failure_domain = g_strdup("tov-a"),
 		.rack = g_strdup(rack),
 		.capacity = { 64000, 131072, 8 },
+		.born_ms = born_ms,
 	};
 
 	fleet_scheduler_worker(&w->s, id, &reg, w->now_ms);
 	fleet_worker(&w->s.fleet, id)->is_recorded = TRUE;
 }
 
+static void register_worker(struct world *w, const char *id, const char *rack)
+{
+	register_life(w, id, rack, 0);
+}
+
 static void add_worker(struct world *w, const char *id, const char *rack)
 {
 	register_worker(w, id, rack);
@@ -737,40 +751,6 @@
 	{ "/fleet/rebirth/answered-by-old-report", FALSE, FALSE, TRUE, 2 },
 };
 
-static void report_of_life(struct world *w, const char *id, int64_t born_ms,
-			   GArray *running, GArray *ended)
-{
-	struct run_report r = {
-		.clock_ms = w->now_ms,
-		.born_ms = born_ms,
-		.running = running ? running
-				   : g_array_new(FALSE, TRUE,
-						 sizeof(struct running_entry)),
-		.ended = ended ? ended
-			       : g_array_new(FALSE, TRUE,
-					     sizeof(struct ended_entry)),
-	};
-
-	fleet_scheduler_report(&w->s, fleet_worker(&w->s.fleet, id), &r,
-			       w->now_ms, w->now_ms);
-	run_report_clear(&r);
-}
-
-static void register_life(struct world *w, const char *id, int64_t born_ms)
-{
-	struct worker_registration reg = {
-		.service = g_strdup(SERVICE),
-		.address = g_strdup("127.0.0.1:1"),
-		.failure_domain = g_strdup("tov-a"),
-		.rack = g_strdup("r1"),
-		.capacity = { 64000, 131072, 8 },
-		.born_ms = born_ms,
-	};
-
-	fleet_scheduler_worker(&w->s, id, &reg, w->now_ms);
-	fleet_worker(&w->s.fleet, id)->is_recorded = TRUE;
-}
-
 static void test_rebirth(const void *data)
 {
 	const struct rebirth_case *c = data;
@@ -778,7 +758,7 @@
 	struct order o;
 
 	world_init(&w);
-	register_life(&w, "w1", OLD_BORN_MS);
+	register_life(&w, "w1", "r1", OLD_BORN_MS);
 	report_of_life(&w, "w1", OLD_BORN_MS, NULL, NULL);
 	add_job(&w, "one", "urgent", 1, 8, FALSE);
 	plan_after(&w, 1);
@@ -791,12 +771,13 @@
 		report_of_life(&w, "w1", OLD_BORN_MS,
 			       running_list(o.task, o.run), NULL);
 	if (!c->is_by_report)
-		register_life(&w, "w1", NEW_BORN_MS);
+		register_life(&w, "w1", "r1", NEW_BORN_MS);
 	plan_after(&w, 10);
 	report_of_life(&w, "w1", NEW_BORN_MS,
 		       c->is_in_new ? running_list(o.task, o.run) : NULL, NULL);
 	/* The store's word may come after the worker's own. */
-	register_life(&w, "w1", c->is_by_report ? OLD_BORN_MS : NEW_BORN_MS);
+	register_life(&w, "w1", "r1",
+		      c->is_by_report ? OLD_BORN_MS : NEW_BORN_MS);
 	plan_after(&w, 10);
 	g_assert_cmpuint(count_orders(&w, TRUE, "one"), ==, c->starts);
 	world_clear(&w);
@@ -810,9 +791,9 @@
 	struct order o;
 
 	world_init(&w);
-	register_life(&w, "w1", OLD_BORN_MS);
+	register_life(&w, "w1", "r1", OLD_BORN_MS);
 	report_of_life(&w, "w1", OLD_BORN_MS, NULL, NULL);
-	register_life(&w, "w1", NEW_BORN_MS);
+	register_life(&w, "w1", "r1", NEW_BORN_MS);
 	report_of_life(&w, "w1", OLD_BORN_MS, NULL,
 		       ended_list(50, "other.0.0.0", 1, RUN_DONE));
 	job = add_job(&w, "one", "urgent", 1, 8, FALSE);
@@ -845,7 +826,7 @@
 		struct fleet_worker *worker;
 
 		world_init(&w);
-		register_life(&w, "w1", OLD_BORN_MS);
+		register_life(&w, "w1", "r1", OLD_BORN_MS);
 		report_of_life(&w, "w1", OLD_BORN_MS, NULL,
 			       ended_list(5, "other.0.0.0", 1, RUN_DONE));
 		worker = fleet_worker(&w.s.fleet, "w1");
