Whether the pool is calm is noted when its use changes

Cause: seen on reading the change: the share in use was worked out anew for each room that a unit without checkpoints looks at, which at 350 workers is done tens of thousands of times in a plan. Not measured on its own. Change: the round keeps the answer. No behaviour changes; test_fleet_scheduler, 38 cases pass.

--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -259,6 +259,7 @@
 		demand_take(&room->soon, &d);
 		demand_add(&r->in_use, &d);
 	}
+	fleet_urgent_note_use(r);
 }
 
 /* Tells whether a rack could hold the unit if it were empty. */
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -43,6 +43,7 @@
 	guint orders_out;      /**< orders in flight */
 	struct demand total;   /**< capacity of the usable workers */
 	struct demand in_use;  /**< of it, with what this round has given */
+	gboolean is_calm;      /**< little is in use: nothing is kept */
 	int64_t unsaved;       /**< accelerators of unsaved work */
 	guint first_open_room; /**< from it on unsaved work is placed */
 };
--- a/sched/fleet_urgent.c
+++ b/sched/fleet_urgent.c
@@ -14,6 +14,28 @@
  * answers (about 1 ms each) well within the time that an order may need. */
 #define MAX_ORDERS_OUT 64
 
+/* Returns the part of the pool that a demand is, by what it needs most of. */
+static double share_of(const struct demand *d, const struct demand *total)
+{
+	double share = 0;
+
+	if (total->millicores > 0)
+		share = MAX(share,
+			    (double)d->millicores / (double)total->millicores);
+	if (total->memory_mb > 0)
+		share = MAX(share,
+			    (double)d->memory_mb / (double)total->memory_mb);
+	if (total->accelerators > 0)
+		share = MAX(share, (double)d->accelerators /
+					   (double)total->accelerators);
+	return share;
+}
+
+void fleet_urgent_note_use(struct fleet_round *r)
+{
+	r->is_calm = share_of(&r->in_use, &r->total) < CALM_SHARE;
+}
+
 /* Keeps the first rooms: unsaved work stays together in the others. */
 static void keep_rooms(struct fleet_round *r)
 {
@@ -60,28 +82,7 @@
 	s->urgent_peak = MAX(s->urgent_peak, (double)urgent);
 	s->urgent_peak_ms = r->now_ms;
 	keep_rooms(r);
-}
-
-/* Returns the part of the pool that a demand is, by what it needs most of. */
-static double share_of(const struct demand *d, const struct demand *total)
-{
-	double share = 0;
-
-	if (total->millicores > 0)
-		share = MAX(share,
-			    (double)d->millicores / (double)total->millicores);
-	if (total->memory_mb > 0)
-		share = MAX(share,
-			    (double)d->memory_mb / (double)total->memory_mb);
-	if (total->accelerators > 0)
-		share = MAX(share, (double)d->accelerators /
-					   (double)total->accelerators);
-	return share;
-}
-
-static gboolean is_calm(const struct fleet_round *r)
-{
-	return share_of(&r->in_use, &r->total) < CALM_SHARE;
+	fleet_urgent_note_use(r);
 }
 
 gboolean fleet_urgent_may_use(const struct fleet_round *r,
@@ -91,7 +92,7 @@
 	const struct fleet_room *first = (const void *)r->rooms->data;
 	const char *near = u->step->spec->data_rack;
 
-	if (!fleet_unit_is_unsaved(u) || is_calm(r))
+	if (r->is_calm || !fleet_unit_is_unsaved(u))
 		return TRUE;
 	return room - first >= (ptrdiff_t)r->first_open_room ||
 	       g_strcmp0(near, fleet_rack_of(room->worker)) == 0;
@@ -104,7 +105,7 @@
 	double left = CALM_SHARE - share_of(&r->in_use, &r->total);
 	double share = share_of(&d, &r->total);
 
-	if (left <= 0)
+	if (!r->is_calm)
 		return 0;
 	if (u->step->spec->is_gang || share <= 0)
 		return u->tasks->len;
--- a/sched/fleet_urgent.h
+++ b/sched/fleet_urgent.h
@@ -13,6 +13,9 @@
  * kept for them. */
 void fleet_urgent_update(struct fleet_round *r, const GPtrArray *units);
 
+/** Notes that what is in use has changed; part of fleet_round_take(). */
+void fleet_urgent_note_use(struct fleet_round *r);
+
 /** Tells whether a unit may be placed in a room. */
 gboolean fleet_urgent_may_use(const struct fleet_round *r,
 			      const struct fleet_unit *u,
