An endpoint that only a list lacked is used once it is listed again

An endpoint that a list lacks is dropped, and comes back as a new one; but if a request was in flight there it was kept as leaving, and a leaving one is believed live only 60 s later.

Change: an endpoint that is leaving only as a list lacked it is live when it is listed again. One that said that it leaves still waits.

--- a/request/endpoint_table.c
+++ b/request/endpoint_table.c
@@ -254,10 +254,12 @@
 	if (spec->is_leaving)
 		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, t->list_ms);
 	else if (e->state == ENDPOINT_LEAVING &&
-		 t->list_ms - e->leaving_ms > LEAVING_FORGET_MS)
+		 (e->is_absent ||
+		  t->list_ms - e->leaving_ms > LEAVING_FORGET_MS))
 		endpoint_table_set_state(t, e, ENDPOINT_LIVE, t->list_ms);
 	else
 		endpoint_table_has_room(t, e, t->list_ms);
+	e->is_absent = FALSE;
 }
 
 void endpoint_table_list_end(struct endpoint_table *t)
@@ -267,6 +269,7 @@
 
 		if (e->is_listed)
 			continue;
+		e->is_absent |= e->state != ENDPOINT_LEAVING;
 		endpoint_table_set_state(t, e, ENDPOINT_LEAVING, t->list_ms);
 		if (e->in_flight == 0)
 			drop_endpoint(t, e);
--- a/request/endpoint_table.h
+++ b/request/endpoint_table.h
@@ -63,6 +63,7 @@
 	enum endpoint_room room;
 	int32_t room_index;
 	gboolean is_listed; /**< seen in the list being taken over */
+	gboolean is_absent; /**< leaving only as a list lacked it */
 };
 
 struct endpoint_table {
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -247,6 +247,24 @@
 	endpoint_table_free(t);
 }
 
+/* One that a list lacked while a request ran there is used once it is back. */
+static void test_absent(void)
+{
+	struct endpoint_table *t = make_table(1, 0);
+	struct endpoint *e = g_ptr_array_index(t->endpoints, 0);
+
+	endpoint_table_sent(t, e, 0);
+	endpoint_table_list_begin(t, 10);
+	endpoint_table_list_end(t);
+	g_assert_cmpuint(endpoint_limit(t, e, 10), ==, 0);
+	endpoint_table_ended(t, e, 20);
+	endpoint_table_list_begin(t, 30);
+	list_endpoints(t, 1, "tov-a");
+	endpoint_table_list_end(t);
+	g_assert_cmpuint(endpoint_limit(t, e, 30), >, 0);
+	endpoint_table_free(t);
+}
+
 static const struct {
 	guint local;
 	guint remote;
@@ -759,6 +777,7 @@
 	g_test_add_func("/requests/endpoint-limits", test_limits);
 	g_test_add_func("/requests/endpoint-leaving", test_leaving);
 	g_test_add_func("/requests/endpoint-restarted", test_restarted);
+	g_test_add_func("/requests/endpoint-absent", test_absent);
 	g_test_add_func("/requests/spill-over", test_spill);
 	g_test_add_func("/requests/choice", test_choice);
 	g_test_add_func("/requests/choice-untried", test_choice_untried);
