--- a/soak/soak_site.c
+++ b/soak/soak_site.c
@@ -47,14 +47,6 @@
 	return json;
 }
 
-static char *write_file(struct cluster *c, const char *name, const char *text)
-{
-	char *file = g_build_filename(c->dir, name, NULL);
-
-	g_assert_true(g_file_set_contents(file, text, -1, NULL));
-	return file;
-}
-
 void soak_site_start_entry(struct soak_site *s, guint index)
 {
 	struct soak_entry *e = &s->entries[index];
@@ -67,7 +59,7 @@
 		index, e->frontend, e->readiness, s->paths[index],
 		SOAK_LEASE_MS);
 	char *name = g_strdup_printf("e%u.json", index);
-	char *file = write_file(s->cluster, name, text);
+	char *file = cluster_write_file(s->cluster, name, text);
 	char *log = g_strdup_printf("e%u-%u", index, e->boots++);
 
 	e->seen_config = 0;
@@ -102,8 +94,8 @@
 {
 	GPtrArray *args = g_ptr_array_new_with_free_func(g_free);
 	json_object *config = config_json(++s->config_version);
-	char *file = write_file(s->cluster, "config.json",
-				json_object_to_json_string(config));
+	char *file = cluster_write_file(s->cluster, "config.json",
+					json_object_to_json_string(config));
 	const char *const fixed[] = { "--listen", s->store,   "--service",
 				      "salkhi",	  "--config", file,
 				      "--history" };
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -236,6 +236,14 @@
 			       json_object_new_int64(value ? value : fallback));
 }
 
+char *cluster_write_file(struct cluster *c, const char *name, const char *text)
+{
+	char *file = g_build_filename(c->dir, name, NULL);
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	return file;
+}
+
 char *cluster_settings(struct cluster *c, const struct cluster_node *node)
 {
 	char *file_name = g_strconcat(node->node, ".json", NULL);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -83,6 +83,9 @@
 					   const char *program,
 					   const struct cluster_node *node);
 
+/** Writes a file into the temporary folder; returns its name, free it. */
+char *cluster_write_file(struct cluster *c, const char *name, const char *text);
+
 /** Writes a settings file and returns its name; free it. */
 char *cluster_settings(struct cluster *c, const struct cluster_node *node);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -31,14 +31,6 @@
 	char *readiness[ENTRIES];
 };
 
-static char *write_file(struct cluster *c, const char *name, const char *text)
-{
-	char *file = g_build_filename(c->dir, name, NULL);
-
-	g_assert_true(g_file_set_contents(file, text, -1, NULL));
-	return file;
-}
-
 static void start_entry(struct site *s, guint i)
 {
 	char *text = g_strdup_printf(
@@ -49,7 +41,7 @@
 		"\"grace_s\":3,\"status_s\":120}}",
 		i, s->frontends[i], s->readiness[i], s->store);
 	char *name = g_strdup_printf("e%u.json", i);
-	char *file = write_file(s->cluster, name, text);
+	char *file = cluster_write_file(s->cluster, name, text);
 	char *log =
 		g_strdup_printf("e%u-%u.log", i, s->cluster->processes->len);
 
@@ -85,7 +77,7 @@
 	char *config;
 
 	s->cluster = cluster_new();
-	config = write_file(s->cluster, "config.json", config_text);
+	config = cluster_write_file(s->cluster, "config.json", config_text);
 	s->store = cluster_address();
 	s->platform = cluster_spawn(
 		s->cluster, "cs-standin-steppe", "platform.log",
