Rows that an epoch has written itself don't mark its jobs as inherited

Cause: the holder went on watching its own progress rows. When the feed told of a row before the write was answered, or a write whose answer was lost was read back, the job counted as started by an earlier epoch and waited until all workers had answered or the earlier leases had run out.

The job that was looked at was marked at 35.998 s, 3 ms after its acceptance.

Ruled out: orders in flight (workers that were cut off are not counted), a conflict of the batch (none logged), a full pool (jobs beside it began at once).

Change: only a row of a job that this process holds for queued marks it as inherited. The progress and the workers in use are read once per epoch, as the comment said; their feeds are freed then.

Test: /fleet/takeover/own-mark fails before.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -43,7 +43,7 @@
 	struct worker_calls *calls;
 	struct progress_writer *writer;
 	struct table_feed *feeds[FEED_COUNT];
-	/** Read once: nobody else writes it while the lease is ours. */
+	/* Freed once it is read: nobody else writes it in this epoch. */
 	struct table_feed *progress;
 	GHashTable *cancels; /* ids whose jobs are not known yet */
 	GHashTable *in_use;  /* workers that a holder has recorded */
@@ -236,6 +236,9 @@
 	    !table_feed_is_synced(s->feeds[FEED_WORKERS]))
 		return;
 	s->is_ready = TRUE;
+	/* What this epoch writes itself would only come back. */
+	g_clear_pointer(&s->progress, table_feed_free);
+	g_clear_pointer(&s->feeds[FEED_USE], table_feed_free);
 	log_ready(s);
 	plan_soon(s);
 }
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -130,7 +130,8 @@
 	job->progress_version = version;
 	if (job_progress_state(row) != FLEET_JOB_QUEUED) {
 		job->is_marked = TRUE;
-		job->is_inherited = TRUE;
+		/* A row of a job that this epoch has marked is its own. */
+		job->is_inherited |= job->state == FLEET_JOB_QUEUED;
 	}
 	if (job_progress_merge(job, row))
 		job->is_dirty = TRUE;
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -388,6 +388,34 @@
 	world_clear(&w);
 }
 
+/*
+ * The store tells of a row that this very epoch has written, before the write
+ * is answered or instead of that: nobody before it can have started the job.
+ * Found on aol-slips-grown trouble-3: urgent jobs waited for the leases of an
+ * earlier holder, for up to 4 s.
+ */
+static void test_own_mark(void)
+{
+	json_object *row;
+	struct world w = { 0 };
+	struct fleet_job *job;
+
+	world_init(&w);
+	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
+	add_worker(&w, "w1", "r1");
+	register_worker(&w, "w2", "r1");
+	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	job->is_marked = FALSE;
+	plan_after(&w, 1);
+	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
+	row = job_progress_encode(job);
+	fleet_scheduler_progress(&w.s, "job", row, 5);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	json_object_put(row);
+	world_clear(&w);
+}
+
 /* A job is stored as active before anything of it is started. */
 static void test_mark_first(void)
 {
@@ -854,6 +882,7 @@
 	g_test_add_func("/fleet/failure-once", test_failure_counts_once);
 	g_test_add_func("/fleet/failures-out-of-order",
 			test_failures_out_of_order);
+	g_test_add_func("/fleet/takeover/own-mark", test_own_mark);
 	g_test_add_func("/fleet/mark-first", test_mark_first);
 	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
