A job is looked for before it is written, and an unknown outcome is followed up

Cause: while the store is silent, or resets connections, every job that arrived was written, waited for 1.5 s and was answered 504: it may have been accepted, so it can't be sent again safely.

Ruled out: opening the breaker sooner. A small VM takes a job in 1 to 2 s, so that five failures come late whatever they are.

Change: entry/submission.c reads the job's row first. A read has no effect: when it isn't answered within 600 ms, or refused, the caller is told at once that the job was not accepted and when to come back. A write without an answer is followed by such a read, until 0.45 of the caller's time has passed.

Test: /entry/submit/silent fails before (504). /entry/submit/unanswered and unanswered-twice passed before too; they guard what is followed up.

--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -8,6 +8,7 @@
 #include "base/util.h"
 #include "entry/config_feed.h"
 #include "entry/entry_store.h"
+#include "entry/submission.h"
 #include "platform/wire_frontend.h"
 #include "platform/wire_job.h"
 #include "sched/job_progress.h"
@@ -18,11 +19,6 @@
 #define RETRY_AFTER "1"
 /* Of a caller that names no deadline. */
 #define DEFAULT_DEADLINE_MS 3000
-/* A write without an answer is tried again until so long before the end. */
-#define ANSWER_MARGIN_MS 300
-#define WRITE_RETRY_MS 50
-/* After this time the caller is told, and may try another VM. */
-#define WRITE_RETRIES_MS 1000
 /* Left between the end of serving and the kill after SIGTERM. */
 #define GRACE_MARGIN_MS 1500
 
@@ -45,19 +41,14 @@
 	struct frontend *frontend;
 	struct http_request *request;
 	char *id;
-	json_object *row; /* of a submission */
 	char *route;
 	char *account; /* NULL where none is needed */
 	int64_t began_ms;
-	int64_t due_ms;
-	gboolean may_be_written;
+	int64_t deadline_ms; /* that the caller waits */
 };
 
-typedef void (*call_fn)(struct call *c);
-
 static void call_free(struct call *c)
 {
-	json_object_put(c->row);
 	g_free(c->route);
 	g_free(c->account);
 	g_free(c->id);
@@ -177,68 +168,37 @@
 	c->frontend = s;
 	c->request = r;
 	c->began_ms = util_monotonic_ms();
-	c->due_ms = c->began_ms +
-		    (deadline_ms > 0 ? deadline_ms : DEFAULT_DEADLINE_MS);
+	c->deadline_ms = deadline_ms > 0 ? deadline_ms : DEFAULT_DEADLINE_MS;
 	return c;
 }
 
-static void write_job(struct call *c);
-
-static gboolean on_write_again(gpointer data)
-{
-	write_job(data);
-	return G_SOURCE_REMOVE;
-}
-
-static void on_written(const struct platform_result *result, void *data)
+static void on_submitted(enum submission_outcome outcome, void *data)
 {
 	struct call *c = data;
 	struct frontend *s = c->frontend;
 
-	switch (result->status) {
-	case STATUS_OK:
-	case STATUS_CONFLICT: /* the row is there: of an earlier attempt */
+	switch (outcome) {
+	case SUBMISSION_ACCEPTED:
+	case SUBMISSION_KNOWN:
 		counter_add(s->accepted, 1);
 		histogram_record(s->submit_latency,
 				 (util_monotonic_ms() - c->began_ms) *
 					 US_PER_MS);
 		answer(c, "POST", SOUP_STATUS_OK,
-		       result->status == STATUS_OK ? "accepted\n"
-						   : "accepted before\n");
-		return;
-	case STATUS_UNKNOWN:
-		c->may_be_written = TRUE;
+		       outcome == SUBMISSION_ACCEPTED ? "accepted\n"
+						      : "accepted before\n");
 		break;
-	default:
-		break;
-	}
-	if (!c->may_be_written) {
+	case SUBMISSION_REFUSED:
 		counter_add(s->refused, 1);
 		answer(c, "POST", SOUP_STATUS_SERVICE_UNAVAILABLE,
 		       "the store can't be reached; nothing was accepted\n");
-		return;
-	}
-	if (util_monotonic_ms() - c->began_ms < WRITE_RETRIES_MS &&
-	    util_monotonic_ms() + ANSWER_MARGIN_MS < c->due_ms) {
-		g_timeout_add(WRITE_RETRY_MS, on_write_again, c);
-		return;
+		break;
+	case SUBMISSION_UNKNOWN:
+		counter_add(s->unknown, 1);
+		answer(c, "POST", SOUP_STATUS_GATEWAY_TIMEOUT,
+		       "it is not known whether the job was accepted\n");
+		break;
 	}
-	counter_add(s->unknown, 1);
-	answer(c, "POST", SOUP_STATUS_GATEWAY_TIMEOUT,
-	       "it is not known whether the job was accepted\n");
-}
-
-static void write_job(struct call *c)
-{
-	struct table_write write = {
-		.table = JOB_TABLE,
-		.part = job_part(c->id),
-		.key = c->id,
-		.expected_version = TABLE_ABSENT,
-		.value = c->row,
-	};
-
-	platform_commit(c->frontend->platform, &write, 1, on_written, c);
 }
 
 static void handle_post(struct http_request *r, void *data)
@@ -248,6 +208,7 @@
 	struct job_spec spec = { 0 };
 	struct finding_list findings;
 	json_object *body;
+	json_object *row;
 	char *text;
 
 	if (!find_route(c, "POST"))
@@ -263,9 +224,11 @@
 	}
 	finding_list_init(&findings);
 	if (wire_job_decode(body, &spec, &findings)) {
-		c->row = job_row_encode(c->route, c->account, &spec,
-					config_feed_store_ms(s->kernel));
-		write_job(c);
+		row = job_row_encode(c->route, c->account, &spec,
+				     config_feed_store_ms(s->kernel));
+		submission_begin(s->platform, c->id, row, c->deadline_ms,
+				 on_submitted, c);
+		json_object_put(row);
 	} else {
 		text = finding_list_text(&findings);
 		answer(c, "POST", SOUP_STATUS_BAD_REQUEST, text);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -334,11 +334,61 @@
 	site_free(s);
 }
 
+/* What a caller is told of a job while the store answers too little. */
+struct submit_case {
+	const char *name;
+	const char *control; /* of the platform, NULL when it is paused */
+	guint code;
+	int64_t within_ms;
+	gboolean is_run; /* after the fault */
+};
+
+static const struct submit_case submit_cases[] = {
+	/* Nothing is sent to be written: the caller may come again. */
+	{ "/entry/submit/silent", NULL, 503, 1200, FALSE },
+	{ "/entry/submit/unanswered", "{\"mute_jobs\":1}", 200, 1500, TRUE },
+	/* Its second sending has no answer either. */
+	{ "/entry/submit/unanswered-twice", "{\"mute_jobs\":2}", 200, 1500,
+	  TRUE },
+};
+
+static void test_submit(gconstpointer data)
+{
+	const struct submit_case *c = data;
+	struct site *s = site_new();
+	int64_t took_ms;
+	int64_t began_us;
+	guint code;
+
+	g_assert_cmpuint(submit(s, 0, "00000000000000f1", 100), ==, 200);
+	assert_state(s, 0, "00000000000000f1", "completed");
+	if (c->control)
+		cluster_control(s->cluster, s->store, c->control);
+	else
+		cluster_signal(s->platform, SIGSTOP);
+	began_us = g_get_monotonic_time();
+	code = submit(s, 0, "00000000000000f2", 100);
+	took_ms = (g_get_monotonic_time() - began_us) / 1000;
+	if (!c->control)
+		cluster_signal(s->platform, SIGCONT);
+	g_assert_cmpuint(code, ==, c->code);
+	g_assert_cmpint(took_ms, <, c->within_ms);
+	if (c->is_run)
+		assert_state(s, 0, "00000000000000f2", "completed");
+	else
+		cluster_sleep(2000);
+	g_assert_cmpint(starts(s), ==, c->is_run ? 4 : 2);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	for (guint i = 0; i < G_N_ELEMENTS(faults); i++)
 		g_test_add_data_func(faults[i].name, &faults[i], test_fault);
+	for (guint i = 0; i < G_N_ELEMENTS(submit_cases); i++)
+		g_test_add_data_func(submit_cases[i].name, &submit_cases[i],
+				     test_submit);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/unanswered-then-refused",
