Other VMs of a failure domain make a large pool's calls to workers

Cause: a holder of half a core can make some 250 orders a second.

Change: every entry VM is a delegate: it registers in the store, and makes calls that the holder sends it in frames over one connection (entry/delegate.c). The holder picks one of the worker's failure domain by its share of a core (entry/delegate_pool.c), from 120 workers on. A delegate decides nothing. A call without an answer has been one without an answer before; the worker is then called directly for 3 s, and a delegate that doesn't answer is left aside.

Test: /entry/delegate, with the delegate or the holder killed, terminated and stopped while a job runs.

--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -9,6 +9,7 @@
 #include "base/util.h"
 #include "daemon/daemon.h"
 #include "daemon/program.h"
+#include "entry/delegate.h"
 #include "entry/config_feed.h"
 #include "entry/election.h"
 #include "entry/entry_settings.h"
@@ -22,10 +23,8 @@
 #define SETTINGS_VARIABLE "CORIANDERSTEP_SETTINGS"
 
 static const service_new_fn services[] = {
-	config_feed_new,
-	election_new,
-	pool_holder_new,
-	frontend_new,
+	config_feed_new, election_new, delegate_new,
+	pool_holder_new, frontend_new,
 };
 
 static gboolean load_settings(struct entry_settings *s, const char *file_name)
--- /dev/null
+++ b/entry/delegate.c
@@ -0,0 +1,328 @@
+#include "entry/delegate.h"
+
+#include <gio/gio.h>
+
+#include "base/http_client.h"
+#include "base/json_member.h"
+#include "base/log.h"
+#include "base/util.h"
+#include "entry/entry_store.h"
+#include "entry/delegate_message.h"
+#include "link/link_connection.h"
+
+/* A pool of the size to design for has 3,800 workers over some 30 VMs, each
+ * with a renewal and a few orders under way. */
+#define MAX_CALLS 1000
+/* As the holder's own, see entry/worker_calls.c. */
+#define MAX_CONNECTIONS_PER_WORKER 16
+/* Before the row is written again after a failure. */
+#define REGISTER_RETRY_MS 500
+/* The holder, and one that does not know yet that it is deposed. */
+#define MAX_HOLDERS 16
+#define MAX_HEADERS 4
+
+struct delegate {
+	struct service base;
+	struct platform *platform;
+	const struct entry_settings *settings;
+	GSocketService *listener;
+	struct link_poll *poll;
+	struct link_traffic traffic;
+	struct http_client *client;
+	GHashTable *holders; /* set of struct holder_link */
+	char *token;	     /* that a holder has read from the store */
+	guint timer;
+	struct counter *calls;
+};
+
+/* The connection of a holder. */
+struct holder_link {
+	struct delegate *delegate;
+	struct link_connection *connection;
+	gboolean has_token;
+	GHashTable *calls; /* set of struct delegated_call */
+};
+
+struct delegated_call {
+	struct holder_link *link;
+	int64_t number;
+	struct http_call *http;
+};
+
+static void register_delegate(struct delegate *s);
+
+static gboolean on_register(gpointer data)
+{
+	struct delegate *s = data;
+
+	s->timer = 0;
+	register_delegate(s);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_registered(const struct platform_result *result, void *data)
+{
+	struct delegate *s = data;
+	struct log_line line;
+
+	if (result->status != STATUS_OK) {
+		s->timer = g_timeout_add(REGISTER_RETRY_MS, on_register, s);
+		return;
+	}
+	log_begin(&line, LOG_LEVEL_INFO, "delegate_registered");
+	log_str(&line, "address", s->settings->internal);
+	log_int(&line, "version", result->version);
+	log_end(&line);
+}
+
+static void register_delegate(struct delegate *s)
+{
+	json_object *row = json_object_new_object();
+	struct table_write write = {
+		.table = DELEGATE_TABLE,
+		.key = s->settings->node,
+		.expected_version = TABLE_ANY_VERSION,
+		.value = row,
+	};
+
+	json_object_object_add(row, "address",
+			       json_object_new_string(s->settings->internal));
+	json_object_object_add(
+		row, "failure_domain",
+		json_object_new_string(s->settings->failure_domain));
+	json_object_object_add(row, "cpu_share",
+			       json_object_new_double(s->settings->cpu_share));
+	json_object_object_add(row, "token", json_object_new_string(s->token));
+	platform_commit(s->platform, &write, 1, on_registered, s);
+	json_object_put(row);
+}
+
+static void holder_link_free(gpointer data)
+{
+	struct holder_link *l = data;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, l->calls);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		struct delegated_call *c = item;
+
+		http_call_cancel(c->http);
+		g_free(c);
+	}
+	g_hash_table_unref(l->calls);
+	if (l->connection)
+		link_connection_close(l->connection);
+	g_free(l);
+}
+
+static void on_reply(const struct http_reply *reply, void *data)
+{
+	struct delegated_call *c = data;
+	json_object *body = json_object_new_object();
+
+	json_object_object_add(body, "number",
+			       json_object_new_int64(c->number));
+	json_object_object_add(body, "status",
+			       json_object_new_int(reply->status));
+	json_object_object_add(body, "code",
+			       json_object_new_int((int32_t)reply->code));
+	json_object_object_add(body, "was_resent",
+			       json_object_new_boolean(reply->was_resent));
+	if (reply->body)
+		json_object_object_add(body, "body",
+				       json_object_get(reply->body));
+	/* A connection that fails ends by itself, and with it all its calls. */
+	link_connection_send(c->link->connection, DELEGATE_MESSAGE_REPLY, body);
+	json_object_put(body);
+	g_hash_table_remove(c->link->calls, c);
+	g_free(c);
+}
+
+static void take_call(struct holder_link *l, json_object *message)
+{
+	struct delegated_call *c = g_new0(struct delegated_call, 1);
+	json_object *list = json_member(message, "headers");
+	const char *headers[MAX_HEADERS * 2 + 1] = { NULL };
+	struct http_call_spec spec = {
+		.method = json_member_text(message, "method"),
+		.address = json_member_text(message, "address"),
+		.path = json_member_text(message, "path"),
+		.body = json_member(message, "body"),
+		.timeout_ms = json_member_int(message, "timeout_ms"),
+		.silent_ms = json_member_int(message, "silent_ms"),
+		.may_reuse = TRUE,
+		.headers = headers,
+		.on_reply = on_reply,
+		.data = c,
+	};
+	struct log_line line;
+
+	for (size_t i = 0; json_object_is_type(list, json_type_array) &&
+			   i < json_object_array_length(list) &&
+			   i < G_N_ELEMENTS(headers) - 1;
+	     i++)
+		headers[i] = json_object_get_string(
+			json_object_array_get_idx(list, i));
+	if (!spec.method || !spec.address || !spec.path) {
+		log_begin(&line, LOG_LEVEL_ERROR, "delegate_call_unreadable");
+		log_end(&line);
+		g_free(c);
+		return;
+	}
+	c->link = l;
+	c->number = json_member_int(message, "number");
+	counter_add(l->delegate->calls, 1);
+	g_hash_table_add(l->calls, c);
+	c->http = http_client_send(l->delegate->client, &spec);
+}
+
+static void log_holder(const char *event, const char *outcome)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, event);
+	log_str(&line, "outcome", outcome);
+	log_end(&line);
+}
+
+static void on_frame(uint8_t type, json_object *body, void *data)
+{
+	struct holder_link *l = data;
+
+	if (type == DELEGATE_MESSAGE_HELLO) {
+		l->has_token = g_strcmp0(json_member_text(body, "token"),
+					 l->delegate->token) == 0;
+		log_holder("delegate_hello",
+			   l->has_token ? "accepted" : "unknown token");
+	} else if (type == DELEGATE_MESSAGE_CALL && l->has_token) {
+		take_call(l, body);
+	}
+}
+
+static void on_closed(void *data)
+{
+	struct holder_link *l = data;
+
+	l->connection = NULL;
+	log_holder("delegate_holder_gone", "its calls are ended");
+	g_hash_table_remove(l->delegate->holders, l);
+}
+
+static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
+			    GObject *source, gpointer data)
+{
+	struct delegate *s = data;
+	struct holder_link *l;
+
+	if (g_hash_table_size(s->holders) >= MAX_HOLDERS)
+		return TRUE;
+	l = g_new0(struct holder_link, 1);
+	l->delegate = s;
+	l->calls = g_hash_table_new(NULL, NULL);
+	l->connection = link_connection_new(stream, s->poll, &s->traffic,
+					    on_frame, on_closed, l);
+	g_hash_table_add(s->holders, l);
+	return TRUE;
+}
+
+static enum status listen_on(struct delegate *s, const char *address)
+{
+	enum status status = STATUS_OK;
+	GSocketAddress *inet = NULL;
+	GError *error = NULL;
+	char *host = NULL;
+	uint16_t port;
+
+	if (!util_parse_endpoint(address, &host, &port))
+		return status_fail(STATUS_INVALID, "bad address %s", address);
+	inet = g_inet_socket_address_new_from_string(host, port);
+	if (!g_socket_listener_add_address(
+		    G_SOCKET_LISTENER(s->listener), inet, G_SOCKET_TYPE_STREAM,
+		    G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
+		status = status_fail(STATUS_UNAVAILABLE, "listen %s: %s",
+				     address, error->message);
+		g_error_free(error);
+	}
+	g_object_unref(inet);
+	g_free(host);
+	return status;
+}
+
+static enum status delegate_start(struct service *base, struct kernel *k)
+{
+	struct delegate *s = (struct delegate *)base;
+	enum status status;
+
+	s->settings = entry_settings_of(k);
+	s->platform = entry_platform_of(k);
+	s->calls =
+		counters_counter(kernel_counters(k), "cs_delegated_calls_total",
+				 "Calls to workers for a holder elsewhere");
+	if (!s->settings->internal)
+		return STATUS_OK;
+	status = listen_on(s, s->settings->internal);
+	if (status != STATUS_OK)
+		return status;
+	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
+	g_socket_service_start(s->listener);
+	register_delegate(s);
+	return STATUS_OK;
+}
+
+/* A holder must not count on a process that is about to stop. */
+static void delegate_drain(struct service *base)
+{
+	struct delegate *s = (struct delegate *)base;
+	struct table_write removal = {
+		.table = DELEGATE_TABLE,
+		.key = s->settings->node,
+		.expected_version = TABLE_ANY_VERSION,
+	};
+
+	if (!s->settings->internal)
+		return;
+	platform_forget(s->platform, s);
+	if (s->timer)
+		g_source_remove(s->timer);
+	s->timer = 0;
+	platform_commit(s->platform, &removal, 1, NULL, NULL);
+}
+
+static void delegate_free(struct service *base)
+{
+	struct delegate *s = (struct delegate *)base;
+
+	if (s->timer)
+		g_source_remove(s->timer);
+	if (s->platform)
+		platform_forget(s->platform, s);
+	g_socket_service_stop(s->listener);
+	g_socket_listener_close(G_SOCKET_LISTENER(s->listener));
+	g_hash_table_unref(s->holders);
+	http_client_free(s->client);
+	g_object_unref(s->listener);
+	link_poll_free(s->poll);
+	g_free(s->token);
+	g_free(s);
+}
+
+static const struct service_class delegate_class = {
+	.name = DELEGATE_SERVICE,
+	.start = delegate_start,
+	.drain = delegate_drain,
+	.free = delegate_free,
+};
+
+struct service *delegate_new(void)
+{
+	struct delegate *s = g_new0(struct delegate, 1);
+
+	s->base.class = &delegate_class;
+	s->listener = g_socket_service_new();
+	s->poll = link_poll_new();
+	s->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_WORKER);
+	s->holders = g_hash_table_new_full(NULL, NULL, holder_link_free, NULL);
+	s->token = util_random_id();
+	return &s->base;
+}
--- /dev/null
+++ b/entry/delegate_pool.c
@@ -0,0 +1,452 @@
+#include "entry/delegate_pool.h"
+
+#include <gio/gio.h>
+#include <math.h>
+
+#include "base/json_member.h"
+#include "base/log.h"
+#include "base/util.h"
+#include "entry/delegate_message.h"
+#include "entry/table_feed.h"
+#include "link/link_connection.h"
+
+/* Longest time that the store holds back an answer without changes. */
+#define WAIT_MS 5000
+#define CONNECT_TIMEOUT_S 2
+/* Before a delegate that failed is tried again, and a worker that a delegate
+ * didn't reach is called through one: the length of a short fault. */
+#define AVOID_MS 3000
+/* What the way over a delegate may add to the time of a call. */
+#define EXTRA_MS 200
+/* Calls that are overdue are looked for this often. */
+#define TICK_MS 100
+/* The row of a delegate that was never reached for so long is removed: longer
+ * than a VM takes to be started anew. */
+#define FORGET_MS 60000
+
+struct delegate_link {
+	struct delegate_pool *pool;
+	char *node;
+	char *address;
+	char *failure_domain;
+	char *token;
+	double cpu_share;
+	struct link_connection *connection;
+	GCancellable *connecting;
+	int64_t avoid_until_ms;
+	int64_t reached_ms; /* last answer, or when it was registered */
+};
+
+struct pending_call {
+	int64_t number;
+	struct delegate_link *delegate;
+	char *worker;
+	int64_t due_ms;
+	http_reply_fn fn;
+	void *data;
+};
+
+struct delegate_pool {
+	struct platform *platform;
+	char *node;
+	struct table_feed *feed;
+	GHashTable *delegates; /* node to struct delegate_link */
+	GHashTable *pending;   /* number to struct pending_call */
+	GHashTable *direct;    /* worker to the time until which it is called
+				  directly */
+	int64_t last_number;
+	GSocketClient *client;
+	struct link_poll *poll;
+	struct link_traffic traffic;
+	guint tick;
+};
+
+static void log_delegate(const struct delegate_link *d, const char *event,
+			 const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, event);
+	log_str(&line, "delegate", d->node);
+	log_str(&line, "address", d->address);
+	if (reason)
+		log_str(&line, "reason", reason);
+	log_end(&line);
+}
+
+static void pending_call_free(gpointer data)
+{
+	struct pending_call *c = data;
+
+	g_free(c->worker);
+	g_free(c);
+}
+
+/* Ends a call; its worker is called directly for a while after a failure. */
+static void finish(struct delegate_pool *p, struct pending_call *c,
+		   const struct http_reply *reply)
+{
+	g_hash_table_steal(p->pending, &c->number);
+	if (reply->status != STATUS_OK) {
+		int64_t *until_ms = g_new(int64_t, 1);
+
+		*until_ms = util_monotonic_ms() + AVOID_MS;
+		g_hash_table_replace(p->direct, g_strdup(c->worker), until_ms);
+	}
+	c->fn(reply, c->data);
+	pending_call_free(c);
+}
+
+/* Ends the calls of a delegate, of all when it is NULL, that are due by a time.
+ */
+static void finish_unanswered(struct delegate_pool *p,
+			      const struct delegate_link *d, int64_t due_ms)
+{
+	const struct http_reply unknown = { .status = STATUS_UNKNOWN };
+	GPtrArray *ended = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, p->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct pending_call *c = item;
+
+		if ((!d || c->delegate == d) && c->due_ms <= due_ms)
+			g_ptr_array_add(ended, c);
+	}
+	for (guint i = 0; i < ended->len; i++) {
+		struct pending_call *c = ended->pdata[i];
+
+		c->delegate->avoid_until_ms = util_monotonic_ms() + AVOID_MS;
+		finish(p, c, &unknown);
+	}
+	g_ptr_array_unref(ended);
+}
+
+static void disconnect(struct delegate_link *d)
+{
+	if (d->connecting)
+		g_cancellable_cancel(d->connecting);
+	g_clear_object(&d->connecting);
+	g_clear_pointer(&d->connection, link_connection_close);
+	finish_unanswered(d->pool, d, INT64_MAX);
+}
+
+static void delegate_link_free(gpointer data)
+{
+	struct delegate_link *d = data;
+
+	disconnect(d);
+	g_free(d->node);
+	g_free(d->address);
+	g_free(d->failure_domain);
+	g_free(d->token);
+	g_free(d);
+}
+
+static void take_reply(struct delegate_link *d, json_object *message)
+{
+	int64_t number = json_member_int(message, "number");
+	struct pending_call *c = g_hash_table_lookup(d->pool->pending, &number);
+	struct http_reply reply = {
+		.status = (enum status)json_member_int(message, "status"),
+		.code = (guint)json_member_int(message, "code"),
+		.body = json_member(message, "body"),
+		.was_resent = json_object_get_boolean(
+			json_member(message, "was_resent")),
+	};
+
+	d->reached_ms = util_monotonic_ms();
+	if (c && c->delegate == d)
+		finish(d->pool, c, &reply);
+}
+
+static void on_frame(uint8_t type, json_object *body, void *data)
+{
+	if (type == DELEGATE_MESSAGE_REPLY)
+		take_reply(data, body);
+}
+
+static void on_closed(void *data)
+{
+	struct delegate_link *d = data;
+
+	d->connection = NULL;
+	d->avoid_until_ms = util_monotonic_ms() + AVOID_MS;
+	log_delegate(d, "delegate_lost", "the connection has ended");
+	disconnect(d);
+}
+
+static void say_hello(struct delegate_link *d)
+{
+	json_object *body = json_object_new_object();
+
+	json_object_object_add(body, "token", json_object_new_string(d->token));
+	link_connection_send(d->connection, DELEGATE_MESSAGE_HELLO, body);
+	json_object_put(body);
+}
+
+static void on_connected(GObject *source, GAsyncResult *result, gpointer data)
+{
+	GError *error = NULL;
+	GSocketConnection *stream = g_socket_client_connect_to_host_finish(
+		G_SOCKET_CLIENT(source), result, &error);
+	struct delegate_link *d = data;
+
+	/* A delegate that is gone has cancelled it. */
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED)) {
+		g_error_free(error);
+		return;
+	}
+	g_clear_object(&d->connecting);
+	if (!stream) {
+		d->avoid_until_ms = util_monotonic_ms() + AVOID_MS;
+		log_delegate(d, "delegate_not_reached", error->message);
+		g_error_free(error);
+		return;
+	}
+	d->connection =
+		link_connection_new(stream, d->pool->poll, &d->pool->traffic,
+				    on_frame, on_closed, d);
+	d->reached_ms = util_monotonic_ms();
+	say_hello(d);
+	log_delegate(d, "delegate_reached", NULL);
+	g_object_unref(stream);
+}
+
+static void delegate_link_connect(struct delegate_link *d)
+{
+	d->connecting = g_cancellable_new();
+	g_socket_client_connect_to_host_async(d->pool->client, d->address, 0,
+					      d->connecting, on_connected, d);
+}
+
+static void on_row(void *data, const struct table_row *row, int64_t store_ms)
+{
+	struct delegate_pool *p = data;
+	struct delegate_link *d;
+
+	g_hash_table_remove(p->delegates, row->key);
+	if (row->is_deleted || g_str_equal(row->key, p->node) ||
+	    !json_member_text(row->value, "address") ||
+	    !json_member_text(row->value, "failure_domain") ||
+	    !json_member_text(row->value, "token"))
+		return;
+	d = g_new0(struct delegate_link, 1);
+	d->pool = p;
+	d->node = g_strdup(row->key);
+	d->address = g_strdup(json_member_text(row->value, "address"));
+	d->failure_domain =
+		g_strdup(json_member_text(row->value, "failure_domain"));
+	d->token = g_strdup(json_member_text(row->value, "token"));
+	d->cpu_share =
+		json_object_get_double(json_member(row->value, "cpu_share"));
+	d->reached_ms = util_monotonic_ms();
+	g_hash_table_insert(p->delegates, d->node, d);
+}
+
+static void remove_row(struct delegate_link *d)
+{
+	struct table_write removal = {
+		.table = DELEGATE_TABLE,
+		.key = d->node,
+		.expected_version = TABLE_ANY_VERSION,
+	};
+
+	log_delegate(d, "delegate_removed", "not reached for long");
+	d->reached_ms = util_monotonic_ms();
+	platform_commit(d->pool->platform, &removal, 1, NULL, NULL);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	struct delegate_pool *p = data;
+	int64_t now_ms = util_monotonic_ms();
+	GHashTableIter iter;
+	gpointer item;
+
+	finish_unanswered(p, NULL, now_ms);
+	g_hash_table_iter_init(&iter, p->delegates);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct delegate_link *d = item;
+
+		if (!d->connection && now_ms - d->reached_ms > FORGET_MS)
+			remove_row(d);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+struct delegate_pool *delegate_pool_new(const struct delegate_pool_spec *spec)
+{
+	struct delegate_pool *p = g_new0(struct delegate_pool, 1);
+
+	p->platform = spec->platform;
+	p->node = g_strdup(spec->node);
+	p->delegates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     delegate_link_free);
+	p->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   pending_call_free);
+	p->direct =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->client = g_socket_client_new();
+	g_socket_client_set_enable_proxy(p->client, FALSE);
+	g_socket_client_set_timeout(p->client, CONNECT_TIMEOUT_S);
+	p->poll = link_poll_new();
+	return p;
+}
+
+void delegate_pool_begin(struct delegate_pool *p)
+{
+	struct table_feed_spec feed = {
+		.platform = p->platform,
+		.table = DELEGATE_TABLE,
+		.wait_ms = WAIT_MS,
+		.on_row = on_row,
+		.data = p,
+	};
+
+	delegate_pool_reset(p);
+	p->feed = table_feed_new(&feed);
+	p->tick = g_timeout_add(TICK_MS, on_tick, p);
+}
+
+void delegate_pool_reset(struct delegate_pool *p)
+{
+	g_clear_pointer(&p->feed, table_feed_free);
+	if (p->tick)
+		g_source_remove(p->tick);
+	p->tick = 0;
+	g_hash_table_remove_all(p->delegates);
+	g_hash_table_remove_all(p->direct);
+}
+
+void delegate_pool_free(struct delegate_pool *p)
+{
+	if (!p)
+		return;
+	delegate_pool_reset(p);
+	g_hash_table_unref(p->delegates);
+	g_hash_table_unref(p->pending);
+	g_hash_table_unref(p->direct);
+	g_object_unref(p->client);
+	link_poll_free(p->poll);
+	g_free(p->node);
+	g_free(p);
+}
+
+/* Rendezvous hashing by weight: few workers move when a delegate comes or goes.
+ */
+static double score(const struct delegate_link *d, const char *worker)
+{
+	guint hash = g_str_hash(d->node) * 2654435761u ^ g_str_hash(worker);
+
+	/* Spreads neighbouring hashes over all bits. */
+	hash ^= hash >> 16;
+	hash *= 0x45d9f3bu;
+	hash ^= hash >> 16;
+	return d->cpu_share /
+	       -log(((double)hash + 0.5) / ((double)G_MAXUINT + 1));
+}
+
+/* Returns the delegate of a worker, or NULL; opens its connection if need be.
+ */
+static struct delegate_link *pick(struct delegate_pool *p, const char *worker,
+				  const char *failure_domain, int64_t now_ms)
+{
+	struct delegate_link *best = NULL;
+	double most = 0;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, p->delegates);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct delegate_link *d = item;
+		double s;
+
+		if (now_ms < d->avoid_until_ms ||
+		    g_strcmp0(d->failure_domain, failure_domain) != 0)
+			continue;
+		s = score(d, worker);
+		if (!best || s > most) {
+			best = d;
+			most = s;
+		}
+	}
+	if (!best || best->connection)
+		return best;
+	if (!best->connecting)
+		delegate_link_connect(best);
+	return NULL;
+}
+
+static gboolean is_direct(struct delegate_pool *p, const char *worker,
+			  int64_t now_ms)
+{
+	const int64_t *until_ms = g_hash_table_lookup(p->direct, worker);
+
+	if (!until_ms)
+		return FALSE;
+	if (now_ms < *until_ms)
+		return TRUE;
+	g_hash_table_remove(p->direct, worker);
+	return FALSE;
+}
+
+static json_object *encode_call(const struct http_call_spec *spec,
+				int64_t number)
+{
+	json_object *body = json_object_new_object();
+	json_object *headers = json_object_new_array();
+
+	for (guint i = 0; spec->headers && spec->headers[i]; i++)
+		json_object_array_add(headers,
+				      json_object_new_string(spec->headers[i]));
+	json_object_object_add(body, "number", json_object_new_int64(number));
+	json_object_object_add(body, "method",
+			       json_object_new_string(spec->method));
+	json_object_object_add(body, "address",
+			       json_object_new_string(spec->address));
+	json_object_object_add(body, "path",
+			       json_object_new_string(spec->path));
+	json_object_object_add(body, "headers", headers);
+	json_object_object_add(body, "timeout_ms",
+			       json_object_new_int64(spec->timeout_ms));
+	json_object_object_add(body, "silent_ms",
+			       json_object_new_int64(spec->silent_ms));
+	if (spec->body)
+		json_object_object_add(body, "body",
+				       json_object_get(spec->body));
+	return body;
+}
+
+gboolean delegate_pool_send(struct delegate_pool *p, const char *worker,
+			    const char *failure_domain,
+			    const struct http_call_spec *spec)
+{
+	int64_t now_ms = util_monotonic_ms();
+	struct delegate_link *d;
+	struct pending_call *c;
+	json_object *body;
+	enum status status;
+
+	if (is_direct(p, worker, now_ms))
+		return FALSE;
+	d = pick(p, worker, failure_domain, now_ms);
+	if (!d)
+		return FALSE;
+	body = encode_call(spec, p->last_number + 1);
+	status = link_connection_send(d->connection, DELEGATE_MESSAGE_CALL,
+				      body);
+	json_object_put(body);
+	if (status != STATUS_OK)
+		return FALSE;
+	c = g_new0(struct pending_call, 1);
+	c->number = ++p->last_number;
+	c->delegate = d;
+	c->worker = g_strdup(worker);
+	c->due_ms = now_ms + spec->timeout_ms + EXTRA_MS;
+	c->fn = spec->on_reply;
+	c->data = spec->data;
+	g_hash_table_insert(p->pending, &c->number, c);
+	return TRUE;
+}
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -6,6 +6,9 @@
 #define NAME_MAX_BYTES 200
 #define MAX_MS 600000
 #define MAX_S 86400
+/* A holder with half a core gives some 250 orders a second itself, which is
+ * what so many workers with short tasks need (docs/CAPACITY.md). */
+#define DELEGATE_MIN_WORKERS 120
 
 #define NEEDED(type_, member_, kind, least, most)                          \
 	{                                                                  \
@@ -39,6 +42,16 @@
 	NEEDED(entry_settings, failure_domain, FIELD_STRING, 1, NAME_MAX_BYTES),
 	NEEDED(entry_settings, frontend, FIELD_STRING, 1, NAME_MAX_BYTES),
 	NEEDED(entry_settings, readiness, FIELD_STRING, 1, NAME_MAX_BYTES),
+	{ .name = "internal",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct entry_settings, internal),
+	  .max = NAME_MAX_BYTES },
+	{ .name = "delegate_min_workers",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct entry_settings, delegate_min_workers),
+	  .min = 1,
+	  .max = INT32_MAX,
+	  .fallback = DELEGATE_MIN_WORKERS },
 	NEEDED(entry_settings, cpu_share, FIELD_REAL, 0, 1024),
 	{ .name = "store",
 	  .type = FIELD_OBJECT,
@@ -78,6 +91,7 @@
 	json_text_decode_file(file_name, &entry_schema, s, findings);
 	check_address(file_name, "frontend", s->frontend, findings);
 	check_address(file_name, "readiness", s->readiness, findings);
+	check_address(file_name, "internal", s->internal, findings);
 	check_address(file_name, "store.address", s->store.address, findings);
 	return finding_list_count(findings) == 0;
 }
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -28,6 +28,9 @@
 	char *failure_domain;
 	char *frontend;	 /**< "IP:PORT" for callers */
 	char *readiness; /**< "IP:PORT" for the balancer */
+	char *internal;	 /**< "IP:PORT" for other VMs; NULL: no delegate */
+	/** From so many workers on other VMs make the holder's calls. */
+	int64_t delegate_min_workers;
 	double cpu_share;
 	struct entry_store_settings store;
 	struct entry_bound_settings bounds;
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -311,6 +311,7 @@
 				      LEASE_SLACK_MS);
 	progress_writer_begin(s->writer, term_version);
 	s->is_holding = TRUE;
+	worker_calls_begin(s->calls);
 	start_feed(s, FEED_JOBS);
 	start_feed(s, FEED_USE);
 }
@@ -354,6 +355,9 @@
 		.data = s,
 	};
 	const struct worker_calls_spec calls = {
+		.platform = entry_platform_of(k),
+		.node = settings->node,
+		.delegate_min_workers = (guint)settings->delegate_min_workers,
 		.scheduler = &s->scheduler,
 		.counters = kernel_counters(k),
 		.on_news = plan_soon,
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -5,6 +5,7 @@
 #include "base/http_client.h"
 #include "base/log.h"
 #include "base/util.h"
+#include "entry/delegate_pool.h"
 #include "platform/wire_worker.h"
 
 #define MAX_CALLS 2000
@@ -20,11 +21,11 @@
 #define HOLD_TIMEOUT_MS 600
 /* Before a call to a worker that did not answer. */
 #define HOLD_RETRY_MS 250
-#define CODE_MISDIRECTED 421
 
 struct worker_calls {
 	struct worker_calls_spec spec;
 	struct http_client *client;
+	struct delegate_pool *delegates;
 	uint32_t generation; /* rises with each reset */
 	struct histogram *start_latency;
 	struct counter *starts;
@@ -46,9 +47,14 @@
 struct worker_calls *worker_calls_new(const struct worker_calls_spec *spec)
 {
 	struct worker_calls *c = g_new0(struct worker_calls, 1);
+	const struct delegate_pool_spec delegates = {
+		.platform = spec->platform,
+		.node = spec->node,
+	};
 
 	c->spec = *spec;
 	c->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_WORKER);
+	c->delegates = delegate_pool_new(&delegates);
 	c->start_latency = counters_histogram(
 		spec->counters, "cs_task_start_latency_seconds",
 		"Time of an order to start a task");
@@ -68,13 +74,21 @@
 {
 	if (!c)
 		return;
+	worker_calls_reset(c);
+	delegate_pool_free(c->delegates);
 	http_client_free(c->client);
 	g_free(c);
 }
 
+void worker_calls_begin(struct worker_calls *c)
+{
+	delegate_pool_begin(c->delegates);
+}
+
 void worker_calls_reset(struct worker_calls *c)
 {
 	c->generation++;
+	delegate_pool_reset(c->delegates);
 }
 
 static void order_call_free(struct order_call *o)
@@ -99,6 +113,12 @@
 	return o;
 }
 
+static gboolean is_delegated(const struct worker_calls *c)
+{
+	return g_hash_table_size(c->spec.scheduler->fleet.workers) >=
+	       c->spec.delegate_min_workers;
+}
+
 static void send_call(struct worker_calls *c, const struct fleet_worker *w,
 		      const char *path, json_object *body, int64_t timeout_ms,
 		      int64_t silent_ms, http_reply_fn fn, struct order_call *o)
@@ -117,7 +137,10 @@
 		.data = o,
 	};
 
-	http_client_send(c->client, &spec);
+	if (!is_delegated(c) ||
+	    !delegate_pool_send(c->delegates, w->id, w->reg.failure_domain,
+				&spec))
+		http_client_send(c->client, &spec);
 	json_object_put(body);
 }
 
--- a/entry/worker_calls.h
+++ b/entry/worker_calls.h
@@ -1,16 +1,21 @@
 /**
  * @file
  * Calls to workers over HTTP: orders, and the renewals that bring their lists.
+ * In a large pool other VMs make them, see entry/delegate.h.
  */
 #ifndef ENTRY_WORKER_CALLS_H
 #define ENTRY_WORKER_CALLS_H
 
 #include "base/counters.h"
 #include "sched/fleet_scheduler.h"
+#include "store/platform.h"
 
 struct worker_calls;
 
 struct worker_calls_spec {
+	struct platform *platform;
+	guint delegate_min_workers;	   /**< see struct entry_settings */
+	const char *node;		   /**< own VM */
 	struct fleet_scheduler *scheduler; /**< gets the answers */
 	struct counters *counters;
 	/** A worker has answered, so that there may be something to do. */
@@ -23,6 +28,9 @@
 struct worker_calls *worker_calls_new(const struct worker_calls_spec *spec);
 void worker_calls_free(struct worker_calls *c);
 
+/** Begins to look for delegates, for an epoch of our own. */
+void worker_calls_begin(struct worker_calls *c);
+
 /** Drops all calls in flight: another epoch begins. */
 void worker_calls_reset(struct worker_calls *c);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -10,6 +10,7 @@
 
 #define ENTRIES 2
 #define WORKERS 3
+#define MANY_WORKERS 1000
 #define WAIT_MS 20000
 #define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
 
@@ -29,17 +30,21 @@
 	char *store;
 	char *frontends[ENTRIES];
 	char *readiness[ENTRIES];
+	char *internal[ENTRIES];
+	guint delegate_min_workers;
 };
 
 static void start_entry(struct site *s, guint i)
 {
 	char *text = g_strdup_printf(
 		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
-		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"cpu_share\":1.0,"
+		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
+		"\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
 		"\"store\":{\"address\":\"%s\",\"writes_per_s\":500,"
 		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":3000,"
 		"\"grace_s\":3,\"status_s\":120}}",
-		i, s->frontends[i], s->readiness[i], s->store);
+		i, s->frontends[i], s->readiness[i], s->internal[i],
+		s->delegate_min_workers, s->store);
 	char *name = g_strdup_printf("e%u.json", i);
 	char *file = cluster_write_file(s->cluster, name, text);
 	char *log =
@@ -70,12 +75,13 @@
 	return TRUE;
 }
 
-static struct site *site_new(void)
+static struct site *site_new_delegating(guint delegate_min_workers)
 {
 	struct site *s = g_new0(struct site, 1);
 	char *workers = g_strdup_printf("%d", WORKERS);
 	char *config;
 
+	s->delegate_min_workers = delegate_min_workers;
 	s->cluster = cluster_new();
 	config = cluster_write_file(s->cluster, "config.json", config_text);
 	s->store = cluster_address();
@@ -86,6 +92,7 @@
 	for (guint i = 0; i < ENTRIES; i++) {
 		s->frontends[i] = cluster_address();
 		s->readiness[i] = cluster_address();
+		s->internal[i] = cluster_address();
 		start_entry(s, i);
 	}
 	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
@@ -94,12 +101,18 @@
 	return s;
 }
 
+static struct site *site_new(void)
+{
+	return site_new_delegating(MANY_WORKERS);
+}
+
 static void site_free(struct site *s)
 {
 	cluster_free(s->cluster);
 	for (guint i = 0; i < ENTRIES; i++) {
 		g_free(s->frontends[i]);
 		g_free(s->readiness[i]);
+		g_free(s->internal[i]);
 	}
 	g_free(s->store);
 	g_free(s);
@@ -381,6 +394,62 @@
 	site_free(s);
 }
 
+/* What happens to the VM that makes the holder's calls, while a job runs. */
+struct delegate_case {
+	const char *name;
+	int signal; /* of the delegate, 0 for none */
+	gboolean is_holder_killed;
+	guint most_starts; /* of a job of two tasks */
+};
+
+static const struct delegate_case delegate_cases[] = {
+	{ "/entry/delegate/calm", 0, FALSE, 2 },
+	{ "/entry/delegate/killed", SIGKILL, FALSE, 2 },
+	{ "/entry/delegate/terminated", SIGTERM, FALSE, 2 },
+	{ "/entry/delegate/stopped", SIGSTOP, FALSE, 2 },
+	{ "/entry/delegate/holder-killed", 0, TRUE, 2 },
+};
+
+static gboolean has_delegate(void *data)
+{
+	const struct site *s = data;
+
+	return cluster_grep(s->entries[holder(s)], "event=delegate_reached");
+}
+
+static void test_delegate(gconstpointer data)
+{
+	const struct delegate_case *c = data;
+	struct site *s = site_new_delegating(1);
+	struct cluster_process *delegate;
+	guint first;
+	guint asked;
+
+	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
+	first = holder(s);
+	delegate = s->entries[1 - first];
+	asked = c->is_holder_killed ? 1 - first : first;
+	g_assert_cmpuint(submit(s, asked, "0000000000000aa1", 1500), ==, 200);
+	assert_state(s, asked, "0000000000000aa1", "active");
+	cluster_sleep(300);
+	g_assert_cmpint(starts(s), ==, 2);
+	if (c->signal)
+		cluster_signal(delegate, c->signal);
+	if (c->is_holder_killed)
+		cluster_signal(s->entries[first], SIGKILL);
+	/* Orders that the delegate has not answered are given directly. */
+	g_assert_cmpuint(submit(s, asked, "0000000000000aa2", 200), ==, 200);
+	assert_state(s, asked, "0000000000000aa2", "completed");
+	assert_state(s, asked, "0000000000000aa1", "completed");
+	if (c->signal == SIGSTOP)
+		cluster_signal(delegate, SIGCONT);
+	cluster_sleep(500);
+	/* The first job is not run twice; orders to the other may be lost. */
+	g_assert_cmpint(starts(s), <=, 2 * c->most_starts + 2);
+	g_assert_cmpint(starts(s), >=, 4);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -389,6 +458,9 @@
 	for (guint i = 0; i < G_N_ELEMENTS(submit_cases); i++)
 		g_test_add_data_func(submit_cases[i].name, &submit_cases[i],
 				     test_submit);
+	for (guint i = 0; i < G_N_ELEMENTS(delegate_cases); i++)
+		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
+				     test_delegate);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/unanswered-then-refused",
