--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 ALL_SRC	  := $(CORE_SRC) $(SIM_SRC) $(PROG_SRC) $(wildcard soak/*.c tests/*.c)
 ALL_HDR	  := $(wildcard $(addsuffix /*.h,$(CORE_DIRS) cli standin bench bench/sim soak tests))
 
-.PHONY: all deps check demo bench soak format format-check lint clean programs
+.PHONY: all deps check demo bench soak soak-delegates format format-check lint clean programs
 all: deps
 	$(MAKE) --no-print-directory programs
 
@@ -63,6 +63,10 @@
 soak: all
 	CS_BUILD=$(BUILD) $(SOAK) --seed-file soak/seeds.txt --seeds 2 --seconds 8
 
+# The same where the holder calls workers through the other VMs.
+soak-delegates: all
+	CS_BUILD=$(BUILD) $(SOAK) --delegates --seeds 3 --seconds 8
+
 $(CORE_LIB): $(CORE_OBJ)
 $(SIM_LIB): $(SIM_OBJ)
 $(CORE_LIB) $(SIM_LIB):
--- a/soak/cs-soak.c
+++ b/soak/cs-soak.c
@@ -21,6 +21,7 @@
 	gint seed;
 	gint seeds;
 	gint seconds;
+	gboolean has_delegates;
 	gchar *file;
 };
 
@@ -40,14 +41,14 @@
 }
 
 /* Returns whether every promise was kept. */
-static gboolean run_seed(guint32 seed, gint seconds)
+static gboolean run_seed(guint32 seed, gint seconds, gboolean has_delegates)
 {
 	GPtrArray *findings = g_ptr_array_new_with_free_func(g_free);
 	GRand *rand = g_rand_new_with_seed(seed);
 	/* Callers draw from a sequence of their own: faults don't depend on
 	 * them. */
 	GRand *callers = g_rand_new_with_seed(seed + 1);
-	struct soak_site *site = soak_site_new();
+	struct soak_site *site = soak_site_new(has_delegates);
 	struct soak_faults *faults = soak_faults_new(site, rand);
 	struct soak_jobs *jobs = soak_jobs_new(site, callers, findings);
 	gboolean is_good;
@@ -112,6 +113,8 @@
 		  "Number of seeds, one run each", "N" },
 		{ "seconds", 't', 0, G_OPTION_ARG_INT, &o->seconds,
 		  "Seconds with faults in each run", "N" },
+		{ "delegates", 'd', 0, G_OPTION_ARG_NONE, &o->has_delegates,
+		  "Workers are called through other VMs", NULL },
 		{ "seed-file", 'f', 0, G_OPTION_ARG_FILENAME, &o->file,
 		  "Runs the seeds of a file too", "FILE" },
 		G_OPTION_ENTRY_NULL,
@@ -152,7 +155,8 @@
 		g_array_append_val(seeds, seed);
 	}
 	for (guint i = 0; i < seeds->len; i++) {
-		if (run_seed(g_array_index(seeds, guint32, i), o.seconds))
+		if (run_seed(g_array_index(seeds, guint32, i), o.seconds,
+			     o.has_delegates))
 			passed++;
 		else
 			failed++;
--- a/soak/soak_site.c
+++ b/soak/soak_site.c
@@ -3,6 +3,8 @@
 #define READY_MS 20000
 #define CALL_MS 1000
 #define KEY "k1"
+/* More workers than there are: the holder calls them itself. */
+#define NO_DELEGATES (SOAK_WORKERS + 1)
 
 /* Routes are the three that jobs are sent to and a probe for each version. */
 static json_object *config_json(int64_t version)
@@ -52,11 +54,13 @@
 	struct soak_entry *e = &s->entries[index];
 	char *text = g_strdup_printf(
 		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
-		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"cpu_share\":1.0,"
+		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
+		"\"delegate_min_workers\":%d,\"cpu_share\":1.0,"
 		"\"store\":{\"address\":\"%s\",\"writes_per_s\":800,"
 		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":%d,"
 		"\"grace_s\":3,\"status_s\":120}}",
-		index, e->frontend, e->readiness, s->paths[index],
+		index, e->frontend, e->readiness, e->internal,
+		s->has_delegates ? 1 : NO_DELEGATES, s->paths[index],
 		SOAK_LEASE_MS);
 	char *name = g_strdup_printf("e%u.json", index);
 	char *file = cluster_write_file(s->cluster, name, text);
@@ -136,11 +140,12 @@
 	g_ptr_array_unref(args);
 }
 
-struct soak_site *soak_site_new(void)
+struct soak_site *soak_site_new(gboolean has_delegates)
 {
 	struct soak_site *s = g_new0(struct soak_site, 1);
 	GPtrArray *routes = g_ptr_array_new_with_free_func(g_free);
 
+	s->has_delegates = has_delegates;
 	s->cluster = cluster_new();
 	s->store = cluster_address();
 	for (guint i = 0; i < SOAK_PATHS; i++)
@@ -153,6 +158,7 @@
 	for (guint i = 0; i < SOAK_ENTRIES; i++) {
 		s->entries[i].frontend = cluster_address();
 		s->entries[i].readiness = cluster_address();
+		s->entries[i].internal = cluster_address();
 		soak_site_start_entry(s, i);
 	}
 	g_assert_true(cluster_wait(is_ready, s, READY_MS));
@@ -167,6 +173,7 @@
 	for (guint i = 0; i < SOAK_ENTRIES; i++) {
 		g_free(s->entries[i].frontend);
 		g_free(s->entries[i].readiness);
+		g_free(s->entries[i].internal);
 	}
 	for (guint i = 0; i < SOAK_PATHS; i++)
 		g_free(s->paths[i]);
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -22,6 +22,7 @@
 	struct cluster_process *process;
 	char *frontend;
 	char *readiness;
+	char *internal; /**< where its delegate listens */
 	guint boots;
 	/** Newest configuration that this boot has been seen to use. */
 	int64_t seen_config;
@@ -36,9 +37,11 @@
 	char *relay; /**< its control address */
 	char *paths[SOAK_PATHS]; /**< where the relay listens for each route */
 	int64_t config_version;
+	/** The holder calls workers through the other VMs. */
+	gboolean has_delegates;
 };
 
-struct soak_site *soak_site_new(void);
+struct soak_site *soak_site_new(gboolean has_delegates);
 
 /** Ends all processes; removes their logs unless they are to be kept. */
 void soak_site_free(struct soak_site *s, gboolean keeps_logs);
