Delegates: late removals spare newer rows, outcomes go by name

A row is removed only at the version that was seen, so that a removal that comes late can't take the row of the next process; one that was never tried is not taken for gone. An outcome that the holder doesn't know counts as unknown. Found by reading.

--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -31,6 +31,7 @@
 	struct http_client *client;
 	GHashTable *holders; /* set of struct holder_link */
 	char *token;	     /* that a holder has read from the store */
+	int64_t row_version; /* of the own row, 0 until it is written */
 	guint timer;
 	struct counter *calls;
 };
@@ -69,6 +70,7 @@
 		s->timer = g_timeout_add(REGISTER_RETRY_MS, on_register, s);
 		return;
 	}
+	s->row_version = result->version;
 	log_begin(&line, LOG_LEVEL_INFO, "delegate_registered");
 	log_str(&line, "address", s->settings->internal);
 	log_int(&line, "version", result->version);
@@ -123,8 +125,9 @@
 
 	json_object_object_add(body, "number",
 			       json_object_new_int64(c->number));
-	json_object_object_add(body, "status",
-			       json_object_new_int(reply->status));
+	json_object_object_add(
+		body, "status",
+		json_object_new_string(status_name(reply->status)));
 	json_object_object_add(body, "code",
 			       json_object_new_int((int32_t)reply->code));
 	json_object_object_add(body, "was_resent",
@@ -274,13 +277,14 @@
 static void delegate_drain(struct service *base)
 {
 	struct delegate *s = (struct delegate *)base;
+	/* A removal that is late must not take the next process's row. */
 	struct table_write removal = {
 		.table = DELEGATE_TABLE,
 		.key = s->settings->node,
-		.expected_version = TABLE_ANY_VERSION,
+		.expected_version = s->row_version,
 	};
 
-	if (!s->settings->internal)
+	if (!s->row_version)
 		return;
 	platform_forget(s->platform, s);
 	if (s->timer)
--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -34,7 +34,8 @@
 	struct link_connection *connection;
 	GCancellable *connecting;
 	int64_t avoid_until_ms;
-	int64_t reached_ms; /* last answer, or when it was registered */
+	int64_t failing_ms;  /* first failed attempt since a good one, or 0 */
+	int64_t row_version; /* of its registration */
 };
 
 struct pending_call {
@@ -144,19 +145,30 @@
 	g_free(d);
 }
 
+/* What is not known here may have had its effect. */
+static enum status status_of(const char *name)
+{
+	static const enum status known[] = { STATUS_OK, STATUS_UNAVAILABLE };
+
+	for (guint i = 0; i < G_N_ELEMENTS(known); i++) {
+		if (g_strcmp0(name, status_name(known[i])) == 0)
+			return known[i];
+	}
+	return STATUS_UNKNOWN;
+}
+
 static void take_reply(struct delegate_link *d, json_object *message)
 {
 	int64_t number = json_member_int(message, "number");
 	struct pending_call *c = g_hash_table_lookup(d->pool->pending, &number);
 	struct http_reply reply = {
-		.status = (enum status)json_member_int(message, "status"),
+		.status = status_of(json_member_text(message, "status")),
 		.code = (guint)json_member_int(message, "code"),
 		.body = json_member(message, "body"),
 		.was_resent = json_object_get_boolean(
 			json_member(message, "was_resent")),
 	};
 
-	d->reached_ms = util_monotonic_ms();
 	if (c && c->delegate == d)
 		finish(d->pool, c, &reply);
 }
@@ -186,6 +198,31 @@
 	json_object_put(body);
 }
 
+static void remove_row(struct delegate_link *d)
+{
+	struct table_write removal = {
+		.table = DELEGATE_TABLE,
+		.key = d->node,
+		.expected_version = d->row_version,
+	};
+
+	log_delegate(d, "delegate_removed", "not reached for long");
+	platform_commit(d->pool->platform, &removal, 1, NULL, NULL);
+}
+
+/* The VM may be cut off, or gone for good. */
+static void note_not_reached(struct delegate_link *d, const char *reason)
+{
+	int64_t now_ms = util_monotonic_ms();
+
+	d->avoid_until_ms = now_ms + AVOID_MS;
+	log_delegate(d, "delegate_not_reached", reason);
+	if (!d->failing_ms)
+		d->failing_ms = now_ms;
+	else if (now_ms - d->failing_ms > FORGET_MS)
+		remove_row(d);
+}
+
 static void on_connected(GObject *source, GAsyncResult *result, gpointer data)
 {
 	GError *error = NULL;
@@ -200,15 +237,14 @@
 	}
 	g_clear_object(&d->connecting);
 	if (!stream) {
-		d->avoid_until_ms = util_monotonic_ms() + AVOID_MS;
-		log_delegate(d, "delegate_not_reached", error->message);
+		note_not_reached(d, error->message);
 		g_error_free(error);
 		return;
 	}
 	d->connection =
 		link_connection_new(stream, d->pool->poll, &d->pool->traffic,
 				    on_frame, on_closed, d);
-	d->reached_ms = util_monotonic_ms();
+	d->failing_ms = 0;
 	say_hello(d);
 	log_delegate(d, "delegate_reached", NULL);
 	g_object_unref(stream);
@@ -241,38 +277,15 @@
 	d->token = g_strdup(json_member_text(row->value, "token"));
 	d->cpu_share =
 		json_object_get_double(json_member(row->value, "cpu_share"));
-	d->reached_ms = util_monotonic_ms();
+	d->row_version = row->version;
 	g_hash_table_insert(p->delegates, d->node, d);
 }
 
-static void remove_row(struct delegate_link *d)
-{
-	struct table_write removal = {
-		.table = DELEGATE_TABLE,
-		.key = d->node,
-		.expected_version = TABLE_ANY_VERSION,
-	};
-
-	log_delegate(d, "delegate_removed", "not reached for long");
-	d->reached_ms = util_monotonic_ms();
-	platform_commit(d->pool->platform, &removal, 1, NULL, NULL);
-}
-
 static gboolean on_tick(gpointer data)
 {
 	struct delegate_pool *p = data;
-	int64_t now_ms = util_monotonic_ms();
-	GHashTableIter iter;
-	gpointer item;
 
-	finish_unanswered(p, NULL, now_ms);
-	g_hash_table_iter_init(&iter, p->delegates);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		struct delegate_link *d = item;
-
-		if (!d->connection && now_ms - d->reached_ms > FORGET_MS)
-			remove_row(d);
-	}
+	finish_unanswered(p, NULL, util_monotonic_ms());
 	return G_SOURCE_CONTINUE;
 }
 
