Jobs for a part of the store that is known to be silent are refused at once

Cause: while the store was silent each job was held for 600 ms before it was refused, also when the one before had just found that out; callers lost the time in which they could have come again.

Change: the submitter keeps, for each part of the store, whether its last look had no answer; such a part is looked into until it answers.

Test: /entry/submit/known-silence fails before (three refusals took 1.8 s).

--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -28,6 +28,7 @@
 	struct http_server *server;
 	struct http_server *ready_server;
 	struct platform *platform;
+	struct submitter *submitter;
 	gboolean is_draining;
 	int64_t stop_ms; /* serves until then while draining */
 	struct histogram *submit_latency;
@@ -226,8 +227,8 @@
 	if (wire_job_decode(body, &spec, &findings)) {
 		row = job_row_encode(c->route, c->account, &spec,
 				     config_feed_store_ms(s->kernel));
-		submission_begin(s->platform, c->id, row, c->deadline_ms,
-				 on_submitted, c);
+		submitter_begin(s->submitter, c->id, row, c->deadline_ms,
+				on_submitted, c);
 		json_object_put(row);
 	} else {
 		text = finding_list_text(&findings);
@@ -405,6 +406,7 @@
 
 	s->kernel = k;
 	s->platform = entry_platform_of(k);
+	s->submitter = submitter_new(s->platform);
 	s->submit_latency = counters_histogram(
 		counters, "cs_submit_latency_seconds",
 		"From the arrival of a job to its acceptance");
@@ -452,6 +454,7 @@
 {
 	struct frontend *s = (struct frontend *)base;
 
+	submitter_free(s->submitter);
 	http_server_free(s->server);
 	http_server_free(s->ready_server);
 	g_free(s);
--- a/entry/submission.h
+++ b/entry/submission.h
@@ -1,8 +1,9 @@
 /**
  * @file
- * Brings one job into the store. Its row is looked for before it is written:
+ * Brings jobs into the store. A job's row is looked for before it is written:
  * a store that doesn't answer is found out by a read, which has no effect, so
- * that the caller can be told truthfully that the job will not run.
+ * that the caller can be told truthfully that the job will not run. While a
+ * part of the store is known to be silent, its jobs are refused at once.
  */
 #ifndef ENTRY_SUBMISSION_H
 #define ENTRY_SUBMISSION_H
@@ -19,7 +20,13 @@
 	SUBMISSION_UNKNOWN, /**< it may be there, or come there later */
 };
 
-/** Called once, never from within submission_begin(). */
+struct submitter;
+
+struct submitter *submitter_new(struct platform *p);
+/** Ends all submissions without their callbacks. */
+void submitter_free(struct submitter *s);
+
+/** Called once, never from within submitter_begin(). */
 typedef void (*submission_fn)(enum submission_outcome outcome, void *data);
 
 /**
@@ -28,7 +35,7 @@
  * @param row		of the job; not taken over
  * @param time_ms	that the caller waits for an answer
  */
-void submission_begin(struct platform *p, const char *id, json_object *row,
-		      int64_t time_ms, submission_fn fn, void *data);
+void submitter_begin(struct submitter *s, const char *id, json_object *row,
+		     int64_t time_ms, submission_fn fn, void *data);
 
 #endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -347,6 +347,13 @@
 	site_free(s);
 }
 
+static gboolean is_accepted(void *data)
+{
+	const struct job_wait *w = data;
+
+	return submit(w->site, w->entry, w->id, 100) == 200;
+}
+
 /* What a caller is told of a job while the store answers too little. */
 struct submit_case {
 	const char *name;
@@ -450,6 +457,27 @@
 	site_free(s);
 }
 
+/* A silent store is known after the first refusal, and found again after. */
+static void test_known_silence(void)
+{
+	struct site *s = site_new();
+	struct job_wait again = { s, "00000000000000f6", NULL, 0 };
+	int64_t began_us;
+
+	g_assert_cmpuint(submit(s, 0, "00000000000000f5", 100), ==, 200);
+	cluster_signal(s->platform, SIGSTOP);
+	g_assert_cmpuint(submit(s, 0, again.id, 100), ==, 503);
+	began_us = g_get_monotonic_time();
+	for (guint i = 0; i < 3; i++)
+		g_assert_cmpuint(submit(s, 0, again.id, 100), ==, 503);
+	/* Each would be held for 600 ms. */
+	g_assert_cmpint(g_get_monotonic_time() - began_us, <, 600000);
+	cluster_signal(s->platform, SIGCONT);
+	g_assert_true(cluster_wait(is_accepted, &again, WAIT_MS));
+	assert_state(s, 0, again.id, "completed");
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -461,6 +489,7 @@
 	for (guint i = 0; i < G_N_ELEMENTS(delegate_cases); i++)
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
+	g_test_add_func("/entry/submit/known-silence", test_known_silence);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/unanswered-then-refused",
