Among stops that lose nothing the smallest unit comes first

Cause: a task with checkpoints cost nothing to stop, so a gang over a whole rack was stopped for one urgent task as readily as single tasks beside it.

Change: 30 ms of the unit's work count in the cost of a stop.

Test: /fleet/smallest-stop fails before.

--- a/sched/fleet_preempt.c
+++ b/sched/fleet_preempt.c
@@ -8,7 +8,11 @@
 /* An accelerator counts as so many cores (platform's price of lost work). */
 #define CORES_PER_ACCELERATOR 8
 
-/* Work of a task that a stop throws away, in core-milliseconds. */
+/* What a stop costs besides work that is not saved: least of a restart's time,
+ * so that among stops that throw nothing away the smallest unit comes first. */
+#define RESTART_MS 30
+
+/* What a stop of a task costs, in core-milliseconds. */
 static double lost_work(const struct fleet_task *t, int64_t now_ms)
 {
 	const struct step_spec *spec = t->step->spec;
@@ -19,7 +23,7 @@
 	/* What runs with checkpoints is saved at the stop. */
 	if (spec->is_checkpointed)
 		done_ms = 0;
-	return cores * (double)done_ms;
+	return cores * (double)(done_ms + RESTART_MS);
 }
 
 static double unit_lost_work(const struct fleet_task *t, int64_t now_ms)
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -541,6 +541,43 @@
 	world_clear(&w);
 }
 
+static struct step_spec *step_of(const struct fleet_job *job)
+{
+	return &g_array_index(job->spec.steps, struct step_spec, 0);
+}
+
+/*
+ * Two saved units fill the pool: whichever worker comes first, the urgent task
+ * takes the room of single tasks, not that of a gang over a whole rack.
+ */
+static void test_smallest_stop(gconstpointer data)
+{
+	const char *gang_rack = data;
+	struct world w = { 0 };
+	struct fleet_job *job;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r1");
+	add_worker(&w, "w3", "r2");
+	add_worker(&w, "w4", "r2");
+	job = add_job(&w, "gang", "bulk", 2, 8, TRUE);
+	step_of(job)->is_checkpointed = TRUE;
+	step_of(job)->data_rack = g_strdup(gang_rack);
+	plan_after(&w, 1);
+	job = add_job(&w, "single", "bulk", 16, 1, FALSE);
+	step_of(job)->is_checkpointed = TRUE;
+	plan_after(&w, 1);
+	g_assert_cmpuint(w.order_count, ==, 18);
+	confirm_starts(&w);
+	clear_orders(&w);
+	add_job(&w, "large", "urgent", 1, 8, FALSE);
+	plan_after(&w, 500);
+	g_assert_cmpuint(count_orders(&w, FALSE, "gang"), ==, 0);
+	g_assert_cmpuint(count_orders(&w, FALSE, "single"), ==, 8);
+	world_clear(&w);
+}
+
 /* A burst of starts is given part by part, as the answers come. */
 static void test_orders_out(void)
 {
@@ -886,6 +923,10 @@
 	g_test_add_func("/fleet/mark-first", test_mark_first);
 	g_test_add_func("/fleet/marked-waits", test_marked_waits);
 	g_test_add_func("/fleet/preemption", test_preemption);
+	g_test_add_data_func("/fleet/smallest-stop/first-rack", "r1",
+			     test_smallest_stop);
+	g_test_add_data_func("/fleet/smallest-stop/second-rack", "r2",
+			     test_smallest_stop);
 	g_test_add_func("/fleet/orders-out", test_orders_out);
 	g_test_add_func("/fleet/urgent-room", test_urgent_room);
 	ADD_CASES(kept_cases, test_kept_rooms);
