--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -9,6 +9,7 @@
 #include "entry/entry_store.h"
 #include "entry/delegate_message.h"
 #include "link/link_connection.h"
+#include "link/link_listen.h"
 
 /* A pool of the size to design for has 3,800 workers over some 30 VMs, each
  * with a renewal and a few orders under way. */
@@ -229,29 +230,6 @@
 	return TRUE;
 }
 
-static enum status listen_on(struct delegate *s, const char *address)
-{
-	enum status status = STATUS_OK;
-	GSocketAddress *inet = NULL;
-	GError *error = NULL;
-	char *host = NULL;
-	uint16_t port;
-
-	if (!util_parse_endpoint(address, &host, &port))
-		return status_fail(STATUS_INVALID, "bad address %s", address);
-	inet = g_inet_socket_address_new_from_string(host, port);
-	if (!g_socket_listener_add_address(
-		    G_SOCKET_LISTENER(s->listener), inet, G_SOCKET_TYPE_STREAM,
-		    G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
-		status = status_fail(STATUS_UNAVAILABLE, "listen %s: %s",
-				     address, error->message);
-		g_error_free(error);
-	}
-	g_object_unref(inet);
-	g_free(host);
-	return status;
-}
-
 static enum status delegate_start(struct service *base, struct kernel *k)
 {
 	struct delegate *s = (struct delegate *)base;
@@ -264,7 +242,7 @@
 				 "Calls to workers for a holder elsewhere");
 	if (!s->settings->internal)
 		return STATUS_OK;
-	status = listen_on(s, s->settings->internal);
+	status = link_listen(s->listener, s->settings->internal);
 	if (status != STATUS_OK)
 		return status;
 	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -1,15 +1,12 @@
 #include "link/link_service.h"
 
 #include "base/log.h"
-#include "base/util.h"
 #include "daemon/settings_service.h"
 #include "link/link_inbound.h"
+#include "link/link_listen.h"
 #include "link/link_peer.h"
 #include "shared/pool_lease.h"
 
-#define MAX_INBOUND 512
-/** Connections that wait to be accepted, such as after a partition. */
-#define LISTEN_BACKLOG MAX_INBOUND
 /** Types that a frame can have. */
 #define TYPE_COUNT (UINT8_MAX + 1)
 #define TICK_S 1
@@ -91,7 +88,7 @@
 		.data = s,
 	};
 
-	if (g_hash_table_size(s->inbound) < MAX_INBOUND)
+	if (g_hash_table_size(s->inbound) < LINK_MAX_INBOUND)
 		g_hash_table_add(s->inbound, link_inbound_new(&spec, stream));
 	return TRUE;
 }
@@ -132,31 +129,6 @@
 	s->secret = settings->link_secret ? settings->link_secret : "";
 }
 
-static enum status listen_on(struct link_service *s, const char *address)
-{
-	enum status status = STATUS_OK;
-	GSocketAddress *inet = NULL;
-	GError *error = NULL;
-	char *host = NULL;
-	uint16_t port;
-
-	if (!util_parse_endpoint(address, &host, &port))
-		return status_fail(STATUS_INVALID, "bad address %s", address);
-	inet = g_inet_socket_address_new_from_string(host, port);
-	g_socket_listener_set_backlog(G_SOCKET_LISTENER(s->listener),
-				      LISTEN_BACKLOG);
-	if (!g_socket_listener_add_address(
-		    G_SOCKET_LISTENER(s->listener), inet, G_SOCKET_TYPE_STREAM,
-		    G_SOCKET_PROTOCOL_TCP, NULL, NULL, &error)) {
-		status = status_fail(STATUS_UNAVAILABLE, "listen %s: %s",
-				     address, error->message);
-		g_error_free(error);
-	}
-	g_object_unref(inet);
-	g_free(host);
-	return status;
-}
-
 static gboolean on_tick(gpointer data)
 {
 	struct link_service *s = data;
@@ -172,7 +144,7 @@
 	enum status status;
 
 	set_self(s, k);
-	status = listen_on(s, settings_of(k)->link);
+	status = link_listen(s->listener, settings_of(k)->link);
 	if (status != STATUS_OK)
 		return status;
 	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
