Registrations of delegates are followed from the first delegated call on

Found by reading the change: each holder followed the table of delegates and woke ten times a second to look for overdue calls, also in pools below delegate_min_workers, where no call ever goes through one. The pool of delegates now begins with the first call that it is given, so that worker_calls_begin() and delegate_pool_begin() are not needed. The limit of connections to a worker stood in two files; it is WORKER_MAX_CONNECTIONS.

--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -6,16 +6,15 @@
 #include "base/json_member.h"
 #include "base/log.h"
 #include "base/util.h"
-#include "entry/entry_store.h"
 #include "entry/delegate_message.h"
+#include "entry/entry_store.h"
+#include "entry/worker_calls.h"
 #include "link/link_connection.h"
 #include "link/link_listen.h"
 
 /* A pool of the size to design for has 3,800 workers over some 30 VMs, each
  * with a renewal and a few orders under way. */
 #define MAX_CALLS 1000
-/* As the holder's own, see entry/worker_calls.c. */
-#define MAX_CONNECTIONS_PER_WORKER 16
 /* Before the row is written again after a failure. */
 #define REGISTER_RETRY_MS 500
 /* The holder, and one that does not know yet that it is deposed. */
@@ -303,7 +302,7 @@
 	s->base.class = &delegate_class;
 	s->listener = g_socket_service_new();
 	s->poll = link_poll_new();
-	s->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_WORKER);
+	s->client = http_client_new(MAX_CALLS, WORKER_MAX_CONNECTIONS);
 	s->holders = g_hash_table_new_full(NULL, NULL, holder_link_free, NULL);
 	s->token = util_random_id();
 	return &s->base;
--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -308,7 +308,7 @@
 	return p;
 }
 
-void delegate_pool_begin(struct delegate_pool *p)
+static void follow_registrations(struct delegate_pool *p)
 {
 	struct table_feed_spec feed = {
 		.platform = p->platform,
@@ -318,7 +318,6 @@
 		.data = p,
 	};
 
-	delegate_pool_reset(p);
 	p->feed = table_feed_new(&feed);
 	p->tick = g_timeout_add(TICK_MS, on_tick, p);
 }
@@ -442,6 +441,8 @@
 	json_object *body;
 	enum status status;
 
+	if (!p->feed)
+		follow_registrations(p);
 	if (is_direct(p, worker, now_ms))
 		return FALSE;
 	d = pick(p, worker, failure_domain, now_ms);
--- a/entry/delegate_pool.h
+++ b/entry/delegate_pool.h
@@ -17,13 +17,14 @@
 	const char *node; /**< own VM, which is no delegate for itself */
 };
 
+/** Registrations are followed from the first call on. */
 struct delegate_pool *delegate_pool_new(const struct delegate_pool_spec *spec);
 void delegate_pool_free(struct delegate_pool *p);
 
-/** Begins to follow the registrations of delegates. */
-void delegate_pool_begin(struct delegate_pool *p);
-
-/** Ends all calls with STATUS_UNKNOWN and all connections. */
+/**
+ * Ends all calls with STATUS_UNKNOWN and all connections, and follows
+ * registrations no longer until the next call.
+ */
 void delegate_pool_reset(struct delegate_pool *p);
 
 /**
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -311,7 +311,6 @@
 				      LEASE_SLACK_MS);
 	progress_writer_begin(s->writer, term_version);
 	s->is_holding = TRUE;
-	worker_calls_begin(s->calls);
 	start_feed(s, FEED_JOBS);
 	start_feed(s, FEED_USE);
 }
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -9,8 +9,6 @@
 #include "platform/wire_worker.h"
 
 #define MAX_CALLS 2000
-/* A worker takes 64 connections of all callers; orders come in bursts. */
-#define MAX_CONNECTIONS_PER_WORKER 16
 /* An order is answered at once; this VM itself may be slow in a burst. */
 #define ORDER_TIMEOUT_MS 800
 /* A kept connection that is silent for so long is given up for a new one. */
@@ -53,7 +51,7 @@
 	};
 
 	c->spec = *spec;
-	c->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_WORKER);
+	c->client = http_client_new(MAX_CALLS, WORKER_MAX_CONNECTIONS);
 	c->delegates = delegate_pool_new(&delegates);
 	c->start_latency = counters_histogram(
 		spec->counters, "cs_task_start_latency_seconds",
@@ -80,11 +78,6 @@
 	g_free(c);
 }
 
-void worker_calls_begin(struct worker_calls *c)
-{
-	delegate_pool_begin(c->delegates);
-}
-
 void worker_calls_reset(struct worker_calls *c)
 {
 	c->generation++;
--- a/entry/worker_calls.h
+++ b/entry/worker_calls.h
@@ -10,6 +10,10 @@
 #include "sched/fleet_scheduler.h"
 #include "store/platform.h"
 
+/** Connections of one process to a worker, which takes 64 of all callers;
+ * orders come in bursts. */
+#define WORKER_MAX_CONNECTIONS 16
+
 struct worker_calls;
 
 struct worker_calls_spec {
@@ -28,9 +32,6 @@
 struct worker_calls *worker_calls_new(const struct worker_calls_spec *spec);
 void worker_calls_free(struct worker_calls *c);
 
-/** Begins to look for delegates, for an epoch of our own. */
-void worker_calls_begin(struct worker_calls *c);
-
 /** Drops all calls in flight: another epoch begins. */
 void worker_calls_reset(struct worker_calls *c);
 
