Tests and the fault soak start an entry VM's process by one function

Its settings text, its start and the question whether it is ready stood in tests/test_entry.c and in soak/soak_site.c alike; cluster_spawn_entry() and cluster_entry_is_ready() serve both.

--- a/soak/soak_site.c
+++ b/soak/soak_site.c
@@ -1,7 +1,6 @@
 #include "soak/soak_site.h"
 
 #define READY_MS 20000
-#define CALL_MS 1000
 #define KEY "k1"
 /* More workers than there are: the holder calls them itself. */
 #define NO_DELEGATES (SOAK_WORKERS + 1)
@@ -52,27 +51,21 @@
 void soak_site_start_entry(struct soak_site *s, guint index)
 {
 	struct soak_entry *e = &s->entries[index];
-	char *text = g_strdup_printf(
-		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
-		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
-		"\"delegate_min_workers\":%d,\"cpu_share\":1.0,"
-		"\"store\":{\"address\":\"%s\",\"writes_per_s\":800,"
-		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":%d,"
-		"\"grace_s\":3,\"status_s\":120}}",
-		index, e->frontend, e->readiness, e->internal,
-		s->has_delegates ? 1 : NO_DELEGATES, s->paths[index],
-		SOAK_LEASE_MS);
-	char *name = g_strdup_printf("e%u.json", index);
-	char *file = cluster_write_file(s->cluster, name, text);
+	const struct cluster_entry entry = {
+		.index = index,
+		.frontend = e->frontend,
+		.readiness = e->readiness,
+		.internal = e->internal,
+		.store = s->paths[index],
+		.writes_per_s = 800,
+		.lease_ms = SOAK_LEASE_MS,
+		.delegate_min_workers = s->has_delegates ? 1 : NO_DELEGATES,
+	};
 	char *log = g_strdup_printf("e%u-%u", index, e->boots++);
 
 	e->seen_config = 0;
-	e->process = cluster_spawn(s->cluster, "csentryd", log,
-				   CLUSTER_ARGS("--settings", file));
+	e->process = cluster_spawn_entry(s->cluster, &entry, log);
 	g_free(log);
-	g_free(file);
-	g_free(name);
-	g_free(text);
 }
 
 static gboolean is_ready(void *data)
@@ -80,13 +73,8 @@
 	struct soak_site *s = data;
 
 	for (guint i = 0; i < SOAK_ENTRIES; i++) {
-		struct cluster_reply r = cluster_call(
-			s->cluster, "GET", s->entries[i].readiness,
-			"/corianderstep/readyz", NULL, NULL, CALL_MS);
-		gboolean is_good = r.code == 200;
-
-		cluster_reply_clear(&r);
-		if (!is_good)
+		if (!cluster_entry_is_ready(s->cluster,
+					    s->entries[i].readiness))
 			return FALSE;
 	}
 	return TRUE;
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -19,6 +19,8 @@
 #define PORT_BLOCK 500
 #define LISTEN_TIMEOUT_MS 20000
 #define END_TIMEOUT_MS 10000
+/* A readiness that is not answered by then is asked for again. */
+#define READY_CALL_MS 1000
 /* Beyond a call's own timeout, by which the client has to end it. */
 #define CALL_SLACK_MS 30000
 #define DEFAULT_DRAIN_TIMEOUT_MS 3000
@@ -244,6 +246,43 @@
 	return file;
 }
 
+struct cluster_process *cluster_spawn_entry(struct cluster *c,
+					    const struct cluster_entry *entry,
+					    const char *log_name)
+{
+	char *text = g_strdup_printf(
+		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
+		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
+		"\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
+		"\"store\":{\"address\":\"%s\",\"writes_per_s\":"
+		"%" G_GINT64_FORMAT ",\"reads_per_s\":2000},\"bounds\":{"
+		"\"lease_ms\":%" G_GINT64_FORMAT
+		",\"grace_s\":3,\"status_s\":120}}",
+		entry->index, entry->frontend, entry->readiness,
+		entry->internal, entry->delegate_min_workers, entry->store,
+		entry->writes_per_s, entry->lease_ms);
+	char *name = g_strdup_printf("e%u.json", entry->index);
+	char *file = cluster_write_file(c, name, text);
+	struct cluster_process *p = cluster_spawn(
+		c, "csentryd", log_name, CLUSTER_ARGS("--settings", file));
+
+	g_free(file);
+	g_free(name);
+	g_free(text);
+	return p;
+}
+
+gboolean cluster_entry_is_ready(struct cluster *c, const char *readiness)
+{
+	struct cluster_reply r =
+		cluster_call(c, "GET", readiness, "/corianderstep/readyz", NULL,
+			     NULL, READY_CALL_MS);
+	gboolean is_ready = r.code == 200;
+
+	cluster_reply_clear(&r);
+	return is_ready;
+}
+
 char *cluster_settings(struct cluster *c, const struct cluster_node *node)
 {
 	char *file_name = g_strconcat(node->node, ".json", NULL);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -55,6 +55,18 @@
 	int64_t impossible_grace_ms;
 };
 
+/** What the settings of an entry VM's process are made of. */
+struct cluster_entry {
+	guint index; /**< its VM is "e" and this number */
+	const char *frontend;
+	const char *readiness;
+	const char *internal;
+	const char *store;
+	int64_t writes_per_s; /**< of the store */
+	int64_t lease_ms;
+	guint delegate_min_workers;
+};
+
 typedef gboolean (*cluster_condition)(void *data);
 
 struct cluster *cluster_new(void);
@@ -83,6 +95,14 @@
 					   const char *program,
 					   const struct cluster_node *node);
 
+/** Starts the program of an entry VM; @log_name as in cluster_spawn(). */
+struct cluster_process *cluster_spawn_entry(struct cluster *c,
+					    const struct cluster_entry *entry,
+					    const char *log_name);
+
+/** Tells whether an entry VM says at @readiness that it takes connections. */
+gboolean cluster_entry_is_ready(struct cluster *c, const char *readiness);
+
 /** Writes a file into the temporary folder; returns its name, free it. */
 char *cluster_write_file(struct cluster *c, const char *name, const char *text);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -36,26 +36,21 @@
 
 static void start_entry(struct site *s, guint i)
 {
-	char *text = g_strdup_printf(
-		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
-		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
-		"\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
-		"\"store\":{\"address\":\"%s\",\"writes_per_s\":500,"
-		"\"reads_per_s\":2000},\"bounds\":{\"lease_ms\":3000,"
-		"\"grace_s\":3,\"status_s\":120}}",
-		i, s->frontends[i], s->readiness[i], s->internal[i],
-		s->delegate_min_workers, s->store);
-	char *name = g_strdup_printf("e%u.json", i);
-	char *file = cluster_write_file(s->cluster, name, text);
+	const struct cluster_entry entry = {
+		.index = i,
+		.frontend = s->frontends[i],
+		.readiness = s->readiness[i],
+		.internal = s->internal[i],
+		.store = s->store,
+		.writes_per_s = 500,
+		.lease_ms = 3000,
+		.delegate_min_workers = s->delegate_min_workers,
+	};
 	char *log =
 		g_strdup_printf("e%u-%u.log", i, s->cluster->processes->len);
 
-	s->entries[i] = cluster_spawn(s->cluster, "csentryd", log,
-				      CLUSTER_ARGS("--settings", file));
+	s->entries[i] = cluster_spawn_entry(s->cluster, &entry, log);
 	g_free(log);
-	g_free(file);
-	g_free(name);
-	g_free(text);
 }
 
 static gboolean is_ready(void *data)
@@ -63,13 +58,7 @@
 	struct site *s = data;
 
 	for (guint i = 0; i < ENTRIES; i++) {
-		struct cluster_reply r =
-			cluster_call(s->cluster, "GET", s->readiness[i],
-				     "/corianderstep/readyz", NULL, NULL, 1000);
-		gboolean is_good = r.code == 200;
-
-		cluster_reply_clear(&r);
-		if (!is_good)
+		if (!cluster_entry_is_ready(s->cluster, s->readiness[i]))
 			return FALSE;
 	}
 	return TRUE;
