Odd registrations of other writers end no process and hide no worker

Cause: a registration with a port out of range gave libsoup no message, and the HTTP client used it all the same: each renewal of that 'worker' left a call that never ended, and the holder did not get through a job any more (/entry/odd-registrations: not completed within 20 s). Numbers near the end of 64 bits went into sums of capacity.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -52,8 +52,8 @@
 struct http_call {
 	struct http_client *client; /**< NULL once the client is freed */
 	struct http_address *address;
-	SoupMessage *message;
-	GBytes *body; /**< NULL for none */
+	SoupMessage *message; /**< NULL if the address is malformed */
+	GBytes *body;	      /**< NULL for none */
 	GCancellable *cancellable;
 	guint timer;
 	int64_t deadline_ms; /**< end of the timeout */
@@ -179,6 +179,8 @@
 
 static void drop_message(struct http_call *call)
 {
+	if (!call->message)
+		return;
 	g_signal_handlers_disconnect_by_data(call->message, call);
 	g_clear_object(&call->message);
 	g_clear_object(&call->cancellable);
@@ -452,8 +454,9 @@
 {
 	struct http_call *call = data;
 	struct http_reply reply = {
-		.status = status_fail(STATUS_UNAVAILABLE,
-				      "too many calls in flight"),
+		.status = status_fail(STATUS_UNAVAILABLE, "%s",
+				      call->message ? "too many calls in flight"
+						    : "malformed address"),
 	};
 
 	call->timer = 0;
@@ -463,11 +466,26 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* Returns a message for a call, NULL if the address or path is malformed. */
+static SoupMessage *message_new(const struct http_call_spec *spec)
+{
+	char *text = g_strdup_printf("http://%s%s", spec->address, spec->path);
+	GUri *uri = g_uri_parse(text, SOUP_HTTP_URI_FLAGS, NULL);
+	SoupMessage *message = NULL;
+
+	/* libsoup treats a URI without a host as a programming error. */
+	if (uri && g_uri_get_host(uri) && g_uri_get_host(uri)[0])
+		message = soup_message_new_from_uri(spec->method, uri);
+	g_clear_pointer(&uri, g_uri_unref);
+	g_free(text);
+	return message;
+}
+
 static struct http_call *call_new(struct http_client *c,
 				  const struct http_call_spec *spec)
 {
 	struct http_call *call = g_new0(struct http_call, 1);
-	char *uri = g_strdup_printf("http://%s%s", spec->address, spec->path);
+	SoupMessage *message = message_new(spec);
 
 	call->client = c;
 	call->wants_bytes = spec->wants_bytes;
@@ -478,9 +496,10 @@
 	call->may_retry = spec->may_reuse;
 	if (spec->body)
 		call->body = body_bytes(spec->body);
-	set_message(call, soup_message_new(spec->method, uri));
-	set_headers(call->message, spec->headers);
-	g_free(uri);
+	if (message) {
+		set_message(call, message);
+		set_headers(message, spec->headers);
+	}
 	return call;
 }
 
@@ -499,7 +518,8 @@
 				   const struct http_call_spec *spec)
 {
 	struct http_call *call = call_new(c, spec);
-	gboolean is_refused = g_hash_table_size(c->calls) >= c->max_calls;
+	gboolean is_refused =
+		!call->message || g_hash_table_size(c->calls) >= c->max_calls;
 
 	g_hash_table_add(c->calls, call);
 	if (is_refused) {
@@ -518,7 +538,7 @@
 void http_call_cancel(struct http_call *call)
 {
 	call->is_cancelled = TRUE;
-	g_cancellable_cancel(call->cancellable);
+	g_cancellable_cancel(call->cancellable); /* NULL before a message */
 }
 
 struct http_traffic http_client_traffic(const struct http_client *c)
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -49,6 +49,8 @@
 	/* Set of ids of cancelled jobs whose rows have not been read yet. */
 	GHashTable *pending_cancels;
 	GHashTable *recorded_workers; /* set of ids in WORKER_USE_TABLE */
+	/* Set of keys whose registration can't be read; each is logged once. */
+	GHashTable *unreadable_workers;
 	gboolean is_holding;
 	gboolean is_ready; /* all tables have been read */
 	int64_t gained_ms; /* when the pool lease was acquired */
@@ -162,18 +164,38 @@
 					       row->value, row->version);
 }
 
+static void log_unreadable_worker(struct pool_holder *s, const char *id)
+{
+	struct log_line line;
+
+	if (!g_hash_table_add(s->unreadable_workers, g_strdup(id)))
+		return;
+	log_begin(&line, LOG_LEVEL_ERROR, "worker_registration_unreadable");
+	log_str(&line, "worker", id);
+	log_end(&line);
+}
+
 static void on_worker_row(void *data, const struct table_row *row,
 			  int64_t store_ms)
 {
 	struct pool_holder *s = data;
 	struct worker_registration reg = { 0 };
+	int64_t now_ms = util_monotonic_ms();
 	struct fleet_worker *w;
-	gboolean is_valid =
-		!row->is_deleted && wire_worker_registration(row->value, &reg);
 
-	fleet_scheduler_update_worker(&s->scheduler, row->key,
-				      is_valid ? &reg : NULL,
-				      util_monotonic_ms());
+	if (row->is_deleted) {
+		g_hash_table_remove(s->unreadable_workers, row->key);
+		fleet_scheduler_update_worker(&s->scheduler, row->key, NULL,
+					      now_ms);
+	} else if (wire_worker_registration(row->value, &reg)) {
+		g_hash_table_remove(s->unreadable_workers, row->key);
+		fleet_scheduler_update_worker(&s->scheduler, row->key, &reg,
+					      now_ms);
+	} else {
+		log_unreadable_worker(s, row->key);
+		fleet_scheduler_distrust_worker(&s->scheduler, row->key,
+						now_ms);
+	}
 	worker_registration_clear(&reg);
 	w = fleet_worker(&s->scheduler.fleet, row->key);
 	if (w && g_hash_table_contains(s->recorded_workers, row->key))
@@ -289,6 +311,7 @@
 	progress_writer_reset(s->writer);
 	g_hash_table_remove_all(s->pending_cancels);
 	g_hash_table_remove_all(s->recorded_workers);
+	g_hash_table_remove_all(s->unreadable_workers);
 	if (s->plan_timer)
 		g_source_remove(s->plan_timer);
 	s->plan_timer = 0;
@@ -413,6 +436,7 @@
 	}
 	g_hash_table_unref(s->pending_cancels);
 	g_hash_table_unref(s->recorded_workers);
+	g_hash_table_unref(s->unreadable_workers);
 	g_free(s);
 }
 
@@ -431,5 +455,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->recorded_workers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->unreadable_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return &s->base;
 }
--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -425,6 +425,22 @@
 	write_worker(p, (guint)index);
 }
 
+/* Writes registrations as another writer of the table might: an object of keys
+ * and raw values. */
+static void write_registrations(struct platform_standin *p, json_object *values)
+{
+	json_object_object_foreach(values, key, value)
+	{
+		const char *text = json_object_get_string(value);
+		char *encoded =
+			g_base64_encode((const guchar *)text, strlen(text));
+
+		p->version++;
+		write_row(p, "servers", "", key, encoded);
+		g_free(encoded);
+	}
+}
+
 static void handle_control(struct http_request *r, void *data)
 {
 	struct platform_standin *p = data;
@@ -447,6 +463,8 @@
 		p->forgotten_version = p->version;
 	if (json_member(body, "crash_worker"))
 		crash_worker(p, json_member_int(body, "crash_worker"));
+	if (json_member(body, "registrations"))
+		write_registrations(p, json_member(body, "registrations"));
 	config = json_member(body, "config");
 	if (config)
 		write_config(p, json_object_to_json_string_ext(
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -480,6 +480,81 @@
 	site_free(s);
 }
 
+/* Registrations that another writer may leave. None of them names a worker. */
+static const char *const odd_registrations[] = {
+	"no JSON",
+	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+	"{\"Service\":{\"a\":[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]"
+	"}}",
+	"{\"Service\":\"salkhi\",\"Zone\":\"tov-a\",\"State\":\"ready\","
+	"\"Address\":\"127.0.0.1:70000\",\"Capacity\":{\"Cpu\":64000,"
+	"\"MemMb\":131072,\"Gpu\":8}}",
+	"{\"Service\":\"salkhi\",\"Zone\":\"tov-a\",\"State\":\"ready\","
+	"\"Address\":\"127.0.0.1:1\",\"Capacity\":{\"Cpu\":"
+	"9223372036854775807,\"MemMb\":9223372036854775807,\"Gpu\":8}}",
+	"{\"Service\":\"salkhi\",\"Zone\":\"tov-a\",\"State\":\"draining\","
+	"\"Address\":\"127.0.0.1:1\",\"DrainRemainingMs\":"
+	"9223372036854775807,\"Capacity\":{\"Cpu\":1,\"MemMb\":1}}",
+	"{\"Service\":\"salkhi\",\"Zone\":\"tov-a\",\"State\":\"ready\","
+	"\"Address\":\"127.0.0.1:1\",\"born\":1e400,\"Capacity\":{\"Cpu\":1,"
+	"\"MemMb\":1}}",
+};
+
+static void write_odd_registrations(struct site *s)
+{
+	json_object *values = json_object_new_object();
+	json_object *body = json_object_new_object();
+
+	for (guint i = 0; i < G_N_ELEMENTS(odd_registrations); i++) {
+		char *key = g_strdup_printf("odd-%u", i);
+
+		json_object_object_add(
+			values, key,
+			json_object_new_string(odd_registrations[i]));
+		g_free(key);
+	}
+	json_object_object_add(body, "registrations", values);
+	cluster_control(s->cluster, s->store, json_object_to_json_string(body));
+	json_object_put(body);
+}
+
+/*
+ * Odd entries among the registrations are each named once, called by no one and
+ * end no process; the workers beside them are used, also by a successor that
+ * reads the whole list.
+ */
+static void test_odd_registrations(gconstpointer data)
+{
+	struct site *s = site_new_delegating(GPOINTER_TO_UINT(data));
+	guint holder;
+
+	write_odd_registrations(s);
+	for (guint i = 0; i < 2; i++) {
+		g_assert_cmpuint(
+			submit(s, i,
+			       i ? "0000000000000ab2" : "0000000000000ab1",
+			       800),
+			==, 200);
+	}
+	assert_state(s, 0, "0000000000000ab1", "completed");
+	holder = holder_index(s);
+	/* Several renewals of a worker that is taken for one fit into this. */
+	cluster_sleep(1500);
+	g_assert_cmpuint(
+		cluster_count_lines(s->entries[holder],
+				    "event=worker_registration_unreadable"),
+		==, G_N_ELEMENTS(odd_registrations));
+	g_assert_cmpuint(cluster_count_lines(s->entries[holder], "CRITICAL"),
+			 ==, 0);
+	cluster_signal(s->entries[holder], SIGKILL);
+	g_assert_cmpuint(submit(s, 1 - holder, "0000000000000ab3", 200), ==,
+			 200);
+	assert_state(s, 1 - holder, "0000000000000ab3", "completed");
+	assert_state(s, 1 - holder, "0000000000000ab2", "completed");
+	g_assert_cmpint(count_starts(s), ==, 6);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -492,6 +567,11 @@
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
+	g_test_add_data_func("/entry/odd-registrations/direct",
+			     GUINT_TO_POINTER(NO_DELEGATION_MIN_WORKERS),
+			     test_odd_registrations);
+	g_test_add_data_func("/entry/odd-registrations/delegated",
+			     GUINT_TO_POINTER(1), test_odd_registrations);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/unanswered-then-refused",
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -464,18 +464,25 @@
 	const char *name;
 	gboolean was_draining;
 	gboolean is_fenced; /* it answered this holder and got a lease */
-	int64_t after_ms;   /* after the registration was removed */
+	/* Overwritten by another writer, instead of being removed. */
+	gboolean is_unreadable;
+	int64_t after_ms; /* after the registration was removed */
 	gboolean has_no_runs;
 };
 
 static const struct lost_worker_case lost_worker_cases[] = {
-	{ "/fleet/over/drained", TRUE, TRUE, 0, TRUE },
+	{ "/fleet/over/drained", TRUE, TRUE, FALSE, 0, TRUE },
+	{ "/fleet/over/draining-unreadable", TRUE, TRUE, TRUE, 1000, FALSE },
+	{ "/fleet/over/draining-unreadable-late", TRUE, TRUE, TRUE, 20000,
+	  TRUE },
 	/* It may still run tasks that an earlier epoch started (khuree-wind
 	 * fresh-1f55). */
-	{ "/fleet/over/silent-never-answered", FALSE, FALSE, 1000, FALSE },
-	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, 20000, TRUE },
-	{ "/fleet/over/silent-leased", FALSE, TRUE, 1000, FALSE },
-	{ "/fleet/over/silent-leased-late", FALSE, TRUE, 20000, TRUE },
+	{ "/fleet/over/silent-never-answered", FALSE, FALSE, FALSE, 1000,
+	  FALSE },
+	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, FALSE, 20000,
+	  TRUE },
+	{ "/fleet/over/silent-leased", FALSE, TRUE, FALSE, 1000, FALSE },
+	{ "/fleet/over/silent-leased-late", FALSE, TRUE, FALSE, 20000, TRUE },
 };
 
 static void test_lost_worker(gconstpointer data)
@@ -493,7 +500,10 @@
 		fleet_scheduler_lease_end(&w.s, worker, w.now_ms);
 	}
 	worker->reg.is_draining = c->was_draining;
-	fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
+	if (c->is_unreadable)
+		fleet_scheduler_distrust_worker(&w.s, "w1", w.now_ms);
+	else
+		fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
 	g_assert_cmpint(
 		fleet_worker_has_no_runs(&w.s, worker, w.now_ms + c->after_ms),
 		==, c->has_no_runs);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -293,9 +293,53 @@
 	http_server_free(s);
 }
 
+/* Addresses that another system may hand over, and that no call can reach. */
+static const char *const bad_addresses[] = {
+	"127.0.0.1:65536",
+	"127.0.0.1:99999999999999999999",
+	"127.0.0.1:-1",
+	"127.0.0.1:x",
+	"",
+	":80",
+	"127.0.0.1:80/path with blanks",
+	"[::1",
+};
+
+/*
+ * A call to a malformed address ends at once, as not sent, and leaves nothing
+ * behind. Registrations of other writers may have such addresses.
+ */
+static void test_bad_addresses(void)
+{
+	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
+
+	for (guint i = 0; i < G_N_ELEMENTS(bad_addresses); i++) {
+		struct tally t = { 0 };
+		struct http_call_spec spec = {
+			.method = "POST",
+			.address = bad_addresses[i],
+			.path = "/",
+			.timeout_ms = SILENT_TIMEOUT_MS,
+			.on_reply = on_reply,
+			.data = &t,
+		};
+
+		g_test_message("%s", bad_addresses[i]);
+		for (guint k = 0; k < 2; k++) {
+			spec.may_reuse = k;
+			http_client_send(c, &spec);
+			await(&t, k + 1);
+			g_assert_cmpint(t.last_status, ==, STATUS_UNAVAILABLE);
+			g_assert_cmpuint(http_client_in_flight(c), ==, 0);
+		}
+	}
+	http_client_free(c);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-client/bad-addresses", test_bad_addresses);
 	g_test_add_func("/http-client/cost-by-addresses",
 			test_cost_by_addresses);
 	g_test_add_func("/http-client/too-many-calls", test_too_many_calls);
