An entry VM that the store turns away hands its requests to others

Change: entry/forwarder.c sends a client's request to another VM, which handles it as if it had arrived there and hands it over no further. While the store has not answered for 1.2 s requests are handed over before the own store call. An attempt without a definite answer turns a refusal into 504.

--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -14,6 +14,7 @@
 #include "entry/election.h"
 #include "entry/entry_settings.h"
 #include "entry/entry_store.h"
+#include "entry/forwarder.h"
 #include "entry/frontend.h"
 #include "entry/pool_holder.h"
 
@@ -23,8 +24,8 @@
 #define SETTINGS_VARIABLE "CORIANDERSTEP_SETTINGS"
 
 static const service_new_fn services[] = {
-	config_feed_new, election_new, delegate_new,
-	pool_holder_new, frontend_new,
+	config_feed_new, election_new,	delegate_new,
+	pool_holder_new, forwarder_new, frontend_new,
 };
 
 static gboolean load_settings(struct entry_settings *s, const char *file_name)
--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -96,6 +96,10 @@
 	json_object_object_add(row, "cpu_share",
 			       json_object_new_double(s->settings->cpu_share));
 	json_object_object_add(row, "token", json_object_new_string(s->token));
+	if (s->settings->forward)
+		json_object_object_add(
+			row, "forward",
+			json_object_new_string(s->settings->forward));
 	platform_commit(s->platform, &write, 1, on_registered, s);
 	json_object_put(row);
 }
--- a/entry/delegate_message.h
+++ b/entry/delegate_message.h
@@ -6,7 +6,11 @@
 #ifndef ENTRY_DELEGATE_MESSAGE_H
 #define ENTRY_DELEGATE_MESSAGE_H
 
-/** Table of registered delegates: one row per VM, keyed by VM name. */
+/**
+ * Table of the entry VMs that serve others, keyed by VM name: {"address",
+ * "failure_domain", "cpu_share", "token"} for delegation, and "forward", the
+ * address for requests that another VM hands over.
+ */
 #define DELEGATE_TABLE "delegates"
 
 enum delegate_message {
--- a/entry/election.c
+++ b/entry/election.c
@@ -18,6 +18,10 @@
 /* Attempts to release the lease before it is left to expire. */
 #define MAX_RELEASE_ATTEMPTS 3
 
+/* The store counts as silent after this time without an answer: the feed's long
+ * poll and a slow answer. */
+#define STORE_SILENT_MS 1200
+
 struct election {
 	struct service base;
 	struct kernel *kernel;
@@ -284,6 +288,13 @@
 	return leadership_may_act(&find(k)->lead, util_boot_ms());
 }
 
+gboolean election_hears_store(const struct kernel *k)
+{
+	int64_t last_ms = table_feed_last_answer_ms(find(k)->feed);
+
+	return last_ms && util_monotonic_ms() - last_ms < STORE_SILENT_MS;
+}
+
 void election_step_down(const struct kernel *k)
 {
 	struct election *s = find(k);
--- a/entry/election.h
+++ b/entry/election.h
@@ -35,6 +35,12 @@
 /** Returns TRUE if this process may send orders to workers now. */
 gboolean election_may_act(const struct kernel *k);
 
+/**
+ * Returns TRUE if the store has answered this process lately. It usually does
+ * several times a second, as each renewal of the lease changes its row.
+ */
+gboolean election_hears_store(const struct kernel *k);
+
 /**
  * Stops acting as the holder, without a release of the lease: a worker has seen
  * a higher epoch than ours.
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -53,6 +53,10 @@
 	  .type = FIELD_STRING,
 	  .offset = offsetof(struct entry_settings, internal),
 	  .max = NAME_MAX_BYTES },
+	{ .name = "forward",
+	  .type = FIELD_STRING,
+	  .offset = offsetof(struct entry_settings, forward),
+	  .max = NAME_MAX_BYTES },
 	{ .name = "delegate_min_workers",
 	  .type = FIELD_INT,
 	  .offset = offsetof(struct entry_settings, delegate_min_workers),
@@ -99,6 +103,7 @@
 	check_address(file_name, "frontend", s->frontend, findings);
 	check_address(file_name, "readiness", s->readiness, findings);
 	check_address(file_name, "internal", s->internal, findings);
+	check_address(file_name, "forward", s->forward, findings);
 	check_address(file_name, "store.address", s->store.address, findings);
 	return finding_list_count(findings) == 0;
 }
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -30,6 +30,10 @@
 	char *readiness; /**< "IP:PORT" for the load balancer's probes */
 	/** "IP:PORT" for other VMs; NULL: this VM is no delegate. */
 	char *internal;
+	/** "IP:PORT" for clients' requests that other VMs hand over; NULL:
+	 * none.
+	 */
+	char *forward;
 	/** With at least so many workers, other VMs make the holder's calls. */
 	int64_t delegate_min_workers;
 	double cpu_share; /**< CPU limit in cores */
--- /dev/null
+++ b/entry/forwarder.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * Hands client requests over to other entry VMs while the platform's store
+ * turns this VM away. The other VM handles a request as if the client had sent
+ * it there, and hands it over no further.
+ */
+#ifndef ENTRY_FORWARDER_H
+#define ENTRY_FORWARDER_H
+
+#include "base/http_client.h"
+#include "base/http_server.h"
+#include "base/kernel.h"
+
+#define FORWARDER_SERVICE "forwarder"
+
+/** Carries the Host header of the client's request. */
+#define FORWARD_HOST_HEADER "Cs-Client-Host"
+
+enum forward_outcome {
+	FORWARD_ANSWERED, /**< a peer has answered for good */
+	FORWARD_REFUSED,  /**< certainly no peer has acted on the request */
+	FORWARD_UNKNOWN,  /**< a peer may have acted on it */
+};
+
+/** @param reply	the peer's answer, NULL unless FORWARD_ANSWERED */
+typedef void (*forward_fn)(enum forward_outcome outcome,
+			   const struct http_reply *reply, void *data);
+
+struct service *forwarder_new(void);
+
+/**
+ * Forwards a request to one peer after another until one answers it, within the
+ * time given.
+ *
+ * @param request	must stay unanswered until the callback
+ * @param path		the request's path
+ * @param body		of the request, or NULL; borrowed until the callback
+ * @return		FALSE if no peer is known to serve requests; @fn is then
+ *			not called
+ */
+gboolean forwarder_send(const struct kernel *k,
+			const struct http_request *request, const char *method,
+			const char *path, json_object *body, int64_t timeout_ms,
+			forward_fn fn, void *data);
+
+#endif
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -7,7 +7,9 @@
 #include "base/log.h"
 #include "base/util.h"
 #include "entry/config_feed.h"
+#include "entry/election.h"
 #include "entry/entry_store.h"
+#include "entry/forwarder.h"
 #include "entry/submission.h"
 #include "platform/wire_frontend.h"
 #include "platform/wire_job.h"
@@ -21,12 +23,29 @@
 #define DEFAULT_DEADLINE_MS 3000
 /* Time between the end of serving and the SIGKILL that follows SIGTERM. */
 #define GRACE_MARGIN_MS 1500
+/* Share of the client's timeout during which other VMs are asked; the rest is
+ * left for an attempt of the client's own. */
+#define FORWARD_TIME_SHARE 0.8
+
+#define CALL_KIND_COUNT 3
+
+struct call_kind;
+
+/* A kind of request as it arrives at one of the servers. */
+struct entrance {
+	struct frontend *frontend;
+	const struct call_kind *kind;
+	gboolean is_forwarded;
+};
 
 struct frontend {
 	struct service base;
 	struct kernel *kernel;
 	struct http_server *server;
+	struct http_server *forward_server; /* for other VMs' requests */
 	struct http_server *ready_server;
+	struct entrance direct[CALL_KIND_COUNT];
+	struct entrance forwarded[CALL_KIND_COUNT];
 	struct platform *platform;
 	struct submitter *submitter;
 	gboolean is_draining;
@@ -37,10 +56,28 @@
 	struct counter *unknown;
 };
 
+struct call;
+
+/* What a request asks for. */
+struct call_kind {
+	const char *method;
+	void (*serve)(struct call *c);
+	gboolean has_body;
+	/* It changes something, so that a lost answer leaves its outcome open.
+	 */
+	gboolean is_change;
+};
+
 /* A client's request that is being served. */
 struct call {
+	const struct call_kind *kind;
 	struct frontend *frontend;
 	struct http_request *request;
+	json_object *body;     /* borrowed; NULL unless the kind has one */
+	gboolean is_forwarded; /* by another VM */
+	gboolean was_served;   /* this VM has tried to serve it */
+	gboolean was_sent_on;  /* other VMs have been asked */
+	gboolean may_have_run; /* an attempt had no definite answer */
 	char *id;
 	char *route;
 	char *account; /* NULL on a public route without a known key */
@@ -56,18 +93,18 @@
 	g_free(c);
 }
 
-static void log_call(const struct call *c, const char *method, guint code,
-		     const char *reason)
+static void log_call(const struct call *c, guint code, const char *reason)
 {
 	struct log_line line;
 
 	log_begin(&line, LOG_LEVEL_INFO, "request");
-	log_str(&line, "method", method);
+	log_str(&line, "method", c->kind->method);
 	log_str(&line, "job", c->id);
 	log_str(&line, "route", c->route);
 	log_int(&line, "code", code);
 	log_str(&line, "reason", reason);
 	log_int(&line, "took_ms", util_monotonic_ms() - c->began_ms);
+	log_int(&line, "is_forwarded", c->is_forwarded);
 	log_end(&line);
 }
 
@@ -78,10 +115,9 @@
 }
 
 /* Replies with a status code and a reason as plain text; frees the call. */
-static void answer(struct call *c, const char *method, guint code,
-		   const char *reason)
+static void answer(struct call *c, guint code, const char *reason)
 {
-	log_call(c, method, code, reason);
+	log_call(c, code, reason);
 	if (code == SOUP_STATUS_SERVICE_UNAVAILABLE ||
 	    code == HTTP_TOO_MANY_REQUESTS)
 		http_request_set_reply_header(c->request, "Retry-After",
@@ -92,48 +128,126 @@
 }
 
 /* Replies with a JSON body and frees the body and the call. */
-static void answer_json(struct call *c, const char *method, json_object *body,
-			const char *reason)
+static void answer_json(struct call *c, json_object *body, const char *reason)
 {
-	log_call(c, method, SOUP_STATUS_OK, reason);
+	log_call(c, SOUP_STATUS_OK, reason);
 	add_close_header(c->frontend, c->request);
 	http_request_reply(c->request, SOUP_STATUS_OK, body);
 	call_free(c);
 }
 
-static const char *host_of(const struct http_request *r)
+static const char *host_of(const struct call *c)
 {
-	const char *host = http_request_header(r, "Host");
+	const char *host = http_request_header(
+		c->request, c->is_forwarded ? FORWARD_HOST_HEADER : "Host");
 
 	return host ? host : "";
 }
 
+/* Passes on the answer of another VM. */
+static void pass_on(struct call *c, const struct http_reply *reply)
+{
+	log_call(c, reply->code, "answered by another VM");
+	add_close_header(c->frontend, c->request);
+	if (reply->body)
+		http_request_reply(c->request, reply->code,
+				   json_object_get(reply->body));
+	else
+		http_request_reply_text(c->request, reply->code,
+					reply->text ? reply->text : "");
+	call_free(c);
+}
+
+static void serve(struct call *c);
+
+/* Neither this VM nor another one could serve the request. */
+static void answer_unserved(struct call *c, const char *reason)
+{
+	if (c->may_have_run && c->kind->is_change)
+		answer(c, SOUP_STATUS_GATEWAY_TIMEOUT,
+		       "it is not known whether the request was accepted\n");
+	else
+		answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE, reason);
+}
+
+static void on_sent_on(enum forward_outcome outcome,
+		       const struct http_reply *reply, void *data)
+{
+	struct call *c = data;
+
+	if (outcome == FORWARD_ANSWERED) {
+		pass_on(c, reply);
+		return;
+	}
+	c->may_have_run |= outcome == FORWARD_UNKNOWN;
+	if (c->was_served)
+		answer_unserved(c, "the store can't be reached\n");
+	else
+		serve(c);
+}
+
+/* Hands a client's request over to other VMs, once; FALSE if that can't help.
+ */
+static gboolean send_on(struct call *c)
+{
+	int64_t passed_ms = util_monotonic_ms() - c->began_ms;
+	int64_t left_ms =
+		(int64_t)((double)c->deadline_ms * FORWARD_TIME_SHARE) -
+		passed_ms;
+	char *path;
+	gboolean is_sent;
+
+	if (c->is_forwarded || c->was_sent_on)
+		return FALSE;
+	path = g_strconcat("/", http_request_path_suffix(c->request), NULL);
+	c->was_sent_on = TRUE;
+	is_sent =
+		forwarder_send(c->frontend->kernel, c->request, c->kind->method,
+			       path, c->body, left_ms, on_sent_on, c);
+	g_free(path);
+	return is_sent;
+}
+
+/* The store did not answer this VM: asks other VMs, or gives up. */
+static void fail(struct call *c, gboolean may_have_run, const char *reason)
+{
+	c->may_have_run |= may_have_run;
+	if (!send_on(c))
+		answer_unserved(c, reason);
+}
+
+/* Serves a request on this VM. */
+static void serve(struct call *c)
+{
+	c->was_served = TRUE;
+	c->kind->serve(c);
+}
+
 /*
  * Resolves the route, the account of the client's key and the job id. On
  * failure answers the call, which frees it.
  */
-static gboolean find_route(struct call *c, const char *method)
+static gboolean find_route(struct call *c)
 {
 	const struct fleet_config *config =
 		config_feed_config(c->frontend->kernel);
 	char *path =
 		g_strconcat("/", http_request_path_suffix(c->request), NULL);
-	char *host = g_strdup(host_of(c->request));
+	char *host = g_strdup(host_of(c));
 	const struct queue_route *route = NULL;
 	const struct account_config *account = NULL;
 	const char *key;
 	gboolean is_found = FALSE;
 
 	if (!config) {
-		answer(c, method, SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "no configuration yet\n");
+		fail(c, FALSE, "no configuration yet\n");
 		goto out;
 	}
 	if (strchr(host, ':'))
 		*strchr(host, ':') = '\0';
 	route = fleet_config_match(config, host, path);
 	if (!route) {
-		answer(c, method, SOUP_STATUS_NOT_FOUND, "no such queue\n");
+		answer(c, SOUP_STATUS_NOT_FOUND, "no such queue\n");
 		goto out;
 	}
 	c->route = g_strdup(route->name);
@@ -142,7 +256,7 @@
 		account = fleet_config_account_by_key(
 			config, key + strlen(WIRE_AUTH_SCHEME));
 	if (!account && !route->is_public) {
-		answer(c, method, SOUP_STATUS_UNAUTHORIZED, "unknown key\n");
+		answer(c, SOUP_STATUS_UNAUTHORIZED, "unknown key\n");
 		goto out;
 	}
 	c->account = account ? g_strdup(account->name) : NULL;
@@ -165,12 +279,14 @@
 	return TRUE;
 }
 
-static struct call *call_new(struct frontend *s, struct http_request *r)
+static struct call *call_new(struct frontend *s, struct http_request *r,
+			     const struct call_kind *kind)
 {
 	const char *deadline = http_request_header(r, WIRE_HEADER_DEADLINE);
 	struct call *c = g_new0(struct call, 1);
 	gint64 deadline_ms = deadline ? g_ascii_strtoll(deadline, NULL, 10) : 0;
 
+	c->kind = kind;
 	c->frontend = s;
 	c->request = r;
 	c->began_ms = util_monotonic_ms();
@@ -190,46 +306,38 @@
 		histogram_record(s->submit_latency,
 				 (util_monotonic_ms() - c->began_ms) *
 					 US_PER_MS);
-		answer(c, "POST", SOUP_STATUS_OK,
+		answer(c, SOUP_STATUS_OK,
 		       outcome == SUBMISSION_ACCEPTED ? "accepted\n"
 						      : "accepted before\n");
 		break;
 	case SUBMISSION_REFUSED:
 		counter_add(s->refused, 1);
-		answer(c, "POST", SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached; nothing was accepted\n");
+		fail(c, FALSE,
+		     "the store can't be reached; nothing was accepted\n");
 		break;
 	case SUBMISSION_UNKNOWN:
 		counter_add(s->unknown, 1);
-		answer(c, "POST", SOUP_STATUS_GATEWAY_TIMEOUT,
-		       "it is not known whether the job was accepted\n");
+		fail(c, TRUE, "the store can't be reached\n");
 		break;
 	}
 }
 
-static void handle_post(struct http_request *r, void *data)
+static void serve_post(struct call *c)
 {
-	struct frontend *s = data;
-	struct call *c = call_new(s, r);
+	struct frontend *s = c->frontend;
 	struct job_spec spec = { 0 };
 	struct finding_list findings;
-	json_object *body;
 	json_object *row;
 	char *text;
 
-	if (!find_route(c, "POST"))
+	if (!find_route(c))
 		return;
 	if (!is_job_id(c->id)) {
-		answer(c, "POST", SOUP_STATUS_NOT_FOUND, "no job id\n");
-		return;
-	}
-	body = http_request_json(r);
-	if (!body) {
-		call_free(c);
+		answer(c, SOUP_STATUS_NOT_FOUND, "no job id\n");
 		return;
 	}
 	finding_list_init(&findings);
-	if (wire_job_decode(body, &spec, &findings)) {
+	if (wire_job_decode(c->body, &spec, &findings)) {
 		row = job_row_encode(c->route, c->account, &spec,
 				     config_feed_store_clock_ms(s->kernel));
 		submitter_submit(s->submitter, c->id, row, c->deadline_ms,
@@ -237,7 +345,7 @@
 		json_object_put(row);
 	} else {
 		text = finding_list_text(&findings);
-		answer(c, "POST", SOUP_STATUS_BAD_REQUEST, text);
+		answer(c, SOUP_STATUS_BAD_REQUEST, text);
 		g_free(text);
 	}
 	finding_list_clear(&findings);
@@ -250,15 +358,14 @@
 	json_object *count = NULL;
 
 	if (result->status != STATUS_OK) {
-		answer(c, "GET", SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached\n");
+		fail(c, FALSE, "the store can't be reached\n");
 		return;
 	}
 	if (result->row_count &&
 	    json_object_is_type(result->rows[0].value, json_type_object))
 		json_object_object_get_ex(result->rows[0].value, c->route,
 					  &count);
-	answer_json(c, "GET", wire_job_pending(json_object_get_int64(count)),
+	answer_json(c, wire_job_pending(json_object_get_int64(count)),
 		    "waiting jobs");
 }
 
@@ -267,16 +374,14 @@
 	struct call *c = data;
 
 	if (result->status != STATUS_OK) {
-		answer(c, "GET", SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached\n");
+		fail(c, FALSE, "the store can't be reached\n");
 		return;
 	}
 	if (!result->row_count) {
-		answer(c, "GET", SOUP_STATUS_GONE, "no such job\n");
+		answer(c, SOUP_STATUS_GONE, "no such job\n");
 		return;
 	}
-	answer_json(c, "GET",
-		    wire_job_state(fleet_job_state_name(FLEET_JOB_QUEUED)),
+	answer_json(c, wire_job_state(fleet_job_state_name(FLEET_JOB_QUEUED)),
 		    "accepted");
 }
 
@@ -286,8 +391,7 @@
 	enum fleet_job_state state = FLEET_JOB_STATE_COUNT;
 
 	if (result->status != STATUS_OK) {
-		answer(c, "GET", SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached\n");
+		fail(c, FALSE, "the store can't be reached\n");
 		return;
 	}
 	if (result->row_count)
@@ -297,22 +401,21 @@
 				   job_part(c->id), c->id, on_job_row, c);
 		return;
 	}
-	answer_json(c, "GET", wire_job_state(fleet_job_state_name(state)),
+	answer_json(c, wire_job_state(fleet_job_state_name(state)),
 		    fleet_job_state_name(state));
 }
 
-static void handle_get(struct http_request *r, void *data)
+static void serve_get(struct call *c)
 {
-	struct frontend *s = data;
-	struct call *c = call_new(s, r);
+	struct frontend *s = c->frontend;
 
-	if (!find_route(c, "GET"))
+	if (!find_route(c))
 		return;
 	if (!c->id[0])
 		platform_read_part(s->platform, QUEUE_TABLE, HOLDER_PART,
 				   QUEUE_KEY, on_queue, c);
 	else if (!is_job_id(c->id))
-		answer(c, "GET", SOUP_STATUS_GONE, "no such job\n");
+		answer(c, SOUP_STATUS_GONE, "no such job\n");
 	else
 		platform_read_part(s->platform, JOB_PROGRESS_TABLE, HOLDER_PART,
 				   c->id, on_progress, c);
@@ -323,13 +426,10 @@
 	struct call *c = data;
 
 	if (result->status == STATUS_OK)
-		answer(c, "DELETE", SOUP_STATUS_OK, "cancelled\n");
+		answer(c, SOUP_STATUS_OK, "cancelled\n");
 	else
-		answer(c, "DELETE",
-		       result->status == STATUS_UNKNOWN
-			       ? SOUP_STATUS_GATEWAY_TIMEOUT
-			       : SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached\n");
+		fail(c, result->status == STATUS_UNKNOWN,
+		     "the store can't be reached\n");
 }
 
 static void on_job_to_cancel(const struct platform_result *result, void *data)
@@ -343,12 +443,11 @@
 	};
 
 	if (result->status != STATUS_OK) {
-		answer(c, "DELETE", SOUP_STATUS_SERVICE_UNAVAILABLE,
-		       "the store can't be reached\n");
+		fail(c, FALSE, "the store can't be reached\n");
 		return;
 	}
 	if (!result->row_count) {
-		answer(c, "DELETE", SOUP_STATUS_GONE, "no such job\n");
+		answer(c, SOUP_STATUS_GONE, "no such job\n");
 		return;
 	}
 	write.value = json_object_new_object();
@@ -356,18 +455,49 @@
 	json_object_put(write.value);
 }
 
-static void handle_delete(struct http_request *r, void *data)
+static void serve_delete(struct call *c)
 {
-	struct frontend *s = data;
-	struct call *c = call_new(s, r);
-
-	if (!find_route(c, "DELETE"))
+	if (!find_route(c))
 		return;
 	if (is_job_id(c->id))
-		platform_read_part(s->platform, JOB_TABLE, job_part(c->id),
-				   c->id, on_job_to_cancel, c);
+		platform_read_part(c->frontend->platform, JOB_TABLE,
+				   job_part(c->id), c->id, on_job_to_cancel, c);
 	else
-		answer(c, "DELETE", SOUP_STATUS_GONE, "no such job\n");
+		answer(c, SOUP_STATUS_GONE, "no such job\n");
+}
+
+static const struct call_kind call_kinds[CALL_KIND_COUNT] = {
+	{ "POST", serve_post, TRUE, TRUE },
+	{ "GET", serve_get, FALSE, FALSE },
+	{ "DELETE", serve_delete, FALSE, TRUE },
+};
+
+/*
+ * Serves a request here, or hands it over while the store doesn't answer this
+ * VM: other VMs may reach it, and have its newest configuration.
+ */
+static void handle(struct frontend *s, struct http_request *r,
+		   const struct call_kind *kind, gboolean is_forwarded)
+{
+	struct call *c = call_new(s, r, kind);
+
+	c->is_forwarded = is_forwarded;
+	if (kind->has_body) {
+		c->body = http_request_json(r);
+		if (!c->body) {
+			call_free(c);
+			return;
+		}
+	}
+	if (election_hears_store(s->kernel) || !send_on(c))
+		serve(c);
+}
+
+static void on_request(struct http_request *r, void *data)
+{
+	const struct entrance *e = data;
+
+	handle(e->frontend, r, e->kind, e->is_forwarded);
 }
 
 static void handle_ready(struct http_request *r, void *data)
@@ -423,14 +553,23 @@
 	s->unknown = counters_counter(
 		counters, "cs_jobs_unknown_total",
 		"Jobs whose acceptance was not known at the deadline");
-	http_server_add_route(s->server, "POST", "/", handle_post, s);
-	http_server_add_route(s->server, "GET", "/", handle_get, s);
-	http_server_add_route(s->server, "DELETE", "/", handle_delete, s);
+	for (guint i = 0; i < CALL_KIND_COUNT; i++) {
+		const char *method = call_kinds[i].method;
+
+		s->direct[i] = (struct entrance){ s, &call_kinds[i], FALSE };
+		s->forwarded[i] = (struct entrance){ s, &call_kinds[i], TRUE };
+		http_server_add_route(s->server, method, "/", on_request,
+				      &s->direct[i]);
+		http_server_add_route(s->forward_server, method, "/",
+				      on_request, &s->forwarded[i]);
+	}
 	http_server_add_route(s->ready_server, "GET", WIRE_READY_PATH,
 			      handle_ready, s);
 	http_server_add_route(s->ready_server, "GET", "/metrics",
 			      handle_counters, s);
 	status = listen_at(s->server, settings->frontend);
+	if (status == STATUS_OK && settings->forward)
+		status = listen_at(s->forward_server, settings->forward);
 	if (status == STATUS_OK)
 		status = listen_at(s->ready_server, settings->readiness);
 	return status;
@@ -453,7 +592,8 @@
 	const struct frontend *s = (const struct frontend *)base;
 
 	return util_monotonic_ms() >= s->stop_ms &&
-	       http_server_pending(s->server) == 0;
+	       http_server_pending(s->server) == 0 &&
+	       http_server_pending(s->forward_server) == 0;
 }
 
 static void frontend_free(struct service *base)
@@ -462,6 +602,7 @@
 
 	submitter_free(s->submitter);
 	http_server_free(s->server);
+	http_server_free(s->forward_server);
 	http_server_free(s->ready_server);
 	g_free(s);
 }
@@ -480,6 +621,7 @@
 
 	s->base.class = &frontend_class;
 	s->server = http_server_new(MAX_BODY_BYTES);
+	s->forward_server = http_server_new(MAX_BODY_BYTES);
 	s->ready_server = http_server_new(MAX_BODY_BYTES);
 	return &s->base;
 }
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -251,17 +251,20 @@
 cluster_spawn_entry(struct cluster *c, const struct cluster_entry_spec *entry,
 		    const char *log_name)
 {
+	char *forward = entry->forward ? g_strdup_printf("\"forward\":\"%s\",",
+							 entry->forward)
+				       : g_strdup("");
 	char *text = g_strdup_printf(
 		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
 		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
-		"\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
+		"%s\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
 		"\"store\":{\"address\":\"%s\",\"writes_per_s\":"
 		"%" G_GINT64_FORMAT ",\"reads_per_s\":2000},\"bounds\":{"
 		"\"lease_ms\":%" G_GINT64_FORMAT
 		",\"grace_s\":3,\"status_s\":120}}",
 		entry->index, entry->frontend, entry->readiness,
-		entry->internal, entry->delegate_min_workers, entry->store,
-		entry->writes_per_s, entry->lease_ms);
+		entry->internal, forward, entry->delegate_min_workers,
+		entry->store, entry->writes_per_s, entry->lease_ms);
 	char *name = g_strdup_printf("e%u.json", entry->index);
 	char *file = cluster_write_file(c, name, text);
 	struct cluster_process *p = cluster_spawn(
@@ -270,6 +273,7 @@
 	g_free(file);
 	g_free(name);
 	g_free(text);
+	g_free(forward);
 	return p;
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -62,6 +62,7 @@
 	const char *frontend;  /**< listen address for clients */
 	const char *readiness; /**< listen address of the readiness endpoint */
 	const char *internal;  /**< listen address for other entry VMs */
+	const char *forward;   /**< the same, for forwarded requests; or NULL */
 	const char *store;     /**< address of the platform's store */
 	int64_t writes_per_s;  /**< write limit of the store */
 	int64_t lease_ms;      /**< longest lease that workers grant */
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -30,6 +30,9 @@
 	struct cluster_process *platform;
 	struct cluster_process *entries[ENTRIES];
 	char *store;
+	char *paths[ENTRIES]; /* relay to the store, NULL without one */
+	char *relay_control;  /* NULL without a relay */
+	char *forwards[ENTRIES];
 	char *frontends[ENTRIES];
 	char *readiness[ENTRIES];
 	char *internal[ENTRIES];
@@ -43,7 +46,8 @@
 		.frontend = s->frontends[i],
 		.readiness = s->readiness[i],
 		.internal = s->internal[i],
-		.store = s->store,
+		.forward = s->forwards[i],
+		.store = s->paths[i] ? s->paths[i] : s->store,
 		.writes_per_s = 500,
 		.lease_ms = 3000,
 		.delegate_min_workers = s->delegate_min_workers,
@@ -66,7 +70,32 @@
 	return TRUE;
 }
 
-static struct site *site_new_delegating(guint delegate_min_workers)
+/* Starts a relay with a route from each entry VM to the store. */
+static void start_relay(struct site *s)
+{
+	char *route = g_strdup_printf("127.0.0.1:0=%s", s->store);
+	struct cluster_process *relay =
+		cluster_spawn(s->cluster, "cs-standin-relay", "relay.log",
+			      CLUSTER_ARGS("--route", route, "--route", route));
+
+	s->relay_control = cluster_log_value(relay, "control", 0);
+	for (guint i = 0; i < ENTRIES; i++)
+		s->paths[i] = cluster_listen_address(relay, i);
+	g_free(route);
+}
+
+/* Sets the relay's mode between an entry VM and the store. */
+static void set_path_mode(struct site *s, guint entry, const char *mode)
+{
+	char *body =
+		g_strdup_printf("{\"mode\":\"%s\",\"route\":%u}", mode, entry);
+
+	cluster_control(s->cluster, s->relay_control, body);
+	g_free(body);
+}
+
+static struct site *site_new_with(guint delegate_min_workers,
+				  gboolean has_relay)
 {
 	struct site *s = g_new0(struct site, 1);
 	char *workers = g_strdup_printf("%d", WORKERS);
@@ -80,7 +109,10 @@
 		s->cluster, "cs-standin-steppe", "platform.log",
 		CLUSTER_ARGS("--listen", s->store, "--service", "salkhi",
 			     "--config", config, "--workers", workers));
+	if (has_relay)
+		start_relay(s);
 	for (guint i = 0; i < ENTRIES; i++) {
+		s->forwards[i] = cluster_reserve_address();
 		s->frontends[i] = cluster_reserve_address();
 		s->readiness[i] = cluster_reserve_address();
 		s->internal[i] = cluster_reserve_address();
@@ -92,6 +124,11 @@
 	return s;
 }
 
+static struct site *site_new_delegating(guint delegate_min_workers)
+{
+	return site_new_with(delegate_min_workers, FALSE);
+}
+
 static struct site *site_new(void)
 {
 	return site_new_delegating(NO_DELEGATION_MIN_WORKERS);
@@ -104,7 +141,10 @@
 		g_free(s->frontends[i]);
 		g_free(s->readiness[i]);
 		g_free(s->internal[i]);
+		g_free(s->forwards[i]);
+		g_free(s->paths[i]);
 	}
+	g_free(s->relay_control);
 	g_free(s->store);
 	g_free(s);
 }
@@ -555,6 +595,92 @@
 	site_free(s);
 }
 
+/* How the store turns one entry VM away while the other one reaches it. */
+struct forward_case {
+	const char *name;
+	const char *mode;   /* of the relay */
+	int64_t settled_ms; /* before the requests */
+	int64_t within_ms;  /* for each answer */
+};
+
+static const struct forward_case forward_cases[] = {
+	{ "/entry/forward/refused", "refuse", 0, 1000 },
+	{ "/entry/forward/silent-at-once", "silent", 0, 1500 },
+	/* Known to be silent: nothing waits for the store. */
+	{ "/entry/forward/silent", "silent", 2000, 500 },
+};
+
+static guint timed_call(struct site *s, const char *method, const char *id,
+			const char *body, int64_t within_ms, char **text)
+{
+	int64_t began_us = g_get_monotonic_time();
+	guint code = call(s, 0, method, id, body, text);
+
+	g_assert_cmpint(g_get_monotonic_time() - began_us, <, within_ms * 1000);
+	return code;
+}
+
+static gboolean knows_peer(void *data)
+{
+	struct site *s = data;
+	struct cluster_reply r = cluster_call(
+		s->cluster, "GET", s->store,
+		"/corianderstep/rows-get?Table=delegates&part=", NULL, NULL,
+		CLUSTER_CALL_TIMEOUT_MS);
+	json_object *rows = NULL;
+	gboolean is_known = json_object_object_get_ex(r.body, "rows", &rows) &&
+			    json_object_array_length(rows) == ENTRIES;
+
+	cluster_reply_clear(&r);
+	return is_known;
+}
+
+/* Requests to a VM that the store turns away are served by the other one. */
+static void test_forward(gconstpointer data)
+{
+	const struct forward_case *c = data;
+	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
+	const char *const step =
+		"{\"Spec\":\"run_ms=300\",\"Steps\":[{\"Count\":1,"
+		"\"Cpu\":1000,\"MemMb\":100,\"Gpu\":1,\"EstimateMs\":300}]}";
+	char *text = NULL;
+
+	g_assert_true(cluster_wait(knows_peer, s, WAIT_MS));
+	cluster_sleep(2500); /* the first scan of the table */
+	set_path_mode(s, 0, c->mode);
+	cluster_sleep(c->settled_ms);
+	g_assert_cmpuint(timed_call(s, "POST", "0000000000000ba1", step,
+				    c->within_ms, NULL),
+			 ==, 200);
+	/* The same job again, and one that doesn't exist. */
+	g_assert_cmpuint(timed_call(s, "POST", "0000000000000ba1", step,
+				    c->within_ms, NULL),
+			 ==, 200);
+	g_assert_cmpuint(timed_call(s, "GET", "0000000000000ba2", NULL,
+				    c->within_ms + 1500, NULL),
+			 ==, 410);
+	g_assert_cmpuint(timed_call(s, "DELETE", "0000000000000ba2", NULL,
+				    c->within_ms + 1500, NULL),
+			 ==, 410);
+	assert_state(s, 0, "0000000000000ba1", "completed");
+	g_assert_cmpint(count_starts(s), ==, 1);
+	/* Away for all: refused, and nothing runs. */
+	set_path_mode(s, 1, c->mode);
+	cluster_sleep(2000);
+	g_assert_cmpuint(
+		timed_call(s, "POST", "0000000000000ba3", step, 2500, &text),
+		==, 503);
+	g_assert_cmpuint(
+		timed_call(s, "POST", "0000000000000ba3", step, 600, NULL), ==,
+		503);
+	set_path_mode(s, 0, "pass");
+	set_path_mode(s, 1, "pass");
+	cluster_sleep(3000);
+	g_assert_cmpint(count_starts(s), ==, 1);
+	g_free(text);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -566,6 +692,9 @@
 	for (guint i = 0; i < G_N_ELEMENTS(delegate_cases); i++)
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
+	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++)
+		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
+				     test_forward);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
 	g_test_add_data_func("/entry/odd-registrations/direct",
 			     GUINT_TO_POINTER(NO_DELEGATION_MIN_WORKERS),
