Forwarded answers never fall back behind a newer configuration; state queries see an end at once

Change: forwarded requests and their answers carry the configuration's version; a VM that is behind it answers 503. A VM that doesn't hear the store refuses forwarded requests at once. A state query for an active job reads it once more after 80 ms. Reads are handed over after 300 ms. Peers that serve nothing are asked after growing pauses.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -63,6 +63,7 @@
 	gboolean was_resent;
 	gboolean is_cancelled; /**< on_reply must not be called any more */
 	gboolean wants_bytes;
+	const char *wanted_header; /**< NULL for none */
 	http_reply_fn on_reply;
 	void *data;
 };
@@ -419,6 +420,11 @@
 		reply.etag = soup_message_headers_get_one(
 			soup_message_get_response_headers(call->message),
 			"ETag");
+		if (call->wanted_header)
+			reply.header = soup_message_headers_get_one(
+				soup_message_get_response_headers(
+					call->message),
+				call->wanted_header);
 	} else {
 		reply.status = status_fail(call->is_sent ? STATUS_UNKNOWN
 							 : STATUS_UNAVAILABLE,
@@ -489,6 +495,7 @@
 
 	call->client = c;
 	call->wants_bytes = spec->wants_bytes;
+	call->wanted_header = spec->wanted_header;
 	call->on_reply = spec->on_reply;
 	call->data = spec->data;
 	call->timeout_ms = spec->timeout_ms;
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -25,11 +25,12 @@
 	 * response was received.
 	 */
 	enum status status;
-	guint code;	   /**< HTTP status code, 0 without a response */
-	json_object *body; /**< NULL if absent or not JSON; borrowed */
-	const char *text;  /**< the raw body, NULL without a response */
-	GBytes *bytes;	   /**< the raw body if wants_bytes was set */
-	const char *etag;  /**< the ETag header, NULL if absent */
+	guint code;	    /**< HTTP status code, 0 without a response */
+	json_object *body;  /**< NULL if absent or not JSON; borrowed */
+	const char *text;   /**< the raw body, NULL without a response */
+	GBytes *bytes;	    /**< the raw body if wants_bytes was set */
+	const char *etag;   /**< the ETag header, NULL if absent */
+	const char *header; /**< the one that was asked for, NULL if absent */
 	/**
 	 * The request was sent before on a connection that ended or stayed
 	 * silent; that request may have taken effect too, whatever this reply
@@ -63,6 +64,9 @@
 	gboolean wants_bytes;
 	/** Alternating names and values, NULL-terminated; may be NULL. */
 	const char *const *headers;
+	/** Name of a header to return in the reply, of static storage; or NULL.
+	 */
+	const char *wanted_header;
 	http_reply_fn on_reply;
 	void *data;
 };
--- a/entry/forwarder.c
+++ b/entry/forwarder.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "base/util.h"
+#include "entry/config_feed.h"
 #include "entry/delegate_message.h"
 #include "entry/entry_store.h"
 #include "entry/peer_list.h"
@@ -26,9 +27,10 @@
 #define MAX_ATTEMPTS 3
 /* How long a peer that did not serve a request is avoided. */
 #define AVOID_MS 3000
-/* After a request that no peer served, requests are refused at once for this
- * long: the store is probably away for all. */
-#define PAUSE_MS 500
+/* After a request that no peer served, none is forwarded for this long, as the
+ * store is probably away for all; doubles with each further one. */
+#define FIRST_PAUSE_MS 500
+#define MAX_PAUSE_MS 4000
 
 struct forwarder {
 	struct service base;
@@ -38,7 +40,9 @@
 	struct peer_list peers;
 	char *next_key; /* start of the next page, NULL for the first */
 	guint timer;
+	int64_t seen_version; /* see forwarder_seen_version() */
 	int64_t paused_until_ms;
+	int64_t pause_ms; /* length of the next pause */
 	GRand *rng;
 	GHashTable *forwards; /* set of struct forward in flight */
 	struct counter *forwarded;
@@ -76,8 +80,11 @@
 	struct forwarder *s = f->forwarder;
 	struct log_line line;
 
-	if (outcome != FORWARD_ANSWERED) {
-		s->paused_until_ms = util_monotonic_ms() + PAUSE_MS;
+	if (outcome == FORWARD_ANSWERED) {
+		s->pause_ms = FIRST_PAUSE_MS;
+	} else {
+		s->paused_until_ms = util_monotonic_ms() + s->pause_ms;
+		s->pause_ms = MIN(2 * s->pause_ms, MAX_PAUSE_MS);
 		counter_add(s->unserved, 1);
 	}
 	log_begin(&line, LOG_LEVEL_INFO, "request_forwarded");
@@ -120,6 +127,10 @@
 
 	f->call = NULL;
 	if (is_definite(reply)) {
+		if (reply->header)
+			f->forwarder->seen_version =
+				MAX(f->forwarder->seen_version,
+				    g_ascii_strtoll(reply->header, NULL, 10));
 		finish(f, FORWARD_ANSWERED, reply);
 		return;
 	}
@@ -132,13 +143,22 @@
 		       NULL);
 }
 
+/* Returns the least configuration version that may decide on a request. */
+static int64_t least_version(const struct forwarder *s)
+{
+	const struct fleet_config *config = config_feed_config(s->kernel);
+
+	return MAX(s->seen_version, config ? config->version : 0);
+}
+
 /* Sends the request to the next peer; FALSE if there is none or no time. */
 static gboolean attempt(struct forward *f)
 {
 	struct forwarder *s = f->forwarder;
 	const char *names[] = { "Host", WIRE_HEADER_AUTHORIZATION,
 				WIRE_HEADER_DEADLINE };
-	const char *headers[2 * G_N_ELEMENTS(names) + 1] = { NULL };
+	const char *headers[2 * G_N_ELEMENTS(names) + 3] = { NULL };
+	char version[32];
 	int64_t now_ms = util_monotonic_ms();
 	struct http_call_spec spec = {
 		.method = f->method,
@@ -149,6 +169,7 @@
 		/* Rather asks the next peer than the same one twice. */
 		.max_silence_ms = MIN(f->end_ms - now_ms, ATTEMPT_TIMEOUT_MS),
 		.headers = headers,
+		.wanted_header = FORWARD_VERSION_HEADER,
 		.on_reply = on_reply,
 		.data = f,
 	};
@@ -168,6 +189,10 @@
 		headers[n++] = i ? names[i] : FORWARD_HOST_HEADER;
 		headers[n++] = value;
 	}
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
+		   least_version(s));
+	headers[n++] = FORWARD_VERSION_HEADER;
+	headers[n++] = version;
 	g_ptr_array_add(f->tried, g_strdup(peer->node));
 	spec.address = peer->address;
 	f->call = http_client_send(s->client, &spec);
@@ -179,6 +204,11 @@
 	return (struct forwarder *)kernel_find(k, FORWARDER_SERVICE);
 }
 
+int64_t forwarder_seen_version(const struct kernel *k)
+{
+	return find(k)->seen_version;
+}
+
 gboolean forwarder_send(const struct kernel *k,
 			const struct http_request *request, const char *method,
 			const char *path, json_object *body, int64_t timeout_ms,
@@ -323,6 +353,7 @@
 	s->base.class = &forwarder_class;
 	s->client = http_client_new(MAX_CALLS, MAX_CONNECTIONS_PER_PEER);
 	s->rng = g_rand_new();
+	s->pause_ms = FIRST_PAUSE_MS;
 	s->forwards = g_hash_table_new_full(NULL, NULL, forward_free, NULL);
 	return &s->base;
 }
--- a/entry/forwarder.h
+++ b/entry/forwarder.h
@@ -16,6 +16,13 @@
 /** Carries the Host header of the client's request. */
 #define FORWARD_HOST_HEADER "Cs-Client-Host"
 
+/**
+ * In a forwarded request, the least configuration version that may decide on
+ * it; in the answer, the version that did. So a client that keeps asking one VM
+ * never meets an older configuration after a newer one.
+ */
+#define FORWARD_VERSION_HEADER "Cs-Config-Version"
+
 enum forward_outcome {
 	FORWARD_ANSWERED, /**< a peer has answered for good */
 	FORWARD_REFUSED,  /**< certainly no peer has acted on the request */
@@ -28,6 +35,9 @@
 
 struct service *forwarder_new(void);
 
+/** Returns the highest configuration version that a peer has answered by. */
+int64_t forwarder_seen_version(const struct kernel *k);
+
 /**
  * Forwards a request to one peer after another until one answers it, within the
  * time given.
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -26,6 +26,12 @@
 /* Share of the client's timeout during which other VMs are asked; the rest is
  * left for an attempt of the client's own. */
 #define FORWARD_TIME_SHARE 0.8
+/* Longest wait for a row before other VMs are asked: longer than a store needs
+ * that is 60 times slower than usual. */
+#define READ_TIMEOUT_MS 300
+/* A job that is still active is read once more after this time: clients often
+ * ask right after its last task has ended, just before its end is stored. */
+#define ACTIVE_RECHECK_MS 80
 
 #define CALL_KIND_COUNT 3
 
@@ -73,11 +79,13 @@
 	const struct call_kind *kind;
 	struct frontend *frontend;
 	struct http_request *request;
-	json_object *body;     /* borrowed; NULL unless the kind has one */
-	gboolean is_forwarded; /* by another VM */
-	gboolean was_served;   /* this VM has tried to serve it */
-	gboolean was_sent_on;  /* other VMs have been asked */
-	gboolean may_have_run; /* an attempt had no definite answer */
+	json_object *body;	/* borrowed; NULL unless the kind has one */
+	gboolean is_forwarded;	/* by another VM */
+	gboolean was_served;	/* this VM has tried to serve it */
+	gboolean was_sent_on;	/* other VMs have been asked */
+	gboolean may_have_run;	/* an attempt had no definite answer */
+	gboolean was_rechecked; /* its job was active and is read again */
+	guint timer;		/* of the read in flight or the next one */
 	char *id;
 	char *route;
 	char *account; /* NULL on a public route without a known key */
@@ -223,6 +231,31 @@
 	c->kind->serve(c);
 }
 
+/*
+ * Returns the least configuration version that may decide on a call: of another
+ * VM's request what it asks for, else what other VMs' answers were made by.
+ */
+static int64_t least_version(const struct call *c)
+{
+	const char *text =
+		http_request_header(c->request, FORWARD_VERSION_HEADER);
+
+	if (!c->is_forwarded)
+		return forwarder_seen_version(c->frontend->kernel);
+	return text ? g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
+/* Tells the VM that has forwarded a call which configuration decided on it. */
+static void set_version_header(struct call *c, int64_t version)
+{
+	char text[32];
+
+	if (!c->is_forwarded)
+		return;
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, version);
+	http_request_set_reply_header(c->request, FORWARD_VERSION_HEADER, text);
+}
+
 /*
  * Resolves the route, the account of the client's key and the job id. On
  * failure answers the call, which frees it.
@@ -239,10 +272,11 @@
 	const char *key;
 	gboolean is_found = FALSE;
 
-	if (!config) {
-		fail(c, FALSE, "no configuration yet\n");
+	if (!config || config->version < least_version(c)) {
+		fail(c, FALSE, "no current configuration yet\n");
 		goto out;
 	}
+	set_version_header(c, config->version);
 	if (strchr(host, ':'))
 		*strchr(host, ':') = '\0';
 	route = fleet_config_match(config, host, path);
@@ -340,8 +374,9 @@
 	if (wire_job_decode(c->body, &spec, &findings)) {
 		row = job_row_encode(c->route, c->account, &spec,
 				     config_feed_store_clock_ms(s->kernel));
-		submitter_submit(s->submitter, c->id, row, c->deadline_ms,
-				 on_submitted, c);
+		submitter_submit(s->submitter, c->id, row,
+				 c->is_forwarded ? 0 : READ_TIMEOUT_MS,
+				 c->deadline_ms, on_submitted, c);
 		json_object_put(row);
 	} else {
 		text = finding_list_text(&findings);
@@ -352,11 +387,38 @@
 	job_spec_clear(&spec);
 }
 
+static void stop_timer(struct call *c)
+{
+	if (c->timer)
+		g_source_remove(c->timer);
+	c->timer = 0;
+}
+
+/* Asks other VMs for what the store doesn't tell this one, if there are any. */
+static gboolean on_read_timeout(gpointer data)
+{
+	struct call *c = data;
+
+	c->timer = 0;
+	if (send_on(c))
+		platform_forget(c->frontend->platform, c);
+	return G_SOURCE_REMOVE;
+}
+
+/* Reads a row for a call; @fn has to call stop_timer(). */
+static void read_row(struct call *c, const char *table, const char *part,
+		     const char *key, platform_fn fn)
+{
+	c->timer = g_timeout_add(READ_TIMEOUT_MS, on_read_timeout, c);
+	platform_read_part(c->frontend->platform, table, part, key, fn, c);
+}
+
 static void on_queue(const struct platform_result *result, void *data)
 {
 	struct call *c = data;
 	json_object *count = NULL;
 
+	stop_timer(c);
 	if (result->status != STATUS_OK) {
 		fail(c, FALSE, "the store can't be reached\n");
 		return;
@@ -373,6 +435,7 @@
 {
 	struct call *c = data;
 
+	stop_timer(c);
 	if (result->status != STATUS_OK) {
 		fail(c, FALSE, "the store can't be reached\n");
 		return;
@@ -385,11 +448,28 @@
 		    "accepted");
 }
 
+static void on_progress(const struct platform_result *result, void *data);
+
+static void read_progress(struct call *c)
+{
+	read_row(c, JOB_PROGRESS_TABLE, HOLDER_PART, c->id, on_progress);
+}
+
+static gboolean on_recheck(gpointer data)
+{
+	struct call *c = data;
+
+	c->timer = 0;
+	read_progress(c);
+	return G_SOURCE_REMOVE;
+}
+
 static void on_progress(const struct platform_result *result, void *data)
 {
 	struct call *c = data;
 	enum fleet_job_state state = FLEET_JOB_STATE_COUNT;
 
+	stop_timer(c);
 	if (result->status != STATUS_OK) {
 		fail(c, FALSE, "the store can't be reached\n");
 		return;
@@ -397,8 +477,12 @@
 	if (result->row_count)
 		state = job_progress_state(result->rows[0].value);
 	if (state == FLEET_JOB_STATE_COUNT) {
-		platform_read_part(c->frontend->platform, JOB_TABLE,
-				   job_part(c->id), c->id, on_job_row, c);
+		read_row(c, JOB_TABLE, job_part(c->id), c->id, on_job_row);
+		return;
+	}
+	if (state == FLEET_JOB_ACTIVE && !c->was_rechecked) {
+		c->was_rechecked = TRUE;
+		c->timer = g_timeout_add(ACTIVE_RECHECK_MS, on_recheck, c);
 		return;
 	}
 	answer_json(c, wire_job_state(fleet_job_state_name(state)),
@@ -407,18 +491,14 @@
 
 static void serve_get(struct call *c)
 {
-	struct frontend *s = c->frontend;
-
 	if (!find_route(c))
 		return;
 	if (!c->id[0])
-		platform_read_part(s->platform, QUEUE_TABLE, HOLDER_PART,
-				   QUEUE_KEY, on_queue, c);
+		read_row(c, QUEUE_TABLE, HOLDER_PART, QUEUE_KEY, on_queue);
 	else if (!is_job_id(c->id))
 		answer(c, SOUP_STATUS_GONE, "no such job\n");
 	else
-		platform_read_part(s->platform, JOB_PROGRESS_TABLE, HOLDER_PART,
-				   c->id, on_progress, c);
+		read_progress(c);
 }
 
 static void on_cancelled(const struct platform_result *result, void *data)
@@ -442,6 +522,7 @@
 		.expected_version = TABLE_ANY_VERSION,
 	};
 
+	stop_timer(c);
 	if (result->status != STATUS_OK) {
 		fail(c, FALSE, "the store can't be reached\n");
 		return;
@@ -460,8 +541,8 @@
 	if (!find_route(c))
 		return;
 	if (is_job_id(c->id))
-		platform_read_part(c->frontend->platform, JOB_TABLE,
-				   job_part(c->id), c->id, on_job_to_cancel, c);
+		read_row(c, JOB_TABLE, job_part(c->id), c->id,
+			 on_job_to_cancel);
 	else
 		answer(c, SOUP_STATUS_GONE, "no such job\n");
 }
@@ -480,8 +561,14 @@
 		   const struct call_kind *kind, gboolean is_forwarded)
 {
 	struct call *c = call_new(s, r, kind);
+	gboolean hears_store = election_hears_store(s->kernel);
 
 	c->is_forwarded = is_forwarded;
+	if (is_forwarded && !hears_store) {
+		answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE,
+		       "the store can't be reached\n");
+		return;
+	}
 	if (kind->has_body) {
 		c->body = http_request_json(r);
 		if (!c->body) {
@@ -489,7 +576,7 @@
 			return;
 		}
 	}
-	if (election_hears_store(s->kernel) || !send_on(c))
+	if (hears_store || !send_on(c))
 		serve(c);
 }
 
--- a/entry/submission.c
+++ b/entry/submission.c
@@ -29,6 +29,7 @@
 
 struct submission {
 	struct submitter *submitter;
+	guint read_timeout_ms; /* of the first read */
 	struct store_part *part;
 	char *id;
 	json_object *row;
@@ -224,7 +225,9 @@
 		s->timer = g_idle_add(on_part_unresponsive, s);
 		return;
 	}
-	s->timer = g_timeout_add(CALL_TIMEOUT_MS, on_call_timeout, s);
+	s->timer = g_timeout_add(s->may_be_written ? CALL_TIMEOUT_MS
+						   : s->read_timeout_ms,
+				 on_call_timeout, s);
 	platform_read_part(s->submitter->platform, JOB_TABLE, s->part->name,
 			   s->id, on_row_read, s);
 }
@@ -244,7 +247,8 @@
 }
 
 void submitter_submit(struct submitter *s, const char *id, json_object *row,
-		      int64_t timeout_ms, submission_fn fn, void *data)
+		      int64_t read_timeout_ms, int64_t timeout_ms,
+		      submission_fn fn, void *data)
 {
 	struct submission *sub = g_new0(struct submission, 1);
 
@@ -252,6 +256,8 @@
 	sub->part = find_part(s, id);
 	sub->id = g_strdup(id);
 	sub->row = json_object_get(row);
+	sub->read_timeout_ms =
+		read_timeout_ms ? (guint)read_timeout_ms : CALL_TIMEOUT_MS;
 	sub->retry_until_ms = util_monotonic_ms() +
 			      (int64_t)((double)timeout_ms * SUBMIT_TIME_SHARE);
 	sub->fn = fn;
--- a/entry/submission.h
+++ b/entry/submission.h
@@ -32,10 +32,13 @@
 /**
  * Starts to submit a job.
  *
- * @param row		the job's row; takes its own reference
- * @param timeout_ms	how long the client waits for an answer
+ * @param row			the job's row; takes its own reference
+ * @param read_timeout_ms	of the read before the write, after which the
+ *				job is refused; 0 for the usual one
+ * @param timeout_ms		how long the client waits for an answer
  */
 void submitter_submit(struct submitter *s, const char *id, json_object *row,
-		      int64_t timeout_ms, submission_fn fn, void *data);
+		      int64_t read_timeout_ms, int64_t timeout_ms,
+		      submission_fn fn, void *data);
 
 #endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -681,6 +681,53 @@
 	site_free(s);
 }
 
+static guint get_route(struct site *s, const char *path)
+{
+	const char *const headers[] = { KEY_HEADER };
+	struct cluster_reply r =
+		cluster_call(s->cluster, "GET", s->frontends[0], path, NULL,
+			     headers, CLUSTER_CALL_TIMEOUT_MS);
+	guint code = r.code;
+
+	cluster_reply_clear(&r);
+	return code;
+}
+
+/*
+ * A route that only a newer configuration has: once another VM has answered by
+ * it, a VM that is cut off from the store doesn't deny the route by its own
+ * older configuration (khuree-wind-large scale-2, CONFIG).
+ */
+static void test_forward_config(void)
+{
+	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
+	char *newer = g_strdup(config_text);
+	char *control;
+
+	g_assert_true(cluster_wait(knows_peer, s, WAIT_MS));
+	cluster_sleep(2500); /* the first scan of the table */
+	set_path_mode(s, 0, "silent");
+	cluster_sleep(1500);
+	newer[strlen("{\"Version\":")] = '2';
+	memcpy(strstr(newer, "/spot/"), "/more/", strlen("/more/"));
+	control = g_strdup_printf("{\"config\":%s}", newer);
+	cluster_control(s->cluster, s->store, control);
+	cluster_sleep(500);
+	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
+	set_path_mode(s, 1, "silent");
+	cluster_sleep(1500);
+	/* No VM can tell now; the route is not denied. */
+	g_assert_cmpuint(get_route(s, "/more/"), ==, 503);
+	set_path_mode(s, 0, "pass");
+	set_path_mode(s, 1, "pass");
+	cluster_sleep(3000);
+	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
+	g_assert_cmpuint(get_route(s, "/spot/"), ==, 404);
+	g_free(control);
+	g_free(newer);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -695,6 +742,7 @@
 	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++)
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
+	g_test_add_func("/entry/forward/config", test_forward_config);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
 	g_test_add_data_func("/entry/odd-registrations/direct",
 			     GUINT_TO_POINTER(NO_DELEGATION_MIN_WORKERS),
