A new holder of a large pool connects to its delegates before it calls workers

Cause: after a takeover all first renewals went out directly, as no delegate was connected yet: 1,100 calls on half a core.

Change: renewals wait until the table of delegates is read and all are connected, 300 ms at most; first renewals go out rack by rack, so that gangs can start before all workers have answered.

--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -20,6 +20,10 @@
 #define DELEGATE_DELAY_MS 200
 /* Interval of the check for overdue calls. */
 #define OVERDUE_CHECK_MS 100
+/* Limits of the time from the first call until the delegates are registered as
+ * read, and from then until all are connected. */
+#define READ_ROWS_MS 1000
+#define CONNECT_ALL_MS 300
 /* The row of a delegate that stays unreachable for this long is removed; a VM
  * restarts in less time. */
 #define REMOVE_ROW_AFTER_MS 60000
@@ -48,6 +52,7 @@
 };
 
 struct delegate_pool {
+	struct delegate_pool_spec spec;
 	struct platform *platform;
 	char *node;
 	struct table_feed *feed;
@@ -56,6 +61,9 @@
 	/* Worker id to the time in ms until which it is called directly. */
 	GHashTable *direct_until;
 	int64_t last_number;
+	gboolean is_ready;	/* see delegate_pool_is_ready() */
+	int64_t ready_limit_ms; /* ready from then on in any case */
+	guint connecting;	/* connections being opened */
 	GSocketClient *client;
 	struct link_poll *poll;
 	struct link_traffic traffic;
@@ -128,11 +136,29 @@
 	g_ptr_array_unref(ended);
 }
 
+static void check_ready(struct delegate_pool *p)
+{
+	if (p->is_ready || !p->feed ||
+	    (util_monotonic_ms() < p->ready_limit_ms &&
+	     (p->connecting || !table_feed_is_synced(p->feed))))
+		return;
+	p->is_ready = TRUE;
+	p->spec.on_ready(p->spec.data);
+}
+
+static void end_connecting(struct delegate_link *d)
+{
+	if (!d->connecting)
+		return;
+	g_clear_object(&d->connecting);
+	d->pool->connecting--;
+}
+
 static void disconnect(struct delegate_link *d)
 {
 	if (d->connecting)
 		g_cancellable_cancel(d->connecting);
-	g_clear_object(&d->connecting);
+	end_connecting(d);
 	g_clear_pointer(&d->connection, link_connection_close);
 	finish_unanswered(d->pool, d, INT64_MAX);
 }
@@ -243,9 +269,10 @@
 		g_error_free(error);
 		return;
 	}
-	g_clear_object(&d->connecting);
+	end_connecting(d);
 	if (!stream) {
 		record_unreachable(d, error->message);
+		check_ready(d->pool);
 		g_error_free(error);
 		return;
 	}
@@ -255,12 +282,14 @@
 	d->failing_since_ms = 0;
 	send_hello(d);
 	log_delegate(d, "delegate_reached", NULL);
+	check_ready(d->pool);
 	g_object_unref(stream);
 }
 
 static void delegate_link_connect(struct delegate_link *d)
 {
 	d->connecting = g_cancellable_new();
+	d->pool->connecting++;
 	g_socket_client_connect_to_host_async(d->pool->client, d->address, 0,
 					      d->connecting, on_connected, d);
 }
@@ -294,6 +323,7 @@
 	struct delegate_pool *p = data;
 
 	finish_unanswered(p, NULL, util_monotonic_ms());
+	check_ready(p);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -301,6 +331,7 @@
 {
 	struct delegate_pool *p = g_new0(struct delegate_pool, 1);
 
+	p->spec = *spec;
 	p->platform = spec->platform;
 	p->node = g_strdup(spec->node);
 	p->delegates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -316,6 +347,26 @@
 	return p;
 }
 
+/* Connects to all delegates once their rows have been read. */
+static void on_synced(void *data)
+{
+	struct delegate_pool *p = data;
+	GHashTableIter iter;
+	gpointer item;
+
+	if (p->is_ready)
+		return;
+	p->ready_limit_ms = util_monotonic_ms() + CONNECT_ALL_MS;
+	g_hash_table_iter_init(&iter, p->delegates);
+	while (g_hash_table_iter_next(&iter, NULL, &item)) {
+		struct delegate_link *d = item;
+
+		if (!d->connection && !d->connecting)
+			delegate_link_connect(d);
+	}
+	check_ready(p);
+}
+
 static void follow_registrations(struct delegate_pool *p)
 {
 	struct table_feed_spec feed = {
@@ -323,9 +374,12 @@
 		.table = DELEGATE_TABLE,
 		.wait_ms = FEED_WAIT_MS,
 		.on_row = on_row,
+		.on_synced = on_synced,
 		.data = p,
 	};
 
+	p->is_ready = FALSE;
+	p->ready_limit_ms = util_monotonic_ms() + READ_ROWS_MS;
 	p->feed = table_feed_new(&feed);
 	p->tick = g_timeout_add(OVERDUE_CHECK_MS, on_tick, p);
 }
@@ -446,6 +500,13 @@
 	return body;
 }
 
+gboolean delegate_pool_is_ready(struct delegate_pool *p)
+{
+	if (!p->feed)
+		follow_registrations(p);
+	return p->is_ready;
+}
+
 gboolean delegate_pool_send(struct delegate_pool *p, const char *worker,
 			    const char *failure_domain,
 			    const struct http_call_spec *spec)
--- a/entry/delegate_pool.h
+++ b/entry/delegate_pool.h
@@ -16,11 +16,14 @@
 struct delegate_pool_spec {
 	struct platform *platform;
 	const char *node; /**< name of this VM, never used as a delegate */
+	/** delegate_pool_is_ready() returns TRUE from now on. */
+	void (*on_ready)(void *data);
+	void *data;
 };
 
 /**
  * Returns a new pool without connections. It starts reading the table of
- * delegates with the first call of delegate_pool_send().
+ * delegates with the first call of one of the functions below.
  */
 struct delegate_pool *delegate_pool_new(const struct delegate_pool_spec *spec);
 void delegate_pool_free(struct delegate_pool *p);
@@ -31,6 +34,13 @@
  */
 void delegate_pool_reset(struct delegate_pool *p);
 
+/**
+ * Connects to all registered delegates. Returns TRUE once that is done, or has
+ * taken too long: until then calls would have to be made directly, which takes
+ * a new holder of a large pool seconds.
+ */
+gboolean delegate_pool_is_ready(struct delegate_pool *p);
+
 /**
  * Makes a call to a worker through a delegate in the worker's failure domain.
  *
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -53,6 +53,8 @@
 	const struct delegate_pool_spec delegates = {
 		.platform = spec->platform,
 		.node = spec->node,
+		.on_ready = spec->on_call_ended,
+		.data = spec->data,
 	};
 
 	c->spec = *spec;
@@ -315,14 +317,38 @@
 	       now_ms >= w->next_renewal_ms + RENEWAL_RETRY_MS;
 }
 
+/* Sorts by rack: after a takeover, gangs can start as soon as the first racks
+ * have answered. */
+static gint compare_racks(gconstpointer a, gconstpointer b)
+{
+	const struct fleet_worker *x = *(const struct fleet_worker *const *)a;
+	const struct fleet_worker *y = *(const struct fleet_worker *const *)b;
+
+	return g_strcmp0(x->reg.rack, y->reg.rack);
+}
+
 void worker_calls_renew_due(struct worker_calls *c, int64_t now_ms)
 {
+	GPtrArray *due;
 	GHashTableIter iter;
 	gpointer item;
+	gboolean has_new = FALSE;
 
+	if (is_delegated(c) && !delegate_pool_is_ready(c->delegates))
+		return;
+	due = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, c->spec.scheduler->fleet.workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		if (is_renewal_due(item, now_ms))
-			send_renewal(c, item, now_ms);
+		const struct fleet_worker *w = item;
+
+		if (!is_renewal_due(w, now_ms))
+			continue;
+		g_ptr_array_add(due, item);
+		has_new |= !w->is_fenced;
 	}
+	if (has_new)
+		g_ptr_array_sort(due, compare_racks);
+	for (guint i = 0; i < due->len; i++)
+		send_renewal(c, due->pdata[i], now_ms);
+	g_ptr_array_unref(due);
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -459,6 +459,54 @@
 				   "event=delegate_reached");
 }
 
+/* Returns the value of a counter of an entry VM. */
+static int64_t counter_value(struct site *s, guint entry, const char *name)
+{
+	struct cluster_reply r =
+		cluster_call(s->cluster, "GET", s->readiness[entry], "/metrics",
+			     NULL, NULL, CLUSTER_CALL_TIMEOUT_MS);
+	char *line = g_strdup_printf("\n%s ", name);
+	const char *found = strstr(r.text, line);
+	int64_t value;
+
+	g_assert_nonnull(found);
+	value = g_ascii_strtoll(found + strlen(line), NULL, 10);
+	g_free(line);
+	cluster_reply_clear(&r);
+	return value;
+}
+
+/*
+ * A new holder makes no call to a worker before it has connected to the
+ * delegates: 1,100 direct calls took one with half a core over 3 s, in which
+ * nothing started (khuree-wind-large trouble-3).
+ */
+static void test_delegated_from_start(void)
+{
+	struct site *s = site_new_delegating(1);
+	int64_t renewals;
+	guint holder;
+
+	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
+	/* The lease is not released, so it is taken over once all VMs have
+	 * registered as delegates. */
+	for (guint i = 0; i < ENTRIES; i++)
+		cluster_signal(s->entries[i], SIGKILL);
+	cluster_sleep(200);
+	for (guint i = 0; i < ENTRIES; i++)
+		start_entry(s, i);
+	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
+	g_assert_cmpuint(submit(s, 0, "0000000000000aa3", 300), ==, 200);
+	assert_state(s, 0, "0000000000000aa3", "completed");
+	holder = holder_index(s);
+	renewals = counter_value(s, holder, "cs_worker_renewals_total");
+	g_assert_cmpint(renewals, >=, WORKERS);
+	g_assert_cmpint(
+		counter_value(s, 1 - holder, "cs_delegated_calls_total"), >=,
+		renewals);
+	site_free(s);
+}
+
 /* The running job completes without being started again. */
 static void assert_job_goes_on(struct site *s, guint entry, const char *id)
 {
@@ -743,6 +791,8 @@
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
 	g_test_add_func("/entry/forward/config", test_forward_config);
+	g_test_add_func("/entry/delegate/from-start",
+			test_delegated_from_start);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
 	g_test_add_data_func("/entry/odd-registrations/direct",
 			     GUINT_TO_POINTER(NO_DELEGATION_MIN_WORKERS),
