Work of a worker that is only silent to the store isn't started again; that of a lost one is

(2) each renewal sent to a deregistered worker extended the lease bound, answered or not, so that tasks of a worker that was gone for good waited without end.

Change: the tasks of any deregistered worker are kept until their leases have expired, and renewals extend these only while the worker answers.

Checks: /fleet/over/drained expected the immediate release and now expects it only after the lease, as it may still run (replaced by two cases); new /fleet/gone/*, of which silent-late, drained and draining-answering failed.

--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -289,11 +289,10 @@
 	struct renewal_order order = {
 		.epoch = c->spec.scheduler->epoch,
 		.acked_end = fleet_worker_end_to_ack(w, now_ms),
+		.lease_end_ms = fleet_scheduler_renewal_end(c->spec.scheduler,
+							    w, now_ms),
 	};
 
-	if (w->is_clock_offset_known)
-		order.lease_end_ms =
-			fleet_scheduler_lease_end(c->spec.scheduler, w, now_ms);
 	/* A worker with unacknowledged ends answers without waiting. */
 	if (w->is_clock_offset_known && !w->renew_again &&
 	    w->saved_end == w->processed_end)
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -223,11 +223,10 @@
 		log_begin(&line, LOG_LEVEL_INFO, "worker_gone");
 		log_str(&line, "worker", id);
 		log_int(&line, "was_draining", w->reg.is_draining);
+		log_int(&line, "tasks", w->tasks->len);
 		log_end(&line);
-		/* After a graceful drain no task can run there any more. */
-		if (w->reg.is_draining)
-			release_lost_tasks(
-				w, "the worker has drained and deregistered");
+		/* Also a draining worker may only be cut off from the store:
+		 * its tasks are kept until their leases have expired. */
 		return;
 	}
 	if (!w || w->reg.is_draining != reg->is_draining ||
@@ -263,7 +262,6 @@
 	s->has_workers = TRUE;
 	if (!w)
 		return;
-	w->reg.is_draining = FALSE;
 	fleet_scheduler_update_worker(s, id, NULL, now_ms);
 }
 
@@ -275,8 +273,6 @@
 		return TRUE;
 	if (!w || !w->is_deregistered || w->tasks->len)
 		return FALSE;
-	if (w->reg.is_draining)
-		return TRUE;
 	/* A worker that never answered may run the previous holder's tasks. */
 	return now_ms > w->lease_bound_ms &&
 	       (w->is_fenced || now_ms > s->unknown_runs_until_ms);
@@ -294,6 +290,18 @@
 	return now_ms + w->clock_offset_ms + s->bounds.lease_ms;
 }
 
+int64_t fleet_scheduler_renewal_end(const struct fleet_scheduler *s,
+				    struct fleet_worker *w, int64_t now_ms)
+{
+	if (!w->is_clock_offset_known)
+		return 0;
+	/* A worker that is probably gone would never lose its tasks if each
+	 * attempt extended their leases. */
+	if (w->is_deregistered && w->has_failed_renewal)
+		return 0;
+	return fleet_scheduler_lease_end(s, w, now_ms);
+}
+
 static void log_task(const struct fleet_scheduler *s,
 		     const struct fleet_task *t, const char *event,
 		     const char *reason)
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -152,4 +152,12 @@
 int64_t fleet_scheduler_lease_end(const struct fleet_scheduler *s,
 				  struct fleet_worker *w, int64_t now_ms);
 
+/**
+ * Like fleet_scheduler_lease_end(), for a renewal; 0 to ask for a report
+ * without renewing: the worker's clock is not known, or it has deregistered and
+ * doesn't answer.
+ */
+int64_t fleet_scheduler_renewal_end(const struct fleet_scheduler *s,
+				    struct fleet_worker *w, int64_t now_ms);
+
 #endif
