--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -17,8 +17,11 @@
 
 #define MAX_BODY_BYTES ((gsize)1 << 20)
 #define JOB_ID_CHARS 16
-/* Delay in seconds before a refused client should retry. */
+/* Delay in seconds before a refused client should retry. Another VM will
+ * probably serve it; without one, the few attempts of a client have to last for
+ * an outage of several seconds. */
 #define RETRY_AFTER "1"
+#define RETRY_AFTER_OUTAGE "2"
 /* For a client that sends no deadline. */
 #define DEFAULT_DEADLINE_MS 3000
 /* Time between the end of serving and the SIGKILL that follows SIGTERM. */
@@ -128,8 +131,9 @@
 	log_call(c, code, reason);
 	if (code == SOUP_STATUS_SERVICE_UNAVAILABLE ||
 	    code == HTTP_TOO_MANY_REQUESTS)
-		http_request_set_reply_header(c->request, "Retry-After",
-					      RETRY_AFTER);
+		http_request_set_reply_header(
+			c->request, "Retry-After",
+			c->was_sent_on ? RETRY_AFTER_OUTAGE : RETRY_AFTER);
 	add_close_header(c->frontend, c->request);
 	http_request_reply_text(c->request, code, reason);
 	call_free(c);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -405,6 +405,7 @@
 	w->reply.code = reply->code;
 	w->reply.body = json_object_get(reply->body);
 	w->reply.text = g_strdup(reply->text);
+	w->reply.retry_after = g_strdup(reply->header);
 	w->is_done = TRUE;
 }
 
@@ -429,6 +430,7 @@
 		.body = json,
 		.timeout_ms = timeout_ms,
 		.headers = headers,
+		.wanted_header = "Retry-After",
 		.on_reply = on_reply,
 		.data = &wait,
 	};
@@ -447,6 +449,7 @@
 	json_object_put(r->body);
 	r->body = NULL;
 	g_clear_pointer(&r->text, g_free);
+	g_clear_pointer(&r->retry_after, g_free);
 }
 
 void cluster_control(struct cluster *c, const char *address, const char *body)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -35,6 +35,7 @@
 	guint code;	    /**< HTTP status code, 0 if unanswered */
 	json_object *body;  /**< parsed body, owned */
 	char *text;	    /**< body as received, owned */
+	char *retry_after;  /**< the Retry-After header, owned, or NULL */
 };
 
 /** Contents of a daemon's settings file. A NULL or 0 member takes its default;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -37,6 +37,7 @@
 	char *readiness[ENTRIES];
 	char *internal[ENTRIES];
 	guint delegate_min_workers;
+	char *retry_after; /* of the last call() */
 };
 
 static void start_entry(struct site *s, guint i)
@@ -145,6 +146,7 @@
 		g_free(s->paths[i]);
 	}
 	g_free(s->relay_control);
+	g_free(s->retry_after);
 	g_free(s->store);
 	g_free(s);
 }
@@ -161,6 +163,8 @@
 
 	if (text)
 		*text = g_strdup(r.text);
+	g_free(s->retry_after);
+	s->retry_after = g_strdup(r.retry_after);
 	cluster_reply_clear(&r);
 	g_free(path);
 	return code;
