A dead holder is replaced after 0.9 s; renewals survive lost answers

And a renewal whose answer was lost kept the next one back for 1.5 s, longer than successors wait.

Change: renewals every 400 ms, takeover after 900 ms (500 and 1300 before); a takeover is conditional on the row, so a slow store delays both alike. A renewal without an answer is sent again after 450 ms, and the row that the feed delivers counts as its answer. VMs with less than 0.2 cores, which take over last, pause 500 ms between two waits for changes, so that there are fewer calls.

Shown by /leadership/lost-answer and /leadership/step/silent (was 1500 ms).

--- a/entry/election.c
+++ b/entry/election.c
@@ -15,6 +15,8 @@
 /* VMs with less CPU than this, in cores, let larger VMs take over first. */
 #define SMALL_VM_CPU_SHARE 0.2
 #define SMALL_VM_DELAY_MS 300
+/* Pause of the feed of such VMs between two calls. */
+#define SMALL_VM_PAUSE_MS 500
 /* Attempts to release the lease before it is left to expire. */
 #define MAX_RELEASE_ATTEMPTS 3
 
@@ -165,8 +167,13 @@
 {
 	struct election *s = data;
 	int64_t now_ms = util_boot_ms();
-	enum leadership_step step = leadership_next(&s->lead, now_ms);
+	enum leadership_step step;
 
+	if (leadership_is_overdue(&s->lead, now_ms)) {
+		platform_forget(s->platform, s);
+		leadership_write_failed(&s->lead);
+	}
+	step = leadership_next(&s->lead, now_ms);
 	if (step == LEADERSHIP_NONE)
 		return G_SOURCE_CONTINUE;
 	s->step = step;
@@ -193,8 +200,10 @@
 		.data = s,
 	};
 
-	if (settings->cpu_share < SMALL_VM_CPU_SHARE)
+	if (settings->cpu_share < SMALL_VM_CPU_SHARE) {
 		jitter_ms += SMALL_VM_DELAY_MS;
+		spec.pause_ms = SMALL_VM_PAUSE_MS;
+	}
 	s->kernel = k;
 	s->platform = spec.platform;
 	leadership_init(&s->lead, self, jitter_ms);
--- a/entry/table_feed.c
+++ b/entry/table_feed.c
@@ -199,7 +199,10 @@
 	for (guint i = 0; i < result->row_count; i++)
 		apply_row(f, &result->rows[i], result->store_clock_ms);
 	f->after_version = MAX(f->after_version, result->version);
-	call_next(f);
+	if (f->spec.pause_ms)
+		f->timer = g_timeout_add((guint)f->spec.pause_ms, on_retry, f);
+	else
+		call_next(f);
 }
 
 static void call_next(struct table_feed *f)
--- a/entry/table_feed.h
+++ b/entry/table_feed.h
@@ -16,7 +16,8 @@
 	const char *table;
 	/** Parts to scan, ends with NULL; NULL scans the unnamed part. */
 	const char *const *parts;
-	int64_t wait_ms; /**< how long a watch waits for changes */
+	int64_t wait_ms;  /**< how long a watch waits for changes */
+	int64_t pause_ms; /**< between two waits for changes, usually 0 */
 	/** A row is new, changed or deleted; a deleted row has no value. */
 	void (*on_row)(void *data, const struct table_row *row,
 		       int64_t store_ms);
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -2,11 +2,15 @@
 
 #include "base/json_member.h"
 
-/* Renewal interval of a holder: about a third of the time to a takeover. */
-#define RENEW_INTERVAL_MS 500
-/* Time without a renewal after which the holder is treated as dead: a successor
- * then acts within 2 s of a kill. */
-#define HOLDER_TIMEOUT_MS 1300
+/* Renewal interval of a holder: less than half of the time to a takeover, so
+ * that one renewal may fail. */
+#define RENEW_INTERVAL_MS 400
+/* A renewal without an answer is sent again after this time. */
+#define RENEW_RETRY_MS 450
+/* Time without a renewal after which the holder is treated as dead. A takeover
+ * is conditional on the row, so that a renewal that a slow store delays as much
+ * as the takeover still wins. Urgent work has to start within 1.5 s. */
+#define HOLDER_TIMEOUT_MS 900
 /* Time after its last confirmed renewal during which a holder acts: store
  * outages of up to about 4 s don't stop scheduling. */
 #define ACT_LIMIT_MS 4000
@@ -42,8 +46,13 @@
 		l->was_released = TRUE;
 	else if (g_strcmp0(holder, l->self) != 0)
 		l->was_released = FALSE;
-	if (l->is_holder && g_strcmp0(holder, l->self) != 0)
+	if (!l->is_holder)
+		return;
+	if (g_strcmp0(holder, l->self) != 0)
 		l->is_holder = FALSE;
+	else if (l->sent_ms)
+		/* A renewal took effect whose answer may be lost. */
+		l->renewed_ms = l->sent_ms;
 }
 
 void leadership_record_outage(struct leadership *l, int64_t now_ms)
@@ -58,6 +67,12 @@
 	return !l->holder || !l->holder[0] || g_str_equal(l->holder, l->self);
 }
 
+gboolean leadership_is_overdue(const struct leadership *l, int64_t now_ms)
+{
+	return l->is_holder && l->sent_ms &&
+	       now_ms - l->sent_ms >= RENEW_RETRY_MS;
+}
+
 enum leadership_step leadership_next(const struct leadership *l, int64_t now_ms)
 {
 	if (!l->has_read_row || l->is_draining || l->sent_ms)
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -93,6 +93,13 @@
 gboolean leadership_written(struct leadership *l, enum leadership_step step,
 			    int64_t version, int64_t now_ms);
 
+/**
+ * Returns TRUE if a renewal has had no answer for so long that it is to be sent
+ * again. The caller ignores the earlier one's answer and calls
+ * leadership_write_failed(); if the earlier one takes effect, the row tells.
+ */
+gboolean leadership_is_overdue(const struct leadership *l, int64_t now_ms);
+
 /** Records that the write failed or that its outcome is unknown. */
 void leadership_write_failed(struct leadership *l);
 
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -17,7 +17,7 @@
 	{ "/leadership/step/no-row", NULL, 0, LEADERSHIP_ACQUIRE },
 	{ "/leadership/step/released", "", 0, LEADERSHIP_ACQUIRE },
 	{ "/leadership/step/renewed", "other", 600, LEADERSHIP_NONE },
-	{ "/leadership/step/silent", "other", 1500, LEADERSHIP_ACQUIRE },
+	{ "/leadership/step/silent", "other", 1000, LEADERSHIP_ACQUIRE },
 	/* Its own write took effect but the response was lost. */
 	{ "/leadership/step/own", "self", 0, LEADERSHIP_ACQUIRE },
 };
@@ -109,9 +109,58 @@
 	leadership_clear(&l);
 }
 
+/* What follows a renewal that the store has not answered. */
+struct lost_answer_case {
+	const char *name;
+	gboolean took_effect; /* so the feed delivers the row */
+	int64_t after_ms;     /* since it was sent */
+	gboolean is_overdue;
+	gboolean may_act; /* 4 s after the renewal before it */
+};
+
+static const struct lost_answer_case lost_answer_cases[] = {
+	{ "/leadership/lost-answer/just-sent", FALSE, 100, FALSE, FALSE },
+	{ "/leadership/lost-answer/not-performed", FALSE, 500, TRUE, FALSE },
+	{ "/leadership/lost-answer/performed", TRUE, 500, TRUE, TRUE },
+};
+
+/* A holder whose answers get lost renews again before a successor acts, and
+ * takes the renewed row for an answer. */
+static void test_lost_answer(const void *data)
+{
+	const struct lost_answer_case *c = data;
+	struct leadership l;
+	json_object *row;
+
+	leadership_init(&l, "self", 0);
+	leadership_record_row(&l, NULL, 0, T0_MS);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS);
+	leadership_written(&l, LEADERSHIP_ACQUIRE, 1, T0_MS);
+	g_assert_false(leadership_is_overdue(&l, T0_MS + 400));
+	g_assert_cmpint(leadership_next(&l, T0_MS + 400), ==, LEADERSHIP_RENEW);
+	leadership_sent(&l, LEADERSHIP_RENEW, T0_MS + 400);
+	if (c->took_effect) {
+		row = lease_row("self", 1);
+		leadership_record_row(&l, row, 2, T0_MS + 410);
+		json_object_put(row);
+	}
+	g_assert_cmpint(leadership_is_overdue(&l, T0_MS + 400 + c->after_ms),
+			==, c->is_overdue);
+	if (c->is_overdue) {
+		leadership_write_failed(&l);
+		g_assert_cmpint(leadership_next(&l, T0_MS + 900), ==,
+				LEADERSHIP_RENEW);
+	}
+	g_assert_cmpint(leadership_may_act(&l, T0_MS + 4100), ==, c->may_act);
+	leadership_clear(&l);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(lost_answer_cases); i++)
+		g_test_add_data_func(lost_answer_cases[i].name,
+				     &lost_answer_cases[i], test_lost_answer);
 	for (guint i = 0; i < G_N_ELEMENTS(lease_cases); i++)
 		g_test_add_data_func(lease_cases[i].name, &lease_cases[i],
 				     test_lease);
