--- a/tests/test_requests_endpoints.c
+++ b/tests/test_requests_endpoints.c
@@ -125,7 +125,11 @@
 #define QUEUED_WORK_MS 5000
 #define QUEUED_DEADLINE_MS 9000
 
-/* Sends more requests than both runners have slots, through one gateway. */
+/*
+ * Sends more requests than both runners have slots, through one gateway. They
+ * come over connections of their own and may be accepted in any order, so the
+ * first one has to run before the others are sent.
+ */
 static void send_queued(struct request_cluster *c, struct request_call **calls)
 {
 	for (guint i = 0; i < QUEUED_REQUESTS; i++) {
@@ -134,6 +138,8 @@
 						     QUEUED_DEADLINE_MS };
 
 		calls[i] = request_cluster_send(c, 0, &r);
+		if (i == 0)
+			request_cluster_wait_started(c, key);
 		g_free(key);
 	}
 }
@@ -170,7 +176,6 @@
 	struct request_call *calls[QUEUED_REQUESTS];
 
 	send_queued(c, calls);
-	request_cluster_wait_started(c, "queued-0");
 	cluster_sleep(500);
 	request_cluster_add_vm(c, "r0", "endpoint", "leaving",
 			       c->relayed_addresses[0]);
