One odd job can't keep or kill the holder: chains in one pass, bounds for repeats

A job of 64 steps that each depend on all earlier ones, which is valid, has 2^63 of them: the holder never ended its plan, and neither would any successor. And a job with 10,000 occurrences of 10,000 tasks, due at once, asked for gigabytes of any holder; times near the end of 64 bits overflowed.

Change: one pass over the steps; at most 100,000 tasks in all occurrences, each earlier step once among a step's dependencies, and limits for the times.

Shown by /fleet/dense-steps (did not end before) and four answers of /entry/answers (200 before).

--- a/sched/fleet_unit.c
+++ b/sched/fleet_unit.c
@@ -10,51 +10,59 @@
 				     spec->estimate_ms);
 }
 
-/* Returns the expected length of the longest chain of steps up to this one. */
-static int64_t chain_ms(const struct fleet_scheduler *s,
-			const struct fleet_job *job, guint index)
+/* Expected lengths of a job's chains of steps. */
+struct chains {
+	int64_t to_step_ms; /* longest chain up to and with the given step */
+	int64_t longest_ms;
+};
+
+/* A step depends on earlier ones only, so one pass in their order is enough; a
+ * walk along all chains would take exponential time. */
+static struct chains measure_chains(const struct fleet_scheduler *s,
+				    const struct fleet_job *job, guint step)
 {
-	const struct step_spec *spec = job_spec_step(&job->spec, index);
-	int64_t before_ms = 0;
-
-	for (guint i = 0; i < step_spec_dependency_count(spec); i++)
-		before_ms =
-			MAX(before_ms,
-			    chain_ms(s, job, step_spec_dependency(spec, i)));
-	return before_ms + fleet_step_expected_ms(s, job, spec);
-}
+	int64_t ends_ms[JOB_MAX_STEPS];
+	guint count = MIN(job->spec.steps->len, JOB_MAX_STEPS);
+	struct chains c = { 0 };
 
-static int64_t longest_chain_ms(const struct fleet_scheduler *s,
-				const struct fleet_job *job)
-{
-	int64_t longest_ms = 0;
+	for (guint i = 0; i < count; i++) {
+		const struct step_spec *spec = job_spec_step(&job->spec, i);
+		int64_t begin_ms = 0;
+
+		for (guint k = 0; k < step_spec_dependency_count(spec); k++) {
+			guint before = step_spec_dependency(spec, k);
 
-	for (guint i = 0; i < job->spec.steps->len; i++)
-		longest_ms = MAX(longest_ms, chain_ms(s, job, i));
-	return longest_ms;
+			if (before < i)
+				begin_ms = MAX(begin_ms, ends_ms[before]);
+		}
+		ends_ms[i] = begin_ms + fleet_step_expected_ms(s, job, spec);
+		c.longest_ms = MAX(c.longest_ms, ends_ms[i]);
+	}
+	if (step < count)
+		c.to_step_ms = ends_ms[step];
+	return c;
 }
 
 /* Returns when a job has to end to meet its objective. */
 static int64_t objective_ms(const struct fleet_scheduler *s,
-			    const struct fleet_job *job)
+			    const struct fleet_job *job,
+			    const struct chains *chains)
 {
 	const struct queue_route *route = fleet_scheduler_route(s, job);
 
 	if (!route)
 		return INT64_MAX;
 	return job->accepted_ms + route->objective_ms +
-	       (int64_t)(route->stretch * (double)longest_chain_ms(s, job));
+	       (int64_t)(route->stretch * (double)chains->longest_ms);
 }
 
 /* Returns the expected time from the start of a step to the end of its job. */
 static int64_t remaining_ms(const struct fleet_scheduler *s,
-			    const struct fleet_step *step)
+			    const struct fleet_step *step,
+			    const struct chains *chains)
 {
-	const struct fleet_job *job = step->job;
-	int64_t rest_ms =
-		longest_chain_ms(s, job) - chain_ms(s, job, step->index);
-
-	return rest_ms + fleet_step_expected_ms(s, job, step->spec);
+	return chains->longest_ms - chains->to_step_ms +
+	       fleet_step_expected_ms(s, step->job, step->spec);
 }
 
 static void unit_free(gpointer data)
@@ -68,6 +76,7 @@
 static struct fleet_unit *unit_new(const struct fleet_round *r,
 				   struct fleet_step *step)
 {
+	struct chains chains = measure_chains(r->s, step->job, step->index);
 	struct fleet_unit *u = g_new0(struct fleet_unit, 1);
 
 	u->step = step;
@@ -80,8 +89,8 @@
 			g_ptr_array_add(u->tasks, t);
 	}
 	u->priority = fleet_job_priority(r->s, step->job);
-	u->latest_start_ms =
-		objective_ms(r->s, step->job) - remaining_ms(r->s, step);
+	u->latest_start_ms = objective_ms(r->s, step->job, &chains) -
+			     remaining_ms(r->s, step, &chains);
 	u->is_late = u->latest_start_ms < r->now_ms;
 	return u;
 }
--- a/sched/job_spec.c
+++ b/sched/job_spec.c
@@ -96,7 +96,13 @@
 		if (step->task_count < 1)
 			finding_list_add(findings, place, "at least 1 task",
 					 "no tasks");
-		for (guint k = 0; k < step_spec_dependency_count(step); k++) {
+		if (step_spec_dependency_count(step) > i)
+			finding_list_add(findings, place,
+					 "each earlier step at most once",
+					 "%u dependencies",
+					 step_spec_dependency_count(step));
+		for (guint k = 0; k < MIN(step_spec_dependency_count(step), i);
+		     k++) {
 			if (step_spec_dependency(step, k) >= i)
 				finding_list_add(findings, place,
 						 "only earlier steps",
@@ -109,5 +115,10 @@
 		finding_list_add(findings, "steps",
 				 "at most 10000 tasks in all steps",
 				 "%" G_GINT64_FORMAT " tasks", tasks);
+	else if (tasks * job_spec_occurrences(spec) > JOB_MAX_REPEATED_TASKS)
+		finding_list_add(findings, "steps",
+				 "at most 100000 tasks in all occurrences",
+				 "%" G_GINT64_FORMAT " tasks, %u occurrences",
+				 tasks, job_spec_occurrences(spec));
 	return finding_list_count(findings) == before;
 }
--- a/sched/job_spec.h
+++ b/sched/job_spec.h
@@ -15,6 +15,12 @@
 
 #define JOB_MAX_STEPS 100
 #define JOB_MAX_TASKS 10000
+/** Tasks of all occurrences of a repeated job, which may be due at once. */
+#define JOB_MAX_REPEATED_TASKS 100000
+#define JOB_MAX_OCCURRENCES 10000
+/** Limits of the times of a repeated job; their sums can't overflow. */
+#define JOB_MAX_FIRST_MS (INT64_C(1) << 53)
+#define JOB_MAX_INTERVAL_MS (INT64_C(1) << 40)
 #define JOB_MAX_PAYLOAD_BYTES 4000
 #define JOB_MAX_NAME_BYTES 200
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -309,6 +309,21 @@
 	{ "no-steps", "POST", "00000000000000b1", "{\"Steps\":[]}", 400 },
 	{ "cycle", "POST", "00000000000000b1",
 	  "{\"Steps\":[{\"Count\":1,\"After\":[0]}]}", 400 },
+	{ "after-twice", "POST", "00000000000000b1",
+	  "{\"Steps\":[{\"Count\":1},{\"Count\":1,\"After\":[0,0]}]}", 400 },
+	/* All occurrences are due at once: ten million tasks. */
+	{ "too-many-repeats", "POST", "00000000000000b1",
+	  "{\"Steps\":[{\"Count\":1000}],\"RepeatCount\":10000,"
+	  "\"FirstMs\":1,\"IntervalMs\":1}",
+	  400 },
+	{ "interval-overflows", "POST", "00000000000000b1",
+	  "{\"Steps\":[{\"Count\":1}],\"RepeatCount\":2,"
+	  "\"FirstMs\":1,\"IntervalMs\":9223372036854775807}",
+	  400 },
+	{ "first-overflows", "POST", "00000000000000b1",
+	  "{\"Steps\":[{\"Count\":1}],\"RepeatCount\":2,"
+	  "\"FirstMs\":9223372036854775807,\"IntervalMs\":1}",
+	  400 },
 	{ "waiting", "GET", "", NULL, 200 },
 };
 
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -992,6 +992,38 @@
 	world_clear(&w);
 }
 
+/* Steps that each depend on all earlier ones have 2^63 chains; a job of them
+ * must not keep the scheduler busy. */
+static void test_dense_steps(void)
+{
+	struct job_spec spec = { 0 };
+	struct world w = { 0 };
+	struct fleet_job *job;
+
+	world_init(&w);
+	add_worker(&w, "w1", "r1");
+	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
+	for (guint i = 0; i < 64; i++) {
+		struct step_spec step = {
+			.task_count = 1,
+			.estimate_ms = 1000,
+			.after = json_object_new_array(),
+		};
+
+		for (guint k = 0; k < i; k++)
+			json_object_array_add(step.after,
+					      json_object_new_int((int)k));
+		g_array_append_val(spec.steps, step);
+	}
+	job = fleet_add_job(&w.s.fleet, "dense", "bulk", NULL, &spec);
+	job->accepted_ms = w.now_ms;
+	job->is_active_stored = TRUE;
+	fleet_job_add_occurrence(job);
+	plan_after(&w, 1);
+	g_assert_cmpuint(count_orders(&w, TRUE, "dense"), ==, 1);
+	world_clear(&w);
+}
+
 /* Tests without a table of cases. */
 static const struct {
 	const char *name;
@@ -1009,6 +1041,7 @@
 	{ "/fleet/stalled", test_stalled },
 	{ "/fleet/outdated-report", test_outdated_report },
 	{ "/fleet/ack", test_ack },
+	{ "/fleet/dense-steps", test_dense_steps },
 };
 
 static const struct {
