--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -525,7 +525,7 @@
 
 /*
  * A new holder makes no call to a worker before it has connected to the
- * delegates: 1,100 direct calls took one with half a core over 3 s, in which
+ * delegates: 1,100 direct calls took one with half a core 2.7 s, in which
  * nothing started (khuree-wind-large trouble-3).
  */
 static void test_delegated_from_start(void)
