--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -122,6 +122,8 @@
 {
 	l->sent_ms = now_ms;
 	l->sent_epoch = step_epoch(l, step);
+	if (step == LEADERSHIP_ACQUIRE)
+		l->quiet_ms = MAX(now_ms - l->unchanged_since_ms, 0);
 }
 
 gboolean leadership_written(struct leadership *l, enum leadership_step step,
@@ -162,5 +164,8 @@
 
 int64_t leadership_previous_holder_ms(const struct leadership *l)
 {
-	return l->was_released || l->epoch <= 1 ? 0 : ACT_LIMIT_MS;
+	if (l->was_released || l->epoch <= 1)
+		return 0;
+	/* Its last renewal was sent before the row was seen to change. */
+	return MAX(ACT_LIMIT_MS - l->quiet_ms, 0);
 }
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -36,6 +36,8 @@
 	int64_t renewed_ms;    /**< when the last confirmed renewal was sent */
 	int64_t sent_ms;       /**< when the write in flight was sent, or 0 */
 	int64_t sent_epoch;    /**< epoch in the write in flight */
+	int64_t quiet_ms;      /**< row unchanged before our takeover, at least
+				*/
 	int64_t jitter_ms;     /**< delay before a takeover */
 	gboolean is_draining;  /**< this process drains: it acquires no lease */
 	gboolean was_released; /**< the previous holder released the lease */
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -109,6 +109,46 @@
 	leadership_clear(&l);
 }
 
+/* How long a previous holder may act after a takeover. */
+struct previous_case {
+	const char *name;
+	const char *holder;
+	int64_t silent_ms;	 /* row unchanged before the takeover is sent */
+	int64_t outage_after_ms; /* store outage that ends then, 0 for none */
+	int64_t acts_ms;
+};
+
+static const struct previous_case previous_cases[] = {
+	{ "/leadership/previous/released", "", 0, 0, 0 },
+	/* 4 s after its last renewal, of which a part has passed. */
+	{ "/leadership/previous/silent", "other", 1000, 0, 3000 },
+	{ "/leadership/previous/long-silent", "other", 9000, 0, 0 },
+	/* Renewals may have gone unseen during the outage. */
+	{ "/leadership/previous/outage", "other", 9000, 8000, 3000 },
+};
+
+static void test_previous_holder(const void *data)
+{
+	const struct previous_case *c = data;
+	json_object *row = lease_row(c->holder, 3);
+	struct leadership l;
+
+	leadership_init(&l, "self", 0);
+	leadership_record_row(&l, row, 9, T0_MS);
+	json_object_put(row);
+	if (c->outage_after_ms)
+		leadership_record_outage(&l, T0_MS + c->outage_after_ms);
+	leadership_sent(&l, LEADERSHIP_ACQUIRE, T0_MS + c->silent_ms);
+	/* The feed may deliver the row before the answer arrives. */
+	row = lease_row("self", 4);
+	leadership_record_row(&l, row, 10, T0_MS + c->silent_ms + 5);
+	json_object_put(row);
+	g_assert_true(leadership_written(&l, LEADERSHIP_ACQUIRE, 10,
+					 T0_MS + c->silent_ms + 9));
+	g_assert_cmpint(leadership_previous_holder_ms(&l), ==, c->acts_ms);
+	leadership_clear(&l);
+}
+
 /* What follows a renewal that the store has not answered. */
 struct lost_answer_case {
 	const char *name;
@@ -158,6 +198,9 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	for (guint i = 0; i < G_N_ELEMENTS(previous_cases); i++)
+		g_test_add_data_func(previous_cases[i].name, &previous_cases[i],
+				     test_previous_holder);
 	for (guint i = 0; i < G_N_ELEMENTS(lost_answer_cases); i++)
 		g_test_add_data_func(lost_answer_cases[i].name,
 				     &lost_answer_cases[i], test_lost_answer);
