--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -16,14 +16,17 @@
 #define WAIT_MS 20000
 #define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
 
-static const char config_text[] =
-	"{\"Version\":1,\"Routes\":[{\"Name\":\"spot\",\"Host\":\"wind."
-	"example\","
-	"\"PathPrefix\":\"/spot/\",\"Service\":\"salkhi\",\"Priority\":0,"
-	"\"MaxAttempts\":2,\"Stretch\":1.5,\"TargetLatencyMs\":250}],"
-	"\"Services\":[{\"Name\":\"salkhi\"}],\"Tenants\":[{\"Name\":"
-	"\"rescue\","
-	"\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}}]}";
+#define CONFIG(version, prefix)                                             \
+	"{\"Version\":" version ",\"Routes\":[{\"Name\":\"spot\",\"Host\":" \
+	"\"wind.example\",\"PathPrefix\":\"" prefix "\",\"Service\":"       \
+	"\"salkhi\",\"Priority\":0,\"MaxAttempts\":2,\"Stretch\":1.5,"      \
+	"\"TargetLatencyMs\":250}],\"Services\":[{\"Name\":\"salkhi\"}],"   \
+	"\"Tenants\":[{\"Name\":\"rescue\",\"ApiKeys\":[\"k1\"],"           \
+	"\"Guaranteed\":{\"Gpu\":8}}]}"
+
+static const char config_text[] = CONFIG("1", "/spot/");
+/* The same with another path prefix. */
+static const char newer_config_text[] = CONFIG("2", "/more/");
 
 struct site {
 	struct cluster *cluster;
@@ -37,7 +40,6 @@
 	char *readiness[ENTRIES];
 	char *internal[ENTRIES];
 	guint delegate_min_workers;
-	char *retry_after; /* of the last call() */
 };
 
 static void start_entry(struct site *s, guint i)
@@ -146,27 +148,33 @@
 		g_free(s->paths[i]);
 	}
 	g_free(s->relay_control);
-	g_free(s->retry_after);
 	g_free(s->store);
 	g_free(s);
 }
 
-static guint call(struct site *s, guint entry, const char *method,
-		  const char *id, const char *body, char **text)
+static struct cluster_reply call_job(struct site *s, guint entry,
+				     const char *method, const char *id,
+				     const char *body)
 {
 	const char *const headers[] = { KEY_HEADER };
 	char *path = g_strconcat("/spot/", id, NULL);
 	struct cluster_reply r =
 		cluster_call(s->cluster, method, s->frontends[entry], path,
 			     body, headers, CLUSTER_CALL_TIMEOUT_MS);
+
+	g_free(path);
+	return r;
+}
+
+static guint call(struct site *s, guint entry, const char *method,
+		  const char *id, const char *body, char **text)
+{
+	struct cluster_reply r = call_job(s, entry, method, id, body);
 	guint code = r.code;
 
 	if (text)
 		*text = g_strdup(r.text);
-	g_free(s->retry_after);
-	s->retry_after = g_strdup(r.retry_after);
 	cluster_reply_clear(&r);
-	g_free(path);
 	return code;
 }
 
@@ -706,10 +714,10 @@
 };
 
 static guint timed_call(struct site *s, const char *method, const char *id,
-			const char *body, int64_t within_ms, char **text)
+			const char *body, int64_t within_ms)
 {
 	int64_t began_us = g_get_monotonic_time();
-	guint code = call(s, 0, method, id, body, text);
+	guint code = call(s, 0, method, id, body, NULL);
 
 	g_assert_cmpint(g_get_monotonic_time() - began_us, <, within_ms * 1000);
 	return code;
@@ -730,49 +738,77 @@
 	return is_known;
 }
 
-/* Requests to a VM that the store turns away are served by the other one. */
-static void test_forward(gconstpointer data)
+static const char forward_job[] =
+	"{\"Spec\":\"run_ms=300\",\"Steps\":[{\"Count\":1,\"Cpu\":1000,"
+	"\"MemMb\":100,\"Gpu\":1,\"EstimateMs\":300}]}";
+
+static struct site *site_new_forwarding(void)
 {
-	const struct forward_case *c = data;
 	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
-	const char *const step =
-		"{\"Spec\":\"run_ms=300\",\"Steps\":[{\"Count\":1,"
-		"\"Cpu\":1000,\"MemMb\":100,\"Gpu\":1,\"EstimateMs\":300}]}";
-	char *text = NULL;
 
 	g_assert_true(cluster_wait(knows_peer, s, WAIT_MS));
 	cluster_sleep(2500); /* the first scan of the table */
+	return s;
+}
+
+/* Requests to a VM that the store turns away are served by the other one. */
+static void test_forward(gconstpointer data)
+{
+	/* A job, the same again, and one that doesn't exist. */
+	static const struct {
+		const char *method;
+		const char *id;
+		const char *body;
+		int64_t extra_ms;
+		guint code;
+	} calls[] = {
+		{ "POST", "0000000000000ba1", forward_job, 0, 200 },
+		{ "POST", "0000000000000ba1", forward_job, 0, 200 },
+		{ "GET", "0000000000000ba2", NULL, 1500, 410 },
+		{ "DELETE", "0000000000000ba2", NULL, 1500, 410 },
+	};
+	const struct forward_case *c = data;
+	struct site *s = site_new_forwarding();
+
 	set_path_mode(s, 0, c->mode);
 	cluster_sleep(c->settled_ms);
-	g_assert_cmpuint(timed_call(s, "POST", "0000000000000ba1", step,
-				    c->within_ms, NULL),
-			 ==, 200);
-	/* The same job again, and one that doesn't exist. */
-	g_assert_cmpuint(timed_call(s, "POST", "0000000000000ba1", step,
-				    c->within_ms, NULL),
-			 ==, 200);
-	g_assert_cmpuint(timed_call(s, "GET", "0000000000000ba2", NULL,
-				    c->within_ms + 1500, NULL),
-			 ==, 410);
-	g_assert_cmpuint(timed_call(s, "DELETE", "0000000000000ba2", NULL,
-				    c->within_ms + 1500, NULL),
-			 ==, 410);
+	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
+		guint code = timed_call(s, calls[i].method, calls[i].id,
+					calls[i].body,
+					c->within_ms + calls[i].extra_ms);
+
+		g_assert_cmpuint(code, ==, calls[i].code);
+	}
 	assert_state(s, 0, "0000000000000ba1", "completed");
 	g_assert_cmpint(count_starts(s), ==, 1);
-	/* Away for all: refused, and nothing runs. */
-	set_path_mode(s, 1, c->mode);
+	site_free(s);
+}
+
+/* While the store turns all VMs away, a job is refused and never runs. */
+static void test_forward_to_none(gconstpointer data)
+{
+	static const int64_t within_ms[] = { 2500, 600 };
+	const struct forward_case *c = data;
+	struct site *s = site_new_forwarding();
+	struct cluster_reply r;
+
+	for (guint i = 0; i < ENTRIES; i++)
+		set_path_mode(s, i, c->mode);
 	cluster_sleep(2000);
-	g_assert_cmpuint(
-		timed_call(s, "POST", "0000000000000ba3", step, 2500, &text),
-		==, 503);
-	g_assert_cmpuint(
-		timed_call(s, "POST", "0000000000000ba3", step, 600, NULL), ==,
-		503);
-	set_path_mode(s, 0, "pass");
-	set_path_mode(s, 1, "pass");
+	for (guint i = 0; i < G_N_ELEMENTS(within_ms); i++) {
+		guint code = timed_call(s, "POST", "0000000000000ba3",
+					forward_job, within_ms[i]);
+
+		g_assert_cmpuint(code, ==, 503);
+	}
+	/* Four attempts last for an outage of 8 s. */
+	r = call_job(s, 0, "POST", "0000000000000ba3", forward_job);
+	g_assert_cmpstr(r.retry_after, ==, "2");
+	cluster_reply_clear(&r);
+	for (guint i = 0; i < ENTRIES; i++)
+		set_path_mode(s, i, "pass");
 	cluster_sleep(3000);
-	g_assert_cmpint(count_starts(s), ==, 1);
-	g_free(text);
+	g_assert_cmpint(count_starts(s), ==, 0);
 	site_free(s);
 }
 
@@ -795,17 +831,11 @@
  */
 static void test_forward_config(void)
 {
-	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
-	char *newer = g_strdup(config_text);
-	char *control;
+	struct site *s = site_new_forwarding();
+	char *control = g_strdup_printf("{\"config\":%s}", newer_config_text);
 
-	g_assert_true(cluster_wait(knows_peer, s, WAIT_MS));
-	cluster_sleep(2500); /* the first scan of the table */
 	set_path_mode(s, 0, "silent");
 	cluster_sleep(1500);
-	newer[strlen("{\"Version\":")] = '2';
-	memcpy(strstr(newer, "/spot/"), "/more/", strlen("/more/"));
-	control = g_strdup_printf("{\"config\":%s}", newer);
 	cluster_control(s->cluster, s->store, control);
 	cluster_sleep(500);
 	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
@@ -819,7 +849,6 @@
 	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
 	g_assert_cmpuint(get_route(s, "/spot/"), ==, 404);
 	g_free(control);
-	g_free(newer);
 	site_free(s);
 }
 
@@ -834,9 +863,16 @@
 	for (guint i = 0; i < G_N_ELEMENTS(delegate_cases); i++)
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
-	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++)
+	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++) {
+		char *to_none =
+			g_strconcat(forward_cases[i].name, "-for-all", NULL);
+
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
+		g_test_add_data_func(to_none, &forward_cases[i],
+				     test_forward_to_none);
+		g_free(to_none);
+	}
 	g_test_add_func("/entry/forward/config", test_forward_config);
 	g_test_add_func("/entry/delegate/from-start",
 			test_delegated_from_start);
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -464,28 +464,28 @@
 	const char *name;
 	gboolean was_draining;
 	gboolean is_fenced; /* it answered this holder and got a lease */
+	int64_t after_ms;   /* after the registration was removed */
+	gboolean has_no_runs;
 	/* Overwritten by another writer, instead of being removed. */
 	gboolean is_unreadable;
-	int64_t after_ms; /* after the registration was removed */
-	gboolean has_no_runs;
 };
 
 static const struct lost_worker_case lost_worker_cases[] = {
 	/* A draining worker that is cut off from the store is removed from its
 	 * table too, and its tasks run on. */
-	{ "/fleet/over/drained", TRUE, TRUE, FALSE, 1000, FALSE },
-	{ "/fleet/over/drained-late", TRUE, TRUE, FALSE, 20000, TRUE },
-	{ "/fleet/over/draining-unreadable", TRUE, TRUE, TRUE, 1000, FALSE },
-	{ "/fleet/over/draining-unreadable-late", TRUE, TRUE, TRUE, 20000,
+	{ "/fleet/over/drained", TRUE, TRUE, 1000, FALSE, FALSE },
+	{ "/fleet/over/drained-late", TRUE, TRUE, 20000, TRUE, FALSE },
+	{ "/fleet/over/draining-unreadable", TRUE, TRUE, 1000, FALSE, TRUE },
+	{ "/fleet/over/draining-unreadable-late", TRUE, TRUE, 20000, TRUE,
 	  TRUE },
 	/* It may still run tasks that an earlier epoch started (khuree-wind
 	 * fresh-1f55). */
-	{ "/fleet/over/silent-never-answered", FALSE, FALSE, FALSE, 1000,
+	{ "/fleet/over/silent-never-answered", FALSE, FALSE, 1000, FALSE,
 	  FALSE },
-	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, FALSE, 20000,
-	  TRUE },
-	{ "/fleet/over/silent-leased", FALSE, TRUE, FALSE, 1000, FALSE },
-	{ "/fleet/over/silent-leased-late", FALSE, TRUE, FALSE, 20000, TRUE },
+	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, 20000, TRUE,
+	  FALSE },
+	{ "/fleet/over/silent-leased", FALSE, TRUE, 1000, FALSE, FALSE },
+	{ "/fleet/over/silent-leased-late", FALSE, TRUE, 20000, TRUE, FALSE },
 };
 
 static void test_lost_worker(gconstpointer data)
@@ -976,7 +976,7 @@
 	report(&w, "w1", running_list(o.task, o.run), NULL);
 	worker = fleet_worker(&w.s.fleet, "w1");
 	worker->reg.is_draining = c->was_draining;
-	worker->drain_until_ms = w.now_ms + 4 * LEASE_MS;
+	worker->drain_until_ms = w.now_ms + INT64_C(4) * LEASE_MS;
 	fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
 	for (int64_t ms = 0; ms < c->after_ms; ms += RENEWAL_MS) {
 		fleet_scheduler_renewal_end(&w.s, worker, w.now_ms);
@@ -1052,6 +1052,13 @@
 	{ "/fleet/smallest-stop/second-rack", "r2" },
 };
 
+static void add_worker_tests(void)
+{
+	ADD_CASES(lost_worker_cases, test_lost_worker);
+	ADD_CASES(restart_cases, test_worker_restart);
+	ADD_CASES(gone_cases, test_gone_worker);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1063,10 +1070,8 @@
 				     test_preempt_singles);
 	ADD_CASES(start_answer_cases, test_answers);
 	ADD_CASES(takeover_cases, test_takeover);
-	ADD_CASES(lost_worker_cases, test_lost_worker);
 	ADD_CASES(reserve_cases, test_urgent_reserve);
-	ADD_CASES(restart_cases, test_worker_restart);
-	ADD_CASES(gone_cases, test_gone_worker);
+	add_worker_tests();
 	ADD_CASES(drain_cases, test_drain);
 	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++)
 		g_test_add_data_func(gang_ends[i].name, &gang_ends[i].end,
