--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -701,16 +701,20 @@
 /* How the store turns one entry VM away while the other one reaches it. */
 struct forward_case {
 	const char *name;
-	const char *mode;   /* of the relay */
-	int64_t settled_ms; /* before the requests */
-	int64_t within_ms;  /* for each answer */
+	const char *for_all; /* the same for all entry VMs */
+	const char *mode;    /* of the relay */
+	int64_t settled_ms;  /* before the requests */
+	int64_t within_ms;   /* for each answer */
 };
 
 static const struct forward_case forward_cases[] = {
-	{ "/entry/forward/refused", "refuse", 0, 1000 },
-	{ "/entry/forward/silent-at-once", "silent", 0, 1500 },
+	{ "/entry/forward/refused", "/entry/forward/refused-for-all", "refuse",
+	  0, 1000 },
+	{ "/entry/forward/silent-at-once",
+	  "/entry/forward/silent-at-once-for-all", "silent", 0, 1500 },
 	/* Known to be silent: nothing waits for the store. */
-	{ "/entry/forward/silent", "silent", 2000, 500 },
+	{ "/entry/forward/silent", "/entry/forward/silent-for-all", "silent",
+	  2000, 500 },
 };
 
 static guint timed_call(struct site *s, const char *method, const char *id,
@@ -864,14 +868,10 @@
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
 	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++) {
-		char *to_none =
-			g_strconcat(forward_cases[i].name, "-for-all", NULL);
-
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
-		g_test_add_data_func(to_none, &forward_cases[i],
-				     test_forward_to_none);
-		g_free(to_none);
+		g_test_add_data_func(forward_cases[i].for_all,
+				     &forward_cases[i], test_forward_to_none);
 	}
 	g_test_add_func("/entry/forward/config", test_forward_config);
 	g_test_add_func("/entry/delegate/from-start",
