--- a/soak/soak_site.c
+++ b/soak/soak_site.c
@@ -58,6 +58,7 @@
 		.frontend = e->frontend,
 		.readiness = e->readiness,
 		.internal = e->internal,
+		.forward = e->forward,
 		.store = s->path_addresses[index],
 		.writes_per_s = 800,
 		.lease_ms = SOAK_LEASE_MS,
@@ -152,6 +153,7 @@
 		s->entries[i].frontend = cluster_reserve_address();
 		s->entries[i].readiness = cluster_reserve_address();
 		s->entries[i].internal = cluster_reserve_address();
+		s->entries[i].forward = cluster_reserve_address();
 		soak_site_start_entry(s, i);
 	}
 	g_assert_true(cluster_wait(is_ready, s, READY_TIMEOUT_MS));
@@ -167,6 +169,7 @@
 		g_free(s->entries[i].frontend);
 		g_free(s->entries[i].readiness);
 		g_free(s->entries[i].internal);
+		g_free(s->entries[i].forward);
 	}
 	for (guint i = 0; i < SOAK_PATH_COUNT; i++)
 		g_free(s->path_addresses[i]);
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -23,6 +23,7 @@
 	struct cluster_process *process;
 	char *frontend;
 	char *readiness;
+	char *forward;	/**< for requests of other VMs */
 	char *internal; /**< listen address of its delegate */
 	guint boots;	/**< number of process starts */
 	/** Newest configuration version whose probe route this process served.
