Names of forwarding in the frontend say which side forwards

is_forwarded and was_sent_on become is_from_peer and was_forwarded, send_on becomes forward, and an entrance a server_route. same-code: 265 functions of entry/, none differs.

--- a/entry/client_call.c
+++ b/entry/client_call.c
@@ -43,7 +43,7 @@
 	log_int(&line, "code", code);
 	log_str(&line, "reason", reason);
 	log_int(&line, "took_ms", util_monotonic_ms() - c->began_ms);
-	log_int(&line, "is_forwarded", c->is_forwarded);
+	log_int(&line, "is_forwarded", c->is_from_peer);
 	log_end(&line);
 }
 
@@ -61,7 +61,7 @@
 	    code == HTTP_TOO_MANY_REQUESTS)
 		http_request_set_reply_header(
 			c->request, "Retry-After",
-			c->was_sent_on ? RETRY_AFTER_OUTAGE : RETRY_AFTER);
+			c->was_forwarded ? RETRY_AFTER_OUTAGE : RETRY_AFTER);
 	add_close_header(c);
 	http_request_reply_text(c->request, code, reason);
 	call_free(c);
@@ -79,7 +79,7 @@
 static const char *host_of(const struct client_call *c)
 {
 	const char *host = http_request_header(
-		c->request, c->is_forwarded ? FORWARD_HOST_HEADER : "Host");
+		c->request, c->is_from_peer ? FORWARD_HOST_HEADER : "Host");
 
 	return host ? host : "";
 }
@@ -111,8 +111,8 @@
 		client_call_answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE, reason);
 }
 
-static void on_sent_on(enum forward_outcome outcome,
-		       const struct http_reply *reply, void *data)
+static void on_forwarded(enum forward_outcome outcome,
+			 const struct http_reply *reply, void *data)
 {
 	struct client_call *c = data;
 
@@ -129,7 +129,7 @@
 
 /* Hands a client's request over to other VMs, once; FALSE if that can't help.
  */
-static gboolean send_on(struct client_call *c)
+static gboolean forward(struct client_call *c)
 {
 	int64_t passed_ms = util_monotonic_ms() - c->began_ms;
 	int64_t left_ms =
@@ -138,13 +138,13 @@
 	char *path;
 	gboolean is_sent;
 
-	if (c->is_forwarded || c->was_sent_on)
+	if (c->is_from_peer || c->was_forwarded)
 		return FALSE;
 	path = g_strconcat("/", http_request_path_suffix(c->request), NULL);
-	c->was_sent_on = TRUE;
+	c->was_forwarded = TRUE;
 	is_sent =
 		forwarder_send(c->context->kernel, c->request, c->kind->method,
-			       path, c->body, left_ms, on_sent_on, c);
+			       path, c->body, left_ms, on_forwarded, c);
 	g_free(path);
 	return is_sent;
 }
@@ -153,7 +153,7 @@
 		      const char *reason)
 {
 	c->may_have_run |= may_have_run;
-	if (!send_on(c))
+	if (!forward(c))
 		answer_unserved(c, reason);
 }
 
@@ -173,7 +173,7 @@
 	const char *text =
 		http_request_header(c->request, FORWARD_VERSION_HEADER);
 
-	if (!c->is_forwarded)
+	if (!c->is_from_peer)
 		return forwarder_seen_version(c->context->kernel);
 	return text ? g_ascii_strtoll(text, NULL, 10) : 0;
 }
@@ -183,7 +183,7 @@
 {
 	char text[32];
 
-	if (!c->is_forwarded)
+	if (!c->is_from_peer)
 		return;
 	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, version);
 	http_request_set_reply_header(c->request, FORWARD_VERSION_HEADER, text);
@@ -250,13 +250,13 @@
 
 void client_call_begin(const struct call_context *context,
 		       struct http_request *r, const struct call_kind *kind,
-		       gboolean is_forwarded)
+		       gboolean is_from_peer)
 {
 	struct client_call *c = call_new(context, r, kind);
 	gboolean hears_store = election_hears_store(context->kernel);
 
-	c->is_forwarded = is_forwarded;
-	if (is_forwarded && !hears_store) {
+	c->is_from_peer = is_from_peer;
+	if (is_from_peer && !hears_store) {
 		client_call_answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE,
 				   "the store can't be reached\n");
 		return;
@@ -268,7 +268,7 @@
 			return;
 		}
 	}
-	if (hears_store || !send_on(c))
+	if (hears_store || !forward(c))
 		serve(c);
 }
 
@@ -285,7 +285,7 @@
 	struct client_call *c = data;
 
 	c->timer = 0;
-	if (send_on(c))
+	if (forward(c))
 		platform_forget(c->context->platform, c);
 	return G_SOURCE_REMOVE;
 }
--- a/entry/client_call.h
+++ b/entry/client_call.h
@@ -43,9 +43,9 @@
 	const struct call_context *context;
 	struct http_request *request;
 	json_object *body;	/**< borrowed; NULL unless the kind has one */
-	gboolean is_forwarded;	/**< by another VM */
+	gboolean is_from_peer;	/**< handed over by another VM */
 	gboolean was_served;	/**< this VM has tried to serve it */
-	gboolean was_sent_on;	/**< other VMs have been asked */
+	gboolean was_forwarded; /**< other VMs have been asked */
 	gboolean may_have_run;	/**< an attempt had no definite answer */
 	gboolean was_rechecked; /**< its job was active and is read again */
 	guint timer;		/**< of the read in flight or the next one */
@@ -60,11 +60,11 @@
  * Begins a call: parses the body, then serves the request, or hands it over
  * while the store doesn't answer this VM.
  *
- * @param is_forwarded	by another VM; such a call is handed over no further
+ * @param is_from_peer	handed over by another VM, so handed over no further
  */
 void client_call_begin(const struct call_context *context,
 		       struct http_request *r, const struct call_kind *kind,
-		       gboolean is_forwarded);
+		       gboolean is_from_peer);
 
 /** Replies with a status code and a reason as plain text; frees the call. */
 void client_call_answer(struct client_call *c, guint code, const char *reason);
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -25,10 +25,10 @@
 #define CALL_KIND_COUNT 3
 
 /* A kind of request as it arrives at one of the servers. */
-struct entrance {
+struct server_route {
 	struct frontend *frontend;
 	const struct call_kind *kind;
-	gboolean is_forwarded;
+	gboolean is_from_peer;
 };
 
 struct frontend {
@@ -37,8 +37,8 @@
 	struct http_server *server;
 	struct http_server *forward_server; /* for other VMs' requests */
 	struct http_server *ready_server;
-	struct entrance direct[CALL_KIND_COUNT];
-	struct entrance forwarded[CALL_KIND_COUNT];
+	struct server_route direct[CALL_KIND_COUNT];
+	struct server_route forwarded[CALL_KIND_COUNT];
 	struct call_context context;
 	struct submitter *submitter;
 	int64_t stop_ms; /* end of serving while draining, 0 before */
@@ -108,7 +108,7 @@
 		row = job_row_encode(c->route, c->account, &spec,
 				     config_feed_store_clock_ms(s->kernel));
 		submitter_submit(s->submitter, c->id, row,
-				 c->is_forwarded ? 0 : CLIENT_CALL_READ_MS,
+				 c->is_from_peer ? 0 : CLIENT_CALL_READ_MS,
 				 c->deadline_ms, on_submitted, c);
 		json_object_put(row);
 	} else {
@@ -267,9 +267,9 @@
 
 static void on_request(struct http_request *r, void *data)
 {
-	const struct entrance *e = data;
+	const struct server_route *e = data;
 
-	client_call_begin(&e->frontend->context, r, e->kind, e->is_forwarded);
+	client_call_begin(&e->frontend->context, r, e->kind, e->is_from_peer);
 }
 
 static void handle_ready(struct http_request *r, void *data)
@@ -331,8 +331,10 @@
 	for (guint i = 0; i < CALL_KIND_COUNT; i++) {
 		const char *method = call_kinds[i].method;
 
-		s->direct[i] = (struct entrance){ s, &call_kinds[i], FALSE };
-		s->forwarded[i] = (struct entrance){ s, &call_kinds[i], TRUE };
+		s->direct[i] =
+			(struct server_route){ s, &call_kinds[i], FALSE };
+		s->forwarded[i] =
+			(struct server_route){ s, &call_kinds[i], TRUE };
 		http_server_add_route(s->server, method, "/", on_request,
 				      &s->direct[i]);
 		http_server_add_route(s->forward_server, method, "/",
