The forwarding tests wait until the VMs know each other; a log line says how many

Trace: between 225.2 and 227.8 s no process got an answer through the relay, so that the VM's first read of the peers' table timed out and was to be repeated after the request; without a peer it decided by its own configuration, rightly. The test had waited 2.5 s for that read. It now waits for event=peers_known of both VMs, which a VM logs when the number of its peers changes.

--- a/entry/forwarder.c
+++ b/entry/forwarder.c
@@ -38,7 +38,8 @@
 	struct platform *platform;
 	struct http_client *client;
 	struct peer_list peers;
-	char *next_key; /* start of the next page, NULL for the first */
+	char *next_key;	   /* start of the next page, NULL for the first */
+	guint known_peers; /* as last logged */
 	guint timer;
 	int64_t seen_version; /* see forwarder_seen_version() */
 	int64_t paused_until_ms;
@@ -251,6 +252,19 @@
 
 static void read_page(struct forwarder *s);
 
+static void log_peers(struct forwarder *s)
+{
+	guint count = g_hash_table_size(s->peers.peers);
+	struct log_line line;
+
+	if (count == s->known_peers)
+		return;
+	s->known_peers = count;
+	log_begin(&line, LOG_LEVEL_INFO, "peers_known");
+	log_int(&line, "count", count);
+	log_end(&line);
+}
+
 static void on_page(const struct platform_result *result, void *data)
 {
 	struct forwarder *s = data;
@@ -271,6 +285,7 @@
 		return;
 	}
 	peer_list_end_scan(&s->peers);
+	log_peers(s);
 	scan_after(s, g_hash_table_size(s->peers.peers) ? SCAN_INTERVAL_MS
 							: SCAN_RETRY_MS);
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -732,19 +732,16 @@
 	return code;
 }
 
-static gboolean knows_peer(void *data)
+/* Returns TRUE once each entry VM has read that there is another one. */
+static gboolean know_peers(void *data)
 {
-	struct site *s = data;
-	struct cluster_reply r = cluster_call(
-		s->cluster, "GET", s->store,
-		"/corianderstep/rows-get?Table=delegates&part=", NULL, NULL,
-		CLUSTER_CALL_TIMEOUT_MS);
-	json_object *rows = NULL;
-	gboolean is_known = json_object_object_get_ex(r.body, "rows", &rows) &&
-			    json_object_array_length(rows) == ENTRIES;
+	const struct site *s = data;
 
-	cluster_reply_clear(&r);
-	return is_known;
+	for (guint i = 0; i < ENTRIES; i++) {
+		if (!cluster_count_lines(s->entries[i], "event=peers_known"))
+			return FALSE;
+	}
+	return TRUE;
 }
 
 static const char forward_job[] =
@@ -755,8 +752,7 @@
 {
 	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
 
-	g_assert_true(cluster_wait(knows_peer, s, WAIT_MS));
-	cluster_sleep(2500); /* the first scan of the table */
+	g_assert_true(cluster_wait(know_peers, s, WAIT_MS));
 	return s;
 }
 
