test_gone_worker looks its worker up again: it is removed once its lease is over

Found by the sanitizer build: the test kept a pointer to a worker that the plan removes once nothing can run there.

--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -979,13 +979,16 @@
 	worker->drain_until_ms = w.now_ms + INT64_C(4) * LEASE_MS;
 	fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
 	for (int64_t ms = 0; ms < c->after_ms; ms += RENEWAL_MS) {
-		fleet_scheduler_renewal_end(&w.s, worker, w.now_ms);
+		/* Removed once nothing can run there any more. */
+		worker = fleet_worker(&w.s.fleet, "w1");
+		if (worker)
+			fleet_scheduler_renewal_end(&w.s, worker, w.now_ms);
+		if (worker && !c->is_answering)
+			worker->has_failed_renewal = TRUE;
 		plan_after(&w, RENEWAL_MS);
 		add_worker(&w, "w2", "r1");
 		if (c->is_answering)
 			report(&w, "w1", running_list(o.task, o.run), NULL);
-		else
-			worker->has_failed_renewal = TRUE;
 	}
 	plan_after(&w, 1);
 	g_assert_cmpuint(count_orders(&w, TRUE, "one"), ==, c->starts);
