An unreadable registration takes the path of a removed one

fleet_scheduler_distrust_worker() once kept the tasks of a draining worker, which a removal released. Since no removal releases tasks before their leases have expired, it did the same as fleet_scheduler_update_worker() without a registration, which is called instead.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -213,22 +213,17 @@
 {
 	struct pool_holder *s = data;
 	struct worker_registration reg = { 0 };
-	int64_t now_ms = util_monotonic_ms();
 	struct fleet_worker *w;
+	gboolean is_valid =
+		!row->is_deleted && wire_worker_registration(row->value, &reg);
 
-	if (row->is_deleted) {
-		g_hash_table_remove(s->unreadable_workers, row->key);
-		fleet_scheduler_update_worker(&s->scheduler, row->key, NULL,
-					      now_ms);
-	} else if (wire_worker_registration(row->value, &reg)) {
+	if (is_valid || row->is_deleted)
 		g_hash_table_remove(s->unreadable_workers, row->key);
-		fleet_scheduler_update_worker(&s->scheduler, row->key, &reg,
-					      now_ms);
-	} else {
+	else
 		log_unreadable_worker(s, row->key);
-		fleet_scheduler_distrust_worker(&s->scheduler, row->key,
-						now_ms);
-	}
+	fleet_scheduler_update_worker(&s->scheduler, row->key,
+				      is_valid ? &reg : NULL,
+				      util_monotonic_ms());
 	worker_registration_clear(&reg);
 	w = fleet_worker(&s->scheduler.fleet, row->key);
 	if (w && g_hash_table_contains(s->recorded_workers, row->key))
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -254,17 +254,6 @@
 	*reg = (struct worker_registration){ 0 };
 }
 
-void fleet_scheduler_distrust_worker(struct fleet_scheduler *s, const char *id,
-				     int64_t now_ms)
-{
-	struct fleet_worker *w = fleet_worker(&s->fleet, id);
-
-	s->has_workers = TRUE;
-	if (!w)
-		return;
-	fleet_scheduler_update_worker(s, id, NULL, now_ms);
-}
-
 gboolean fleet_worker_has_no_runs(const struct fleet_scheduler *s,
 				  const struct fleet_worker *w, int64_t now_ms)
 {
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -89,20 +89,13 @@
 /**
  * Applies a change of a worker's registration.
  *
- * @param reg	new registration, whose contents are moved out; NULL if removed
+ * @param reg	new registration, whose contents are moved out; NULL if removed,
+ *		or if it can't be read, as other writers may leave one
  */
 void fleet_scheduler_update_worker(struct fleet_scheduler *s, const char *id,
 				   struct worker_registration *reg,
 				   int64_t now_ms);
 
-/**
- * Handles a registration that can't be read, as other writers may leave one:
- * a known worker gets no new tasks, and its tasks are kept until their leases
- * have certainly expired, as it may be alive. A new one is ignored.
- */
-void fleet_scheduler_distrust_worker(struct fleet_scheduler *s, const char *id,
-				     int64_t now_ms);
-
 /**
  * Applies a worker's report of its running and ended runs.
  *
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -466,26 +466,22 @@
 	gboolean is_fenced; /* it answered this holder and got a lease */
 	int64_t after_ms;   /* after the registration was removed */
 	gboolean has_no_runs;
-	/* Overwritten by another writer, instead of being removed. */
-	gboolean is_unreadable;
 };
 
 static const struct lost_worker_case lost_worker_cases[] = {
 	/* A draining worker that is cut off from the store is removed from its
 	 * table too, and its tasks run on. */
-	{ "/fleet/over/drained", TRUE, TRUE, 1000, FALSE, FALSE },
-	{ "/fleet/over/drained-late", TRUE, TRUE, 20000, TRUE, FALSE },
-	{ "/fleet/over/draining-unreadable", TRUE, TRUE, 1000, FALSE, TRUE },
-	{ "/fleet/over/draining-unreadable-late", TRUE, TRUE, 20000, TRUE,
-	  TRUE },
+	{ "/fleet/over/drained", TRUE, TRUE, 1000, FALSE },
+	{ "/fleet/over/drained-late", TRUE, TRUE, 20000, TRUE },
+	/* Overwritten by another writer, which is passed on as a removal. */
+	{ "/fleet/over/draining-unreadable", TRUE, TRUE, 1000, FALSE },
+	{ "/fleet/over/draining-unreadable-late", TRUE, TRUE, 20000, TRUE },
 	/* It may still run tasks that an earlier epoch started (khuree-wind
 	 * fresh-1f55). */
-	{ "/fleet/over/silent-never-answered", FALSE, FALSE, 1000, FALSE,
-	  FALSE },
-	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, 20000, TRUE,
-	  FALSE },
-	{ "/fleet/over/silent-leased", FALSE, TRUE, 1000, FALSE, FALSE },
-	{ "/fleet/over/silent-leased-late", FALSE, TRUE, 20000, TRUE, FALSE },
+	{ "/fleet/over/silent-never-answered", FALSE, FALSE, 1000, FALSE },
+	{ "/fleet/over/silent-never-answered-late", FALSE, FALSE, 20000, TRUE },
+	{ "/fleet/over/silent-leased", FALSE, TRUE, 1000, FALSE },
+	{ "/fleet/over/silent-leased-late", FALSE, TRUE, 20000, TRUE },
 };
 
 static void test_lost_worker(gconstpointer data)
@@ -503,10 +499,7 @@
 		fleet_scheduler_lease_end(&w.s, worker, w.now_ms);
 	}
 	worker->reg.is_draining = c->was_draining;
-	if (c->is_unreadable)
-		fleet_scheduler_distrust_worker(&w.s, "w1", w.now_ms);
-	else
-		fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
+	fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
 	g_assert_cmpint(
 		fleet_worker_has_no_runs(&w.s, worker, w.now_ms + c->after_ms),
 		==, c->has_no_runs);
