Idle connections are no longer closed under a running message

Cause: libsoup 3.2.3 closes an idle connection by a timer. A message that takes the connection switches the timer off by its ready time, but a timer that is already due in that main loop iteration is still dispatched. It frees the connection and its message I/O; the message then never ends, or is read from freed memory. Likely after a pause, possible whenever a call comes 5 s after the last one.

Change: libsoup's idle timer is off. A session takes calls for 20 to 40 s; its idle connections close with it, after its last call. Unused addresses are swept by a timer, so connections close without further calls, too.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -9,7 +9,16 @@
 #include "base/log.h"
 #include "base/util.h"
 
-#define IDLE_TIMEOUT_S 5
+/*
+ * libsoup closes idle connections by a timer, which may still be dispatched in
+ * the main loop iteration in which a message has taken the connection; the
+ * message then uses freed memory. So that timer is off, and connections are
+ * closed together with their session.
+ */
+#define SESSION_IDLE_TIMEOUT_S 0
+/** Time until calls to the addresses of a session use another session. */
+#define MIN_SESSION_LIFETIME_MS 20000
+#define MAX_SESSION_LIFETIME_MS 40000
 
 /*
  * A libsoup session scans all its idle connections on each call, and each
@@ -18,7 +27,8 @@
  */
 #define ADDRESSES_PER_SESSION 8
 /** Time from the last call to an address until its entry is removed. */
-#define ADDRESS_IDLE_MS ((int64_t)IDLE_TIMEOUT_S * MS_PER_S + 1000)
+#define ADDRESS_IDLE_MS 6000
+#define SWEEP_INTERVAL_MS 1000
 /** A reused connection may stay silent for the timeout divided by this. */
 #define SILENCE_TIMEOUT_DIVISOR 3
 /*
@@ -30,17 +40,19 @@
 struct http_client {
 	GPtrArray *sessions;   /**< of struct http_session */
 	GHashTable *addresses; /**< "IP:PORT" to struct http_address */
-	int64_t last_sweep_ms;
+	guint sweep_timer;
 	GHashTable *calls; /**< set of struct http_call in flight */
 	guint max_calls;
 	guint max_per_address;
 	struct http_traffic traffic;
 };
 
-/** A libsoup session and the number of addresses assigned to it. */
+/** A libsoup session; its idle connections are closed when it is freed. */
 struct http_session {
 	SoupSession *soup;
-	guint addresses;
+	guint addresses; /**< assigned to it */
+	guint calls;	 /**< in flight */
+	int64_t end_ms;	 /**< it is given no calls from then on */
 };
 
 struct http_address {
@@ -52,8 +64,9 @@
 struct http_call {
 	struct http_client *client; /**< NULL once the client is freed */
 	struct http_address *address;
-	SoupMessage *message; /**< NULL if the address is malformed */
-	GBytes *body;	      /**< NULL for none */
+	struct http_session *session; /**< NULL if not passed to one */
+	SoupMessage *message;	      /**< NULL if the address is malformed */
+	GBytes *body;		      /**< NULL for none */
 	GCancellable *cancellable;
 	guint timer;
 	int64_t deadline_ms; /**< end of the timeout */
@@ -90,31 +103,46 @@
 	return c;
 }
 
-static struct http_session *find_or_create_session(struct http_client *c)
+static struct http_session *find_or_create_session(struct http_client *c,
+						   int64_t now_ms)
 {
 	struct http_session *s;
 
 	for (guint i = 0; i < c->sessions->len; i++) {
 		s = c->sessions->pdata[i];
-		if (s->addresses < ADDRESSES_PER_SESSION)
+		if (s->addresses < ADDRESSES_PER_SESSION && now_ms < s->end_ms)
 			return s;
 	}
 	s = g_new0(struct http_session, 1);
 	s->soup = soup_session_new_with_options(
 		"max-conns", (int)c->max_calls, "max-conns-per-host",
 		(int)c->max_per_address, "timeout", 0, "idle-timeout",
-		IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+		SESSION_IDLE_TIMEOUT_S, "proxy-resolver", NULL, NULL);
+	s->end_ms = now_ms + g_random_int_range(MIN_SESSION_LIFETIME_MS,
+						MAX_SESSION_LIFETIME_MS);
 	g_ptr_array_add(c->sessions, s);
 	return s;
 }
 
-/* Removes addresses without open connections, and unused sessions. */
-static void sweep_addresses(struct http_client *c, int64_t now_ms)
+static void assign_session(struct http_client *c, struct http_address *a,
+			   int64_t now_ms)
+{
+	if (a->session && now_ms < a->session->end_ms)
+		return;
+	if (a->session)
+		a->session->addresses--;
+	a->session = find_or_create_session(c, now_ms);
+	a->session->addresses++;
+}
+
+/* Removes unused addresses, and sessions without addresses and calls. */
+static gboolean on_sweep(gpointer data)
 {
+	struct http_client *c = data;
+	int64_t now_ms = util_monotonic_ms();
 	GHashTableIter iter;
 	gpointer item;
 
-	c->last_sweep_ms = now_ms;
 	g_hash_table_iter_init(&iter, c->addresses);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct http_address *a = item;
@@ -127,34 +155,41 @@
 	for (guint i = c->sessions->len; i-- > 0;) {
 		const struct http_session *s = c->sessions->pdata[i];
 
-		if (!s->addresses)
+		if (!s->addresses && !s->calls)
 			g_ptr_array_remove_index_fast(c->sessions, i);
 	}
+	if (c->sessions->len)
+		return G_SOURCE_CONTINUE;
+	c->sweep_timer = 0;
+	return G_SOURCE_REMOVE;
 }
 
-static struct http_address *acquire_address(struct http_client *c,
-					    const char *address)
+/* Assigns a call to an address and to the session of that address. */
+static void acquire_address(struct http_client *c, const char *address,
+			    struct http_call *call)
 {
-	int64_t now_ms = util_monotonic_ms();
-	struct http_address *a;
+	struct http_address *a = g_hash_table_lookup(c->addresses, address);
 
-	if (now_ms >= c->last_sweep_ms + ADDRESS_IDLE_MS)
-		sweep_addresses(c, now_ms);
-	a = g_hash_table_lookup(c->addresses, address);
 	if (!a) {
 		a = g_new0(struct http_address, 1);
-		a->session = find_or_create_session(c);
-		a->session->addresses++;
 		g_hash_table_insert(c->addresses, g_strdup(address), a);
 	}
+	assign_session(c, a, util_monotonic_ms());
 	a->calls++;
-	return a;
+	a->session->calls++;
+	call->address = a;
+	call->session = a->session;
+	if (!c->sweep_timer)
+		c->sweep_timer = g_timeout_add(SWEEP_INTERVAL_MS, on_sweep, c);
 }
 
-static void release_address(struct http_address *a)
+static void release_address(struct http_call *call)
 {
-	a->calls--;
-	a->last_used_ms = util_monotonic_ms();
+	call->address->calls--;
+	call->address->last_used_ms = util_monotonic_ms();
+	call->address = NULL;
+	call->session->calls--;
+	call->session = NULL;
 }
 
 static void detach(struct http_call *call)
@@ -173,6 +208,8 @@
 	while (g_hash_table_iter_next(&iter, &call, NULL))
 		detach(call);
 	g_hash_table_unref(c->calls);
+	if (c->sweep_timer)
+		g_source_remove(c->sweep_timer);
 	g_ptr_array_unref(c->sessions);
 	g_hash_table_unref(c->addresses);
 	g_free(c);
@@ -192,7 +229,7 @@
 	if (call->client)
 		g_hash_table_remove(call->client->calls, call);
 	if (call->client && call->address)
-		release_address(call->address);
+		release_address(call);
 	if (call->timer)
 		g_source_remove(call->timer);
 	drop_message(call);
@@ -257,8 +294,7 @@
 	log_end(&line);
 	if (call->client) {
 		g_hash_table_remove(call->client->calls, call);
-		release_address(call->address);
-		call->address = NULL;
+		release_address(call);
 		call->client = NULL;
 	}
 	call->on_reply(&reply, call->data);
@@ -350,9 +386,9 @@
 			 call);
 	g_signal_connect(call->message, "restarted", G_CALLBACK(on_restarted),
 			 call);
-	soup_session_send_and_read_async(call->address->session->soup,
-					 call->message, G_PRIORITY_DEFAULT,
-					 call->cancellable, on_done, call);
+	soup_session_send_and_read_async(call->session->soup, call->message,
+					 G_PRIORITY_DEFAULT, call->cancellable,
+					 on_done, call);
 }
 
 static void set_message(struct http_call *call, SoupMessage *message)
@@ -533,7 +569,7 @@
 		call->timer = g_timeout_add(0, on_refused, call);
 		return call;
 	}
-	call->address = acquire_address(c, spec->address);
+	acquire_address(c, spec->address, call);
 	if (spec->may_reuse)
 		arm_silence_timeout(call, spec->max_silence_ms);
 	else
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -7,6 +7,7 @@
 
 #include "base/http_client.h"
 #include "base/http_server.h"
+#include "base/util.h"
 
 #define MAX_SERVERS 100
 #define ROUNDS 3
@@ -50,6 +51,22 @@
 	return next(fd, level, name, value, len);
 }
 
+/** Lifetime of each session; 0 for the client's own. */
+static gint32 session_lifetime_ms;
+
+/* Wraps the library's function, by which the client draws the lifetimes. */
+gint32 g_random_int_range(gint32 begin, gint32 end)
+{
+	static gint32 (*next)(gint32, gint32);
+
+	if (session_lifetime_ms)
+		return session_lifetime_ms;
+	if (!next)
+		next = (gint32(*)(gint32, gint32))dlsym(RTLD_NEXT,
+							"g_random_int_range");
+	return next(begin, end);
+}
+
 static void handle(struct http_request *r, void *data)
 {
 	http_request_reply(r, SOUP_STATUS_OK, json_object_new_object());
@@ -275,6 +292,57 @@
 	}
 }
 
+static void run_for(guint ms)
+{
+	gboolean has_elapsed = FALSE;
+
+	g_timeout_add(ms, on_elapsed, &has_elapsed);
+	while (!has_elapsed)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+/* Makes calls for longer than a session takes any, while the first waits. */
+static void check_sessions_change(struct http_client *c, struct http_server *s,
+				  struct silent_server *silent)
+{
+	struct tally t = { 0 };
+
+	call(c, s, &t);
+	for (guint i = 1; i <= 8; i++) {
+		run_for(200);
+		call(c, s, &t);
+		await(&t, i);
+	}
+	g_assert_cmpuint(http_client_sessions(c), >=, 2);
+	g_assert_cmpuint(http_client_sessions(c), <, 8);
+	g_assert_cmpuint(silent->unanswered->len, ==, 1);
+	handle(silent->unanswered->pdata[0], NULL);
+	await(&t, 9);
+	g_assert_cmpuint(t.answered, ==, 9);
+}
+
+/*
+ * A session that has reached the end of its lifetime is given no calls and is
+ * freed with its connections, but not before its last call has ended.
+ */
+static void test_session_end(void)
+{
+	struct silent_server silent = { 0, 0, 1, g_ptr_array_new() };
+	struct http_server *s = http_server_new(1024);
+	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
+
+	session_lifetime_ms = 200;
+	http_server_add_route(s, "GET", "/", handle_silent, &silent);
+	g_assert_cmpint(http_server_listen(s, "127.0.0.1", 0), ==, STATUS_OK);
+	check_sessions_change(c, s, &silent);
+	session_lifetime_ms = 0;
+	run_for(SESSION_EXPIRY_MS + 1000);
+	g_assert_cmpuint(http_client_sessions(c), ==, 0);
+	http_client_free(c);
+	http_server_free(s);
+	g_ptr_array_unref(silent.unanswered);
+}
+
 static void test_too_many_calls(void)
 {
 	struct http_client *c = http_client_new(2, MAX_PER_ADDRESS);
@@ -336,13 +404,55 @@
 	http_client_free(c);
 }
 
+static const struct stall_case {
+	const char *name;
+	uint32_t idle_ms;  /**< from the end of a call until the next one */
+	uint32_t stall_ms; /**< of the process right after that call was sent */
+} stall_cases[] = {
+	{ "idle for 4.9 s, stalled for 0.3 s", 4900, 300 },
+	{ "idle for 2 s, stalled for 3.5 s", 2000, 3500 },
+};
+
+/*
+ * A call that takes a connection in the moment in which it has been idle for
+ * 5 s is answered, also if the process was stalled meanwhile. A timer for idle
+ * connections that is due in the same main loop iteration must not close it.
+ */
+static void test_idle_connection(void)
+{
+	struct http_server *s = new_server();
+
+	for (guint i = 0; i < G_N_ELEMENTS(stall_cases); i++) {
+		const struct stall_case *x = &stall_cases[i];
+		struct http_client *c = http_client_new(MAX_CALLS, 1);
+		struct tally t = { 0 };
+		int64_t start_ms;
+
+		g_test_message("%s", x->name);
+		call(c, s, &t);
+		await(&t, 1);
+		run_for(x->idle_ms);
+		call(c, s, &t);
+		g_usleep(x->stall_ms * US_PER_MS);
+		start_ms = util_monotonic_ms();
+		await(&t, 2);
+		g_assert_cmpuint(t.answered, ==, 2);
+		g_assert_cmpint(util_monotonic_ms() - start_ms, <,
+				CALL_TIMEOUT_MS / 2);
+		http_client_free(c);
+	}
+	http_server_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-client/bad-addresses", test_bad_addresses);
 	g_test_add_func("/http-client/cost-by-addresses",
 			test_cost_by_addresses);
+	g_test_add_func("/http-client/idle-connection", test_idle_connection);
 	g_test_add_func("/http-client/too-many-calls", test_too_many_calls);
+	g_test_add_func("/http-client/session-end", test_session_end);
 	g_test_add_func("/http-client/sessions-by-need", test_sessions_by_need);
 	g_test_add_func("/http-client/silent-connection", test_silent);
 	return g_test_run();
