The step answer-lost waits for the lost answer

Cause: the fault tests waited for the row's state committed, which lasts some milliseconds when the answer is found again quickly; a reader may miss it. Change: the platform stand-in counts lost answers; the test waits for the count and then for a row that is committed or running.

--- a/standin/cs-standin-platform.c
+++ b/standin/cs-standin-platform.c
@@ -39,6 +39,7 @@
 	int64_t mode;
 	int64_t slow_ms;
 	int64_t lose_answers; /* commits left to apply without a reply */
+	int64_t lost_answers; /* commits applied without a reply */
 	char *lose_table; /* limits these to commits on a table, unless empty */
 	GPtrArray *cut_domains; /* failure domains whose calls are dropped */
 };
@@ -311,8 +312,10 @@
 
 		is_affected = g_str_equal(w->table, s->lose_table);
 	}
-	if (is_affected)
+	if (is_affected) {
 		s->lose_answers--;
+		s->lost_answers++;
+	}
 	return is_affected;
 }
 
@@ -419,9 +422,12 @@
 		const char *name;
 		int64_t value;
 	} counts[] = {
-		{ "commits", s->commits },    { "reads", s->reads },
-		{ "vm_reads", s->vms.reads }, { "vm_bodies", s->vms.bodies },
+		{ "commits", s->commits },
+		{ "reads", s->reads },
+		{ "vm_reads", s->vms.reads },
+		{ "vm_bodies", s->vms.bodies },
 		{ "vm_bytes", s->vms.bytes },
+		{ "lost_answers", s->lost_answers },
 	};
 	json_object *body = json_object_new_object();
 
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -399,6 +399,25 @@
 	return cluster_wait(has_state, &w, timeout_ms);
 }
 
+static gboolean has_lost_answer(void *data)
+{
+	struct gang_cluster *g = data;
+	struct cluster_reply r =
+		cluster_call(g->cluster, "GET", g->platform, "/control/writes",
+			     NULL, NULL, 300);
+	gboolean has_lost = json_object_get_int64(json_object_object_get(
+				    r.body, "lost_answers")) > 0;
+
+	cluster_reply_clear(&r);
+	return has_lost;
+}
+
+gboolean gang_cluster_wait_lost_answer(struct gang_cluster *g,
+				       int64_t timeout_ms)
+{
+	return cluster_wait(has_lost_answer, g, timeout_ms);
+}
+
 static const char *member_text(json_object *item, const char *member)
 {
 	return json_object_get_string(json_object_object_get(item, member));
--- a/tests/gang_cluster.h
+++ b/tests/gang_cluster.h
@@ -115,6 +115,10 @@
 char *gang_cluster_row_member(struct gang_cluster *g, const char *id,
 			      const char *member);
 
+/** Waits until the platform has lost an answer; returns FALSE on timeout. */
+gboolean gang_cluster_wait_lost_answer(struct gang_cluster *g,
+				       int64_t timeout_ms);
+
 /** Waits until a job's row has a state; returns FALSE on timeout. */
 gboolean gang_cluster_wait_state(struct gang_cluster *g, const char *id,
 				 const char *state, int64_t timeout_ms);
--- a/tests/gang_faults.c
+++ b/tests/gang_faults.c
@@ -192,9 +192,22 @@
 	wait_events(g, "gang", "reserved", 3);
 }
 
+/* Returns TRUE if the gang's row has been committed, or a later step. */
+static gboolean is_committed(void *data)
+{
+	char *state = gang_cluster_row_member(data, "gang", "state");
+	gboolean is_done = g_str_equal(state, "committed") ||
+			   g_str_equal(state, "running");
+
+	g_free(state);
+	return is_done;
+}
+
 /*
  * Pauses the holder while the job is submitted: otherwise it may find the job
- * by a scan and write the row before answers are lost.
+ * by a scan and write the row before answers are lost. The row may stay in the
+ * state committed for a few milliseconds only, so the platform tells when it
+ * has lost the answer; the write took effect before.
  */
 static void reach_answer_lost(struct gang_cluster *g)
 {
@@ -204,7 +217,8 @@
 			"{\"lose_answers\":1,\"lose_table\":\"jobs\"}");
 	resume_schedulers(g);
 	gang_cluster_poke(g, "gang");
-	wait_state(g, "gang", "committed");
+	g_assert_true(gang_cluster_wait_lost_answer(g, STEP_TIMEOUT_MS));
+	g_assert_true(cluster_wait(is_committed, g, STEP_TIMEOUT_MS));
 }
 
 static void reach_starting(struct gang_cluster *g)
