--- a/entry/delegate_message.h
+++ b/entry/delegate_message.h
@@ -12,6 +12,8 @@
  * address for requests that another VM hands over.
  */
 #define DELEGATE_TABLE "delegates"
+/** Largest valid "cpu_share" in cores; the smallest is above 0. */
+#define DELEGATE_MAX_CPU_SHARE 1024
 
 enum delegate_message {
 	/**
--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -297,10 +297,13 @@
 static void on_row(void *data, const struct table_row *row, int64_t store_ms)
 {
 	struct delegate_pool *p = data;
+	double share =
+		json_object_get_double(json_member(row->value, "cpu_share"));
 	struct delegate_link *d;
 
 	g_hash_table_remove(p->delegates, row->key);
 	if (row->is_deleted || g_str_equal(row->key, p->node) ||
+	    !(share > 0 && share <= DELEGATE_MAX_CPU_SHARE) ||
 	    !json_member_text(row->value, "address") ||
 	    !json_member_text(row->value, "failure_domain") ||
 	    !json_member_text(row->value, "token"))
@@ -312,8 +315,7 @@
 	d->failure_domain =
 		g_strdup(json_member_text(row->value, "failure_domain"));
 	d->token = g_strdup(json_member_text(row->value, "token"));
-	d->cpu_share =
-		json_object_get_double(json_member(row->value, "cpu_share"));
+	d->cpu_share = share;
 	d->row_version = row->version;
 	g_hash_table_insert(p->delegates, d->node, d);
 }
--- a/entry/peer_list.c
+++ b/entry/peer_list.c
@@ -1,6 +1,7 @@
 #include "entry/peer_list.h"
 
 #include "base/json_member.h"
+#include "entry/delegate_message.h"
 
 static void peer_free(gpointer data)
 {
@@ -43,7 +44,9 @@
 	double share = json_object_get_double(json_member(row, "cpu_share"));
 	struct peer *p;
 
-	if (!address || !domain || !(share > 0) || g_str_equal(node, l->self))
+	if (!address || !domain ||
+	    !(share > 0 && share <= DELEGATE_MAX_CPU_SHARE) ||
+	    g_str_equal(node, l->self))
 		return;
 	p = g_hash_table_lookup(l->peers, node);
 	if (!p || !g_str_equal(p->address, address)) {
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -1,7 +1,10 @@
 #include "sched/leadership.h"
 
 #include "base/json_member.h"
+#include "base/log.h"
 
+/* Largest plausible epoch; it grows by one with each takeover. */
+#define MAX_EPOCH (INT64_C(1) << 53)
 /* Renewal interval of a holder: less than half of the time to a takeover, so
  * that one renewal may fail. */
 #define RENEW_INTERVAL_MS 400
@@ -29,6 +32,20 @@
 	g_free(l->holder);
 }
 
+/* Raises the highest known epoch by the one in a row. */
+static void record_epoch(struct leadership *l, int64_t epoch)
+{
+	struct log_line line;
+
+	if (epoch >= 0 && epoch <= MAX_EPOCH) {
+		l->epoch = MAX(l->epoch, epoch);
+		return;
+	}
+	log_begin(&line, LOG_LEVEL_ERROR, "lease_epoch_invalid");
+	log_int(&line, "epoch", epoch);
+	log_end(&line);
+}
+
 void leadership_record_row(struct leadership *l, json_object *row,
 			   int64_t version, int64_t now_ms)
 {
@@ -39,7 +56,7 @@
 	l->has_read_row = TRUE;
 	l->version = version;
 	l->unchanged_since_ms = now_ms;
-	l->epoch = MAX(l->epoch, json_member_int(row, "epoch"));
+	record_epoch(l, json_member_int(row, "epoch"));
 	g_free(l->holder);
 	l->holder = g_strdup(holder);
 	if (!holder || !holder[0])
--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -34,6 +34,9 @@
 	fi
 }
 
+# In a sanitizer build, undefined behaviour ends the program.
+export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
+
 run_program() {
 	local test=$1 log=$logs/$(basename "$1").log
 	mkdir -p "$log.tmp"
