A takeover connects to the delegates while it still reads its tables

Cause: the table of delegates was read, and the connections made, only once all other tables had been read; an unreachable VM adds up to 0.3 s to that. Change: the registrations of workers tell early that the pool is large, and the connections begin then. Sessions of the HTTP client last 10 to 20 s and end with the first of their addresses that is not used any more: a worker accepts 64 connections from all processes together.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -17,8 +17,8 @@
  */
 #define SESSION_IDLE_TIMEOUT_S 0
 /** Time until calls to the addresses of a session use another session. */
-#define MIN_SESSION_LIFETIME_MS 20000
-#define MAX_SESSION_LIFETIME_MS 40000
+#define MIN_SESSION_LIFETIME_MS 10000
+#define MAX_SESSION_LIFETIME_MS 20000
 
 /*
  * A libsoup session scans all its idle connections on each call, and each
@@ -135,7 +135,10 @@
 	a->session->addresses++;
 }
 
-/* Removes unused addresses, and sessions without addresses and calls. */
+/*
+ * Removes unused addresses, and sessions without addresses and calls. A session
+ * ends with the first of its addresses, as servers limit their connections.
+ */
 static gboolean on_sweep(gpointer data)
 {
 	struct http_client *c = data;
@@ -150,6 +153,7 @@
 		if (a->calls || now_ms < a->last_used_ms + ADDRESS_IDLE_MS)
 			continue;
 		a->session->addresses--;
+		a->session->end_ms = MIN(a->session->end_ms, now_ms);
 		g_hash_table_iter_remove(&iter);
 	}
 	for (guint i = c->sessions->len; i-- > 0;) {
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -268,6 +268,7 @@
 	w = fleet_worker(&s->scheduler.fleet, row->key);
 	if (w && g_hash_table_contains(s->recorded_workers, row->key))
 		w->is_use_stored = TRUE;
+	worker_calls_prepare(s->calls);
 	schedule_plan(s);
 }
 
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -123,6 +123,12 @@
 	       c->spec.delegate_min_workers;
 }
 
+void worker_calls_prepare(struct worker_calls *c)
+{
+	if (is_delegated(c))
+		delegate_pool_is_ready(c->delegates);
+}
+
 static void send_call(struct worker_calls *c, const struct fleet_worker *w,
 		      const char *path, json_object *body, int64_t timeout_ms,
 		      int64_t max_silence_ms, http_reply_fn fn,
--- a/entry/worker_calls.h
+++ b/entry/worker_calls.h
@@ -38,6 +38,12 @@
 /** Ignores the outcome of all calls in flight, at the end of an epoch. */
 void worker_calls_reset(struct worker_calls *c);
 
+/**
+ * Connects to the other VMs that make the calls, if the pool is large. Called
+ * while a takeover still reads its tables, it saves this time later.
+ */
+void worker_calls_prepare(struct worker_calls *c);
+
 /**
  * Orders a worker to start a task. The outcome is passed to
  * fleet_scheduler_start_answered().
