Sessions of the HTTP client last 60 to 120 s; 32 connections to the store

A takeover reads some 20 parts of tables at once, more than the 16 connections to the store so far: a renewal of the lease might have waited for one of them.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -17,8 +17,8 @@
  */
 #define SESSION_IDLE_TIMEOUT_S 0
 /** Time until calls to the addresses of a session use another session. */
-#define MIN_SESSION_LIFETIME_MS 10000
-#define MAX_SESSION_LIFETIME_MS 20000
+#define MIN_SESSION_LIFETIME_MS 60000
+#define MAX_SESSION_LIFETIME_MS 120000
 
 /*
  * A libsoup session scans all its idle connections on each call, and each
--- a/store/call_sender.c
+++ b/store/call_sender.c
@@ -10,7 +10,9 @@
 #include "store/platform_counters.h"
 #include "store/store_gate.h"
 
-#define MAX_CONNECTIONS 16
+/* A takeover reads some 20 parts of tables at the same time, and a renewal of
+ * the lease must not wait for them. */
+#define MAX_CONNECTIONS 32
 #define MAX_CALLS_IN_FLIGHT 1000
 #define MAX_WAITING 1000
 #define RETRY_INTERVAL_MS 5 /* between attempts to send queued calls */
