Tests of withdrawn keys over restarts and forgotten changes

Other operators saw a withdrawn key in use again after a restart. It can't happen here: a restarted VM is ready only once it has read the whole configuration, and a feed whose changes are gone reads its table again. Result: /entry/withdrawn-key/restart and /changes-forgotten pass with the code as it was.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -14,19 +14,24 @@
 /* More than WORKERS, so that calls are not delegated. */
 #define NO_DELEGATION_MIN_WORKERS 1000
 #define WAIT_MS 20000
+#define UNAUTHORIZED 401
+/* Calls with a withdrawn key after a restart. */
+#define KEY_CALLS 12
 #define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
 
-#define CONFIG(version, prefix)                                             \
+#define CONFIG(version, prefix, key)                                        \
 	"{\"Version\":" version ",\"Routes\":[{\"Name\":\"spot\",\"Host\":" \
 	"\"wind.example\",\"PathPrefix\":\"" prefix "\",\"Service\":"       \
 	"\"salkhi\",\"Priority\":0,\"MaxAttempts\":2,\"Stretch\":1.5,"      \
 	"\"TargetLatencyMs\":250}],\"Services\":[{\"Name\":\"salkhi\"}],"   \
-	"\"Tenants\":[{\"Name\":\"rescue\",\"ApiKeys\":[\"k1\"],"           \
+	"\"Tenants\":[{\"Name\":\"rescue\",\"ApiKeys\":[\"" key "\"],"      \
 	"\"Guaranteed\":{\"Gpu\":8}}]}"
 
-static const char config_text[] = CONFIG("1", "/spot/");
+static const char config_text[] = CONFIG("1", "/spot/", "k1");
 /* The same with another path prefix. */
-static const char newer_config_text[] = CONFIG("2", "/more/");
+static const char newer_config_text[] = CONFIG("2", "/more/", "k1");
+/* The same with another key. */
+static const char other_key_config_text[] = CONFIG("2", "/spot/", "k2");
 
 struct site {
 	struct cluster *cluster;
@@ -857,6 +862,56 @@
 	site_free(s);
 }
 
+struct key_wait {
+	struct site *site;
+	guint entry;
+	guint code;
+};
+
+static gboolean is_key_refused(void *data)
+{
+	struct key_wait *w = data;
+
+	w->code =
+		call(w->site, w->entry, "GET", "0000000000000ca1", NULL, NULL);
+	return w->code == UNAUTHORIZED;
+}
+
+/*
+ * A key that was withdrawn stays refused after all VMs have been restarted,
+ * also if the store no longer has the changes that withdrew it.
+ */
+static void test_withdrawn_key(gconstpointer data)
+{
+	struct site *s = site_new();
+	char *control =
+		g_strdup_printf("{\"config\":%s}", other_key_config_text);
+
+	g_assert_cmpuint(submit(s, 0, "0000000000000ca1", 200), ==, 200);
+	cluster_control(s->cluster, s->store, control);
+	for (guint i = 0; i < ENTRIES; i++) {
+		struct key_wait w = { s, i, 0 };
+		gboolean is_refused = cluster_wait(is_key_refused, &w, WAIT_MS);
+
+		g_assert_true(is_refused);
+	}
+	if (data)
+		cluster_control(s->cluster, s->store, data);
+	restart_all(s);
+	for (guint i = 0; i < KEY_CALLS; i++) {
+		guint code = call(s, i % ENTRIES, i % 3 ? "GET" : "DELETE",
+				  "0000000000000ca1", NULL, NULL);
+
+		g_assert_cmpuint(code, ==, UNAUTHORIZED);
+		g_assert_cmpuint(
+			submit(s, i % ENTRIES, "0000000000000ca2", 200), ==,
+			UNAUTHORIZED);
+	}
+	g_assert_cmpint(count_starts(s), <=, 2);
+	g_free(control);
+	site_free(s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -883,6 +938,10 @@
 			     test_odd_registrations);
 	g_test_add_data_func("/entry/odd-registrations/delegated",
 			     GUINT_TO_POINTER(1), test_odd_registrations);
+	g_test_add_data_func("/entry/withdrawn-key/restart", NULL,
+			     test_withdrawn_key);
+	g_test_add_data_func("/entry/withdrawn-key/changes-forgotten",
+			     "{\"forget_changes\":true}", test_withdrawn_key);
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/cancel-at-takeover", test_cancel_at_takeover);
