--- a/base/http_client.c
+++ b/base/http_client.c
@@ -16,9 +16,12 @@
  * closed together with their session.
  */
 #define SESSION_IDLE_TIMEOUT_S 0
-/** Time until calls to the addresses of a session use another session. */
-#define MIN_SESSION_LIFETIME_MS 60000
-#define MAX_SESSION_LIFETIME_MS 120000
+/**
+ * Time until calls to the addresses of a session use another session. The end
+ * of its last call included, it is below the idle limit of base/http_server.c.
+ */
+#define MIN_SESSION_LIFETIME_MS 30000
+#define MAX_SESSION_LIFETIME_MS 50000
 
 /*
  * A libsoup session scans all its idle connections on each call, and each
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -12,8 +12,8 @@
 	void *data;
 };
 
-/* The idle limit exceeds that of base/http_client.c, so that the client closes
- * idle connections. */
+/* The idle limit exceeds the lifetime of the sessions of base/http_client.c, so
+ * that the client closes idle connections. */
 static const struct connection_limits default_limits = {
 	.max_connections = 2000,
 	.idle_ms = 60000,
