Progress is read like the other tables of a takeover

Cause: since all tables are read at the same time, the feed of progress rows had its own start, its own check and its own end beside the table of feeds, and two ways for a row: merged at once, or kept until the jobs had been read. Change: it is one of the feeds, and all its rows are applied where everything else is that has to wait for all tables. Nothing was planned earlier either.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -32,6 +32,7 @@
 
 enum feed_kind {
 	FEED_JOBS,
+	FEED_PROGRESS,
 	FEED_CANCELS,
 	FEED_WORKERS,
 	FEED_WORKER_USE,
@@ -46,10 +47,8 @@
 	struct worker_calls *calls;
 	struct progress_writer *writer;
 	struct table_feed *feeds[FEED_COUNT];
-	/* Freed once read: only this holder writes the table in its epoch. */
-	struct table_feed *progress;
-	/* Progress rows by job, read before the rows of all jobs have been. */
-	GHashTable *early_progress; /* id to struct progress_row */
+	/* Progress rows by job, not applied before all tables were read. */
+	GHashTable *pending_progress; /* id to struct progress_row */
 	/* Set of ids of cancelled jobs whose rows, or whose progress, have not
 	 * been read yet. */
 	GHashTable *pending_cancels;
@@ -137,11 +136,11 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* Ends the feeds that would only return this holder's own writes from now on.
- * A feed can't be freed while it reports that it is synced. */
+/* Ends the feeds of tables that only this holder writes in its epoch. A feed
+ * can't be freed while it reports that it is synced. */
 static void end_read_feeds(struct pool_holder *s)
 {
-	g_clear_pointer(&s->progress, table_feed_free);
+	g_clear_pointer(&s->feeds[FEED_PROGRESS], table_feed_free);
 	g_clear_pointer(&s->feeds[FEED_WORKER_USE], table_feed_free);
 }
 
@@ -201,40 +200,24 @@
 	schedule_plan(s);
 }
 
+/*
+ * Keeps a row until all tables have been read: its job may be read later. The
+ * rows don't change meanwhile, as each write of the previous holder depends on
+ * its own term.
+ */
 static void on_progress_row(void *data, const struct table_row *row,
 			    int64_t store_ms)
 {
 	struct pool_holder *s = data;
-	struct progress_row *early;
+	struct progress_row *pending;
 
 	/* Once all is read, rows of this table are this holder's own. */
 	if (row->is_deleted || s->is_ready)
 		return;
-	if (table_feed_is_synced(s->feeds[FEED_JOBS])) {
-		fleet_scheduler_merge_progress(&s->scheduler, row->key,
-					       row->value, row->version);
-		return;
-	}
-	early = g_new0(struct progress_row, 1);
-	early->value = json_object_get(row->value);
-	early->version = row->version;
-	g_hash_table_replace(s->early_progress, g_strdup(row->key), early);
-}
-
-static void merge_early_progress(struct pool_holder *s)
-{
-	GHashTableIter iter;
-	gpointer id;
-	gpointer row;
-
-	g_hash_table_iter_init(&iter, s->early_progress);
-	while (g_hash_table_iter_next(&iter, &id, &row)) {
-		const struct progress_row *r = row;
-
-		fleet_scheduler_merge_progress(&s->scheduler, id, r->value,
-					       r->version);
-		g_hash_table_iter_remove(&iter);
-	}
+	pending = g_new0(struct progress_row, 1);
+	pending->value = json_object_get(row->value);
+	pending->version = row->version;
+	g_hash_table_replace(s->pending_progress, g_strdup(row->key), pending);
 }
 
 static void log_unreadable_worker(struct pool_holder *s, const char *id)
@@ -306,7 +289,16 @@
 	int64_t now_ms = util_monotonic_ms();
 	GHashTableIter iter;
 	gpointer id;
+	gpointer row;
 
+	g_hash_table_iter_init(&iter, s->pending_progress);
+	while (g_hash_table_iter_next(&iter, &id, &row)) {
+		const struct progress_row *r = row;
+
+		fleet_scheduler_merge_progress(&s->scheduler, id, r->value,
+					       r->version);
+	}
+	g_hash_table_remove_all(s->pending_progress);
 	g_hash_table_iter_init(&iter, s->pending_cancels);
 	while (g_hash_table_iter_next(&iter, &id, NULL)) {
 		if (!fleet_job(&s->scheduler.fleet, id))
@@ -329,7 +321,7 @@
 		if (!table_feed_is_synced(s->feeds[i]))
 			return FALSE;
 	}
-	return table_feed_is_synced(s->progress);
+	return TRUE;
 }
 
 /* Becomes ready once all tables have been read. */
@@ -337,11 +329,7 @@
 {
 	struct pool_holder *s = data;
 
-	if (s->is_ready)
-		return;
-	if (table_feed_is_synced(s->feeds[FEED_JOBS]))
-		merge_early_progress(s);
-	if (!are_feeds_synced(s))
+	if (s->is_ready || !are_feeds_synced(s))
 		return;
 	s->is_ready = TRUE;
 	apply_read_rows(s);
@@ -349,25 +337,6 @@
 	schedule_plan(s);
 }
 
-/*
- * Reads the progress of all jobs. The rows don't change meanwhile: each write
- * of the previous holder depends on its own term.
- */
-static void start_progress_feed(struct pool_holder *s)
-{
-	const struct table_feed_spec spec = {
-		.platform = s->platform,
-		.table = JOB_PROGRESS_TABLE,
-		.parts = holder_parts,
-		.wait_ms = FEED_WAIT_MS,
-		.on_row = on_progress_row,
-		.on_synced = on_synced,
-		.data = s,
-	};
-
-	s->progress = table_feed_new(&spec);
-}
-
 static void start_feed(struct pool_holder *s, enum feed_kind kind)
 {
 	static const struct {
@@ -377,6 +346,8 @@
 			       int64_t store_ms);
 	} kinds[FEED_COUNT] = {
 		[FEED_JOBS] = { JOB_TABLE, job_parts, on_job_row },
+		[FEED_PROGRESS] = { JOB_PROGRESS_TABLE, holder_parts,
+				    on_progress_row },
 		[FEED_CANCELS] = { JOB_CANCEL_TABLE, job_parts, on_cancel_row },
 		[FEED_WORKERS] = { WIRE_WORKER_TABLE, NULL, on_worker_row },
 		[FEED_WORKER_USE] = { WORKER_USE_TABLE, holder_parts,
@@ -399,10 +370,9 @@
 {
 	for (guint i = 0; i < FEED_COUNT; i++)
 		g_clear_pointer(&s->feeds[i], table_feed_free);
-	g_clear_pointer(&s->progress, table_feed_free);
 	worker_calls_reset(s->calls);
 	progress_writer_reset(s->writer);
-	g_hash_table_remove_all(s->early_progress);
+	g_hash_table_remove_all(s->pending_progress);
 	g_hash_table_remove_all(s->pending_cancels);
 	g_hash_table_remove_all(s->recorded_workers);
 	g_hash_table_remove_all(s->unreadable_workers);
@@ -444,7 +414,6 @@
 	s->is_holding = TRUE;
 	for (guint i = 0; i < FEED_COUNT; i++)
 		start_feed(s, i);
-	start_progress_feed(s);
 }
 
 static void on_lost(void *data)
@@ -532,7 +501,7 @@
 		worker_calls_free(s->calls);
 		fleet_scheduler_clear(&s->scheduler);
 	}
-	g_hash_table_unref(s->early_progress);
+	g_hash_table_unref(s->pending_progress);
 	g_hash_table_unref(s->pending_cancels);
 	g_hash_table_unref(s->recorded_workers);
 	g_hash_table_unref(s->unreadable_workers);
@@ -550,8 +519,8 @@
 	struct pool_holder *s = g_new0(struct pool_holder, 1);
 
 	s->base.class = &pool_holder_class;
-	s->early_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
-						  g_free, progress_row_free);
+	s->pending_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, progress_row_free);
 	s->pending_cancels =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->recorded_workers =
