The ETag of a reply is the header that its caller asks for

Cause: the HTTP client read the ETag of every reply, for the one reader of the VM list, and since requests are forwarded also a header that the caller names. Change: the store's client names the ETag; the field of its own is gone. Result: same replies; test_vm_list and test_platform pass.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -460,9 +460,6 @@
 	if (bytes) {
 		reply.code = soup_message_get_status(call->message);
 		text = set_reply_body(call, bytes, &reply);
-		reply.etag = soup_message_headers_get_one(
-			soup_message_get_response_headers(call->message),
-			"ETag");
 		if (call->wanted_header)
 			reply.header = soup_message_headers_get_one(
 				soup_message_get_response_headers(
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -29,7 +29,6 @@
 	json_object *body;  /**< NULL if absent or not JSON; borrowed */
 	const char *text;   /**< the raw body, NULL without a response */
 	GBytes *bytes;	    /**< the raw body if wants_bytes was set */
-	const char *etag;   /**< the ETag header, NULL if absent */
 	const char *header; /**< the one that was asked for, NULL if absent */
 	/**
 	 * The request was sent before on a connection that ended or stayed
--- a/store/call_sender.c
+++ b/store/call_sender.c
@@ -19,7 +19,8 @@
 /* A call queued for longer than the timeout divided by this is refused. */
 #define MAX_WAIT_DIVISOR 2
 #define FAILURE_DOMAIN_HEADER "Cs-Failure-Domain"
-#define ETAG_HEADER "If-None-Match"
+#define ETAG_HEADER "ETag"
+#define KNOWN_ETAG_HEADER "If-None-Match"
 
 struct call_sender {
 	struct http_client *client;
@@ -117,7 +118,7 @@
 	struct call_sender *s = call->sender;
 	const char *const headers[] = { FAILURE_DOMAIN_HEADER,
 					s->failure_domain,
-					call->etag ? ETAG_HEADER : NULL,
+					call->etag ? KNOWN_ETAG_HEADER : NULL,
 					call->etag, NULL };
 	struct http_call_spec http = {
 		.method = call->method,
@@ -126,6 +127,7 @@
 		.body = call->body,
 		.headers = headers,
 		.wants_bytes = call->decode_answer == platform_answer_vm_list,
+		.wanted_header = ETAG_HEADER,
 		.may_reuse = call->may_reuse,
 		.on_reply = on_reply,
 		.data = call,
--- a/store/platform_answer.c
+++ b/store/platform_answer.c
@@ -161,7 +161,7 @@
 	struct platform_result result = {
 		.status = STATUS_OK,
 		.bytes = reply->bytes,
-		.etag = reply->etag,
+		.etag = reply->header,
 	};
 
 	if (!reply->bytes)
