Two tests wait by cluster_sleep() instead of loops of their own

Change: test_http_client and test_table_feed each had a copy of a wait that runs the main loop; the harness has one.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -8,6 +8,7 @@
 #include "base/http_client.h"
 #include "base/http_server.h"
 #include "base/util.h"
+#include "tests/cluster.h"
 
 #define MAX_SERVERS 100
 #define ROUNDS 3
@@ -162,12 +163,6 @@
 		http_server_free(servers[i]);
 }
 
-static gboolean on_elapsed(gpointer data)
-{
-	*(gboolean *)data = TRUE;
-	return G_SOURCE_REMOVE;
-}
-
 /*
  * Each session adds work to every main loop iteration, so their number must
  * follow the number of addresses in use, up and down.
@@ -177,7 +172,6 @@
 	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
 	struct http_server *servers[MAX_SERVERS];
 	struct tally t = { 0 };
-	gboolean is_elapsed = FALSE;
 
 	for (guint i = 0; i < MAX_SERVERS; i++) {
 		servers[i] = new_server();
@@ -185,9 +179,7 @@
 	}
 	await(&t, MAX_SERVERS);
 	g_assert_cmpuint(http_client_sessions(c), <=, MAX_SERVERS / 4);
-	g_timeout_add(SESSION_EXPIRY_MS, on_elapsed, &is_elapsed);
-	while (!is_elapsed)
-		g_main_context_iteration(NULL, TRUE);
+	cluster_sleep(SESSION_EXPIRY_MS);
 	call(c, servers[0], &t);
 	await(&t, MAX_SERVERS + 1);
 	g_assert_cmpuint(t.answered, ==, MAX_SERVERS + 1);
@@ -292,15 +284,6 @@
 	}
 }
 
-static void run_for(guint ms)
-{
-	gboolean has_elapsed = FALSE;
-
-	g_timeout_add(ms, on_elapsed, &has_elapsed);
-	while (!has_elapsed)
-		g_main_context_iteration(NULL, TRUE);
-}
-
 /* Makes calls for longer than a session takes any, while the first waits. */
 static void check_sessions_change(struct http_client *c, struct http_server *s,
 				  struct silent_server *silent)
@@ -309,7 +292,7 @@
 
 	call(c, s, &t);
 	for (guint i = 1; i <= 8; i++) {
-		run_for(200);
+		cluster_sleep(200);
 		call(c, s, &t);
 		await(&t, i);
 	}
@@ -336,7 +319,7 @@
 	g_assert_cmpint(http_server_listen(s, "127.0.0.1", 0), ==, STATUS_OK);
 	check_sessions_change(c, s, &silent);
 	session_lifetime_ms = 0;
-	run_for(SESSION_EXPIRY_MS + 1000);
+	cluster_sleep(SESSION_EXPIRY_MS + 1000);
 	g_assert_cmpuint(http_client_sessions(c), ==, 0);
 	http_client_free(c);
 	http_server_free(s);
@@ -431,7 +414,7 @@
 		g_test_message("%s", x->name);
 		call(c, s, &t);
 		await(&t, 1);
-		run_for(x->idle_ms);
+		cluster_sleep(x->idle_ms);
 		call(c, s, &t);
 		g_usleep(x->stall_ms * US_PER_MS);
 		start_ms = util_monotonic_ms();
--- a/tests/test_table_feed.c
+++ b/tests/test_table_feed.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "entry/table_feed.h"
+#include "tests/cluster.h"
 
 #define TABLE "jobs"
 #define MAX_CALLS 16
@@ -173,21 +174,6 @@
 	call_free(c);
 }
 
-static gboolean on_elapsed(gpointer data)
-{
-	*(gboolean *)data = TRUE;
-	return G_SOURCE_REMOVE;
-}
-
-static void run_for(guint ms)
-{
-	gboolean has_elapsed = FALSE;
-
-	g_timeout_add(ms, on_elapsed, &has_elapsed);
-	while (!has_elapsed)
-		g_main_context_iteration(NULL, TRUE);
-}
-
 /* All parts are asked for before any of them has answered. */
 static void test_parts_at_once(void)
 {
@@ -241,7 +227,7 @@
 	answer(&w, "c", 10, NULL, 0, FALSE);
 	g_assert_cmpuint(w.calls->len, ==, 0);
 	for (guint i = 0; i < 3; i++) {
-		run_for(RETRY_WAIT_MS);
+		cluster_sleep(RETRY_WAIT_MS);
 		g_assert_cmpuint(w.calls->len, ==, 1);
 		g_assert_false(table_feed_is_synced(w.feed));
 		if (i < 2)
