One function tells where the next page of a table starts

The forwarder also cancelled its calls before it freed the HTTP client, which ends them without callbacks anyway. Change: platform_next_page_key() and platform_key_after(); the cancelling and the pointer kept for it are gone. A scan doesn't clear keys that the last one left empty.

--- a/entry/forwarder.c
+++ b/entry/forwarder.c
@@ -58,8 +58,7 @@
 	char *path;
 	json_object *body;
 	int64_t end_ms;
-	GPtrArray *tried; /* nodes, of char * */
-	struct http_call *call;
+	GPtrArray *tried;      /* nodes, of char * */
 	gboolean may_have_run; /* an attempt had no definite answer */
 	forward_fn fn;
 	void *data;
@@ -126,7 +125,6 @@
 {
 	struct forward *f = data;
 
-	f->call = NULL;
 	if (is_definite(reply)) {
 		if (reply->header)
 			f->forwarder->seen_version =
@@ -196,7 +194,7 @@
 	headers[n++] = version;
 	g_ptr_array_add(f->tried, g_strdup(peer->node));
 	spec.address = peer->address;
-	f->call = http_client_send(s->client, &spec);
+	http_client_send(s->client, &spec);
 	return TRUE;
 }
 
@@ -277,10 +275,9 @@
 	for (guint i = 0; i < result->row_count; i++)
 		peer_list_add(&s->peers, result->rows[i].key,
 			      result->rows[i].value);
-	g_clear_pointer(&s->next_key, g_free);
-	if (result->has_more && result->row_count) {
-		s->next_key = g_strconcat(
-			result->rows[result->row_count - 1].key, "!", NULL);
+	g_free(s->next_key);
+	s->next_key = platform_next_page_key(result);
+	if (s->next_key) {
 		read_page(s);
 		return;
 	}
@@ -329,14 +326,6 @@
 	return STATUS_OK;
 }
 
-static void cancel_forward(gpointer key, gpointer value, gpointer data)
-{
-	struct forward *f = value;
-
-	if (f->call)
-		http_call_cancel(f->call);
-}
-
 static void forwarder_free(struct service *base)
 {
 	struct forwarder *s = (struct forwarder *)base;
@@ -347,9 +336,9 @@
 		platform_forget(s->platform, s);
 		peer_list_clear(&s->peers);
 	}
-	g_hash_table_foreach(s->forwards, cancel_forward, NULL);
-	g_hash_table_unref(s->forwards);
+	/* Its calls end without their callbacks, which would use a forward. */
 	http_client_free(s->client);
+	g_hash_table_unref(s->forwards);
 	g_rand_free(s->rng);
 	g_free(s->next_key);
 	g_free(s);
--- a/entry/table_feed.c
+++ b/entry/table_feed.c
@@ -168,11 +168,9 @@
 		g_hash_table_add(f->seen_keys, g_strdup(row->key));
 		apply_row(f, row, result->store_clock_ms);
 	}
-	if (result->has_more && result->row_count) {
-		/* The shortest key that sorts after the last one. */
-		g_free(p->next_key);
-		p->next_key = g_strconcat(
-			result->rows[result->row_count - 1].key, "!", NULL);
+	g_free(p->next_key);
+	p->next_key = platform_next_page_key(result);
+	if (p->next_key) {
 		call_page(p);
 		return;
 	}
@@ -201,7 +199,6 @@
 	f->scan_version = INT64_MAX;
 	f->parts_left = f->part_count;
 	for (guint i = 0; i < f->part_count; i++) {
-		g_clear_pointer(&f->parts[i].next_key, g_free);
 		f->parts[i].retry_ms = FIRST_RETRY_MS;
 		call_page(&f->parts[i]);
 	}
--- a/store/platform.c
+++ b/store/platform.c
@@ -85,6 +85,18 @@
 	p->class->watch(p, query, fn, data);
 }
 
+char *platform_key_after(const char *key)
+{
+	return g_strconcat(key, "!", NULL);
+}
+
+char *platform_next_page_key(const struct platform_result *result)
+{
+	if (!result->has_more || !result->row_count)
+		return NULL;
+	return platform_key_after(result->rows[result->row_count - 1].key);
+}
+
 void platform_forget(struct platform *p, const void *data)
 {
 	p->class->forget(p, data);
--- a/store/platform.h
+++ b/store/platform.h
@@ -179,6 +179,13 @@
 void platform_page(struct platform *p, const struct table_page_query *query,
 		   platform_fn fn, void *data);
 
+/** Returns the shortest key that sorts after a key, to be freed. */
+char *platform_key_after(const char *key);
+
+/** Returns the key that the next page starts from, to be freed; NULL after the
+ * last page. */
+char *platform_next_page_key(const struct platform_result *result);
+
 /** Waits for changes of a table; the platform must support watches. */
 void platform_watch(struct platform *p, const struct table_watch_query *query,
 		    platform_fn fn, void *data);
