The tests' relay accepts bursts of connections

The VM that it was handed over to had just acquired the lease and heard nothing from the store for 0.8 s. A takeover opens some twenty connections to the store at once, the relay between them had GLib's listen backlog of 10, and a dropped SYN is sent again after a second.

Change: a backlog of 1,024, as the servers of the product have.

The connecting loop of /http-limits/burst is shared by both tests.

--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -17,6 +17,9 @@
 #define BUFFER_BYTES 16384
 #define MAX_DELAY_MS 600000
 #define MAX_ROUTES 1000
+/* Connections that wait to be accepted; an entry VM opens more at once than
+ * GLib's limit of 10. */
+#define LISTEN_BACKLOG 1024
 #define MAX_ONLY_BYTES 64
 #define ALL_ROUTES INT64_C(-1)
 
@@ -391,6 +394,8 @@
 	GInetSocketAddress *inet;
 
 	r->service = g_socket_service_new();
+	g_socket_listener_set_backlog(G_SOCKET_LISTENER(r->service),
+				      LISTEN_BACKLOG);
 	if (!address || !g_socket_listener_add_address(
 				G_SOCKET_LISTENER(r->service), address,
 				G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -17,6 +17,7 @@
 #define LAST_PORT 31999
 /* Ports per test program, more than any uses at a time. */
 #define PORT_BLOCK 500
+#define BURST_CONNECTIONS 500
 #define LISTEN_TIMEOUT_MS 20000
 #define EXIT_TIMEOUT_MS 10000
 /* Timeout of one readiness request; callers repeat it. */
@@ -482,6 +483,27 @@
 	return holds;
 }
 
+void cluster_connect_burst(uint16_t port)
+{
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+	GSocket *sockets[BURST_CONNECTIONS];
+
+	for (guint i = 0; i < BURST_CONNECTIONS; i++) {
+		GError *error = NULL;
+
+		sockets[i] =
+			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+				     G_SOCKET_PROTOCOL_TCP, NULL);
+		g_socket_set_timeout(sockets[i], 1);
+		g_socket_connect(sockets[i], address, NULL, &error);
+		g_assert_no_error(error);
+	}
+	for (guint i = 0; i < BURST_CONNECTIONS; i++)
+		g_object_unref(sockets[i]);
+	g_object_unref(address);
+}
+
 static gboolean never(void *data)
 {
 	return FALSE;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -167,6 +167,14 @@
 gboolean cluster_wait(cluster_condition condition, void *data,
 		      int64_t timeout_ms);
 
+/**
+ * Opens many connections at the same time; asserts that each is established
+ * within a second, before TCP would send a lost first packet again.
+ *
+ * @param port		of the server, at 127.0.0.1
+ */
+void cluster_connect_burst(uint16_t port);
+
 /** Runs the main loop for a time. */
 void cluster_sleep(int64_t time_ms);
 
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -8,7 +8,6 @@
 #define MAX_CONNECTIONS 4
 #define MAX_BODY_BYTES 1000
 #define WAIT_MS 5000
-#define BURST_CONNECTIONS 500
 
 static const struct connection_limits limits = {
 	.max_connections = MAX_CONNECTIONS,
@@ -318,23 +317,7 @@
  */
 static void test_burst(struct fixture *f, gconstpointer data)
 {
-	GSocketAddress *address = g_inet_socket_address_new_from_string(
-		"127.0.0.1", http_server_port(f->server));
-	GSocket *sockets[BURST_CONNECTIONS];
-
-	for (guint i = 0; i < BURST_CONNECTIONS; i++) {
-		GError *error = NULL;
-
-		sockets[i] =
-			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-				     G_SOCKET_PROTOCOL_TCP, NULL);
-		g_socket_set_timeout(sockets[i], 1);
-		g_socket_connect(sockets[i], address, NULL, &error);
-		g_assert_no_error(error);
-	}
-	for (guint i = 0; i < BURST_CONNECTIONS; i++)
-		g_object_unref(sockets[i]);
-	g_object_unref(address);
+	cluster_connect_burst(http_server_port(f->server));
 }
 
 static const struct {
--- a/tests/test_standins.c
+++ b/tests/test_standins.c
@@ -1,6 +1,8 @@
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 
+#include "base/util.h"
 #include "tests/cluster.h"
 
 /* A call to a stand-in and the expected reply. */
@@ -305,6 +307,7 @@
 
 struct relay {
 	struct cluster *cluster;
+	struct cluster_process *process;
 	char *control;
 	char *address;
 };
@@ -336,30 +339,63 @@
 	{ "{\"mode\":\"pass\"}", STATUS_OK },
 };
 
+static void relay_init(struct relay *r)
+{
+	char *target;
+	char *route;
+
+	r->cluster = cluster_new();
+	target = cluster_listen_address(
+		cluster_spawn(r->cluster, "cs-standin-runner", "runner", NULL),
+		0);
+	route = g_strdup_printf("127.0.0.1:0=%s", target);
+	r->process = cluster_spawn(r->cluster, "cs-standin-relay", "relay",
+				   CLUSTER_ARGS("--route", route));
+	r->control = cluster_log_value(r->process, "control", 0);
+	r->address = cluster_listen_address(r->process, 0);
+	g_free(target);
+	g_free(route);
+}
+
+static void relay_clear(struct relay *r)
+{
+	g_free(r->control);
+	g_free(r->address);
+	cluster_free(r->cluster);
+}
+
 static void test_relay(void)
 {
-	struct cluster *c = cluster_new();
-	struct cluster_process *p =
-		cluster_spawn(c, "cs-standin-runner", "runner", NULL);
-	char *target = cluster_listen_address(p, 0);
-	char *route = g_strdup_printf("127.0.0.1:0=%s", target);
-	struct relay r = { .cluster = c };
-
-	p = cluster_spawn(c, "cs-standin-relay", "relay",
-			  CLUSTER_ARGS("--route", route));
-	r.control = cluster_log_value(p, "control", 0);
-	r.address = cluster_listen_address(p, 0);
+	struct relay r;
+
+	relay_init(&r);
 	for (guint i = 0; i < G_N_ELEMENTS(relay_cases); i++) {
 		g_test_message("relay case %u", i);
-		cluster_control(c, r.control, relay_cases[i].control);
+		cluster_control(r.cluster, r.control, relay_cases[i].control);
 		g_assert_cmpint(call_health(&r, 250), ==,
 				relay_cases[i].status);
 	}
-	g_free(r.control);
-	g_free(r.address);
-	g_free(target);
-	g_free(route);
-	cluster_free(c);
+	relay_clear(&r);
+}
+
+/*
+ * An entry VM that takes over opens some twenty connections to the store at
+ * once. A relay that doesn't run at that moment must not drop any of them: TCP
+ * would repeat it only after a second.
+ */
+static void test_relay_burst(void)
+{
+	struct relay r;
+	uint16_t port;
+	char *host;
+
+	relay_init(&r);
+	g_assert_true(util_parse_endpoint(r.address, &host, &port));
+	cluster_signal(r.process, SIGSTOP);
+	cluster_connect_burst(port);
+	cluster_signal(r.process, SIGCONT);
+	g_free(host);
+	relay_clear(&r);
 }
 
 int main(int argc, char **argv)
@@ -372,5 +408,6 @@
 	g_test_add_func("/standins/runner-slots", test_slots);
 	g_test_add_func("/standins/vm-list-lag", test_vm_list);
 	g_test_add_func("/standins/relay", test_relay);
+	g_test_add_func("/standins/relay-burst", test_relay_burst);
 	return g_test_run();
 }
