The age of the store's last answer includes time in which the VM was suspended

The age was taken from the monotonic clock, which stands still while a VM is suspended. After a suspension of any length a VM believed that it heard the store, and decided on requests, their keys among them, by its old configuration instead of handing them over.

Change: the boot clock, as the lease of the pool has it. No test: a test can't suspend the machine; a stopped process is covered by either clock.

--- a/entry/config_feed.c
+++ b/entry/config_feed.c
@@ -131,5 +131,5 @@
 	int64_t last_answer_ms = table_feed_last_answer_ms(s->feed);
 
 	return last_answer_ms &&
-	       util_monotonic_ms() - last_answer_ms < CONTACT_TIMEOUT_MS;
+	       util_boot_ms() - last_answer_ms < CONTACT_TIMEOUT_MS;
 }
--- a/entry/election.c
+++ b/entry/election.c
@@ -301,7 +301,7 @@
 {
 	int64_t last_ms = table_feed_last_answer_ms(find(k)->feed);
 
-	return last_ms && util_monotonic_ms() - last_ms < STORE_SILENT_MS;
+	return last_ms && util_boot_ms() - last_ms < STORE_SILENT_MS;
 }
 
 void election_step_down(const struct kernel *k)
--- a/entry/table_feed.c
+++ b/entry/table_feed.c
@@ -31,7 +31,7 @@
 	gboolean is_synced;
 	gboolean is_down;	/* the last call failed */
 	int64_t retry_ms;	/* delay of the next retry of a watch */
-	int64_t last_answer_ms; /* monotonic time, 0 for none */
+	int64_t last_answer_ms; /* util_boot_ms(), 0 for none */
 	guint timer;
 	GRand *rng;
 };
@@ -141,7 +141,7 @@
 	gboolean is_ok = result->status == STATUS_OK;
 
 	if (is_ok)
-		f->last_answer_ms = util_monotonic_ms();
+		f->last_answer_ms = util_boot_ms();
 	track_outage(f, is_ok);
 	if (f->spec.on_call_done)
 		f->spec.on_call_done(f->spec.data, is_ok,
--- a/entry/table_feed.h
+++ b/entry/table_feed.h
@@ -35,7 +35,7 @@
 /** Returns TRUE once the whole table has been scanned; FALSE for NULL. */
 gboolean table_feed_is_synced(const struct table_feed *f);
 
-/** Returns the monotonic time of the last answer, 0 for none. */
+/** Returns util_boot_ms() at the last answer, 0 for none. */
 int64_t table_feed_last_answer_ms(const struct table_feed *f);
 
 #endif
