Delegates outlive lost rows and silent holders

Cause, found by reading for other operators' reports (a machine that was only silent is given up): - A holder deletes the row of a VM that it doesn't reach for a minute. A VM registered only at its start, so after such an outage it was neither used as a delegate nor found as a peer until it was restarted; likewise after another writer had overwritten its row. - A delegate kept at most 16 connections of holders and closed new ones beyond that. Connections of holders that were lost without a word stay open, as nothing is sent on them; after 16 such losses no holder was served any more.

Change: the scan for peers, every 10 to 20 s, hands a VM its own row, which is written again if it is missing or not its own; a draining VM doesn't write it. With 16 connections open the one that was silent for longest is closed. An unreadable row of a delegate is logged.

Tests, each failing before: /entry/delegate/row-removed, row-overwritten (not reached again within 30 s), silent-holders (0 delegated calls).

--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -18,7 +18,8 @@
 #define MAX_CALLS 1000
 /* Delay before a failed registration is retried. */
 #define REGISTER_RETRY_MS 500
-/* The holder, and former ones that have not noticed the loss of the lease. */
+/* The holder, and former ones that have not noticed the loss of the lease, or
+ * whose VM was lost without closing its connection. */
 #define MAX_HOLDERS 16
 /* Headers of a delegated call, each a name and a value. */
 #define MAX_HEADER_PAIRS 4
@@ -34,6 +35,7 @@
 	GHashTable *holders; /* set of struct holder_link */
 	char *token;	     /* in this VM's row; holders must present it */
 	int64_t row_version; /* of this VM's row, 0 until registered */
+	gboolean is_draining;
 	guint timer;
 	struct counter *calls;
 };
@@ -43,6 +45,7 @@
 	struct delegate *delegate;
 	struct link_connection *connection;
 	gboolean is_authenticated;
+	int64_t heard_ms;  /* last frame, or when it was connected */
 	GHashTable *calls; /* set of struct delegated_call */
 };
 
@@ -79,7 +82,7 @@
 	log_end(&line);
 }
 
-static void register_delegate(struct delegate *s)
+static json_object *encode_own_row(const struct delegate *s)
 {
 	const struct delegate_row vm = {
 		.failure_domain = s->settings->failure_domain,
@@ -88,7 +91,13 @@
 		.token = s->token,
 		.forward = s->settings->forward,
 	};
-	json_object *row = delegate_row_encode(&vm);
+
+	return delegate_row_encode(&vm);
+}
+
+static void register_delegate(struct delegate *s)
+{
+	json_object *row = encode_own_row(s);
 	struct table_write write = {
 		.table = DELEGATE_TABLE,
 		.key = s->settings->node,
@@ -100,6 +109,34 @@
 	json_object_put(row);
 }
 
+/* The token is new in each process, so it tells the row of this one. */
+static gboolean is_own_row(const struct delegate *s, json_object *row)
+{
+	struct delegate_row vm;
+
+	return delegate_row_decode(row, &vm) &&
+	       g_strcmp0(vm.token, s->token) == 0 &&
+	       g_strcmp0(vm.address, s->settings->internal) == 0 &&
+	       g_strcmp0(vm.forward, s->settings->forward) == 0;
+}
+
+void delegate_check_row(const struct kernel *k, json_object *row)
+{
+	struct delegate *s =
+		(struct delegate *)kernel_find(k, DELEGATE_SERVICE);
+	struct log_line line;
+
+	/* Without a version, the first registration is still on its way. */
+	if (!s->row_version || s->is_draining || is_own_row(s, row))
+		return;
+	log_begin(&line, LOG_LEVEL_WARN, "delegate_row_lost");
+	log_int(&line, "version", s->row_version);
+	log_str(&line, "reason", row ? "overwritten" : "missing");
+	log_end(&line);
+	s->row_version = 0;
+	register_delegate(s);
+}
+
 static void holder_link_free(gpointer data)
 {
 	struct holder_link *l = data;
@@ -195,6 +232,7 @@
 {
 	struct holder_link *l = data;
 
+	l->heard_ms = util_monotonic_ms();
 	if (type == DELEGATE_MESSAGE_HELLO) {
 		l->is_authenticated = g_strcmp0(json_member_text(body, "token"),
 						l->delegate->token) == 0;
@@ -214,6 +252,25 @@
 	g_hash_table_remove(l->delegate->holders, l);
 }
 
+/* Closes the connection that has been silent for longest. The present holder
+ * calls several times a second. */
+static void drop_silent_holder(struct delegate *s)
+{
+	struct holder_link *oldest = NULL;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, s->holders);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		struct holder_link *l = item;
+
+		if (!oldest || l->heard_ms < oldest->heard_ms)
+			oldest = l;
+	}
+	log_holder("delegate_holder_dropped", "silent for longest");
+	g_hash_table_remove(s->holders, oldest);
+}
+
 static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
 			    GObject *source, gpointer data)
 {
@@ -221,9 +278,10 @@
 	struct holder_link *l;
 
 	if (g_hash_table_size(s->holders) >= MAX_HOLDERS)
-		return TRUE;
+		drop_silent_holder(s);
 	l = g_new0(struct holder_link, 1);
 	l->delegate = s;
+	l->heard_ms = util_monotonic_ms();
 	l->calls = g_hash_table_new(NULL, NULL);
 	l->connection = link_connection_new(stream, s->poll, &s->traffic,
 					    on_frame, on_closed, l);
@@ -267,12 +325,13 @@
 		.expected_version = s->row_version,
 	};
 
-	if (!s->row_version)
-		return;
+	s->is_draining = TRUE;
 	platform_forget(s->platform, s);
 	if (s->timer)
 		g_source_remove(s->timer);
 	s->timer = 0;
+	if (!s->row_version)
+		return;
 	platform_commit(s->platform, &removal, 1, NULL, NULL);
 }
 
--- a/entry/delegate.h
+++ b/entry/delegate.h
@@ -18,4 +18,14 @@
 
 struct service *delegate_new(void);
 
+/**
+ * Tells the delegate what a scan has read of its own row in DELEGATE_TABLE. The
+ * row is written again if it is missing or not its own: holders remove the rows
+ * of VMs that they don't reach for long, and this VM may only have been cut
+ * off.
+ *
+ * @param row	NULL if the row is missing
+ */
+void delegate_check_row(const struct kernel *k, json_object *row);
+
 #endif
--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -295,6 +295,15 @@
 					      d->connecting, on_connected, d);
 }
 
+static void log_unreadable(const char *node)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_ERROR, "delegate_row_unreadable");
+	log_str(&line, "delegate", node);
+	log_end(&line);
+}
+
 static void on_row(void *data, const struct table_row *row, int64_t store_ms)
 {
 	struct delegate_pool *p = data;
@@ -302,9 +311,12 @@
 	struct delegate_link *d;
 
 	g_hash_table_remove(p->delegates, row->key);
-	if (row->is_deleted || g_str_equal(row->key, p->node) ||
-	    !delegate_row_decode(row->value, &vm) || !vm.address || !vm.token)
+	if (row->is_deleted || g_str_equal(row->key, p->node))
 		return;
+	if (!delegate_row_decode(row->value, &vm) || !vm.address || !vm.token) {
+		log_unreadable(row->key);
+		return;
+	}
 	d = g_new0(struct delegate_link, 1);
 	d->pool = p;
 	d->node = g_strdup(row->key);
--- a/entry/forwarder.c
+++ b/entry/forwarder.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/util.h"
 #include "entry/config_feed.h"
+#include "entry/delegate.h"
 #include "entry/delegate_row.h"
 #include "entry/entry_store.h"
 #include "entry/peer_list.h"
@@ -38,8 +39,9 @@
 	struct platform *platform;
 	struct http_client *client;
 	struct peer_list peers;
-	char *next_key;	   /* start of the next page, NULL for the first */
-	guint known_peers; /* as last logged */
+	char *next_key;	      /* start of the next page, NULL for the first */
+	json_object *own_row; /* as the current scan has read it, or NULL */
+	guint known_peers;    /* as last logged */
 	guint timer;
 	int64_t seen_version; /* see forwarder_seen_version() */
 	int64_t paused_until_ms;
@@ -263,6 +265,12 @@
 	log_end(&line);
 }
 
+static void set_own_row(struct forwarder *s, json_object *row)
+{
+	json_object_put(s->own_row);
+	s->own_row = json_object_get(row);
+}
+
 static void on_page(const struct platform_result *result, void *data)
 {
 	struct forwarder *s = data;
@@ -272,9 +280,14 @@
 		scan_after(s, SCAN_RETRY_MS);
 		return;
 	}
-	for (guint i = 0; i < result->row_count; i++)
-		peer_list_add(&s->peers, result->rows[i].key,
-			      result->rows[i].value);
+	for (guint i = 0; i < result->row_count; i++) {
+		const struct table_row *row = &result->rows[i];
+
+		if (g_str_equal(row->key, s->peers.self))
+			set_own_row(s, row->value);
+		else
+			peer_list_add(&s->peers, row->key, row->value);
+	}
 	g_free(s->next_key);
 	s->next_key = platform_next_page_key(result);
 	if (s->next_key) {
@@ -283,6 +296,7 @@
 	}
 	peer_list_end_scan(&s->peers);
 	log_peers(s);
+	delegate_check_row(s->kernel, s->own_row);
 	scan_after(s, g_hash_table_size(s->peers.peers) ? SCAN_INTERVAL_MS
 							: SCAN_RETRY_MS);
 }
@@ -303,6 +317,7 @@
 	struct forwarder *s = data;
 
 	s->timer = 0;
+	set_own_row(s, NULL);
 	peer_list_begin_scan(&s->peers);
 	read_page(s);
 	return G_SOURCE_REMOVE;
@@ -340,6 +355,7 @@
 	http_client_free(s->client);
 	g_hash_table_unref(s->forwards);
 	g_rand_free(s->rng);
+	json_object_put(s->own_row);
 	g_free(s->next_key);
 	g_free(s);
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -3,7 +3,7 @@
  * submission, state queries, cancelling and delegation, without faults and with
  * faults of the store, the lease holder and the delegate.
  */
-#include <glib.h>
+#include <gio/gio.h>
 #include <signal.h>
 #include <string.h>
 
@@ -15,6 +15,12 @@
 #define NO_DELEGATION_MIN_WORKERS 1000
 #define WAIT_MS 20000
 #define UNAUTHORIZED 401
+/* Time in which a VM notices that its own row is missing, and more. */
+#define ROW_CHECK_MS 30000
+/* Connections of former holders; more than a delegate keeps. */
+#define SILENT_HOLDERS 20
+/* A delegate that did not answer is used again after this time, and more. */
+#define DELEGATE_RETRY_MS 5000
 /* Calls with a withdrawn key after a restart. */
 #define KEY_CALLS 12
 #define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
@@ -612,6 +618,129 @@
 	site_free(s);
 }
 
+/*
+ * A delegate's row that is lost, or overwritten by another writer, is written
+ * again: the holder removes the row of a VM that it doesn't reach for long, and
+ * the VM may only have been cut off.
+ */
+struct row_case {
+	const char *name;
+	/* Entries of the transaction that spoils the row. */
+	const char *set;
+	const char *removal;
+};
+
+static const struct row_case row_cases[] = {
+	{ "/entry/delegate/row-removed", NULL, "" },
+	/* The value is "[1]". */
+	{ "/entry/delegate/row-overwritten", ",\"Value\":\"WzFd\"", NULL },
+};
+
+struct reach_wait {
+	const struct cluster_process *holder;
+	guint count; /* more delegates than this have been reached */
+};
+
+static gboolean has_reached_again(void *data)
+{
+	const struct reach_wait *w = data;
+
+	return cluster_count_lines(w->holder, "event=delegate_reached") >
+	       w->count;
+}
+
+/* Encodes a row of a transaction on an entry VM's row; "" for none. */
+static char *delegate_row_entry(guint entry, const char *rest)
+{
+	if (!rest)
+		return g_strdup("");
+	return g_strdup_printf("{\"Table\":\"delegates\",\"part\":\"\","
+			       "\"Key\":\"e%u\"%s}",
+			       entry, rest);
+}
+
+static void spoil_delegate_row(struct site *s, guint entry,
+			       const struct row_case *c)
+{
+	char *set = delegate_row_entry(entry, c->set);
+	char *removal = delegate_row_entry(entry, c->removal);
+	char *body = g_strdup_printf(
+		"{\"ExpectedRev\":[],\"SetKeys\":[%s],\"Remove\":[%s]}", set,
+		removal);
+	struct cluster_reply r = cluster_call(s->cluster, "POST", s->store,
+					      "/corianderstep/rows-tx", body,
+					      NULL, CLUSTER_CALL_TIMEOUT_MS);
+
+	g_assert_cmpuint(r.code, ==, 200);
+	cluster_reply_clear(&r);
+	g_free(body);
+	g_free(removal);
+	g_free(set);
+}
+
+static void test_delegate_row(gconstpointer data)
+{
+	struct site *s = site_new_delegating(1);
+	struct reach_wait w;
+	guint holder;
+
+	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
+	holder = holder_index(s);
+	w.holder = s->entries[holder];
+	w.count = cluster_count_lines(w.holder, "event=delegate_reached");
+	spoil_delegate_row(s, 1 - holder, data);
+	g_assert_true(cluster_wait(has_reached_again, &w, ROW_CHECK_MS));
+	g_assert_cmpuint(submit(s, holder, "0000000000000aa4", 200), ==, 200);
+	assert_state(s, holder, "0000000000000aa4", "completed");
+	site_free(s);
+}
+
+static gboolean holds_lease(void *data)
+{
+	return cluster_count_lines(data, "event=lease_acquired");
+}
+
+/*
+ * Connections of former holders that ended without a word, as in a loss of
+ * power, don't keep a delegate from serving the next holder.
+ */
+static void test_silent_holders(void)
+{
+	struct site *s = site_new_delegating(1);
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *former[SILENT_HOLDERS];
+	guint delegate;
+	guint holder;
+	int64_t calls;
+
+	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
+	holder = holder_index(s);
+	delegate = 1 - holder;
+	cluster_signal(s->entries[holder], SIGKILL);
+	g_assert_true(cluster_wait(holds_lease, s->entries[delegate], WAIT_MS));
+	for (guint i = 0; i < SILENT_HOLDERS; i++) {
+		former[i] = g_socket_client_connect_to_host(
+			client, s->internal[delegate], 0, NULL, NULL);
+		g_assert_nonnull(former[i]);
+	}
+	start_entry(s, holder);
+	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
+	/* The restarted VM takes over and uses the paused one as a delegate. */
+	cluster_signal(s->entries[delegate], SIGSTOP);
+	g_assert_true(cluster_wait(holds_lease, s->entries[holder], WAIT_MS));
+	cluster_signal(s->entries[delegate], SIGCONT);
+	cluster_sleep(DELEGATE_RETRY_MS);
+	calls = counter_value(s, delegate, "cs_delegated_calls_total");
+	g_assert_cmpuint(submit(s, holder, "0000000000000aa5", 200), ==, 200);
+	assert_state(s, holder, "0000000000000aa5", "completed");
+	g_assert_cmpint(counter_value(s, delegate, "cs_delegated_calls_total"),
+			>, calls);
+	for (guint i = 0; i < SILENT_HOLDERS; i++)
+		g_object_unref(former[i]);
+	g_object_unref(client);
+	site_free(s);
+}
+
 /* An unresponsive store causes one slow refusal; its recovery is detected. */
 static void test_known_silence(void)
 {
@@ -923,6 +1052,10 @@
 	for (guint i = 0; i < G_N_ELEMENTS(delegate_cases); i++)
 		g_test_add_data_func(delegate_cases[i].name, &delegate_cases[i],
 				     test_delegate);
+	for (guint i = 0; i < G_N_ELEMENTS(row_cases); i++)
+		g_test_add_data_func(row_cases[i].name, &row_cases[i],
+				     test_delegate_row);
+	g_test_add_func("/entry/delegate/silent-holders", test_silent_holders);
 	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++) {
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
