--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -7,13 +7,8 @@
 #include <signal.h>
 #include <string.h>
 
-#include "tests/cluster.h"
+#include "tests/entry_site.h"
 
-#define ENTRIES 2
-#define WORKERS 3
-/* More than WORKERS, so that calls are not delegated. */
-#define NO_DELEGATION_MIN_WORKERS 1000
-#define WAIT_MS 20000
 #define UNAUTHORIZED 401
 /* Time in which a VM notices that its own row is missing, and more. */
 #define ROW_CHECK_MS 30000
@@ -23,238 +18,11 @@
 #define DELEGATE_RETRY_MS 5000
 /* Calls with a withdrawn key after a restart. */
 #define KEY_CALLS 12
-#define KEY_HEADER "Authorization", "Token k1", "Host", "wind.example", NULL
-
-#define CONFIG(version, prefix, key)                                        \
-	"{\"Version\":" version ",\"Routes\":[{\"Name\":\"spot\",\"Host\":" \
-	"\"wind.example\",\"PathPrefix\":\"" prefix "\",\"Service\":"       \
-	"\"salkhi\",\"Priority\":0,\"MaxAttempts\":2,\"Stretch\":1.5,"      \
-	"\"TargetLatencyMs\":250}],\"Services\":[{\"Name\":\"salkhi\"}],"   \
-	"\"Tenants\":[{\"Name\":\"rescue\",\"ApiKeys\":[\"" key "\"],"      \
-	"\"Guaranteed\":{\"Gpu\":8}}]}"
-
-static const char config_text[] = CONFIG("1", "/spot/", "k1");
-/* The same with another path prefix. */
-static const char newer_config_text[] = CONFIG("2", "/more/", "k1");
-/* The same with another key. */
-static const char other_key_config_text[] = CONFIG("2", "/spot/", "k2");
-
-struct site {
-	struct cluster *cluster;
-	struct cluster_process *platform;
-	struct cluster_process *entries[ENTRIES];
-	char *store;
-	char *paths[ENTRIES]; /* relay to the store, NULL without one */
-	char *relay_control;  /* NULL without a relay */
-	char *forwards[ENTRIES];
-	char *frontends[ENTRIES];
-	char *readiness[ENTRIES];
-	char *internal[ENTRIES];
-	guint delegate_min_workers;
-};
-
-static void start_entry(struct site *s, guint i)
-{
-	const struct cluster_entry_spec entry = {
-		.index = i,
-		.frontend = s->frontends[i],
-		.readiness = s->readiness[i],
-		.internal = s->internal[i],
-		.forward = s->forwards[i],
-		.store = s->paths[i] ? s->paths[i] : s->store,
-		.writes_per_s = 500,
-		.lease_ms = 3000,
-		.delegate_min_workers = s->delegate_min_workers,
-	};
-	char *log =
-		g_strdup_printf("e%u-%u.log", i, s->cluster->processes->len);
-
-	s->entries[i] = cluster_spawn_entry(s->cluster, &entry, log);
-	g_free(log);
-}
-
-static gboolean is_ready(void *data)
-{
-	struct site *s = data;
-
-	for (guint i = 0; i < ENTRIES; i++) {
-		if (!cluster_entry_is_ready(s->cluster, s->readiness[i]))
-			return FALSE;
-	}
-	return TRUE;
-}
-
-/* Starts a relay with a route from each entry VM to the store. */
-static void start_relay(struct site *s)
-{
-	char *route = g_strdup_printf("127.0.0.1:0=%s", s->store);
-	struct cluster_process *relay =
-		cluster_spawn(s->cluster, "cs-standin-relay", "relay.log",
-			      CLUSTER_ARGS("--route", route, "--route", route));
-
-	s->relay_control = cluster_log_value(relay, "control", 0);
-	for (guint i = 0; i < ENTRIES; i++)
-		s->paths[i] = cluster_listen_address(relay, i);
-	g_free(route);
-}
-
-/* Sets the relay's mode between an entry VM and the store. */
-static void set_path_mode(struct site *s, guint entry, const char *mode)
-{
-	char *body =
-		g_strdup_printf("{\"mode\":\"%s\",\"route\":%u}", mode, entry);
-
-	cluster_control(s->cluster, s->relay_control, body);
-	g_free(body);
-}
-
-static struct site *site_new_with(guint delegate_min_workers,
-				  gboolean has_relay)
-{
-	struct site *s = g_new0(struct site, 1);
-	char *workers = g_strdup_printf("%d", WORKERS);
-	char *config;
-
-	s->delegate_min_workers = delegate_min_workers;
-	s->cluster = cluster_new();
-	config = cluster_write_file(s->cluster, "config.json", config_text);
-	s->store = cluster_reserve_address();
-	s->platform = cluster_spawn(
-		s->cluster, "cs-standin-steppe", "platform.log",
-		CLUSTER_ARGS("--listen", s->store, "--service", "salkhi",
-			     "--config", config, "--workers", workers));
-	if (has_relay)
-		start_relay(s);
-	for (guint i = 0; i < ENTRIES; i++) {
-		s->forwards[i] = cluster_reserve_address();
-		s->frontends[i] = cluster_reserve_address();
-		s->readiness[i] = cluster_reserve_address();
-		s->internal[i] = cluster_reserve_address();
-		start_entry(s, i);
-	}
-	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
-	g_free(config);
-	g_free(workers);
-	return s;
-}
-
-static struct site *site_new_delegating(guint delegate_min_workers)
-{
-	return site_new_with(delegate_min_workers, FALSE);
-}
-
-static struct site *site_new(void)
-{
-	return site_new_delegating(NO_DELEGATION_MIN_WORKERS);
-}
-
-static void site_free(struct site *s)
-{
-	cluster_free(s->cluster);
-	for (guint i = 0; i < ENTRIES; i++) {
-		g_free(s->frontends[i]);
-		g_free(s->readiness[i]);
-		g_free(s->internal[i]);
-		g_free(s->forwards[i]);
-		g_free(s->paths[i]);
-	}
-	g_free(s->relay_control);
-	g_free(s->store);
-	g_free(s);
-}
-
-static struct cluster_reply call_job(struct site *s, guint entry,
-				     const char *method, const char *id,
-				     const char *body)
-{
-	const char *const headers[] = { KEY_HEADER };
-	char *path = g_strconcat("/spot/", id, NULL);
-	struct cluster_reply r =
-		cluster_call(s->cluster, method, s->frontends[entry], path,
-			     body, headers, CLUSTER_CALL_TIMEOUT_MS);
-
-	g_free(path);
-	return r;
-}
-
-static guint call(struct site *s, guint entry, const char *method,
-		  const char *id, const char *body, char **text)
-{
-	struct cluster_reply r = call_job(s, entry, method, id, body);
-	guint code = r.code;
-
-	if (text)
-		*text = g_strdup(r.text);
-	cluster_reply_clear(&r);
-	return code;
-}
-
-static guint submit(struct site *s, guint entry, const char *id, guint run_ms)
-{
-	char *body = g_strdup_printf(
-		"{\"Spec\":\"run_ms=%u "
-		"gang=2\",\"Steps\":[{\"Count\":2,\"Cpu\":1000,"
-		"\"MemMb\":100,\"Gpu\":4,\"EstimateMs\":%u,\"Gang\":true}]}",
-		run_ms, run_ms);
-	guint code = call(s, entry, "POST", id, body, NULL);
-
-	g_free(body);
-	return code;
-}
-
-struct job_wait {
-	struct site *site;
-	const char *id;
-	const char *state;
-	guint entry;
-};
-
-static gboolean has_state(void *data)
-{
-	struct job_wait *w = data;
-	gboolean is_found;
-	char *text = NULL;
-
-	call(w->site, w->entry, "GET", w->id, NULL, &text);
-	is_found = text && strstr(text, w->state);
-	g_free(text);
-	return is_found;
-}
-
-static void assert_state(struct site *s, guint entry, const char *id,
-			 const char *state)
-{
-	struct job_wait w = { s, id, state, entry };
-
-	g_assert_true(cluster_wait(has_state, &w, WAIT_MS));
-}
-
-/* Returns how many tasks the workers have started. */
-static int64_t count_starts(struct site *s)
-{
-	struct cluster_reply r =
-		cluster_call(s->cluster, "POST", s->store, "/control", "{}",
-			     NULL, CLUSTER_CALL_TIMEOUT_MS);
-	json_object *value = NULL;
-	int64_t n;
-
-	g_assert_true(json_object_object_get_ex(r.body, "starts", &value));
-	n = json_object_get_int64(value);
-	cluster_reply_clear(&r);
-	return n;
-}
-
-/* Returns the index of the VM that holds the pool's lease. */
-static guint holder_index(const struct site *s)
-{
-	guint found = 0;
 
-	for (guint i = 0; i < ENTRIES; i++) {
-		if (cluster_count_lines(s->entries[i], "event=lease_acquired"))
-			found = i;
-	}
-	return found;
-}
+/* The first configuration with another path prefix. */
+static const char newer_config_text[] = SITE_CONFIG("2", "/more/", "k1");
+/* The same with another key. */
+static const char other_key_config_text[] = SITE_CONFIG("2", "/spot/", "k2");
 
 struct fault {
 	const char *name;
@@ -283,15 +51,17 @@
 {
 	const struct fault *f = data;
 	struct site *s = site_new();
-	guint other = 1 - holder_index(s);
-	struct cluster_process *holder = s->entries[holder_index(s)];
+	guint other = 1 - site_holder(s);
+	struct cluster_process *holder = s->entries[site_holder(s)];
 
 	if (f->before)
 		cluster_control(s->cluster, s->store, f->before);
-	g_assert_cmpuint(submit(s, other, "00000000000000a1", 1200), ==, 200);
+	g_assert_cmpuint(site_submit(s, other, "00000000000000a1", 1200), ==,
+			 200);
 	/* Submitting the same id again does not add a job. */
-	g_assert_cmpuint(submit(s, other, "00000000000000a1", 1200), ==, 200);
-	assert_state(s, other, "00000000000000a1", "active");
+	g_assert_cmpuint(site_submit(s, other, "00000000000000a1", 1200), ==,
+			 200);
+	site_assert_state(s, other, "00000000000000a1", "active");
 	if (f->during)
 		cluster_control(s->cluster, s->store, f->during);
 	if (f->holder_signal)
@@ -299,15 +69,15 @@
 	cluster_sleep(1500);
 	if (f->after)
 		cluster_control(s->cluster, s->store, f->after);
-	assert_state(s, other, "00000000000000a1", "completed");
-	g_assert_cmpint(count_starts(s), ==, 2);
+	site_assert_state(s, other, "00000000000000a1", "completed");
+	g_assert_cmpint(site_count_starts(s), ==, 2);
 	if (f->is_resumed) {
 		cluster_signal(holder, SIGCONT);
 		cluster_sleep(500);
-		g_assert_cmpuint(submit(s, other, "00000000000000a2", 200), ==,
-				 200);
-		assert_state(s, other, "00000000000000a2", "completed");
-		g_assert_cmpint(count_starts(s), ==, 4);
+		g_assert_cmpuint(site_submit(s, other, "00000000000000a2", 200),
+				 ==, 200);
+		site_assert_state(s, other, "00000000000000a2", "completed");
+		g_assert_cmpint(site_count_starts(s), ==, 4);
 	}
 	site_free(s);
 }
@@ -354,8 +124,9 @@
 		const struct answer_case *c = &answers[i];
 
 		g_test_message("%s", c->name);
-		g_assert_cmpuint(call(s, 0, c->method, c->id, c->body, NULL),
-				 ==, c->code);
+		g_assert_cmpuint(
+			site_call(s, 0, c->method, c->id, c->body, NULL), ==,
+			c->code);
 	}
 	site_free(s);
 }
@@ -365,14 +136,15 @@
 {
 	struct site *s = site_new();
 
-	g_assert_cmpuint(submit(s, 0, "00000000000000c1", 60000), ==, 200);
-	assert_state(s, 0, "00000000000000c1", "active");
-	g_assert_cmpuint(call(s, 1, "DELETE", "00000000000000c1", NULL, NULL),
-			 ==, 200);
-	assert_state(s, 0, "00000000000000c1", "cancelled");
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000c1", 60000), ==, 200);
+	site_assert_state(s, 0, "00000000000000c1", "active");
+	g_assert_cmpuint(
+		site_call(s, 1, "DELETE", "00000000000000c1", NULL, NULL), ==,
+		200);
+	site_assert_state(s, 0, "00000000000000c1", "cancelled");
 	/* The accelerators are free for another job. */
-	g_assert_cmpuint(submit(s, 0, "00000000000000c2", 100), ==, 200);
-	assert_state(s, 1, "00000000000000c2", "completed");
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000c2", 100), ==, 200);
+	site_assert_state(s, 1, "00000000000000c2", "completed");
 	site_free(s);
 }
 
@@ -383,24 +155,24 @@
 	struct site *s = site_new();
 	guint holder;
 
-	g_assert_cmpuint(submit(s, 0, "00000000000000c3", 100), ==, 200);
-	assert_state(s, 0, "00000000000000c3", "completed");
-	g_assert_cmpuint(submit(s, 0, "00000000000000c4", 60000), ==, 200);
-	assert_state(s, 0, "00000000000000c4", "active");
-	holder = holder_index(s);
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000c3", 100), ==, 200);
+	site_assert_state(s, 0, "00000000000000c3", "completed");
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000c4", 60000), ==, 200);
+	site_assert_state(s, 0, "00000000000000c4", "active");
+	holder = site_holder(s);
 	cluster_signal(s->entries[holder], SIGKILL);
-	g_assert_cmpuint(
-		call(s, 1 - holder, "DELETE", "00000000000000c3", NULL, NULL),
-		==, 200);
-	g_assert_cmpuint(
-		call(s, 1 - holder, "DELETE", "00000000000000c4", NULL, NULL),
-		==, 200);
-	assert_state(s, 1 - holder, "00000000000000c4", "cancelled");
-	assert_state(s, 1 - holder, "00000000000000c3", "completed");
+	g_assert_cmpuint(site_call(s, 1 - holder, "DELETE", "00000000000000c3",
+				   NULL, NULL),
+			 ==, 200);
+	g_assert_cmpuint(site_call(s, 1 - holder, "DELETE", "00000000000000c4",
+				   NULL, NULL),
+			 ==, 200);
+	site_assert_state(s, 1 - holder, "00000000000000c4", "cancelled");
+	site_assert_state(s, 1 - holder, "00000000000000c3", "completed");
 	/* Its accelerators are free again. */
-	g_assert_cmpuint(submit(s, 1 - holder, "00000000000000c5", 100), ==,
-			 200);
-	assert_state(s, 1 - holder, "00000000000000c5", "completed");
+	g_assert_cmpuint(site_submit(s, 1 - holder, "00000000000000c5", 100),
+			 ==, 200);
+	site_assert_state(s, 1 - holder, "00000000000000c5", "completed");
 	site_free(s);
 }
 
@@ -415,11 +187,11 @@
 	cluster_sleep(1500); /* until the breaker has opened */
 	began_us = g_get_monotonic_time();
 	for (guint i = 0; i < 5 && code != 503; i++)
-		code = submit(s, 0, "00000000000000d1", 100);
+		code = site_submit(s, 0, "00000000000000d1", 100);
 	g_assert_cmpuint(code, ==, 503);
 	g_assert_cmpint(g_get_monotonic_time() - began_us, <, 3000000);
 	cluster_control(s->cluster, s->store, "{\"down\":false}");
-	g_assert_cmpint(count_starts(s), ==, 0);
+	g_assert_cmpint(site_count_starts(s), ==, 0);
 	site_free(s);
 }
 
@@ -434,22 +206,27 @@
 	guint code;
 
 	/* Opens the connection to the store that the next write reuses. */
-	g_assert_cmpuint(submit(s, 0, "00000000000000e1", 100), ==, 200);
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000e1", 100), ==, 200);
 	cluster_control(s->cluster, s->store,
 			"{\"mute_jobs\":1,\"refuse_jobs\":100}");
-	code = submit(s, 0, "00000000000000e2", 100);
+	code = site_submit(s, 0, "00000000000000e2", 100);
 	g_assert_cmpuint(code, !=, 503);
 	g_assert_cmpuint(code, !=, 429);
 	cluster_control(s->cluster, s->store, "{\"refuse_jobs\":0}");
-	assert_state(s, 0, "00000000000000e2", "completed");
+	site_assert_state(s, 0, "00000000000000e2", "completed");
 	site_free(s);
 }
 
+struct submit_wait {
+	struct site *site;
+	const char *id;
+};
+
 static gboolean is_accepted(void *data)
 {
-	const struct job_wait *w = data;
+	const struct submit_wait *w = data;
 
-	return submit(w->site, w->entry, w->id, 100) == 200;
+	return site_submit(w->site, 0, w->id, 100) == 200;
 }
 
 /* Answer to a submission while the store leaves calls unanswered. */
@@ -478,24 +255,24 @@
 	int64_t began_us;
 	guint code;
 
-	g_assert_cmpuint(submit(s, 0, "00000000000000f1", 100), ==, 200);
-	assert_state(s, 0, "00000000000000f1", "completed");
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000f1", 100), ==, 200);
+	site_assert_state(s, 0, "00000000000000f1", "completed");
 	if (c->control)
 		cluster_control(s->cluster, s->store, c->control);
 	else
 		cluster_signal(s->platform, SIGSTOP);
 	began_us = g_get_monotonic_time();
-	code = submit(s, 0, "00000000000000f2", 100);
+	code = site_submit(s, 0, "00000000000000f2", 100);
 	took_ms = (g_get_monotonic_time() - began_us) / 1000;
 	if (!c->control)
 		cluster_signal(s->platform, SIGCONT);
 	g_assert_cmpuint(code, ==, c->code);
 	g_assert_cmpint(took_ms, <, c->within_ms);
 	if (c->is_run)
-		assert_state(s, 0, "00000000000000f2", "completed");
+		site_assert_state(s, 0, "00000000000000f2", "completed");
 	else
 		cluster_sleep(2000);
-	g_assert_cmpint(count_starts(s), ==, c->is_run ? 4 : 2);
+	g_assert_cmpint(site_count_starts(s), ==, c->is_run ? 4 : 2);
 	site_free(s);
 }
 
@@ -521,7 +298,7 @@
 {
 	const struct site *s = data;
 
-	return cluster_count_lines(s->entries[holder_index(s)],
+	return cluster_count_lines(s->entries[site_holder(s)],
 				   "event=delegate_reached");
 }
 
@@ -546,12 +323,12 @@
  * over once all of them have registered as delegates. */
 static void restart_all(struct site *s)
 {
-	for (guint i = 0; i < ENTRIES; i++)
+	for (guint i = 0; i < SITE_ENTRIES; i++)
 		cluster_signal(s->entries[i], SIGKILL);
 	cluster_sleep(200);
-	for (guint i = 0; i < ENTRIES; i++)
-		start_entry(s, i);
-	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
+	for (guint i = 0; i < SITE_ENTRIES; i++)
+		site_start_entry(s, i);
+	g_assert_true(cluster_wait(site_is_ready, s, SITE_WAIT_MS));
 }
 
 /*
@@ -565,13 +342,13 @@
 	int64_t renewals;
 	guint holder;
 
-	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
+	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
 	restart_all(s);
-	g_assert_cmpuint(submit(s, 0, "0000000000000aa3", 300), ==, 200);
-	assert_state(s, 0, "0000000000000aa3", "completed");
-	holder = holder_index(s);
+	g_assert_cmpuint(site_submit(s, 0, "0000000000000aa3", 300), ==, 200);
+	site_assert_state(s, 0, "0000000000000aa3", "completed");
+	holder = site_holder(s);
 	renewals = counter_value(s, holder, "cs_worker_renewals_total");
-	g_assert_cmpint(renewals, >=, WORKERS);
+	g_assert_cmpint(renewals, >=, SITE_WORKERS);
 	g_assert_cmpint(
 		counter_value(s, 1 - holder, "cs_delegated_calls_total"), >=,
 		renewals);
@@ -581,15 +358,15 @@
 /* The running job completes without being started again. */
 static void assert_job_goes_on(struct site *s, guint entry, const char *id)
 {
-	assert_state(s, entry, id, "completed");
-	g_assert_cmpint(count_starts(s), ==, 2);
+	site_assert_state(s, entry, id, "completed");
+	g_assert_cmpint(site_count_starts(s), ==, 2);
 }
 
 /* The holder itself sends the orders that the delegate has not answered. */
 static void assert_next_job_runs(struct site *s, guint entry, const char *id)
 {
-	g_assert_cmpuint(submit(s, entry, id, 200), ==, 200);
-	assert_state(s, entry, id, "completed");
+	g_assert_cmpuint(site_submit(s, entry, id, 200), ==, 200);
+	site_assert_state(s, entry, id, "completed");
 }
 
 static void test_delegate(gconstpointer data)
@@ -599,11 +376,12 @@
 	guint first_holder;
 	guint entry;
 
-	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
-	first_holder = holder_index(s);
+	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
+	first_holder = site_holder(s);
 	entry = c->is_holder_killed ? 1 - first_holder : first_holder;
-	g_assert_cmpuint(submit(s, entry, "0000000000000aa1", 1500), ==, 200);
-	assert_state(s, entry, "0000000000000aa1", "active");
+	g_assert_cmpuint(site_submit(s, entry, "0000000000000aa1", 1500), ==,
+			 200);
+	site_assert_state(s, entry, "0000000000000aa1", "active");
 	cluster_sleep(300);
 	if (c->signal)
 		cluster_signal(s->entries[1 - first_holder], c->signal);
@@ -614,7 +392,7 @@
 	if (c->signal == SIGSTOP)
 		cluster_signal(s->entries[1 - first_holder], SIGCONT);
 	cluster_sleep(500);
-	g_assert_cmpint(count_starts(s), <=, c->max_starts);
+	g_assert_cmpint(site_count_starts(s), <=, c->max_starts);
 	site_free(s);
 }
 
@@ -684,14 +462,15 @@
 	struct reach_wait w;
 	guint holder;
 
-	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
-	holder = holder_index(s);
+	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
+	holder = site_holder(s);
 	w.holder = s->entries[holder];
 	w.count = cluster_count_lines(w.holder, "event=delegate_reached");
 	spoil_delegate_row(s, 1 - holder, data);
 	g_assert_true(cluster_wait(has_reached_again, &w, ROW_CHECK_MS));
-	g_assert_cmpuint(submit(s, holder, "0000000000000aa4", 200), ==, 200);
-	assert_state(s, holder, "0000000000000aa4", "completed");
+	g_assert_cmpuint(site_submit(s, holder, "0000000000000aa4", 200), ==,
+			 200);
+	site_assert_state(s, holder, "0000000000000aa4", "completed");
 	site_free(s);
 }
 
@@ -713,26 +492,29 @@
 	guint holder;
 	int64_t calls;
 
-	g_assert_true(cluster_wait(has_delegate, s, WAIT_MS));
-	holder = holder_index(s);
+	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
+	holder = site_holder(s);
 	delegate = 1 - holder;
 	cluster_signal(s->entries[holder], SIGKILL);
-	g_assert_true(cluster_wait(holds_lease, s->entries[delegate], WAIT_MS));
+	g_assert_true(
+		cluster_wait(holds_lease, s->entries[delegate], SITE_WAIT_MS));
 	for (guint i = 0; i < SILENT_HOLDERS; i++) {
 		former[i] = g_socket_client_connect_to_host(
 			client, s->internal[delegate], 0, NULL, NULL);
 		g_assert_nonnull(former[i]);
 	}
-	start_entry(s, holder);
-	g_assert_true(cluster_wait(is_ready, s, WAIT_MS));
+	site_start_entry(s, holder);
+	g_assert_true(cluster_wait(site_is_ready, s, SITE_WAIT_MS));
 	/* The restarted VM takes over and uses the paused one as a delegate. */
 	cluster_signal(s->entries[delegate], SIGSTOP);
-	g_assert_true(cluster_wait(holds_lease, s->entries[holder], WAIT_MS));
+	g_assert_true(
+		cluster_wait(holds_lease, s->entries[holder], SITE_WAIT_MS));
 	cluster_signal(s->entries[delegate], SIGCONT);
 	cluster_sleep(DELEGATE_RETRY_MS);
 	calls = counter_value(s, delegate, "cs_delegated_calls_total");
-	g_assert_cmpuint(submit(s, holder, "0000000000000aa5", 200), ==, 200);
-	assert_state(s, holder, "0000000000000aa5", "completed");
+	g_assert_cmpuint(site_submit(s, holder, "0000000000000aa5", 200), ==,
+			 200);
+	site_assert_state(s, holder, "0000000000000aa5", "completed");
 	g_assert_cmpint(counter_value(s, delegate, "cs_delegated_calls_total"),
 			>, calls);
 	for (guint i = 0; i < SILENT_HOLDERS; i++)
@@ -745,20 +527,20 @@
 static void test_known_silence(void)
 {
 	struct site *s = site_new();
-	struct job_wait again = { s, "00000000000000f6", NULL, 0 };
+	struct submit_wait again = { s, "00000000000000f6" };
 	int64_t began_us;
 
-	g_assert_cmpuint(submit(s, 0, "00000000000000f5", 100), ==, 200);
+	g_assert_cmpuint(site_submit(s, 0, "00000000000000f5", 100), ==, 200);
 	cluster_signal(s->platform, SIGSTOP);
-	g_assert_cmpuint(submit(s, 0, again.id, 100), ==, 503);
+	g_assert_cmpuint(site_submit(s, 0, again.id, 100), ==, 503);
 	began_us = g_get_monotonic_time();
 	for (guint i = 0; i < 3; i++)
-		g_assert_cmpuint(submit(s, 0, again.id, 100), ==, 503);
+		g_assert_cmpuint(site_submit(s, 0, again.id, 100), ==, 503);
 	/* Less than one read that times out, which takes 600 ms. */
 	g_assert_cmpint(g_get_monotonic_time() - began_us, <, 600000);
 	cluster_signal(s->platform, SIGCONT);
-	g_assert_true(cluster_wait(is_accepted, &again, WAIT_MS));
-	assert_state(s, 0, again.id, "completed");
+	g_assert_true(cluster_wait(is_accepted, &again, SITE_WAIT_MS));
+	site_assert_state(s, 0, again.id, "completed");
 	site_free(s);
 }
 
@@ -813,13 +595,13 @@
 	write_odd_registrations(s);
 	for (guint i = 0; i < 2; i++) {
 		g_assert_cmpuint(
-			submit(s, i,
-			       i ? "0000000000000ab2" : "0000000000000ab1",
-			       800),
+			site_submit(s, i,
+				    i ? "0000000000000ab2" : "0000000000000ab1",
+				    800),
 			==, 200);
 	}
-	assert_state(s, 0, "0000000000000ab1", "completed");
-	holder = holder_index(s);
+	site_assert_state(s, 0, "0000000000000ab1", "completed");
+	holder = site_holder(s);
 	/* Several renewals of a worker that is taken for one fit into this. */
 	cluster_sleep(1500);
 	g_assert_cmpuint(
@@ -829,11 +611,11 @@
 	g_assert_cmpuint(cluster_count_lines(s->entries[holder], "CRITICAL"),
 			 ==, 0);
 	cluster_signal(s->entries[holder], SIGKILL);
-	g_assert_cmpuint(submit(s, 1 - holder, "0000000000000ab3", 200), ==,
-			 200);
-	assert_state(s, 1 - holder, "0000000000000ab3", "completed");
-	assert_state(s, 1 - holder, "0000000000000ab2", "completed");
-	g_assert_cmpint(count_starts(s), ==, 6);
+	g_assert_cmpuint(site_submit(s, 1 - holder, "0000000000000ab3", 200),
+			 ==, 200);
+	site_assert_state(s, 1 - holder, "0000000000000ab3", "completed");
+	site_assert_state(s, 1 - holder, "0000000000000ab2", "completed");
+	g_assert_cmpint(site_count_starts(s), ==, 6);
 	site_free(s);
 }
 
@@ -860,7 +642,7 @@
 			const char *body, int64_t within_ms)
 {
 	int64_t began_us = g_get_monotonic_time();
-	guint code = call(s, 0, method, id, body, NULL);
+	guint code = site_call(s, 0, method, id, body, NULL);
 
 	g_assert_cmpint(g_get_monotonic_time() - began_us, <, within_ms * 1000);
 	return code;
@@ -871,7 +653,7 @@
 {
 	const struct site *s = data;
 
-	for (guint i = 0; i < ENTRIES; i++) {
+	for (guint i = 0; i < SITE_ENTRIES; i++) {
 		if (!cluster_count_lines(s->entries[i], "event=peers_known"))
 			return FALSE;
 	}
@@ -884,9 +666,9 @@
 
 static struct site *site_new_forwarding(void)
 {
-	struct site *s = site_new_with(NO_DELEGATION_MIN_WORKERS, TRUE);
+	struct site *s = site_new_with(SITE_NO_DELEGATION, TRUE);
 
-	g_assert_true(cluster_wait(know_peers, s, WAIT_MS));
+	g_assert_true(cluster_wait(know_peers, s, SITE_WAIT_MS));
 	return s;
 }
 
@@ -909,7 +691,7 @@
 	const struct forward_case *c = data;
 	struct site *s = site_new_forwarding();
 
-	set_path_mode(s, 0, c->mode);
+	site_set_path_mode(s, 0, c->mode);
 	cluster_sleep(c->settled_ms);
 	for (guint i = 0; i < G_N_ELEMENTS(calls); i++) {
 		guint code = timed_call(s, calls[i].method, calls[i].id,
@@ -918,8 +700,8 @@
 
 		g_assert_cmpuint(code, ==, calls[i].code);
 	}
-	assert_state(s, 0, "0000000000000ba1", "completed");
-	g_assert_cmpint(count_starts(s), ==, 1);
+	site_assert_state(s, 0, "0000000000000ba1", "completed");
+	g_assert_cmpint(site_count_starts(s), ==, 1);
 	site_free(s);
 }
 
@@ -931,8 +713,8 @@
 	struct site *s = site_new_forwarding();
 	struct cluster_reply r;
 
-	for (guint i = 0; i < ENTRIES; i++)
-		set_path_mode(s, i, c->mode);
+	for (guint i = 0; i < SITE_ENTRIES; i++)
+		site_set_path_mode(s, i, c->mode);
 	cluster_sleep(2000);
 	for (guint i = 0; i < G_N_ELEMENTS(within_ms); i++) {
 		guint code = timed_call(s, "POST", "0000000000000ba3",
@@ -941,19 +723,19 @@
 		g_assert_cmpuint(code, ==, 503);
 	}
 	/* Four attempts last for an outage of 8 s. */
-	r = call_job(s, 0, "POST", "0000000000000ba3", forward_job);
+	r = site_call_job(s, 0, "POST", "0000000000000ba3", forward_job);
 	g_assert_cmpstr(r.retry_after, ==, "2");
 	cluster_reply_clear(&r);
-	for (guint i = 0; i < ENTRIES; i++)
-		set_path_mode(s, i, "pass");
+	for (guint i = 0; i < SITE_ENTRIES; i++)
+		site_set_path_mode(s, i, "pass");
 	cluster_sleep(3000);
-	g_assert_cmpint(count_starts(s), ==, 0);
+	g_assert_cmpint(site_count_starts(s), ==, 0);
 	site_free(s);
 }
 
 static guint get_route(struct site *s, const char *path)
 {
-	const char *const headers[] = { KEY_HEADER };
+	const char *const headers[] = { SITE_HEADERS };
 	struct cluster_reply r =
 		cluster_call(s->cluster, "GET", s->frontends[0], path, NULL,
 			     headers, CLUSTER_CALL_TIMEOUT_MS);
@@ -973,17 +755,17 @@
 	struct site *s = site_new_forwarding();
 	char *control = g_strdup_printf("{\"config\":%s}", newer_config_text);
 
-	set_path_mode(s, 0, "silent");
+	site_set_path_mode(s, 0, "silent");
 	cluster_sleep(1500);
 	cluster_control(s->cluster, s->store, control);
 	cluster_sleep(500);
 	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
-	set_path_mode(s, 1, "silent");
+	site_set_path_mode(s, 1, "silent");
 	cluster_sleep(1500);
 	/* No VM can tell now; the route is not denied. */
 	g_assert_cmpuint(get_route(s, "/more/"), ==, 503);
-	set_path_mode(s, 0, "pass");
-	set_path_mode(s, 1, "pass");
+	site_set_path_mode(s, 0, "pass");
+	site_set_path_mode(s, 1, "pass");
 	cluster_sleep(3000);
 	g_assert_cmpuint(get_route(s, "/more/"), ==, 200);
 	g_assert_cmpuint(get_route(s, "/spot/"), ==, 404);
@@ -1001,8 +783,8 @@
 {
 	struct key_wait *w = data;
 
-	w->code =
-		call(w->site, w->entry, "GET", "0000000000000ca1", NULL, NULL);
+	w->code = site_call(w->site, w->entry, "GET", "0000000000000ca1", NULL,
+			    NULL);
 	return w->code == UNAUTHORIZED;
 }
 
@@ -1016,11 +798,12 @@
 	char *control =
 		g_strdup_printf("{\"config\":%s}", other_key_config_text);
 
-	g_assert_cmpuint(submit(s, 0, "0000000000000ca1", 200), ==, 200);
+	g_assert_cmpuint(site_submit(s, 0, "0000000000000ca1", 200), ==, 200);
 	cluster_control(s->cluster, s->store, control);
-	for (guint i = 0; i < ENTRIES; i++) {
+	for (guint i = 0; i < SITE_ENTRIES; i++) {
 		struct key_wait w = { s, i, 0 };
-		gboolean is_refused = cluster_wait(is_key_refused, &w, WAIT_MS);
+		gboolean is_refused =
+			cluster_wait(is_key_refused, &w, SITE_WAIT_MS);
 
 		g_assert_true(is_refused);
 	}
@@ -1028,15 +811,16 @@
 		cluster_control(s->cluster, s->store, data);
 	restart_all(s);
 	for (guint i = 0; i < KEY_CALLS; i++) {
-		guint code = call(s, i % ENTRIES, i % 3 ? "GET" : "DELETE",
+		guint code =
+			site_call(s, i % SITE_ENTRIES, i % 3 ? "GET" : "DELETE",
 				  "0000000000000ca1", NULL, NULL);
 
 		g_assert_cmpuint(code, ==, UNAUTHORIZED);
-		g_assert_cmpuint(
-			submit(s, i % ENTRIES, "0000000000000ca2", 200), ==,
-			UNAUTHORIZED);
+		g_assert_cmpuint(site_submit(s, i % SITE_ENTRIES,
+					     "0000000000000ca2", 200),
+				 ==, UNAUTHORIZED);
 	}
-	g_assert_cmpint(count_starts(s), <=, 2);
+	g_assert_cmpint(site_count_starts(s), <=, 2);
 	g_free(control);
 	site_free(s);
 }
@@ -1067,7 +851,7 @@
 			test_delegated_from_start);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
 	g_test_add_data_func("/entry/odd-registrations/direct",
-			     GUINT_TO_POINTER(NO_DELEGATION_MIN_WORKERS),
+			     GUINT_TO_POINTER(SITE_NO_DELEGATION),
 			     test_odd_registrations);
 	g_test_add_data_func("/entry/odd-registrations/delegated",
 			     GUINT_TO_POINTER(1), test_odd_registrations);
