--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -21,10 +21,10 @@
 #define DELEGATE_DELAY_MS 200
 /* Interval of the check for overdue calls. */
 #define OVERDUE_CHECK_MS 100
-/* Limits of the time from the first call until the delegates are registered as
- * read, and from then until all are connected. */
+/* Limits of the time from the first call until the table of delegates is read,
+ * and from then until a delegate is connected. */
 #define READ_ROWS_MS 1000
-#define CONNECT_ALL_MS 300
+#define FIRST_CONNECT_MS 300
 /* The row of a delegate that stays unreachable for this long is removed; a VM
  * restarts in less time. */
 #define REMOVE_ROW_AFTER_MS 60000
@@ -62,9 +62,10 @@
 	/* Worker id to the time in ms until which it is called directly. */
 	GHashTable *direct_until;
 	int64_t last_number;
-	gboolean is_ready;	/* see delegate_pool_is_ready() */
-	int64_t ready_limit_ms; /* ready from then on in any case */
-	guint connecting;	/* connections being opened */
+	gboolean is_read; /* the table has been read, or that took too long */
+	int64_t wait_until_ms; /* end of the wait for is_read, then for
+				  connections */
+	guint connecting;      /* connections being opened */
 	GSocketClient *client;
 	struct link_poll *poll;
 	struct link_traffic traffic;
@@ -137,14 +138,10 @@
 	g_ptr_array_unref(ended);
 }
 
-static void check_ready(struct delegate_pool *p)
+/* Returns TRUE while workers wait for their delegates to be connected. */
+static gboolean is_connecting(const struct delegate_pool *p, int64_t now_ms)
 {
-	if (p->is_ready || !p->feed ||
-	    (util_monotonic_ms() < p->ready_limit_ms &&
-	     (p->connecting || !table_feed_is_synced(p->feed))))
-		return;
-	p->is_ready = TRUE;
-	p->spec.on_ready(p->spec.data);
+	return p->is_read && p->connecting && now_ms < p->wait_until_ms;
 }
 
 static void end_connecting(struct delegate_link *d)
@@ -273,7 +270,7 @@
 	end_connecting(d);
 	if (!stream) {
 		record_unreachable(d, error->message);
-		check_ready(d->pool);
+		d->pool->spec.on_ready(d->pool->spec.data);
 		g_error_free(error);
 		return;
 	}
@@ -283,7 +280,7 @@
 	d->failing_since_ms = 0;
 	send_hello(d);
 	log_delegate(d, "delegate_reached", NULL);
-	check_ready(d->pool);
+	d->pool->spec.on_ready(d->pool->spec.data);
 	g_object_unref(stream);
 }
 
@@ -331,9 +328,13 @@
 static gboolean on_tick(gpointer data)
 {
 	struct delegate_pool *p = data;
+	int64_t now_ms = util_monotonic_ms();
 
-	finish_unanswered(p, NULL, util_monotonic_ms());
-	check_ready(p);
+	finish_unanswered(p, NULL, now_ms);
+	if (!p->is_read && now_ms >= p->wait_until_ms) {
+		p->is_read = TRUE;
+		p->spec.on_ready(p->spec.data);
+	}
 	return G_SOURCE_CONTINUE;
 }
 
@@ -364,9 +365,10 @@
 	GHashTableIter iter;
 	gpointer item;
 
-	if (p->is_ready)
+	if (p->is_read)
 		return;
-	p->ready_limit_ms = util_monotonic_ms() + CONNECT_ALL_MS;
+	p->is_read = TRUE;
+	p->wait_until_ms = util_monotonic_ms() + FIRST_CONNECT_MS;
 	g_hash_table_iter_init(&iter, p->delegates);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct delegate_link *d = item;
@@ -374,7 +376,7 @@
 		if (!d->connection && !d->connecting)
 			delegate_link_connect(d);
 	}
-	check_ready(p);
+	p->spec.on_ready(p->spec.data);
 }
 
 void delegate_pool_start(struct delegate_pool *p)
@@ -390,8 +392,8 @@
 
 	if (p->feed)
 		return;
-	p->is_ready = FALSE;
-	p->ready_limit_ms = util_monotonic_ms() + READ_ROWS_MS;
+	p->is_read = FALSE;
+	p->wait_until_ms = util_monotonic_ms() + READ_ROWS_MS;
 	p->feed = table_feed_new(&feed);
 	p->tick = g_timeout_add(OVERDUE_CHECK_MS, on_tick, p);
 }
@@ -437,11 +439,8 @@
 	       -log(((double)hash + 0.5) / ((double)G_MAXUINT + 1));
 }
 
-/*
- * Returns the connected delegate of a worker, or NULL. If the selected one is
- * not connected yet, starts to connect to it and returns NULL.
- */
-static struct delegate_link *pick_delegate(struct delegate_pool *p,
+/* Returns the delegate of a worker, connected or not; NULL without one. */
+static struct delegate_link *find_delegate(const struct delegate_pool *p,
 					   const char *worker,
 					   const char *failure_domain,
 					   int64_t now_ms)
@@ -465,6 +464,21 @@
 			most = s;
 		}
 	}
+	return best;
+}
+
+/*
+ * Returns the connected delegate of a worker, or NULL. If the selected one is
+ * not connected yet, starts to connect to it and returns NULL.
+ */
+static struct delegate_link *pick_delegate(struct delegate_pool *p,
+					   const char *worker,
+					   const char *failure_domain,
+					   int64_t now_ms)
+{
+	struct delegate_link *best =
+		find_delegate(p, worker, failure_domain, now_ms);
+
 	if (!best || best->connection)
 		return best;
 	if (!best->connecting)
@@ -512,10 +526,18 @@
 	return body;
 }
 
-gboolean delegate_pool_is_ready(struct delegate_pool *p)
+gboolean delegate_pool_may_call(struct delegate_pool *p, const char *worker,
+				const char *failure_domain, int64_t now_ms)
 {
+	const struct delegate_link *d;
+
 	delegate_pool_start(p);
-	return p->is_ready;
+	if (!p->is_read)
+		return FALSE;
+	if (!is_connecting(p, now_ms))
+		return TRUE;
+	d = find_delegate(p, worker, failure_domain, now_ms);
+	return !d || !d->connecting;
 }
 
 gboolean delegate_pool_send(struct delegate_pool *p, const char *worker,
--- a/entry/delegate_pool.h
+++ b/entry/delegate_pool.h
@@ -16,7 +16,7 @@
 struct delegate_pool_spec {
 	struct platform *platform;
 	const char *node; /**< name of this VM, never used as a delegate */
-	/** delegate_pool_is_ready() returns TRUE from now on. */
+	/** More workers may be called: see delegate_pool_may_call(). */
 	void (*on_ready)(void *data);
 	void *data;
 };
@@ -41,11 +41,13 @@
 void delegate_pool_start(struct delegate_pool *p);
 
 /**
- * Starts the pool. Returns TRUE once all delegates are connected, or that has
- * taken too long: until then calls would have to be made directly, which takes
- * a new holder of a large pool seconds.
+ * Starts the pool. Returns FALSE while a worker should not be called yet: the
+ * table of delegates has not been read, or the worker's delegate is still being
+ * connected. Calls would have to be made directly, which takes a new holder of
+ * a large pool seconds. The wait is bounded.
  */
-gboolean delegate_pool_is_ready(struct delegate_pool *p);
+gboolean delegate_pool_may_call(struct delegate_pool *p, const char *worker,
+				const char *failure_domain, int64_t now_ms);
 
 /**
  * Makes a call to a worker through a delegate in the worker's failure domain.
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -315,6 +315,14 @@
 		  inflight_call_new(c, w, NULL, 0));
 }
 
+static gboolean may_call(const struct worker_calls *c,
+			 const struct fleet_worker *w, int64_t now_ms)
+{
+	return !is_delegated(c) ||
+	       delegate_pool_may_call(c->delegates, w->id,
+				      w->reg.failure_domain, now_ms);
+}
+
 static gboolean is_renewal_due(const struct fleet_worker *w, int64_t now_ms)
 {
 	if (w->is_renewing || !w->reg.address || now_ms < w->next_renewal_ms)
@@ -337,15 +345,13 @@
 
 gboolean worker_calls_renew_due(struct worker_calls *c, int64_t now_ms)
 {
+	GPtrArray *due = g_ptr_array_new();
+	gboolean has_new = FALSE;
 	gboolean has_more;
-	GPtrArray *due;
+	guint sent = 0;
 	GHashTableIter iter;
 	gpointer item;
-	gboolean has_new = FALSE;
 
-	if (is_delegated(c) && !delegate_pool_is_ready(c->delegates))
-		return FALSE;
-	due = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, c->spec.scheduler->fleet.workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		const struct fleet_worker *w = item;
@@ -357,9 +363,13 @@
 	}
 	if (has_new)
 		g_ptr_array_sort(due, compare_racks);
-	for (guint i = 0; i < MIN(due->len, MAX_RENEWALS_AT_ONCE); i++)
+	for (guint i = 0; i < due->len && sent < MAX_RENEWALS_AT_ONCE; i++) {
+		if (!may_call(c, due->pdata[i], now_ms))
+			continue;
 		send_renewal(c, due->pdata[i], now_ms);
-	has_more = due->len > MAX_RENEWALS_AT_ONCE;
+		sent++;
+	}
+	has_more = sent == MAX_RENEWALS_AT_ONCE && due->len > sent;
 	g_ptr_array_unref(due);
 	return has_more;
 }
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -3,25 +3,42 @@
  * for is a takeover of a large fleet, where nothing is started until the other
  * VMs are connected.
  */
-#include <glib.h>
+#include <gio/gio.h>
 
+#include "base/util.h"
 #include "entry/delegate_row.h"
 #include "entry/worker_calls.h"
+#include "tests/cluster.h"
 
 #define MIN_WORKERS 3
 #define NOW_MS 1000
+/* Enough for each of two delegates to have some. */
+#define TAKEOVER_WORKERS 40
+#define WAIT_MS 5000
 
-/* Counts the reads of the table of delegates and answers none. */
+/* Counts the reads of the table of delegates, and answers with the rows. */
 struct fake_store {
 	struct platform base;
 	guint reads;
+	platform_fn fn; /* of the last read */
+	void *data;
 };
 
 static void fake_page(struct platform *p, const struct table_page_query *query,
 		      platform_fn fn, void *data)
 {
+	struct fake_store *s = (struct fake_store *)p;
+
 	g_assert_cmpstr(query->table, ==, DELEGATE_TABLE);
-	((struct fake_store *)p)->reads++;
+	s->reads++;
+	s->fn = fn;
+	s->data = data;
+}
+
+static void fake_watch(struct platform *p,
+		       const struct table_watch_query *query, platform_fn fn,
+		       void *data)
+{
 }
 
 static void fake_forget(struct platform *p, const void *data)
@@ -31,6 +48,7 @@
 static const struct platform_class fake_class = {
 	.name = "fake",
 	.page = fake_page,
+	.watch = fake_watch,
 	.forget = fake_forget,
 };
 
@@ -91,9 +109,151 @@
 	counters_clear(&counters);
 }
 
+/* Listens at the loopback address; returns the listener and its address. */
+static GSocketListener *listen_locally(int backlog, char **address)
+{
+	GSocketListener *l = g_socket_listener_new();
+	GSocketAddress *any =
+		g_inet_socket_address_new_from_string("127.0.0.1", 0);
+	GSocketAddress *bound = NULL;
+	gboolean is_bound;
+
+	g_socket_listener_set_backlog(l, backlog);
+	is_bound = g_socket_listener_add_address(l, any, G_SOCKET_TYPE_STREAM,
+						 G_SOCKET_PROTOCOL_TCP, NULL,
+						 &bound, NULL);
+	g_assert_true(is_bound);
+	*address = g_strdup_printf(
+		"127.0.0.1:%u",
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound)));
+	g_object_unref(any);
+	g_object_unref(bound);
+	return l;
+}
+
+/* Fills the queue of a listener that accepts nothing, so that the next
+ * connection stays unanswered, as to a VM without power. */
+static GPtrArray *fill_queue(const char *address)
+{
+	GPtrArray *open = g_ptr_array_new_with_free_func(g_object_unref);
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *c;
+
+	g_socket_client_set_timeout(client, 1);
+	while ((c = g_socket_client_connect_to_host(client, address, 0, NULL,
+						    NULL)))
+		g_ptr_array_add(open, c);
+	g_object_unref(client);
+	return open;
+}
+
+static void answer_rows(struct fake_store *store, const char *const *addresses)
+{
+	struct table_row rows[2] = { { .key = "vm-2", .version = 2 },
+				     { .key = "vm-3", .version = 3 } };
+	struct platform_result result = { .status = STATUS_OK,
+					  .rows = rows,
+					  .row_count = G_N_ELEMENTS(rows),
+					  .version = 3 };
+
+	for (guint i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct delegate_row vm = { .failure_domain = "tov-a",
+						 .cpu_share = 0.5,
+						 .address = addresses[i],
+						 .token = "t" };
+
+		rows[i].value = delegate_row_encode(&vm);
+	}
+	store->fn(&result, store->data);
+	for (guint i = 0; i < G_N_ELEMENTS(rows); i++)
+		json_object_put(rows[i].value);
+}
+
+/* Returns how many workers have a renewal in flight. */
+static guint count_renewing(const struct fleet_scheduler *s)
+{
+	GHashTableIter iter;
+	gpointer item;
+	guint count = 0;
+
+	g_hash_table_iter_init(&iter, s->fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		count += ((const struct fleet_worker *)item)->is_renewing;
+	return count;
+}
+
+struct takeover {
+	struct worker_calls *calls;
+	const struct fleet_scheduler *scheduler;
+	guint wanted; /* renewals in flight */
+};
+
+static gboolean has_renewed(void *data)
+{
+	const struct takeover *t = data;
+
+	worker_calls_renew_due(t->calls, util_monotonic_ms());
+	return count_renewing(t->scheduler) >= t->wanted;
+}
+
+/*
+ * After a VM was lost without a word, the next holder connects to it in vain.
+ * Workers that other VMs call don't wait for that: nothing started for 300 ms
+ * more in each takeover (khuree-wind-large trouble-3).
+ */
+static void test_unreachable_delegate(void)
+{
+	const struct fleet_bounds bounds = { .lease_ms = 10000 };
+	const struct fleet_ports ports = { NULL };
+	struct fake_store store = { .base.class = &fake_class };
+	struct fleet_scheduler scheduler;
+	struct counters counters;
+	struct worker_calls_spec spec = {
+		.platform = &store.base,
+		.node = "vm-1",
+		.delegate_min_workers = MIN_WORKERS,
+		.scheduler = &scheduler,
+		.counters = &counters,
+		.on_call_ended = on_event,
+		.on_fenced = on_event,
+	};
+	char *addresses[2];
+	GSocketListener *reachable = listen_locally(10, &addresses[0]);
+	GSocketListener *lost = listen_locally(0, &addresses[1]);
+	GPtrArray *queue = fill_queue(addresses[1]);
+	struct takeover t = { .scheduler = &scheduler, .wanted = 1 };
+	int64_t began_ms;
+
+	counters_init(&counters);
+	fleet_scheduler_init(&scheduler, &bounds, &ports);
+	fleet_scheduler_begin(&scheduler, 1, 0);
+	t.calls = worker_calls_new(&spec);
+	for (guint i = 1; i <= TAKEOVER_WORKERS; i++)
+		add_worker(&scheduler, i);
+	g_assert_false(has_renewed(&t));
+	began_ms = util_monotonic_ms();
+	answer_rows(&store, (const char *const *)addresses);
+	g_assert_true(cluster_wait(has_renewed, &t, WAIT_MS));
+	g_assert_cmpint(util_monotonic_ms() - began_ms, <, 250);
+	g_assert_cmpuint(count_renewing(&scheduler), <, TAKEOVER_WORKERS);
+	/* The others are called directly in the end. */
+	t.wanted = TAKEOVER_WORKERS;
+	g_assert_true(cluster_wait(has_renewed, &t, WAIT_MS));
+	worker_calls_free(t.calls);
+	fleet_scheduler_clear(&scheduler);
+	counters_clear(&counters);
+	g_ptr_array_unref(queue);
+	g_object_unref(reachable);
+	g_object_unref(lost);
+	g_free(addresses[0]);
+	g_free(addresses[1]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/worker-calls/prepare", test_prepare);
+	g_test_add_func("/worker-calls/unreachable-delegate",
+			test_unreachable_delegate);
 	return g_test_run();
 }
