A VM that the store doesn't answer leaves the rotation within two seconds

Cause: readiness followed the configuration's feed, whose silence is noticed after 3.5 s.

Change: readiness also needs an answer of the lease's feed, whose silence is noticed after 1.2 s; answers given meanwhile close their connection, as an open one stays with this VM.

Tests, each failing before (not within 2 s): /entry/ready/refused, /entry/ready/silent; both also stay ready for 3 s of calm.

--- a/entry/client_call.c
+++ b/entry/client_call.c
@@ -47,9 +47,12 @@
 	log_end(&line);
 }
 
+/* Clients of a VM that stops, or that the store doesn't answer, have to connect
+ * again to reach another one. */
 static void add_close_header(const struct client_call *c)
 {
-	if (c->context->is_draining)
+	if (c->context->is_draining ||
+	    !election_hears_store(c->context->kernel))
 		http_request_set_reply_header(c->request, "Connection",
 					      "close");
 }
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -8,6 +8,7 @@
 #include "base/util.h"
 #include "entry/client_call.h"
 #include "entry/config_feed.h"
+#include "entry/election.h"
 #include "entry/entry_store.h"
 #include "entry/submission.h"
 #include "platform/wire_frontend.h"
@@ -277,7 +278,8 @@
 	struct frontend *s = data;
 	gboolean is_ready = !s->context.is_draining &&
 			    config_feed_config(s->kernel) &&
-			    config_feed_is_store_reachable(s->kernel);
+			    config_feed_is_store_reachable(s->kernel) &&
+			    election_hears_store(s->kernel);
 
 	http_request_reply_empty(r, is_ready ? SOUP_STATUS_OK
 					     : SOUP_STATUS_SERVICE_UNAVAILABLE);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -16,6 +16,8 @@
 #define SILENT_HOLDERS 20
 /* A delegate that did not answer is used again after this time, and more. */
 #define DELEGATE_RETRY_MS 5000
+#define CALM_MS 3000
+#define UNREADY_WITHIN_MS 2000
 /* Calls with a withdrawn key after a restart. */
 #define KEY_CALLS 12
 
@@ -733,6 +735,48 @@
 	site_free(s);
 }
 
+/* How the store turns an entry VM away, and back. */
+static const struct {
+	const char *name;
+	const char *mode; /* of the relay */
+} ready_cases[] = {
+	{ "/entry/ready/refused", "refuse" },
+	{ "/entry/ready/silent", "silent" },
+};
+
+struct ready_wait {
+	struct site *site;
+	gboolean is_ready;
+};
+
+static gboolean has_readiness(void *data)
+{
+	const struct ready_wait *w = data;
+
+	return cluster_entry_is_ready(w->site->cluster,
+				      w->site->readiness[0]) == w->is_ready;
+}
+
+/*
+ * A VM that the store doesn't answer leaves the rotation within two seconds, so
+ * that clients of a domain that is cut off get to another one: cuts last for
+ * five or six seconds, and the balancer needs two probes.
+ */
+static void test_ready(gconstpointer data)
+{
+	struct site *s = site_new_with(SITE_NO_DELEGATION, TRUE);
+	struct ready_wait w = { s, FALSE };
+
+	/* It doesn't leave the rotation in calm. */
+	g_assert_false(cluster_wait(has_readiness, &w, CALM_MS));
+	site_set_path_mode(s, 0, data);
+	g_assert_true(cluster_wait(has_readiness, &w, UNREADY_WITHIN_MS));
+	site_set_path_mode(s, 0, "pass");
+	w.is_ready = TRUE;
+	g_assert_true(cluster_wait(has_readiness, &w, UNREADY_WITHIN_MS));
+	site_free(s);
+}
+
 static guint get_route(struct site *s, const char *path)
 {
 	const char *const headers[] = { SITE_HEADERS };
@@ -846,6 +890,9 @@
 		g_test_add_data_func(forward_cases[i].for_all,
 				     &forward_cases[i], test_forward_to_none);
 	}
+	for (guint i = 0; i < G_N_ELEMENTS(ready_cases); i++)
+		g_test_add_data_func(ready_cases[i].name, ready_cases[i].mode,
+				     test_ready);
 	g_test_add_func("/entry/forward/config", test_forward_config);
 	g_test_add_func("/entry/delegate/from-start",
 			test_delegated_from_start);
