A takeover doesn't log each row that it reads

Change: what is read at a takeover is counted in pool_taken_up, as before, and not logged line by line.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -332,6 +332,7 @@
 	if (s->is_ready || !are_feeds_synced(s))
 		return;
 	s->is_ready = TRUE;
+	s->scheduler.is_reading = FALSE;
 	apply_read_rows(s);
 	log_ready(s);
 	schedule_plan(s);
@@ -410,6 +411,7 @@
 	fleet_scheduler_begin(&s->scheduler, epoch,
 			      s->gained_ms + previous_holder_ms + lease_ms +
 				      LEASE_SLACK_MS);
+	s->scheduler.is_reading = TRUE;
 	progress_writer_begin(s->writer, term_version);
 	s->is_holding = TRUE;
 	for (guint i = 0; i < FEED_COUNT; i++)
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -62,6 +62,7 @@
 	s->epoch = epoch;
 	s->runs = 0;
 	s->unknown_runs_until_ms = unknown_runs_until_ms;
+	s->is_reading = FALSE;
 	s->has_workers = FALSE;
 	s->has_unregistered_workers = FALSE;
 }
@@ -127,7 +128,8 @@
 		job->accepted_ms -= store_ms - accepted_store_ms;
 	if (!job->spec.repeat_count)
 		fleet_job_add_occurrence(job);
-	log_job(job, "job_known", NULL);
+	if (!s->is_reading)
+		log_job(job, "job_known", NULL);
 }
 
 void fleet_scheduler_merge_progress(struct fleet_scheduler *s, const char *id,
@@ -208,6 +210,20 @@
 	w->runs_done = 0;
 }
 
+static void log_registration(const char *id,
+			     const struct worker_registration *reg)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_INFO, "worker_registered");
+	log_str(&line, "worker", id);
+	log_str(&line, "address", reg->address);
+	log_str(&line, "rack", reg->rack);
+	log_int(&line, "is_draining", reg->is_draining);
+	log_int(&line, "drain_left_ms", reg->drain_left_ms);
+	log_end(&line);
+}
+
 void fleet_scheduler_update_worker(struct fleet_scheduler *s, const char *id,
 				   struct worker_registration *reg,
 				   int64_t now_ms)
@@ -229,16 +245,9 @@
 		 * its tasks are kept until their leases have expired. */
 		return;
 	}
-	if (!w || w->reg.is_draining != reg->is_draining ||
-	    w->is_deregistered) {
-		log_begin(&line, LOG_LEVEL_INFO, "worker_registered");
-		log_str(&line, "worker", id);
-		log_str(&line, "address", reg->address);
-		log_str(&line, "rack", reg->rack);
-		log_int(&line, "is_draining", reg->is_draining);
-		log_int(&line, "drain_left_ms", reg->drain_left_ms);
-		log_end(&line);
-	}
+	if (!s->is_reading && (!w || w->reg.is_draining != reg->is_draining ||
+			       w->is_deregistered))
+		log_registration(id, reg);
 	w = fleet_add_worker(&s->fleet, id);
 	if (w->reg.incarnation_start_ms &&
 	    reg->incarnation_start_ms > w->reg.incarnation_start_ms)
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -51,6 +51,12 @@
 	 * has not answered in this epoch.
 	 */
 	int64_t unknown_runs_until_ms;
+	/**
+	 * The tables are being read at a takeover. What they hold isn't logged
+	 * line by line: that would delay the first start and use up the limit
+	 * of lines when the first decisions are logged.
+	 */
+	gboolean is_reading;
 	gboolean has_workers; /**< a registration has been received */
 	/** Some workers that the store records as in use are not registered. */
 	gboolean has_unregistered_workers;
