Links and delegates' connections end when the peer is lost without a word

Cause: a connection on which nothing is sent stays open for good when its peer loses power. Incoming links of csgated and csschedd are limited to 512 and those of a delegate to 16; new ones beyond that are refused.

Change: TCP keepalive on these connections, 16 s until a lost peer is noticed.

Test: /link-connection/lost-peer, failing before (no keepalive).

--- a/link/link_connection.c
+++ b/link/link_connection.c
@@ -12,6 +12,10 @@
 #define MAX_QUEUED_BYTES ((guint)8 << 20)
 /** TCP_USER_TIMEOUT: closes a connection whose data stays unacknowledged. */
 #define TCP_TIMEOUT_MS 5000
+/* Probes of an idle connection, which close it when the peer was lost. */
+#define KEEPALIVE_IDLE_S 10
+#define KEEPALIVE_INTERVAL_S 2
+#define KEEPALIVE_PROBES 3
 
 struct link_connection {
 	GSocketConnection *stream;
@@ -149,6 +153,13 @@
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
 			    TCP_TIMEOUT_MS, NULL);
+	g_socket_set_keepalive(socket, TRUE);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S,
+			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL,
+			    KEEPALIVE_INTERVAL_S, NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES,
+			    NULL);
 }
 
 struct link_connection *
--- a/tests/test_link_connection.c
+++ b/tests/test_link_connection.c
@@ -1,5 +1,7 @@
 /* Connections over socket pairs: large frames, and closing at any time. */
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "link/link_connection.h"
@@ -170,6 +172,42 @@
 	link_poll_free(poll);
 }
 
+/* Longest time until a connection to a lost VM is closed. */
+#define MAX_LOST_S 20
+
+static int option(int fd, int level, int name)
+{
+	int value = 0;
+	socklen_t len = sizeof(value);
+
+	g_assert_cmpint(getsockopt(fd, level, name, &value, &len), ==, 0);
+	return value;
+}
+
+/*
+ * A connection on which nothing is sent ends when its peer is lost without a
+ * word. Else such connections add up to the limit of incoming ones, and no
+ * process can connect any more.
+ */
+static void test_lost_peer(void)
+{
+	struct link_poll *poll = link_poll_new();
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct end e = { 0 };
+	int idle_s;
+	int probes_s;
+
+	g_assert_cmpint(fd, >=, 0);
+	end_open(&e, poll, fd);
+	g_assert_true(option(fd, SOL_SOCKET, SO_KEEPALIVE));
+	idle_s = option(fd, IPPROTO_TCP, TCP_KEEPIDLE);
+	probes_s = option(fd, IPPROTO_TCP, TCP_KEEPINTVL) *
+		   option(fd, IPPROTO_TCP, TCP_KEEPCNT);
+	g_assert_cmpint(idle_s + probes_s, <=, MAX_LOST_S);
+	end_close(&e);
+	link_poll_free(poll);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +215,6 @@
 	g_test_add_func("/link-connection/close-in-callback",
 			test_close_in_callback);
 	g_test_add_func("/link-connection/gone", test_gone);
+	g_test_add_func("/link-connection/lost-peer", test_lost_peer);
 	return g_test_run();
 }
