A delegate writes the row of its start again, not one by settings in force now

After a reload with other addresses the rewritten row would have named addresses that the process doesn't listen at.

Change: the row is encoded once, at the start; its token tells whose it is.

--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -34,6 +34,7 @@
 	struct http_client *client;
 	GHashTable *holders; /* set of struct holder_link */
 	char *token;	     /* in this VM's row; holders must present it */
+	json_object *row;    /* of this VM, by the addresses it listens at */
 	int64_t row_version; /* of this VM's row, 0 until registered */
 	gboolean is_draining;
 	guint timer;
@@ -82,31 +83,16 @@
 	log_end(&line);
 }
 
-static json_object *encode_own_row(const struct delegate *s)
-{
-	const struct delegate_row vm = {
-		.failure_domain = s->settings->failure_domain,
-		.cpu_share = s->settings->cpu_share,
-		.address = s->settings->internal,
-		.token = s->token,
-		.forward = s->settings->forward,
-	};
-
-	return delegate_row_encode(&vm);
-}
-
 static void register_delegate(struct delegate *s)
 {
-	json_object *row = encode_own_row(s);
 	struct table_write write = {
 		.table = DELEGATE_TABLE,
 		.key = s->settings->node,
 		.expected_version = TABLE_ANY_VERSION,
-		.value = row,
+		.value = s->row,
 	};
 
 	platform_commit(s->platform, &write, 1, on_registered, s);
-	json_object_put(row);
 }
 
 /* The token is new in each process, so it tells the row of this one. */
@@ -115,9 +101,7 @@
 	struct delegate_row vm;
 
 	return delegate_row_decode(row, &vm) &&
-	       g_strcmp0(vm.token, s->token) == 0 &&
-	       g_strcmp0(vm.address, s->settings->internal) == 0 &&
-	       g_strcmp0(vm.forward, s->settings->forward) == 0;
+	       g_strcmp0(vm.token, s->token) == 0;
 }
 
 void delegate_check_row(const struct kernel *k, json_object *row)
@@ -289,6 +273,19 @@
 	return TRUE;
 }
 
+static json_object *encode_row(const struct delegate *s)
+{
+	const struct delegate_row vm = {
+		.failure_domain = s->settings->failure_domain,
+		.cpu_share = s->settings->cpu_share,
+		.address = s->settings->internal,
+		.token = s->token,
+		.forward = s->settings->forward,
+	};
+
+	return delegate_row_encode(&vm);
+}
+
 static enum status delegate_start(struct service *base, struct kernel *k)
 {
 	struct delegate *s = (struct delegate *)base;
@@ -306,6 +303,7 @@
 		return status;
 	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
 	g_socket_service_start(s->listener);
+	s->row = encode_row(s);
 	register_delegate(s);
 	return STATUS_OK;
 }
@@ -349,6 +347,7 @@
 	http_client_free(s->client);
 	g_object_unref(s->listener);
 	link_poll_free(s->poll);
+	json_object_put(s->row);
 	g_free(s->token);
 	g_free(s);
 }
