--- a/review/tool/cases.c
+++ b/review/tool/cases.c
@@ -502,6 +502,69 @@
 		       : 0);
 }
 
+/* ----------------------------------------------------- delegated-twice --- */
+
+#define WHOLE_JOBS 40
+#define RESTARTS 25 /* of 128, as the site's share of 0.2 */
+
+/*
+ * A VM that passes orders on to runners freezes. Its orders are given another
+ * way; runners that have carried them out restart. When the VM wakes, it gives
+ * the old orders again.
+ */
+static void delegated_twice(void)
+{
+	static const char body[] =
+		"{\"Spec\":\"run_ms=300\",\"Steps\":[{\"Count\":1,"
+		"\"Cpu\":64000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":300}]}";
+	int64_t frozen_ms, woken_ms = 0, end_ms;
+	int holder = 0, frozen, other, n;
+	char path[64];
+
+	store_start();
+	put_config(1, NULL, NULL);
+	workers_start(128);
+	entries_start(3);
+	sleep_ms(8000);
+	while (holder < 2 && !log_count(holder, "event=lease_acquired"))
+		holder++;
+	frozen = (holder + 1) % 3;
+	other = (holder + 2) % 3;
+	frozen_ms = now_ms();
+	if (has_trouble()) {
+		note("VM %d freezes; VM %d holds the pool", frozen, holder);
+		kill(entries[frozen], SIGSTOP);
+	}
+	for (int i = 0; i < WHOLE_JOBS; i++) {
+		snprintf(path, sizeof(path), "/spot/%016x", 0xf000 + i);
+		if (submit(other, path, body).code != 200)
+			finish(2);
+	}
+	while (now_ms() < frozen_ms + 3200)
+		sleep_ms(5);
+	note("%d of %d work units have ended done",
+	     workers_ends("000000000000f"), WHOLE_JOBS);
+	n = workers_restart("000000000000f", RESTARTS);
+	note("%d runners restart under the ids that they had", n);
+	end_ms = now_ms() + 10000;
+	while (now_ms() < end_ms) {
+		if (has_trouble() && !woken_ms &&
+		    now_ms() >= frozen_ms + FREEZE_MS) {
+			kill(entries[frozen], SIGCONT);
+			woken_ms = now_ms();
+			note("VM %d wakes", frozen);
+		}
+		sleep_ms(10);
+	}
+	n = workers_starts_after_end("000000000000f");
+	note("%d starts, %d ends done of %d work units; %d starts came after "
+	     "an "
+	     "end that had been taken note of",
+	     workers_starts("000000000000f"), workers_ends("000000000000f"),
+	     WHOLE_JOBS, n);
+	finish(n ? 1 : workers_ends("000000000000f") < WHOLE_JOBS ? 2 : 0);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -513,6 +576,7 @@
 		{ "reserved-rack", reserved_rack },
 		{ "refused-then-run", refused_then_run },
 		{ "cancelled-then-run", cancelled_then_run },
+		{ "delegated-twice", delegated_twice },
 		{ "not-counted", not_counted },
 		{ "late-queue-row", late_queue_row },
 		{ "hopeless-job", hopeless_job },
--- a/review/tool/site.c
+++ b/review/tool/site.c
@@ -866,6 +866,9 @@
 	struct run_end *refused; /* runs up to these numbers are rejected */
 	int refused_count, refused_room;
 	int64_t last_end, fence, lease_ms, born_ms, sequence;
+	int64_t clock_zero_ms; /* its clock starts anew with each life */
+	int life;
+	char last_done[MAX_NAME];
 };
 
 static struct worker workers[MAX_WORKERS];
@@ -876,6 +879,8 @@
 struct history {
 	char task[MAX_NAME];
 	bool is_end;
+	bool is_noted;	   /* an end that AckCursor has reached */
+	bool is_after_end; /* a start after such an end */
 };
 static struct history *history;
 static int history_count, history_room;
@@ -886,7 +891,11 @@
 		history = realloc(history,
 				  sizeof(*history) *
 					  (size_t)(history_room += 4096));
+	memset(&history[history_count], 0, sizeof(*history));
 	snprintf(history[history_count].task, MAX_NAME, "%s", task);
+	for (int i = 0; !is_end && i < history_count; i++)
+		history[history_count].is_after_end |=
+			history[i].is_noted && !strcmp(history[i].task, task);
 	history[history_count++].is_end = is_end;
 }
 
@@ -912,6 +921,19 @@
 		e->run = run;
 }
 
+static void note_end(const char *task)
+{
+	for (int i = 0; i < history_count; i++) {
+		if (history[i].is_end && !strcmp(history[i].task, task))
+			history[i].is_noted = true;
+	}
+}
+
+static int64_t clock_of(const struct worker *w)
+{
+	return now_ms() - w->clock_zero_ms;
+}
+
 static void end_run(struct worker *w, int i, const char *how)
 {
 	struct run *r = &w->runs[i];
@@ -925,11 +947,13 @@
 	e->run = r->run;
 	e->how = how;
 	refuse_run(w, r->task, r->run);
-	if (!strcmp(how, "done"))
+	if (!strcmp(how, "done")) {
 		remember(r->task, true);
-	else
+		snprintf(w->last_done, MAX_NAME, "%s", r->task);
+	} else {
 		note("worker %s: %s run %lld ends %s", w->id, r->task,
 		     (long long)r->run, how);
+	}
 	w->runs[i] = w->runs[--w->run_count];
 	pthread_cond_broadcast(&worker_changed);
 }
@@ -964,7 +988,8 @@
 {
 	json_object *o = json_object_new_object();
 
-	json_object_object_add(o, "ClockMs", json_object_new_int64(now_ms()));
+	json_object_object_add(o, "ClockMs",
+			       json_object_new_int64(clock_of(w)));
 	json_object_object_add(o, "born", json_object_new_int64(w->born_ms));
 	return o;
 }
@@ -978,7 +1003,7 @@
 
 static void extend_lease(struct worker *w, json_object *body)
 {
-	int64_t until = int_of(body, "UntilMs");
+	int64_t until = int_of(body, "UntilMs") + w->clock_zero_ms;
 	int64_t most = now_ms() + LEASE_MS;
 
 	if (until > most)
@@ -1012,7 +1037,7 @@
 	const char *at = strstr(spec, "run_ms=");
 	struct run *r = find_run(w, task);
 
-	if (int_of(body, "UntilMs") <= now_ms())
+	if (int_of(body, "UntilMs") <= clock_of(w))
 		return refuse(w, "late", out);
 	if (is_old(w, task, int_of(body, "Run")) ||
 	    (r && int_of(body, "Run") < r->run))
@@ -1053,14 +1078,18 @@
 	json_object *running = json_object_new_array();
 	json_object *ended = json_object_new_array();
 	int kept = 0;
+	int life = w->life;
 
 	extend_lease(w, body);
 	for (int i = 0; i < w->end_count; i++) {
 		if (w->ends[i].number > acked)
 			w->ends[kept++] = w->ends[i];
+		else if (!strcmp(w->ends[i].how, "done"))
+			note_end(w->ends[i].task);
 	}
 	w->end_count = kept;
-	while (!w->end_count && now_ms() < due && !q->connection->is_silenced) {
+	while (!w->end_count && now_ms() < due && life == w->life &&
+	       !q->connection->is_silenced) {
 		struct timespec until;
 
 		clock_gettime(CLOCK_REALTIME, &until);
@@ -1071,6 +1100,11 @@
 		}
 		pthread_cond_timedwait(&worker_changed, &worker_lock, &until);
 	}
+	if (life != w->life) {
+		json_object_put(running);
+		json_object_put(ended);
+		return -1;
+	}
 	for (int i = 0; i < w->run_count; i++) {
 		const struct run *r = &w->runs[i];
 		json_object *e = json_object_new_array();
@@ -1186,6 +1220,50 @@
 	return n;
 }
 
+int workers_restart(const char *prefix, int count)
+{
+	int n = 0;
+
+	for (int i = 0; i < worker_count && n < count; i++) {
+		struct worker *w = &workers[i];
+
+		pthread_mutex_lock(&worker_lock);
+		if (strncmp(w->last_done, prefix, strlen(prefix)) != 0 ||
+		    w->run_count || w->end_count) {
+			pthread_mutex_unlock(&worker_lock);
+			continue;
+		}
+		w->refused_count = 0;
+		w->last_end = w->fence = w->lease_ms = 0;
+		w->last_done[0] = '\0';
+		w->born_ms = wall_ms();
+		w->clock_zero_ms = now_ms();
+		w->life++;
+		pthread_cond_broadcast(&worker_changed);
+		pthread_mutex_unlock(&worker_lock);
+		pthread_mutex_lock(&server_lock);
+		for (struct connection *c = w->server->connections; c;
+		     c = c->next)
+			shutdown(c->fd, SHUT_RDWR);
+		pthread_mutex_unlock(&server_lock);
+		register_worker(w);
+		n++;
+	}
+	return n;
+}
+
+int workers_starts_after_end(const char *prefix)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&worker_lock);
+	for (int i = 0; i < history_count; i++)
+		n += history[i].is_after_end &&
+		     !strncmp(history[i].task, prefix, strlen(prefix));
+	pthread_mutex_unlock(&worker_lock);
+	return n;
+}
+
 static int count_history(const char *prefix, bool is_end)
 {
 	int n = 0;
--- a/review/tool/site.h
+++ b/review/tool/site.h
@@ -12,7 +12,7 @@
 #include <sys/types.h>
 
 #define MAX_ENTRIES_VM 8
-#define MAX_WORKERS 48
+#define MAX_WORKERS 160
 #define ADDRESS_BYTES 32
 
 /* Values of the pages for the site khuree-wind. */
@@ -74,7 +74,12 @@
 int workers_running(void);		/* runs at work now */
 int workers_starts(const char *prefix); /* starts of tasks so named */
 int workers_ends(const char *prefix);	/* ends "done" of tasks so named */
-bool workers_run(const char *prefix);	/* such a task runs now */
+/* Restarts up to count workers that have completed a task so named, under the
+ * ids that they had; returns how many. */
+int workers_restart(const char *prefix, int count);
+/* Starts of such tasks after an end "done" that AckCursor had reached. */
+int workers_starts_after_end(const char *prefix);
+bool workers_run(const char *prefix); /* such a task runs now */
 
 /* --- the entry VMs --- */
 extern char frontends[MAX_ENTRIES_VM][ADDRESS_BYTES];
