--- a/review/tool/cases.c
+++ b/review/tool/cases.c
@@ -78,59 +78,6 @@
 	finish(never && calm_s == 4 ? 1 : unfinished ? 2 : 0);
 }
 
-/* ----------------------------------------------------- silent-channels --- */
-
-/*
- * The channels to the store go silent for good, new ones work. After
- * StableWindowMs the operator changes the desired state; the VMs handle
- * requests as only the older version allows for longer than ConfigApplyMs.
- */
-static void silent_channels(void)
-{
-	int64_t silent_ms, acked_ms, last_ms = 0;
-	int old = 0, asked = 0;
-
-	store_start();
-	put_config(1, NULL, "key-2");
-	workers_start(4);
-	entries_start(3);
-	sleep_ms(8000);
-	silent_ms = now_ms();
-	if (has_trouble())
-		store_silence_open();
-	sleep_ms(STABLE_WINDOW_MS + 200);
-	put_config(2, "news", NULL);
-	acked_ms = now_ms();
-	sleep_ms(CONFIG_APPLY_MS + 50);
-	for (int i = 0; now_ms() < acked_ms + 20000; i++) {
-		int vm = i % 3;
-		int64_t sent_ms = now_ms();
-		struct reply r =
-			call(frontends[vm], "GET", "/news/", KEY, NULL, 1500);
-		struct reply k = call(frontends[vm], "GET", "/spot/", "key-2",
-				      NULL, 1500);
-
-		asked++;
-		if (r.code == 404 || k.code == 200) {
-			old++;
-			last_ms = now_ms();
-			note("client: at VM %d, %lld ms after the "
-			     "acknowledgement of version 2: its queue -> %d, "
-			     "the key that it dropped -> %d",
-			     vm, (long long)(sent_ms - acked_ms), r.code,
-			     k.code);
-		}
-		sleep_ms(100);
-	}
-	if (old)
-		note("%d of %d rounds were handled as only version 1 allows, "
-		     "the last one %lld ms after the acknowledgement, %lld ms "
-		     "after the channels went silent",
-		     old, asked, (long long)(last_ms - acked_ms),
-		     (long long)(last_ms - silent_ms));
-	finish(old ? 1 : 0);
-}
-
 /* ------------------------------------------------------- hopeless-job --- */
 
 #define HOPELESS_STEPS 100
@@ -565,6 +512,54 @@
 	finish(n ? 1 : workers_ends("000000000000f") < WHOLE_JOBS ? 2 : 0);
 }
 
+/* ------------------------------------------------------------ long-job --- */
+
+/*
+ * A work unit of ten minutes reports its progress in whole percent, one each
+ * six seconds. It counts as stalled and is stopped again and again.
+ */
+static void long_job(void)
+{
+	int run_ms = has_trouble() ? 600000 : 60000;
+	int64_t idle_since = 0, longest = 0, end_ms;
+	char body[300];
+
+	store_start();
+	put_config(1, NULL, NULL);
+	workers_start(9);
+	entries_start(2);
+	sleep_ms(2000);
+	snprintf(body, sizeof(body),
+		 "{\"Spec\":\"run_ms=%d\",\"Steps\":[{\"Count\":1,\"Cpu\":500,"
+		 "\"MemMb\":100,\"EstimateMs\":%d,\"Requirements\":\"b\"}]}",
+		 run_ms, run_ms);
+	note("a job of one work unit of %d s; one of the 9 runners has the "
+	     "label that it needs",
+	     run_ms / 1000);
+	if (submit(0, "/spot/00000000000000ee", body).code != 200)
+		finish(2);
+	note("end of the traffic");
+	sleep_ms(14000); /* finish_s */
+	end_ms = now_ms() + 60000;
+	while (now_ms() < end_ms && !workers_ends("00000000000000ee.")) {
+		if (workers_run("00000000000000ee."))
+			idle_since = 0;
+		else if (!idle_since)
+			idle_since = now_ms();
+		if (idle_since && now_ms() - idle_since > longest)
+			longest = now_ms() - idle_since;
+		sleep_ms(20);
+	}
+	note("%d starts, %d ends done; from finish_s on the longest time "
+	     "without "
+	     "a run was %lld ms; the runner was idle meanwhile",
+	     workers_starts("00000000000000ee."),
+	     workers_ends("00000000000000ee."), (long long)longest);
+	finish(longest >= 3000				  ? 1
+	       : workers_starts("00000000000000ee.") != 1 ? 2
+							  : 0);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -572,11 +567,11 @@
 		void (*fn)(void);
 	} cases[] = {
 		{ "outgrown-row", outgrown_row },
-		{ "silent-channels", silent_channels },
 		{ "reserved-rack", reserved_rack },
 		{ "refused-then-run", refused_then_run },
 		{ "cancelled-then-run", cancelled_then_run },
 		{ "delegated-twice", delegated_twice },
+		{ "long-job", long_job },
 		{ "not-counted", not_counted },
 		{ "late-queue-row", late_queue_row },
 		{ "hopeless-job", hopeless_job },
--- a/review/tool/site.c
+++ b/review/tool/site.c
@@ -150,7 +150,6 @@
 
 struct connection {
 	int fd;
-	bool is_silenced;
 	struct server *server;
 	struct connection *next;
 };
@@ -276,10 +275,10 @@
 		char head[256];
 		int code = -1;
 
-		if (!c->is_silenced && !c->server->is_cut)
+		if (!c->server->is_cut)
 			code = c->server->fn(c->server->data, &r, &out);
 		free(r.body);
-		if (code < 0 || c->is_silenced || c->server->is_cut) {
+		if (code < 0 || c->server->is_cut) {
 			json_object_put(out);
 			wait_forever(c);
 			break;
@@ -727,7 +726,7 @@
 			    rows[i]->version > atoll(after))
 				found[n++] = rows[i];
 		}
-		if (n || now_ms() >= due_ms || r->connection->is_silenced)
+		if (n || now_ms() >= due_ms)
 			break;
 		clock_gettime(CLOCK_REALTIME, &until);
 		until.tv_nsec += 20000000;
@@ -820,22 +819,6 @@
 	note("store: the cut is over");
 }
 
-void store_silence_open(void)
-{
-	int n = 0;
-
-	pthread_mutex_lock(&server_lock);
-	for (int i = 0; i < MAX_ENTRIES_VM; i++) {
-		for (struct connection *c = store[i]->connections; c;
-		     c = c->next, n++)
-			c->is_silenced = true;
-	}
-	pthread_mutex_unlock(&server_lock);
-	note("store: the %d connections that are open now carry nothing "
-	     "further; new ones work",
-	     n);
-}
-
 /* ------------------------------------------------------------- workers --- */
 
 #define MAX_RUNS 512
@@ -885,6 +868,8 @@
 static struct history *history;
 static int history_count, history_room;
 
+static bool workers_restarted; /* since when it matters what ran before */
+
 static void remember(const char *task, bool is_end)
 {
 	if (history_count == history_room)
@@ -893,7 +878,7 @@
 					  (size_t)(history_room += 4096));
 	memset(&history[history_count], 0, sizeof(*history));
 	snprintf(history[history_count].task, MAX_NAME, "%s", task);
-	for (int i = 0; !is_end && i < history_count; i++)
+	for (int i = 0; !is_end && workers_restarted && i < history_count; i++)
 		history[history_count].is_after_end |=
 			history[i].is_noted && !strcmp(history[i].task, task);
 	history[history_count++].is_end = is_end;
@@ -1052,6 +1037,10 @@
 		r->run = int_of(body, "Run");
 		r->began_ms = now_ms();
 		r->end_ms = now_ms() + (at ? atoll(at + 7) : 300);
+		/* Of some steps, one work unit in 20 takes longer. */
+		at = strstr(spec, "long_ms=");
+		if (at && atoll(strrchr(task, '.') + 1) % 20 == 0)
+			r->end_ms = now_ms() + atoll(at + 8);
 		remember(task, false);
 	}
 	*out = clock_body(w);
@@ -1070,8 +1059,7 @@
 	return 200;
 }
 
-static int handle_hold(struct worker *w, const struct request *q,
-		       json_object *body, json_object **out)
+static int handle_hold(struct worker *w, json_object *body, json_object **out)
 {
 	int64_t due = now_ms() + int_of(body, "WaitMs");
 	int64_t acked = int_of(body, "AckCursor");
@@ -1088,8 +1076,7 @@
 			note_end(w->ends[i].task);
 	}
 	w->end_count = kept;
-	while (!w->end_count && now_ms() < due && life == w->life &&
-	       !q->connection->is_silenced) {
+	while (!w->end_count && now_ms() < due && life == w->life) {
 		struct timespec until;
 
 		clock_gettime(CLOCK_REALTIME, &until);
@@ -1160,7 +1147,7 @@
 		else if (strstr(r->path, "/run-stop"))
 			code = handle_stop(w, body, out);
 		else if (strstr(r->path, "/hold"))
-			code = handle_hold(w, r, body, out);
+			code = handle_hold(w, body, out);
 	}
 	pthread_mutex_unlock(&worker_lock);
 	json_object_put(body);
@@ -1224,6 +1211,7 @@
 {
 	int n = 0;
 
+	workers_restarted = true;
 	for (int i = 0; i < worker_count && n < count; i++) {
 		struct worker *w = &workers[i];
 
--- a/review/tool/site.h
+++ b/review/tool/site.h
@@ -17,7 +17,6 @@
 
 /* Values of the pages for the site khuree-wind. */
 #define STABLE_WINDOW_MS 3000
-#define CONFIG_APPLY_MS 2000
 #define CANCEL_MS 3000
 #define VISIBLE_MS 3000
 #define STOP_MS 200
@@ -55,8 +54,6 @@
 /* Writes a row as the operator or a runner does; returns its version. */
 int64_t store_put(const char *table, const char *key, const char *json);
 void store_drop(const char *table, const char *key);
-/* From now on the connections that are open now carry nothing further. */
-void store_silence_open(void);
 /* Commits that the predicate selects are done after delay_ms, not answered. */
 extern bool (*store_is_late)(json_object *tx);
 /* The VM whose commit it selects is cut off from the store once this is done,
