--- a/review/tool/cases.c
+++ b/review/tool/cases.c
@@ -128,6 +128,7 @@
 	int never = 0, accepted_count = 0, idle = 0, taken = 0;
 
 	store_start();
+	spot_priority = 0;
 	put_config(1, NULL, NULL);
 	workers_start(48);
 	entries_start(3);
@@ -273,6 +274,61 @@
 	finish(workers_starts("00000000000000cc.") ? 1 : 0);
 }
 
+/* ------------------------------------------------------ other-service --- */
+
+#define TILE_JOBS 10
+
+/*
+ * Many urgent jobs come at once on one service. Jobs on another service, whose
+ * runners are idle, are kept waiting.
+ */
+static void other_service(void)
+{
+	bool accepted[TILE_JOBS] = { false };
+	int never = 0, urgent = has_trouble() ? 16 : 1;
+	char path[64];
+
+	store_start();
+	second_service_from = 8;
+	put_two_services(1);
+	workers_start(12);
+	entries_start(2);
+	sleep_ms(2000);
+	note("%d urgent jobs come on salkhi, each of one work unit of 60 s "
+	     "with "
+	     "8 GPUs; it has 8 runners with 8 GPUs",
+	     urgent);
+	for (int i = 0; i < urgent; i++) {
+		snprintf(path, sizeof(path), "/spot/%016x", 0x2000 + i);
+		if (submit(i % 2, path,
+			   "{\"Spec\":\"run_ms=60000\",\"Steps\":[{\"Count\":1,"
+			   "\"Cpu\":500,\"MemMb\":100,\"Gpu\":8,"
+			   "\"EstimateMs\":60000}]}")
+			    .code != 200)
+			finish(2);
+	}
+	sleep_ms(1000);
+	for (int i = 0; i < TILE_JOBS; i++, sleep_ms(500)) {
+		snprintf(path, sizeof(path), "/tiles/%016x", 0x3000 + i);
+		accepted[i] = submit(i % 2, path,
+				     "{\"Spec\":\"run_ms=300\",\"Steps\":[{"
+				     "\"Count\":1,\"Cpu\":500,\"MemMb\":100,"
+				     "\"Gpu\":1,\"EstimateMs\":300}]}")
+				      .code == 200;
+	}
+	note("end of the traffic");
+	sleep_ms(14000 + 3000); /* finish_s, and 3 s more */
+	for (int i = 0; i < TILE_JOBS; i++) {
+		snprintf(path, sizeof(path), "%016x.", 0x3000 + i);
+		never += accepted[i] && !workers_starts(path);
+	}
+	note("%d of %d jobs on gobi have never been started; its 4 runners "
+	     "with "
+	     "32 GPUs are idle",
+	     never, TILE_JOBS);
+	finish(never ? 1 : 0);
+}
+
 /* ------------------------------------------------------- not-counted --- */
 
 #define WAITING_JOBS 4
@@ -572,6 +628,7 @@
 		{ "cancelled-then-run", cancelled_then_run },
 		{ "delegated-twice", delegated_twice },
 		{ "long-job", long_job },
+		{ "other-service", other_service },
 		{ "not-counted", not_counted },
 		{ "late-queue-row", late_queue_row },
 		{ "hopeless-job", hopeless_job },
--- a/review/tool/site.c
+++ b/review/tool/site.c
@@ -27,6 +27,8 @@
 char readiness[MAX_ENTRIES_VM][ADDRESS_BYTES];
 pid_t entries[MAX_ENTRIES_VM];
 int refusing_worker = -1;
+int second_service_from = MAX_WORKERS;
+int spot_priority = 1;
 bool (*store_is_late)(json_object *tx);
 bool (*store_cuts_after)(json_object *tx);
 int store_late_ms;
@@ -1158,14 +1160,14 @@
 {
 	char text[1024];
 
-	snprintf(
-		text, sizeof(text),
-		"{\"Service\":\"salkhi\",\"Address\":\"%s\",\"Zone\":\"tov-a\","
-		"\"Version\":\"1\",\"Slots\":8,\"State\":\"ready\","
-		"\"Capacity\":{\"Cpu\":64000,\"MemMb\":131072,\"Gpu\":8},"
-		"\"Labels\":[\"%s\",\"r%d\"],\"born\":%lld,\"Sequence\":%lld}",
-		w->server->address, w->index ? "a" : "b", w->index / 8,
-		(long long)w->born_ms, (long long)++w->sequence);
+	snprintf(text, sizeof(text),
+		 "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"tov-a\","
+		 "\"Version\":\"1\",\"Slots\":8,\"State\":\"ready\","
+		 "\"Capacity\":{\"Cpu\":64000,\"MemMb\":131072,\"Gpu\":8},"
+		 "\"Labels\":[\"%s\",\"r%d\"],\"born\":%lld,\"Sequence\":%lld}",
+		 w->index >= second_service_from ? "gobi" : "salkhi",
+		 w->server->address, w->index ? "a" : "b", w->index / 8,
+		 (long long)w->born_ms, (long long)++w->sequence);
 	store_put("servers", w->id, text);
 }
 
@@ -1384,23 +1386,24 @@
 
 /* ----------------------------------------------------------- clients --- */
 
-static int add_route(char *out, size_t room, const char *name, int priority)
+static int add_route(char *out, size_t room, const char *name, int priority,
+		     const char *service)
 {
 	return snprintf(out, room,
 			"{\"Name\":\"%s\",\"Host\":\"" HOST "\","
-			"\"PathPrefix\":\"/%s/\",\"Service\":\"salkhi\","
+			"\"PathPrefix\":\"/%s/\",\"Service\":\"%s\","
 			"\"Priority\":%d,\"MaxAttempts\":2,\"Stretch\":3,"
 			"\"TargetLatencyMs\":1000}",
-			name, name, priority);
+			name, name, service, priority);
 }
 
 void put_config(int version, const char *further_route, const char *further_key)
 {
 	char routes[2048], further[1024] = "", text[4096];
 
-	add_route(routes, sizeof(routes), "spot", 1);
+	add_route(routes, sizeof(routes), "spot", spot_priority, "salkhi");
 	if (further_route)
-		add_route(further, sizeof(further), further_route, 2);
+		add_route(further, sizeof(further), further_route, 2, "salkhi");
 	snprintf(text, sizeof(text),
 		 "{\"Version\":%d,\"Routes\":[%s%s%s],"
 		 "\"Services\":[{\"Name\":\"salkhi\"}],\"Limits\":{},"
@@ -1418,6 +1421,24 @@
 	     further_key ? further_key : "");
 }
 
+void put_two_services(int version)
+{
+	char urgent[1024], other[1024], text[4096];
+
+	add_route(urgent, sizeof(urgent), "spot", 0, "salkhi");
+	add_route(other, sizeof(other), "tiles", 1, "gobi");
+	snprintf(text, sizeof(text),
+		 "{\"Version\":%d,\"Routes\":[%s,%s],\"Services\":["
+		 "{\"Name\":\"salkhi\"},{\"Name\":\"gobi\"}],\"Limits\":{},"
+		 "\"Tenants\":[{\"Name\":\"t1\",\"ApiKeys\":[\"" KEY
+		 "\"],\"Guaranteed\":{\"Gpu\":8}}]}",
+		 version, urgent, other);
+	store_put("op", "config", text);
+	note("operator: version %d: queue /spot/ of priority 0 on the service "
+	     "salkhi, queue /tiles/ of priority 1 on the service gobi",
+	     version);
+}
+
 static int later_ms, later_version;
 
 static void *put_later(void *data)
--- a/review/tool/site.h
+++ b/review/tool/site.h
@@ -68,6 +68,8 @@
 extern int refusing_worker; /* answers starts with 503, does nothing; or -1 */
 /* The first one has the label "b", the others "a". */
 void workers_start(int count);
+/* Runners from this one on are of the service gobi, not salkhi. */
+extern int second_service_from;
 int workers_running(void);		/* runs at work now */
 int workers_starts(const char *prefix); /* starts of tasks so named */
 int workers_ends(const char *prefix);	/* ends "done" of tasks so named */
@@ -87,11 +89,15 @@
 int log_count(int entry, const char *text);
 
 /* --- the operator and clients --- */
-/* A desired state with a queue /spot/ of priority 1 and, if named, a further
+extern int spot_priority; /* 1 */
+/* A desired state with a queue /spot/ of this priority and, if named, a further
  * one of priority 2. */
 void put_config(int version, const char *further_route,
 		const char *further_key);
-/* Does the same beside the caller after some time. */
+/* A queue /spot/ of priority 0 on the service salkhi, and a queue /tiles/ of
+ * priority 1 on the service gobi. */
+void put_two_services(int version);
+/* put_config() beside the caller after some time. */
 void put_config_later(int delay_ms, int version);
 struct reply submit(int entry, const char *path, const char *body);
 struct reply get(int entry, const char *path);
