Calls are void after a time that is checked where they are sent

Cause: a call to a worker had a limit for its answer, none for being sent. The holder gave a call up after its timeout; the frozen delegate began the same timeout when it read the call seconds later, and a process that was paused while a connection opened sent the request when it woke.

Change: each call has a time after which it is void, on a clock that includes suspensions. The HTTP client checks it when the connection is ready. Frames to a delegate carry it on the delegate's clock, which the holder estimates from below out of the samples in its messages. Orders end with their timeout or the pool's lease, acknowledgements 500 ms after the report. What is withheld is answered as not sent, logged and counted.

--- a/base/http_client.c
+++ b/base/http_client.c
@@ -72,10 +72,12 @@
 	GBytes *body;		      /**< NULL for none */
 	GCancellable *cancellable;
 	guint timer;
-	int64_t deadline_ms; /**< end of the timeout */
+	int64_t deadline_ms;   /**< end of the timeout */
+	int64_t send_until_ms; /**< on the clock of util_boot_ms() */
 	int64_t timeout_ms;
 	gboolean may_retry; /**< may be resent on a new connection */
 	gboolean is_sent;
+	gboolean is_expired; /**< was withheld after send_until_ms */
 	gboolean was_resent;
 	gboolean is_cancelled; /**< on_reply must not be called any more */
 	gboolean wants_bytes;
@@ -244,11 +246,33 @@
 	g_free(call);
 }
 
+/* Cancels a message whose connection was ready too late; libsoup then writes
+ * nothing. */
+static void withhold(struct http_call *call, int64_t late_ms)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "http_call_expired");
+	log_str(&line, "path",
+		g_uri_get_path(soup_message_get_uri(call->message)));
+	log_int(&line, "late_ms", late_ms);
+	log_int(&line, "was_resent", call->was_resent);
+	log_end(&line);
+	call->is_expired = TRUE;
+	call->may_retry = FALSE;
+	g_cancellable_cancel(call->cancellable);
+}
+
+/* Emitted when a connection is ready, just before the request is written. */
 static void on_starting(SoupMessage *message, gpointer data)
 {
 	struct http_call *call = data;
+	int64_t late_ms = util_boot_ms() - call->send_until_ms;
 
-	call->is_sent = TRUE;
+	if (late_ms > 0)
+		withhold(call, late_ms);
+	else
+		call->is_sent = TRUE;
 }
 
 /* libsoup resends the request because the reused connection had ended. */
@@ -457,6 +481,7 @@
 	if (call->is_cancelled)
 		goto out;
 	reply.was_resent = call->was_resent;
+	reply.is_expired = call->is_expired;
 	if (bytes) {
 		reply.code = soup_message_get_status(call->message);
 		text = set_reply_body(call, bytes, &reply);
@@ -540,6 +565,9 @@
 	call->data = spec->data;
 	call->timeout_ms = spec->timeout_ms;
 	call->deadline_ms = util_monotonic_ms() + spec->timeout_ms;
+	call->send_until_ms =
+		util_boot_ms() + (spec->send_within_ms ? spec->send_within_ms
+						       : spec->timeout_ms);
 	call->may_retry = spec->may_reuse;
 	if (spec->body)
 		call->body = body_bytes(spec->body);
--- a/base/http_client.h
+++ b/base/http_client.h
@@ -36,6 +36,11 @@
 	 * says.
 	 */
 	gboolean was_resent;
+	/**
+	 * A request was withheld, as the time in which it may be sent had
+	 * passed.
+	 */
+	gboolean is_expired;
 };
 
 typedef void (*http_reply_fn)(const struct http_reply *reply, void *data);
@@ -46,6 +51,13 @@
 	const char *path;    /**< with the query, percent-encoded */
 	json_object *body;   /**< may be NULL; borrowed */
 	int64_t timeout_ms;
+	/**
+	 * The request may be sent only within this time, which includes the
+	 * time of a suspension of the VM; it is checked when the connection is
+	 * ready. A process that was paused must not send what its caller has
+	 * given up. 0 for the timeout.
+	 */
+	int64_t send_within_ms;
 	/**
 	 * Reuses an open connection if there is one, and resends the request
 	 * on a new connection if the reused one has ended or stays silent for
--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -39,6 +39,7 @@
 	gboolean is_draining;
 	guint timer;
 	struct counter *calls;
+	struct counter *expired;
 };
 
 /* An incoming connection of a holder. */
@@ -140,13 +141,20 @@
 	g_free(l);
 }
 
-static void on_reply(const struct http_reply *reply, void *data)
+static void add_clock(json_object *body)
+{
+	json_object_object_add(body, "boot_ms",
+			       json_object_new_int64(util_boot_ms()));
+}
+
+static void send_reply(struct holder_link *l, int64_t number,
+		       const struct http_reply *reply)
 {
-	struct delegated_call *c = data;
 	json_object *body = json_object_new_object();
 
-	json_object_object_add(body, "number",
-			       json_object_new_int64(c->number));
+	if (reply->is_expired)
+		counter_add(l->delegate->expired, 1);
+	json_object_object_add(body, "number", json_object_new_int64(number));
 	json_object_object_add(
 		body, "status",
 		json_object_new_string(status_name(reply->status)));
@@ -154,20 +162,49 @@
 			       json_object_new_int((int32_t)reply->code));
 	json_object_object_add(body, "was_resent",
 			       json_object_new_boolean(reply->was_resent));
+	json_object_object_add(body, "is_expired",
+			       json_object_new_boolean(reply->is_expired));
+	add_clock(body);
 	if (reply->body)
 		json_object_object_add(body, "body",
 				       json_object_get(reply->body));
 	/* A failure to send needs no handling: a closed connection ends all its
 	 * calls, and without a reply the holder's call times out. */
-	link_connection_send(c->link->connection, DELEGATE_MESSAGE_REPLY, body);
+	link_connection_send(l->connection, DELEGATE_MESSAGE_REPLY, body);
 	json_object_put(body);
+}
+
+static void on_reply(const struct http_reply *reply, void *data)
+{
+	struct delegated_call *c = data;
+
+	send_reply(c->link, c->number, reply);
 	g_hash_table_remove(c->link->calls, c);
 	g_free(c);
 }
 
+/* Answers a call that was read after its time, as by a VM that was paused. */
+static void refuse_expired(struct holder_link *l, json_object *message,
+			   int64_t late_ms)
+{
+	const struct http_reply reply = {
+		.status = STATUS_UNAVAILABLE,
+		.is_expired = TRUE,
+	};
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "delegate_call_expired");
+	log_str(&line, "path", json_member_text(message, "path"));
+	log_int(&line, "late_ms", late_ms);
+	log_end(&line);
+	send_reply(l, json_member_int(message, "number"), &reply);
+}
+
 static void start_delegated_call(struct holder_link *l, json_object *message)
 {
-	struct delegated_call *c = g_new0(struct delegated_call, 1);
+	int64_t left_ms =
+		json_member_int(message, "send_until_ms") - util_boot_ms();
+	struct delegated_call *c;
 	json_object *list = json_member(message, "headers");
 	const char *headers[MAX_HEADER_PAIRS * 2 + 1] = { NULL };
 	struct http_call_spec spec = {
@@ -177,10 +214,10 @@
 		.body = json_member(message, "body"),
 		.timeout_ms = json_member_int(message, "timeout_ms"),
 		.max_silence_ms = json_member_int(message, "silent_ms"),
+		.send_within_ms = left_ms,
 		.may_reuse = TRUE,
 		.headers = headers,
 		.on_reply = on_reply,
-		.data = c,
 	};
 	struct log_line line;
 
@@ -193,9 +230,14 @@
 	if (!spec.method || !spec.address || !spec.path) {
 		log_begin(&line, LOG_LEVEL_ERROR, "delegate_call_unreadable");
 		log_end(&line);
-		g_free(c);
 		return;
 	}
+	if (left_ms <= 0) {
+		refuse_expired(l, message, -left_ms);
+		return;
+	}
+	c = g_new0(struct delegated_call, 1);
+	spec.data = c;
 	c->link = l;
 	c->number = json_member_int(message, "number");
 	counter_add(l->delegate->calls, 1);
@@ -212,6 +254,15 @@
 	log_end(&line);
 }
 
+static void send_clock(struct holder_link *l)
+{
+	json_object *body = json_object_new_object();
+
+	add_clock(body);
+	link_connection_send(l->connection, DELEGATE_MESSAGE_CLOCK, body);
+	json_object_put(body);
+}
+
 static void on_frame(uint8_t type, json_object *body, void *data)
 {
 	struct holder_link *l = data;
@@ -222,6 +273,8 @@
 						l->delegate->token) == 0;
 		log_holder("delegate_hello",
 			   l->is_authenticated ? "accepted" : "unknown token");
+		if (l->is_authenticated)
+			send_clock(l);
 	} else if (type == DELEGATE_MESSAGE_CALL && l->is_authenticated) {
 		start_delegated_call(l, body);
 	}
@@ -296,6 +349,9 @@
 	s->calls =
 		counters_counter(kernel_counters(k), "cs_delegated_calls_total",
 				 "Calls to workers for a holder elsewhere");
+	s->expired = counters_counter(
+		kernel_counters(k), "cs_delegated_calls_expired_total",
+		"Calls for a holder elsewhere that came too late to be sent");
 	if (!s->settings->internal)
 		return STATUS_OK;
 	status = link_listen(s->listener, s->settings->internal);
--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -25,6 +25,8 @@
  * and from then until a delegate is connected. */
 #define READ_ROWS_MS 1000
 #define FIRST_CONNECT_MS 300
+/* Largest share by which two VMs' clocks may differ in their rates. */
+#define MAX_CLOCK_DRIFT 0.03
 /* The row of a delegate that stays unreachable for this long is removed; a VM
  * restarts in less time. */
 #define REMOVE_ROW_AFTER_MS 60000
@@ -38,6 +40,11 @@
 	double cpu_share;
 	struct link_connection *connection;
 	GCancellable *connecting;
+	gboolean is_opening; /* connecting, or its clock is not known yet */
+	/* Its clock minus this VM's, at most, when the sample was taken; both
+	 * by util_boot_ms(). */
+	int64_t clock_offset_ms;
+	int64_t clock_sampled_ms; /* on this VM's clock, 0 without a sample */
 	int64_t avoid_until_ms;
 	int64_t failing_since_ms; /* first failed connect in a row, or 0 */
 	int64_t row_version;	  /* of its row in DELEGATE_TABLE */
@@ -65,7 +72,7 @@
 	gboolean is_read; /* the table has been read, or that took too long */
 	int64_t wait_until_ms; /* end of the wait for is_read, then for
 				  connections */
-	guint connecting;      /* connections being opened */
+	guint opening;	       /* delegates with is_opening set */
 	GSocketClient *client;
 	struct link_poll *poll;
 	struct link_traffic traffic;
@@ -141,22 +148,24 @@
 /* Returns TRUE while workers wait for their delegates to be connected. */
 static gboolean is_connecting(const struct delegate_pool *p, int64_t now_ms)
 {
-	return p->is_read && p->connecting && now_ms < p->wait_until_ms;
+	return p->is_read && p->opening && now_ms < p->wait_until_ms;
 }
 
-static void end_connecting(struct delegate_link *d)
+static void end_opening(struct delegate_link *d)
 {
-	if (!d->connecting)
+	if (!d->is_opening)
 		return;
-	g_clear_object(&d->connecting);
-	d->pool->connecting--;
+	d->is_opening = FALSE;
+	d->pool->opening--;
 }
 
 static void disconnect(struct delegate_link *d)
 {
 	if (d->connecting)
 		g_cancellable_cancel(d->connecting);
-	end_connecting(d);
+	g_clear_object(&d->connecting);
+	end_opening(d);
+	d->clock_sampled_ms = 0;
 	g_clear_pointer(&d->connection, link_connection_close);
 	finish_unanswered(d->pool, d, INT64_MAX);
 }
@@ -186,6 +195,42 @@
 	return STATUS_UNKNOWN;
 }
 
+/*
+ * Returns a lower bound of a delegate's clock minus this VM's. A sample is a
+ * lower bound of the difference, as the message was on its way for a while;
+ * clocks of different rates lower it further with time.
+ */
+static int64_t clock_offset_ms(const struct delegate_link *d, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - d->clock_sampled_ms;
+
+	return d->clock_offset_ms - (int64_t)(MAX_CLOCK_DRIFT * (double)age_ms);
+}
+
+/* Takes the delegate's clock from a message, if that is the better sample. */
+static void record_clock(struct delegate_link *d, json_object *message)
+{
+	int64_t boot_ms = json_member_int(message, "boot_ms");
+	int64_t now_ms = util_boot_ms();
+
+	if (!boot_ms || (d->clock_sampled_ms &&
+			 boot_ms - now_ms < clock_offset_ms(d, now_ms)))
+		return;
+	d->clock_offset_ms = boot_ms - now_ms;
+	d->clock_sampled_ms = now_ms;
+}
+
+/* The delegate has accepted this holder and can be used from now on. */
+static void handle_clock(struct delegate_link *d, json_object *message)
+{
+	record_clock(d, message);
+	if (!d->is_opening || !d->clock_sampled_ms)
+		return;
+	end_opening(d);
+	log_delegate(d, "delegate_reached", NULL);
+	d->pool->spec.on_ready(d->pool->spec.data);
+}
+
 static void handle_reply(struct delegate_link *d, json_object *message)
 {
 	int64_t number = json_member_int(message, "number");
@@ -196,8 +241,11 @@
 		.body = json_member(message, "body"),
 		.was_resent = json_object_get_boolean(
 			json_member(message, "was_resent")),
+		.is_expired = json_object_get_boolean(
+			json_member(message, "is_expired")),
 	};
 
+	record_clock(d, message);
 	if (c && c->delegate == d)
 		complete_call(d->pool, c, &reply);
 }
@@ -206,6 +254,8 @@
 {
 	if (type == DELEGATE_MESSAGE_REPLY)
 		handle_reply(data, body);
+	else if (type == DELEGATE_MESSAGE_CLOCK)
+		handle_clock(data, body);
 }
 
 static void on_closed(void *data)
@@ -267,8 +317,9 @@
 		g_error_free(error);
 		return;
 	}
-	end_connecting(d);
+	g_clear_object(&d->connecting);
 	if (!stream) {
+		end_opening(d);
 		record_unreachable(d, error->message);
 		d->pool->spec.on_ready(d->pool->spec.data);
 		g_error_free(error);
@@ -279,15 +330,14 @@
 				    on_frame, on_closed, d);
 	d->failing_since_ms = 0;
 	send_hello(d);
-	log_delegate(d, "delegate_reached", NULL);
-	d->pool->spec.on_ready(d->pool->spec.data);
 	g_object_unref(stream);
 }
 
 static void delegate_link_connect(struct delegate_link *d)
 {
 	d->connecting = g_cancellable_new();
-	d->pool->connecting++;
+	d->is_opening = TRUE;
+	d->pool->opening++;
 	g_socket_client_connect_to_host_async(d->pool->client, d->address, 0,
 					      d->connecting, on_connected, d);
 }
@@ -373,7 +423,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct delegate_link *d = item;
 
-		if (!d->connection && !d->connecting)
+		if (!d->connection && !d->is_opening)
 			delegate_link_connect(d);
 	}
 	p->spec.on_ready(p->spec.data);
@@ -468,8 +518,8 @@
 }
 
 /*
- * Returns the connected delegate of a worker, or NULL. If the selected one is
- * not connected yet, starts to connect to it and returns NULL.
+ * Returns the delegate of a worker if it can be used, or NULL. If the selected
+ * one is not connected yet, starts to connect to it and returns NULL.
  */
 static struct delegate_link *pick_delegate(struct delegate_pool *p,
 					   const char *worker,
@@ -479,9 +529,9 @@
 	struct delegate_link *best =
 		find_delegate(p, worker, failure_domain, now_ms);
 
-	if (!best || best->connection)
+	if (!best || (best->connection && !best->is_opening))
 		return best;
-	if (!best->connecting)
+	if (!best->is_opening)
 		delegate_link_connect(best);
 	return NULL;
 }
@@ -499,9 +549,14 @@
 	return FALSE;
 }
 
-static json_object *encode_call(const struct http_call_spec *spec,
+static json_object *encode_call(const struct delegate_link *d,
+				const struct http_call_spec *spec,
 				int64_t number)
 {
+	int64_t boot_ms = util_boot_ms();
+	int64_t send_until_ms = boot_ms + clock_offset_ms(d, boot_ms) +
+				(spec->send_within_ms ? spec->send_within_ms
+						      : spec->timeout_ms);
 	json_object *body = json_object_new_object();
 	json_object *headers = json_object_new_array();
 
@@ -520,6 +575,8 @@
 			       json_object_new_int64(spec->timeout_ms));
 	json_object_object_add(body, "silent_ms",
 			       json_object_new_int64(spec->max_silence_ms));
+	json_object_object_add(body, "send_until_ms",
+			       json_object_new_int64(send_until_ms));
 	if (spec->body)
 		json_object_object_add(body, "body",
 				       json_object_get(spec->body));
@@ -537,7 +594,7 @@
 	if (!is_connecting(p, now_ms))
 		return TRUE;
 	d = find_delegate(p, worker, failure_domain, now_ms);
-	return !d || !d->connecting;
+	return !d || !d->is_opening;
 }
 
 gboolean delegate_pool_send(struct delegate_pool *p, const char *worker,
@@ -556,7 +613,7 @@
 	d = pick_delegate(p, worker, failure_domain, now_ms);
 	if (!d)
 		return FALSE;
-	body = encode_call(spec, p->last_number + 1);
+	body = encode_call(d, spec, p->last_number + 1);
 	status = link_connection_send(d->connection, DELEGATE_MESSAGE_CALL,
 				      body);
 	json_object_put(body);
--- a/entry/election.c
+++ b/entry/election.c
@@ -297,6 +297,11 @@
 	return leadership_may_act(&find(k)->lead, util_boot_ms());
 }
 
+int64_t election_act_left_ms(const struct kernel *k)
+{
+	return leadership_act_left_ms(&find(k)->lead, util_boot_ms());
+}
+
 gboolean election_hears_store(const struct kernel *k)
 {
 	int64_t last_ms = table_feed_last_answer_ms(find(k)->feed);
--- a/entry/election.h
+++ b/entry/election.h
@@ -35,6 +35,9 @@
 /** Returns TRUE if this process may send orders to workers now. */
 gboolean election_may_act(const struct kernel *k);
 
+/** Returns how long this process may send orders to workers, 0 if not now. */
+int64_t election_act_left_ms(const struct kernel *k);
+
 /**
  * Returns TRUE if the store has answered this process lately. It usually does
  * several times a second, as each renewal of the lease changes its row.
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -446,6 +446,11 @@
 	worker_calls_stop(((struct pool_holder *)data)->calls, w, task, run);
 }
 
+static int64_t act_left_ms(void *data)
+{
+	return election_act_left_ms(((struct pool_holder *)data)->kernel);
+}
+
 static enum status pool_holder_start(struct service *base, struct kernel *k)
 {
 	struct pool_holder *s = (struct pool_holder *)base;
@@ -464,6 +469,7 @@
 		.counters = kernel_counters(k),
 		.on_call_ended = schedule_plan,
 		.on_fenced = on_fenced,
+		.act_left_ms = act_left_ms,
 		.data = s,
 	};
 	const struct progress_writer_spec writer = {
--- a/entry/worker_calls.c
+++ b/entry/worker_calls.c
@@ -37,6 +37,7 @@
 	struct counter *stops;
 	struct counter *renewals;
 	struct counter *unanswered;
+	struct counter *expired;
 };
 
 /* A call to a worker in flight: an order or a renewal. */
@@ -76,6 +77,9 @@
 	c->unanswered =
 		counters_counter(spec->counters, "cs_worker_unanswered_total",
 				 "Calls to workers without an answer");
+	c->expired = counters_counter(
+		spec->counters, "cs_worker_calls_expired_total",
+		"Calls to workers that weren't sent in time");
 	return c;
 }
 
@@ -131,8 +135,8 @@
 
 static void send_call(struct worker_calls *c, const struct fleet_worker *w,
 		      const char *path, json_object *body, int64_t timeout_ms,
-		      int64_t max_silence_ms, http_reply_fn fn,
-		      struct inflight_call *o)
+		      int64_t max_silence_ms, int64_t send_within_ms,
+		      http_reply_fn fn, struct inflight_call *o)
 {
 	const char *const headers[] = { WIRE_HEADER_INCARNATION, w->id, NULL };
 	struct http_call_spec spec = {
@@ -141,6 +145,9 @@
 		.path = path,
 		.body = body,
 		.timeout_ms = timeout_ms,
+		/* Also what the next holder has to wait for. */
+		.send_within_ms = CLAMP(c->spec.act_left_ms(c->spec.data), 1,
+					send_within_ms),
 		.may_reuse = TRUE, /* all calls are idempotent */
 		.max_silence_ms = max_silence_ms,
 		.headers = headers,
@@ -190,6 +197,8 @@
 	}
 	if (outcome == ORDER_NO_ANSWER)
 		counter_add(c->unanswered, 1);
+	if (reply->is_expired)
+		counter_add(c->expired, 1);
 	if (outcome == ORDER_REFUSED && reply->body)
 		refusal = wire_worker_refusal(reply->body);
 	if (o->is_start) {
@@ -216,7 +225,8 @@
 	o->is_start = TRUE;
 	counter_add(c->starts, 1);
 	send_call(c, w, WIRE_PATH_START, wire_worker_start(order),
-		  ORDER_TIMEOUT_MS, ORDER_SILENT_MS, on_order_reply, o);
+		  ORDER_TIMEOUT_MS, ORDER_SILENT_MS, ORDER_TIMEOUT_MS,
+		  on_order_reply, o);
 }
 
 void worker_calls_stop(struct worker_calls *c, struct fleet_worker *w,
@@ -227,7 +237,8 @@
 	counter_add(c->stops, 1);
 	send_call(c, w, WIRE_PATH_STOP,
 		  wire_worker_stop(task, run, c->spec.scheduler->epoch),
-		  ORDER_TIMEOUT_MS, ORDER_SILENT_MS, on_order_reply, o);
+		  ORDER_TIMEOUT_MS, ORDER_SILENT_MS, ORDER_TIMEOUT_MS,
+		  on_order_reply, o);
 }
 
 static void apply_report(struct worker_calls *c, struct fleet_worker *w,
@@ -285,6 +296,8 @@
 	} else {
 		if (reply->status != STATUS_OK)
 			counter_add(c->unanswered, 1);
+		if (reply->is_expired)
+			counter_add(c->expired, 1);
 		record_failure(w, reply, now_ms);
 	}
 	c->spec.on_call_ended(c->spec.data);
@@ -301,18 +314,21 @@
 		.lease_end_ms = fleet_scheduler_renewal_end(c->spec.scheduler,
 							    w, now_ms),
 	};
+	int64_t send_within_ms = RENEWAL_TIMEOUT_MS;
 
 	/* A worker with unacknowledged ends answers without waiting. */
 	if (w->is_clock_offset_known && !w->renew_again &&
 	    w->saved_end == w->processed_end)
 		order.wait_ms = RENEWAL_WAIT_MS;
+	if (order.acked_end)
+		send_within_ms = fleet_worker_ack_valid_ms(w, now_ms);
 	w->is_renewing = TRUE;
 	w->renew_again = FALSE;
 	counter_add(c->renewals, 1);
 	send_call(c, w, WIRE_PATH_HOLD, wire_worker_renewal(&order),
 		  order.wait_ms + RENEWAL_TIMEOUT_MS,
-		  order.wait_ms + RENEWAL_TIMEOUT_MS, on_renewal_reply,
-		  inflight_call_new(c, w, NULL, 0));
+		  order.wait_ms + RENEWAL_TIMEOUT_MS, send_within_ms,
+		  on_renewal_reply, inflight_call_new(c, w, NULL, 0));
 }
 
 static gboolean may_call(const struct worker_calls *c,
--- a/entry/worker_calls.h
+++ b/entry/worker_calls.h
@@ -29,6 +29,8 @@
 	void (*on_call_ended)(void *data);
 	/** A worker refused a call because it has seen a higher epoch. */
 	void (*on_fenced)(void *data);
+	/** Returns how long calls may be sent, by the lease of the pool. */
+	int64_t (*act_left_ms)(void *data);
 	void *data;
 };
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -5,6 +5,8 @@
 /* Within this time of its last report a worker can't have restarted: a process
  * takes longer than that to start and register. */
 #define ACK_FRESH_MS 500
+/* Least time that is left for sending an acknowledgement. */
+#define ACK_SEND_MS 100
 
 static const char *const state_names[FLEET_JOB_STATE_COUNT] = {
 	[FLEET_JOB_QUEUED] = "queued",	     [FLEET_JOB_ACTIVE] = "active",
@@ -263,11 +265,17 @@
 
 int64_t fleet_worker_end_to_ack(const struct fleet_worker *w, int64_t now_ms)
 {
-	if (w->has_failed_renewal || now_ms - w->last_report_ms > ACK_FRESH_MS)
+	if (w->has_failed_renewal ||
+	    fleet_worker_ack_valid_ms(w, now_ms) < ACK_SEND_MS)
 		return 0;
 	return w->saved_end;
 }
 
+int64_t fleet_worker_ack_valid_ms(const struct fleet_worker *w, int64_t now_ms)
+{
+	return w->last_report_ms + ACK_FRESH_MS - now_ms;
+}
+
 gboolean fleet_worker_has_label(const struct fleet_worker *w, const char *label)
 {
 	for (guint i = 0; w->reg.labels && i < w->reg.labels->len; i++) {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -195,6 +195,12 @@
  */
 int64_t fleet_worker_end_to_ack(const struct fleet_worker *w, int64_t now_ms);
 
+/**
+ * Returns how long the acknowledgement that fleet_worker_end_to_ack() returns
+ * may take until it is sent: after that the worker may have restarted.
+ */
+int64_t fleet_worker_ack_valid_ms(const struct fleet_worker *w, int64_t now_ms);
+
 gboolean fleet_worker_has_label(const struct fleet_worker *w,
 				const char *label);
 
--- a/sched/leadership.c
+++ b/sched/leadership.c
@@ -176,7 +176,12 @@
 
 gboolean leadership_may_act(const struct leadership *l, int64_t now_ms)
 {
-	return l->is_holder && now_ms - l->renewed_ms < ACT_LIMIT_MS;
+	return leadership_act_left_ms(l, now_ms) > 0;
+}
+
+int64_t leadership_act_left_ms(const struct leadership *l, int64_t now_ms)
+{
+	return l->is_holder ? MAX(l->renewed_ms + ACT_LIMIT_MS - now_ms, 0) : 0;
 }
 
 int64_t leadership_previous_holder_ms(const struct leadership *l)
--- a/sched/leadership.h
+++ b/sched/leadership.h
@@ -108,6 +108,9 @@
 /** Returns TRUE if this process may send orders to workers now. */
 gboolean leadership_may_act(const struct leadership *l, int64_t now_ms);
 
+/** Returns how long this process may send orders to workers, 0 if not now. */
+int64_t leadership_act_left_ms(const struct leadership *l, int64_t now_ms);
+
 /**
  * Returns how long after our takeover the previous holder may still have sent
  * orders, in milliseconds; 0 if it released the lease or there was none.
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -402,6 +402,49 @@
 	site_free(s);
 }
 
+/* Restarts all workers; they forget their runs and the highest epoch. */
+static void crash_workers(struct site *s)
+{
+	for (guint i = 0; i < SITE_WORKERS; i++) {
+		char *body = g_strdup_printf("{\"crash_worker\":%u}", i);
+
+		cluster_control(s->cluster, s->store, body);
+		g_free(body);
+	}
+}
+
+/*
+ * A delegate that was frozen must not give the orders of before when it wakes:
+ * completed tasks ran again on workers that had restarted (review, case 4).
+ */
+static void test_delegate_woken(void)
+{
+	struct site *s = site_new_delegating(1);
+	guint holder;
+	guint delegate;
+	int64_t starts;
+
+	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
+	holder = site_holder(s);
+	delegate = 1 - holder;
+	cluster_sleep(500);
+	cluster_signal(s->entries[delegate], SIGSTOP);
+	g_assert_cmpuint(site_submit(s, holder, "0000000000000aa4", 200), ==,
+			 200);
+	site_assert_state(s, holder, "0000000000000aa4", "completed");
+	cluster_sleep(500);
+	starts = site_count_starts(s);
+	crash_workers(s);
+	cluster_sleep(1000);
+	cluster_signal(s->entries[delegate], SIGCONT);
+	cluster_sleep(1500);
+	g_assert_cmpint(site_count_starts(s), ==, starts);
+	g_assert_cmpint(
+		counter_value(s, delegate, "cs_delegated_calls_expired_total"),
+		>, 0);
+	site_free(s);
+}
+
 /*
  * A delegate's row that is lost, or overwritten by another writer, is written
  * again: the holder removes the row of a VM that it doesn't reach for long, and
@@ -926,6 +969,7 @@
 		g_test_add_data_func(ready_cases[i].name, ready_cases[i].mode,
 				     test_ready);
 	g_test_add_func("/entry/forward/config", test_forward_config);
+	g_test_add_func("/entry/delegate/woken", test_delegate_woken);
 	g_test_add_func("/entry/delegate/from-start",
 			test_delegated_from_start);
 	g_test_add_func("/entry/submit/known-silence", test_known_silence);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -88,6 +88,7 @@
 	guint answered;
 	guint ended;
 	enum status last_status;
+	gboolean is_expired; /* of the last reply */
 };
 
 static void on_reply(const struct http_reply *reply, void *data)
@@ -95,6 +96,7 @@
 	struct tally *t = data;
 
 	t->last_status = reply->status;
+	t->is_expired = reply->is_expired;
 	t->answered += reply->status == STATUS_OK ? 1 : 0;
 	t->ended++;
 }
@@ -427,12 +429,74 @@
 	http_server_free(s);
 }
 
+static const struct expiry_case {
+	const char *name;
+	int64_t send_within_ms; /* 0 for the timeout */
+	uint32_t stall_ms; /* of the process, before the connection opens */
+	guint requests;	   /* that the server receives */
+	enum status status;
+	gboolean is_expired;
+} expiry_cases[] = {
+	{ "in time", 400, 0, 1, STATUS_OK, FALSE },
+	{ "stalled for less", 400, 100, 1, STATUS_OK, FALSE },
+	{ "stalled for longer", 400, 600, 0, STATUS_UNAVAILABLE, TRUE },
+	/* Its timer ends the call before a connection is ready. */
+	{ "stalled beyond the timeout", 0, SILENT_TIMEOUT_MS + 100, 0,
+	  STATUS_UNAVAILABLE, FALSE },
+};
+
+/*
+ * A process that was paused before a connection was ready must not send what
+ * its caller has given up meanwhile; the call ends as not sent.
+ */
+static void test_expiry(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(expiry_cases); i++) {
+		const struct expiry_case *x = &expiry_cases[i];
+		struct silent_server server = { 0 };
+		struct http_server *s = http_server_new(1024);
+		struct http_client *c =
+			http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
+		struct tally t = { 0 };
+		struct http_call_spec spec = {
+			.method = "POST",
+			.path = "/",
+			.timeout_ms = SILENT_TIMEOUT_MS,
+			.send_within_ms = x->send_within_ms,
+			.max_silence_ms = SILENT_TIMEOUT_MS,
+			.may_reuse = TRUE,
+			.on_reply = on_reply,
+			.data = &t,
+		};
+		char *address;
+
+		g_test_message("%s", x->name);
+		http_server_add_route(s, "POST", "/", handle_silent, &server);
+		g_assert_cmpint(http_server_listen(s, "127.0.0.1", 0), ==,
+				STATUS_OK);
+		address = g_strdup_printf("127.0.0.1:%u", http_server_port(s));
+		spec.address = address;
+		http_client_send(c, &spec);
+		g_usleep(x->stall_ms * US_PER_MS);
+		await(&t, 1);
+		cluster_sleep(100);
+		g_assert_cmpint(t.last_status, ==, x->status);
+		g_assert_cmpint(t.is_expired, ==, x->is_expired);
+		g_assert_cmpuint(server.requests, ==, x->requests);
+		g_assert_cmpuint(http_client_in_flight(c), ==, 0);
+		http_client_free(c);
+		http_server_free(s);
+		g_free(address);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-client/bad-addresses", test_bad_addresses);
 	g_test_add_func("/http-client/cost-by-addresses",
 			test_cost_by_addresses);
+	g_test_add_func("/http-client/expiry", test_expiry);
 	g_test_add_func("/http-client/idle-connection", test_idle_connection);
 	g_test_add_func("/http-client/too-many-calls", test_too_many_calls);
 	g_test_add_func("/http-client/session-end", test_session_end);
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -5,9 +5,13 @@
  */
 #include <gio/gio.h>
 
+#include "base/json_member.h"
 #include "base/util.h"
+#include "entry/delegate_message.h"
 #include "entry/delegate_row.h"
 #include "entry/worker_calls.h"
+#include "link/link_connection.h"
+#include "link/link_listen.h"
 #include "tests/cluster.h"
 
 #define MIN_WORKERS 3
@@ -17,6 +21,8 @@
 #define WAIT_MS 5000
 /* Longer than a new holder waits for connections. */
 #define STANDSTILL_MS 500
+/* For a message over a connection on this machine. */
+#define SETTLE_MS 100
 
 /* Counts the reads of the table of delegates, and answers with the rows. */
 struct fake_store {
@@ -80,8 +86,14 @@
 	struct worker_calls *calls;
 	guint wanted;	/* renewals in flight that has_renewed() waits for */
 	int64_t now_ms; /* time of its renewals, 0 for the present */
+	int64_t act_left_ms; /* what is left of the lease of the pool */
 };
 
+static int64_t act_left_ms(void *data)
+{
+	return ((const struct rig *)data)->act_left_ms;
+}
+
 static void rig_init(struct rig *r)
 {
 	const struct fleet_bounds bounds = { .lease_ms = 10000 };
@@ -94,9 +106,12 @@
 		.counters = &r->counters,
 		.on_call_ended = on_event,
 		.on_fenced = on_event,
+		.act_left_ms = act_left_ms,
+		.data = r,
 	};
 
-	*r = (struct rig){ .store.base.class = &fake_class };
+	*r = (struct rig){ .store.base.class = &fake_class,
+			   .act_left_ms = WAIT_MS };
 	counters_init(&r->counters);
 	fleet_scheduler_init(&r->scheduler, &bounds, &ports);
 	fleet_scheduler_begin(&r->scheduler, 1, 0);
@@ -130,6 +145,80 @@
 	rig_clear(&r);
 }
 
+/* A delegate that accepts a holder and records the last call, which it never
+ * answers. */
+struct fake_delegate {
+	GSocketService *service;
+	struct link_poll *poll;
+	struct link_traffic traffic;
+	struct link_connection *connection;
+	int64_t clock_ms; /* that it tells, less its time of util_boot_ms() */
+	guint calls;
+	int64_t send_until_ms; /* of the last call */
+	gboolean has_ack;      /* the last call acknowledges an end */
+};
+
+static void on_delegate_frame(uint8_t type, json_object *body, void *data)
+{
+	struct fake_delegate *d = data;
+	json_object *clock;
+
+	if (type == DELEGATE_MESSAGE_HELLO) {
+		clock = json_object_new_object();
+		json_object_object_add(
+			clock, "boot_ms",
+			json_object_new_int64(util_boot_ms() + d->clock_ms));
+		link_connection_send(d->connection, DELEGATE_MESSAGE_CLOCK,
+				     clock);
+		json_object_put(clock);
+		return;
+	}
+	g_assert_cmpint(type, ==, DELEGATE_MESSAGE_CALL);
+	d->calls++;
+	d->send_until_ms = json_member_int(body, "send_until_ms");
+	d->has_ack =
+		json_member_int(json_member(body, "body"), "AckCursor") > 0;
+}
+
+static void on_delegate_closed(void *data)
+{
+	((struct fake_delegate *)data)->connection = NULL;
+}
+
+static gboolean on_incoming(GSocketService *service, GSocketConnection *stream,
+			    GObject *source, gpointer data)
+{
+	struct fake_delegate *d = data;
+
+	d->connection =
+		link_connection_new(stream, d->poll, &d->traffic,
+				    on_delegate_frame, on_delegate_closed, d);
+	return TRUE;
+}
+
+static void fake_delegate_init(struct fake_delegate *d, char **address)
+{
+	enum status status;
+
+	*address = cluster_reserve_address();
+	d->poll = link_poll_new();
+	d->service = g_socket_service_new();
+	status = link_listen(d->service, *address);
+	g_assert_cmpint(status, ==, STATUS_OK);
+	g_signal_connect(d->service, "incoming", G_CALLBACK(on_incoming), d);
+	g_socket_service_start(d->service);
+}
+
+static void fake_delegate_clear(struct fake_delegate *d)
+{
+	if (d->connection)
+		link_connection_close(d->connection);
+	g_socket_service_stop(d->service);
+	g_socket_listener_close(G_SOCKET_LISTENER(d->service));
+	g_object_unref(d->service);
+	link_poll_free(d->poll);
+}
+
 /* Listens at the loopback address; returns the listener and its address. */
 static GSocketListener *listen_locally(int backlog, char **address)
 {
@@ -170,37 +259,40 @@
 
 /* A delegate that can be reached, and one that can't. */
 struct delegates {
-	GSocketListener *listeners[2];
+	struct fake_delegate reachable;
+	GSocketListener *unreachable;
 	char *addresses[2];
-	GPtrArray *queue; /* fills the queue of the second one */
+	GPtrArray *queue; /* fills the queue of the unreachable one */
 };
 
 static void delegates_init(struct delegates *d)
 {
-	d->listeners[0] = listen_locally(10, &d->addresses[0]);
-	d->listeners[1] = listen_locally(0, &d->addresses[1]);
+	*d = (struct delegates){ 0 };
+	fake_delegate_init(&d->reachable, &d->addresses[0]);
+	d->unreachable = listen_locally(0, &d->addresses[1]);
 	d->queue = fill_queue(d->addresses[1]);
 }
 
 static void delegates_clear(struct delegates *d)
 {
 	g_ptr_array_unref(d->queue);
-	for (guint i = 0; i < G_N_ELEMENTS(d->listeners); i++) {
-		g_object_unref(d->listeners[i]);
+	fake_delegate_clear(&d->reachable);
+	g_object_unref(d->unreachable);
+	for (guint i = 0; i < G_N_ELEMENTS(d->addresses); i++)
 		g_free(d->addresses[i]);
-	}
 }
 
-static void answer_rows(struct fake_store *store, const char *const *addresses)
+static void answer_rows(struct fake_store *store, const char *const *addresses,
+			guint count)
 {
 	struct table_row rows[2] = { { .key = "vm-2", .version = 2 },
 				     { .key = "vm-3", .version = 3 } };
 	struct platform_result result = { .status = STATUS_OK,
 					  .rows = rows,
-					  .row_count = G_N_ELEMENTS(rows),
+					  .row_count = count,
 					  .version = 3 };
 
-	for (guint i = 0; i < G_N_ELEMENTS(rows); i++) {
+	for (guint i = 0; i < count; i++) {
 		const struct delegate_row vm = { .failure_domain = "tov-a",
 						 .cpu_share = 0.5,
 						 .address = addresses[i],
@@ -209,7 +301,7 @@
 		rows[i].value = delegate_row_encode(&vm);
 	}
 	store->fn(&result, store->data);
-	for (guint i = 0; i < G_N_ELEMENTS(rows); i++)
+	for (guint i = 0; i < count; i++)
 		json_object_put(rows[i].value);
 }
 
@@ -253,7 +345,8 @@
 	/* The wait for connections doesn't end while the time stands still. */
 	r.now_ms = util_monotonic_ms();
 	r.wanted = 1;
-	answer_rows(&r.store, (const char *const *)d.addresses);
+	answer_rows(&r.store, (const char *const *)d.addresses,
+		    G_N_ELEMENTS(d.addresses));
 	g_assert_true(cluster_wait(has_renewed, &r, WAIT_MS));
 	r.wanted = TAKEOVER_WORKERS;
 	g_assert_false(cluster_wait(has_renewed, &r, STANDSTILL_MS));
@@ -264,11 +357,93 @@
 	delegates_clear(&d);
 }
 
+static const struct void_case {
+	const char *name;
+	int64_t clock_ms;      /* see struct fake_delegate */
+	int64_t report_age_ms; /* of the last report */
+	int64_t act_left_ms;   /* what is left of the lease */
+	gboolean has_ack;      /* expected */
+	int64_t most_ms;       /* until the call is void, at most */
+	int64_t least_ms;      /* and at least */
+} void_cases[] = {
+	{ "no acknowledgement", 0, 1000, WAIT_MS, FALSE, 600, 300 },
+	{ "its clock is ahead", 1000000, 1000, WAIT_MS, FALSE, 600, 300 },
+	{ "its clock is behind", -1000, 1000, WAIT_MS, FALSE, 600, 300 },
+	/* A worker may restart 500 ms after a report. */
+	{ "acknowledgement", 0, 0, WAIT_MS, TRUE, 500, 200 },
+	{ "acknowledgement, older report", 0, 300, WAIT_MS, TRUE, 200, 0 },
+	{ "report too old", 0, 450, WAIT_MS, FALSE, 600, 300 },
+	{ "the lease ends", 0, 1000, 100, FALSE, 100, 0 },
+};
+
+static gboolean is_delegated(void *data)
+{
+	const struct fake_delegate *d = data;
+
+	return d->calls > 0;
+}
+
+static gboolean is_opened(void *data)
+{
+	return ((const struct fake_delegate *)data)->connection != NULL;
+}
+
+/*
+ * A delegated call names the time after which it is void, on the delegate's
+ * clock: a delegate that woke up gave orders of 4 s before (review, case 4).
+ */
+static void test_void_after(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(void_cases); i++) {
+		const struct void_case *x = &void_cases[i];
+		struct fake_delegate d = { .clock_ms = x->clock_ms };
+		struct fleet_worker *w;
+		char *address;
+		int64_t sent_ms;
+		struct rig r;
+
+		g_test_message("%s", x->name);
+		rig_init(&r);
+		r.act_left_ms = x->act_left_ms;
+		fake_delegate_init(&d, &address);
+		for (guint k = 1; k <= MIN_WORKERS; k++)
+			add_worker(&r.scheduler, k);
+		worker_calls_prepare(r.calls);
+		answer_rows(&r.store, (const char *const *)&address, 1);
+		g_assert_true(cluster_wait(is_opened, &d, WAIT_MS));
+		cluster_sleep(SETTLE_MS);
+		w = fleet_worker(&r.scheduler.fleet, "w1");
+		w->saved_end = 7;
+		w->processed_end = 7;
+		w->last_report_ms = util_monotonic_ms() - x->report_age_ms;
+		for (guint k = 2; k <= MIN_WORKERS; k++) {
+			char *id = g_strdup_printf("w%u", k);
+
+			fleet_worker(&r.scheduler.fleet, id)->is_renewing =
+				TRUE;
+			g_free(id);
+		}
+		sent_ms = util_boot_ms();
+		worker_calls_renew_due(r.calls, util_monotonic_ms());
+		g_assert_true(cluster_wait(is_delegated, &d, WAIT_MS));
+		g_assert_cmpuint(d.calls, ==, 1);
+		g_assert_cmpint(d.has_ack, ==, x->has_ack);
+		g_assert_cmpint(d.send_until_ms - d.clock_ms - sent_ms, <=,
+				x->most_ms);
+		g_assert_cmpint(d.send_until_ms - d.clock_ms - sent_ms, >=,
+				x->least_ms);
+		rig_clear(&r);
+		fake_delegate_clear(&d);
+		g_free(address);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/worker-calls/prepare", test_prepare);
 	g_test_add_func("/worker-calls/unreachable-delegate",
 			test_unreachable_delegate);
+	g_test_add_func("/worker-calls/void-after", test_void_after);
 	return g_test_run();
 }
