Plans end after 60 ms, and repeated jobs open their occurrences bit by bit

Cause: a plan made a unit of each ready step of each due occurrence and tried all of them on all workers in one turn of the main loop, which also renews the lease (900 ms). Nothing limited the time of a plan.

Change: a plan collects for at most 30 ms and places until 60 ms are over, checked after each job and unit and within the search for tasks to preempt. What was not tried comes first in the next plan, so that a pass over all units takes several plans. Occurrences with up to 500 tasks are open at once, by the first open one in the stored row. Chains are measured once a job; a step that found no workers isn't tried again for its other occurrences. Plans that were cut short are logged and counted, and their times recorded.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -16,6 +16,12 @@
 #define TICK_MS 100
 /* Delay of a plan, so that one covers all answers that arrive together. */
 #define PLAN_DELAY_MS 3
+/* Limit of the time in which a plan places tasks: with the rest of the plan
+ * less than a tenth of the time after which another VM takes over
+ * (HOLDER_TIMEOUT_MS in sched/leadership.c). */
+#define PLAN_LIMIT_MS 60
+/* Shortest interval between two log lines on plans that were too short. */
+#define PLAN_LOG_INTERVAL_MS 1000
 /* Pause between two plans, as a multiple of the last plan's duration: plans
  * must not delay renewals of the pool lease or workers' answers. */
 #define PLAN_PAUSE_FACTOR 2
@@ -63,6 +69,10 @@
 	guint renew_timer;
 	int64_t last_plan_end_ms; /* on the monotonic clock */
 	int64_t last_plan_duration_ms;
+	int64_t plan_logged_ms; /* last log line on a plan that was too short */
+	struct histogram *plan_time;
+	struct counter *plans_cut;
+	struct counter *units_postponed;
 };
 
 struct progress_row {
@@ -144,6 +154,28 @@
 	g_clear_pointer(&s->feeds[FEED_WORKER_USE], table_feed_free);
 }
 
+/* Records how long a plan took, and what it had no time for. */
+static void record_plan(struct pool_holder *s, int64_t now_ms)
+{
+	const struct fleet_plan_stats *stats = &s->scheduler.plan;
+	struct log_line line;
+
+	histogram_record(s->plan_time, s->last_plan_duration_ms * US_PER_MS);
+	if (!s->scheduler.is_pass_open)
+		return;
+	counter_add(s->plans_cut, 1);
+	counter_add(s->units_postponed, stats->units_postponed);
+	if (now_ms - s->plan_logged_ms < PLAN_LOG_INTERVAL_MS)
+		return;
+	s->plan_logged_ms = now_ms;
+	log_begin(&line, LOG_LEVEL_WARN, "plan_cut");
+	log_int(&line, "took_ms", s->last_plan_duration_ms);
+	log_int(&line, "units_tried", stats->units_tried);
+	log_int(&line, "units_postponed", stats->units_postponed);
+	log_int(&line, "jobs_postponed", stats->jobs_postponed);
+	log_end(&line);
+}
+
 static void plan(struct pool_holder *s)
 {
 	int64_t now_ms = util_monotonic_ms();
@@ -160,6 +192,9 @@
 	renew_due(s);
 	s->last_plan_end_ms = util_monotonic_ms();
 	s->last_plan_duration_ms = s->last_plan_end_ms - now_ms;
+	record_plan(s, now_ms);
+	if (s->scheduler.is_pass_open)
+		schedule_plan(s);
 }
 
 static gboolean on_tick(gpointer data)
@@ -394,6 +429,7 @@
 
 	return (struct fleet_bounds){
 		.lease_ms = settings->bounds.lease_ms,
+		.plan_us = PLAN_LIMIT_MS * US_PER_MS,
 	};
 }
 
@@ -446,6 +482,11 @@
 	worker_calls_stop(((struct pool_holder *)data)->calls, w, task, run);
 }
 
+static int64_t clock_us(void *data)
+{
+	return g_get_monotonic_time();
+}
+
 static int64_t act_left_ms(void *data)
 {
 	return election_act_left_ms(((struct pool_holder *)data)->kernel);
@@ -460,6 +501,7 @@
 		.start = port_start,
 		.stop = port_stop,
 		.data = s,
+		.clock_us = clock_us,
 	};
 	const struct worker_calls_spec calls = {
 		.platform = entry_platform_of(k),
@@ -490,6 +532,15 @@
 
 	s->kernel = k;
 	s->platform = entry_platform_of(k);
+	s->plan_time = counters_histogram(kernel_counters(k),
+					  "cs_plan_duration_seconds",
+					  "Time of a plan, without pauses");
+	s->plans_cut = counters_counter(
+		kernel_counters(k), "cs_plans_cut_total",
+		"Plans whose time was over before all units were tried");
+	s->units_postponed = counters_counter(
+		kernel_counters(k), "cs_plan_units_postponed_total",
+		"Units that a plan had no time to try");
 	fleet_scheduler_init(&s->scheduler, &bounds, &ports);
 	s->calls = worker_calls_new(&calls);
 	s->writer = progress_writer_new(&writer);
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -144,6 +144,7 @@
 			  job_progress_encode(job));
 		job->is_dirty = FALSE;
 		job->is_storing_active = job->state != FLEET_JOB_QUEUED;
+		job->storing_first = job->first_occurrence;
 		g_ptr_array_add(w->job_ids, g_strdup(job->id));
 	}
 }
@@ -284,6 +285,7 @@
 			continue;
 		job->is_active_stored |= job->is_storing_active;
 		job->is_storing_active = FALSE;
+		job->stored_first = job->storing_first;
 		job->progress_version = version;
 	}
 	for (guint i = 0; i < w->removed_job_ids->len; i++)
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -32,6 +32,7 @@
 	struct fleet_job *job = data;
 
 	g_ptr_array_unref(job->steps);
+	g_free(job->unplaced_rounds);
 	job_spec_clear(&job->spec);
 	g_free(job->id);
 	g_free(job->route);
@@ -80,6 +81,7 @@
 	job->spec = *spec;
 	*spec = (struct job_spec){ 0 };
 	job->steps = g_ptr_array_new_with_free_func(step_free);
+	job->unplaced_rounds = g_new0(uint64_t, job->spec.steps->len);
 	g_hash_table_replace(f->jobs, job->id, job);
 	return job;
 }
@@ -125,6 +127,58 @@
 	job->occurrences++;
 }
 
+gboolean fleet_job_may_open(const struct fleet_job *job)
+{
+	return job->occurrences < job_spec_occurrences(&job->spec) &&
+	       job->occurrences - job->stored_first <
+		       job_spec_open_occurrences(&job->spec);
+}
+
+static gboolean may_drop(const struct fleet_step *step)
+{
+	if (step->done_count < step->task_count)
+		return FALSE;
+	for (guint i = 0; i < step->task_count; i++) {
+		if (step->tasks[i].worker)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+void fleet_job_drop_done(struct fleet_job *job)
+{
+	guint count = job->spec.steps->len;
+
+	while (job->first_occurrence < job->occurrences) {
+		for (guint i = 0; i < count; i++) {
+			if (!may_drop(job->steps->pdata[i]))
+				return;
+		}
+		g_ptr_array_remove_range(job->steps, 0, count);
+		job->first_occurrence++;
+		job->is_dirty = TRUE;
+	}
+}
+
+void fleet_job_skip_to(struct fleet_job *job, guint first)
+{
+	guint end = MIN(first, job_spec_occurrences(&job->spec));
+	guint open_end = MIN(end, job->occurrences);
+
+	for (guint i = 0; i < job->steps->len; i++) {
+		struct fleet_step *step = job->steps->pdata[i];
+
+		for (guint k = 0;
+		     step->occurrence < open_end && k < step->task_count; k++)
+			fleet_task_mark_done(&step->tasks[k]);
+	}
+	fleet_job_drop_done(job);
+	if (!job->steps->len && job->occurrences < end) {
+		job->first_occurrence = end;
+		job->occurrences = end;
+	}
+}
+
 gboolean fleet_job_has_ended(const struct fleet_job *job)
 {
 	return job->state == FLEET_JOB_COMPLETED ||
@@ -137,8 +191,10 @@
 {
 	guint steps = job->spec.steps->len;
 
-	if (occurrence >= job->occurrences || index >= steps)
+	if (occurrence < job->first_occurrence ||
+	    occurrence >= job->occurrences || index >= steps)
 		return NULL;
+	occurrence -= job->first_occurrence;
 	return job->steps->pdata[occurrence * steps + index];
 }
 
@@ -206,6 +262,14 @@
 	g_ptr_array_add(w->tasks, t);
 }
 
+void fleet_task_mark_done(struct fleet_task *t)
+{
+	if (t->state == TASK_DONE)
+		return;
+	t->state = TASK_DONE;
+	t->step->done_count++;
+}
+
 void fleet_task_release(struct fleet_task *t)
 {
 	struct demand d = fleet_task_demand(t);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -70,6 +70,8 @@
 	guint done_count;
 	struct run_set gang_failed; /**< failed runs of the gang */
 	int64_t ready_ms;	    /**< when its dependencies were first met */
+	/** Value of fleet_scheduler::pass when it last found no workers. */
+	uint64_t tried_pass;
 };
 
 struct fleet_job {
@@ -79,8 +81,20 @@
 	struct job_spec spec;
 	int64_t accepted_version; /**< row version, in acceptance order */
 	int64_t accepted_ms;	  /**< estimated time on the local clock */
-	GPtrArray *steps;  /**< of struct fleet_step, ordered by occurrence */
-	guint occurrences; /**< number of occurrences in steps */
+	/** Of struct fleet_step, ordered by occurrence; see first_occurrence.
+	 */
+	GPtrArray *steps;
+	guint first_occurrence; /**< earlier ones are done and not in steps */
+	guint occurrences; /**< opened so far: one past the last in steps */
+	/**
+	 * first_occurrence in the stored row. Occurrences are opened by this
+	 * one, so that the next holder knows all that may run.
+	 */
+	guint stored_first;
+	/** For each step the fleet_scheduler::round that last found no workers
+	 * for it. */
+	uint64_t *unplaced_rounds;
+	guint storing_first; /**< the same in the write in flight */
 	enum fleet_job_state state;
 	gboolean is_cancelled; /**< cancelled; its tasks are being stopped */
 	gboolean has_started;  /**< a run of a task was started or adopted */
@@ -151,9 +165,18 @@
 /** Adds the steps of a job's next occurrence. */
 void fleet_job_add_occurrence(struct fleet_job *job);
 
+/** Returns TRUE if a repeated job may open one more occurrence. */
+gboolean fleet_job_may_open(const struct fleet_job *job);
+
+/** Drops the leading occurrences that are done and run nowhere any more. */
+void fleet_job_drop_done(struct fleet_job *job);
+
+/** Marks all occurrences before @first as done. */
+void fleet_job_skip_to(struct fleet_job *job, guint first);
+
 gboolean fleet_job_has_ended(const struct fleet_job *job);
 
-/** Returns a step of an occurrence, or NULL if either is out of range. */
+/** Returns a step of an open occurrence, or NULL if either is out of range. */
 struct fleet_step *fleet_job_step(const struct fleet_job *job, guint occurrence,
 				  guint index);
 
@@ -172,6 +195,9 @@
 /** Places a task on a worker and reserves its demand there. */
 void fleet_task_place(struct fleet_task *t, struct fleet_worker *w);
 
+/** Sets a task to done. */
+void fleet_task_mark_done(struct fleet_task *t);
+
 /** Removes a task from its worker; unless done, it waits again. */
 void fleet_task_release(struct fleet_task *t);
 
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -114,16 +114,17 @@
 	return !allowed;
 }
 
-/* Reserves the rack that will have the most free accelerators for a unit. */
-static void reserve_rack(struct fleet_round *r, const struct fleet_unit *u,
-			 const GPtrArray *options)
+/* Reserves the rack that will have the most free accelerators for a unit.
+ * Returns FALSE if none is. */
+static gboolean reserve_rack(struct fleet_round *r, const struct fleet_unit *u,
+			     const GPtrArray *options)
 {
 	const struct fleet_rack *best = NULL;
 	int64_t most = -1;
 
 	if (r->reservations >= MAX_RESERVATIONS ||
 	    r->now_ms - u->step->ready_ms < RESERVE_AFTER_MS)
-		return;
+		return FALSE;
 	for (guint i = 0; i < options->len; i++) {
 		const struct fleet_rack *rack = options->pdata[i];
 		int64_t found = 0;
@@ -143,11 +144,12 @@
 		}
 	}
 	if (!best)
-		return;
+		return FALSE;
 	for (guint k = best->begin; k < best->end; k++)
 		g_array_index(r->workers, struct fleet_round_worker, k)
 			.is_reserved = TRUE;
 	r->reservations++;
+	return TRUE;
 }
 
 /* Has an urgent job stored as active while the stops that it waits for are
@@ -159,15 +161,19 @@
 		fleet_activate_job(u->step->job, r->now_ms);
 }
 
-static void place_unit(struct fleet_round *r, struct fleet_unit *u)
+/* Starts a unit or takes capacity for it. Returns FALSE if it found none for
+ * some of its tasks. */
+static gboolean place_unit(struct fleet_round *r, struct fleet_unit *u)
 {
 	GPtrArray *options = rack_options(r, u);
 	struct worker_choice c = { g_array_new(FALSE, FALSE, sizeof(guint)),
 				   0 };
 	guint allowed = fleet_urgent_allowed(r, u);
+	gboolean is_placed = FALSE;
 
 	if (!allowed || (u->step->spec->is_gang && allowed < u->tasks->len))
 		goto out;
+	is_placed = TRUE;
 	if (!u->step->spec->is_gang) {
 		if (place_singles(r, u, options, allowed, &c))
 			goto out;
@@ -179,14 +185,51 @@
 		fleet_round_allocate(r, u, &c);
 		prepare_start(r, u);
 	} else if (u->priority == 0) {
-		if (fleet_preempt(r, u, options, &c))
+		is_placed = fleet_preempt(r, u, options, &c);
+		if (is_placed)
 			prepare_start(r, u);
-	} else if (u->step->spec->is_gang) {
-		reserve_rack(r, u, options);
+	} else {
+		is_placed =
+			u->step->spec->is_gang && reserve_rack(r, u, options);
 	}
 out:
 	g_array_unref(c.workers);
 	g_ptr_array_unref(options);
+	return is_placed;
+}
+
+/*
+ * Tries the units in their order until the time is over. A unit without workers
+ * is not tried again before all others were.
+ */
+static void place_units(struct fleet_round *r, const GPtrArray *units)
+{
+	struct fleet_scheduler *s = r->s;
+	guint i;
+
+	for (i = 0; i < units->len; i++) {
+		struct fleet_unit *u = units->pdata[i];
+		struct fleet_step *step = u->step;
+		uint64_t *unplaced = &step->job->unplaced_rounds[step->index];
+
+		if (i && fleet_round_is_over(r))
+			break;
+		/* Other occurrences of the step ask for the same. */
+		if (*unplaced == s->round && !step->spec->max_per_worker) {
+			step->tried_pass = s->pass;
+			continue;
+		}
+		if (place_unit(r, u))
+			continue;
+		/* The search may have been cut short: the unit comes first in
+		 * the next plan. */
+		if (i && fleet_round_is_over(r))
+			break;
+		step->tried_pass = s->pass;
+		*unplaced = s->round;
+	}
+	s->plan.units_tried = i;
+	s->plan.units_postponed = units->len - i;
 }
 
 void fleet_place_all(struct fleet_scheduler *s, int64_t now_ms)
@@ -194,15 +237,21 @@
 	struct fleet_round r = { .s = s, .now_ms = now_ms };
 	GPtrArray *units;
 
+	s->plan = (struct fleet_plan_stats){ 0 };
 	if (!s->config)
 		return;
+	if (s->bounds.plan_us && s->ports.clock_us)
+		r.end_us = s->ports.clock_us(s->ports.data) + s->bounds.plan_us;
+	s->round++;
+	if (!s->is_pass_open)
+		s->pass++;
 	r.workers = g_array_new(FALSE, TRUE, sizeof(struct fleet_round_worker));
 	r.racks = g_array_new(FALSE, TRUE, sizeof(struct fleet_rack));
 	fleet_round_collect(&r);
 	units = fleet_units_collect(&r);
 	fleet_urgent_update(&r, units);
-	for (guint i = 0; i < units->len; i++)
-		place_unit(&r, units->pdata[i]);
+	place_units(&r, units);
+	s->is_pass_open = s->plan.units_postponed || s->plan.jobs_postponed;
 	g_ptr_array_unref(units);
 	g_array_unref(r.racks);
 	g_array_unref(r.workers);
--- a/sched/fleet_preempt.c
+++ b/sched/fleet_preempt.c
@@ -188,6 +188,9 @@
 	return best;
 }
 
+/* Tasks of a unit that are placed between two looks at the clock. */
+#define CLOCK_CHECK_TASKS 8
+
 /* Adds victims; returns TRUE if that frees capacity on several workers. */
 static gboolean add_victims(struct fleet_round *r, const GPtrArray *more,
 			    GPtrArray *victims)
@@ -206,7 +209,8 @@
 
 /*
  * Finds the tasks to stop in a rack so that the unit fits. Returns FALSE if it
- * can't fit, or only at a cost of at least @limit.
+ * can't fit, or only at a cost of at least @limit, or if the time of the round
+ * is over.
  */
 static gboolean find_victims(struct fleet_round *r, const struct fleet_unit *u,
 			     const struct fleet_rack *rack, double limit,
@@ -229,7 +233,9 @@
 			r, u, rack, victims, costs, more, &lost);
 		guint index;
 
-		has_worker = rw && *cost + lost < limit;
+		has_worker = rw && *cost + lost < limit &&
+			     (n % CLOCK_CHECK_TASKS || !n ||
+			      !fleet_round_is_over(r));
 		if (!has_worker)
 			break;
 		index = (guint)(rw - (struct fleet_round_worker *)(void *)
@@ -289,7 +295,11 @@
 	}
 	if (!has_found)
 		goto out;
-	find_victims(r, u, best, G_MAXDOUBLE, victims, c, &cost);
+	has_found = find_victims(r, u, best, G_MAXDOUBLE, victims, c, &cost);
+	if (!has_found) {
+		restore_workers(r, saved);
+		goto out;
+	}
 	r->orders_in_flight += victims->len;
 	for (guint i = 0; i < victims->len; i++)
 		fleet_stop_unit(r->s, victims->pdata[i],
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -28,6 +28,13 @@
 	       r->now_ms - w->contact_ms < CONTACT_TIMEOUT_MS;
 }
 
+gboolean fleet_round_is_over(const struct fleet_round *r)
+{
+	const struct fleet_ports *ports = &r->s->ports;
+
+	return r->end_us && ports->clock_us(ports->data) >= r->end_us;
+}
+
 const char *fleet_worker_rack(const struct fleet_worker *w)
 {
 	return w->reg.rack ? w->reg.rack : NO_RACK;
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -37,6 +37,7 @@
 struct fleet_round {
 	struct fleet_scheduler *s;
 	int64_t now_ms;
+	int64_t end_us;		/**< by fleet_ports::clock_us, 0 for no limit */
 	GArray *workers;	/**< of struct fleet_round_worker, by rack */
 	GArray *racks;		/**< of struct fleet_rack */
 	guint reservations;	/**< racks reserved in this round */
@@ -128,8 +129,14 @@
 void fleet_round_allocate(struct fleet_round *r, const struct fleet_unit *u,
 			  const struct worker_choice *c);
 
-/** Returns the waiting units, of struct fleet_unit, most urgent first. */
-GPtrArray *fleet_units_collect(const struct fleet_round *r);
+/**
+ * Returns the waiting units, of struct fleet_unit, most urgent first, without
+ * those that were tried in this pass. Uses up to half of the round's time.
+ */
+GPtrArray *fleet_units_collect(struct fleet_round *r);
+
+/** Returns TRUE if the time of the round is over. */
+gboolean fleet_round_is_over(const struct fleet_round *r);
 
 /** Returns TRUE if stopping the unit for an urgent job would lose its work. */
 gboolean fleet_unit_loses_work_on_stop(const struct fleet_unit *u);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -427,14 +427,6 @@
 	return TRUE;
 }
 
-static void mark_done(struct fleet_task *t)
-{
-	if (t->state == TASK_DONE)
-		return;
-	t->state = TASK_DONE;
-	t->step->done_count++;
-}
-
 /* Handles a completed run, which need not be the task's current run. */
 static void handle_run_done(struct fleet_scheduler *s, struct fleet_task *t,
 			    const struct fleet_worker *w, int64_t run,
@@ -453,7 +445,7 @@
 
 		if (!is_gang && member != t)
 			continue;
-		mark_done(member);
+		fleet_task_mark_done(member);
 		/* The members of a gang complete together. */
 		if (member->worker && member->run == run &&
 		    (is_gang || member->worker == w))
@@ -845,7 +837,7 @@
 	if (!job->spec.repeat_count)
 		return;
 	wall_ms = util_wall_ms();
-	while (job->occurrences < job_spec_occurrences(&job->spec) &&
+	while (fleet_job_may_open(job) &&
 	       wall_ms >= job->spec.first_ms +
 				  job->occurrences * job->spec.interval_ms)
 		fleet_job_add_occurrence(job);
@@ -956,6 +948,7 @@
 
 		if (fleet_job_has_ended(job))
 			continue;
+		fleet_job_drop_done(job);
 		add_due_occurrences(job);
 		for (guint i = 0; i < job->steps->len; i++) {
 			struct fleet_step *step = job->steps->pdata[i];
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -20,6 +20,11 @@
 /** Limits taken from the settings. */
 struct fleet_bounds {
 	int64_t lease_ms; /**< longest lease that workers grant */
+	/**
+	 * Limit of the time in which a plan places tasks, 0 for none. What it
+	 * has not tried by then comes first in the next plan.
+	 */
+	int64_t plan_us;
 };
 
 /** Outgoing orders. */
@@ -33,6 +38,15 @@
 	void (*stop)(void *data, struct fleet_worker *w, const char *task,
 		     int64_t run);
 	void *data;
+	/** Returns the present time, for fleet_bounds::plan_us; or NULL. */
+	int64_t (*clock_us)(void *data);
+};
+
+/** What a plan has done; reset by each. */
+struct fleet_plan_stats {
+	guint units_tried;
+	guint units_postponed; /**< not tried before the time was over */
+	guint jobs_postponed;  /**< not even looked at */
 };
 
 struct fleet_scheduler {
@@ -44,6 +58,15 @@
 	/** Recent peak of the urgent jobs' accelerators; decays over time. */
 	double urgent_peak;
 	int64_t urgent_peak_ms; /**< when it was last updated */
+	struct fleet_plan_stats plan;
+	/**
+	 * Number of the pass over all units, which takes several plans if one
+	 * would take too long. A unit that found no workers is not tried again
+	 * in the same pass, so that the others come up.
+	 */
+	uint64_t pass;
+	uint64_t round;	       /**< number of the plan */
+	gboolean is_pass_open; /**< the last plan was too short for the pass */
 	int64_t epoch;
 	int64_t runs; /**< number of runs started in this epoch */
 	/**
--- a/sched/fleet_unit.c
+++ b/sched/fleet_unit.c
@@ -12,18 +12,18 @@
 
 /* Expected lengths of a job's chains of steps. */
 struct chains {
-	int64_t to_step_ms; /* longest chain up to and with the given step */
+	gboolean is_known;
+	int64_t ends_ms[JOB_MAX_STEPS]; /* longest chain up to and with a step
+					 */
 	int64_t longest_ms;
 };
 
 /* A step depends on earlier ones only, so one pass in their order is enough; a
  * walk along all chains would take exponential time. */
-static struct chains measure_chains(const struct fleet_scheduler *s,
-				    const struct fleet_job *job, guint step)
+static void measure_chains(const struct fleet_scheduler *s,
+			   const struct fleet_job *job, struct chains *c)
 {
-	int64_t ends_ms[JOB_MAX_STEPS];
 	guint count = MIN(job->spec.steps->len, JOB_MAX_STEPS);
-	struct chains c = { 0 };
 
 	for (guint i = 0; i < count; i++) {
 		const struct step_spec *spec = job_spec_step(&job->spec, i);
@@ -33,14 +33,12 @@
 			guint before = step_spec_dependency(spec, k);
 
 			if (before < i)
-				begin_ms = MAX(begin_ms, ends_ms[before]);
+				begin_ms = MAX(begin_ms, c->ends_ms[before]);
 		}
-		ends_ms[i] = begin_ms + fleet_step_expected_ms(s, job, spec);
-		c.longest_ms = MAX(c.longest_ms, ends_ms[i]);
+		c->ends_ms[i] = begin_ms + fleet_step_expected_ms(s, job, spec);
+		c->longest_ms = MAX(c->longest_ms, c->ends_ms[i]);
 	}
-	if (step < count)
-		c.to_step_ms = ends_ms[step];
-	return c;
+	c->is_known = TRUE;
 }
 
 /* Returns when a job has to end to meet its objective. */
@@ -61,7 +59,7 @@
 			    const struct fleet_step *step,
 			    const struct chains *chains)
 {
-	return chains->longest_ms - chains->to_step_ms +
+	return chains->longest_ms - chains->ends_ms[step->index] +
 	       fleet_step_expected_ms(s, step->job, step->spec);
 }
 
@@ -74,9 +72,9 @@
 }
 
 static struct fleet_unit *unit_new(const struct fleet_round *r,
-				   struct fleet_step *step)
+				   struct fleet_step *step,
+				   const struct chains *chains)
 {
-	struct chains chains = measure_chains(r->s, step->job, step->index);
 	struct fleet_unit *u = g_new0(struct fleet_unit, 1);
 
 	u->step = step;
@@ -89,25 +87,32 @@
 			g_ptr_array_add(u->tasks, t);
 	}
 	u->priority = fleet_job_priority(r->s, step->job);
-	u->latest_start_ms = objective_ms(r->s, step->job, &chains) -
-			     remaining_ms(r->s, step, &chains);
+	u->latest_start_ms = objective_ms(r->s, step->job, chains) -
+			     remaining_ms(r->s, step, chains);
 	u->is_late = u->latest_start_ms < r->now_ms;
 	return u;
 }
 
 static void collect_step(const struct fleet_round *r, struct fleet_step *step,
-			 GPtrArray *units)
+			 struct chains *chains, GPtrArray *units)
 {
 	struct fleet_unit *u;
 
-	if (step->done_count == step->task_count || !fleet_step_is_ready(step))
+	if (step->done_count == step->task_count ||
+	    step->tried_pass == r->s->pass)
 		return;
+	if (!fleet_step_is_ready(step)) {
+		step->tried_pass = r->s->pass;
+		return;
+	}
 	/* Unlisted tasks may run on workers that haven't answered yet. */
 	if (step->job->is_inherited && r->now_ms < r->s->unknown_runs_until_ms)
 		return;
 	if (!step->ready_ms)
 		step->ready_ms = r->now_ms;
-	u = unit_new(r, step);
+	if (!chains->is_known)
+		measure_chains(r->s, step->job, chains);
+	u = unit_new(r, step, chains);
 	if (!u->tasks->len ||
 	    (step->spec->is_gang && u->tasks->len < step->task_count)) {
 		unit_free(u);
@@ -116,9 +121,31 @@
 	g_ptr_array_add(units, u);
 }
 
-static GPtrArray *collect(const struct fleet_round *r)
+static void collect_job(const struct fleet_round *r, struct fleet_job *job,
+			GPtrArray *units)
+{
+	struct chains chains = { 0 };
+
+	for (guint i = 0; i < job->steps->len; i++)
+		collect_step(r, job->steps->pdata[i], &chains, units);
+}
+
+/* Half of the round's time is left for placing what is collected. */
+static gboolean is_collecting_over(const struct fleet_round *r,
+				   int64_t begin_us)
 {
+	const struct fleet_ports *ports = &r->s->ports;
+
+	return r->end_us && ports->clock_us(ports->data) >=
+				    begin_us + (r->end_us - begin_us) / 2;
+}
+
+static GPtrArray *collect(struct fleet_round *r)
+{
+	const struct fleet_ports *ports = &r->s->ports;
+	int64_t begin_us = r->end_us ? ports->clock_us(ports->data) : 0;
 	GPtrArray *units = g_ptr_array_new_with_free_func(unit_free);
+	gboolean is_over = FALSE;
 	GHashTableIter iter;
 	gpointer item;
 
@@ -129,13 +156,17 @@
 		if (fleet_job_has_ended(job) ||
 		    !fleet_scheduler_route(r->s, job))
 			continue;
-		for (guint i = 0; i < job->steps->len; i++)
-			collect_step(r, job->steps->pdata[i], units);
+		if (is_over) {
+			r->s->plan.jobs_postponed++;
+			continue;
+		}
+		collect_job(r, job, units);
+		is_over = is_collecting_over(r, begin_us);
 	}
 	return units;
 }
 
-/* Sorts by priority, then acceptance of the job, then step. */
+/* Sorts by priority, acceptance of the job, occurrence and step. */
 static gint compare_accepted(gconstpointer a, gconstpointer b)
 {
 	const struct fleet_unit *x = *(const struct fleet_unit *const *)a;
@@ -148,6 +179,8 @@
 				       y->step->job->accepted_version
 			       ? -1
 			       : 1;
+	if (x->step->occurrence != y->step->occurrence)
+		return x->step->occurrence < y->step->occurrence ? -1 : 1;
 	return x->step->index < y->step->index ? -1 : 1;
 }
 
@@ -217,7 +250,7 @@
 	return compare_accepted(a, b);
 }
 
-GPtrArray *fleet_units_collect(const struct fleet_round *r)
+GPtrArray *fleet_units_collect(struct fleet_round *r)
 {
 	GPtrArray *units = collect(r);
 
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -143,6 +143,8 @@
 	json_object_object_add(
 		row, "state",
 		json_object_new_string(fleet_job_state_name(state)));
+	if (job->first_occurrence)
+		add_int(row, "first", job->first_occurrence);
 	for (guint i = 0; i < job->steps->len; i++) {
 		const struct fleet_step *step = job->steps->pdata[i];
 
@@ -222,13 +224,21 @@
 {
 	json_object *steps = json_member(row, "steps");
 	enum fleet_job_state state = job_progress_state(row);
-	gboolean is_row_stale = FALSE;
+	gboolean is_row_stale;
+	guint first;
 
 	if (state != FLEET_JOB_STATE_COUNT && state > job->state &&
 	    !fleet_job_has_ended(job))
 		job->state = state;
 	if (fleet_job_has_ended(job))
 		return state != job->state;
+	first = (guint)CLAMP(json_member_int(row, "first"), 0, G_MAXINT32);
+	is_row_stale = job->first_occurrence > first;
+	job->stored_first = MAX(job->stored_first, first);
+	if (first) {
+		fleet_job_skip_to(job, first);
+		job->has_started = TRUE;
+	}
 	for (size_t i = 0; json_object_is_type(steps, json_type_array) &&
 			   i < json_object_array_length(steps);
 	     i++) {
--- a/sched/job_spec.c
+++ b/sched/job_spec.c
@@ -65,6 +65,15 @@
 	return spec->repeat_count > 0 ? (guint)spec->repeat_count : 1;
 }
 
+guint job_spec_open_occurrences(const struct job_spec *spec)
+{
+	int64_t tasks = 0;
+
+	for (guint i = 0; i < spec->steps->len; i++)
+		tasks += job_spec_step(spec, i)->task_count;
+	return (guint)MAX(JOB_OPEN_TASKS / MAX(tasks, 1), 1);
+}
+
 guint step_spec_dependency_count(const struct step_spec *step)
 {
 	if (!json_object_is_type(step->after, json_type_array))
--- a/sched/job_spec.h
+++ b/sched/job_spec.h
@@ -18,6 +18,11 @@
 /** Tasks of all occurrences of a repeated job, which may be due at once. */
 #define JOB_MAX_REPEATED_TASKS 100000
 #define JOB_MAX_OCCURRENCES 10000
+/**
+ * Tasks of the occurrences of a repeated job that are held at once, at least
+ * one occurrence: the others wait, which bounds plans, memory and rows.
+ */
+#define JOB_OPEN_TASKS 500
 /** Limits of the times of a repeated job; their sums can't overflow. */
 #define JOB_MAX_FIRST_MS (INT64_C(1) << 53)
 #define JOB_MAX_INTERVAL_MS (INT64_C(1) << 40)
@@ -72,6 +77,9 @@
 /** Returns the number of occurrences, at least 1. */
 guint job_spec_occurrences(const struct job_spec *spec);
 
+/** Returns how many occurrences may be open at once, see JOB_OPEN_TASKS. */
+guint job_spec_open_occurrences(const struct job_spec *spec);
+
 /** Returns the number of steps that a step depends on. */
 guint step_spec_dependency_count(const struct step_spec *step);
 
--- a/tests/test_fleet_mutation.c
+++ b/tests/test_fleet_mutation.c
@@ -411,7 +411,11 @@
 			.now_ms = T0_MS,
 			.orders = g_ptr_array_new_with_free_func(order_free),
 		};
-		const struct fleet_ports ports = { port_start, port_stop, &w };
+		const struct fleet_ports ports = {
+			.start = port_start,
+			.stop = port_stop,
+			.data = &w,
+		};
 
 		g_test_message("seed %u", seed);
 		fleet_scheduler_init(&w.s, &bounds, &ports);
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -69,7 +69,11 @@
 	const struct fleet_bounds bounds = {
 		.lease_ms = LEASE_MS,
 	};
-	const struct fleet_ports ports = { port_start, port_stop, w };
+	const struct fleet_ports ports = {
+		.start = port_start,
+		.stop = port_stop,
+		.data = w,
+	};
 
 	memset(w, 0, sizeof(*w));
 	w->now_ms = T0_MS;
