Progress rows and writes stay within the store's limits

Cause: a job's row listed every step that was ever done, and was written in one transaction with the progress of all other jobs. Once it exceeded RowBytes the store refused each write, and jobs start, and ends are acknowledged, only after a write.

A row that would be too large leaves out checkpoints, then the numbers of failed runs, which are counted; a write is limited in bytes too. The limit is a setting from the platform's. A job whose own row is too large is answered 400 at once instead of 503, queue lengths leave out former routes, and services keep no failed runs.

--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -10,6 +10,8 @@
 /* A holder with half a core sends some 250 orders per second itself, as many as
  * this number of workers with short tasks needs (docs/CAPACITY.md). */
 #define DEFAULT_DELEGATE_MIN_WORKERS 120
+#define DEFAULT_ROW_BYTES 65536
+#define MIN_ROW_BYTES 1024
 
 #define REQUIRED_FIELD(type_, member_, field_type_, min_, max_)               \
 	{                                                                     \
@@ -25,6 +27,12 @@
 		       1000000),
 	REQUIRED_FIELD(entry_store_settings, reads_per_s, FIELD_REAL, 1,
 		       1000000),
+	{ .name = "row_bytes",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct entry_store_settings, row_bytes),
+	  .min = MIN_ROW_BYTES,
+	  .max = INT32_MAX,
+	  .fallback = DEFAULT_ROW_BYTES },
 	{ 0 },
 };
 
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -15,6 +15,7 @@
 	char *address;	     /**< "IP:PORT" of the platform's store */
 	double writes_per_s; /**< limit for all processes together */
 	double reads_per_s;  /**< limit for all processes together */
+	int64_t row_bytes;   /**< largest value of a row */
 };
 
 struct entry_bound_settings {
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -95,6 +95,7 @@
 	struct frontend *s = c->context->data;
 	struct job_spec spec = { 0 };
 	struct finding_list findings;
+	const struct entry_settings *settings = entry_settings_of(s->kernel);
 	json_object *row;
 	char *text;
 
@@ -108,9 +109,14 @@
 	if (wire_job_decode(c->body, &spec, &findings)) {
 		row = job_row_encode(c->route, c->account, &spec,
 				     config_feed_store_clock_ms(s->kernel));
-		submitter_submit(s->submitter, c->id, row,
-				 c->is_from_peer ? 0 : CLIENT_CALL_READ_MS,
-				 c->deadline_ms, on_submitted, c);
+		if (job_row_bytes(row) > (gsize)settings->store.row_bytes)
+			client_call_answer(c, SOUP_STATUS_BAD_REQUEST,
+					   "the job is too large to store\n");
+		else
+			submitter_submit(s->submitter, c->id, row,
+					 c->is_from_peer ? 0
+							 : CLIENT_CALL_READ_MS,
+					 c->deadline_ms, on_submitted, c);
 		json_object_put(row);
 	} else {
 		text = finding_list_text(&findings);
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -519,6 +519,7 @@
 		.scheduler = &s->scheduler,
 		.counters = kernel_counters(k),
 		.recorded_workers = s->recorded_workers,
+		.row_bytes = settings->store.row_bytes,
 		.status_retention_ms =
 			(int64_t)settings->bounds.status_s * MS_PER_S,
 		.on_written = schedule_plan,
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -8,6 +8,9 @@
 
 /* The store allows 100 entries per transaction; a row may need two. */
 #define BATCH_ROWS 48
+/* The store allows 1 MB per call: values take a third more in base64, and the
+ * names of the rows need room too. */
+#define BATCH_BYTES 700000
 /* Delay before a failed batch is written again. */
 #define RETRY_MS 100
 /* Shortest interval between two writes of the queue lengths. */
@@ -36,12 +39,14 @@
 	int64_t last_removal_ms;
 	struct histogram *latency;
 	struct counter *rows;
+	struct counter *rows_cut;
 	int64_t sent_ms; /* when the last batch was sent */
 };
 
 struct batch {
 	GArray *writes;	   /* of struct table_write */
 	GPtrArray *values; /* their rows, owned */
+	gsize bytes;	   /* of the values */
 };
 
 struct progress_writer *
@@ -50,6 +55,7 @@
 	struct progress_writer *w = g_new0(struct progress_writer, 1);
 
 	w->spec = *spec;
+	w->spec.row_bytes = MIN(spec->row_bytes, BATCH_BYTES);
 	w->job_ids = g_ptr_array_new_with_free_func(g_free);
 	w->removed_job_ids = g_ptr_array_new_with_free_func(g_free);
 	w->recorded_worker_ids = g_ptr_array_new_with_free_func(g_free);
@@ -59,6 +65,9 @@
 					"Time of a write of jobs' progress");
 	w->rows = counters_counter(spec->counters, "cs_progress_rows_total",
 				   "Rows of jobs' progress written");
+	w->rows_cut = counters_counter(
+		spec->counters, "cs_progress_rows_cut_total",
+		"Rows of jobs' progress that had to be shortened");
 	return w;
 }
 
@@ -114,8 +123,10 @@
 	};
 
 	g_array_append_val(b->writes, write);
-	if (value)
+	if (value) {
 		g_ptr_array_add(b->values, value);
+		b->bytes += job_row_bytes(value);
+	}
 }
 
 static void batch_add(struct batch *b, const char *table, const char *key,
@@ -124,6 +135,46 @@
 	batch_add_part(b, table, HOLDER_PART, key, version, value);
 }
 
+/* Logs that a job's row lacks something, when that changes. */
+static void record_cut(struct progress_writer *w, struct fleet_job *job,
+		       enum progress_cut cut, gsize bytes)
+{
+	struct log_line line;
+
+	if (cut != PROGRESS_WHOLE)
+		counter_add(w->rows_cut, 1);
+	if (job->row_cut == cut)
+		return;
+	job->row_cut = (uint8_t)cut;
+	log_begin(&line, LOG_LEVEL_WARN, "progress_row_cut");
+	log_str(&line, "job", job->id);
+	log_str(&line, "lacks", progress_cut_name(cut));
+	log_int(&line, "bytes", (int64_t)bytes);
+	log_int(&line, "limit", w->spec.row_bytes);
+	log_end(&line);
+}
+
+/* Adds the progress of a job. Returns FALSE if it fits into no row. */
+static gboolean add_job(struct progress_writer *w, struct batch *b,
+			struct fleet_job *job)
+{
+	enum progress_cut cut;
+	json_object *row =
+		job_progress_encode(job, (gsize)w->spec.row_bytes, &cut);
+
+	record_cut(w, job, cut, job_row_bytes(row));
+	if (cut == PROGRESS_TOO_LARGE) {
+		json_object_put(row);
+		return FALSE;
+	}
+	batch_add(b, JOB_PROGRESS_TABLE, job->id, job->progress_version, row);
+	job->is_dirty = FALSE;
+	job->is_storing_active = job->state != FLEET_JOB_QUEUED;
+	job->storing_first = job->first_occurrence;
+	g_ptr_array_add(w->job_ids, g_strdup(job->id));
+	return TRUE;
+}
+
 static void add_jobs(struct progress_writer *w, struct batch *b)
 {
 	GHashTableIter iter;
@@ -136,16 +187,12 @@
 
 		if (!job->is_dirty)
 			continue;
-		if (b->writes->len >= BATCH_ROWS) {
+		if (b->writes->len >= BATCH_ROWS ||
+		    b->bytes + (gsize)w->spec.row_bytes > BATCH_BYTES) {
 			w->has_all_dirty_jobs = FALSE;
 			break;
 		}
-		batch_add(b, JOB_PROGRESS_TABLE, job->id, job->progress_version,
-			  job_progress_encode(job));
-		job->is_dirty = FALSE;
-		job->is_storing_active = job->state != FLEET_JOB_QUEUED;
-		job->storing_first = job->first_occurrence;
-		g_ptr_array_add(w->job_ids, g_strdup(job->id));
+		w->has_all_dirty_jobs &= add_job(w, b, job);
 	}
 }
 
@@ -169,19 +216,22 @@
 	}
 }
 
-static json_object *encode_queues(const struct fleet *f)
+/* Counts only for the routes of the configuration: their names fit into one row
+ * of it, so the counts fit into one row too. */
+static json_object *encode_queues(const struct fleet_scheduler *s)
 {
 	json_object *row = json_object_new_object();
 	GHashTableIter iter;
 	gpointer item;
 
-	g_hash_table_iter_init(&iter, f->jobs);
+	g_hash_table_iter_init(&iter, s->fleet.jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		const struct fleet_job *job = item;
 		json_object *count = NULL;
 		int64_t n = 1;
 
-		if (fleet_job_has_ended(job) || job->has_started)
+		if (fleet_job_has_ended(job) || job->has_started ||
+		    !fleet_scheduler_route(s, job))
 			continue;
 		if (json_object_object_get_ex(row, job->route, &count))
 			n += json_object_get_int64(count);
@@ -199,7 +249,7 @@
 
 	if (now_ms - w->last_queues_ms < QUEUES_INTERVAL_MS)
 		return;
-	row = encode_queues(&w->spec.scheduler->fleet);
+	row = encode_queues(w->spec.scheduler);
 	text = json_object_to_json_string(row);
 	if (g_strcmp0(text, w->written_queues) == 0) {
 		json_object_put(row);
@@ -437,7 +487,7 @@
 
 void progress_writer_write(struct progress_writer *w, int64_t now_ms)
 {
-	struct batch b;
+	struct batch b = { 0 };
 
 	if (w->is_writing || now_ms < w->retry_at_ms)
 		return;
--- a/entry/progress_writer.h
+++ b/entry/progress_writer.h
@@ -17,6 +17,7 @@
 	struct platform *platform;
 	struct fleet_scheduler *scheduler;
 	struct counters *counters;
+	int64_t row_bytes;	     /**< largest value of a row in the store */
 	int64_t status_retention_ms; /**< how long ended jobs are readable */
 	/** Set of worker ids in WORKER_USE_TABLE; updated, not owned. */
 	GHashTable *recorded_workers;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -107,8 +107,10 @@
 	gboolean is_dirty;     /**< progress is not stored yet */
 	gboolean is_storing_active; /**< the write in flight records it as
 				       active */
-	int64_t progress_version;   /**< version of the progress row, or 0 */
-	int64_t ended_ms;	    /**< when it reached a final state */
+	/** What the last progress row lacked, of enum progress_cut. */
+	uint8_t row_cut;
+	int64_t progress_version; /**< version of the progress row, or 0 */
+	int64_t ended_ms;	  /**< when it reached a final state */
 };
 
 struct fleet_worker {
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -466,11 +466,11 @@
 	struct run_set *failed =
 		step->spec->is_gang ? &step->gang_failed : &t->failed;
 
-	if (!run_set_add(failed, run))
+	/* Services have no limit of attempts. */
+	if (step->spec->is_service || !run_set_add(failed, run))
 		return;
 	step->job->is_dirty = TRUE;
-	if (step->spec->is_service || !route ||
-	    run_set_count(failed) < route->max_attempts)
+	if (!route || run_set_count(failed) < route->max_attempts)
 		return;
 	set_state(step->job, FLEET_JOB_FAILED,
 		  "a task has used up its attempts", now_ms);
--- a/sched/job_progress.h
+++ b/sched/job_progress.h
@@ -15,6 +15,9 @@
 #define JOB_PROGRESS_TABLE "progress"
 #define JOB_CANCEL_TABLE "cancels"
 
+/** Length of a row's text as it is stored, in bytes. */
+gsize job_row_bytes(json_object *row);
+
 /**
  * Part of the rows that the pool's lease holder writes, in batches. Rows that
  * client calls write are spread over several parts, since commits within one
@@ -42,8 +45,27 @@
 struct fleet_job *job_row_decode(struct fleet *f, const char *id,
 				 json_object *row, int64_t *accepted_store_ms);
 
-/** Encodes the progress of a job; free with put. */
-json_object *job_progress_encode(const struct fleet_job *job);
+/** What an encoded progress row lacks, as it would have become too large. */
+enum progress_cut {
+	PROGRESS_WHOLE,
+	/** Some checkpoints: their tasks may start again from the beginning. */
+	PROGRESS_NO_CHECKPOINTS,
+	/** All but the last failed run of each task; they are counted. */
+	PROGRESS_LAST_RUNS,
+	/** The numbers of failed runs; they are counted. */
+	PROGRESS_NO_RUNS,
+	PROGRESS_TOO_LARGE, /**< it can't be cut any further */
+};
+
+/**
+ * Encodes the progress of a job in at most @max_bytes of text; free with put.
+ *
+ * @param cut	set to what the row lacks
+ */
+json_object *job_progress_encode(const struct fleet_job *job, gsize max_bytes,
+				 enum progress_cut *cut);
+
+const char *progress_cut_name(enum progress_cut cut);
 
 /**
  * Merges a progress row into the job's state.
--- a/sched/run_set.h
+++ b/sched/run_set.h
@@ -14,6 +14,8 @@
 /** All zeroes is an empty set. */
 struct run_set {
 	GArray *runs; /**< of int64_t, NULL if empty */
+	/** Further runs, whose numbers a row had no room for. */
+	guint unlisted;
 };
 
 void run_set_clear(struct run_set *s);
@@ -23,8 +25,14 @@
 /** Adds a run; returns FALSE if it was in the set already. */
 gboolean run_set_add(struct run_set *s, int64_t run);
 
-/** Encodes the runs as a list; free with put. */
-json_object *run_set_encode(const struct run_set *s);
+/** Encodes the @most highest runs as a list; free with put. */
+json_object *run_set_encode(const struct run_set *s, guint most);
+
+/**
+ * Raises the count to that of a row which lists only some of its runs. To be
+ * called after these were merged.
+ */
+void run_set_raise_count(struct run_set *s, guint count);
 
 /**
  * Adds the runs of a list; a value that is no list counts as an empty one.
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -137,6 +137,30 @@
 	site_free(s);
 }
 
+/* A job whose row the store would refuse is rejected at once, by a final
+ * answer. */
+static void test_too_large(void)
+{
+	struct site *s = site_new();
+	char *name = g_strnfill(200, 'x');
+	GString *body = g_string_new("{\"Steps\":[");
+
+	for (guint i = 0; i < 100; i++)
+		g_string_append_printf(body,
+				       "%s{\"Count\":1,\"Requirements\":\"%s\","
+				       "\"Affinity\":\"%s\",\"Image\":\"%s\"}",
+				       i ? "," : "", name, name, name);
+	g_string_append(body, "]}");
+	g_assert_cmpuint(
+		site_call(s, 0, "POST", "00000000000000b2", body->str, NULL),
+		==, 400);
+	g_assert_cmpuint(site_call(s, 0, "GET", "00000000000000b2", NULL, NULL),
+			 ==, 410);
+	g_string_free(body, TRUE);
+	g_free(name);
+	site_free(s);
+}
+
 /* A cancelled job is stopped and frees its resources. */
 static void test_cancel(void)
 {
@@ -983,6 +1007,7 @@
 	g_test_add_data_func("/entry/withdrawn-key/changes-forgotten",
 			     "{\"forget_changes\":true}", test_withdrawn_key);
 	g_test_add_func("/entry/answers", test_answers);
+	g_test_add_func("/entry/too-large", test_too_large);
 	g_test_add_func("/entry/cancel", test_cancel);
 	g_test_add_func("/entry/cancel-at-takeover", test_cancel_at_takeover);
 	g_test_add_func("/entry/unanswered-then-refused",
--- a/tests/test_fleet_mutation.c
+++ b/tests/test_fleet_mutation.c
@@ -341,11 +341,12 @@
 static void merge_progress(struct world *w, const char *id, int64_t version)
 {
 	struct fleet_job *job = fleet_job(&w->s.fleet, id);
+	enum progress_cut cut;
 	json_object *row;
 
 	if (!job)
 		return;
-	row = job_progress_encode(job);
+	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	for (gint32 i = g_rand_int_range(w->rng, 0, MAX_CHANGES); i >= 0; i--)
 		change(w->rng, row);
 	fleet_scheduler_merge_progress(&w->s, id, row, version);
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -300,6 +300,7 @@
 {
 	struct world w = { 0 };
 	struct fleet_job *job;
+	enum progress_cut cut;
 	json_object *row;
 
 	world_init(&w);
@@ -309,7 +310,7 @@
 	report(&w, "w1", NULL,
 	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
 	job = fleet_job(&w.s.fleet, "job");
-	row = job_progress_encode(job);
+	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	/* The successor reads the row and the worker reports the end again. */
 	fleet_scheduler_begin(&w.s, 8, 0);
 	add_worker(&w, "w1", "r1");
@@ -402,6 +403,7 @@
  */
 static void test_own_active_row(void)
 {
+	enum progress_cut cut;
 	json_object *row;
 	struct world w = { 0 };
 	struct fleet_job *job;
@@ -414,7 +416,7 @@
 	job->is_active_stored = FALSE;
 	plan_after(&w, 1);
 	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
-	row = job_progress_encode(job);
+	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
 	plan_after(&w, 1);
 	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
@@ -446,6 +448,7 @@
  * successor too. */
 static void test_active_not_started(void)
 {
+	enum progress_cut cut;
 	json_object *row;
 	struct world w = { 0 };
 	struct fleet_job *job;
@@ -453,7 +456,7 @@
 	world_init(&w);
 	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
 	job->state = FLEET_JOB_ACTIVE;
-	row = job_progress_encode(job);
+	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	fleet_scheduler_begin(&w.s, 8, 0);
 	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
--- a/tests/test_progress_writer.c
+++ b/tests/test_progress_writer.c
@@ -6,6 +6,9 @@
 #include "entry/progress_writer.h"
 
 #define STATUS_RETENTION_MS INT64_C(1000)
+/* The store's limits: bytes of a value and of a call, there in base64. */
+#define ROW_BYTES 65536
+#define CALL_BYTES 1000000
 /* Long after the retention of an ended job has passed. */
 #define LONG_EXPIRED_MS INT64_C(3600000)
 #define STEP_MS 1200
@@ -21,8 +24,27 @@
 	guint removed;	/* rows that the last commit removes */
 	guint progress; /* progress rows that it writes */
 	guint commits;
+	gsize largest; /* value of all commits, in bytes */
 };
 
+/* As a store that refuses what is too large. */
+static void check_sizes(struct fake_store *f, const struct table_write *writes,
+			guint count)
+{
+	gsize bytes = 0;
+
+	for (guint i = 0; i < count; i++) {
+		gsize value =
+			writes[i].value ? job_row_bytes(writes[i].value) : 0;
+
+		g_assert_cmpuint(value, <=, ROW_BYTES);
+		f->largest = MAX(f->largest, value);
+		bytes += (value + 2) / 3 * 4 + strlen(writes[i].table) +
+			 strlen(writes[i].key);
+	}
+	g_assert_cmpuint(bytes, <, CALL_BYTES);
+}
+
 static void fake_commit(struct platform *p, const struct table_write *writes,
 			guint count, platform_fn fn, void *data)
 {
@@ -34,6 +56,7 @@
 	f->commits++;
 	f->removed = 0;
 	f->progress = 0;
+	check_sizes(f, writes, count);
 	for (guint i = 0; i < count; i++) {
 		if (writes[i].is_condition)
 			continue;
@@ -75,6 +98,7 @@
 		.platform = &w->store.base,
 		.scheduler = &w->scheduler,
 		.counters = &w->counters,
+		.row_bytes = ROW_BYTES,
 		.status_retention_ms = STATUS_RETENTION_MS,
 		.on_written = on_written,
 		.data = w,
@@ -231,12 +255,107 @@
 	world_clear(&w);
 }
 
+/* Adds a job of one step, each of whose tasks has a checkpoint. */
+static struct fleet_job *add_wide_job(struct world *w, guint number,
+				      int64_t tasks)
+{
+	struct job_spec spec = { 0 };
+	struct step_spec step = { .task_count = tasks, .millicores = 1000 };
+	char *id = g_strdup_printf("%016x", number);
+	struct fleet_job *job;
+	struct fleet_step *first;
+
+	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
+	g_array_append_val(spec.steps, step);
+	job = fleet_add_job(&w->scheduler.fleet, id, "bulk", NULL, &spec);
+	fleet_job_add_occurrence(job);
+	first = job->steps->pdata[0];
+	for (guint i = 0; i < first->task_count; i++)
+		first->tasks[i].checkpoint = g_strdup_printf("%016x", i);
+	job->state = FLEET_JOB_ACTIVE;
+	job->is_dirty = TRUE;
+	g_free(id);
+	return job;
+}
+
+static const struct large_case {
+	const char *path;
+	guint jobs;
+	int64_t tasks;
+} large_cases[] = {
+	{ "/progress-writer/large/one", 1, 10000 },
+	{ "/progress-writer/large/fits", 3, 2000 },
+	/* More than one call may hold. */
+	{ "/progress-writer/large/many", 100, 2000 },
+	{ "/progress-writer/large/many-cut", 100, 10000 },
+};
+
+/*
+ * Rows and calls stay within the store's limits: a row that had outgrown them
+ * made the store refuse all further writes, so that no job started any more
+ * (review, case 2).
+ */
+static void test_large(const void *data)
+{
+	const struct large_case *c = data;
+	struct world w = { 0 };
+	struct fleet_job *small;
+
+	world_init(&w);
+	for (guint i = 1; i <= c->jobs; i++)
+		add_wide_job(&w, i, c->tasks);
+	small = add_job(&w, 0);
+	small->state = FLEET_JOB_ACTIVE;
+	small->is_dirty = TRUE;
+	for (guint i = 0; i < c->jobs + 1; i++)
+		step(&w, STATUS_OK);
+	g_assert_cmpuint(w.store.largest, >, ROW_BYTES / 2);
+	for (guint i = 0; i <= c->jobs; i++) {
+		char *id = g_strdup_printf("%016x", i);
+		const struct fleet_job *job = fleet_job(&w.scheduler.fleet, id);
+
+		g_assert_true(job->is_active_stored);
+		g_assert_false(job->is_dirty);
+		g_free(id);
+	}
+	world_clear(&w);
+}
+
+/* The lengths of queues are counted for configured routes only: names of former
+ * ones must not fill the row. */
+static void test_former_routes(void)
+{
+	struct world w = { 0 };
+
+	world_init(&w);
+	for (guint i = 0; i < 3000; i++) {
+		struct job_spec spec = { 0 };
+		struct step_spec one = { .task_count = 1 };
+		char *id = g_strdup_printf("%016x", i);
+		char *route =
+			g_strdup_printf("route-of-a-former-version-%u", i);
+
+		spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
+		g_array_append_val(spec.steps, one);
+		fleet_add_job(&w.scheduler.fleet, id, route, NULL, &spec);
+		g_free(id);
+		g_free(route);
+	}
+	step(&w, STATUS_OK);
+	g_assert_cmpuint(w.store.commits, ==, 1);
+	world_clear(&w);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	for (guint i = 0; i < G_N_ELEMENTS(removal_cases); i++)
 		g_test_add_data_func(removal_cases[i].path, &removal_cases[i],
 				     test_removal);
+	for (guint i = 0; i < G_N_ELEMENTS(large_cases); i++)
+		g_test_add_data_func(large_cases[i].path, &large_cases[i],
+				     test_large);
+	g_test_add_func("/progress-writer/former-routes", test_former_routes);
 	g_test_add_func("/progress-writer/running-is-kept",
 			test_running_is_kept);
 	return g_test_run();
