A rack is reserved for a gang only where and as long as that helps

Cause: the rack was chosen by its registered capacity, though services don't end; the reservation lasted as long as the gang waited, and covered whole workers.

Change: services are taken off a rack's capacity, for reservations and for the racks that a unit waits for. A reservation covers what the gang needs and ends after 20 s, then there is none for 60 s. In a lightly used pool jobs that find nothing else use reserved workers.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -70,6 +70,8 @@
 	guint done_count;
 	struct run_set gang_failed; /**< failed runs of the gang */
 	int64_t ready_ms;	    /**< when its dependencies were first met */
+	int64_t reserved_since_ms;  /**< when it first had a rack, or 0 */
+	int64_t reserve_after_ms;   /**< it gets no rack before that */
 	/** Value of fleet_scheduler::pass when it last found no workers. */
 	uint64_t tried_pass;
 };
--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -1,15 +1,11 @@
 #include "sched/fleet_internal.h"
 #include "sched/fleet_preempt.h"
+#include "sched/fleet_reserve.h"
 #include "sched/fleet_urgent.h"
 
 /* A unit waits this many times its expected run time for the racks that it
  * prefers; then it may use any. */
 #define RACK_WAIT_FACTOR 1.0
-/* A rack is reserved for a gang that has been ready for this long and still
- * fits nowhere. */
-#define RESERVE_AFTER_MS 3000
-/* Most racks that are reserved in one round. */
-#define MAX_RESERVATIONS 2
 
 static void start_unit(struct fleet_round *r, struct fleet_unit *u,
 		       const struct worker_choice *c)
@@ -96,60 +92,22 @@
 
 /*
  * Starts as many tasks of a step without a gang as fit. Returns TRUE if all
- * @allowed tasks were started.
+ * @allowed tasks were started, which are counted down.
  */
 static gboolean place_singles(struct fleet_round *r, struct fleet_unit *u,
-			      const GPtrArray *options, guint allowed,
+			      const GPtrArray *options, guint *allowed,
 			      struct worker_choice *c)
 {
-	for (guint i = 0; i < options->len && allowed; i++) {
-		fleet_round_choose(r, u, options->pdata[i], FREE_NOW, allowed,
+	for (guint i = 0; i < options->len && *allowed; i++) {
+		fleet_round_choose(r, u, options->pdata[i], FREE_NOW, *allowed,
 				   c);
 		if (!c->workers->len)
 			continue;
 		start_unit(r, u, c);
-		allowed -= c->workers->len;
+		*allowed -= c->workers->len;
 		g_ptr_array_remove_range(u->tasks, 0, c->workers->len);
 	}
-	return !allowed;
-}
-
-/* Reserves the rack that will have the most free accelerators for a unit.
- * Returns FALSE if none is. */
-static gboolean reserve_rack(struct fleet_round *r, const struct fleet_unit *u,
-			     const GPtrArray *options)
-{
-	const struct fleet_rack *best = NULL;
-	int64_t most = -1;
-
-	if (r->reservations >= MAX_RESERVATIONS ||
-	    r->now_ms - u->step->ready_ms < RESERVE_AFTER_MS)
-		return FALSE;
-	for (guint i = 0; i < options->len; i++) {
-		const struct fleet_rack *rack = options->pdata[i];
-		int64_t found = 0;
-
-		if (!rack)
-			continue;
-		for (guint k = rack->begin; k < rack->end; k++) {
-			const struct fleet_round_worker *rw = &g_array_index(
-				r->workers, struct fleet_round_worker, k);
-
-			if (!rw->is_reserved)
-				found += rw->free_after_stops.accelerators;
-		}
-		if (found > most) {
-			most = found;
-			best = rack;
-		}
-	}
-	if (!best)
-		return FALSE;
-	for (guint k = best->begin; k < best->end; k++)
-		g_array_index(r->workers, struct fleet_round_worker, k)
-			.is_reserved = TRUE;
-	r->reservations++;
-	return TRUE;
+	return !*allowed;
 }
 
 /* Has an urgent job stored as active while the stops that it waits for are
@@ -161,6 +119,20 @@
 		fleet_activate_job(u->step->job, r->now_ms);
 }
 
+/* Starts a gang, or as many tasks of another unit as fit. Returns TRUE if no
+ * task is left. */
+static gboolean start_now(struct fleet_round *r, struct fleet_unit *u,
+			  const GPtrArray *options, guint *allowed,
+			  struct worker_choice *c)
+{
+	if (!u->step->spec->is_gang)
+		return place_singles(r, u, options, allowed, c);
+	if (!fleet_round_choose_whole(r, u, options, FREE_NOW, c))
+		return FALSE;
+	start_unit(r, u, c);
+	return TRUE;
+}
+
 /* Starts a unit or takes capacity for it. Returns FALSE if it found none for
  * some of its tasks. */
 static gboolean place_unit(struct fleet_round *r, struct fleet_unit *u)
@@ -174,13 +146,17 @@
 	if (!allowed || (u->step->spec->is_gang && allowed < u->tasks->len))
 		goto out;
 	is_placed = TRUE;
-	if (!u->step->spec->is_gang) {
-		if (place_singles(r, u, options, allowed, &c))
-			goto out;
-	} else if (fleet_round_choose_whole(r, u, options, FREE_NOW, &c)) {
-		start_unit(r, u, &c);
+	if (start_now(r, u, options, &allowed, &c))
 		goto out;
+	/* Nothing waits for a reserved rack beside idle workers. */
+	if (r->reservations && r->is_lightly_used) {
+		r->uses_reserved = TRUE;
+		is_placed = start_now(r, u, options, &allowed, &c);
+		r->uses_reserved = FALSE;
+		if (is_placed)
+			goto out;
 	}
+	is_placed = TRUE;
 	if (fleet_round_choose_whole(r, u, options, FREE_AFTER_STOPS, &c)) {
 		fleet_round_allocate(r, u, &c);
 		prepare_start(r, u);
@@ -189,8 +165,8 @@
 		if (is_placed)
 			prepare_start(r, u);
 	} else {
-		is_placed =
-			u->step->spec->is_gang && reserve_rack(r, u, options);
+		is_placed = u->step->spec->is_gang &&
+			    fleet_reserve_rack(r, u, options);
 	}
 out:
 	g_array_unref(c.workers);
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -113,6 +113,8 @@
 
 			if (t->is_stop_ordered)
 				demand_add(&rw.free_after_stops, &d);
+			else if (t->step->spec->is_service)
+				demand_add(&rw.lasting, &d);
 			if (t->is_order_in_flight)
 				r->orders_in_flight++;
 		}
@@ -159,11 +161,14 @@
 			   const struct demand *available)
 {
 	struct demand d = fleet_task_demand(u->tasks->pdata[0]);
+	struct demand left = *available;
 	guint n;
 
-	if (rw->is_reserved || !fleet_urgent_may_use(r, u, rw))
+	if (!fleet_urgent_may_use(r, u, rw))
 		return 0;
-	n = tasks_that_fit(available, &d);
+	if (!r->uses_reserved)
+		demand_subtract(&left, &rw->reserved);
+	n = tasks_that_fit(&left, &d);
 	if (!n || !is_eligible(u, rw->worker))
 		return 0;
 	if (u->step->spec->max_per_worker) {
@@ -282,8 +287,10 @@
 		const struct fleet_round_worker *rw = &g_array_index(
 			r->workers, struct fleet_round_worker, i);
 
-		found += fleet_round_capacity(r, u, rw,
-					      &rw->worker->reg.capacity);
+		struct demand most = rw->worker->reg.capacity;
+
+		demand_subtract(&most, &rw->lasting);
+		found += fleet_round_capacity(r, u, rw, &most);
 	}
 	return found >= (u->step->spec->is_gang ? u->tasks->len : 1);
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -13,7 +13,8 @@
 	struct fleet_worker *worker;
 	struct demand free;		/**< free now */
 	struct demand free_after_stops; /**< once the ordered stops are done */
-	gboolean is_reserved;		/**< reserved for a waiting gang */
+	struct demand reserved;		/**< for waiting gangs */
+	struct demand lasting;		/**< of its services, which don't end */
 };
 
 /** Workers of one rack: a range of fleet_round::workers. */
@@ -41,6 +42,7 @@
 	GArray *workers;	/**< of struct fleet_round_worker, by rack */
 	GArray *racks;		/**< of struct fleet_rack */
 	guint reservations;	/**< racks reserved in this round */
+	gboolean uses_reserved; /**< what is reserved may be taken too */
 	guint orders_in_flight; /**< starts and stops in flight */
 	struct demand total;	/**< capacity of the usable workers */
 	struct demand in_use;	/**< of total, with this round's placements */
@@ -86,7 +88,7 @@
 
 /**
  * Returns how many tasks of the unit a worker may take, given what is available
- * on it.
+ * on it, with what is reserved.
  */
 guint fleet_round_capacity(const struct fleet_round *r,
 			   const struct fleet_unit *u,
@@ -95,7 +97,7 @@
 
 /**
  * Returns TRUE if a gang, or one task of another unit, would fit into the rack
- * if the rack were empty.
+ * once all tasks there have ended that will end.
  */
 gboolean fleet_round_could_hold(const struct fleet_round *r,
 				const struct fleet_unit *u,
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -197,6 +197,12 @@
 	return job;
 }
 
+/* The specification of a job's only step, to be changed before it is placed. */
+static struct step_spec *step_spec_of(struct fleet_job *job)
+{
+	return &g_array_index(job->spec.steps, struct step_spec, 0);
+}
+
 static guint count_orders(const struct world *w, gboolean is_start,
 			  const char *task_prefix)
 {
@@ -697,6 +703,106 @@
 	clear_orders(w);
 }
 
+/* Jobs beside a gang of priority 2 that needs all accelerators of a rack. */
+struct gang_rack_case {
+	const char *name;
+	gboolean has_service; /* holds one accelerator of each worker */
+	int64_t busy;	      /* accelerators of each worker in use otherwise */
+	int64_t waited_ms;    /* of the gang */
+	int64_t accelerators; /* of the other job's task */
+	gboolean is_started;  /* the other job */
+};
+
+static const struct gang_rack_case gang_rack_cases[] = {
+	/* The gang can't run while the service does (review, case 5). */
+	{ "/fleet/gang-rack/service", TRUE, 0, 4000, 0, TRUE },
+	{ "/fleet/gang-rack/service-accelerator", TRUE, 0, 4000, 1, TRUE },
+	{ "/fleet/gang-rack/service-busy", TRUE, 5, 4000, 1, TRUE },
+	/* What runs there will end, so the gang gets the rack. */
+	{ "/fleet/gang-rack/not-yet", FALSE, 6, 1000, 1, TRUE },
+	{ "/fleet/gang-rack/reserved", FALSE, 6, 4000, 1, FALSE },
+	/* The gang doesn't need all cores. */
+	{ "/fleet/gang-rack/other-resource", FALSE, 6, 4000, 0, TRUE },
+	{ "/fleet/gang-rack/light-use", FALSE, 2, 4000, 1, TRUE },
+	{ "/fleet/gang-rack/lapsed", FALSE, 6, 25000, 1, TRUE },
+	{ "/fleet/gang-rack/lapsed-before", FALSE, 6, 60000, 1, TRUE },
+	{ "/fleet/gang-rack/reserved-again", FALSE, 6, 90000, 1, FALSE },
+};
+
+/* Lets time pass while all workers are renewed and list what was started. */
+static void pass_time(struct world *w, int64_t ms)
+{
+	static const char *const ids[] = { "w1", "w2", "w3", "w4" };
+
+	for (int64_t end_ms = w->now_ms + ms; w->now_ms < end_ms;) {
+		w->now_ms += 500;
+		for (guint i = 0; i < G_N_ELEMENTS(ids); i++) {
+			struct fleet_worker *worker =
+				fleet_worker(&w->s.fleet, ids[i]);
+			GArray *list = g_array_new(
+				FALSE, TRUE, sizeof(struct running_entry));
+			char *names[64];
+
+			for (guint k = 0; k < worker->tasks->len; k++) {
+				const struct fleet_task *t =
+					worker->tasks->pdata[k];
+				struct running_entry e = {
+					.run = t->run,
+					.checkpoint = "",
+					.percent = t->percent + 0.1,
+				};
+
+				names[k] = fleet_task_name(t);
+				e.task = names[k];
+				g_array_append_val(list, e);
+			}
+			report(w, ids[i], list, NULL);
+			fleet_scheduler_renewal_end(&w->s, worker, w->now_ms);
+			for (guint k = 0; k < worker->tasks->len; k++)
+				g_free(names[k]);
+		}
+		fleet_scheduler_plan(&w->s, w->now_ms);
+	}
+}
+
+/*
+ * A rack reserved for a gang that can't start must not keep other jobs waiting
+ * for good, nor those that don't need what the gang needs.
+ */
+static void test_gang_rack(const void *data)
+{
+	const struct gang_rack_case *c = data;
+	struct world w = { 0 };
+	struct fleet_job *job;
+
+	world_init(&w);
+	/* Jobs don't get late, so the gang is the more urgent one. */
+	g_array_index(w.config.routes, struct queue_route, 1).stretch = 1000;
+	add_worker(&w, "w1", "r1");
+	add_worker(&w, "w2", "r1");
+	add_worker(&w, "w3", "r1");
+	add_worker(&w, "w4", "r1");
+	if (c->has_service) {
+		job = add_job(&w, "service", "bulk", 4, 1, FALSE);
+		step_spec_of(job)->is_service = TRUE;
+		step_spec_of(job)->max_per_worker = 1;
+		plan_after(&w, 1);
+	}
+	if (c->busy) {
+		job = add_job(&w, "busy", "bulk", 4, c->busy, FALSE);
+		step_spec_of(job)->max_per_worker = 1;
+		step_spec_of(job)->is_checkpointed = TRUE;
+		plan_after(&w, 1);
+	}
+	add_job(&w, "gang", "bulk", 4, 8, TRUE);
+	pass_time(&w, c->waited_ms);
+	g_assert_cmpuint(count_orders(&w, TRUE, "gang"), ==, 0);
+	add_job(&w, "other", "bulk", 1, c->accelerators, FALSE);
+	pass_time(&w, 500);
+	g_assert_cmpuint(count_orders(&w, TRUE, "other"), ==, c->is_started);
+	world_clear(&w);
+}
+
 /* Placement of tasks without checkpoints beside the reserve of urgent jobs. */
 struct reserve_case {
 	const char *name;
@@ -1105,6 +1211,7 @@
 	ADD_CASES(start_answer_cases, test_answers);
 	ADD_CASES(takeover_cases, test_takeover);
 	ADD_CASES(reserve_cases, test_urgent_reserve);
+	ADD_CASES(gang_rack_cases, test_gang_rack);
 	add_worker_tests();
 	ADD_CASES(drain_cases, test_drain);
 	for (guint i = 0; i < G_N_ELEMENTS(gang_ends); i++)
