--- a/entry/config_feed.c
+++ b/entry/config_feed.c
@@ -7,9 +7,9 @@
 #include "platform/wire_config.h"
 
 /* Long-poll timeout: the store answers by then even without changes. */
-#define FEED_WAIT_MS 2000
+#define FEED_WAIT_MS 1500
 /* The store counts as unreachable after this time without an answer. */
-#define CONTACT_TIMEOUT_MS (FEED_WAIT_MS + 1500)
+#define CONTACT_TIMEOUT_MS (FEED_WAIT_MS + 2000)
 
 struct config_feed {
 	struct service base;
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -27,8 +27,11 @@
 #define PLAN_PAUSE_FACTOR 2
 /* Delay of further renewals when many are due, for answers in between. */
 #define RENEW_PAUSE_MS 2
-/* Long-poll timeout: the store answers by then even without changes. */
-#define FEED_WAIT_MS 5000
+/* Long-poll timeout: the store answers by then even without changes. It is
+ * short since an answer that is lost, or a connection that goes silent, delays
+ * a change by this and the timeout of the call: tasks of cancelled jobs and on
+ * draining workers may be started for 2 to 3 s only. */
+#define FEED_WAIT_MS 500
 /* Leases granted by the previous holder may end later than it ordered: workers'
  * clocks may run 2% slow, and orders may still be in transit. */
 #define LEASE_CLOCK_FACTOR 1.03
--- a/store/call_sender.c
+++ b/store/call_sender.c
@@ -15,6 +15,9 @@
 #define MAX_CONNECTIONS 32
 #define MAX_CALLS_IN_FLIGHT 1000
 #define MAX_WAITING 1000
+/* A long poll is answered within this time after its wait, more than three
+ * times the latency of a store that is 60 times slower than its usual 4 ms. */
+#define LONG_POLL_MARGIN_MS 800
 #define RETRY_INTERVAL_MS 5 /* between attempts to send queued calls */
 /* A call queued for longer than the timeout divided by this is refused. */
 #define MAX_WAIT_DIVISOR 2
@@ -135,8 +138,11 @@
 
 	call->sent_us = g_get_monotonic_time();
 	call->generation = store_gate_generation(&s->gate);
-	http.timeout_ms = s->timeout_ms + call->long_poll_ms -
-			  (call->sent_us - call->created_us) / US_PER_MS;
+	http.timeout_ms =
+		s->timeout_ms - (call->sent_us - call->created_us) / US_PER_MS;
+	if (call->long_poll_ms)
+		http.timeout_ms = MIN(http.timeout_ms, LONG_POLL_MARGIN_MS) +
+				  call->long_poll_ms;
 	counter_add(call->kind == STORE_CALL_WRITE ? s->counters.writes
 						   : s->counters.reads,
 		    1);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "base/util.h"
 #include "tests/entry_site.h"
 
 #define UNAUTHORIZED 401
@@ -22,6 +23,9 @@
 #define MAX_MISSES 2
 /* Half of the shortest cut of a failure domain. */
 #define UNREADY_WITHIN_MS 2500
+/* Bound of the platform from the acknowledgement of a cancel until no task of
+ * the job is started (cancel_ms). */
+#define CANCEL_MS 3000
 /* Calls with a withdrawn key after a restart. */
 #define KEY_CALLS 12
 
@@ -161,6 +165,70 @@
 	site_free(s);
 }
 
+/* How the holder's connections to the store fail just before a cancel. */
+struct cancel_case {
+	const char *name;
+	uint32_t wait_ms;   /* since the holder took the pool over */
+	gboolean is_silent; /* all open ones go silent; new ones work */
+};
+
+static const struct cancel_case cancel_cases[] = {
+	{ "/entry/cancel-in-time/calm", 2000, FALSE },
+	{ "/entry/cancel-in-time/silent", 500, TRUE },
+	{ "/entry/cancel-in-time/silent-later", 8000, TRUE },
+};
+
+struct job_state_wait {
+	struct site *site;
+	guint entry;
+	const char *id;
+};
+
+static gboolean is_cancelled(void *data)
+{
+	const struct job_state_wait *w = data;
+	char *text = NULL;
+	gboolean is_shown;
+
+	site_call(w->site, w->entry, "GET", w->id, NULL, &text);
+	is_shown = text && strstr(text, "cancelled");
+	g_free(text);
+	return is_shown;
+}
+
+/*
+ * The holder learns of a cancel in time although its connections to the store
+ * have gone silent: it started tasks of a cancelled job for seconds (the users'
+ * own runs, UNASKED).
+ */
+static void test_cancel_in_time(gconstpointer data)
+{
+	const struct cancel_case *c = data;
+	struct site *s = site_new_with(SITE_NO_DELEGATION, TRUE);
+	struct job_state_wait wait = { s, 0, "00000000000000c9" };
+	guint holder = site_holder(s);
+	char *body =
+		g_strdup_printf("{\"silence_open\":true,\"route\":%u}", holder);
+	int64_t acked_ms;
+
+	wait.entry = 1 - holder;
+	cluster_sleep(c->wait_ms);
+	g_assert_cmpuint(site_submit(s, 1 - holder, wait.id, 60000), ==, 200);
+	site_assert_state(s, 1 - holder, wait.id, "active");
+	if (c->is_silent)
+		cluster_control(s->cluster, s->relay_control, body);
+	g_assert_cmpuint(
+		site_call(s, 1 - holder, "DELETE", wait.id, NULL, NULL), ==,
+		200);
+	acked_ms = util_monotonic_ms();
+	g_assert_true(cluster_wait(is_cancelled, &wait, SITE_WAIT_MS));
+	g_test_message("shown as cancelled after %" G_GINT64_FORMAT " ms",
+		       util_monotonic_ms() - acked_ms);
+	g_assert_cmpint(util_monotonic_ms() - acked_ms, <=, CANCEL_MS);
+	g_free(body);
+	site_free(s);
+}
+
 /* A cancelled job is stopped and frees its resources. */
 static void test_cancel(void)
 {
@@ -1009,6 +1077,9 @@
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/too-large", test_too_large);
 	g_test_add_func("/entry/cancel", test_cancel);
+	for (guint i = 0; i < G_N_ELEMENTS(cancel_cases); i++)
+		g_test_add_data_func(cancel_cases[i].name, &cancel_cases[i],
+				     test_cancel_in_time);
 	g_test_add_func("/entry/cancel-at-takeover", test_cancel_at_takeover);
 	g_test_add_func("/entry/unanswered-then-refused",
 			test_unanswered_then_refused);
