A cancel of a job that isn't stored yet is stored too

Cause: a cancel left a row only if the job was there.

Change: the row is written in any case, before the answer. The holder applies it when the job comes, and removes it after the retention of ended jobs if none does.

/entry/cancel-first failed before: one start after the cancel.

--- a/entry/client_call.h
+++ b/entry/client_call.h
@@ -42,13 +42,14 @@
 	const struct call_kind *kind;
 	const struct call_context *context;
 	struct http_request *request;
-	json_object *body;	/**< borrowed; NULL unless the kind has one */
-	gboolean is_from_peer;	/**< handed over by another VM */
-	gboolean was_served;	/**< this VM has tried to serve it */
-	gboolean was_forwarded; /**< other VMs have been asked */
-	gboolean may_have_run;	/**< an attempt had no definite answer */
-	gboolean was_rechecked; /**< its job was active and is read again */
-	guint timer;		/**< of the read in flight or the next one */
+	json_object *body;	 /**< borrowed; NULL unless the kind has one */
+	gboolean is_from_peer;	 /**< handed over by another VM */
+	gboolean was_served;	 /**< this VM has tried to serve it */
+	gboolean was_forwarded;	 /**< other VMs have been asked */
+	gboolean may_have_run;	 /**< an attempt had no definite answer */
+	gboolean is_job_missing; /**< there is no job to cancel, only a mark */
+	gboolean was_rechecked;	 /**< its job was active and is read again */
+	guint timer;		 /**< of the read in flight or the next one */
 	char *id;
 	char *route;
 	char *account; /**< NULL on a public route without a known key */
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -14,6 +14,7 @@
 #include "platform/wire_frontend.h"
 #include "platform/wire_job.h"
 #include "sched/job_progress.h"
+#include "store/store_budget.h"
 
 #define MAX_BODY_BYTES ((gsize)1 << 20)
 #define JOB_ID_CHARS 16
@@ -25,6 +26,13 @@
 
 #define CALL_KIND_COUNT 3
 
+/* Limit of the marks that this process writes for cancels of unknown jobs. A
+ * wave of cancels may hit all submissions that a frozen VM has not read yet. */
+static const struct store_budget_config mark_budget = {
+	.rate_per_s = 2,
+	.burst = 100,
+};
+
 /* A kind of request as it arrives at one of the servers. */
 struct server_route {
 	struct frontend *frontend;
@@ -47,6 +55,8 @@
 	struct counter *accepted;
 	struct counter *refused;
 	struct counter *unknown;
+	struct store_budget marks;
+	struct counter *cancels_marked;
 };
 
 static gboolean is_job_id(const char *id)
@@ -224,16 +234,25 @@
 {
 	struct client_call *c = data;
 
-	if (result->status == STATUS_OK)
+	if (result->status == STATUS_OK && c->is_job_missing)
+		client_call_answer(c, SOUP_STATUS_GONE, "no such job\n");
+	else if (result->status == STATUS_OK)
 		client_call_answer(c, SOUP_STATUS_OK, "cancelled\n");
 	else
 		client_call_fail(c, result->status == STATUS_UNKNOWN,
 				 "the store can't be reached\n");
 }
 
+/*
+ * Stores the cancel of a job, also of one that is not known: another VM may be
+ * about to store it, such as one that was paused before it read a submission
+ * that its client has given up. The row then cancels the job as soon as it is
+ * stored.
+ */
 static void on_job_to_cancel(const struct platform_result *result, void *data)
 {
 	struct client_call *c = data;
+	struct frontend *s = c->context->data;
 	struct table_write write = {
 		.table = JOB_CANCEL_TABLE,
 		.part = job_part(c->id),
@@ -246,9 +265,16 @@
 		client_call_fail(c, FALSE, "the store can't be reached\n");
 		return;
 	}
-	if (!result->row_count) {
-		client_call_answer(c, SOUP_STATUS_GONE, "no such job\n");
-		return;
+	c->is_job_missing = !result->row_count;
+	if (c->is_job_missing) {
+		if (!store_budget_take(&s->marks, STORE_PRIORITY_NORMAL,
+				       util_monotonic_ms())) {
+			client_call_answer(
+				c, HTTP_TOO_MANY_REQUESTS,
+				"too many cancels of unknown jobs\n");
+			return;
+		}
+		counter_add(s->cancels_marked, 1);
 	}
 	write.value = json_object_new_object();
 	platform_commit(c->context->platform, &write, 1, on_cancelled, c);
@@ -336,6 +362,10 @@
 	s->unknown = counters_counter(
 		counters, "cs_jobs_unknown_total",
 		"Jobs whose acceptance was not known at the deadline");
+	s->cancels_marked = counters_counter(
+		counters, "cs_cancels_marked_total",
+		"Cancels stored although the job was not known");
+	store_budget_init(&s->marks, &mark_budget, util_monotonic_ms());
 	for (guint i = 0; i < CALL_KIND_COUNT; i++) {
 		const char *method = call_kinds[i].method;
 
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -58,8 +58,8 @@
 	struct table_feed *feeds[FEED_COUNT];
 	/* Progress rows by job, not applied before all tables were read. */
 	GHashTable *pending_progress; /* id to struct progress_row */
-	/* Set of ids of cancelled jobs whose rows, or whose progress, have not
-	 * been read yet. */
+	/* Ids of cancelled jobs whose rows, or whose progress, have not been
+	 * read yet, or never will be, to the time in ms when each was read. */
 	GHashTable *pending_cancels;
 	GHashTable *recorded_workers; /* set of ids in WORKER_USE_TABLE */
 	/* Set of keys whose registration can't be read; each is logged once. */
@@ -206,6 +206,17 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static void add_pending_cancel(struct pool_holder *s, const char *id)
+{
+	int64_t *read_ms;
+
+	if (g_hash_table_contains(s->pending_cancels, id))
+		return;
+	read_ms = g_new(int64_t, 1);
+	*read_ms = util_monotonic_ms();
+	g_hash_table_insert(s->pending_cancels, g_strdup(id), read_ms);
+}
+
 static void on_cancel_row(void *data, const struct table_row *row,
 			  int64_t store_ms)
 {
@@ -219,7 +230,7 @@
 		fleet_scheduler_cancel(&s->scheduler, row->key,
 				       util_monotonic_ms());
 	else
-		g_hash_table_add(s->pending_cancels, g_strdup(row->key));
+		add_pending_cancel(s, row->key);
 	schedule_plan(s);
 }
 
@@ -522,6 +533,7 @@
 		.scheduler = &s->scheduler,
 		.counters = kernel_counters(k),
 		.recorded_workers = s->recorded_workers,
+		.pending_cancels = s->pending_cancels,
 		.row_bytes = settings->store.row_bytes,
 		.status_retention_ms =
 			(int64_t)settings->bounds.status_s * MS_PER_S,
@@ -585,7 +597,7 @@
 	s->pending_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    g_free, progress_row_free);
 	s->pending_cancels =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->recorded_workers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->unreadable_workers =
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -21,6 +21,8 @@
  * twice as long: one per second is little next to the 300 commits per second of
  * a part. */
 #define REMOVE_INTERVAL_MS 1000
+/* The same while many cancels of unknown jobs are to be removed. */
+#define REMOVE_BUSY_INTERVAL_MS 100
 #define ROWS_PER_JOB 3 /* job, progress and cancel */
 
 struct progress_writer {
@@ -37,6 +39,7 @@
 	char *pending_queues;	/* queue row in the batch in flight, or NULL */
 	int64_t last_queues_ms; /* when the queue row was last in a batch */
 	int64_t last_removal_ms;
+	gboolean has_more_removals; /* than one batch holds */
 	struct histogram *latency;
 	struct counter *rows;
 	struct counter *rows_cut;
@@ -293,6 +296,28 @@
 	       !fleet_job_may_run(job);
 }
 
+/* Removes the rows of cancels whose jobs have not been stored for long. */
+static void add_cancel_removals(struct progress_writer *w, struct batch *b,
+				int64_t now_ms)
+{
+	int64_t keep_ms = w->spec.status_retention_ms + REMOVE_SLACK_MS;
+	GHashTableIter iter;
+	gpointer id;
+	gpointer read_ms;
+
+	g_hash_table_iter_init(&iter, w->spec.pending_cancels);
+	while (g_hash_table_iter_next(&iter, &id, &read_ms)) {
+		if (now_ms - *(const int64_t *)read_ms < keep_ms)
+			continue;
+		if (b->writes->len >= BATCH_ROWS) {
+			w->has_more_removals = TRUE;
+			return;
+		}
+		batch_add_part(b, JOB_CANCEL_TABLE, job_part(id), id,
+			       TABLE_ANY_VERSION, NULL);
+	}
+}
+
 /* Removes the rows of ended jobs whose retention has passed. */
 static void add_job_removals(struct progress_writer *w, struct batch *b,
 			     int64_t now_ms)
@@ -300,8 +325,11 @@
 	GHashTableIter iter;
 	gpointer item;
 
-	if (now_ms - w->last_removal_ms < REMOVE_INTERVAL_MS)
+	if (now_ms - w->last_removal_ms < (w->has_more_removals
+						   ? REMOVE_BUSY_INTERVAL_MS
+						   : REMOVE_INTERVAL_MS))
 		return;
+	w->has_more_removals = FALSE;
 	w->last_removal_ms = now_ms;
 	w->has_all_dirty_jobs = FALSE;
 	g_hash_table_iter_init(&iter, w->spec.scheduler->fleet.jobs);
@@ -319,6 +347,7 @@
 		batch_add_part(b, JOB_CANCEL_TABLE, job_part(job->id), job->id,
 			       TABLE_ANY_VERSION, NULL);
 	}
+	add_cancel_removals(w, b, now_ms);
 }
 
 static void apply_written(struct progress_writer *w, int64_t version)
--- a/entry/progress_writer.h
+++ b/entry/progress_writer.h
@@ -21,6 +21,12 @@
 	int64_t status_retention_ms; /**< how long ended jobs are readable */
 	/** Set of worker ids in WORKER_USE_TABLE; updated, not owned. */
 	GHashTable *recorded_workers;
+	/**
+	 * Ids of cancelled jobs that aren't known, and when each was read, as
+	 * int64_t of util_monotonic_ms(). Their rows are removed after the time
+	 * for which ended jobs are readable. Not owned.
+	 */
+	GHashTable *pending_cancels;
 	/** A batch was answered, with success or not. */
 	void (*on_written)(void *data);
 	void *data;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -165,6 +165,40 @@
 	site_free(s);
 }
 
+/*
+ * A VM is paused before it reads a submission; the client leaves and cancels at
+ * the other one. The job that the VM stores when it wakes must not run (review,
+ * cancelled-then-run).
+ */
+static void test_cancel_first(void)
+{
+	static const char id[] = "00000000000000c8";
+	static const char path[] = "/spot/00000000000000c8";
+	static const char body[] = "{\"Steps\":[{\"Count\":1,\"Cpu\":1000}]}";
+	const char *const headers[] = { SITE_HEADERS };
+	struct site *s = site_new();
+	guint holder = site_holder(s);
+	guint paused = 1 - holder;
+	struct cluster_reply r;
+	guint code;
+
+	cluster_signal(s->entries[paused], SIGSTOP);
+	r = cluster_call(s->cluster, "POST", s->frontends[paused], path, body,
+			 headers, 500);
+	g_assert_cmpuint(r.code, ==, 0);
+	cluster_reply_clear(&r);
+	code = site_call(s, holder, "DELETE", id, NULL, NULL);
+	g_assert_cmpuint(code, ==, 410);
+	cluster_signal(s->entries[paused], SIGCONT);
+	cluster_sleep(2000);
+	g_assert_cmpint(site_count_starts(s), ==, 0);
+	/* Other ids are not affected. */
+	g_assert_cmpuint(site_submit(s, holder, "00000000000000c7", 100), ==,
+			 200);
+	site_assert_state(s, paused, "00000000000000c7", "completed");
+	site_free(s);
+}
+
 /* How the holder's connections to the store fail just before a cancel. */
 struct cancel_case {
 	const char *name;
@@ -1077,6 +1111,7 @@
 	g_test_add_func("/entry/answers", test_answers);
 	g_test_add_func("/entry/too-large", test_too_large);
 	g_test_add_func("/entry/cancel", test_cancel);
+	g_test_add_func("/entry/cancel-first", test_cancel_first);
 	for (guint i = 0; i < G_N_ELEMENTS(cancel_cases); i++)
 		g_test_add_data_func(cancel_cases[i].name, &cancel_cases[i],
 				     test_cancel_in_time);
--- a/tests/test_progress_writer.c
+++ b/tests/test_progress_writer.c
@@ -21,7 +21,8 @@
 	struct platform base;
 	platform_fn fn;
 	void *data;
-	guint removed;	/* rows that the last commit removes */
+	guint removed; /* rows that the last commit removes */
+	char removed_keys[100][20];
 	guint progress; /* progress rows that it writes */
 	guint commits;
 	gsize largest; /* value of all commits, in bytes */
@@ -60,7 +61,9 @@
 	for (guint i = 0; i < count; i++) {
 		if (writes[i].is_condition)
 			continue;
-		f->removed += writes[i].value == NULL;
+		if (!writes[i].value)
+			g_strlcpy(f->removed_keys[f->removed++], writes[i].key,
+				  sizeof(f->removed_keys[0]));
 		f->progress += writes[i].value &&
 			       g_str_equal(writes[i].table, JOB_PROGRESS_TABLE);
 	}
@@ -82,6 +85,7 @@
 	struct fleet_scheduler scheduler;
 	struct counters counters;
 	GHashTable *recorded_workers;
+	GHashTable *pending_cancels;
 	struct progress_writer *writer;
 	int64_t now_ms;
 };
@@ -109,6 +113,9 @@
 	w->recorded_workers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	spec.recorded_workers = w->recorded_workers;
+	w->pending_cancels =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	spec.pending_cancels = w->pending_cancels;
 	w->now_ms = util_monotonic_ms() + LONG_EXPIRED_MS;
 	fleet_scheduler_init(&w->scheduler, &bounds, &ports);
 	fleet_scheduler_begin(&w->scheduler, 1, 0);
@@ -121,6 +128,7 @@
 	progress_writer_free(w->writer);
 	fleet_scheduler_clear(&w->scheduler);
 	g_hash_table_unref(w->recorded_workers);
+	g_hash_table_unref(w->pending_cancels);
 	counters_clear(&w->counters);
 }
 
@@ -321,6 +329,49 @@
 	world_clear(&w);
 }
 
+static const struct mark_case {
+	const char *path;
+	guint count;
+	int64_t age_ms;
+	guint removed; /* expected */
+} mark_cases[] = {
+	{ "/progress-writer/marks/young", 5, 0, 0 },
+	{ "/progress-writer/marks/old", 5, LONG_EXPIRED_MS, 5 },
+	{ "/progress-writer/marks/many-old", 300, LONG_EXPIRED_MS, 300 },
+};
+
+/* Cancels of jobs that never come are removed after a while, each once. */
+static void test_marks(const void *data)
+{
+	const struct mark_case *c = data;
+	struct world w = { 0 };
+	guint removed = 0;
+
+	world_init(&w);
+	for (guint i = 0; i < c->count; i++) {
+		int64_t *read_ms = g_new(int64_t, 1);
+
+		*read_ms = w.now_ms - c->age_ms;
+		g_hash_table_insert(w.pending_cancels,
+				    g_strdup_printf("%016x", i), read_ms);
+	}
+	for (guint i = 0; i < STEPS; i++) {
+		w.now_ms += 300;
+		progress_writer_write(w.writer, w.now_ms);
+		if (w.store.fn) {
+			removed += w.store.removed;
+			for (guint k = 0; k < w.store.removed; k++)
+				g_hash_table_remove(w.pending_cancels,
+						    w.store.removed_keys[k]);
+		}
+		answer(&w, STATUS_OK);
+	}
+	g_assert_cmpuint(removed, ==, c->removed);
+	g_assert_cmpuint(g_hash_table_size(w.pending_cancels), ==,
+			 c->count - c->removed);
+	world_clear(&w);
+}
+
 /* The lengths of queues are counted for configured routes only: names of former
  * ones must not fill the row. */
 static void test_former_routes(void)
@@ -355,6 +406,9 @@
 	for (guint i = 0; i < G_N_ELEMENTS(large_cases); i++)
 		g_test_add_data_func(large_cases[i].path, &large_cases[i],
 				     test_large);
+	for (guint i = 0; i < G_N_ELEMENTS(mark_cases); i++)
+		g_test_add_data_func(mark_cases[i].path, &mark_cases[i],
+				     test_marks);
 	g_test_add_func("/progress-writer/former-routes", test_former_routes);
 	g_test_add_func("/progress-writer/running-is-kept",
 			test_running_is_kept);
