--- a/sched/fleet_unit.c
+++ b/sched/fleet_unit.c
@@ -13,8 +13,8 @@
 /* Expected lengths of a job's chains of steps. */
 struct chains {
 	gboolean is_known;
-	int64_t ends_ms[JOB_MAX_STEPS]; /* longest chain up to and with a step
-					 */
+	/* By step: the longest chain up to and with it. */
+	int64_t ends_ms[JOB_MAX_STEPS];
 	int64_t longest_ms;
 };
 
--- a/sched/job_progress.c
+++ b/sched/job_progress.c
@@ -80,7 +80,7 @@
 	return text;
 }
 
-static void hex_set(char *text, guint index, guint value)
+static void hex_set(char *text, gsize index, guint value)
 {
 	static const char digits[] = "0123456789abcdef";
 
@@ -89,9 +89,9 @@
 }
 
 /* Returns 0 beyond the end of the text. */
-static guint hex_get(const char *text, gsize len, guint index)
+static guint hex_get(const char *text, gsize len, gsize index)
 {
-	if (len < 2 * ((gsize)index + 1))
+	if (len < 2 * (index + 1))
 		return 0;
 	return (guint)MAX(g_ascii_xdigit_value(text[2 * index]), 0) * 16 +
 	       (guint)MAX(g_ascii_xdigit_value(text[2 * index + 1]), 0);
@@ -357,22 +357,20 @@
 	return count;
 }
 
-/* Returns the task of the pair at @i, NULL if it has none; its second element
- * is returned in @value. */
-static struct fleet_task *pair_task(const struct fleet_step *step,
-				    json_object *pairs, size_t i,
-				    json_object **value)
+/* Returns the number of the task of the pair at @i, -1 if it has none; the
+ * second element is returned in @value. */
+static int64_t pair_index(const struct fleet_step *step, json_object *pairs,
+			  size_t i, json_object **value)
 {
 	json_object *pair = json_object_array_get_idx(pairs, i);
 	int64_t index;
 
 	if (!json_object_is_type(pair, json_type_array) ||
 	    json_object_array_length(pair) != 2)
-		return NULL;
+		return -1;
 	index = json_object_get_int64(json_object_array_get_idx(pair, 0));
 	*value = json_object_array_get_idx(pair, 1);
-	return index >= 0 && index < step->task_count ? &step->tasks[index]
-						      : NULL;
+	return index < step->task_count ? index : -1;
 }
 
 static size_t pair_count(json_object *pairs)
@@ -393,16 +391,18 @@
 
 	for (size_t i = 0; i < pair_count(pairs); i++) {
 		json_object *runs = NULL;
-		struct fleet_task *t = pair_task(step, pairs, i, &runs);
+		int64_t index = pair_index(step, pairs, i, &runs);
 
-		if (t)
-			is_row_stale |= run_set_merge(&t->failed, runs);
+		if (index >= 0)
+			is_row_stale |=
+				run_set_merge(&step->tasks[index].failed, runs);
 	}
 	for (guint i = 0; i < step->task_count; i++) {
-		struct fleet_task *t = &step->tasks[i];
+		struct run_set *failed = &step->tasks[i].failed;
 
-		run_set_raise_count(&t->failed, hex_get(counts, len, i));
-		failing += t->state != TASK_DONE && run_set_count(&t->failed);
+		run_set_raise_count(failed, hex_get(counts, len, i));
+		failing += step->tasks[i].state != TASK_DONE &&
+			   run_set_count(failed);
 	}
 	return is_row_stale || failing > pair_count(pairs);
 }
@@ -411,10 +411,10 @@
 {
 	for (size_t i = 0; i < pair_count(pairs); i++) {
 		json_object *text = NULL;
-		struct fleet_task *t = pair_task(step, pairs, i, &text);
+		int64_t index = pair_index(step, pairs, i, &text);
 
-		if (t && !t->checkpoint)
-			fleet_task_set_checkpoint(t,
+		if (index >= 0 && !step->tasks[index].checkpoint)
+			fleet_task_set_checkpoint(&step->tasks[index],
 						  json_object_get_string(text));
 	}
 }
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -706,61 +706,64 @@
 /* Jobs beside a gang of priority 2 that needs all accelerators of a rack. */
 struct gang_rack_case {
 	const char *name;
-	gboolean has_service; /* holds one accelerator of each worker */
-	int64_t busy;	      /* accelerators of each worker in use otherwise */
+	int64_t busy;	      /* accelerators of each worker that tasks hold */
 	int64_t waited_ms;    /* of the gang */
 	int64_t accelerators; /* of the other job's task */
+	gboolean has_service; /* holds one accelerator of each worker */
 	gboolean is_started;  /* the other job */
 };
 
 static const struct gang_rack_case gang_rack_cases[] = {
 	/* The gang can't run while the service does (review, case 5). */
-	{ "/fleet/gang-rack/service", TRUE, 0, 4000, 0, TRUE },
-	{ "/fleet/gang-rack/service-accelerator", TRUE, 0, 4000, 1, TRUE },
-	{ "/fleet/gang-rack/service-busy", TRUE, 5, 4000, 1, TRUE },
+	{ "/fleet/gang-rack/service", 0, 4000, 0, TRUE, TRUE },
+	{ "/fleet/gang-rack/service-accelerator", 0, 4000, 1, TRUE, TRUE },
+	{ "/fleet/gang-rack/service-busy", 5, 4000, 1, TRUE, TRUE },
 	/* What runs there will end, so the gang gets the rack. */
-	{ "/fleet/gang-rack/not-yet", FALSE, 6, 1000, 1, TRUE },
-	{ "/fleet/gang-rack/reserved", FALSE, 6, 4000, 1, FALSE },
+	{ "/fleet/gang-rack/not-yet", 6, 1000, 1, FALSE, TRUE },
+	{ "/fleet/gang-rack/reserved", 6, 4000, 1, FALSE, FALSE },
 	/* The gang doesn't need all cores. */
-	{ "/fleet/gang-rack/other-resource", FALSE, 6, 4000, 0, TRUE },
-	{ "/fleet/gang-rack/light-use", FALSE, 2, 4000, 1, TRUE },
-	{ "/fleet/gang-rack/lapsed", FALSE, 6, 25000, 1, TRUE },
-	{ "/fleet/gang-rack/lapsed-before", FALSE, 6, 60000, 1, TRUE },
-	{ "/fleet/gang-rack/reserved-again", FALSE, 6, 90000, 1, FALSE },
+	{ "/fleet/gang-rack/other-resource", 6, 4000, 0, FALSE, TRUE },
+	{ "/fleet/gang-rack/light-use", 2, 4000, 1, FALSE, TRUE },
+	{ "/fleet/gang-rack/lapsed", 6, 25000, 1, FALSE, TRUE },
+	{ "/fleet/gang-rack/lapsed-before", 6, 60000, 1, FALSE, TRUE },
+	{ "/fleet/gang-rack/reserved-again", 6, 90000, 1, FALSE, FALSE },
 };
 
-/* Lets time pass while all workers are renewed and list what was started. */
-static void pass_time(struct world *w, int64_t ms)
+/* Renews a worker, which lists what was started there. */
+static void renew_worker(struct world *w, struct fleet_worker *worker)
 {
-	static const char *const ids[] = { "w1", "w2", "w3", "w4" };
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct running_entry));
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct fleet_task *t = worker->tasks->pdata[i];
+		struct running_entry e = {
+			.run = t->run,
+			.checkpoint = "",
+			.percent = t->percent + 0.1,
+		};
+		char *name = fleet_task_name(t);
 
+		g_ptr_array_add(names, name);
+		e.task = name;
+		g_array_append_val(list, e);
+	}
+	report(w, worker->id, list, NULL);
+	fleet_scheduler_renewal_end(&w->s, worker, w->now_ms);
+	g_ptr_array_unref(names);
+}
+
+/* Lets time pass while all workers are renewed. */
+static void pass_time(struct world *w, int64_t ms)
+{
 	for (int64_t end_ms = w->now_ms + ms; w->now_ms < end_ms;) {
+		GHashTableIter iter;
+		gpointer worker;
+
 		w->now_ms += 500;
-		for (guint i = 0; i < G_N_ELEMENTS(ids); i++) {
-			struct fleet_worker *worker =
-				fleet_worker(&w->s.fleet, ids[i]);
-			GArray *list = g_array_new(
-				FALSE, TRUE, sizeof(struct running_entry));
-			char *names[64];
-
-			for (guint k = 0; k < worker->tasks->len; k++) {
-				const struct fleet_task *t =
-					worker->tasks->pdata[k];
-				struct running_entry e = {
-					.run = t->run,
-					.checkpoint = "",
-					.percent = t->percent + 0.1,
-				};
-
-				names[k] = fleet_task_name(t);
-				e.task = names[k];
-				g_array_append_val(list, e);
-			}
-			report(w, ids[i], list, NULL);
-			fleet_scheduler_renewal_end(&w->s, worker, w->now_ms);
-			for (guint k = 0; k < worker->tasks->len; k++)
-				g_free(names[k]);
-		}
+		g_hash_table_iter_init(&iter, w->s.fleet.workers);
+		while (g_hash_table_iter_next(&iter, NULL, &worker))
+			renew_worker(w, worker);
 		fleet_scheduler_plan(&w->s, w->now_ms);
 	}
 }
--- a/tests/test_plan_limits.c
+++ b/tests/test_plan_limits.c
@@ -268,6 +268,7 @@
 		struct ended_entry e = { 0 };
 		const struct fleet_worker *worker;
 		GArray *list;
+		char *name;
 
 		if (r->end_ms > w->now_ms)
 			continue;
@@ -283,12 +284,13 @@
 					   sizeof(struct ended_entry));
 			g_hash_table_insert(ended, worker->id, list);
 		}
+		name = g_strdup(r->task);
+		g_ptr_array_add(tasks, name);
 		e.number = number;
-		e.task = g_strdup(r->task);
+		e.task = name;
 		e.run = r->run;
 		e.end = r->is_stopped ? RUN_STOPPED : RUN_DONE;
 		e.checkpoint = "";
-		g_ptr_array_add(tasks, (gpointer)e.task);
 		g_array_append_val(list, e);
 		g_array_remove_index_fast(w->runs, i);
 	}
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -388,6 +388,47 @@
 	return ((const struct fake_delegate *)data)->connection != NULL;
 }
 
+/* Leaves one renewal due, after a report of the given age with an end whose
+ * effect is stored. */
+static void prepare_renewal(struct rig *r, int64_t report_age_ms)
+{
+	struct fleet_worker *w;
+	GHashTableIter iter;
+	gpointer item;
+
+	g_hash_table_iter_init(&iter, r->scheduler.fleet.workers);
+	while (g_hash_table_iter_next(&iter, NULL, &item))
+		((struct fleet_worker *)item)->is_renewing = TRUE;
+	w = fleet_worker(&r->scheduler.fleet, "w1");
+	w->is_renewing = FALSE;
+	w->saved_end = 7;
+	w->processed_end = 7;
+	w->last_report_ms = util_monotonic_ms() - report_age_ms;
+}
+
+static void check_void_after(const struct void_case *x, struct rig *r,
+			     struct fake_delegate *d, const char *address)
+{
+	int64_t sent_ms;
+	int64_t left_ms;
+
+	for (guint i = 1; i <= MIN_WORKERS; i++)
+		add_worker(&r->scheduler, i);
+	worker_calls_prepare(r->calls);
+	answer_rows(&r->store, &address, 1);
+	g_assert_true(cluster_wait(is_opened, d, WAIT_MS));
+	cluster_sleep(SETTLE_MS);
+	prepare_renewal(r, x->report_age_ms);
+	sent_ms = util_boot_ms();
+	worker_calls_renew_due(r->calls, util_monotonic_ms());
+	g_assert_true(cluster_wait(is_delegated, d, WAIT_MS));
+	g_assert_cmpuint(d->calls, ==, 1);
+	g_assert_cmpint(d->has_ack, ==, x->has_ack);
+	left_ms = d->send_until_ms - d->clock_ms - sent_ms;
+	g_assert_cmpint(left_ms, <=, x->most_ms);
+	g_assert_cmpint(left_ms, >=, x->least_ms);
+}
+
 /*
  * A delegated call names the time after which it is void, on the delegate's
  * clock: a delegate that woke up gave orders of 4 s before (review, case 4).
@@ -397,41 +438,14 @@
 	for (guint i = 0; i < G_N_ELEMENTS(void_cases); i++) {
 		const struct void_case *x = &void_cases[i];
 		struct fake_delegate d = { .clock_ms = x->clock_ms };
-		struct fleet_worker *w;
 		char *address;
-		int64_t sent_ms;
 		struct rig r;
 
 		g_test_message("%s", x->name);
 		rig_init(&r);
 		r.act_left_ms = x->act_left_ms;
 		fake_delegate_init(&d, &address);
-		for (guint k = 1; k <= MIN_WORKERS; k++)
-			add_worker(&r.scheduler, k);
-		worker_calls_prepare(r.calls);
-		answer_rows(&r.store, (const char *const *)&address, 1);
-		g_assert_true(cluster_wait(is_opened, &d, WAIT_MS));
-		cluster_sleep(SETTLE_MS);
-		w = fleet_worker(&r.scheduler.fleet, "w1");
-		w->saved_end = 7;
-		w->processed_end = 7;
-		w->last_report_ms = util_monotonic_ms() - x->report_age_ms;
-		for (guint k = 2; k <= MIN_WORKERS; k++) {
-			char *id = g_strdup_printf("w%u", k);
-
-			fleet_worker(&r.scheduler.fleet, id)->is_renewing =
-				TRUE;
-			g_free(id);
-		}
-		sent_ms = util_boot_ms();
-		worker_calls_renew_due(r.calls, util_monotonic_ms());
-		g_assert_true(cluster_wait(is_delegated, &d, WAIT_MS));
-		g_assert_cmpuint(d.calls, ==, 1);
-		g_assert_cmpint(d.has_ack, ==, x->has_ack);
-		g_assert_cmpint(d.send_until_ms - d.clock_ms - sent_ms, <=,
-				x->most_ms);
-		g_assert_cmpint(d.send_until_ms - d.clock_ms - sent_ms, >=,
-				x->least_ms);
+		check_void_after(x, &r, &d, address);
 		rig_clear(&r);
 		fake_delegate_clear(&d);
 		g_free(address);
