--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -406,18 +406,24 @@
 	w->last_report_ms = util_monotonic_ms() - report_age_ms;
 }
 
-static void check_void_after(const struct void_case *x, struct rig *r,
-			     struct fake_delegate *d, const char *address)
+/* Has the rig connect to its only delegate. */
+static void connect_delegate(struct rig *r, struct fake_delegate *d,
+			     const char *address)
 {
-	int64_t sent_ms;
-	int64_t left_ms;
-
 	for (guint i = 1; i <= MIN_WORKERS; i++)
 		add_worker(&r->scheduler, i);
 	worker_calls_prepare(r->calls);
 	answer_rows(&r->store, &address, 1);
 	g_assert_true(cluster_wait(is_opened, d, WAIT_MS));
 	cluster_sleep(SETTLE_MS);
+}
+
+static void check_void_after(const struct void_case *x, struct rig *r,
+			     struct fake_delegate *d)
+{
+	int64_t sent_ms;
+	int64_t left_ms;
+
 	prepare_renewal(r, x->report_age_ms);
 	sent_ms = util_boot_ms();
 	worker_calls_renew_due(r->calls, util_monotonic_ms());
@@ -445,7 +451,8 @@
 		rig_init(&r);
 		r.act_left_ms = x->act_left_ms;
 		fake_delegate_init(&d, &address);
-		check_void_after(x, &r, &d, address);
+		connect_delegate(&r, &d, address);
+		check_void_after(x, &r, &d);
 		rig_clear(&r);
 		fake_delegate_clear(&d);
 		g_free(address);
