A progress row's length is measured only where it is used

Reading the change again: the length of each row was computed once more for a log line that is rarely written; it is now computed with that line. A comment called a lower bound of a clock's offset an upper one. Behaviour is unchanged; the tests of the writer, the rows and the calls passed, format and cppcheck of entry/ too.

--- a/entry/delegate_pool.c
+++ b/entry/delegate_pool.c
@@ -41,8 +41,8 @@
 	struct link_connection *connection;
 	GCancellable *connecting;
 	gboolean is_opening; /* connecting, or its clock is not known yet */
-	/* Its clock minus this VM's, at most, when the sample was taken; both
-	 * by util_boot_ms(). */
+	/* Lower bound of its clock minus this VM's, when the sample was taken;
+	 * both by util_boot_ms(). */
 	int64_t clock_offset_ms;
 	int64_t clock_sampled_ms; /* on this VM's clock, 0 without a sample */
 	int64_t avoid_until_ms;
--- a/entry/progress_writer.c
+++ b/entry/progress_writer.c
@@ -140,7 +140,7 @@
 
 /* Logs that a job's row lacks something, when that changes. */
 static void record_cut(struct progress_writer *w, struct fleet_job *job,
-		       enum progress_cut cut, gsize bytes)
+		       enum progress_cut cut, json_object *row)
 {
 	struct log_line line;
 
@@ -152,7 +152,7 @@
 	log_begin(&line, LOG_LEVEL_WARN, "progress_row_cut");
 	log_str(&line, "job", job->id);
 	log_str(&line, "lacks", progress_cut_name(cut));
-	log_int(&line, "bytes", (int64_t)bytes);
+	log_int(&line, "bytes", (int64_t)job_row_bytes(row));
 	log_int(&line, "limit", w->spec.row_bytes);
 	log_end(&line);
 }
@@ -165,7 +165,7 @@
 	json_object *row =
 		job_progress_encode(job, (gsize)w->spec.row_bytes, &cut);
 
-	record_cut(w, job, cut, job_row_bytes(row));
+	record_cut(w, job, cut, row);
 	if (cut == PROGRESS_TOO_LARGE) {
 		json_object_put(row);
 		return FALSE;
