--- a/review/tool-2/cases.c
+++ b/review/tool-2/cases.c
@@ -605,6 +605,55 @@
 	return is_twice;
 }
 
+/*
+ * near-rack: the rack of a job's data is full of long work, all other racks are
+ * idle.
+ */
+#define NEAR_WATCH_MS 45000
+
+static int run_near_rack(struct rig *g)
+{
+	const char *body = "{\"Spec\":\"run_ms=90000 gpu=8\",\"Steps\":[{"
+			   "\"Count\":2,\"Cpu\":8000,\"MemMb\":1024,\"Gpu\":8,"
+			   "\"EstimateMs\":90000,\"Affinity\":\"r1\"}]}";
+	struct stretch idle = { -1, 0 };
+	int64_t end_ms;
+
+	rig_configure(g, CONFIG("3", ROUTE("scan", "1"), "8", "8"));
+	for (guint i = 0; i < 6; i++) {
+		char *name = g_strdup_printf("i-7f3a91c%u", i);
+		char *rack = g_strdup_printf("r%u", 1 + i / 2);
+
+		runner_new(g, name, "a", rack);
+		g_free(name);
+		g_free(rack);
+	}
+	if (!rig_start(g, 2))
+		return 2;
+	if (g->has_trouble &&
+	    !rig_submit(g, HOST, "/scan/", "9c0e7a21d94b3601", KEY_A, body))
+		return 2;
+	rig_wait(g, 2000);
+	if (!rig_submit(g, HOST, "/scan/", "9c0e7a21d94b3602", KEY_A,
+			"{\"Spec\":\"run_ms=60000 gpu=1\",\"Steps\":[{"
+			"\"Count\":1,\"Cpu\":1000,\"MemMb\":1024,\"Gpu\":1,"
+			"\"EstimateMs\":60000,\"Affinity\":\"r1\"}]}"))
+		return 2;
+	end_ms = rig_now(g);
+	while (rig_now(g) < end_ms + NEAR_WATCH_MS) {
+		stretch_add(&idle, g,
+			    rig_now(g) >= end_ms + FINISH_MS &&
+				    !rig_running(g, "9c0e7a21d94b3602.") &&
+				    fitting(g, 1) >= 2 && is_under_half(g));
+		rig_wait(g, TICK_MS);
+	}
+	rig_log(g,
+		"judge: %u starts of the job; it waited for %" G_GINT64_FORMAT
+		" ms on end beside free capacity (allowed: under 3000)",
+		rig_starts(g, "9c0e7a21d94b3602."), idle.longest_ms);
+	return idle.longest_ms >= 3000;
+}
+
 int run_chaos(struct rig *g);
 const struct review_case review_cases[] = {
 	{ "chaos", run_chaos },
@@ -614,6 +663,7 @@
 	{ "removed-route", run_removed_route },
 	{ "other-kind", run_other_kind },
 	{ "lasting", run_lasting },
+	{ "near-rack", run_near_rack },
 	{ "late-start", run_late_start },
 	{ "two-services", run_two_services },
 	{ 0 },
