--- a/review/tool-2/rig.h
+++ b/review/tool-2/rig.h
@@ -91,6 +91,16 @@
 /** Share of the orders that get no answer and are carried out late. */
 void runner_set_late(struct runner *r, double share);
 
+/** Announces that a runner will leave, in 2 s at the earliest. */
+void runner_drain(struct runner *r);
+/** Ends a runner; its entry is removed at once. */
+void runner_leave(struct runner *r);
+/** Starts another runner in the place of one that has left. */
+void runner_join(struct runner *r, const char *kind);
+
+/** The store answers no call: 0 never, else 503, a reset (2), silence (3). */
+void store_set_down(struct store *s, int mode);
+
 /** An entry VM. */
 struct entry {
 	char *name;
--- a/review/tool-2/runner.c
+++ b/review/tool-2/runner.c
@@ -65,6 +65,7 @@
 	int64_t sequence;
 	int64_t next_beat_ms;
 	int64_t lapse_ms; /* when the store drops the entry, 0: never */
+	gboolean drains;  /* has announced that it will leave */
 	gboolean is_cut;  /* calls are lost, and it doesn't reach the store */
 	double late_share;
 	int64_t lose_start_ms; /* lateness of the next start, 0 for none */
@@ -219,12 +220,14 @@
 	char *text = g_strdup_printf(
 		"{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%u\","
 		"\"Zone\":\"lagos-ikeja\",\"Version\":\"1\",\"Slots\":8,"
-		"\"State\":\"ready\",\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,"
+		"\"State\":\"%s\"%s,\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,"
 		"\"Gpu\":%d},\"Labels\":[\"%s\",\"%s\"],"
 		"\"born\":%" G_GINT64_FORMAT ",\"Sequence\":%" G_GINT64_FORMAT
 		"}",
-		w->service, w->port, RUNNER_CPU, RUNNER_MEM_MB, RUNNER_GPU,
-		w->kind, w->rack, w->born_ms, ++w->sequence);
+		w->service, w->port, w->drains ? "draining" : "ready",
+		w->drains ? ",\"DrainRemainingMs\":2000" : "", RUNNER_CPU,
+		RUNNER_MEM_MB, RUNNER_GPU, w->kind, w->rack, w->born_ms,
+		++w->sequence);
 
 	store_put(w->rig->store, "servers", w->id, text);
 	if (w->sequence == 1)
@@ -713,3 +716,27 @@
 	listen_at_port(w);
 	rig_log(w->rig, "runner %s starts again as kind %s", w->id, w->kind);
 }
+
+void runner_drain(struct runner *w)
+{
+	w->drains = TRUE;
+	rig_log(w->rig, "runner %s drains", w->id);
+	w->next_beat_ms = util_monotonic_ms();
+}
+void runner_leave(struct runner *w)
+{
+	if (w->server)
+		runner_crash(w);
+	w->lapse_ms = 0;
+	store_remove(w->rig->store, "servers", w->id);
+	rig_log(w->rig, "runner %s has left", w->id);
+}
+void runner_join(struct runner *w, const char *kind)
+{
+	char *id = g_strdup_printf("%sx", w->id);
+	g_free(w->id);
+	w->id = id;
+	w->drains = FALSE;
+	w->port = 0;
+	runner_restart(w, kind, 0);
+}
--- a/review/tool-2/store.c
+++ b/review/tool-2/store.c
@@ -45,6 +45,7 @@
 	int64_t version;
 	late_fn late;
 	guint tick;
+	int down;
 };
 
 static void row_free(gpointer data)
@@ -244,6 +245,29 @@
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean on_drop(gpointer r)
+{
+	http_request_close_connection(r);
+	return G_SOURCE_REMOVE;
+}
+static gboolean is_down(struct store *s, struct http_request *r)
+{
+	if (!s->down)
+		return FALSE;
+	if (s->down == 1)
+		http_request_reply_empty(r, 503);
+	else if (s->down == 2)
+		http_request_close_connection(r);
+	else
+		g_timeout_add(8000, on_drop, r);
+	return TRUE;
+}
+void store_set_down(struct store *s, int mode)
+{
+	s->down = mode;
+	rig_log(s->rig, "store down mode %d", mode);
+}
+
 static void handle_tx(struct http_request *r, void *data)
 {
 	struct store *s = data;
@@ -253,6 +277,8 @@
 
 	if (!body)
 		return;
+	if (is_down(s, r))
+		return;
 	late_ms = s->late ? s->late(s->rig, body) : 0;
 	if (late_ms > 0) {
 		struct late_write *w = g_new0(struct late_write, 1);
@@ -299,6 +325,8 @@
 	gboolean has_more = FALSE;
 	json_object *body;
 
+	if (is_down(s, r))
+		return;
 	g_ptr_array_sort(rows, by_key);
 	for (guint i = 0; i < rows->len; i++) {
 		const struct row *row = rows->pdata[i];
@@ -323,8 +351,11 @@
 static void handle_feed(struct http_request *r, void *data)
 {
 	struct store *s = data;
-	struct feed_call *f = g_new0(struct feed_call, 1);
+	struct feed_call *f;
 
+	if (is_down(s, r))
+		return;
+	f = g_new0(struct feed_call, 1);
 	f->request = r;
 	f->table = g_strdup(http_request_query(r, "Table"));
 	f->after = query_int(r, "After", 0);
