--- a/review/tool-2/rig.c
+++ b/review/tool-2/rig.c
@@ -6,6 +6,7 @@
  * runs a case and writes FOLDER/record.txt. Exits with 1 if the rule was
  * broken, 0 if it held, 2 if the case could not run.
  */
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -14,6 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -67,15 +69,49 @@
 	rig_log(g, "operator: desired state %s", text);
 }
 
-/* Returns a loopback address whose port is free. The IP address is of this
- * process alone, so that no other one takes the port meanwhile. */
+#define FIRST_PORT 8000
+#define LOWEST_PORT 12000 /* of random ports, below those of clients */
+#define HIGHEST_PORT 30000
+#define PORT_TRIES 1000
+
+static gboolean is_free(const char *host, guint port)
+{
+	struct sockaddr_in a = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	gboolean is_bound;
+
+	is_bound = fd >= 0 && inet_pton(AF_INET, host, &a.sin_addr) == 1 &&
+		   bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+	if (fd >= 0)
+		close(fd);
+	return is_bound;
+}
+
+/* Returns a loopback address whose port is free. Its IP address is of this
+ * process alone where the machine has more than 127.0.0.1, so that no other
+ * process takes the port meanwhile. */
 static char *free_address(void)
 {
 	static guint used;
 	guint pid = (guint)getpid();
-
-	return g_strdup_printf("127.%u.%u.%u:%u", 16 + (pid >> 14) % 200,
-			       (pid >> 7) % 128, 1 + pid % 128, 8000 + used++);
+	char *host = g_strdup_printf("127.%u.%u.%u", 16 + (pid >> 14) % 200,
+				     (pid >> 7) % 128, 1 + pid % 128);
+	guint port = FIRST_PORT + used++;
+	char *address;
+
+	if (!is_free(host, port)) {
+		g_free(host);
+		host = g_strdup("127.0.0.1");
+		for (guint i = 0; i < PORT_TRIES && !is_free(host, port); i++)
+			port = (guint)g_random_int_range(LOWEST_PORT,
+							 HIGHEST_PORT);
+	}
+	address = g_strdup_printf("%s:%u", host, port);
+	g_free(host);
+	return address;
 }
 
 /* Writes the settings as deploy/entry-settings.json.template maps them. */
@@ -308,6 +344,18 @@
 	return call(g, &spec, NULL) == 200;
 }
 
+/* Starts an entry VM that didn't get its ports again, with others. */
+static void respawn_ended(struct rig *g, struct entry *e)
+{
+	int status;
+
+	if (waitpid(e->pid, &status, WNOHANG) != e->pid)
+		return;
+	rig_log(g, "entry VM %s has ended at its start: %d", e->name, status);
+	write_settings(g, e);
+	spawn(g, e);
+}
+
 gboolean rig_start(struct rig *g, guint entries)
 {
 	g->entry_count = entries;
@@ -322,6 +370,7 @@
 		while (!is_ready(g, &g->entries[i])) {
 			if (rig_now(g) > READY_MS)
 				return FALSE;
+			respawn_ended(g, &g->entries[i]);
 			rig_wait(g, 100);
 		}
 	}
