--- a/review/tool-3/cases.c
+++ b/review/tool-3/cases.c
@@ -10,6 +10,7 @@
 #include "base/util.h"
 #include "review/tool-3/site.h"
 
+#define LIMIT_MS 115000
 #define PREFIX "/lohu930/"
 #define SECOND_PREFIX "/pawe118/"
 
@@ -19,16 +20,20 @@
 	NOT_RUN = 2,
 };
 
-#define QUEUE(name, prefix, priority, attempts)                          \
+#define QUEUE(name, prefix, priority, attempts)                              \
 	"{\"Name\":\"" name "\",\"Host\":\"nony24.example\",\"PathPrefix\":" \
 	"\"" prefix "\",\"Service\":\"dele69a\",\"Priority\":" priority      \
 	",\"MaxAttempts\":" attempts ",\"Stretch\":3,"                       \
 	"\"TargetLatencyMs\":1000}"
-#define CONFIG(version, queues)                                            \
-	"{\"Version\":" version ",\"Routes\":[" queues "],\"Services\":[{"     \
-	"\"Name\":\"dele69a\",\"HealthPath\":\"/healthz\"}],\"Tenants\":[{"    \
-	"\"Name\":\"press\",\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}}]" \
-	",\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,"       \
+#define SECOND_TENANT                                                         \
+	"{\"Name\":\"editors\",\"ApiKeys\":[\"k2\"],\"Guaranteed\":{\"Gpu\":" \
+	"8}}"
+#define CONFIG(version, queues)                                               \
+	"{\"Version\":" version ",\"Routes\":[" queues "],\"Services\":[{"    \
+	"\"Name\":\"dele69a\",\"HealthPath\":\"/healthz\"}],\"Tenants\":[{"   \
+	"\"Name\":\"press\",\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}}" \
+	"," SECOND_TENANT                                                     \
+	"],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,"     \
 	"\"HeaderTimeoutMs\":5000,\"IdleTimeoutMs\":60000}}"
 #define FIRST_QUEUE QUEUE("drawers", PREFIX, "1", "2")
 #define SECOND_QUEUE QUEUE("quotes", SECOND_PREFIX, "1", "2")
@@ -97,10 +102,10 @@
 	site_run(s, SITE_FINISH_MS);
 	site_note(s, "finish_s after the end of the traffic");
 	gap_ms = longest_gap_ms(s, job, prefix, for_ms);
-	site_note(s, "job %s: %u runs have begun; longest time with nothing "
+	site_note(s,
+		  "job %s: %u runs have begun; longest time with nothing "
 		  "running: %" G_GINT64_FORMAT " ms; completed: %d",
-		  job, site_starts(s, job), gap_ms,
-		  is_completed(s, 0, path));
+		  job, site_starts(s, job), gap_ms, is_completed(s, 0, path));
 	g_free(path);
 	return gap_ms >= 3000 ? BROKEN : HELD;
 }
@@ -114,9 +119,10 @@
 
 static json_object *memory_body(void)
 {
-	json_object *body = json_tokener_parse(
-		"{\"Spec\":\"work_ms=500\",\"Steps\":[{\"Count\":1,\"Cpu\":1000,"
-		"\"MemMb\":100,\"EstimateMs\":500}]}");
+	json_object *body =
+		json_tokener_parse("{\"Spec\":\"work_ms=500\",\"Steps\":[{"
+				   "\"Count\":1,\"Cpu\":1000,"
+				   "\"MemMb\":100,\"EstimateMs\":500}]}");
 	json_object *list = json_object_new_array();
 	char *name = g_strnfill(ODD_NAME_BYTES, 'n');
 
@@ -151,8 +157,8 @@
 	json_object *body = memory_body();
 	guint vms = 0;
 
-	site_add_runner(s, "a", "r0", 32000, 8);
-	site_add_runner(s, "a", "r0", 32000, 8);
+	site_add_runner(s, "a", "r0");
+	site_add_runner(s, "a", "r0");
 	if (!begin(s, 3))
 		return NOT_RUN;
 	site_note(s, "each request has %zu bytes; MaxBodyBytes is 262144",
@@ -164,7 +170,8 @@
 	for (guint i = 0; i < s->entry_count; i++) {
 		const struct entry_vm *e = &s->entries[i];
 
-		site_note(s, "edge-%u: highest VmRSS seen %" G_GINT64_FORMAT
+		site_note(s,
+			  "edge-%u: highest VmRSS seen %" G_GINT64_FORMAT
 			  " MB, %u ends of its process",
 			  i + 1, e->peak_kb / 1024, e->ends);
 		vms += e->ends >= 3;
@@ -185,8 +192,8 @@
 	guint code;
 	char *state;
 
-	site_add_runner(s, "a", "r0", 32000, 8);
-	site_add_runner(s, "a", "r0", 32000, 8);
+	site_add_runner(s, "a", "r0");
+	site_add_runner(s, "a", "r0");
 	if (!begin(s, 2))
 		return NOT_RUN;
 	if (has_trouble()) {
@@ -213,8 +220,10 @@
 		return NOT_RUN;
 	site_run(s, 5000);
 	state = site_state(s, 0, job);
-	site_note(s, "accepted, not cancelled since; shown as %s; %u runs have "
-		  "begun", state, site_starts(s, "5c0e7a21d94b36f8"));
+	site_note(s,
+		  "accepted, not cancelled since; shown as %s; %u runs have "
+		  "begun",
+		  state, site_starts(s, "5c0e7a21d94b36f8"));
 	if (g_str_equal(state, "cancelled"))
 		verdict = BROKEN;
 	g_free(state);
@@ -235,8 +244,8 @@
 	guint code;
 
 	for (guint i = 0; i < 3; i++)
-		site_add_runner(s, "a", "r0", 32000, 8);
-	site_add_runner(s, "b", "r0", 32000, 8);
+		site_add_runner(s, "a", "r0");
+	site_add_runner(s, "b", "r0");
 	if (!begin(s, 2))
 		return NOT_RUN;
 	code = site_submit(s, 0, PREFIX "5c0e7a21d94b36f8", body);
@@ -264,9 +273,10 @@
 	}
 	g_string_append(body, "]}");
 	for (guint i = 0; i < 4; i++)
-		site_add_runner(s, "a", i < 2 ? "r0" : "r1", 32000, 8);
+		site_add_runner(s, "a", i < 2 ? "r0" : "r1");
 	if (!begin(s, 2))
 		return NOT_RUN;
+	s->key = "k2";
 	code = site_submit(s, 0, SECOND_PREFIX "5c0e7a21d94b36f8",
 			   has_trouble()
 				   ? "{\"Spec\":\"lasting fails work_ms=300\","
@@ -278,6 +288,7 @@
 				     "\"Gpu\":1,\"LongRunning\":true}]}");
 	if (code != 200)
 		return NOT_RUN;
+	s->key = "k1";
 	site_run(s, 3000);
 	code = site_submit(s, 1, PREFIX "a1b2c3d4e5f60718", body->str);
 	g_string_free(body, TRUE);
@@ -286,49 +297,103 @@
 	return judge_lost(s, job, PREFIX, 40000);
 }
 
-/* ---- a runner that starts again as another kind ---- */
+/* ---- a unit that lasts, on a runner that crashes ---- */
+
+/* LOST holds for a unit that lasts from 6 s after its last run, for 3 s. */
+#define LASTING_LIMIT_MS 9000
 
 static gboolean is_running(struct site *s, void *data)
 {
 	return site_running(s, data) > 0;
 }
 
-static enum verdict play_kind(struct site *s)
+static enum verdict play_lasting(struct site *s)
 {
 	char job[] = "5c0e7a21d94b36f8";
-	struct runner *first;
-	enum verdict verdict = HELD;
+	int64_t gap_ms;
 	guint code;
 
-	first = site_add_runner(s, "a", "r0", 32000, 8);
-	for (guint i = 0; i < 3; i++)
-		site_add_runner(s, "b", "r0", 32000, 8);
+	for (guint i = 0; i < 4; i++)
+		site_add_runner(s, "a", "r0");
 	if (!begin(s, 2))
 		return NOT_RUN;
-	code = site_submit(s, 0, PREFIX "5c0e7a21d94b36f8",
-			   "{\"Spec\":\"work_ms=20000\",\"Steps\":[{\"Count\":1,"
-			   "\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":"
-			   "20000,\"Requirements\":\"a\"}]}");
+	code = site_submit(
+		s, 0, PREFIX "5c0e7a21d94b36f8",
+		"{\"Spec\":\"lasting\",\"Steps\":[{\"Count\":1,\"Cpu\":"
+		"4000,\"MemMb\":1000,\"Gpu\":1,\"LongRunning\":true}]}");
 	if (code != 200 || !site_wait(s, is_running, job, 5000))
 		return NOT_RUN;
-	site_run(s, 3000);
-	if (has_trouble()) {
-		runner_restart(s, first, "b");
-		site_run(s, 1000);
-		runner_register(s, first);
+	site_run(s, 5000);
+	for (guint i = 0; has_trouble() && i < s->runner_count; i++) {
+		if (s->runners[i].runs->len)
+			runner_crash(s, &s->runners[i]);
 	}
-	site_run(s, 12000);
-	for (guint i = 0; i < s->starts->len; i++) {
-		const struct start *st = s->starts->pdata[i];
+	gap_ms = longest_gap_ms(s, job, PREFIX, 20000);
+	site_note(s,
+		  "longest time with nothing running: %" G_GINT64_FORMAT " ms",
+		  gap_ms);
+	return gap_ms >= LASTING_LIMIT_MS ? BROKEN : HELD;
+}
 
-		if (g_str_equal(st->kind, "a"))
-			continue;
-		site_note(s, "%s run %" G_GINT64_FORMAT " was started on %s, "
-			  "which lacks the label a",
-			  st->task, st->number, st->runner->id);
-		verdict = BROKEN;
-	}
-	return verdict;
+/* ---- a job that can never be done, beside the jobs of another service ---- */
+
+#define THIRD_PREFIX "/vemo447/"
+#define OTHER_SERVICE "kolu31c"
+
+static enum verdict play_pool(struct site *s)
+{
+	const char *job = "a1b2c3d4e5f60718";
+	char *config = g_strdup_printf(
+		"{\"Version\":3,\"Routes\":[" FIRST_QUEUE
+		"," QUEUE("quotes", SECOND_PREFIX, "0",
+			  "2") ",{\"Name\":\"match\","
+			       "\"Host\":\"nony24.example\",\"PathPrefix\":"
+			       "\"" THIRD_PREFIX
+			       "\",\"Service\":\"" OTHER_SERVICE
+			       "\",\"Priority\":1,"
+			       "\"MaxAttempts\":2,\"Stretch\":3,"
+			       "\"TargetLatencyMs\":1000}],"
+			       "\"Services\":[{\"Name\":\"dele69a\"},{\"Name\":"
+			       "\"" OTHER_SERVICE
+			       "\"}],\"Tenants\":[{\"Name\":\"press\","
+			       "\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}"
+			       "}," SECOND_TENANT "]}");
+	guint code;
+
+	for (guint i = 0; i < 6; i++)
+		site_add_runner(s, "a", "r0");
+	for (guint i = 0; i < 2; i++)
+		site_add_runner_of(s, OTHER_SERVICE, "a", "r1");
+	site_configure(s, config);
+	g_free(config);
+	for (guint i = 0; i < 2; i++)
+		site_add_entry(s);
+	if (!site_wait_ready(s))
+		return NOT_RUN;
+	s->key = "k2";
+	if (has_trouble() &&
+	    site_submit(s, 0, SECOND_PREFIX "5c0e7a21d94b36f8",
+			"{\"Spec\":\"work_ms=1000\",\"Steps\":[{\"Count\":12,"
+			"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
+			"1000,\"Gang\":true}]}") != 200)
+		return NOT_RUN;
+	s->key = "k1";
+	code = site_submit(
+		s, 1, PREFIX "00d1b2c3d4e5f607",
+		"{\"Spec\":\"work_ms=100000\",\"Steps\":[{\"Count\":5,"
+		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
+		"100000,\"Checkpointing\":true}]}");
+	if (code != 200)
+		return NOT_RUN;
+	site_run(s, 3000);
+	code = site_submit(
+		s, 0, THIRD_PREFIX "a1b2c3d4e5f60718",
+		"{\"Spec\":\"work_ms=1000\",\"Steps\":[{\"Count\":1,"
+		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":"
+		"1000}]}");
+	if (code != 200)
+		return NOT_RUN;
+	return judge_lost(s, job, THIRD_PREFIX, 20000);
 }
 
 /* ---- a queue that is removed and added again ---- */
@@ -346,7 +411,7 @@
 	guint code;
 
 	for (guint i = 0; i < 4; i++)
-		site_add_runner(s, "a", "r0", 32000, 8);
+		site_add_runner(s, "a", "r0");
 	if (!begin(s, 2))
 		return NOT_RUN;
 	code = site_submit(s, 0, PREFIX "5c0e7a21d94b36f8",
@@ -366,13 +431,13 @@
 		const struct start *st = s->starts->pdata[i];
 
 		if (failed >= 2) {
-			site_note(s, "%s run %" G_GINT64_FORMAT " was started "
+			site_note(s,
+				  "%s run %" G_GINT64_FORMAT " was started "
 				  "after %u runs had failed; MaxAttempts is 2",
 				  st->task, st->number, failed);
 			verdict = BROKEN;
 		}
-		failed += st->is_end_acked &&
-			  g_strcmp0(st->how, "failed") == 0;
+		failed += st->is_end_acked && g_strcmp0(st->how, "failed") == 0;
 	}
 	return verdict;
 }
@@ -390,14 +455,15 @@
 	guint code;
 
 	for (guint i = 0; i < 3; i++)
-		site_add_runner(s, "a", "r0", 32000, 8);
-	site_add_runner(s, "a", "r1", 32000, 8);
+		site_add_runner(s, "a", "r0");
+	site_add_runner(s, "a", "r1");
 	if (!begin(s, 2))
 		return NOT_RUN;
-	code = site_submit(s, 0, PREFIX "5c0e7a21d94b36f8",
-			   "{\"Spec\":\"work_ms=100000\",\"Steps\":[{\"Count\":1,"
-			   "\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
-			   "100000,\"Affinity\":\"r1\"}]}");
+	code = site_submit(
+		s, 0, PREFIX "5c0e7a21d94b36f8",
+		"{\"Spec\":\"work_ms=100000\",\"Steps\":[{\"Count\":1,"
+		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
+		"100000,\"Affinity\":\"r1\"}]}");
 	if (code != 200)
 		return NOT_RUN;
 	site_run(s, 2000);
@@ -414,8 +480,8 @@
 } cases[] = {
 	{ "memory", play_memory },   { "withdrawn", play_withdrawn },
 	{ "long", play_long },	     { "loop", play_loop },
-	{ "kind", play_kind },	     { "attempts", play_attempts },
-	{ "rack", play_rack },
+	{ "lasting", play_lasting }, { "attempts", play_attempts },
+	{ "rack", play_rack },	     { "pool", play_pool },
 };
 
 int main(int argc, char **argv)
@@ -426,7 +492,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (argc != 3)
 		return NOT_RUN;
-	s = site_new(argv[2]);
+	s = site_new(argv[2], LIMIT_MS);
 	site_note(s, "case %s, %s the disruption", argv[1],
 		  has_trouble() ? "with" : "without");
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -434,7 +500,7 @@
 			verdict = cases[i].play(s);
 	}
 	site_note(s, verdict == BROKEN ? "the rule was broken"
-		  : verdict == HELD    ? "the rule held"
+		     : verdict == HELD ? "the rule held"
 				       : "the case couldn't run");
 	site_free(s);
 	return verdict;
--- a/review/tool-3/site.c
+++ b/review/tool-3/site.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -397,7 +398,8 @@
 
 	st->end_ms = util_monotonic_ms();
 	st->how = g_strdup(how);
-	site_note(s, "runner %s lists the end of %s run %" G_GINT64_FORMAT
+	site_note(s,
+		  "runner %s lists the end of %s run %" G_GINT64_FORMAT
 		  ": %s after %" G_GINT64_FORMAT " ms",
 		  r->id, run->task, run->number, how,
 		  st->end_ms - st->begin_ms);
@@ -434,7 +436,8 @@
 		json_object_array_add(e, json_object_new_string(run->task));
 		json_object_array_add(e, json_object_new_int64(run->number));
 		json_object_array_add(e, json_object_new_string(""));
-		json_object_array_add(e, json_object_new_int64(percent_of(run)));
+		json_object_array_add(e,
+				      json_object_new_int64(percent_of(run)));
 		json_object_array_add(e, json_object_new_int64(0));
 		json_object_array_add(running, e);
 	}
@@ -545,21 +548,22 @@
 	run->task = g_strdup(text_of(body, "Task"));
 	run->number = json_member_int(body, "Run");
 	run->begin_ms = util_monotonic_ms();
-	run->work_ms = strstr(spec, "lasting") ? INT64_MAX
-					       : number_in(spec, "work_ms=", 500);
+	run->work_ms = strstr(spec, "lasting")
+			       ? INT64_MAX
+			       : number_in(spec, "work_ms=", 500);
 	run->will_fail = strstr(spec, "fails") != NULL;
 	/* A unit that lasts and fails does so soon after its start. */
 	if (run->will_fail && run->work_ms == INT64_MAX)
 		run->work_ms = number_in(spec, "work_ms=", 100);
 	g_ptr_array_add(r->runs, run);
-	r->starts++;
 	st->task = g_strdup(run->task);
 	st->number = run->number;
 	st->runner = r;
 	st->kind = g_strdup(r->kind);
 	st->begin_ms = run->begin_ms;
 	g_ptr_array_add(s->starts, st);
-	site_note(s, "runner %s (kind %s) starts %s run %" G_GINT64_FORMAT
+	site_note(s,
+		  "runner %s (kind %s) starts %s run %" G_GINT64_FORMAT
 		  " fence %" G_GINT64_FORMAT,
 		  r->id, r->kind, run->task, run->number, r->fence);
 }
@@ -608,10 +612,11 @@
 		return;
 	number = json_member_int(body, "Run");
 	run = find_run(r, text_of(body, "Task"));
-	site_note(route->site, "runner %s is told to stop %s run %" G_GINT64_FORMAT,
-		  r->id, text_of(body, "Task"), number);
+	site_note(route->site,
+		  "runner %s is told to stop %s run %" G_GINT64_FORMAT, r->id,
+		  text_of(body, "Task"), number);
 	if (run && run->number <= number && !run->stop_ms)
-		run->stop_ms = util_monotonic_ms() + SITE_STOP_MS / 9;
+		run->stop_ms = util_monotonic_ms() + SITE_STOP_MS / 2;
 	else if (!run)
 		set_gone(r, text_of(body, "Task"), number);
 	accept_order(request);
@@ -629,7 +634,9 @@
 
 	if (st)
 		st->is_end_acked = TRUE;
-	site_note(s, "the end of %s run %" G_GINT64_FORMAT " (%s) is taken note of",
+	site_note(s,
+		  "the end of %s run %" G_GINT64_FORMAT
+		  " (%s) is taken note of",
 		  run.task, run.number,
 		  json_object_get_string(json_object_array_get_idx(end, 3)));
 }
@@ -643,10 +650,9 @@
 
 	if (!body)
 		return;
-	while (r->ends->len &&
-	       json_object_get_int64(json_object_array_get_idx(
-		       r->ends->pdata[0], 0)) <=
-		       json_member_int(body, "AckCursor")) {
+	while (r->ends->len && json_object_get_int64(json_object_array_get_idx(
+				       r->ends->pdata[0], 0)) <=
+				       json_member_int(body, "AckCursor")) {
 		note_ack(route->site, r, r->ends->pdata[0]);
 		g_ptr_array_remove_index(r->ends, 0);
 	}
@@ -663,9 +669,13 @@
 	json_object_put(data);
 }
 
-/* Ports below the range from which outgoing connections take theirs. */
+/*
+ * Ports below the range from which outgoing connections take theirs. Processes
+ * that play cases at the same time start in different places.
+ */
 #define FIRST_PORT 12000
 #define PORT_COUNT 18000
+#define PORTS_PER_PROCESS 30
 
 static gboolean is_free(uint16_t port)
 {
@@ -682,9 +692,12 @@
 
 static uint16_t free_port(void)
 {
-	for (guint i = 0; i < 1000; i++) {
-		uint16_t port = (uint16_t)(FIRST_PORT +
-					   g_random_int_range(0, PORT_COUNT));
+	static guint next;
+
+	if (!next)
+		next = (guint)getpid() * PORTS_PER_PROCESS;
+	for (guint i = 0; i < PORT_COUNT; i++) {
+		uint16_t port = (uint16_t)(FIRST_PORT + next++ % PORT_COUNT);
 
 		if (is_free(port))
 			return port;
@@ -712,21 +725,26 @@
 }
 
 struct runner *site_add_runner(struct site *s, const char *kind,
-			       const char *rack, int64_t cpu, int64_t gpu)
+			       const char *rack)
+{
+	return site_add_runner_of(s, SITE_SERVICE, kind, rack);
+}
+
+struct runner *site_add_runner_of(struct site *s, const char *service,
+				  const char *kind, const char *rack)
 {
 	struct runner *r = &s->runners[s->runner_count++];
 	struct runner_route *route = g_new0(struct runner_route, 1);
 
 	r->id = g_strdup_printf("i-7f3a91%02x", s->runner_count);
+	r->service = g_strdup(service);
 	r->kind = g_strdup(kind);
 	r->rack = g_strdup(rack);
-	r->cpu = cpu;
-	r->mem_mb = 65536;
-	r->gpu = gpu;
 	r->born_ms = util_wall_ms();
 	r->runs = g_ptr_array_new_with_free_func(run_free);
 	r->ends = g_ptr_array_new_with_free_func(put_json);
-	r->gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	r->gone =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->holds = g_ptr_array_new_with_free_func(g_free);
 	r->server = listen_at(&r->address);
 	route->site = s;
@@ -743,30 +761,31 @@
 void runner_register(struct site *s, struct runner *r)
 {
 	char *text = g_strdup_printf(
-		"{\"Service\":\"dele69a\",\"Address\":\"%s\",\"Zone\":"
-		"\"lagos-ikeja\",\"Version\":\"v1\",\"Slots\":8,\"State\":"
-		"\"ready\",\"Capacity\":{\"Cpu\":%" G_GINT64_FORMAT
-		",\"MemMb\":%" G_GINT64_FORMAT ",\"Gpu\":%" G_GINT64_FORMAT
-		"},\"Labels\":[\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
+		"{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":"
+		"\"tov-a\",\"Version\":\"v1\",\"Slots\":8,\"State\":"
+		"\"ready\",\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,\"Gpu\":%d}"
+		",\"Labels\":[\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
 		",\"Sequence\":1}",
-		r->address, r->cpu, r->mem_mb, r->gpu, r->kind, r->rack,
-		r->born_ms);
+		r->service, r->address, SITE_CPU, SITE_MEM_MB, SITE_GPU,
+		r->kind, r->rack, r->born_ms);
 
-	site_note(s, "runner %s registers: kind %s, rack %s, Cpu %" G_GINT64_FORMAT
-		  ", Gpu %" G_GINT64_FORMAT, r->id, r->kind, r->rack, r->cpu,
-		  r->gpu);
+	site_note(s,
+		  "runner %s of %s registers: kind %s, rack %s, Cpu %d, Gpu %d",
+		  r->id, r->service, r->kind, r->rack, SITE_CPU, SITE_GPU);
 	put_text(s, "servers", r->id, text);
 	g_free(text);
 }
 
-void runner_restart(struct site *s, struct runner *r, const char *kind)
+void runner_crash(struct site *s, struct runner *r)
 {
-	site_note(s, "runner %s crashes and starts again, kind %s", r->id, kind);
+	site_note(s, "runner %s crashes", r->id);
 	for (guint i = 0; i < r->runs->len; i++) {
 		struct start *st = find_start(s, r, r->runs->pdata[i]);
 
 		st->end_ms = util_monotonic_ms();
 		st->how = g_strdup("crash");
+		site_note(s, "%s run %" G_GINT64_FORMAT " is lost with it",
+			  st->task, st->number);
 	}
 	for (guint i = 0; i < r->holds->len; i++)
 		http_request_close_connection(
@@ -774,13 +793,20 @@
 	g_ptr_array_set_size(r->holds, 0);
 	g_ptr_array_set_size(r->runs, 0);
 	g_ptr_array_set_size(r->ends, 0);
-	g_hash_table_remove_all(r->gone);
-	r->fence = 0;
-	r->until_ms = 0;
-	r->last_end = 0;
-	r->born_ms = MAX(util_wall_ms(), r->born_ms + 1);
-	g_free(r->kind);
-	r->kind = g_strdup(kind);
+	g_clear_pointer(&r->server, http_server_free);
+	r->entry_end_ms = util_monotonic_ms() + 3 * SITE_HEARTBEAT_MS;
+}
+
+/* The store removes the entry of a runner that has been silent. */
+static void watch_entry_of_runner(struct site *s, struct runner *r)
+{
+	if (!r->entry_end_ms || util_monotonic_ms() < r->entry_end_ms)
+		return;
+	r->entry_end_ms = 0;
+	site_note(s, "the store removes the entry of %s", r->id);
+	s->version++;
+	put_row(s, "servers", "", r->id, NULL);
+	answer_feeds(s);
 }
 
 /* ---- entry VMs ---- */
@@ -788,15 +814,16 @@
 static char *write_settings(const struct site *s, const struct entry_vm *e,
 			    const char *internal, const char *forward)
 {
-	char *file = g_strdup_printf("%s/settings-%u.json", s->folder, e->index);
+	char *file =
+		g_strdup_printf("%s/settings-%u.json", s->folder, e->index);
 	/* As deploy/entry-settings.json.template is filled in. */
 	char *text = g_strdup_printf(
 		"{\n  \"node\": \"edge-%u\",\n"
-		"  \"failure_domain\": \"lagos-ikeja\",\n"
+		"  \"failure_domain\": \"tov-a\",\n"
 		"  \"frontend\": \"%s\",\n  \"readiness\": \"%s\",\n"
 		"  \"internal\": \"%s\",\n  \"forward\": \"%s\",\n"
 		"  \"cpu_share\": 0.25,\n  \"store\": {\n"
-		"    \"address\": \"%s\",\n    \"writes_per_s\": 600,\n"
+		"    \"address\": \"%s\",\n    \"writes_per_s\": 800,\n"
 		"    \"reads_per_s\": 2000,\n    \"row_bytes\": 65536\n  },\n"
 		"  \"bounds\": {\n    \"lease_ms\": %d,\n"
 		"    \"grace_s\": 6,\n    \"status_s\": 120\n  }\n}\n",
@@ -832,6 +859,8 @@
 	if (e->pid == 0) {
 		FILE *log = freopen(e->log, "a", stdout);
 
+		/* Ends with this process, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (log)
 			dup2(fileno(log), STDERR_FILENO);
 		for (int fd = 3; fd < 1024; fd++)
@@ -872,7 +901,8 @@
 
 	e->peak_kb = MAX(e->peak_kb, kb);
 	if (e->pid && kb > SITE_MEMORY_MB * 1024) {
-		site_note(s, "edge-%u uses %" G_GINT64_FORMAT
+		site_note(s,
+			  "edge-%u uses %" G_GINT64_FORMAT
 			  " MB, more than MemoryMb = %d: killed",
 			  e->index + 1, kb / 1024, SITE_MEMORY_MB);
 		e->killed_for_memory++;
@@ -895,8 +925,10 @@
 {
 	struct site *s = data;
 
-	for (guint i = 0; i < s->runner_count; i++)
+	for (guint i = 0; i < s->runner_count; i++) {
 		runner_tick(s, &s->runners[i]);
+		watch_entry_of_runner(s, &s->runners[i]);
+	}
 	for (guint i = 0; i < s->entry_count; i++)
 		watch_entry(s, &s->entries[i]);
 	answer_feeds(s);
@@ -905,7 +937,16 @@
 
 /* ---- the site ---- */
 
-struct site *site_new(const char *record_file)
+static gboolean on_limit(gpointer data)
+{
+	struct site *s = data;
+
+	site_note(s, "the time is over");
+	site_free(s);
+	exit(2);
+}
+
+struct site *site_new(const char *record_file, int64_t limit_ms)
 {
 	struct site *s = g_new0(struct site, 1);
 
@@ -915,6 +956,7 @@
 		exit(2);
 	}
 	s->began_ms = util_monotonic_ms();
+	s->key = "k1";
 	s->folder = g_dir_make_tmp("review-XXXXXX", NULL);
 	s->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					row_free);
@@ -926,6 +968,7 @@
 	http_server_add_route(s->store, "GET", API "/rows-get", on_get, s);
 	http_server_add_route(s->store, "GET", API "/rows-feed", on_feed, s);
 	g_timeout_add(TICK_MS, on_tick, s);
+	g_timeout_add((guint)limit_ms, on_limit, s);
 	return s;
 }
 
@@ -992,9 +1035,11 @@
 				  const char *method, const char *path,
 				  json_object *body)
 {
-	static const char *const headers[] = {
-		"Host", "nony24.example", "Authorization", "Token k1",
-		"Deadline-Ms", "3000", NULL
+	char *token = g_strconcat("Token ", s->key, NULL);
+	const char *const headers[] = {
+		"Host", "nony24.example", "Authorization",
+		token,	"Deadline-Ms",	  "3000",
+		NULL
 	};
 	struct pending_call p = { 0 };
 	struct http_call_spec spec = {
@@ -1011,19 +1056,20 @@
 	http_client_send(s->client, &spec);
 	while (!p.is_done)
 		g_main_context_iteration(NULL, TRUE);
+	g_free(token);
 	return p.answer;
 }
 
 struct answer site_call(struct site *s, guint entry, const char *method,
 			const char *path, json_object *body)
 {
-	struct answer a = send_request(s, s->entries[entry].frontend, method,
-				       path, body);
+	struct answer a =
+		send_request(s, s->entries[entry].frontend, method, path, body);
 	char *line = g_strndup(a.text, 100);
 
 	g_strdelimit(line, "\n", ' ');
-	site_note(s, "client: %s %s at edge-%u -> %u %s", method, path,
-		  entry + 1, a.code, line);
+	site_note(s, "client with key %s: %s %s at edge-%u -> %u %s", s->key,
+		  method, path, entry + 1, a.code, line);
 	g_free(line);
 	return a;
 }
--- a/review/tool-3/site.h
+++ b/review/tool-3/site.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * A small deployment for a case: the platform's store and the runners, played
- * by this process, and entry VMs, which run the project's program. All addresses
- * are loopback addresses.
+ * by this process, and entry VMs, which run the project's program. All
+ * addresses are loopback addresses.
  */
 #ifndef REVIEW_SITE_H
 #define REVIEW_SITE_H
@@ -16,16 +16,21 @@
 #define SITE_MAX_ENTRIES 4
 #define SITE_MAX_RUNNERS 16
 
-/* Bounds and limits of the settings, as on our pages for a small site. */
-#define SITE_HOLD_MAX_MS 6000
-#define SITE_STOP_MS 900
+/* Bounds and limits of the settings, as on our pages for khuree-wind. */
+#define SITE_HOLD_MAX_MS 10000
+#define SITE_STOP_MS 200
 #define SITE_FINISH_MS 14000
 #define SITE_HEARTBEAT_MS 1500
 #define SITE_MEMORY_MB 260
 
+#define SITE_SERVICE "dele69a"
+#define SITE_CPU 64000
+#define SITE_MEM_MB 131072
+#define SITE_GPU 8
+
 struct entry_vm {
 	guint index;
-	pid_t pid; /* 0 while it doesn't run */
+	pid_t pid;  /* 0 while it doesn't run */
 	guint ends; /* ends of its process that the case did not cause */
 	guint killed_for_memory;
 	int64_t peak_kb;
@@ -48,11 +53,9 @@
 struct runner {
 	char *id;
 	char *address;
+	char *service;
 	char *kind;
 	char *rack;
-	int64_t cpu;
-	int64_t mem_mb;
-	int64_t gpu;
 	int64_t born_ms; /* Unix time */
 	int64_t fence;
 	int64_t until_ms; /* end of the lease on its clock */
@@ -62,7 +65,7 @@
 	GHashTable *gone; /* task to the highest run stopped or ended here */
 	GPtrArray *holds; /* of struct hold */
 	struct http_server *server;
-	guint starts;
+	int64_t entry_end_ms; /* when the store removes its entry, or 0 */
 };
 
 /** A start that a runner has begun. */
@@ -91,7 +94,8 @@
 	struct http_server *store;
 	char *store_address;
 	struct http_client *client;
-	char *folder; /* temporary */
+	const char *key;	/* of the client, see site_call() */
+	char *folder;		/* temporary */
 	gboolean is_store_busy; /* answers 503 */
 };
 
@@ -100,7 +104,8 @@
 	char *text;
 };
 
-struct site *site_new(const char *record_file);
+/** @param limit_ms	the process ends with status 2 after this time */
+struct site *site_new(const char *record_file, int64_t limit_ms);
 /** Ends all processes and removes the temporary folder. */
 void site_free(struct site *s);
 
@@ -108,11 +113,17 @@
 void site_note(struct site *s, const char *format, ...);
 
 struct runner *site_add_runner(struct site *s, const char *kind,
-			       const char *rack, int64_t cpu, int64_t gpu);
+			       const char *rack);
+/** The same in another service than SITE_SERVICE. */
+struct runner *site_add_runner_of(struct site *s, const char *service,
+				  const char *kind, const char *rack);
 /** Writes the runner's entry into the store. */
 void runner_register(struct site *s, struct runner *r);
-/** Crashes a runner: its runs are lost, and it knows nothing of before. */
-void runner_restart(struct site *s, struct runner *r, const char *kind);
+/**
+ * Crashes a runner: its port is closed, and the store removes its entry after
+ * three heartbeat intervals of silence.
+ */
+void runner_crash(struct site *s, struct runner *r);
 
 /** Writes the desired state. */
 void site_configure(struct site *s, const char *config);
