--- a/review/tool-3/cases.c
+++ b/review/tool-3/cases.c
@@ -91,7 +91,7 @@
 	return longest_ms;
 }
 
-/* LOST: judged from finish_s after the end of the traffic. */
+/* LOST, judged from finish_s after the end of the traffic. */
 static enum verdict judge_lost(struct site *s, const char *job,
 			       const char *prefix, int64_t for_ms)
 {
@@ -230,31 +230,6 @@
 	return verdict;
 }
 
-/* ---- a work unit of some minutes ---- */
-
-static enum verdict play_long(struct site *s)
-{
-	const char *job = "5c0e7a21d94b36f8";
-	int64_t work_ms = has_trouble() ? 600000 : 20000;
-	char *body = g_strdup_printf(
-		"{\"Spec\":\"work_ms=%" G_GINT64_FORMAT "\",\"Steps\":[{"
-		"\"Count\":1,\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":1,"
-		"\"EstimateMs\":%" G_GINT64_FORMAT ",\"Requirements\":\"b\"}]}",
-		work_ms, work_ms);
-	guint code;
-
-	for (guint i = 0; i < 3; i++)
-		site_add_runner(s, "a", "r0");
-	site_add_runner(s, "b", "r0");
-	if (!begin(s, 2))
-		return NOT_RUN;
-	code = site_submit(s, 0, PREFIX "5c0e7a21d94b36f8", body);
-	g_free(body);
-	if (code != 200)
-		return NOT_RUN;
-	return judge_lost(s, job, PREFIX, 60000);
-}
-
 /* ---- units that last and fail again and again ---- */
 
 static enum verdict play_loop(struct site *s)
@@ -297,105 +272,6 @@
 	return judge_lost(s, job, PREFIX, 40000);
 }
 
-/* ---- a unit that lasts, on a runner that crashes ---- */
-
-/* LOST holds for a unit that lasts from 6 s after its last run, for 3 s. */
-#define LASTING_LIMIT_MS 9000
-
-static gboolean is_running(struct site *s, void *data)
-{
-	return site_running(s, data) > 0;
-}
-
-static enum verdict play_lasting(struct site *s)
-{
-	char job[] = "5c0e7a21d94b36f8";
-	int64_t gap_ms;
-	guint code;
-
-	for (guint i = 0; i < 4; i++)
-		site_add_runner(s, "a", "r0");
-	if (!begin(s, 2))
-		return NOT_RUN;
-	code = site_submit(
-		s, 0, PREFIX "5c0e7a21d94b36f8",
-		"{\"Spec\":\"lasting\",\"Steps\":[{\"Count\":1,\"Cpu\":"
-		"4000,\"MemMb\":1000,\"Gpu\":1,\"LongRunning\":true}]}");
-	if (code != 200 || !site_wait(s, is_running, job, 5000))
-		return NOT_RUN;
-	site_run(s, 5000);
-	for (guint i = 0; has_trouble() && i < s->runner_count; i++) {
-		if (s->runners[i].runs->len)
-			runner_crash(s, &s->runners[i]);
-	}
-	gap_ms = longest_gap_ms(s, job, PREFIX, 20000);
-	site_note(s,
-		  "longest time with nothing running: %" G_GINT64_FORMAT " ms",
-		  gap_ms);
-	return gap_ms >= LASTING_LIMIT_MS ? BROKEN : HELD;
-}
-
-/* ---- a job that can never be done, beside the jobs of another service ---- */
-
-#define THIRD_PREFIX "/vemo447/"
-#define OTHER_SERVICE "kolu31c"
-
-static enum verdict play_pool(struct site *s)
-{
-	const char *job = "a1b2c3d4e5f60718";
-	char *config = g_strdup_printf(
-		"{\"Version\":3,\"Routes\":[" FIRST_QUEUE
-		"," QUEUE("quotes", SECOND_PREFIX, "0",
-			  "2") ",{\"Name\":\"match\","
-			       "\"Host\":\"nony24.example\",\"PathPrefix\":"
-			       "\"" THIRD_PREFIX
-			       "\",\"Service\":\"" OTHER_SERVICE
-			       "\",\"Priority\":1,"
-			       "\"MaxAttempts\":2,\"Stretch\":3,"
-			       "\"TargetLatencyMs\":1000}],"
-			       "\"Services\":[{\"Name\":\"dele69a\"},{\"Name\":"
-			       "\"" OTHER_SERVICE
-			       "\"}],\"Tenants\":[{\"Name\":\"press\","
-			       "\"ApiKeys\":[\"k1\"],\"Guaranteed\":{\"Gpu\":8}"
-			       "}," SECOND_TENANT "]}");
-	guint code;
-
-	for (guint i = 0; i < 6; i++)
-		site_add_runner(s, "a", "r0");
-	for (guint i = 0; i < 2; i++)
-		site_add_runner_of(s, OTHER_SERVICE, "a", "r1");
-	site_configure(s, config);
-	g_free(config);
-	for (guint i = 0; i < 2; i++)
-		site_add_entry(s);
-	if (!site_wait_ready(s))
-		return NOT_RUN;
-	s->key = "k2";
-	if (has_trouble() &&
-	    site_submit(s, 0, SECOND_PREFIX "5c0e7a21d94b36f8",
-			"{\"Spec\":\"work_ms=1000\",\"Steps\":[{\"Count\":12,"
-			"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
-			"1000,\"Gang\":true}]}") != 200)
-		return NOT_RUN;
-	s->key = "k1";
-	code = site_submit(
-		s, 1, PREFIX "00d1b2c3d4e5f607",
-		"{\"Spec\":\"work_ms=100000\",\"Steps\":[{\"Count\":5,"
-		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
-		"100000,\"Checkpointing\":true}]}");
-	if (code != 200)
-		return NOT_RUN;
-	site_run(s, 3000);
-	code = site_submit(
-		s, 0, THIRD_PREFIX "a1b2c3d4e5f60718",
-		"{\"Spec\":\"work_ms=1000\",\"Steps\":[{\"Count\":1,"
-		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":1,\"EstimateMs\":"
-		"1000}]}");
-	if (code != 200)
-		return NOT_RUN;
-	return judge_lost(s, job, THIRD_PREFIX, 20000);
-}
-
 /* ---- a queue that is removed and added again ---- */
 
 static gboolean has_second_run(struct site *s, void *data)
@@ -442,46 +318,14 @@
 	return verdict;
 }
 
-/* ---- a job that prefers a rack, with an estimate far from the truth ---- */
-
-static enum verdict play_rack(struct site *s)
-{
-	const char *job = "a1b2c3d4e5f60718";
-	char *body = g_strdup_printf(
-		"{\"Spec\":\"work_ms=1000\",\"Steps\":[{\"Count\":1,\"Cpu\":"
-		"4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":%d,\"Affinity\":"
-		"\"r1\"}]}",
-		has_trouble() ? 3600000 : 1000);
-	guint code;
-
-	for (guint i = 0; i < 3; i++)
-		site_add_runner(s, "a", "r0");
-	site_add_runner(s, "a", "r1");
-	if (!begin(s, 2))
-		return NOT_RUN;
-	code = site_submit(
-		s, 0, PREFIX "5c0e7a21d94b36f8",
-		"{\"Spec\":\"work_ms=100000\",\"Steps\":[{\"Count\":1,"
-		"\"Cpu\":4000,\"MemMb\":1000,\"Gpu\":8,\"EstimateMs\":"
-		"100000,\"Affinity\":\"r1\"}]}");
-	if (code != 200)
-		return NOT_RUN;
-	site_run(s, 2000);
-	code = site_submit(s, 0, PREFIX "a1b2c3d4e5f60718", body);
-	g_free(body);
-	if (code != 200)
-		return NOT_RUN;
-	return judge_lost(s, job, PREFIX, 30000);
-}
-
 static const struct {
 	const char *name;
 	enum verdict (*play)(struct site *s);
 } cases[] = {
-	{ "memory", play_memory },   { "withdrawn", play_withdrawn },
-	{ "long", play_long },	     { "loop", play_loop },
-	{ "lasting", play_lasting }, { "attempts", play_attempts },
-	{ "rack", play_rack },	     { "pool", play_pool },
+	{ "memory", play_memory },
+	{ "loop", play_loop },
+	{ "withdrawn", play_withdrawn },
+	{ "attempts", play_attempts },
 };
 
 int main(int argc, char **argv)
--- a/review/tool-3/site.c
+++ b/review/tool-3/site.c
@@ -726,18 +726,11 @@
 
 struct runner *site_add_runner(struct site *s, const char *kind,
 			       const char *rack)
-{
-	return site_add_runner_of(s, SITE_SERVICE, kind, rack);
-}
-
-struct runner *site_add_runner_of(struct site *s, const char *service,
-				  const char *kind, const char *rack)
 {
 	struct runner *r = &s->runners[s->runner_count++];
 	struct runner_route *route = g_new0(struct runner_route, 1);
 
 	r->id = g_strdup_printf("i-7f3a91%02x", s->runner_count);
-	r->service = g_strdup(service);
 	r->kind = g_strdup(kind);
 	r->rack = g_strdup(rack);
 	r->born_ms = util_wall_ms();
@@ -766,49 +759,16 @@
 		"\"ready\",\"Capacity\":{\"Cpu\":%d,\"MemMb\":%d,\"Gpu\":%d}"
 		",\"Labels\":[\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
 		",\"Sequence\":1}",
-		r->service, r->address, SITE_CPU, SITE_MEM_MB, SITE_GPU,
+		SITE_SERVICE, r->address, SITE_CPU, SITE_MEM_MB, SITE_GPU,
 		r->kind, r->rack, r->born_ms);
 
 	site_note(s,
 		  "runner %s of %s registers: kind %s, rack %s, Cpu %d, Gpu %d",
-		  r->id, r->service, r->kind, r->rack, SITE_CPU, SITE_GPU);
+		  r->id, SITE_SERVICE, r->kind, r->rack, SITE_CPU, SITE_GPU);
 	put_text(s, "servers", r->id, text);
 	g_free(text);
 }
 
-void runner_crash(struct site *s, struct runner *r)
-{
-	site_note(s, "runner %s crashes", r->id);
-	for (guint i = 0; i < r->runs->len; i++) {
-		struct start *st = find_start(s, r, r->runs->pdata[i]);
-
-		st->end_ms = util_monotonic_ms();
-		st->how = g_strdup("crash");
-		site_note(s, "%s run %" G_GINT64_FORMAT " is lost with it",
-			  st->task, st->number);
-	}
-	for (guint i = 0; i < r->holds->len; i++)
-		http_request_close_connection(
-			((struct hold *)r->holds->pdata[i])->request);
-	g_ptr_array_set_size(r->holds, 0);
-	g_ptr_array_set_size(r->runs, 0);
-	g_ptr_array_set_size(r->ends, 0);
-	g_clear_pointer(&r->server, http_server_free);
-	r->entry_end_ms = util_monotonic_ms() + 3 * SITE_HEARTBEAT_MS;
-}
-
-/* The store removes the entry of a runner that has been silent. */
-static void watch_entry_of_runner(struct site *s, struct runner *r)
-{
-	if (!r->entry_end_ms || util_monotonic_ms() < r->entry_end_ms)
-		return;
-	r->entry_end_ms = 0;
-	site_note(s, "the store removes the entry of %s", r->id);
-	s->version++;
-	put_row(s, "servers", "", r->id, NULL);
-	answer_feeds(s);
-}
-
 /* ---- entry VMs ---- */
 
 static char *write_settings(const struct site *s, const struct entry_vm *e,
@@ -925,10 +885,8 @@
 {
 	struct site *s = data;
 
-	for (guint i = 0; i < s->runner_count; i++) {
+	for (guint i = 0; i < s->runner_count; i++)
 		runner_tick(s, &s->runners[i]);
-		watch_entry_of_runner(s, &s->runners[i]);
-	}
 	for (guint i = 0; i < s->entry_count; i++)
 		watch_entry(s, &s->entries[i]);
 	answer_feeds(s);
--- a/review/tool-3/site.h
+++ b/review/tool-3/site.h
@@ -20,7 +20,6 @@
 #define SITE_HOLD_MAX_MS 10000
 #define SITE_STOP_MS 200
 #define SITE_FINISH_MS 14000
-#define SITE_HEARTBEAT_MS 1500
 #define SITE_MEMORY_MB 260
 
 #define SITE_SERVICE "dele69a"
@@ -53,7 +52,6 @@
 struct runner {
 	char *id;
 	char *address;
-	char *service;
 	char *kind;
 	char *rack;
 	int64_t born_ms; /* Unix time */
@@ -65,7 +63,6 @@
 	GHashTable *gone; /* task to the highest run stopped or ended here */
 	GPtrArray *holds; /* of struct hold */
 	struct http_server *server;
-	int64_t entry_end_ms; /* when the store removes its entry, or 0 */
 };
 
 /** A start that a runner has begun. */
@@ -114,16 +111,8 @@
 
 struct runner *site_add_runner(struct site *s, const char *kind,
 			       const char *rack);
-/** The same in another service than SITE_SERVICE. */
-struct runner *site_add_runner_of(struct site *s, const char *service,
-				  const char *kind, const char *rack);
 /** Writes the runner's entry into the store. */
 void runner_register(struct site *s, struct runner *r);
-/**
- * Crashes a runner: its port is closed, and the store removes its entry after
- * three heartbeat intervals of silence.
- */
-void runner_crash(struct site *s, struct runner *r);
 
 /** Writes the desired state. */
 void site_configure(struct site *s, const char *config);
