--- a/review/tool-3/cases.c
+++ b/review/tool-3/cases.c
@@ -318,14 +318,103 @@
 	return verdict;
 }
 
+/* ---- a cancel while the holder's channels to the store are silent ---- */
+
+#define CANCEL_MS 3000
+
+#define GIVE_UP_MS 8000
+
+/* Returns the VM that has acquired the pool's lease last, by the logs. */
+static guint find_holder(const struct site *s)
+{
+	guint holder = 0;
+	int64_t most = 0;
+
+	for (guint i = 0; i < s->entry_count; i++) {
+		char *text = NULL;
+		const char *at;
+
+		g_file_get_contents(s->entries[i].log, &text, NULL, NULL);
+		at = text ? g_strrstr(text, "event=lease_acquired epoch=")
+			  : NULL;
+		if (at) {
+			int64_t epoch = g_ascii_strtoll(
+				strstr(at, "epoch=") + strlen("epoch="), NULL,
+				10);
+
+			if (epoch > most) {
+				most = epoch;
+				holder = i;
+			}
+		}
+		g_free(text);
+	}
+	return holder;
+}
+
+static gboolean is_running(struct site *s, void *data)
+{
+	return site_running(s, data) > 0;
+}
+
+static gboolean is_not_running(struct site *s, void *data)
+{
+	return !site_running(s, data);
+}
+
+static enum verdict play_silent(struct site *s)
+{
+	char job[] = "5c0e7a21d94b36f8";
+	const char *path = PREFIX "5c0e7a21d94b36f8";
+	int64_t limit_ms = CANCEL_MS + SITE_STOP_MS;
+	int64_t acked_ms;
+	struct answer a;
+	guint holder;
+	guint code;
+
+	site_add_runner(s, "a", "r0");
+	site_add_runner(s, "a", "r0");
+	site_start_relay(s);
+	if (!begin(s, 2))
+		return NOT_RUN;
+	site_run(s, 5000);
+	holder = find_holder(s);
+	site_note(s, "edge-%u holds the pool", holder + 1);
+	code = site_submit(
+		s, 1 - holder, path,
+		"{\"Spec\":\"work_ms=60000\",\"Steps\":[{\"Count\":1,"
+		"\"Cpu\":1000,\"MemMb\":100,\"Gpu\":1,"
+		"\"EstimateMs\":60000}]}");
+	if (code != 200 || !site_wait(s, is_running, job, 5000))
+		return NOT_RUN;
+	site_run(s, 2000);
+	site_burst(s, holder, path, 40);
+	site_run(s, 2000);
+	if (has_trouble())
+		site_silence(s, holder);
+	a = site_call(s, 1 - holder, "DELETE", path, NULL);
+	g_free(a.text);
+	if (a.code != 200)
+		return NOT_RUN;
+	acked_ms = site_now_ms(s);
+	if (has_trouble())
+		site_silence(s, 1 - holder);
+	site_wait(s, is_not_running, job, GIVE_UP_MS);
+	site_note(s,
+		  "the work unit was gone %" G_GINT64_FORMAT
+		  " ms after the cancelling was acknowledged; allowed: "
+		  "%" G_GINT64_FORMAT,
+		  site_now_ms(s) - acked_ms, limit_ms);
+	return site_now_ms(s) - acked_ms > limit_ms ? BROKEN : HELD;
+}
+
 static const struct {
 	const char *name;
 	enum verdict (*play)(struct site *s);
 } cases[] = {
-	{ "memory", play_memory },
-	{ "loop", play_loop },
-	{ "withdrawn", play_withdrawn },
-	{ "attempts", play_attempts },
+	{ "memory", play_memory },	 { "loop", play_loop },
+	{ "withdrawn", play_withdrawn }, { "attempts", play_attempts },
+	{ "silent", play_silent },
 };
 
 int main(int argc, char **argv)
--- a/review/tool-3/site.c
+++ b/review/tool-3/site.c
@@ -788,13 +788,62 @@
 		"  \"bounds\": {\n    \"lease_ms\": %d,\n"
 		"    \"grace_s\": 6,\n    \"status_s\": 120\n  }\n}\n",
 		e->index + 1, e->frontend, e->readiness, internal, forward,
-		s->store_address, SITE_HOLD_MAX_MS);
+		s->paths[e->index] ? s->paths[e->index] : s->store_address,
+		SITE_HOLD_MAX_MS);
 
 	g_file_set_contents(file, text, -1, NULL);
 	g_free(text);
 	return file;
 }
 
+/* Returns the value after a word of the relay's output, waiting for it. */
+static char *relay_value(const char *log, const char *word, guint index)
+{
+	for (guint i = 0; i < 100; i++) {
+		char *text = NULL;
+		char *value = NULL;
+		char **lines;
+
+		g_usleep(50000);
+		if (!g_file_get_contents(log, &text, NULL, NULL))
+			continue;
+		lines = g_strsplit(text, "\n", -1);
+		for (guint k = 0, n = 0; lines[k] && lines[k + 1]; k++) {
+			if (g_str_has_prefix(lines[k], word) && n++ == index)
+				value = g_strdup(lines[k] + strlen(word));
+		}
+		g_strfreev(lines);
+		g_free(text);
+		if (value)
+			return value;
+	}
+	fprintf(stderr, "the relay doesn't start\n");
+	exit(2);
+}
+
+void site_start_relay(struct site *s)
+{
+	char *log = g_strdup_printf("%s/relay.log", s->folder);
+	char *route = g_strdup_printf("127.0.0.1:0=%s", s->store_address);
+
+	s->relay_pid = fork();
+	if (s->relay_pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (!freopen(log, "w", stdout))
+			_exit(127);
+		for (int fd = 3; fd < 1024; fd++)
+			close(fd);
+		execl("target/bin/cs-standin-relay", "cs-standin-relay",
+		      "--route", route, "--route", route, NULL);
+		_exit(127);
+	}
+	s->relay_control = relay_value(log, "control ", 0);
+	for (guint i = 0; i < 2; i++)
+		s->paths[i] = relay_value(log, "listening ", i);
+	g_free(route);
+	g_free(log);
+}
+
 void site_add_entry(struct site *s)
 {
 	struct entry_vm *e = &s->entries[s->entry_count];
@@ -942,6 +991,14 @@
 		kill(e->pid, SIGKILL);
 		waitpid(e->pid, NULL, 0);
 	}
+	if (s->relay_pid) {
+		char *log = g_strdup_printf("%s/relay.log", s->folder);
+
+		kill(s->relay_pid, SIGKILL);
+		waitpid(s->relay_pid, NULL, 0);
+		g_unlink(log);
+		g_free(log);
+	}
 	for (guint i = 0; i < s->entry_count; i++) {
 		if (!keep)
 			g_unlink(s->entries[i].log);
@@ -1032,6 +1089,44 @@
 	return a;
 }
 
+static void on_burst_reply(const struct http_reply *reply, void *data)
+{
+	guint *left = data;
+
+	(*left)--;
+}
+
+void site_burst(struct site *s, guint entry, const char *path, guint count)
+{
+	char *token = g_strconcat("Token ", s->key, NULL);
+	const char *const headers[] = {
+		"Host", "nony24.example", "Authorization",
+		token,	"Deadline-Ms",	  "3000",
+		NULL
+	};
+	struct http_client *client = http_client_new(count, count);
+	guint left = count;
+	struct http_call_spec spec = {
+		.method = "GET",
+		.address = s->entries[entry].frontend,
+		.path = path,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.headers = headers,
+		.on_reply = on_burst_reply,
+		.data = &left,
+	};
+
+	for (guint i = 0; i < count; i++)
+		http_client_send(client, &spec);
+	while (left)
+		g_main_context_iteration(NULL, TRUE);
+	site_note(s,
+		  "%u clients ask edge-%u at the same time, and are answered",
+		  count, entry + 1);
+	http_client_free(client);
+	g_free(token);
+}
+
 guint site_submit(struct site *s, guint entry, const char *path,
 		  const char *body)
 {
@@ -1056,6 +1151,23 @@
 	return state;
 }
 
+void site_silence(struct site *s, guint entry)
+{
+	json_object *body = json_object_new_object();
+	struct answer a;
+
+	json_object_object_add(body, "silence_open",
+			       json_object_new_boolean(TRUE));
+	add_int(body, "route", entry);
+	a = send_request(s, s->relay_control, "POST", "/control", body);
+	site_note(s,
+		  "the open channels between edge-%u and the store go "
+		  "silent: %u",
+		  entry + 1, a.code);
+	g_free(a.text);
+	json_object_put(body);
+}
+
 static gboolean are_ready(struct site *s, void *data)
 {
 	for (guint i = 0; i < s->entry_count; i++) {
--- a/review/tool-3/site.h
+++ b/review/tool-3/site.h
@@ -90,6 +90,9 @@
 	int64_t version;
 	struct http_server *store;
 	char *store_address;
+	pid_t relay_pid;
+	char *relay_control;	       /* NULL without a relay */
+	char *paths[SITE_MAX_ENTRIES]; /* to the store, through the relay */
 	struct http_client *client;
 	const char *key;	/* of the client, see site_call() */
 	char *folder;		/* temporary */
@@ -114,6 +117,12 @@
 /** Writes the runner's entry into the store. */
 void runner_register(struct site *s, struct runner *r);
 
+/** Puts the project's relay between the store and each entry VM that follows.
+ */
+void site_start_relay(struct site *s);
+/** Makes the open channels between an entry VM and the store go silent. */
+void site_silence(struct site *s, guint entry);
+
 /** Writes the desired state. */
 void site_configure(struct site *s, const char *config);
 
@@ -134,6 +143,8 @@
 /** Sends a client's request to an entry VM. */
 struct answer site_call(struct site *s, guint entry, const char *method,
 			const char *path, json_object *body);
+/** Sends some GET requests of clients at the same time, and waits for all. */
+void site_burst(struct site *s, guint entry, const char *path, guint count);
 /** Submits a job given as JSON text, as a client with retries. */
 guint site_submit(struct site *s, guint entry, const char *path,
 		  const char *body);
