Order the events of several processes to the microsecond

Tests that merge the logs or histories of several processes sorted them by whole milliseconds, so that a start could sort before the last reservation on another worker (gang_history), and a placement before the submission that it follows (test_story). Both failed by chance.

Log lines and the workers' histories now have the time to the microsecond: a message between two processes takes longer. A gateway logs a submission before it tells the pool's holder, not after. The checks are the same. Left in test_story: a holder whose scan reads the row between its write and the gateway's log line may log first.

--- a/base/log.c
+++ b/base/log.c
@@ -151,6 +151,17 @@
 	log4c_fini();
 }
 
+/* Writes the time to the microsecond, so that the lines of several processes
+ * can be sorted: a message between them takes less than a millisecond. */
+static void log_time(struct log_line *line)
+{
+	int64_t now_us = util_wall_us();
+
+	g_string_append_printf(
+		line->text, "time_ms=%" G_GINT64_FORMAT ".%03" G_GINT64_FORMAT,
+		now_us / US_PER_MS, now_us % US_PER_MS);
+}
+
 void log_begin(struct log_line *line, enum log_level level, const char *event)
 {
 	line->level = level;
@@ -158,7 +169,7 @@
 	if (!category || level < minimum_level)
 		return;
 	line->text = g_string_sized_new(256);
-	log_int(line, "time_ms", util_wall_ms());
+	log_time(line);
 	log_str(line, "level", levels[level].name);
 	log_str(line, "node", node_name);
 	log_str(line, "event", event);
--- a/base/util.c
+++ b/base/util.c
@@ -23,7 +23,12 @@
 
 int64_t util_wall_ms(void)
 {
-	return g_get_real_time() / US_PER_MS;
+	return util_wall_us() / US_PER_MS;
+}
+
+int64_t util_wall_us(void)
+{
+	return g_get_real_time();
 }
 
 char *util_random_id(void)
--- a/base/util.h
+++ b/base/util.h
@@ -23,6 +23,9 @@
 /** Returns the wall-clock time in milliseconds since the Unix epoch. */
 int64_t util_wall_ms(void);
 
+/** Returns the wall-clock time in microseconds since the Unix epoch. */
+int64_t util_wall_us(void);
+
 /** Returns a random identifier of 32 hex digits; free it with g_free(). */
 char *util_random_id(void);
 
--- a/daemon/job_api.c
+++ b/daemon/job_api.c
@@ -123,10 +123,11 @@
 	struct job_call *c = data;
 
 	c->writer = NULL;
-	if (outcome == ROW_WRITTEN)
-		holder_client_poke(c->api->holders, c->pool, c->id);
+	/* Logged first: the holder logs what it does with the job. */
 	log_call(c->api, c->kind, c->pool, c->id, answers[outcome].answer,
 		 answers[outcome].reason);
+	if (outcome == ROW_WRITTEN)
+		holder_client_poke(c->api->holders, c->pool, c->id);
 	reply_answer(c->request, answers[outcome].code, c->id,
 		     answers[outcome].answer, answers[outcome].reason);
 	call_free(c);
--- a/standin/cs-standin-worker.c
+++ b/standin/cs-standin-worker.c
@@ -108,8 +108,8 @@
 {
 	json_object *json = json_object_new_object();
 
-	json_object_object_add(json, "time_ms",
-			       json_object_new_int64(util_wall_ms()));
+	json_object_object_add(json, "time_us",
+			       json_object_new_int64(util_wall_us()));
 	json_object_object_add(json, "task", json_object_new_string(task));
 	json_object_object_add(json, "event", json_object_new_string(event));
 	json_object_array_add(w->events, json);
--- a/tests/gang_cluster.c
+++ b/tests/gang_cluster.c
@@ -432,7 +432,7 @@
 
 		gang_history_add(events,
 				 json_object_get_int64(json_object_object_get(
-					 item, "time_ms")),
+					 item, "time_us")),
 				 member_text(item, "task"),
 				 member_text(item, "event"));
 	}
@@ -458,7 +458,7 @@
 		const struct gang_event *e =
 			&g_array_index(g->saved_events, struct gang_event, i);
 
-		gang_history_add(events, e->time_ms, e->task, e->event);
+		gang_history_add(events, e->time_us, e->task, e->event);
 	}
 	for (guint i = 0; i < GANG_WORKERS; i++)
 		read_history(g, i, events);
@@ -481,7 +481,7 @@
 		if (!g_str_has_prefix(e->task, prefix) ||
 		    !g_str_equal(e->event, event))
 			continue;
-		*last_ms = e->time_ms;
+		*last_ms = e->time_us / US_PER_MS;
 		count++;
 	}
 	g_free(prefix);
@@ -555,7 +555,7 @@
 			&g_array_index(g->saved_events, struct gang_event, i);
 
 		if (g_str_equal(e->event, "started"))
-			gang_history_add(g->saved_events, util_wall_ms(),
+			gang_history_add(g->saved_events, util_wall_us(),
 					 e->task, "killed");
 	}
 }
--- a/tests/gang_history.c
+++ b/tests/gang_history.c
@@ -19,10 +19,10 @@
 	return events;
 }
 
-void gang_history_add(GArray *events, int64_t time_ms, const char *task,
+void gang_history_add(GArray *events, int64_t time_us, const char *task,
 		      const char *event)
 {
-	struct gang_event e = { time_ms, g_strdup(task), g_strdup(event) };
+	struct gang_event e = { time_us, g_strdup(task), g_strdup(event) };
 
 	g_array_append_val(events, e);
 }
@@ -32,7 +32,7 @@
 	const struct gang_event *x = a;
 	const struct gang_event *y = b;
 
-	return (x->time_ms > y->time_ms) - (x->time_ms < y->time_ms);
+	return (x->time_us > y->time_us) - (x->time_us < y->time_us);
 }
 
 void gang_history_sort(GArray *events)
@@ -178,7 +178,7 @@
 		g_hash_table_remove(a->running, e->task);
 	if (g_str_equal(e->event, "done"))
 		g_hash_table_add(a->done, e->task);
-	measure_partial(a, e->time_ms);
+	measure_partial(a, e->time_us / US_PER_MS);
 	task_name_clear(&name);
 	return violation;
 }
--- a/tests/gang_history.h
+++ b/tests/gang_history.h
@@ -11,7 +11,7 @@
 
 /** One event of a worker's history. */
 struct gang_event {
-	int64_t time_ms; /**< wall clock */
+	int64_t time_us; /**< wall clock */
 	char *task;
 	char *event; /**< kind, such as "started" */
 };
@@ -20,7 +20,7 @@
 GArray *gang_history_new(void);
 
 /** Appends an event; copies the strings. */
-void gang_history_add(GArray *events, int64_t time_ms, const char *task,
+void gang_history_add(GArray *events, int64_t time_us, const char *task,
 		      const char *event);
 
 /** Sorts the events by time. */
--- a/tests/test_story.c
+++ b/tests/test_story.c
@@ -100,7 +100,7 @@
 static gint compare_lines(gconstpointer a, gconstpointer b)
 {
 	return strncmp(*(const char *const *)a, *(const char *const *)b,
-		       strlen("time_ms=1700000000000"));
+		       strlen("time_ms=1700000000000.000"));
 }
 
 /* Returns the lines of all logs that contain a text, ordered by time. */
