--- a/config/settings.c
+++ b/config/settings.c
@@ -1,6 +1,7 @@
 #include "config/settings.h"
 
 #include "base/json_text.h"
+#include "base/process_limits.h"
 #include "base/util.h"
 
 #define NAME_MAX_BYTES 64
@@ -65,6 +66,18 @@
 	  .min = 1000,
 	  .max = MAX_IMPOSSIBLE_GRACE_MS,
 	  .fallback = DEFAULT_IMPOSSIBLE_GRACE_MS },
+	{ .name = "memory_mb",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, memory_mb),
+	  .min = PROCESS_MIN_MEMORY_MB,
+	  .max = INT32_MAX,
+	  .fallback = PROCESS_DEFAULT_MEMORY_MB },
+	{ .name = "descriptors",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct settings, descriptors),
+	  .min = PROCESS_MIN_DESCRIPTORS,
+	  .max = INT32_MAX,
+	  .fallback = PROCESS_DEFAULT_DESCRIPTORS },
 	{ 0 },
 };
 
--- a/config/settings.h
+++ b/config/settings.h
@@ -29,6 +29,8 @@
 	int64_t platform_timeout_ms;
 	/** How long a job that fits only with lost workers waits for them. */
 	int64_t impossible_grace_ms;
+	int64_t memory_mb;   /**< what the process may use of its VM */
+	int64_t descriptors; /**< the same */
 };
 
 extern const struct schema settings_schema;
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -1,6 +1,7 @@
 #include "entry/entry_settings.h"
 
 #include "base/json_text.h"
+#include "base/process_limits.h"
 #include "base/util.h"
 
 #define NAME_MAX_BYTES 200
@@ -72,6 +73,18 @@
 	  .max = INT32_MAX,
 	  .fallback = DEFAULT_DELEGATE_MIN_WORKERS },
 	REQUIRED_FIELD(entry_settings, cpu_share, FIELD_REAL, 0, 1024),
+	{ .name = "memory_mb",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct entry_settings, memory_mb),
+	  .min = PROCESS_MIN_MEMORY_MB,
+	  .max = INT32_MAX,
+	  .fallback = PROCESS_DEFAULT_MEMORY_MB },
+	{ .name = "descriptors",
+	  .type = FIELD_INT,
+	  .offset = offsetof(struct entry_settings, descriptors),
+	  .min = PROCESS_MIN_DESCRIPTORS,
+	  .max = INT32_MAX,
+	  .fallback = PROCESS_DEFAULT_DESCRIPTORS },
 	{ .name = "store",
 	  .type = FIELD_OBJECT,
 	  .is_required = TRUE,
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -37,7 +37,9 @@
 	char *forward;
 	/** With at least so many workers, other VMs make the holder's calls. */
 	int64_t delegate_min_workers;
-	double cpu_share; /**< CPU limit in cores */
+	double cpu_share;    /**< CPU limit in cores */
+	int64_t memory_mb;   /**< what the process may use of its VM */
+	int64_t descriptors; /**< the same */
 	struct entry_store_settings store;
 	struct entry_bound_settings bounds;
 };
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -255,16 +255,23 @@
 	char *forward = entry->forward ? g_strdup_printf("\"forward\":\"%s\",",
 							 entry->forward)
 				       : g_strdup("");
+	char *limits =
+		entry->memory_mb
+			? g_strdup_printf("\"memory_mb\":%" G_GINT64_FORMAT
+					  ",\"descriptors\":%" G_GINT64_FORMAT
+					  ",",
+					  entry->memory_mb, entry->descriptors)
+			: g_strdup("");
 	char *text = g_strdup_printf(
 		"{\"node\":\"e%u\",\"failure_domain\":\"tov-a\","
 		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
-		"%s\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
+		"%s%s\"delegate_min_workers\":%u,\"cpu_share\":1.0,"
 		"\"store\":{\"address\":\"%s\",\"writes_per_s\":"
 		"%" G_GINT64_FORMAT ",\"reads_per_s\":2000},\"bounds\":{"
 		"\"lease_ms\":%" G_GINT64_FORMAT
 		",\"grace_s\":3,\"status_s\":120}}",
 		entry->index, entry->frontend, entry->readiness,
-		entry->internal, forward, entry->delegate_min_workers,
+		entry->internal, forward, limits, entry->delegate_min_workers,
 		entry->store, entry->writes_per_s, entry->lease_ms);
 	char *name = g_strdup_printf("e%u.json", entry->index);
 	char *file = cluster_write_file(c, name, text);
@@ -274,6 +281,7 @@
 	g_free(file);
 	g_free(name);
 	g_free(text);
+	g_free(limits);
 	g_free(forward);
 	return p;
 }
@@ -315,6 +323,10 @@
 	if (node->impossible_grace_ms)
 		add_int(json, "impossible_grace_ms", node->impossible_grace_ms,
 			0);
+	if (node->memory_mb)
+		add_int(json, "memory_mb", node->memory_mb, 0);
+	if (node->descriptors)
+		add_int(json, "descriptors", node->descriptors, 0);
 	for (guint i = 0; node->seeds && node->seeds[i]; i++)
 		json_object_array_add(seeds,
 				      json_object_new_string(node->seeds[i]));
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -55,6 +55,8 @@
 	int64_t platform_timeout_ms; /**< default 500 */
 	int64_t drain_timeout_ms;    /**< default 3000 */
 	int64_t impossible_grace_ms; /**< default none */
+	int64_t memory_mb;	     /**< default none */
+	int64_t descriptors;	     /**< default none */
 };
 
 /** Contents of an entry VM's settings file. */
@@ -68,6 +70,8 @@
 	int64_t writes_per_s;  /**< write limit of the store */
 	int64_t lease_ms;      /**< longest lease that workers grant */
 	guint delegate_min_workers; /**< smallest pool with delegation */
+	int64_t memory_mb;	    /**< 0: default */
+	int64_t descriptors;	    /**< 0: default */
 };
 
 typedef gboolean (*cluster_condition)(void *data);
--- a/tests/entry_site.c
+++ b/tests/entry_site.c
@@ -23,6 +23,8 @@
 		.writes_per_s = 500,
 		.lease_ms = 3000,
 		.delegate_min_workers = s->delegate_min_workers,
+		.memory_mb = s->memory_mb,
+		.descriptors = s->descriptors,
 	};
 	char *log =
 		g_strdup_printf("e%u-%u.log", i, s->cluster->processes->len);
@@ -65,13 +67,11 @@
 	g_free(body);
 }
 
-struct site *site_new_with(guint delegate_min_workers, gboolean has_relay)
+static void start_site(struct site *s, gboolean has_relay)
 {
-	struct site *s = g_new0(struct site, 1);
 	char *workers = g_strdup_printf("%d", SITE_WORKERS);
 	char *config;
 
-	s->delegate_min_workers = delegate_min_workers;
 	s->cluster = cluster_new();
 	config = cluster_write_file(s->cluster, "config.json", config_text);
 	s->store = cluster_reserve_address();
@@ -91,6 +91,25 @@
 	g_assert_true(cluster_wait(site_is_ready, s, SITE_WAIT_MS));
 	g_free(config);
 	g_free(workers);
+}
+
+struct site *site_new_with(guint delegate_min_workers, gboolean has_relay)
+{
+	struct site *s = g_new0(struct site, 1);
+
+	s->delegate_min_workers = delegate_min_workers;
+	start_site(s, has_relay);
+	return s;
+}
+
+struct site *site_new_limited(int64_t memory_mb, int64_t descriptors)
+{
+	struct site *s = g_new0(struct site, 1);
+
+	s->delegate_min_workers = SITE_NO_DELEGATION;
+	s->memory_mb = memory_mb;
+	s->descriptors = descriptors;
+	start_site(s, FALSE);
 	return s;
 }
 
--- a/tests/entry_site.h
+++ b/tests/entry_site.h
@@ -39,6 +39,8 @@
 	char *readiness[SITE_ENTRIES];
 	char *internal[SITE_ENTRIES];
 	guint delegate_min_workers;
+	int64_t memory_mb;   /**< of each entry VM, 0: default */
+	int64_t descriptors; /**< the same */
 };
 
 /** Starts an entry VM's daemon, also again. */
@@ -59,6 +61,9 @@
 struct site *site_new_with(guint delegate_min_workers, gboolean has_relay);
 struct site *site_new_delegating(guint delegate_min_workers);
 struct site *site_new(void);
+
+/** Starts a deployment whose entry VMs have lowered limits. */
+struct site *site_new_limited(int64_t memory_mb, int64_t descriptors);
 void site_free(struct site *s);
 
 /** Sends a caller's request on a job; release with cluster_reply_clear(). */
--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -78,18 +78,27 @@
 	grep -E '^(not ok|Bail out|.*ERROR)' "$log" | head -n 20
 }
 
+# These measure a process's memory, apart from other load.
+is_alone() {
+	[ "$(basename "$1")" = test_client_limits ]
+}
+
 programs=()
 for test in "$build"/tests/test_*; do
 	case $test in *.o | *.d) continue ;; esac
 	[ -x "$test" ] && programs+=("$test")
 done
 for test in "${programs[@]}"; do
+	is_alone "$test" && continue
 	while [ "$(jobs -rp | wc -l)" -ge "$jobs" ]; do
 		wait -n
 	done
 	run_program "$test" &
 done
 wait
+for test in "${programs[@]}"; do
+	is_alone "$test" && run_program "$test"
+done
 for test in "${programs[@]}"; do
 	count_program "$(basename "$test")"
 done
