JSON bodies: memory no longer grows with the names around each value

Cause: for the line numbers of findings, the scanner kept the whole path of each member and element as a key of a table.

The scanner now keeps the path of the current value and, to find duplicates, the keys of the objects around it. The line of a finding is sought in the text when a finding is made.

--- a/base/json_text.c
+++ b/base/json_text.c
@@ -2,17 +2,26 @@
 
 #include <string.h>
 
-/* Scans a valid JSON text to record the line of each member. */
+/*
+ * Walks through a valid JSON text. It keeps the path of the current value and
+ * the keys of the objects around it, so that its memory doesn't grow with the
+ * number of values. It either reports duplicate keys or looks for the line of
+ * a path.
+ */
 struct scanner {
-	struct json_text *text;
-	struct finding_list *findings;
+	const struct json_text *text;
+	struct finding_list
+		*findings;  /* of duplicate keys, NULL for a search */
+	const char *target; /* the path sought, or NULL */
+	guint target_line;  /* of the target or its nearest parent so far */
+	GString *path;
 	const char *at;
 	const char *end;
 	guint line;
 	gboolean has_duplicate;
 };
 
-static void scan_value(struct scanner *s, const char *path);
+static void scan_value(struct scanner *s);
 
 static void skip_comment(struct scanner *s)
 {
@@ -67,54 +76,79 @@
 	return g_strdup_printf("%s:%u: %s", t->name, line, path);
 }
 
-static void record_member(struct scanner *s, const char *path)
+/* Returns TRUE if a path is the other one or the path of a value around it. */
+static gboolean is_path_around(const GString *path, const char *inner)
+{
+	return strncmp(inner, path->str, path->len) == 0 &&
+	       strchr(".[", inner[path->len]);
+}
+
+static void visit_path(struct scanner *s)
+{
+	if (s->target && is_path_around(s->path, s->target))
+		s->target_line = s->line;
+}
+
+static void record_key(struct scanner *s, GHashTable *keys, char *key)
 {
 	char *place;
 
-	if (!g_hash_table_contains(s->text->lines, path)) {
-		g_hash_table_insert(s->text->lines, g_strdup(path),
-				    GUINT_TO_POINTER(s->line));
+	if (g_hash_table_add(keys, key))
 		return;
-	}
-	place = format_place(s->text, path, s->line);
+	place = format_place(s->text, s->path->str, s->line);
 	finding_list_add(s->findings, place, "each key once", "duplicate key");
 	g_free(place);
 	s->has_duplicate = TRUE;
 }
 
-static void scan_object(struct scanner *s, const char *path)
+static void scan_member(struct scanner *s, GHashTable *keys)
+{
+	gsize parent_len = s->path->len;
+	char *key = scan_string(s);
+
+	if (parent_len)
+		g_string_append_c(s->path, '.');
+	g_string_append(s->path, key);
+	visit_path(s);
+	if (keys)
+		record_key(s, keys, key);
+	else
+		g_free(key);
+	skip_blanks(s);
+	s->at++; /* the colon */
+	scan_value(s);
+	g_string_truncate(s->path, parent_len);
+}
+
+static void scan_object(struct scanner *s)
 {
+	GHashTable *keys = NULL;
+
+	if (s->findings)
+		keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     NULL);
 	s->at++;
 	for (skip_blanks(s); s->at < s->end && *s->at == '"'; skip_blanks(s)) {
-		char *key = scan_string(s);
-		char *child = path[0] ? g_strdup_printf("%s.%s", path, key)
-				      : g_strdup(key);
-
-		record_member(s, child);
-		skip_blanks(s);
-		s->at++; /* the colon */
-		scan_value(s, child);
-		g_free(child);
-		g_free(key);
+		scan_member(s, keys);
 		skip_blanks(s);
 		if (s->at < s->end && *s->at == ',')
 			s->at++;
 	}
 	s->at++;
+	g_clear_pointer(&keys, g_hash_table_unref);
 }
 
-static void scan_array(struct scanner *s, const char *path)
+static void scan_array(struct scanner *s)
 {
+	gsize parent_len = s->path->len;
 	guint index = 0;
 
 	s->at++;
 	for (skip_blanks(s); s->at < s->end && *s->at != ']'; skip_blanks(s)) {
-		char *child = g_strdup_printf("%s[%u]", path, index++);
-
-		g_hash_table_insert(s->text->lines, g_strdup(child),
-				    GUINT_TO_POINTER(s->line));
-		scan_value(s, child);
-		g_free(child);
+		g_string_append_printf(s->path, "[%u]", index++);
+		visit_path(s);
+		scan_value(s);
+		g_string_truncate(s->path, parent_len);
 		skip_blanks(s);
 		if (s->at < s->end && *s->at == ',')
 			s->at++;
@@ -122,15 +156,15 @@
 	s->at++;
 }
 
-static void scan_value(struct scanner *s, const char *path)
+static void scan_value(struct scanner *s)
 {
 	skip_blanks(s);
 	if (s->at >= s->end)
 		return;
 	if (*s->at == '{') {
-		scan_object(s, path);
+		scan_object(s);
 	} else if (*s->at == '[') {
-		scan_array(s, path);
+		scan_array(s);
 	} else if (*s->at == '"') {
 		g_free(scan_string(s));
 	} else {
@@ -139,6 +173,16 @@
 	}
 }
 
+static void scan(struct scanner *s, const char *text, gsize len)
+{
+	s->at = text;
+	s->end = text + len;
+	s->line = 1;
+	s->path = g_string_new(NULL);
+	scan_value(s);
+	g_string_free(s->path, TRUE);
+}
+
 static guint line_at(const char *text, gsize offset)
 {
 	guint line = 1;
@@ -195,20 +239,15 @@
 			 const char *text, gsize len, enum json_dialect dialect,
 			 struct finding_list *findings)
 {
-	struct scanner s = {
-		.text = t,
-		.findings = findings,
-		.at = text,
-		.end = text + len,
-		.line = 1,
-	};
+	struct scanner s = { .text = t, .findings = findings };
 
 	memset(t, 0, sizeof(*t));
 	t->name = g_strdup(name);
-	t->lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	if (len > G_MAXINT || !parse(t, text, len, dialect, findings))
 		return FALSE;
-	scan_value(&s, "");
+	t->source = g_strndup(text, len);
+	t->source_bytes = len;
+	scan(&s, text, len);
 	return !s.has_duplicate;
 }
 
@@ -250,26 +289,19 @@
 void json_text_clear(struct json_text *t)
 {
 	g_clear_pointer(&t->name, g_free);
-	g_clear_pointer(&t->lines, g_hash_table_unref);
+	g_clear_pointer(&t->source, g_free);
 	g_clear_pointer(&t->root, json_object_put);
 }
 
+/* A missing member is reported at the line of its nearest parent. */
 static char *source_place(const char *path, const void *data)
 {
 	const struct json_text *t = data;
-	char *parent = g_strdup(path);
-	gpointer line = NULL;
+	struct scanner s = { .text = t, .target = path, .target_line = 1 };
 
-	/* A missing member is reported at the line of its nearest parent. */
-	while (!g_hash_table_lookup_extended(t->lines, parent, NULL, &line)) {
-		char *dot = strrchr(parent, '.');
-
-		if (!dot)
-			break;
-		*dot = '\0';
-	}
-	g_free(parent);
-	return format_place(t, path, MAX(1, GPOINTER_TO_UINT(line)));
+	if (t->source)
+		scan(&s, t->source, t->source_bytes);
+	return format_place(t, path, s.target_line);
 }
 
 struct schema_source json_text_source(const struct json_text *t)
--- a/base/json_text.h
+++ b/base/json_text.h
@@ -22,7 +22,8 @@
 struct json_text {
 	char *name;	   /**< file name, or "body" */
 	json_object *root; /**< NULL if the text could not be parsed */
-	GHashTable *lines; /**< path of each member to its line */
+	char *source;	   /**< the parsed text, for the lines of findings */
+	gsize source_bytes;
 };
 
 /**
