Findings: keep the first 1,000, count all

Cause: a list of findings had no bound.

A list keeps 1,000 findings and 256 KB of text and counts the rest. Validity is decided by the count, so that a finding that isn't kept still refuses the input.

--- a/base/finding.c
+++ b/base/finding.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 static void finding_free(gpointer data)
 {
@@ -16,6 +17,8 @@
 void finding_list_init(struct finding_list *list)
 {
 	list->items = g_ptr_array_new_with_free_func(finding_free);
+	list->count = 0;
+	list->kept_bytes = 0;
 	list->ignored_members = 0;
 }
 
@@ -27,18 +30,30 @@
 void finding_list_add(struct finding_list *list, const char *place,
 		      const char *allowed, const char *format, ...)
 {
-	struct finding *f = g_new0(struct finding, 1);
+	struct finding *f;
 	va_list args;
 
+	list->count++;
+	if (list->items->len >= FINDING_MAX_KEPT ||
+	    list->kept_bytes >= FINDING_MAX_KEPT_BYTES)
+		return;
+	f = g_new0(struct finding, 1);
 	va_start(args, format);
 	f->problem = g_strdup_vprintf(format, args);
 	va_end(args);
 	f->place = g_strdup(place);
 	f->allowed = g_strdup(allowed);
 	g_ptr_array_add(list->items, f);
+	list->kept_bytes +=
+		strlen(f->problem) + strlen(f->place) + strlen(f->allowed);
 }
 
 guint finding_list_count(const struct finding_list *list)
+{
+	return list->count;
+}
+
+guint finding_list_kept(const struct finding_list *list)
 {
 	return list->items->len;
 }
@@ -62,6 +77,9 @@
 					       f->allowed);
 		g_string_append_c(text, '\n');
 	}
+	if (list->count > list->items->len)
+		g_string_append_printf(text, "and %u more\n",
+				       list->count - list->items->len);
 	return g_string_free(text, FALSE);
 }
 
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -377,7 +377,7 @@
 	json_object *body = json_object_new_object();
 	json_object *items = json_object_new_array();
 
-	for (guint i = 0; i < finding_list_count(findings); i++) {
+	for (guint i = 0; i < finding_list_kept(findings); i++) {
 		const struct finding *f = finding_list_get(findings, i);
 		json_object *item = json_object_new_object();
 
@@ -394,6 +394,10 @@
 	json_object_object_add(body, "reason",
 			       json_object_new_string("invalid"));
 	json_object_object_add(body, "findings", items);
+	if (finding_list_count(findings) > finding_list_kept(findings))
+		json_object_object_add(
+			body, "findings_count",
+			json_object_new_int64(finding_list_count(findings)));
 	http_request_reply(r, SOUP_STATUS_BAD_REQUEST, body);
 }
 
--- a/cli/csctl.c
+++ b/cli/csctl.c
@@ -123,7 +123,7 @@
 static void append_findings(const struct finding_list *entries,
 			    struct finding_list *findings)
 {
-	for (guint i = 0; i < finding_list_count(entries); i++) {
+	for (guint i = 0; i < finding_list_kept(entries); i++) {
 		const struct finding *f = finding_list_get(entries, i);
 
 		finding_list_add(findings, f->place, f->allowed, "%s",
--- a/job/guarantee_watch.c
+++ b/job/guarantee_watch.c
@@ -84,7 +84,7 @@
 	w->updates++;
 	if (pool->unplanned_slots > 0)
 		pool_check_guarantees(pool, &findings);
-	for (guint i = 0; i < finding_list_count(&findings); i++)
+	for (guint i = 0; i < finding_list_kept(&findings); i++)
 		record_problem(w, finding_list_get(&findings, i), now_ms);
 	move_restored(w, now_ms);
 	finding_list_clear(&findings);
--- a/store/vm_reader.c
+++ b/store/vm_reader.c
@@ -255,17 +255,17 @@
 static char *findings_text(const struct finding_list *findings)
 {
 	guint count = finding_list_count(findings);
+	guint shown = MIN(finding_list_kept(findings), MAX_LOGGED_FINDINGS);
 	GString *text = g_string_new(NULL);
 
-	for (guint i = 0; i < MIN(count, MAX_LOGGED_FINDINGS); i++) {
+	for (guint i = 0; i < shown; i++) {
 		const struct finding *f = finding_list_get(findings, i);
 
 		g_string_append_printf(text, "%s%s: %s", i ? "; " : "",
 				       f->place, f->problem);
 	}
-	if (count > MAX_LOGGED_FINDINGS)
-		g_string_append_printf(text, "; and %u more",
-				       count - MAX_LOGGED_FINDINGS);
+	if (count > shown)
+		g_string_append_printf(text, "; and %u more", count - shown);
 	return g_string_free(text, FALSE);
 }
 
--- a/tests/test_vm_list.c
+++ b/tests/test_vm_list.c
@@ -85,7 +85,7 @@
 {
 	GString *text = g_string_new(NULL);
 
-	for (guint i = 0; i < finding_list_count(findings); i++)
+	for (guint i = 0; i < finding_list_kept(findings); i++)
 		g_string_append_printf(text, "%s ",
 				       finding_list_get(findings, i)->place);
 	return g_string_free(text, FALSE);
