HTTP ports: bound what unfinished requests hold, over all connections

What callers saw: clients that send heads or empty lines without end, thousands of header fields, or bodies that they never finish ended a process, which ran out of memory; so did more connections than descriptors.

Cause: only a single connection had limits (a body of 1 MB or 4 MB; libsoup's own of about 100 KB for a head, whose fields take 20 times their length). 2,000 connections on each of three ports may hold far more than a VM has, in memory and in descriptors.

Change, for every HTTP port of every program: - Connections are accepted here and handed to libsoup as a stream that limits the length and the lines of a head (431), what is read in one turn of the main loop, and what is read of a refused body. - The guard counts the memory held for all connections and requests of a port. At the limit it closes the connections that hold most and whose request is not being processed; a request that can't be admitted is answered 503 at once. Ordinary requests are small and finish, so they are not the ones closed. - The limits are shares of the settings memory_mb and descriptors; a port of csentryd has its own share, so that a crowd at the frontend leaves the others theirs. A full port closes the connection that has been slow for longest. - Without descriptors, accepting pauses instead of spinning. - Reached limits are counted (cs_http_connections_*) and logged every 10 s at most (client_limits).

--- a/base/connection_guard.c
+++ b/base/connection_guard.c
@@ -2,13 +2,23 @@
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <string.h>
 #include <sys/socket.h>
 
+#include "base/log.h"
 #include "base/util.h"
 
 #define SWEEPS_PER_LIMIT 4 /* sweeps within the shortest time limit */
 #define MAX_SWEEP_INTERVAL_MS 1000
 #define TCP_STATE_CLOSE_WAIT 8 /* the peer has closed, we have not */
+#define LOG_INTERVAL_MS 10000
+/* A connection that has read or responded for less is not closed for another,
+ * so that an ordinary client has the time for its request. */
+#define FAIR_MS 1000
+/* Memory of an idle connection, most of it in the HTTP library. */
+#define CONNECTION_BYTES INT64_C(16384)
+/* The HTTP library keeps a request's bytes in pieces and then as a whole. */
+#define COPIES_OF_INPUT 2
 
 enum connection_state {
 	CONNECTION_IDLE,       /* waiting for the first byte of a request */
@@ -24,12 +34,17 @@
 	enum connection_state state;
 	int64_t state_since_ms;	   /* when the state was entered */
 	uint64_t idle_start_bytes; /* bytes received when it became idle */
+	int64_t held_bytes;	   /* of its unfinished request, and its own */
 };
 
 struct connection_guard {
+	char *name;
 	struct connection_limits limits;
 	struct connection_counts counts;
+	struct connection_counts logged; /* in the last line */
+	int64_t logged_ms;
 	GHashTable *connections; /* GSocket to struct guarded_connection */
+	int64_t held_bytes;
 	guint sweep_timer;
 };
 
@@ -41,10 +56,17 @@
 	g_hash_table_remove(c->guard->connections, socket);
 }
 
+static void set_held(struct guarded_connection *c, int64_t bytes)
+{
+	c->guard->held_bytes += bytes - c->held_bytes;
+	c->held_bytes = bytes;
+}
+
 static void guarded_connection_free(gpointer data)
 {
 	struct guarded_connection *c = data;
 
+	set_held(c, 0);
 	if (c->socket)
 		g_object_weak_unref(G_OBJECT(c->socket), on_socket_gone, c);
 	g_free(c);
@@ -127,6 +149,41 @@
 	return TRUE;
 }
 
+/* Idle and slow connections are common, so they alone cause no line. */
+static gboolean has_reached_limit(const struct connection_guard *g)
+{
+	struct connection_counts before = g->logged;
+
+	before.idle = g->counts.idle;
+	before.slow = g->counts.slow;
+	return memcmp(&before, &g->counts, sizeof(before)) != 0;
+}
+
+/* Logs which limits were reached, once in a while. */
+static void log_limits(struct connection_guard *g, int64_t now_ms)
+{
+	const struct connection_counts *c = &g->counts;
+	struct log_line line;
+
+	if (!has_reached_limit(g) || now_ms - g->logged_ms < LOG_INTERVAL_MS)
+		return;
+	log_begin(&line, LOG_LEVEL_WARN, "client_limits");
+	log_str(&line, "port", g->name);
+	log_int(&line, "connections", g_hash_table_size(g->connections));
+	log_int(&line, "held_bytes", g->held_bytes);
+	log_int(&line, "refused", (int64_t)(c->refused - g->logged.refused));
+	log_int(&line, "evicted", (int64_t)(c->evicted - g->logged.evicted));
+	log_int(&line, "idle", (int64_t)(c->idle - g->logged.idle));
+	log_int(&line, "slow", (int64_t)(c->slow - g->logged.slow));
+	log_int(&line, "held", (int64_t)(c->held - g->logged.held));
+	log_int(&line, "heads", (int64_t)(c->heads - g->logged.heads));
+	log_int(&line, "bodies", (int64_t)(c->bodies - g->logged.bodies));
+	log_int(&line, "unserved", (int64_t)(c->unserved - g->logged.unserved));
+	log_end(&line);
+	g->logged = *c;
+	g->logged_ms = now_ms;
+}
+
 static gboolean on_sweep(gpointer data)
 {
 	struct connection_guard *g = data;
@@ -139,17 +196,20 @@
 		if (close_if_expired(g, c, now_ms))
 			g_hash_table_iter_remove(&iter);
 	}
+	log_limits(g, now_ms);
 	return G_SOURCE_CONTINUE;
 }
 
 struct connection_guard *
-connection_guard_new(const struct connection_limits *limits)
+connection_guard_new(const char *name, const struct connection_limits *limits)
 {
 	struct connection_guard *g = g_new0(struct connection_guard, 1);
 	int64_t shortest_ms = MIN(limits->idle_ms,
 				  MIN(limits->request_ms, limits->response_ms));
 
+	g->name = g_strdup(name);
 	g->limits = *limits;
+	g->logged_ms = -LOG_INTERVAL_MS;
 	g->connections = g_hash_table_new_full(NULL, NULL, NULL,
 					       guarded_connection_free);
 	g->sweep_timer = g_timeout_add(
@@ -162,13 +222,57 @@
 {
 	g_source_remove(g->sweep_timer);
 	g_hash_table_unref(g->connections);
+	g_free(g->name);
 	g_free(g);
 }
 
-/* Closes the connection idle for longest; returns FALSE if none is idle. */
-static gboolean evict(struct connection_guard *g)
+static void close_connection(struct connection_guard *g,
+			     struct guarded_connection *c)
+{
+	GSocket *socket = c->socket;
+
+	close_socket(socket);
+	g_hash_table_remove(g->connections, socket);
+}
+
+static gboolean is_idle(const struct guarded_connection *c)
+{
+	return c->state == CONNECTION_IDLE &&
+	       received_bytes(c) <= c->idle_start_bytes;
+}
+
+/* A request that is processed can't be given up: it may run. */
+static gboolean is_reading_or_responding(const struct guarded_connection *c)
 {
-	struct guarded_connection *oldest = NULL;
+	return c->state == CONNECTION_READING ||
+	       c->state == CONNECTION_RESPONDING;
+}
+
+/* Returns TRUE if @c should be closed before @than. */
+typedef gboolean (*victim_order)(const struct guarded_connection *c,
+				 const struct guarded_connection *than);
+
+static gboolean is_older(const struct guarded_connection *c,
+			 const struct guarded_connection *than)
+{
+	return c->state_since_ms < than->state_since_ms;
+}
+
+static gboolean holds_more(const struct guarded_connection *c,
+			   const struct guarded_connection *than)
+{
+	if (c->held_bytes != than->held_bytes)
+		return c->held_bytes > than->held_bytes;
+	return is_older(c, than);
+}
+
+/* Returns the first of the connections that a filter accepts, or NULL. */
+static struct guarded_connection *
+find_victim(const struct connection_guard *g,
+	    gboolean (*filter)(const struct guarded_connection *c),
+	    victim_order order)
+{
+	struct guarded_connection *first = NULL;
 	GHashTableIter iter;
 	gpointer item;
 
@@ -176,18 +280,29 @@
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct guarded_connection *c = item;
 
-		if (c->state != CONNECTION_IDLE ||
-		    received_bytes(c) > c->idle_start_bytes)
-			continue;
-		if (oldest && oldest->state_since_ms <= c->state_since_ms)
-			continue;
-		oldest = c;
+		if (filter(c) && (!first || order(c, first)))
+			first = c;
 	}
-	if (!oldest)
+	return first;
+}
+
+/*
+ * Closes the connection idle for longest, else the one that has been reading or
+ * responding for longest, if that has had a fair time; FALSE if there is none.
+ */
+static gboolean evict(struct connection_guard *g)
+{
+	struct guarded_connection *c = find_victim(g, is_idle, is_older);
+
+	if (!c) {
+		c = find_victim(g, is_reading_or_responding, is_older);
+		if (c && util_monotonic_ms() - c->state_since_ms < FAIR_MS)
+			c = NULL;
+	}
+	if (!c)
 		return FALSE;
 	g->counts.evicted++;
-	close_socket(oldest->socket);
-	g_hash_table_remove(g->connections, oldest->socket);
+	close_connection(g, c);
 	return TRUE;
 }
 
@@ -201,21 +316,80 @@
 	return g_hash_table_size(g->connections) < max || evict(g);
 }
 
-static void admit(struct connection_guard *g, GSocket *socket)
+/* Closes connections until the limit of held memory is kept, if it can be. */
+static gboolean fit_held(struct connection_guard *g)
+{
+	while (g->held_bytes > g->limits.held_bytes) {
+		struct guarded_connection *c =
+			find_victim(g, is_reading_or_responding, holds_more);
+
+		if (!c)
+			return FALSE;
+		g->counts.held++;
+		close_connection(g, c);
+	}
+	return TRUE;
+}
+
+gboolean connection_guard_admit(struct connection_guard *g, GSocket *socket)
 {
 	struct guarded_connection *c;
 
 	if (!has_room(g)) {
 		g->counts.refused++;
 		close_socket(socket);
-		return;
+		return FALSE;
 	}
 	c = g_new0(struct guarded_connection, 1);
 	c->guard = g;
 	c->socket = socket;
+	set_held(c, CONNECTION_BYTES);
 	g_object_weak_ref(G_OBJECT(socket), on_socket_gone, c);
 	set_state(c, CONNECTION_IDLE);
 	g_hash_table_insert(g->connections, socket, c);
+	return TRUE;
+}
+
+gboolean connection_guard_add_input(struct connection_guard *g, GSocket *socket,
+				    gsize bytes)
+{
+	struct guarded_connection *c =
+		g_hash_table_lookup(g->connections, socket);
+
+	if (!c)
+		return FALSE;
+	if (c->state == CONNECTION_IDLE)
+		set_state(c, CONNECTION_READING);
+	set_held(c, c->held_bytes + (int64_t)bytes * COPIES_OF_INPUT);
+	fit_held(g);
+	return g_hash_table_contains(g->connections, socket);
+}
+
+int64_t connection_guard_take_input(struct connection_guard *g, GSocket *socket)
+{
+	struct guarded_connection *c =
+		g_hash_table_lookup(g->connections, socket);
+	int64_t taken;
+
+	if (!c)
+		return 0;
+	taken = c->held_bytes - CONNECTION_BYTES;
+	c->held_bytes = CONNECTION_BYTES;
+	return taken;
+}
+
+gboolean connection_guard_hold(struct connection_guard *g, int64_t bytes)
+{
+	g->held_bytes += bytes;
+	if (fit_held(g))
+		return TRUE;
+	g->held_bytes -= bytes;
+	return FALSE;
+}
+
+void connection_guard_release(struct connection_guard *g, int64_t bytes)
+{
+	g->held_bytes -= bytes;
 }
 
 void connection_guard_set_idle(struct connection_guard *g, GSocket *socket)
@@ -223,11 +397,10 @@
 	struct guarded_connection *c =
 		g_hash_table_lookup(g->connections, socket);
 
-	if (!c) {
-		admit(g, socket);
+	if (!c)
 		return;
-	}
 	c->idle_start_bytes = received_bytes(c);
+	set_held(c, CONNECTION_BYTES);
 	set_state(c, CONNECTION_IDLE);
 }
 
@@ -242,13 +415,16 @@
 }
 
 void connection_guard_set_responding(struct connection_guard *g,
-				     GSocket *socket)
+				     GSocket *socket, gsize bytes)
 {
 	struct guarded_connection *c =
 		g_hash_table_lookup(g->connections, socket);
 
-	if (c)
-		set_state(c, CONNECTION_RESPONDING);
+	if (!c)
+		return;
+	set_state(c, CONNECTION_RESPONDING);
+	set_held(c, c->held_bytes + (int64_t)bytes);
+	fit_held(g);
 }
 
 struct connection_counts
@@ -268,3 +444,13 @@
 		count += !is_closed(c);
 	return count;
 }
+
+struct connection_counts *connection_guard_events(struct connection_guard *g)
+{
+	return &g->counts;
+}
+
+int64_t connection_guard_held(const struct connection_guard *g)
+{
+	return g->held_bytes;
+}
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -1,9 +1,12 @@
 #include "base/http_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
-#include "base/connection_guard.h"
-#include "base/json_text.h"
+#include "base/http_internal.h"
+#include "base/log.h"
 
 struct route {
 	char *method;
@@ -14,39 +17,27 @@
 
 /* The idle limit exceeds the lifetime of the sessions of base/http_client.c, so
  * that the client closes idle connections. */
-static const struct connection_limits default_limits = {
-	.max_connections = 2000,
-	.idle_ms = 60000,
-	.request_ms = 10000,
-	.response_ms = 10000,
+static const struct http_limits default_limits = {
+	.connections = {
+		.max_connections = 2000,
+		.idle_ms = 60000,
+		.request_ms = 10000,
+		.response_ms = 10000,
+		.held_bytes = INT64_C(256) << 20,
+	},
+	.head_bytes = (gsize)16 << 10,
+	.head_lines = 100,
 };
 
+/* A refused body is read, so that the client receives the refusal. */
+#define MIN_DISCARDED_BYTES ((gsize)1 << 20)
+
 /*
  * Connections waiting to be accepted. Beyond this, the kernel ignores new
  * connection requests and resets some connections that the client sees as open.
  */
 #define LISTEN_BACKLOG 1024
 
-struct http_server {
-	SoupServer *soup;
-	struct connection_guard *guard;
-	GPtrArray *routes; /**< of struct route */
-	gsize max_body_bytes;
-	guint pending;
-};
-
-struct http_request {
-	struct http_server *server;
-	SoupServerMessage *message;
-	GHashTable *query;
-	char *path_suffix;
-	struct json_text text;
-	gboolean is_finished; /**< response fully sent, or disconnected */
-	gboolean is_answered;
-};
-
-static void request_free(struct http_request *r);
-
 static void route_free(gpointer data)
 {
 	struct route *r = data;
@@ -73,42 +64,6 @@
 	return best;
 }
 
-static void on_finished(SoupServerMessage *message, gpointer data)
-{
-	struct http_request *r = data;
-
-	r->is_finished = TRUE;
-	if (r->is_answered)
-		request_free(r);
-}
-
-static struct http_request *request_new(struct http_server *s,
-					SoupServerMessage *message,
-					GHashTable *query, const char *rest)
-{
-	struct http_request *r = g_new0(struct http_request, 1);
-
-	r->server = s;
-	r->message = g_object_ref(message);
-	r->query = query ? g_hash_table_ref(query) : NULL;
-	r->path_suffix = g_strdup(rest);
-	g_signal_connect(message, "finished", G_CALLBACK(on_finished), r);
-	g_signal_connect(message, "disconnected", G_CALLBACK(on_finished), r);
-	s->pending++;
-	return r;
-}
-
-static void request_free(struct http_request *r)
-{
-	g_signal_handlers_disconnect_by_data(r->message, r);
-	r->server->pending--;
-	json_text_clear(&r->text);
-	g_clear_pointer(&r->query, g_hash_table_unref);
-	g_object_unref(r->message);
-	g_free(r->path_suffix);
-	g_free(r);
-}
-
 static void on_request(SoupServer *soup, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
@@ -117,26 +72,30 @@
 	struct http_request *r;
 
 	route = find_route(s, soup_server_message_get_method(message), path);
-	r = request_new(s, message, query,
-			route ? path + strlen(route->prefix) : path);
+	r = http_request_new(s, message, query,
+			     route ? path + strlen(route->prefix) : path);
 	soup_server_message_pause(message);
 	if (!route) {
 		http_request_reply_text(r, SOUP_STATUS_NOT_FOUND,
 					"no such resource\n");
 		return;
 	}
-	route->handler(r, route->data);
+	if (http_request_admit(r))
+		route->handler(r, route->data);
 }
 
 static void reject_body(SoupServerMessage *message, guint code)
 {
 	SoupMessageHeaders *headers =
 		soup_server_message_get_response_headers(message);
+	RequestStream *stream = http_message_stream(message);
 
 	soup_server_message_set_status(message, code, NULL);
 	soup_message_headers_replace(headers, "Connection", "close");
 	soup_message_body_set_accumulate(
 		soup_server_message_get_request_body(message), FALSE);
+	if (stream)
+		request_stream_discard_body(stream);
 }
 
 static void on_early_request(SoupServer *soup, SoupServerMessage *message,
@@ -159,44 +118,73 @@
 			       gpointer data)
 {
 	struct http_server *s = data;
+	RequestStream *stream = http_message_stream(message);
 
-	connection_guard_set_idle(s->guard,
-				  soup_server_message_get_socket(message));
+	if (!stream)
+		return;
+	connection_guard_set_idle(s->guard, request_stream_socket(stream));
+	request_stream_expect_head(stream);
 }
 
-static void on_request_read(SoupServer *soup, SoupServerMessage *message,
-			    gpointer data)
+static gboolean on_input(GSocket *socket, gsize bytes, void *data)
 {
 	struct http_server *s = data;
 
-	connection_guard_set_processing(
-		s->guard, soup_server_message_get_socket(message));
+	return connection_guard_add_input(s->guard, socket, bytes);
 }
 
-struct http_server *http_server_new(gsize max_body_bytes)
+/* libsoup only closes such a connection. It waits for a request, so that no
+ * response is being sent. */
+static void on_long_head(GIOStream *stream, void *data)
+{
+	static const char answer[] =
+		"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+		"Connection: close\r\nContent-Length: 0\r\n\r\n";
+	struct http_server *s = data;
+
+	connection_guard_events(s->guard)->heads++;
+	g_pollable_output_stream_write_nonblocking(
+		G_POLLABLE_OUTPUT_STREAM(g_io_stream_get_output_stream(stream)),
+		answer, strlen(answer), NULL, NULL);
+}
+
+static void on_long_body(void *data)
+{
+	struct http_server *s = data;
+
+	connection_guard_events(s->guard)->bodies++;
+}
+
+const struct http_limits *http_default_limits(void)
+{
+	return &default_limits;
+}
+
+struct http_server *http_server_new(const char *name, gsize max_body_bytes)
 {
 	struct http_server *s = g_new0(struct http_server, 1);
 
 	s->soup = soup_server_new("server-header", "corianderstep", NULL);
 	s->routes = g_ptr_array_new_with_free_func(route_free);
 	s->max_body_bytes = max_body_bytes;
-	s->guard = connection_guard_new(&default_limits);
+	s->name = g_strdup(name);
+	s->limits = default_limits;
+	s->guard = connection_guard_new(name, &s->limits.connections);
 	soup_server_add_handler(s->soup, NULL, on_request, s, NULL);
 	soup_server_add_early_handler(s->soup, NULL, on_early_request, s, NULL);
 	g_signal_connect(s->soup, "request-started",
 			 G_CALLBACK(on_connection_idle), s);
 	g_signal_connect(s->soup, "request-finished",
 			 G_CALLBACK(on_connection_idle), s);
-	g_signal_connect(s->soup, "request-read", G_CALLBACK(on_request_read),
-			 s);
 	return s;
 }
 
 void http_server_set_limits(struct http_server *s,
-			    const struct connection_limits *limits)
+			    const struct http_limits *limits)
 {
 	connection_guard_free(s->guard);
-	s->guard = connection_guard_new(limits);
+	s->limits = *limits;
+	s->guard = connection_guard_new(s->name, &s->limits.connections);
 }
 
 const struct connection_guard *http_server_guard(const struct http_server *s)
@@ -207,10 +195,14 @@
 void http_server_free(struct http_server *s)
 {
 	g_signal_handlers_disconnect_by_data(s->soup, s);
+	if (s->listener)
+		http_listener_free(s->listener);
 	soup_server_disconnect(s->soup);
 	g_object_unref(s->soup);
+	g_clear_pointer(&s->unused_context, g_main_context_unref);
 	connection_guard_free(s->guard);
 	g_ptr_array_unref(s->routes);
+	g_free(s->name);
 	g_free(s);
 }
 
@@ -241,6 +233,57 @@
 	return socket;
 }
 
+/* Hands an accepted connection to libsoup, with limits. */
+static void on_accept(GSocket *socket, void *data)
+{
+	struct http_server *s = data;
+	const struct request_stream_limits limits = {
+		.head_bytes = s->limits.head_bytes,
+		.head_lines = s->limits.head_lines,
+		.discarded_bytes =
+			MAX(2 * s->max_body_bytes, MIN_DISCARDED_BYTES),
+	};
+	const struct request_stream_events events = {
+		.on_input = on_input,
+		.on_long_head = on_long_head,
+		.on_long_body = on_long_body,
+		.data = s,
+	};
+	GSocketConnection *connection =
+		g_socket_connection_factory_create_connection(socket);
+	GSocketAddress *local =
+		g_socket_connection_get_local_address(connection, NULL);
+	RequestStream *stream =
+		request_stream_new(connection, &limits, &events);
+
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+	if (stream && local && connection_guard_admit(s->guard, socket))
+		soup_server_accept_iostream(s->soup, G_IO_STREAM(stream), local,
+					    request_stream_remote(stream),
+					    NULL);
+	g_clear_object(&stream);
+	g_clear_object(&local);
+	g_object_unref(connection);
+}
+
+/*
+ * libsoup keeps connections open between requests only while it listens, so it
+ * is given the socket in a context that never runs.
+ */
+static gboolean listen_at(struct http_server *s, GSocket *socket,
+			  GError **error)
+{
+	gboolean is_listening;
+
+	s->unused_context = g_main_context_new();
+	g_main_context_push_thread_default(s->unused_context);
+	is_listening = soup_server_listen_socket(s->soup, socket, 0, error);
+	g_main_context_pop_thread_default(s->unused_context);
+	if (is_listening)
+		s->listener = http_listener_new(socket, on_accept, s);
+	return is_listening;
+}
+
 enum status http_server_listen(struct http_server *s, const char *host,
 			       uint16_t port)
 {
@@ -254,7 +297,7 @@
 		return status_fail(STATUS_INVALID, "%s is not an IP address",
 				   host);
 	socket = listening_socket(address, &error);
-	if (!socket || !soup_server_listen_socket(s->soup, socket, 0, &error)) {
+	if (!socket || !listen_at(s, socket, &error)) {
 		status = status_fail(STATUS_UNAVAILABLE,
 				     "can't listen at %s:%u: %s", host, port,
 				     error->message);
@@ -278,137 +321,3 @@
 {
 	return s->pending;
 }
-
-const char *http_request_path_suffix(const struct http_request *r)
-{
-	return r->path_suffix;
-}
-
-const char *http_request_query(const struct http_request *r, const char *name)
-{
-	return r->query ? g_hash_table_lookup(r->query, name) : NULL;
-}
-
-const char *http_request_header(const struct http_request *r, const char *name)
-{
-	return soup_message_headers_get_one(
-		soup_server_message_get_request_headers(r->message), name);
-}
-
-GBytes *http_request_body(const struct http_request *r)
-{
-	return soup_message_body_flatten(
-		soup_server_message_get_request_body(r->message));
-}
-
-json_object *http_request_json(struct http_request *r)
-{
-	struct finding_list findings;
-	gboolean is_good;
-	GBytes *body;
-	gsize len;
-	const char *text;
-
-	if (r->text.root)
-		return r->text.root;
-	body = http_request_body(r);
-	text = g_bytes_get_data(body, &len);
-	finding_list_init(&findings);
-	is_good = json_text_parse(&r->text, "body", text ? text : "", len,
-				  JSON_STRICT, &findings);
-	g_bytes_unref(body);
-	if (!is_good)
-		http_request_reply_findings(r, &findings);
-	finding_list_clear(&findings);
-	return is_good ? r->text.root : NULL;
-}
-
-gboolean http_request_is_disconnected(const struct http_request *r)
-{
-	return r->is_finished;
-}
-
-static void reply(struct http_request *r, guint code, const char *type,
-		  const char *body)
-{
-	r->is_answered = TRUE;
-	if (r->is_finished) {
-		request_free(r);
-		return;
-	}
-	soup_server_message_set_status(r->message, code, NULL);
-	soup_server_message_set_response(r->message, type, SOUP_MEMORY_COPY,
-					 body, strlen(body));
-	connection_guard_set_responding(
-		r->server->guard, soup_server_message_get_socket(r->message));
-	soup_server_message_unpause(r->message);
-}
-
-void http_request_reply(struct http_request *r, guint code, json_object *body)
-{
-	reply(r, code, "application/json",
-	      json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN));
-	json_object_put(body);
-}
-
-void http_request_set_reply_header(struct http_request *r, const char *name,
-				   const char *value)
-{
-	if (!r->is_finished)
-		soup_message_headers_replace(
-			soup_server_message_get_response_headers(r->message),
-			name, value);
-}
-
-void http_request_reply_empty(struct http_request *r, guint code)
-{
-	reply(r, code, NULL, "");
-}
-
-void http_request_reply_text(struct http_request *r, guint code,
-			     const char *text)
-{
-	reply(r, code, "text/plain", text);
-}
-
-void http_request_reply_findings(struct http_request *r,
-				 const struct finding_list *findings)
-{
-	json_object *body = json_object_new_object();
-	json_object *items = json_object_new_array();
-
-	for (guint i = 0; i < finding_list_kept(findings); i++) {
-		const struct finding *f = finding_list_get(findings, i);
-		json_object *item = json_object_new_object();
-
-		json_object_object_add(item, "place",
-				       json_object_new_string(f->place));
-		json_object_object_add(item, "problem",
-				       json_object_new_string(f->problem));
-		json_object_object_add(item, "allowed",
-				       json_object_new_string(f->allowed));
-		json_object_array_add(items, item);
-	}
-	json_object_object_add(body, "answer",
-			       json_object_new_string("not run"));
-	json_object_object_add(body, "reason",
-			       json_object_new_string("invalid"));
-	json_object_object_add(body, "findings", items);
-	if (finding_list_count(findings) > finding_list_kept(findings))
-		json_object_object_add(
-			body, "findings_count",
-			json_object_new_int64(finding_list_count(findings)));
-	http_request_reply(r, SOUP_STATUS_BAD_REQUEST, body);
-}
-
-void http_request_close_connection(struct http_request *r)
-{
-	if (!r->is_finished) {
-		GIOStream *stream;
-
-		stream = soup_server_message_steal_connection(r->message);
-		g_io_stream_close(stream, NULL, NULL);
-		g_object_unref(stream);
-	}
-	request_free(r);
-}
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -19,13 +19,28 @@
 
 typedef void (*http_handler)(struct http_request *r, void *data);
 
-/** Returns a new server that rejects larger bodies with status 413. */
-struct http_server *http_server_new(gsize max_body_bytes);
+/** What the clients of a server can make it hold; see
+ * docs/design/client-limits.md. */
+struct http_limits {
+	struct connection_limits connections;
+	gsize head_bytes; /**< of one request */
+	guint head_lines; /**< of one request */
+};
+
+/** Returns the limits of servers that are not told any. */
+const struct http_limits *http_default_limits(void);
+
+/**
+ * Returns a new server that rejects larger bodies with status 413.
+ *
+ * @param name	of the port, for the log
+ */
+struct http_server *http_server_new(const char *name, gsize max_body_bytes);
 void http_server_free(struct http_server *s);
 
-/** Replaces the connection limits; call it before listening. */
+/** Replaces the limits; call it before listening. */
 void http_server_set_limits(struct http_server *s,
-			    const struct connection_limits *limits);
+			    const struct http_limits *limits);
 
 /** Returns the connection guard, for its counts. */
 const struct connection_guard *http_server_guard(const struct http_server *s);
--- a/base/process_limits.h
+++ b/base/process_limits.h
@@ -1,13 +1,31 @@
 /**
  * @file
- * Limits of what a process uses of its machine, from its settings.
+ * Limits of what a process uses of its machine, from its settings, and what of
+ * it the clients of a port may use.
  */
 #ifndef BASE_PROCESS_LIMITS_H
 #define BASE_PROCESS_LIMITS_H
 
+#include <stdint.h>
+
+#include "base/http_server.h"
+
 #define PROCESS_MIN_MEMORY_MB 16
 #define PROCESS_DEFAULT_MEMORY_MB 256
 #define PROCESS_MIN_DESCRIPTORS 64
 #define PROCESS_DEFAULT_DESCRIPTORS 4096
 
+struct process_limits {
+	int64_t memory_mb;
+	int64_t descriptors;
+};
+
+/**
+ * Returns the limits of an HTTP server.
+ *
+ * @param share	of what all clients of the process may use, from 0 to 1
+ */
+struct http_limits process_limits_http(const struct process_limits *l,
+				       double share);
+
 #endif
--- a/config/settings.c
+++ b/config/settings.c
@@ -1,7 +1,6 @@
 #include "config/settings.h"
 
 #include "base/json_text.h"
-#include "base/process_limits.h"
 #include "base/util.h"
 
 #define NAME_MAX_BYTES 64
@@ -68,13 +67,13 @@
 	  .fallback = DEFAULT_IMPOSSIBLE_GRACE_MS },
 	{ .name = "memory_mb",
 	  .type = FIELD_INT,
-	  .offset = offsetof(struct settings, memory_mb),
+	  .offset = offsetof(struct settings, limits.memory_mb),
 	  .min = PROCESS_MIN_MEMORY_MB,
 	  .max = INT32_MAX,
 	  .fallback = PROCESS_DEFAULT_MEMORY_MB },
 	{ .name = "descriptors",
 	  .type = FIELD_INT,
-	  .offset = offsetof(struct settings, descriptors),
+	  .offset = offsetof(struct settings, limits.descriptors),
 	  .min = PROCESS_MIN_DESCRIPTORS,
 	  .max = INT32_MAX,
 	  .fallback = PROCESS_DEFAULT_DESCRIPTORS },
--- a/config/settings.h
+++ b/config/settings.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/finding.h"
+#include "base/process_limits.h"
 #include "base/schema.h"
 
 struct settings {
@@ -29,8 +30,7 @@
 	int64_t platform_timeout_ms;
 	/** How long a job that fits only with lost workers waits for them. */
 	int64_t impossible_grace_ms;
-	int64_t memory_mb;   /**< what the process may use of its VM */
-	int64_t descriptors; /**< the same */
+	struct process_limits limits; /**< what it may use of its VM */
 };
 
 extern const struct schema settings_schema;
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -1,5 +1,6 @@
 #include "daemon/http_service.h"
 
+#include "base/http_counters.h"
 #include "base/process_usage.h"
 #include "base/util.h"
 #include "config/bearer_token.h"
@@ -34,29 +35,6 @@
 		    (int64_t)traffic.received_bytes);
 }
 
-static void update_connections(struct http_service *s)
-{
-	const struct connection_guard *guard = http_server_guard(s->server);
-	struct connection_counts counts = connection_guard_counts(guard);
-	struct counters *c = kernel_counters(s->kernel);
-
-	counter_set(counters_gauge(c, "cs_http_connections",
-				   "Open connections of callers"),
-		    connection_guard_open_count(guard));
-	counter_set(counters_gauge(c, "cs_http_connections_refused",
-				   "Connections refused: too many"),
-		    (int64_t)counts.refused);
-	counter_set(counters_gauge(c, "cs_http_connections_evicted",
-				   "Idle connections closed to make room"),
-		    (int64_t)counts.evicted);
-	counter_set(counters_gauge(c, "cs_http_connections_idle",
-				   "Connections closed as idle too long"),
-		    (int64_t)counts.idle);
-	counter_set(counters_gauge(c, "cs_http_connections_slow",
-				   "Connections closed as too slow"),
-		    (int64_t)counts.slow);
-}
-
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct http_service *s = data;
@@ -66,7 +44,7 @@
 		return;
 	process_usage_update(kernel_counters(s->kernel));
 	update_traffic(s);
-	update_connections(s);
+	http_counters_update(kernel_counters(s->kernel), &s->server, 1);
 	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
@@ -86,6 +64,7 @@
 {
 	struct http_service *s = (struct http_service *)base;
 	const struct settings *settings = settings_of(k);
+	struct http_limits limits;
 	enum status status;
 	char *host = NULL;
 	uint16_t port;
@@ -96,6 +75,8 @@
 			STATUS_INVALID,
 			"setting http: bad address %s, expected IP:PORT",
 			settings->http);
+	limits = process_limits_http(&settings->limits, 1);
+	http_server_set_limits(s->server, &limits);
 	http_server_add_route(s->server, "GET", "/v1/counters", handle_counters,
 			      s);
 	http_server_add_route(s->server, "POST", "/v1/drain", handle_drain, s);
@@ -132,7 +113,7 @@
 	struct http_service *s = g_new0(struct http_service, 1);
 
 	s->base.class = &http_service_class;
-	s->server = http_server_new(MAX_BODY_BYTES);
+	s->server = http_server_new("http", MAX_BODY_BYTES);
 	s->client = http_client_new(MAX_CALLS_IN_FLIGHT,
 				    MAX_CONNECTIONS_PER_ADDRESS);
 	return &s->base;
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -1,7 +1,6 @@
 #include "entry/entry_settings.h"
 
 #include "base/json_text.h"
-#include "base/process_limits.h"
 #include "base/util.h"
 
 #define NAME_MAX_BYTES 200
@@ -75,13 +74,13 @@
 	REQUIRED_FIELD(entry_settings, cpu_share, FIELD_REAL, 0, 1024),
 	{ .name = "memory_mb",
 	  .type = FIELD_INT,
-	  .offset = offsetof(struct entry_settings, memory_mb),
+	  .offset = offsetof(struct entry_settings, limits.memory_mb),
 	  .min = PROCESS_MIN_MEMORY_MB,
 	  .max = INT32_MAX,
 	  .fallback = PROCESS_DEFAULT_MEMORY_MB },
 	{ .name = "descriptors",
 	  .type = FIELD_INT,
-	  .offset = offsetof(struct entry_settings, descriptors),
+	  .offset = offsetof(struct entry_settings, limits.descriptors),
 	  .min = PROCESS_MIN_DESCRIPTORS,
 	  .max = INT32_MAX,
 	  .fallback = PROCESS_DEFAULT_DESCRIPTORS },
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/finding.h"
+#include "base/process_limits.h"
 
 struct entry_store_settings {
 	char *address;	     /**< "IP:PORT" of the platform's store */
@@ -37,9 +38,8 @@
 	char *forward;
 	/** With at least so many workers, other VMs make the holder's calls. */
 	int64_t delegate_min_workers;
-	double cpu_share;    /**< CPU limit in cores */
-	int64_t memory_mb;   /**< what the process may use of its VM */
-	int64_t descriptors; /**< the same */
+	double cpu_share;	      /**< CPU limit in cores */
+	struct process_limits limits; /**< what it may use of its VM */
 	struct entry_store_settings store;
 	struct entry_bound_settings bounds;
 };
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/http_client.h"
+#include "base/http_counters.h"
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/util.h"
@@ -17,6 +18,8 @@
 #include "store/store_budget.h"
 
 #define MAX_BODY_BYTES ((gsize)1 << 20)
+/* Requests of the readiness port have no body. */
+#define READY_MAX_BODY_BYTES ((gsize)4 << 10)
 #define JOB_ID_CHARS 16
 /* Time between the end of serving and the SIGKILL that follows SIGTERM. */
 #define GRACE_MARGIN_MS 1500
@@ -26,6 +29,12 @@
 
 #define CALL_KIND_COUNT 3
 
+/* Shares of the ports in what clients may use: clients that take up all that
+ * the frontend has leave the other ports theirs. */
+#define FRONTEND_SHARE 0.75
+#define FORWARD_SHARE 0.125
+#define READINESS_SHARE 0.125
+
 /* Limit of the marks that this process writes for cancels of unknown jobs. A
  * wave of cancels may hit all submissions that a frozen VM has not read yet. */
 static const struct store_budget_config mark_budget = {
@@ -320,13 +329,19 @@
 static void handle_counters(struct http_request *r, void *data)
 {
 	struct frontend *s = data;
-	char *text = counters_text(kernel_counters(s->kernel));
+	struct http_server *const servers[] = { s->server, s->forward_server,
+						s->ready_server };
+	char *text;
 
+	http_counters_update(kernel_counters(s->kernel), servers,
+			     G_N_ELEMENTS(servers));
+	text = counters_text(kernel_counters(s->kernel));
 	http_request_reply_text(r, SOUP_STATUS_OK, text);
 	g_free(text);
 }
 
-static enum status listen_at(struct http_server *server, const char *address)
+static enum status listen_at(struct http_server *server, const char *address,
+			     const struct http_limits *limits)
 {
 	enum status status;
 	char *host = NULL;
@@ -335,17 +350,42 @@
 	if (!util_parse_endpoint(address, &host, &port))
 		return status_fail(STATUS_INVALID,
 				   "bad address %s, expected IP:PORT", address);
+	http_server_set_limits(server, limits);
 	status = http_server_listen(server, host, port);
 	g_free(host);
 	return status;
 }
 
+static enum status listen_at_ports(struct frontend *s,
+				   const struct entry_settings *settings)
+{
+	const struct {
+		struct http_server *server;
+		const char *address;
+		double share;
+	} ports[] = {
+		{ s->server, settings->frontend, FRONTEND_SHARE },
+		{ s->forward_server, settings->forward, FORWARD_SHARE },
+		{ s->ready_server, settings->readiness, READINESS_SHARE },
+	};
+	enum status status = STATUS_OK;
+
+	for (guint i = 0; i < G_N_ELEMENTS(ports) && status == STATUS_OK; i++) {
+		struct http_limits limits =
+			process_limits_http(&settings->limits, ports[i].share);
+
+		if (ports[i].address)
+			status = listen_at(ports[i].server, ports[i].address,
+					   &limits);
+	}
+	return status;
+}
+
 static enum status frontend_start(struct service *base, struct kernel *k)
 {
 	struct frontend *s = (struct frontend *)base;
 	const struct entry_settings *settings = entry_settings_of(k);
 	struct counters *counters = kernel_counters(k);
-	enum status status;
 
 	s->kernel = k;
 	s->context.kernel = k;
@@ -382,12 +422,7 @@
 			      handle_ready, s);
 	http_server_add_route(s->ready_server, "GET", "/metrics",
 			      handle_counters, s);
-	status = listen_at(s->server, settings->frontend);
-	if (status == STATUS_OK && settings->forward)
-		status = listen_at(s->forward_server, settings->forward);
-	if (status == STATUS_OK)
-		status = listen_at(s->ready_server, settings->readiness);
-	return status;
+	return listen_at_ports(s, settings);
 }
 
 static void frontend_drain(struct service *base)
@@ -435,8 +470,8 @@
 	struct frontend *s = g_new0(struct frontend, 1);
 
 	s->base.class = &frontend_class;
-	s->server = http_server_new(MAX_BODY_BYTES);
-	s->forward_server = http_server_new(MAX_BODY_BYTES);
-	s->ready_server = http_server_new(MAX_BODY_BYTES);
+	s->server = http_server_new("frontend", MAX_BODY_BYTES);
+	s->forward_server = http_server_new("forward", MAX_BODY_BYTES);
+	s->ready_server = http_server_new("readiness", READY_MAX_BODY_BYTES);
 	return &s->base;
 }
--- a/standin/cs-standin-runner.c
+++ b/standin/cs-standin-runner.c
@@ -261,21 +261,17 @@
 	http_request_reply(request, SOUP_STATUS_OK, body);
 }
 
-static const struct connection_limits limits = {
-	.max_connections = MAX_CONNECTIONS,
-	.idle_ms = 60000,
-	.request_ms = 10000,
-	.response_ms = 10000,
-};
-
 static gboolean runner_open(struct runner *r, const struct standin_options *o,
 			    guint index, gint slots)
 {
+	struct http_limits limits = *http_default_limits();
+
 	r->slots = slots;
 	r->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->vm.role = "endpoint";
-	r->server = http_server_new(MAX_BODY_BYTES);
+	r->server = http_server_new("runner", MAX_BODY_BYTES);
+	limits.connections.max_connections = MAX_CONNECTIONS;
 	http_server_set_limits(r->server, &limits);
 	http_server_add_route(r->server, "POST", "/run", handle_run, r);
 	http_server_add_route(r->server, "GET", "/health", handle_health, r);
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -9,11 +9,12 @@
 #define MAX_BODY_BYTES 1000
 #define WAIT_MS 5000
 
-static const struct connection_limits limits = {
+static const struct connection_limits connection_limits = {
 	.max_connections = MAX_CONNECTIONS,
 	.idle_ms = 600,
 	.request_ms = 300,
 	.response_ms = 300,
+	.held_bytes = 1 << 30,
 };
 
 struct fixture {
@@ -51,7 +52,10 @@
 
 static void fixture_set_up(struct fixture *f, gconstpointer data)
 {
-	f->server = http_server_new(MAX_BODY_BYTES);
+	struct http_limits limits = *http_default_limits();
+
+	f->server = http_server_new("test", MAX_BODY_BYTES);
+	limits.connections = connection_limits;
 	http_server_set_limits(f->server, &limits);
 	f->big_body = g_strnfill(64 << 20, 'x');
 	http_server_add_route(f->server, "POST", "/echo", handle_echo, f);
