HTTP ports: bound the bytes that the kernel holds for clients

Clients that send requests without taking the answers made the kernel hold 134 MB for 50 connections, outside of the process's memory but on its machine (/client-limits/untaken-metrics, failed before; 37 MB of unread empty lines were of the same kind). Cause: the kernel lets the buffers of each socket grow to megabytes.

Listening sockets set SO_RCVBUF to 16 KB and SO_SNDBUF to 8 KB, which the kernel doubles and accepted sockets inherit. The number of connections is also limited so that all buffers fit into a quarter of the process's memory: 1,386 at 260 MB.

--- a/base/http_server.c
+++ b/base/http_server.c
@@ -27,6 +27,8 @@
 	},
 	.head_bytes = (gsize)16 << 10,
 	.head_lines = 100,
+	.socket_read_bytes = 16 << 10,
+	.socket_send_bytes = 8 << 10,
 };
 
 /* A refused body is read, so that the client receives the refusal. */
@@ -218,7 +220,29 @@
 	g_ptr_array_add(s->routes, r);
 }
 
-static GSocket *listening_socket(GSocketAddress *address, GError **error)
+/*
+ * Accepted sockets inherit the sizes, which the kernel doubles for its own
+ * data. Without them it keeps megabytes for each connection.
+ */
+static void set_buffer_sizes(GSocket *socket, const struct http_limits *limits)
+{
+	GError *error = NULL;
+	struct log_line line;
+
+	if (g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
+				(gint)limits->socket_read_bytes, &error) &&
+	    g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
+				(gint)limits->socket_send_bytes, &error))
+		return;
+	log_begin(&line, LOG_LEVEL_WARN, "socket_buffers_unlimited");
+	log_str(&line, "reason", error->message);
+	log_end(&line);
+	g_error_free(error);
+}
+
+static GSocket *listening_socket(GSocketAddress *address,
+				 const struct http_limits *limits,
+				 GError **error)
 {
 	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
 				       G_SOCKET_TYPE_STREAM,
@@ -226,6 +250,7 @@
 
 	if (!socket)
 		return NULL;
+	set_buffer_sizes(socket, limits);
 	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
 	if (!g_socket_bind(socket, address, TRUE, error) ||
 	    !g_socket_listen(socket, error))
@@ -296,7 +321,7 @@
 	if (!address)
 		return status_fail(STATUS_INVALID, "%s is not an IP address",
 				   host);
-	socket = listening_socket(address, &error);
+	socket = listening_socket(address, &s->limits, &error);
 	if (!socket || !listen_at(s, socket, &error)) {
 		status = status_fail(STATUS_UNAVAILABLE,
 				     "can't listen at %s:%u: %s", host, port,
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -23,8 +23,10 @@
  * docs/design/client-limits.md. */
 struct http_limits {
 	struct connection_limits connections;
-	gsize head_bytes; /**< of one request */
-	guint head_lines; /**< of one request */
+	gsize head_bytes;	 /**< of one request */
+	guint head_lines;	 /**< of one request */
+	guint socket_read_bytes; /**< unread bytes kept by the kernel */
+	guint socket_send_bytes; /**< untaken bytes kept by the kernel */
 };
 
 /** Returns the limits of servers that are not told any. */
--- a/base/process_limits.c
+++ b/base/process_limits.c
@@ -1,12 +1,30 @@
 #include "base/process_limits.h"
 
-/* Share of the process's memory for the requests and responses that its clients
- * make it hold. */
+/* Shares of the process's memory for what its clients make it hold: requests
+ * and responses, and bytes kept by the kernel. The rest is for the process
+ * itself. */
 #define HELD_SHARE 0.2
-/* Share of the descriptors for clients; the rest is for calls of the process.
- */
+#define KERNEL_SHARE 0.25
+/* Shares of the descriptors; the rest is for calls of the process. */
 #define CLIENT_DESCRIPTOR_SHARE 0.5
 #define BYTES_PER_MB ((int64_t)1 << 20)
+/* The kernel doubles the size of a socket's buffer for its own data. */
+#define KERNEL_BUFFER_FACTOR 2
+
+/* Connections that the memory for the kernel's buffers and the descriptors are
+ * enough for. */
+static double max_connections(const struct process_limits *l,
+			      const struct http_limits *http)
+{
+	guint each_bytes = (http->socket_read_bytes + http->socket_send_bytes) *
+			   KERNEL_BUFFER_FACTOR;
+	double by_memory = (double)(l->memory_mb * BYTES_PER_MB) *
+			   KERNEL_SHARE / each_bytes;
+	double by_descriptors =
+		(double)l->descriptors * CLIENT_DESCRIPTOR_SHARE;
+
+	return MIN(by_memory, by_descriptors);
+}
 
 struct http_limits process_limits_http(const struct process_limits *l,
 				       double share)
@@ -15,8 +33,7 @@
 	double memory_bytes = (double)(l->memory_mb * BYTES_PER_MB);
 
 	http.connections.max_connections =
-		MAX(1, (guint)((double)l->descriptors *
-			       CLIENT_DESCRIPTOR_SHARE * share));
+		MAX(1, (guint)(max_connections(l, &http) * share));
 	http.connections.held_bytes =
 		(int64_t)(memory_bytes * HELD_SHARE * share);
 	return http;
