JSON bodies: refuse those that take too much memory when parsed

A body of 900 KB of empty objects took 259 MB (/client-limits/empty-objects and gateway/empty-objects, failed before): json-c keeps 790 bytes for an object of two bytes, and a body's values stay until the request is answered.

The memory is estimated from the body's punctuation before it is parsed. A body above an eighth of the process's memory is answered 400; a smaller one counts as held for its request, whose raw bytes are freed once it is parsed, and is answered 503 at once if there is no room. The estimate is never below what json-c allocates (/base/json-parsed-bytes).

--- a/base/http_request.c
+++ b/base/http_request.c
@@ -122,6 +122,19 @@
 		soup_server_message_get_request_body(r->message));
 }
 
+/* Refuses a body that would take too much memory as JSON. */
+static void reply_too_complex(struct http_request *r)
+{
+	struct finding_list findings;
+
+	connection_guard_events(r->server->guard)->bodies++;
+	finding_list_init(&findings);
+	finding_list_add(&findings, "body", "fewer values",
+			 "too many values for its length");
+	http_request_reply_findings(r, &findings);
+	finding_list_clear(&findings);
+}
+
 /* Frees a request's bytes and what was reserved for them. */
 static void drop_raw_body(struct http_request *r, int64_t raw_bytes)
 {
@@ -139,6 +152,10 @@
 	struct json_text t;
 	json_object *root = NULL;
 
+	if (!reserve(r, (int64_t)json_text_parsed_bytes(text, len))) {
+		reply_unserved(r);
+		return NULL;
+	}
 	finding_list_init(&findings);
 	if (json_text_parse(&t, "body", text, len, JSON_STRICT, &findings)) {
 		root = json_object_get(t.root);
@@ -163,7 +180,13 @@
 		return r->body;
 	bytes = http_request_body(r);
 	text = g_bytes_get_data(bytes, &len);
-	root = parse_body(r, text ? text : "", len);
+	if (json_text_parsed_bytes(text, len) >
+	    r->server->limits.parsed_bytes) {
+		reply_too_complex(r);
+		root = NULL;
+	} else {
+		root = parse_body(r, text ? text : "", len);
+	}
 	g_bytes_unref(bytes);
 	return root;
 }
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -25,6 +25,7 @@
 		.response_ms = 10000,
 		.held_bytes = INT64_C(256) << 20,
 	},
+	.parsed_bytes = (gsize)64 << 20,
 	.head_bytes = (gsize)16 << 10,
 	.head_lines = 100,
 	.socket_read_bytes = 16 << 10,
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -23,6 +23,7 @@
  * docs/design/client-limits.md. */
 struct http_limits {
 	struct connection_limits connections;
+	gsize parsed_bytes;	 /**< of one body, as JSON in memory */
 	gsize head_bytes;	 /**< of one request */
 	guint head_lines;	 /**< of one request */
 	guint socket_read_bytes; /**< unread bytes kept by the kernel */
--- a/base/json_text.c
+++ b/base/json_text.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+/* What json-c allocates on 64-bit machines, with the allocator's overhead. */
+#define OBJECT_BYTES 800  /* an object and its table of 16 entries */
+#define ARRAY_BYTES 120	  /* an array; its list is cut to its elements */
+#define MEMBER_BYTES 220  /* a key, its share of a table, a scalar */
+#define ELEMENT_BYTES 112 /* a scalar and its place in a list */
+
 /*
  * Walks through a valid JSON text. It keeps the path of the current value and
  * the keys of the objects around it, so that its memory doesn't grow with the
@@ -251,6 +257,30 @@
 	return !s.has_duplicate;
 }
 
+gsize json_text_parsed_bytes(const char *text, gsize len)
+{
+	gboolean is_string = FALSE;
+	gsize bytes = len;
+
+	for (gsize i = 0; i < len; i++) {
+		if (is_string && text[i] == '\\')
+			i++;
+		else if (text[i] == '"')
+			is_string = !is_string;
+		else if (is_string)
+			continue;
+		else if (text[i] == '{')
+			bytes += OBJECT_BYTES;
+		else if (text[i] == '[')
+			bytes += ARRAY_BYTES;
+		else if (text[i] == ':')
+			bytes += MEMBER_BYTES;
+		else if (text[i] == ',')
+			bytes += ELEMENT_BYTES;
+	}
+	return bytes;
+}
+
 json_object *json_text_parse_value(const char *text, gsize len)
 {
 	struct json_text t = { .name = "body" };
--- a/base/json_text.h
+++ b/base/json_text.h
@@ -43,6 +43,14 @@
  */
 json_object *json_text_parse_value(const char *text, gsize len);
 
+/**
+ * Estimates what json-c allocates for a text, from its punctuation: an empty
+ * object takes two bytes of text and some 760 of memory.
+ *
+ * @return	bytes, at least what is allocated for valid JSON
+ */
+gsize json_text_parsed_bytes(const char *text, gsize len);
+
 /** Reads and parses a file; see json_text_parse(). */
 gboolean json_text_load(struct json_text *t, const char *file_name,
 			enum json_dialect dialect,
--- a/base/process_limits.c
+++ b/base/process_limits.c
@@ -1,10 +1,11 @@
 #include "base/process_limits.h"
 
 /* Shares of the process's memory for what its clients make it hold: requests
- * and responses, and bytes kept by the kernel. The rest is for the process
- * itself. */
+ * and responses, bytes kept by the kernel, and one body while it is parsed. The
+ * rest is for the process itself. */
 #define HELD_SHARE 0.2
 #define KERNEL_SHARE 0.25
+#define PARSED_SHARE 0.125
 /* Shares of the descriptors; the rest is for calls of the process. */
 #define CLIENT_DESCRIPTOR_SHARE 0.5
 #define BYTES_PER_MB ((int64_t)1 << 20)
@@ -36,5 +37,6 @@
 		MAX(1, (guint)(max_connections(l, &http) * share));
 	http.connections.held_bytes =
 		(int64_t)(memory_bytes * HELD_SHARE * share);
+	http.parsed_bytes = (gsize)(memory_bytes * PARSED_SHARE);
 	return http;
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <malloc.h>
 #include <string.h>
 
 #include "base/json_text.h"
@@ -6,6 +7,8 @@
 #include "base/schema.h"
 #include "base/util.h"
 
+#define LIST_LENGTH 2000
+
 struct sample {
 	char *name;
 	int64_t count;
@@ -133,6 +136,52 @@
 	}
 }
 
+/* Elements of long lists, of which the parsed value must not take more memory
+ * than was estimated from the text. */
+static const char *const list_elements[] = {
+	"{}",
+	"[]",
+	"[[]]",
+	"0",
+	"1.5",
+	"\"\"",
+	"\"a long string of more than one allocation unit\"",
+	"{\"\":0}",
+	"{\"a\":1,\"b\":2,\"c\":[{}]}",
+};
+
+static size_t allocated_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static void test_json_parsed_bytes(void)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(list_elements); i++) {
+		GString *text = g_string_new("[0");
+		json_object *value;
+		size_t before;
+		size_t used;
+
+		for (guint j = 0; j < LIST_LENGTH; j++)
+			g_string_append_printf(text, ",%s", list_elements[i]);
+		g_string_append_c(text, ']');
+		before = allocated_bytes();
+		value = json_text_parse_value(text->str, text->len);
+		used = allocated_bytes() - before;
+		g_assert_nonnull(value);
+		g_test_message("%s: %zu", list_elements[i], used);
+#ifndef __SANITIZE_ADDRESS__ /* has an allocator of its own */
+		g_assert_cmpuint(json_text_parsed_bytes(text->str, text->len),
+				 >=, used);
+#endif
+		json_object_put(value);
+		g_string_free(text, TRUE);
+	}
+}
+
 static void test_addresses(void)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(address_cases); i++) {
@@ -175,6 +224,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/json-findings", test_json_findings);
 	g_test_add_func("/base/json-value", test_json_value);
+	g_test_add_func("/base/json-parsed-bytes", test_json_parsed_bytes);
 	g_test_add_func("/base/addresses", test_addresses);
 	g_test_add_func("/base/log-line", test_log_line);
 	return g_test_run();
