Links and delegates: short frames until the peer is authenticated

Cause: frames were read and decoded up to 4 MB before the handshake, and the number of links didn't depend on the descriptors.

A side that accepts connections takes frames of 4 KB at most until the peer has shown that it knows the secret or the token. The kernel's buffers are limited as those of HTTP. csgated and csschedd keep at most a quarter of their descriptors for links and close the oldest unauthenticated one for a new one. Peers without a token are counted (cs_delegate_strangers_total, cs_link_limited, cs_link_refused_frames) and logged every 10 s at most.

--- a/base/process_limits.c
+++ b/base/process_limits.c
@@ -8,6 +8,7 @@
 #define PARSED_SHARE 0.125
 /* Shares of the descriptors; the rest is for calls of the process. */
 #define CLIENT_DESCRIPTOR_SHARE 0.5
+#define LINK_DESCRIPTOR_SHARE 0.25
 #define BYTES_PER_MB ((int64_t)1 << 20)
 /* The kernel doubles the size of a socket's buffer for its own data. */
 #define KERNEL_BUFFER_FACTOR 2
@@ -40,3 +41,9 @@
 	http.parsed_bytes = (gsize)(memory_bytes * PARSED_SHARE);
 	return http;
 }
+
+guint process_limits_links(const struct process_limits *l, guint wanted)
+{
+	return MIN(wanted,
+		   (guint)((double)l->descriptors * LINK_DESCRIPTOR_SHARE));
+}
--- a/base/process_limits.h
+++ b/base/process_limits.h
@@ -28,4 +28,7 @@
 struct http_limits process_limits_http(const struct process_limits *l,
 				       double share);
 
+/** Returns how many connections a port for other processes may have. */
+guint process_limits_links(const struct process_limits *l, guint wanted);
+
 #endif
--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -10,6 +10,7 @@
 #include "entry/delegate_row.h"
 #include "entry/entry_store.h"
 #include "entry/worker_calls.h"
+#include "link/frame.h"
 #include "link/link_connection.h"
 #include "link/link_listen.h"
 
@@ -21,6 +22,7 @@
 /* The holder, and former ones that have not noticed the loss of the lease, or
  * whose VM was lost without closing its connection. */
 #define MAX_HOLDERS 16
+#define STRANGERS_LOG_INTERVAL_MS 10000
 /* Headers of a delegated call, each a name and a value. */
 #define MAX_HEADER_PAIRS 4
 
@@ -40,6 +42,9 @@
 	guint timer;
 	struct counter *calls;
 	struct counter *expired;
+	struct counter *strangers;
+	int64_t stranger_count;
+	int64_t strangers_logged_ms;
 };
 
 /* An incoming connection of a holder. */
@@ -263,21 +268,47 @@
 	json_object_put(body);
 }
 
+/* Counts peers without the token, and logs them once in a while. */
+static void record_stranger(struct delegate *s)
+{
+	int64_t now_ms = util_monotonic_ms();
+	struct log_line line;
+
+	s->stranger_count++;
+	counter_add(s->strangers, 1);
+	if (now_ms - s->strangers_logged_ms < STRANGERS_LOG_INTERVAL_MS)
+		return;
+	s->strangers_logged_ms = now_ms;
+	log_begin(&line, LOG_LEVEL_WARN, "delegate_strangers");
+	log_int(&line, "count", s->stranger_count);
+	log_int(&line, "refused_frames", s->traffic.refused_frames);
+	log_end(&line);
+}
+
+static void handle_hello(struct holder_link *l, const char *token)
+{
+	l->is_authenticated = g_strcmp0(token, l->delegate->token) == 0;
+	link_connection_limit_frames(l->connection,
+				     l->is_authenticated
+					     ? FRAME_MAX_BODY_BYTES
+					     : LINK_HANDSHAKE_MAX_BODY_BYTES);
+	if (!l->is_authenticated) {
+		record_stranger(l->delegate);
+		return;
+	}
+	log_holder("delegate_hello", "accepted");
+	send_clock(l);
+}
+
 static void on_frame(uint8_t type, json_object *body, void *data)
 {
 	struct holder_link *l = data;
 
 	l->heard_ms = util_monotonic_ms();
-	if (type == DELEGATE_MESSAGE_HELLO) {
-		l->is_authenticated = g_strcmp0(json_member_text(body, "token"),
-						l->delegate->token) == 0;
-		log_holder("delegate_hello",
-			   l->is_authenticated ? "accepted" : "unknown token");
-		if (l->is_authenticated)
-			send_clock(l);
-	} else if (type == DELEGATE_MESSAGE_CALL && l->is_authenticated) {
+	if (type == DELEGATE_MESSAGE_HELLO)
+		handle_hello(l, json_member_text(body, "token"));
+	else if (type == DELEGATE_MESSAGE_CALL && l->is_authenticated)
 		start_delegated_call(l, body);
-	}
 }
 
 static void on_closed(void *data)
@@ -285,7 +316,10 @@
 	struct holder_link *l = data;
 
 	l->connection = NULL;
-	log_holder("delegate_holder_gone", "its calls are cancelled");
+	if (l->is_authenticated)
+		log_holder("delegate_holder_gone", "its calls are cancelled");
+	else
+		record_stranger(l->delegate);
 	g_hash_table_remove(l->delegate->holders, l);
 }
 
@@ -304,7 +338,10 @@
 		if (!oldest || l->heard_ms < oldest->heard_ms)
 			oldest = l;
 	}
-	log_holder("delegate_holder_dropped", "silent for longest");
+	if (oldest->is_authenticated)
+		log_holder("delegate_holder_dropped", "silent for longest");
+	else
+		record_stranger(s);
 	g_hash_table_remove(s->holders, oldest);
 }
 
@@ -322,6 +359,8 @@
 	l->calls = g_hash_table_new(NULL, NULL);
 	l->connection = link_connection_new(stream, s->poll, &s->traffic,
 					    on_frame, on_closed, l);
+	link_connection_limit_frames(l->connection,
+				     LINK_HANDSHAKE_MAX_BODY_BYTES);
 	g_hash_table_add(s->holders, l);
 	return TRUE;
 }
@@ -352,6 +391,10 @@
 	s->expired = counters_counter(
 		kernel_counters(k), "cs_delegated_calls_expired_total",
 		"Calls for a holder elsewhere that came too late to be sent");
+	s->strangers = counters_counter(
+		kernel_counters(k), "cs_delegate_strangers_total",
+		"Connections and greetings of peers without the token");
+	s->strangers_logged_ms = -STRANGERS_LOG_INTERVAL_MS;
 	if (!s->settings->internal)
 		return STATUS_OK;
 	status = link_listen(s->listener, s->settings->internal);
--- a/link/link_connection.c
+++ b/link/link_connection.c
@@ -109,8 +109,10 @@
 	}
 	c->traffic->received_bytes += bytes;
 	frame_reader_feed(&c->reader, c->input, (gsize)bytes);
-	if (!deliver_frames(c))
-		close_and_notify(c);
+	if (deliver_frames(c))
+		return;
+	c->traffic->refused_frames++;
+	close_and_notify(c);
 }
 
 /*
@@ -184,6 +186,12 @@
 	return c;
 }
 
+void link_connection_limit_frames(struct link_connection *c,
+				  gsize max_body_bytes)
+{
+	c->reader.max_body_bytes = max_body_bytes;
+}
+
 enum status link_connection_send(struct link_connection *c, uint8_t type,
 				 json_object *body)
 {
--- a/link/link_connection.h
+++ b/link/link_connection.h
@@ -12,6 +12,9 @@
 #include "base/status.h"
 #include "link/link_poll.h"
 
+/** Longest body of a frame from a peer that is not authenticated. */
+#define LINK_HANDSHAKE_MAX_BODY_BYTES ((gsize)4 << 10)
+
 struct link_connection;
 
 /** Called for each frame received; the body stays owned by the caller. */
@@ -32,6 +35,8 @@
 	int64_t received_frames;
 	int64_t unknown_frames; /**< received, of a type without a handler */
 	int64_t refused_links;	/**< by either side: no common version */
+	int64_t limited_links;	/**< closed or refused: too many */
+	int64_t refused_frames; /**< too long or not valid */
 };
 
 /**
@@ -45,6 +50,14 @@
 		    struct link_traffic *traffic, link_frame_fn on_frame,
 		    link_closed_fn on_closed, void *data);
 
+/**
+ * Limits the body of received frames; a longer one ends the connection. A side
+ * that accepts connections keeps the limit low until the peer is authenticated:
+ * a frame may take a thousand times its length as JSON in memory.
+ */
+void link_connection_limit_frames(struct link_connection *c,
+				  gsize max_body_bytes);
+
 /**
  * Queues a frame and sends what the socket accepts at once.
  *
--- a/link/link_inbound.c
+++ b/link/link_inbound.c
@@ -1,6 +1,7 @@
 #include "link/link_inbound.h"
 
 #include "base/util.h"
+#include "link/frame.h"
 #include "link/message.h"
 
 #define HANDSHAKE_TIMEOUT_MS 2000
@@ -13,6 +14,7 @@
 	struct link_identity identity;
 	char *nonce; /**< sent in the challenge */
 	gboolean is_authenticated;
+	int64_t accepted_ms;
 	int64_t ack_sent_ms;
 	guint handshake_timer;
 };
@@ -77,6 +79,7 @@
 		return;
 	}
 	i->is_authenticated = TRUE;
+	link_connection_limit_frames(i->connection, FRAME_MAX_BODY_BYTES);
 	link_identity_copy(&i->identity, &hello->identity);
 	send_welcome(i, hello);
 }
@@ -140,14 +143,27 @@
 
 	i->spec = *spec;
 	i->nonce = util_random_id();
+	i->accepted_ms = util_monotonic_ms();
 	i->handshake_timer =
 		g_timeout_add(HANDSHAKE_TIMEOUT_MS, on_handshake_timeout, i);
 	i->connection = link_connection_new(stream, spec->poll, spec->traffic,
 					    on_frame, on_closed, i);
+	link_connection_limit_frames(i->connection,
+				     LINK_HANDSHAKE_MAX_BODY_BYTES);
 	send_challenge(i);
 	return i;
 }
 
+gboolean link_inbound_is_authenticated(const struct link_inbound *i)
+{
+	return i->is_authenticated;
+}
+
+int64_t link_inbound_accepted_ms(const struct link_inbound *i)
+{
+	return i->accepted_ms;
+}
+
 void link_inbound_free(struct link_inbound *i)
 {
 	if (i->handshake_timer)
--- a/link/link_inbound.h
+++ b/link/link_inbound.h
@@ -30,6 +30,10 @@
 
 struct link_inbound *link_inbound_new(const struct link_inbound_spec *spec,
 				      GSocketConnection *stream);
+gboolean link_inbound_is_authenticated(const struct link_inbound *i);
+
+/** Returns when the link was accepted, in monotonic time. */
+int64_t link_inbound_accepted_ms(const struct link_inbound *i);
 void link_inbound_free(struct link_inbound *i);
 
 #endif
--- a/link/link_listen.c
+++ b/link/link_listen.c
@@ -1,7 +1,22 @@
 #include "link/link_listen.h"
 
+#include <sys/socket.h>
+
 #include "base/util.h"
 
+/* Unread bytes that the kernel keeps for each connection. */
+#define LINK_READ_BUFFER_BYTES (64 << 10)
+
+/* Accepted sockets inherit the size; the kernel doubles it. */
+static void on_listener_event(GSocketListener *listener,
+			      GSocketListenerEvent event, GSocket *socket,
+			      gpointer data)
+{
+	if (event == G_SOCKET_LISTENER_BINDING)
+		g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
+				    LINK_READ_BUFFER_BYTES, NULL);
+}
+
 enum status link_listen(GSocketService *service, const char *address)
 {
 	GSocketListener *listener = G_SOCKET_LISTENER(service);
@@ -15,6 +30,8 @@
 		return status_fail(STATUS_INVALID,
 				   "bad address %s, expected IP:PORT", address);
 	inet = g_inet_socket_address_new_from_string(host, port);
+	g_signal_connect(listener, "event", G_CALLBACK(on_listener_event),
+			 NULL);
 	g_socket_listener_set_backlog(listener, LINK_MAX_INBOUND);
 	if (!g_socket_listener_add_address(listener, inet, G_SOCKET_TYPE_STREAM,
 					   G_SOCKET_PROTOCOL_TCP, NULL, NULL,
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -1,6 +1,8 @@
 #include "link/link_service.h"
 
 #include "base/log.h"
+#include "base/process_limits.h"
+#include "base/util.h"
 #include "daemon/settings_service.h"
 #include "link/link_inbound.h"
 #include "link/link_listen.h"
@@ -10,6 +12,7 @@
 /** Number of values of the type byte of a frame. */
 #define FRAME_TYPE_COUNT (UINT8_MAX + 1)
 #define TICK_INTERVAL_S 1
+#define LIMIT_LOG_INTERVAL_MS 10000
 /**
  * Main loop iterations at shutdown that let closed connections and cancelled
  * connects finish.
@@ -32,6 +35,8 @@
 	const char *secret;
 	GSocketService *listener;
 	struct link_poll *poll;
+	guint max_inbound;
+	int64_t limit_logged_ms;
 	guint tick_timer;
 	GPtrArray *peers;	/**< of struct link_peer */
 	GHashTable *inbound;	/**< set of struct link_inbound */
@@ -79,6 +84,43 @@
 	g_hash_table_remove(s->inbound, i);
 }
 
+/* Logs how many links were closed or refused at the limit, once in a while. */
+static void log_limit(struct link_service *s)
+{
+	int64_t now_ms = util_monotonic_ms();
+	struct log_line line;
+
+	if (now_ms - s->limit_logged_ms < LIMIT_LOG_INTERVAL_MS)
+		return;
+	s->limit_logged_ms = now_ms;
+	log_begin(&line, LOG_LEVEL_WARN, "link_limit");
+	log_int(&line, "inbound", g_hash_table_size(s->inbound));
+	log_int(&line, "limited", s->traffic.limited_links);
+	log_int(&line, "refused_frames", s->traffic.refused_frames);
+	log_end(&line);
+}
+
+/* At the limit, closes the oldest link that is not authenticated yet. */
+static gboolean has_room(struct link_service *s)
+{
+	struct link_inbound *oldest = NULL;
+	GHashTableIter iter;
+	gpointer item;
+
+	if (g_hash_table_size(s->inbound) < s->max_inbound)
+		return TRUE;
+	g_hash_table_iter_init(&iter, s->inbound);
+	while (g_hash_table_iter_next(&iter, &item, NULL)) {
+		if (!link_inbound_is_authenticated(item) &&
+		    (!oldest || link_inbound_accepted_ms(item) <
+					link_inbound_accepted_ms(oldest)))
+			oldest = item;
+	}
+	s->traffic.limited_links++;
+	log_limit(s);
+	return oldest && g_hash_table_remove(s->inbound, oldest);
+}
+
 static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
 			    GObject *source, gpointer data)
 {
@@ -94,7 +136,7 @@
 		.data = s,
 	};
 
-	if (g_hash_table_size(s->inbound) < LINK_MAX_INBOUND)
+	if (has_room(s))
 		g_hash_table_add(s->inbound, link_inbound_new(&spec, stream));
 	return TRUE;
 }
@@ -150,6 +192,9 @@
 	enum status status;
 
 	set_self(s, k);
+	s->max_inbound =
+		process_limits_links(&settings_of(k)->limits, LINK_MAX_INBOUND);
+	s->limit_logged_ms = -LIMIT_LOG_INTERVAL_MS;
 	status = link_listen(s->listener, settings_of(k)->link);
 	if (status != STATUS_OK)
 		return status;
--- a/shared/membership_service.c
+++ b/shared/membership_service.c
@@ -212,6 +212,12 @@
 	counter_set(counters_gauge(c, "cs_link_refused",
 				   "links refused for their versions"),
 		    t->refused_links);
+	counter_set(counters_gauge(c, "cs_link_limited",
+				   "links closed or refused: too many"),
+		    t->limited_links);
+	counter_set(counters_gauge(c, "cs_link_refused_frames",
+				   "frames refused: too long or not valid"),
+		    t->refused_frames);
 }
 
 static void run_heartbeat_round(struct membership_service *s, int64_t now_ms)
