--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -323,8 +323,16 @@
 	g_hash_table_remove(l->delegate->holders, l);
 }
 
-/* Closes the connection that has been silent for longest. The present holder
- * calls several times a second. */
+static gboolean is_less_useful(const struct holder_link *l,
+			       const struct holder_link *than)
+{
+	if (l->is_authenticated != than->is_authenticated)
+		return !l->is_authenticated;
+	return l->heard_ms < than->heard_ms;
+}
+
+/* Closes the connection that has been silent for longest, first those that have
+ * not presented the token. The present holder calls several times a second. */
 static void drop_silent_holder(struct delegate *s)
 {
 	struct holder_link *oldest = NULL;
@@ -335,7 +343,7 @@
 	while (g_hash_table_iter_next(&iter, &item, NULL)) {
 		struct holder_link *l = item;
 
-		if (!oldest || l->heard_ms < oldest->heard_ms)
+		if (!oldest || is_less_useful(l, oldest))
 			oldest = l;
 	}
 	if (oldest->is_authenticated)
