--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/util.h"
 #include "daemon/daemon.h"
+#include "daemon/heap_service.h"
 #include "daemon/program.h"
 #include "entry/delegate.h"
 #include "entry/config_feed.h"
@@ -100,6 +101,7 @@
 	kernel_set_reload_handler(k, on_reload, &source);
 	poll_id = g_timeout_add(SETTINGS_POLL_MS, on_settings_poll, &source);
 	kernel_register(k, entry_store_new(s));
+	kernel_register(k, heap_service_new());
 	for (guint i = 0; i < G_N_ELEMENTS(services); i++)
 		kernel_register(k, services[i]());
 	log_begin(&line, LOG_LEVEL_INFO, "start");
