--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -346,6 +346,8 @@
 		if (!oldest || is_less_useful(l, oldest))
 			oldest = l;
 	}
+	if (!oldest)
+		return;
 	if (oldest->is_authenticated)
 		log_holder("delegate_holder_dropped", "silent for longest");
 	else
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -11,7 +11,7 @@
 
 #define MEMORY_MB 32
 #define DESCRIPTORS 256
-#define KB_PER_MB 1024
+#define KB_PER_MB INT64_C(1024)
 #define MAX_PORTS 4
 #define FRAME_BYTES ((gsize)4 << 20)
 
