--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -7,6 +7,9 @@
 
 #define MAX_CONNECTIONS 4
 #define MAX_BODY_BYTES 1000
+#define HEAD_LINES 7 /* the empty one included */
+#define PARSED_BYTES 4000
+#define HELD_BYTES (INT64_C(400) << 10)
 #define WAIT_MS 5000
 
 static const struct connection_limits connection_limits = {
@@ -14,7 +17,6 @@
 	.idle_ms = 600,
 	.request_ms = 300,
 	.response_ms = 300,
-	.held_bytes = 1 << 30,
 };
 
 struct fixture {
@@ -50,14 +52,17 @@
 	http_request_reply_text(r, 200, ((struct fixture *)data)->big_body);
 }
 
-static void fixture_set_up(struct fixture *f, gconstpointer data)
+static void open_server(struct fixture *f, gsize max_body_bytes,
+			int64_t held_bytes)
 {
 	struct http_limits limits = *http_default_limits();
 
-	f->server = http_server_new("test", MAX_BODY_BYTES);
+	f->server = http_server_new("test", max_body_bytes);
 	limits.connections = connection_limits;
+	limits.connections.held_bytes = held_bytes;
+	limits.head_lines = HEAD_LINES;
+	limits.parsed_bytes = PARSED_BYTES;
 	http_server_set_limits(f->server, &limits);
-	f->big_body = g_strnfill(64 << 20, 'x');
 	http_server_add_route(f->server, "POST", "/echo", handle_echo, f);
 	http_server_add_route(f->server, "GET", "/hold", handle_hold, f);
 	http_server_add_route(f->server, "GET", "/big", handle_big, f);
@@ -65,6 +70,12 @@
 			STATUS_OK);
 }
 
+static void fixture_set_up(struct fixture *f, gconstpointer data)
+{
+	f->big_body = g_strnfill(64 << 20, 'x');
+	open_server(f, MAX_BODY_BYTES, INT64_MAX);
+}
+
 static void fixture_tear_down(struct fixture *f, gconstpointer data)
 {
 	if (f->pending_request)
@@ -136,6 +147,13 @@
 	g_output_stream_write_all(out, text, strlen(text), NULL, NULL, NULL);
 }
 
+/* Heads longer than the limit of lines, HEAD_LINES, and as long as it. */
+#define FIELDS "a:\r\na:\r\na:\r\n"
+#define LONG_HEAD "GET /hold HTTP/1.1\r\nHost: a\r\n" FIELDS FIELDS "\r\n"
+#define WHOLE_HEAD                                                     \
+	"POST /echo HTTP/1.1\r\nHost: a\r\n" FIELDS "Content-Length: " \
+	"2\r\n\r\n"
+
 /* What a client sends, the answer, and whether the server then closes. */
 struct peer_case {
 	const char *path; /* of the test case */
@@ -155,6 +173,16 @@
 	{ "/http-limits/whole",
 	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
 	  "HTTP/1.1 200", 0 },
+	{ "/http-limits/most-lines", WHOLE_HEAD "{}", "HTTP/1.1 200", 0 },
+	{ "/http-limits/too-many-lines", LONG_HEAD, "HTTP/1.1 431", 1200 },
+	{ "/http-limits/second-head", WHOLE_HEAD "{}" LONG_HEAD, "HTTP/1.1 200",
+	  1200 },
+	{ "/http-limits/empty-lines",
+	  "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n", "HTTP/1.1 4", 1200 },
+	{ "/http-limits/too-many-values",
+	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 26\r\n\r\n"
+	  "{\"a\":[{},{},{},{},{},{},0]}",
+	  "HTTP/1.1 400", 1200 },
 	{ "/http-limits/no-http", "\x16\x03\x01 hello\r\n\r\n", "", 1200 },
 	{ "/http-limits/oversize-body",
 	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n",
@@ -324,6 +352,54 @@
 	cluster_connect_burst(http_server_port(f->server));
 }
 
+/* Returns TRUE once all connections have been closed on this side, too. */
+static gboolean holds_nothing(void *data)
+{
+	struct fixture *f = data;
+
+	return connection_guard_held(http_server_guard(f->server)) == 0;
+}
+
+/* What unfinished requests hold is bounded over all connections: the one that
+ * holds most is closed, and a small request is served. */
+static void test_held_memory(struct fixture *f, gconstpointer data)
+{
+	static const int body_bytes[] = { 40000, 50000, 110000 };
+	const struct connection_guard *guard;
+	struct peer *peers[G_N_ELEMENTS(body_bytes)];
+	struct peer *last;
+
+	http_server_free(f->server);
+	open_server(f, 2 * HELD_BYTES, HELD_BYTES);
+	guard = http_server_guard(f->server);
+	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++) {
+		char *text =
+			g_strdup_printf("POST /echo HTTP/1.1\r\nHost: a\r\n"
+					"Content-Length: 200000\r\n\r\n%*s",
+					body_bytes[i], "");
+
+		peers[i] = peer_new(f);
+		read_more(peers[i]);
+		peer_send(peers[i], text);
+		cluster_sleep(20);
+		g_free(text);
+	}
+	g_assert_true(cluster_wait(is_closed, peers[2], WAIT_MS));
+	g_assert_false(peers[0]->is_closed);
+	g_assert_cmpuint(connection_guard_counts(guard).held, ==, 1);
+	g_assert_cmpint(connection_guard_held(guard), <=, HELD_BYTES);
+	last = peer_new(f);
+	read_more(last);
+	peer_send(last, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+			"Content-Length: 2\r\n\r\n{}");
+	g_assert_true(cluster_wait(is_answered, last, WAIT_MS));
+	g_assert_true(g_str_has_prefix(last->received->str, "HTTP/1.1 200"));
+	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++)
+		peer_free(peers[i]);
+	peer_free(last);
+	g_assert_true(cluster_wait(holds_nothing, f, WAIT_MS));
+}
+
 static const struct {
 	const char *path;
 	void (*test)(struct fixture *f, gconstpointer data);
@@ -335,6 +411,7 @@
 	{ "/http-limits/too-many", test_refuse_at_limit },
 	{ "/http-limits/slow-reader", test_slow_reader },
 	{ "/http-limits/large-headers", test_large_headers },
+	{ "/http-limits/held-memory", test_held_memory },
 };
 
 int main(int argc, char **argv)
