--- a/base/http_internal.h
+++ b/base/http_internal.h
@@ -11,7 +11,6 @@
 #include "base/request_stream.h"
 
 struct http_server {
-	char *name;
 	SoupServer *soup;
 	struct http_limits limits;
 	struct http_listener *listener;
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -18,6 +18,7 @@
 /* The idle limit exceeds the lifetime of the sessions of base/http_client.c, so
  * that the client closes idle connections. */
 static const struct http_limits default_limits = {
+	.port = "http",
 	.connections = {
 		.max_connections = 2000,
 		.idle_ms = 60000,
@@ -163,16 +164,15 @@
 	return &default_limits;
 }
 
-struct http_server *http_server_new(const char *name, gsize max_body_bytes)
+struct http_server *http_server_new(gsize max_body_bytes)
 {
 	struct http_server *s = g_new0(struct http_server, 1);
 
 	s->soup = soup_server_new("server-header", "corianderstep", NULL);
 	s->routes = g_ptr_array_new_with_free_func(route_free);
 	s->max_body_bytes = max_body_bytes;
-	s->name = g_strdup(name);
 	s->limits = default_limits;
-	s->guard = connection_guard_new(name, &s->limits.connections);
+	s->guard = connection_guard_new(s->limits.port, &s->limits.connections);
 	soup_server_add_handler(s->soup, NULL, on_request, s, NULL);
 	soup_server_add_early_handler(s->soup, NULL, on_early_request, s, NULL);
 	g_signal_connect(s->soup, "request-started",
@@ -187,7 +187,7 @@
 {
 	connection_guard_free(s->guard);
 	s->limits = *limits;
-	s->guard = connection_guard_new(s->name, &s->limits.connections);
+	s->guard = connection_guard_new(s->limits.port, &s->limits.connections);
 }
 
 const struct connection_guard *http_server_guard(const struct http_server *s)
@@ -205,7 +205,6 @@
 	g_clear_pointer(&s->unused_context, g_main_context_unref);
 	connection_guard_free(s->guard);
 	g_ptr_array_unref(s->routes);
-	g_free(s->name);
 	g_free(s);
 }
 
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -22,6 +22,7 @@
 /** What the clients of a server can make it hold; see
  * docs/design/client-limits.md. */
 struct http_limits {
+	const char *port; /**< name for the log, a literal */
 	struct connection_limits connections;
 	gsize parsed_bytes;	 /**< of one body, as JSON in memory */
 	gsize head_bytes;	 /**< of one request */
@@ -33,12 +34,8 @@
 /** Returns the limits of servers that are not told any. */
 const struct http_limits *http_default_limits(void);
 
-/**
- * Returns a new server that rejects larger bodies with status 413.
- *
- * @param name	of the port, for the log
- */
-struct http_server *http_server_new(const char *name, gsize max_body_bytes);
+/** Returns a new server that rejects larger bodies with status 413. */
+struct http_server *http_server_new(gsize max_body_bytes);
 void http_server_free(struct http_server *s);
 
 /** Replaces the limits; call it before listening. */
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -113,7 +113,7 @@
 	struct http_service *s = g_new0(struct http_service, 1);
 
 	s->base.class = &http_service_class;
-	s->server = http_server_new("http", MAX_BODY_BYTES);
+	s->server = http_server_new(MAX_BODY_BYTES);
 	s->client = http_client_new(MAX_CALLS_IN_FLIGHT,
 				    MAX_CONNECTIONS_PER_ADDRESS);
 	return &s->base;
--- a/entry/frontend.c
+++ b/entry/frontend.c
@@ -361,12 +361,15 @@
 {
 	const struct {
 		struct http_server *server;
+		const char *name;
 		const char *address;
 		double share;
 	} ports[] = {
-		{ s->server, settings->frontend, FRONTEND_SHARE },
-		{ s->forward_server, settings->forward, FORWARD_SHARE },
-		{ s->ready_server, settings->readiness, READINESS_SHARE },
+		{ s->server, "frontend", settings->frontend, FRONTEND_SHARE },
+		{ s->forward_server, "forward", settings->forward,
+		  FORWARD_SHARE },
+		{ s->ready_server, "readiness", settings->readiness,
+		  READINESS_SHARE },
 	};
 	enum status status = STATUS_OK;
 
@@ -374,6 +377,7 @@
 		struct http_limits limits =
 			process_limits_http(&settings->limits, ports[i].share);
 
+		limits.port = ports[i].name;
 		if (ports[i].address)
 			status = listen_at(ports[i].server, ports[i].address,
 					   &limits);
@@ -470,8 +474,8 @@
 	struct frontend *s = g_new0(struct frontend, 1);
 
 	s->base.class = &frontend_class;
-	s->server = http_server_new("frontend", MAX_BODY_BYTES);
-	s->forward_server = http_server_new("forward", MAX_BODY_BYTES);
-	s->ready_server = http_server_new("readiness", READY_MAX_BODY_BYTES);
+	s->server = http_server_new(MAX_BODY_BYTES);
+	s->forward_server = http_server_new(MAX_BODY_BYTES);
+	s->ready_server = http_server_new(READY_MAX_BODY_BYTES);
 	return &s->base;
 }
--- a/standin/common/steppe_worker.c
+++ b/standin/common/steppe_worker.c
@@ -426,7 +426,7 @@
 	w->peers = peers;
 	w->prints_history = prints_history;
 	w->incarnation_start_ms = util_wall_ms();
-	w->server = http_server_new("worker", MAX_BODY_BYTES);
+	w->server = http_server_new(MAX_BODY_BYTES);
 	w->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
 	w->highest_ended_run =
--- a/standin/cs-standin-platform.c
+++ b/standin/cs-standin-platform.c
@@ -537,7 +537,7 @@
 					  object_free);
 	vm_directory_init(&s.vms);
 	s.cut_domains = g_ptr_array_new();
-	server = http_server_new("platform", MAX_BODY_BYTES);
+	server = http_server_new(MAX_BODY_BYTES);
 	add_routes(server, &s, call_routes, G_N_ELEMENTS(call_routes), on_call);
 	add_routes(server, &s, control_routes, G_N_ELEMENTS(control_routes),
 		   on_control);
--- a/standin/cs-standin-relay.c
+++ b/standin/cs-standin-relay.c
@@ -438,7 +438,7 @@
 
 static gboolean listen_control(const char *address)
 {
-	struct http_server *server = http_server_new("relay", MAX_BODY_BYTES);
+	struct http_server *server = http_server_new(MAX_BODY_BYTES);
 	char *host = NULL;
 	uint16_t port;
 
--- a/standin/cs-standin-runner.c
+++ b/standin/cs-standin-runner.c
@@ -270,7 +270,7 @@
 	r->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	r->vm.role = "endpoint";
-	r->server = http_server_new("runner", MAX_BODY_BYTES);
+	r->server = http_server_new(MAX_BODY_BYTES);
 	limits.connections.max_connections = MAX_CONNECTIONS;
 	http_server_set_limits(r->server, &limits);
 	http_server_add_route(r->server, "POST", "/run", handle_run, r);
--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -516,7 +516,7 @@
 	p->workers = g_ptr_array_new();
 	p->registered_addresses = g_ptr_array_new_with_free_func(g_free);
 	p->service = g_strdup(o->service);
-	p->server = http_server_new("store", MAX_BODY_BYTES);
+	p->server = http_server_new(MAX_BODY_BYTES);
 	http_server_add_route(p->server, "POST", API_PREFIX "/rows-tx",
 			      handle_commit, p);
 	http_server_add_route(p->server, "GET", API_PREFIX "/rows-get",
--- a/standin/cs-standin-worker.c
+++ b/standin/cs-standin-worker.c
@@ -592,7 +592,7 @@
 	w->vm.cores = size->cores;
 	w->vm.memory_mb = size->memory_mb;
 	update_report(w, util_monotonic_ms());
-	w->server = http_server_new("worker", MAX_BODY_BYTES);
+	w->server = http_server_new(MAX_BODY_BYTES);
 	for (guint i = 0; i < G_N_ELEMENTS(routes); i++)
 		http_server_add_route(w->server, routes[i].method,
 				      routes[i].prefix, routes[i].handler, w);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -75,7 +75,7 @@
 
 static struct http_server *new_server(void)
 {
-	struct http_server *s = http_server_new("test", 1024);
+	struct http_server *s = http_server_new(1024);
 	enum status status;
 
 	http_server_add_route(s, "GET", "/", handle, NULL);
@@ -260,7 +260,7 @@
 		const struct silent_case *x = &silent_cases[i];
 		struct silent_server silent = { 0, x->from, x->until,
 						g_ptr_array_new() };
-		struct http_server *s = http_server_new("test", 1024);
+		struct http_server *s = http_server_new(1024);
 		char *address;
 
 		g_test_message("%s", x->name);
@@ -313,7 +313,7 @@
 static void test_session_end(void)
 {
 	struct silent_server silent = { 0, 0, 1, g_ptr_array_new() };
-	struct http_server *s = http_server_new("test", 1024);
+	struct http_server *s = http_server_new(1024);
 	struct http_client *c = http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
 
 	session_lifetime_ms = 200;
@@ -454,7 +454,7 @@
 	for (guint i = 0; i < G_N_ELEMENTS(expiry_cases); i++) {
 		const struct expiry_case *x = &expiry_cases[i];
 		struct silent_server server = { 0 };
-		struct http_server *s = http_server_new("test", 1024);
+		struct http_server *s = http_server_new(1024);
 		struct http_client *c =
 			http_client_new(MAX_CALLS, MAX_PER_ADDRESS);
 		struct tally t = { 0 };
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -57,7 +57,7 @@
 {
 	struct http_limits limits = *http_default_limits();
 
-	f->server = http_server_new("test", max_body_bytes);
+	f->server = http_server_new(max_body_bytes);
 	limits.connections = connection_limits;
 	limits.connections.held_bytes = held_bytes;
 	limits.head_lines = HEAD_LINES;
