csgated and csschedd: a request without room is answered 504, not 503

At these, 503 says that a request has not run. Without memory the request isn't read, so it isn't known whether it is a retry whose earlier attempt runs elsewhere. csentryd answers for the attempt alone and keeps 503. Found by reading; /http-limits/unserved-attempt and /http-limits/unserved.

--- a/base/http_request.c
+++ b/base/http_request.c
@@ -79,17 +79,22 @@
 	return TRUE;
 }
 
-/* Refuses a request for want of memory: it has not run. */
+/* Refuses a request for want of memory. It is not known which attempt it is. */
 static void reply_unserved(struct http_request *r)
 {
+	gboolean is_unknown = r->server->limits.may_run_elsewhere;
 	json_object *body = json_object_new_object();
 
 	connection_guard_events(r->server->guard)->unserved++;
-	json_object_object_add(body, "answer",
-			       json_object_new_string("not run"));
+	json_object_object_add(
+		body, "answer",
+		json_object_new_string(is_unknown ? "unknown" : "not run"));
 	json_object_object_add(body, "reason", json_object_new_string("busy"));
 	http_request_set_reply_header(r, "Retry-After", RETRY_AFTER_S);
-	http_request_reply(r, SOUP_STATUS_SERVICE_UNAVAILABLE, body);
+	http_request_reply(r,
+			   is_unknown ? SOUP_STATUS_GATEWAY_TIMEOUT
+				      : SOUP_STATUS_SERVICE_UNAVAILABLE,
+			   body);
 }
 
 gboolean http_request_admit(struct http_request *r)
--- a/base/http_server.h
+++ b/base/http_server.h
@@ -24,9 +24,12 @@
 struct http_limits {
 	const char *port; /**< name for the log, a literal */
 	struct connection_limits connections;
-	gsize parsed_bytes;	 /**< of one body, as JSON in memory */
-	gsize head_bytes;	 /**< of one request */
-	guint head_lines;	 /**< of one request */
+	gsize parsed_bytes; /**< of one body, as JSON in memory */
+	gsize head_bytes;   /**< of one request */
+	guint head_lines;   /**< of one request */
+	/** An earlier attempt of a request may run elsewhere, so that a request
+	 * without room is answered 504 instead of 503. */
+	gboolean may_run_elsewhere;
 	guint socket_read_bytes; /**< unread bytes kept by the kernel */
 	guint socket_send_bytes; /**< untaken bytes kept by the kernel */
 };
--- a/daemon/http_service.c
+++ b/daemon/http_service.c
@@ -76,6 +76,7 @@
 			"setting http: bad address %s, expected IP:PORT",
 			settings->http);
 	limits = process_limits_http(&settings->limits, 1);
+	limits.may_run_elsewhere = TRUE;
 	http_server_set_limits(s->server, &limits);
 	http_server_add_route(s->server, "GET", "/v1/counters", handle_counters,
 			      s);
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -10,6 +10,8 @@
 #define HEAD_LINES 7 /* the empty one included */
 #define PARSED_BYTES 4000
 #define HELD_BYTES (INT64_C(400) << 10)
+/* For two connections and one request. */
+#define TWO_CONNECTIONS_BYTES (INT64_C(38) << 10)
 #define WAIT_MS 5000
 
 static const struct connection_limits connection_limits = {
@@ -53,13 +55,14 @@
 }
 
 static void open_server(struct fixture *f, gsize max_body_bytes,
-			int64_t held_bytes)
+			int64_t held_bytes, gboolean may_run_elsewhere)
 {
 	struct http_limits limits = *http_default_limits();
 
 	f->server = http_server_new(max_body_bytes);
 	limits.connections = connection_limits;
 	limits.connections.held_bytes = held_bytes;
+	limits.may_run_elsewhere = may_run_elsewhere;
 	limits.head_lines = HEAD_LINES;
 	limits.parsed_bytes = PARSED_BYTES;
 	http_server_set_limits(f->server, &limits);
@@ -73,7 +76,7 @@
 static void fixture_set_up(struct fixture *f, gconstpointer data)
 {
 	f->big_body = g_strnfill(64 << 20, 'x');
-	open_server(f, MAX_BODY_BYTES, INT64_MAX);
+	open_server(f, MAX_BODY_BYTES, INT64_MAX, FALSE);
 }
 
 static void fixture_tear_down(struct fixture *f, gconstpointer data)
@@ -370,7 +373,7 @@
 	struct peer *last;
 
 	http_server_free(f->server);
-	open_server(f, 2 * HELD_BYTES, HELD_BYTES);
+	open_server(f, 2 * HELD_BYTES, HELD_BYTES, FALSE);
 	guard = http_server_guard(f->server);
 	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++) {
 		char *text =
@@ -400,6 +403,43 @@
 	g_assert_true(cluster_wait(holds_nothing, f, WAIT_MS));
 }
 
+/* A request for which there is no memory beside one that is processed. */
+static const struct unserved_case {
+	const char *path;
+	gboolean may_run_elsewhere;
+	const char *answer;
+} unserved_cases[] = {
+	{ "/http-limits/unserved", FALSE, "HTTP/1.1 503" },
+	{ "/http-limits/unserved-attempt", TRUE, "HTTP/1.1 504" },
+};
+
+static void test_unserved(struct fixture *f, gconstpointer data)
+{
+	const struct unserved_case *c = data;
+	const struct connection_guard *guard;
+	struct peer *first;
+	struct peer *second;
+
+	http_server_free(f->server);
+	open_server(f, MAX_BODY_BYTES, TWO_CONNECTIONS_BYTES,
+		    c->may_run_elsewhere);
+	guard = http_server_guard(f->server);
+	first = peer_new(f);
+	read_more(first);
+	peer_send(first, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+	cluster_sleep(50);
+	g_assert_nonnull(f->pending_request);
+	second = peer_new(f);
+	read_more(second);
+	peer_send(second, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+	g_assert_true(cluster_wait(is_answered, second, WAIT_MS));
+	g_assert_true(g_str_has_prefix(second->received->str, c->answer));
+	g_assert_nonnull(strstr(second->received->str, "Retry-After: 1"));
+	g_assert_cmpuint(connection_guard_counts(guard).unserved, ==, 1);
+	peer_free(second);
+	peer_free(first);
+}
+
 static const struct {
 	const char *path;
 	void (*test)(struct fixture *f, gconstpointer data);
@@ -423,5 +463,9 @@
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
 		g_test_add(cases[i].path, struct fixture, NULL, fixture_set_up,
 			   cases[i].test, fixture_tear_down);
+	for (guint i = 0; i < G_N_ELEMENTS(unserved_cases); i++)
+		g_test_add(unserved_cases[i].path, struct fixture,
+			   &unserved_cases[i], fixture_set_up, test_unserved,
+			   fixture_tear_down);
 	return g_test_run();
 }
