--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -363,6 +363,33 @@
 	return connection_guard_held(http_server_guard(f->server)) == 0;
 }
 
+static void assert_small_request_served(struct fixture *f)
+{
+	struct peer *p = peer_new(f);
+
+	read_more(p);
+	peer_send(p, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 2\r\n\r\n{}");
+	g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
+	g_assert_true(g_str_has_prefix(p->received->str, "HTTP/1.1 200"));
+	peer_free(p);
+}
+
+/* Returns a peer that has sent a part of a body. */
+static struct peer *start_body(struct fixture *f, int bytes)
+{
+	char *text = g_strdup_printf("POST /echo HTTP/1.1\r\nHost: a\r\n"
+				     "Content-Length: 200000\r\n\r\n%*s",
+				     bytes, "");
+	struct peer *p = peer_new(f);
+
+	read_more(p);
+	peer_send(p, text);
+	cluster_sleep(20);
+	g_free(text);
+	return p;
+}
+
 /* What unfinished requests hold is bounded over all connections: the one that
  * holds most is closed, and a small request is served. */
 static void test_held_memory(struct fixture *f, gconstpointer data)
@@ -370,36 +397,19 @@
 	static const int body_bytes[] = { 40000, 50000, 110000 };
 	const struct connection_guard *guard;
 	struct peer *peers[G_N_ELEMENTS(body_bytes)];
-	struct peer *last;
 
 	http_server_free(f->server);
 	open_server(f, 2 * HELD_BYTES, HELD_BYTES, FALSE);
 	guard = http_server_guard(f->server);
-	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++) {
-		char *text =
-			g_strdup_printf("POST /echo HTTP/1.1\r\nHost: a\r\n"
-					"Content-Length: 200000\r\n\r\n%*s",
-					body_bytes[i], "");
-
-		peers[i] = peer_new(f);
-		read_more(peers[i]);
-		peer_send(peers[i], text);
-		cluster_sleep(20);
-		g_free(text);
-	}
+	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++)
+		peers[i] = start_body(f, body_bytes[i]);
 	g_assert_true(cluster_wait(is_closed, peers[2], WAIT_MS));
 	g_assert_false(peers[0]->is_closed);
 	g_assert_cmpuint(connection_guard_counts(guard).held, ==, 1);
 	g_assert_cmpint(connection_guard_held(guard), <=, HELD_BYTES);
-	last = peer_new(f);
-	read_more(last);
-	peer_send(last, "POST /echo HTTP/1.1\r\nHost: a\r\n"
-			"Content-Length: 2\r\n\r\n{}");
-	g_assert_true(cluster_wait(is_answered, last, WAIT_MS));
-	g_assert_true(g_str_has_prefix(last->received->str, "HTTP/1.1 200"));
+	assert_small_request_served(f);
 	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++)
 		peer_free(peers[i]);
-	peer_free(last);
 	g_assert_true(cluster_wait(holds_nothing, f, WAIT_MS));
 }
 
