Use the usual terms: unauthenticated peers, eviction age, held limit

Peers without the token were called strangers in the log, a counter and a test. No change of behaviour; both tests of connections to a delegate pass.

--- a/base/connection_guard.c
+++ b/base/connection_guard.c
@@ -14,7 +14,7 @@
 #define LOG_INTERVAL_MS 10000
 /* A connection that has read or responded for less is not closed for another,
  * so that an ordinary client has the time for its request. */
-#define FAIR_MS 1000
+#define MIN_EVICTION_AGE_MS 1000
 /* Memory of an idle connection, most of it in the HTTP library. */
 #define CONNECTION_BYTES INT64_C(16384)
 /* The HTTP library keeps a request's bytes in pieces and then as a whole. */
@@ -288,7 +288,7 @@
 
 /*
  * Closes the connection idle for longest, else the one that has been reading or
- * responding for longest, if that has had a fair time; FALSE if there is none.
+ * responding for longest, unless that is too recent; FALSE if there is none.
  */
 static gboolean evict(struct connection_guard *g)
 {
@@ -296,7 +296,8 @@
 
 	if (!c) {
 		c = find_victim(g, is_reading_or_responding, is_older);
-		if (c && util_monotonic_ms() - c->state_since_ms < FAIR_MS)
+		if (c && util_monotonic_ms() - c->state_since_ms <
+				 MIN_EVICTION_AGE_MS)
 			c = NULL;
 	}
 	if (!c)
@@ -317,7 +318,7 @@
 }
 
 /* Closes connections until the limit of held memory is kept, if it can be. */
-static gboolean fit_held(struct connection_guard *g)
+static gboolean enforce_held_limit(struct connection_guard *g)
 {
 	while (g->held_bytes > g->limits.held_bytes) {
 		struct guarded_connection *c =
@@ -361,7 +362,7 @@
 	if (c->state == CONNECTION_IDLE)
 		set_state(c, CONNECTION_READING);
 	set_held(c, c->held_bytes + (int64_t)bytes * COPIES_OF_INPUT);
-	fit_held(g);
+	enforce_held_limit(g);
 	return g_hash_table_contains(g->connections, socket);
 }
 
@@ -381,7 +382,7 @@
 gboolean connection_guard_hold(struct connection_guard *g, int64_t bytes)
 {
 	g->held_bytes += bytes;
-	if (fit_held(g))
+	if (enforce_held_limit(g))
 		return TRUE;
 	g->held_bytes -= bytes;
 	return FALSE;
@@ -424,7 +425,7 @@
 		return;
 	set_state(c, CONNECTION_RESPONDING);
 	set_held(c, c->held_bytes + (int64_t)bytes);
-	fit_held(g);
+	enforce_held_limit(g);
 }
 
 struct connection_counts
--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -22,7 +22,7 @@
 /* The holder, and former ones that have not noticed the loss of the lease, or
  * whose VM was lost without closing its connection. */
 #define MAX_HOLDERS 16
-#define STRANGERS_LOG_INTERVAL_MS 10000
+#define UNAUTHENTICATED_LOG_INTERVAL_MS 10000
 /* Headers of a delegated call, each a name and a value. */
 #define MAX_HEADER_PAIRS 4
 
@@ -42,9 +42,9 @@
 	guint timer;
 	struct counter *calls;
 	struct counter *expired;
-	struct counter *strangers;
-	int64_t stranger_count;
-	int64_t strangers_logged_ms;
+	struct counter *unauthenticated;
+	int64_t unauthenticated_count;
+	int64_t unauthenticated_logged_ms;
 };
 
 /* An incoming connection of a holder. */
@@ -269,18 +269,19 @@
 }
 
 /* Counts peers without the token, and logs them once in a while. */
-static void record_stranger(struct delegate *s)
+static void record_unauthenticated(struct delegate *s)
 {
 	int64_t now_ms = util_monotonic_ms();
 	struct log_line line;
 
-	s->stranger_count++;
-	counter_add(s->strangers, 1);
-	if (now_ms - s->strangers_logged_ms < STRANGERS_LOG_INTERVAL_MS)
+	s->unauthenticated_count++;
+	counter_add(s->unauthenticated, 1);
+	if (now_ms - s->unauthenticated_logged_ms <
+	    UNAUTHENTICATED_LOG_INTERVAL_MS)
 		return;
-	s->strangers_logged_ms = now_ms;
-	log_begin(&line, LOG_LEVEL_WARN, "delegate_strangers");
-	log_int(&line, "count", s->stranger_count);
+	s->unauthenticated_logged_ms = now_ms;
+	log_begin(&line, LOG_LEVEL_WARN, "delegate_unauthenticated");
+	log_int(&line, "count", s->unauthenticated_count);
 	log_int(&line, "refused_frames", s->traffic.refused_frames);
 	log_end(&line);
 }
@@ -293,7 +294,7 @@
 					     ? FRAME_MAX_BODY_BYTES
 					     : LINK_HANDSHAKE_MAX_BODY_BYTES);
 	if (!l->is_authenticated) {
-		record_stranger(l->delegate);
+		record_unauthenticated(l->delegate);
 		return;
 	}
 	log_holder("delegate_hello", "accepted");
@@ -319,7 +320,7 @@
 	if (l->is_authenticated)
 		log_holder("delegate_holder_gone", "its calls are cancelled");
 	else
-		record_stranger(l->delegate);
+		record_unauthenticated(l->delegate);
 	g_hash_table_remove(l->delegate->holders, l);
 }
 
@@ -351,7 +352,7 @@
 	if (oldest->is_authenticated)
 		log_holder("delegate_holder_dropped", "silent for longest");
 	else
-		record_stranger(s);
+		record_unauthenticated(s);
 	g_hash_table_remove(s->holders, oldest);
 }
 
@@ -401,10 +402,10 @@
 	s->expired = counters_counter(
 		kernel_counters(k), "cs_delegated_calls_expired_total",
 		"Calls for a holder elsewhere that came too late to be sent");
-	s->strangers = counters_counter(
-		kernel_counters(k), "cs_delegate_strangers_total",
+	s->unauthenticated = counters_counter(
+		kernel_counters(k), "cs_delegate_unauthenticated_total",
 		"Connections and greetings of peers without the token");
-	s->strangers_logged_ms = -STRANGERS_LOG_INTERVAL_MS;
+	s->unauthenticated_logged_ms = -UNAUTHENTICATED_LOG_INTERVAL_MS;
 	if (!s->settings->internal)
 		return STATUS_OK;
 	status = link_listen(s->listener, s->settings->internal);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -711,25 +711,25 @@
 }
 
 /* Connections without the token don't push out the present holder's. */
-static void test_strangers(void)
+static void test_unauthenticated(void)
 {
 	struct site *s = site_new_delegating(1);
 	guint holder;
 	struct cluster_process *delegate;
-	GPtrArray *strangers;
+	GPtrArray *unknown;
 
 	g_assert_true(cluster_wait(has_delegate, s, SITE_WAIT_MS));
 	holder = site_holder(s);
 	delegate = s->entries[1 - holder];
-	strangers = connect_silent_holders(s->internal[1 - holder]);
+	unknown = connect_silent_holders(s->internal[1 - holder]);
 	assert_next_job_runs(s, holder, "0000000000000aa6");
 	g_assert_cmpuint(
-		cluster_count_lines(delegate, "event=delegate_strangers"), >,
-		0);
+		cluster_count_lines(delegate, "event=delegate_unauthenticated"),
+		>, 0);
 	g_assert_cmpuint(
 		cluster_count_lines(delegate, "event=delegate_holder_dropped"),
 		==, 0);
-	g_ptr_array_unref(strangers);
+	g_ptr_array_unref(unknown);
 	site_free(s);
 }
 
@@ -1108,7 +1108,8 @@
 		g_test_add_data_func(row_cases[i].name, &row_cases[i],
 				     test_delegate_row);
 	g_test_add_func("/entry/delegate/silent-holders", test_silent_holders);
-	g_test_add_func("/entry/delegate/strangers", test_strangers);
+	g_test_add_func("/entry/delegate/unauthenticated",
+			test_unauthenticated);
 	for (guint i = 0; i < G_N_ELEMENTS(forward_cases); i++) {
 		g_test_add_data_func(forward_cases[i].name, &forward_cases[i],
 				     test_forward);
