--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -150,6 +150,16 @@
 	g_output_stream_write_all(out, text, strlen(text), NULL, NULL, NULL);
 }
 
+/* Returns a peer that has sent a text and records what it receives. */
+static struct peer *peer_new_sending(struct fixture *f, const char *text)
+{
+	struct peer *p = peer_new(f);
+
+	read_more(p);
+	peer_send(p, text);
+	return p;
+}
+
 /* Heads longer than the limit of lines, HEAD_LINES, and as long as it. */
 #define FIELDS "a:\r\na:\r\na:\r\n"
 #define LONG_HEAD "GET /hold HTTP/1.1\r\nHost: a\r\n" FIELDS FIELDS "\r\n"
@@ -363,28 +373,41 @@
 	return connection_guard_held(http_server_guard(f->server)) == 0;
 }
 
+static void assert_answered(struct peer *p, const char *answer)
+{
+	g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
+	g_assert_true(g_str_has_prefix(p->received->str, answer));
+}
+
 static void assert_small_request_served(struct fixture *f)
 {
-	struct peer *p = peer_new(f);
+	struct peer *p =
+		peer_new_sending(f, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+				    "Content-Length: 2\r\n\r\n{}");
 
-	read_more(p);
-	peer_send(p, "POST /echo HTTP/1.1\r\nHost: a\r\n"
-		     "Content-Length: 2\r\n\r\n{}");
-	g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
-	g_assert_true(g_str_has_prefix(p->received->str, "HTTP/1.1 200"));
+	assert_answered(p, "HTTP/1.1 200");
 	peer_free(p);
 }
 
+/* Asserts how many connections were closed, and requests refused, for memory.
+ */
+static void assert_limited(struct fixture *f, uint64_t held, uint64_t unserved)
+{
+	struct connection_counts counts =
+		connection_guard_counts(http_server_guard(f->server));
+
+	g_assert_cmpuint(counts.held, ==, held);
+	g_assert_cmpuint(counts.unserved, ==, unserved);
+}
+
 /* Returns a peer that has sent a part of a body. */
 static struct peer *start_body(struct fixture *f, int bytes)
 {
 	char *text = g_strdup_printf("POST /echo HTTP/1.1\r\nHost: a\r\n"
 				     "Content-Length: 200000\r\n\r\n%*s",
 				     bytes, "");
-	struct peer *p = peer_new(f);
+	struct peer *p = peer_new_sending(f, text);
 
-	read_more(p);
-	peer_send(p, text);
 	cluster_sleep(20);
 	g_free(text);
 	return p;
@@ -395,18 +418,17 @@
 static void test_held_memory(struct fixture *f, gconstpointer data)
 {
 	static const int body_bytes[] = { 40000, 50000, 110000 };
-	const struct connection_guard *guard;
 	struct peer *peers[G_N_ELEMENTS(body_bytes)];
 
 	http_server_free(f->server);
 	open_server(f, 2 * HELD_BYTES, HELD_BYTES, FALSE);
-	guard = http_server_guard(f->server);
 	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++)
 		peers[i] = start_body(f, body_bytes[i]);
 	g_assert_true(cluster_wait(is_closed, peers[2], WAIT_MS));
 	g_assert_false(peers[0]->is_closed);
-	g_assert_cmpuint(connection_guard_counts(guard).held, ==, 1);
-	g_assert_cmpint(connection_guard_held(guard), <=, HELD_BYTES);
+	assert_limited(f, 1, 0);
+	g_assert_cmpint(connection_guard_held(http_server_guard(f->server)), <=,
+			HELD_BYTES);
 	assert_small_request_served(f);
 	for (guint i = 0; i < G_N_ELEMENTS(body_bytes); i++)
 		peer_free(peers[i]);
@@ -425,27 +447,22 @@
 
 static void test_unserved(struct fixture *f, gconstpointer data)
 {
+	static const char held_request[] =
+		"GET /hold HTTP/1.1\r\nHost: a\r\n\r\n";
 	const struct unserved_case *c = data;
-	const struct connection_guard *guard;
 	struct peer *first;
 	struct peer *second;
 
 	http_server_free(f->server);
 	open_server(f, MAX_BODY_BYTES, TWO_CONNECTIONS_BYTES,
 		    c->may_run_elsewhere);
-	guard = http_server_guard(f->server);
-	first = peer_new(f);
-	read_more(first);
-	peer_send(first, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+	first = peer_new_sending(f, held_request);
 	cluster_sleep(50);
 	g_assert_nonnull(f->pending_request);
-	second = peer_new(f);
-	read_more(second);
-	peer_send(second, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
-	g_assert_true(cluster_wait(is_answered, second, WAIT_MS));
-	g_assert_true(g_str_has_prefix(second->received->str, c->answer));
+	second = peer_new_sending(f, held_request);
+	assert_answered(second, c->answer);
 	g_assert_nonnull(strstr(second->received->str, "Retry-After: 1"));
-	g_assert_cmpuint(connection_guard_counts(guard).unserved, ==, 1);
+	assert_limited(f, 0, 1);
 	peer_free(second);
 	peer_free(first);
 }
