--- a/base/http_counters.c
+++ b/base/http_counters.c
@@ -6,21 +6,28 @@
 	size_t offset; /* in struct connection_counts */
 };
 
-#define TOTAL(name_, member, help_)                                    \
-	{                                                              \
-		.name = "cs_http_connections_" name_, .help = (help_), \
-		.offset = offsetof(struct connection_counts, member)   \
+#define TOTAL(name_, member, help_)                                  \
+	{                                                            \
+		.name = (name_), .help = (help_),                    \
+		.offset = offsetof(struct connection_counts, member) \
 	}
 
 static const struct total totals[] = {
-	TOTAL("refused", refused, "Connections refused: too many"),
-	TOTAL("evicted", evicted, "Connections closed to make room"),
-	TOTAL("idle", idle, "Connections closed as idle too long"),
-	TOTAL("slow", slow, "Connections closed as too slow"),
-	TOTAL("held", held, "Connections closed as too much memory is held"),
-	TOTAL("long_heads", heads, "Requests refused: head too long"),
-	TOTAL("long_bodies", bodies, "Requests refused: body too long"),
-	TOTAL("unserved", unserved,
+	TOTAL("cs_http_connections_refused", refused,
+	      "Connections refused: too many"),
+	TOTAL("cs_http_connections_evicted", evicted,
+	      "Connections closed to make room"),
+	TOTAL("cs_http_connections_idle", idle,
+	      "Connections closed as idle too long"),
+	TOTAL("cs_http_connections_slow", slow,
+	      "Connections closed as too slow"),
+	TOTAL("cs_http_connections_held", held,
+	      "Connections closed as too much memory is held"),
+	TOTAL("cs_http_connections_long_heads", heads,
+	      "Requests refused: head too long"),
+	TOTAL("cs_http_connections_long_bodies", bodies,
+	      "Requests refused: body too long"),
+	TOTAL("cs_http_connections_unserved", unserved,
 	      "Requests refused: too much memory is held"),
 };
 
