--- a/base/http_request.c
+++ b/base/http_request.c
@@ -150,14 +150,14 @@
 }
 
 static json_object *parse_body(struct http_request *r, const char *text,
-			       gsize len)
+			       gsize len, gsize parsed_bytes)
 {
 	int64_t raw_bytes = r->held_bytes - REQUEST_BYTES;
 	struct finding_list findings;
 	struct json_text t;
 	json_object *root = NULL;
 
-	if (!reserve(r, (int64_t)json_text_parsed_bytes(text, len))) {
+	if (!reserve(r, (int64_t)parsed_bytes)) {
 		reply_unserved(r);
 		return NULL;
 	}
@@ -176,6 +176,7 @@
 
 json_object *http_request_json(struct http_request *r)
 {
+	gsize parsed_bytes;
 	json_object *root;
 	GBytes *bytes;
 	gsize len;
@@ -185,12 +186,12 @@
 		return r->body;
 	bytes = http_request_body(r);
 	text = g_bytes_get_data(bytes, &len);
-	if (json_text_parsed_bytes(text, len) >
-	    r->server->limits.parsed_bytes) {
+	parsed_bytes = json_text_parsed_bytes(text, len);
+	if (parsed_bytes > r->server->limits.parsed_bytes) {
 		reply_too_complex(r);
 		root = NULL;
 	} else {
-		root = parse_body(r, text ? text : "", len);
+		root = parse_body(r, text ? text : "", len, parsed_bytes);
 	}
 	g_bytes_unref(bytes);
 	return root;
--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -1,6 +1,5 @@
 #include "tests/crowd.h"
 
-#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,7 +12,6 @@
 #define STALL_MS 1500
 /* Limit for servers that take bytes without end. */
 #define SEND_LIMIT_MS 20000
-#define SEND_BYTES 65536
 #define BYTES_PER_KB 1024
 #define TCP_TABLE "/proc/net/tcp"
 
