Links: log when the kernel's read buffer can't be limited

The error of SO_RCVBUF was dropped; the HTTP ports log theirs. test_link, test_link_connection and /client-limits/gateway/unfinished-frames pass.

--- a/link/link_listen.c
+++ b/link/link_listen.c
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include "base/log.h"
 #include "base/util.h"
 
 /* Unread bytes that the kernel keeps for each connection. */
@@ -12,9 +13,17 @@
 			      GSocketListenerEvent event, GSocket *socket,
 			      gpointer data)
 {
-	if (event == G_SOCKET_LISTENER_BINDING)
-		g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
-				    LINK_READ_BUFFER_BYTES, NULL);
+	GError *error = NULL;
+	struct log_line line;
+
+	if (event != G_SOCKET_LISTENER_BINDING ||
+	    g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
+				LINK_READ_BUFFER_BYTES, &error))
+		return;
+	log_begin(&line, LOG_LEVEL_WARN, "socket_buffers_unlimited");
+	log_str(&line, "reason", error->message);
+	log_end(&line);
+	g_error_free(error);
 }
 
 enum status link_listen(GSocketService *service, const char *address)
