Holder: read what arrived during a pause of the process before planning

All processes stood still for 7.6 s, just after a new holder had read the tables. Its wait for workers that it hasn't heard ran out meanwhile. When it went on, it started their tasks again, 3 ms before it read their reports, which had arrived.

The holder's ticks come ten times a second. One that is over 500 ms late tells of a pause: it is logged (process_paused), and nothing is planned for 100 ms. So neither this wait nor a worker's lease bound is taken to be over before the main loop had time for the reports.

--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -14,6 +14,8 @@
 
 /* Interval of plans for retries, expired leases and due repeats. */
 #define TICK_MS 100
+/* Ticks that come this late tell that the process stood still. */
+#define PAUSE_MS 500
 /* Delay of a plan, so that one covers all answers that arrive together. */
 #define PLAN_DELAY_MS 3
 /* Limit of the time in which a plan places tasks: with the rest of the plan
@@ -70,6 +72,7 @@
 	guint tick;
 	guint plan_timer;
 	guint renew_timer;
+	int64_t awake_ms;	  /* when the process was last known to run */
 	int64_t last_plan_end_ms; /* on the monotonic clock */
 	int64_t last_plan_duration_ms;
 	int64_t plan_logged_ms; /* last log line on a plan that was too short */
@@ -179,10 +182,26 @@
 	log_end(&line);
 }
 
+/* Postpones plans after a pause of the process, whose ticks are late then. */
+static void check_pause(struct pool_holder *s, int64_t now_ms)
+{
+	int64_t pause_ms = s->awake_ms ? now_ms - s->awake_ms : 0;
+	struct log_line line;
+
+	s->awake_ms = now_ms;
+	if (pause_ms < PAUSE_MS)
+		return;
+	fleet_scheduler_resume(&s->scheduler, now_ms);
+	log_begin(&line, LOG_LEVEL_WARN, "process_paused");
+	log_int(&line, "pause_ms", pause_ms);
+	log_end(&line);
+}
+
 static void plan(struct pool_holder *s)
 {
 	int64_t now_ms = util_monotonic_ms();
 
+	check_pause(s, now_ms);
 	if (!s->is_ready || !election_may_act(s->kernel))
 		return;
 	end_read_feeds(s);
--- a/sched/fleet_scheduler.c
+++ b/sched/fleet_scheduler.c
@@ -33,6 +33,8 @@
 /* Shortest time span over which the progress rate is computed; over less time
  * it is unreliable. */
 #define MIN_RATE_SPAN_MS 500
+/* Time after a pause of the process to read what has arrived meanwhile. */
+#define RESUME_MS 100
 /* Margin between the expected end of a task and the shutdown of its worker. */
 #define EVACUATION_MARGIN_MS 300
 /* Most run ends that a worker lists in one report. A task missing from a full
@@ -62,6 +64,7 @@
 	s->epoch = epoch;
 	s->runs = 0;
 	s->unknown_runs_until_ms = unknown_runs_until_ms;
+	s->resumed_ms = 0;
 	s->is_reading = FALSE;
 	s->has_workers = FALSE;
 	s->has_unregistered_workers = FALSE;
@@ -912,12 +915,19 @@
 	return has_stopped;
 }
 
+void fleet_scheduler_resume(struct fleet_scheduler *s, int64_t now_ms)
+{
+	s->resumed_ms = now_ms + RESUME_MS;
+}
+
 void fleet_scheduler_plan(struct fleet_scheduler *s, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer item;
 	gboolean all_fenced = TRUE;
 
+	if (now_ms < s->resumed_ms)
+		return;
 	g_hash_table_iter_init(&iter, s->fleet.workers);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		struct fleet_worker *w = item;
--- a/sched/fleet_scheduler.h
+++ b/sched/fleet_scheduler.h
@@ -74,6 +74,7 @@
 	 * has not answered in this epoch.
 	 */
 	int64_t unknown_runs_until_ms;
+	int64_t resumed_ms; /**< until then nothing is planned after a pause */
 	/**
 	 * The tables are being read at a takeover. What they hold isn't logged
 	 * line by line: that would delay the first start and use up the limit
@@ -153,6 +154,13 @@
 				   int64_t run, enum order_outcome outcome,
 				   int64_t now_ms);
 
+/**
+ * Tells that the process has stood still until now. Nothing is planned for a
+ * moment: leases and waits have run out meanwhile, and tasks that are done
+ * would be taken for lost before the reports that have arrived were read.
+ */
+void fleet_scheduler_resume(struct fleet_scheduler *s, int64_t now_ms);
+
 /** Sends all orders that are due. */
 void fleet_scheduler_plan(struct fleet_scheduler *s, int64_t now_ms);
 
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -402,6 +402,39 @@
 	world_clear(&w);
 }
 
+/*
+ * The holder's process stands still until the leases of the previous holder
+ * have expired. The report of the worker that has completed the task meanwhile
+ * has arrived, but is read after the next plans: the task must not run again.
+ */
+static void test_takeover_pause(void)
+{
+	json_object *row = json_object_new_object();
+	struct world w = { 0 };
+
+	world_init(&w);
+	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
+	add_worker(&w, "w1", "r1");
+	register_worker(&w, "w2", "r1");
+	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	json_object_object_add(row, "state", json_object_new_string("active"));
+	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
+	plan_after(&w, 1);
+	w.now_ms += 16000;
+	fleet_scheduler_resume(&w.s, w.now_ms);
+	plan_after(&w, 0);
+	report(&w, "w1", NULL, NULL);
+	plan_after(&w, 3);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
+	report(&w, "w2", NULL, ended_list(1, "job.0.0.0", 7, RUN_DONE));
+	for (guint i = 0; i < 10; i++)
+		plan_after(&w, 100);
+	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
+	g_assert_true(fleet_job_has_ended(fleet_job(&w.s.fleet, "job")));
+	json_object_put(row);
+	world_clear(&w);
+}
+
 /*
  * The feed delivers an "active" row of this epoch before the write is answered,
  * or the answer is lost. No earlier holder can have started the job, so it must
@@ -1175,6 +1208,7 @@
 	{ "/fleet/failure-once", test_failure_counts_once },
 	{ "/fleet/failures-out-of-order", test_failures_out_of_order },
 	{ "/fleet/takeover/own-mark", test_own_active_row },
+	{ "/fleet/takeover/pause", test_takeover_pause },
 	{ "/fleet/mark-first", test_active_stored_first },
 	{ "/fleet/marked-waits", test_active_not_started },
 	{ "/fleet/preemption", test_preemption },
