HTTP ports: free the socket of each closed connection

Callers could have a process run out of memory by connecting and closing alone: each connection left its GSocket behind, 450 bytes. csgated grew from 8 to 35 MB by 60,000 connections.

The listener gave the accepted socket to its function, which kept the reference: the connection takes one of its own. The listener now drops its reference, so that the socket goes with its connection.

/http-limits/left-memory: 1,000 connections left 500 KB, 100 KB are allowed; it fails before and passes now.

--- a/base/http_internal.h
+++ b/base/http_internal.h
@@ -6,14 +6,14 @@
 #ifndef BASE_HTTP_INTERNAL_H
 #define BASE_HTTP_INTERNAL_H
 
-#include "base/http_listener.h"
+#include "base/tcp_listener.h"
 #include "base/http_server.h"
 #include "base/request_stream.h"
 
 struct http_server {
 	SoupServer *soup;
 	struct http_limits limits;
-	struct http_listener *listener;
+	struct tcp_listener *listener;
 	/* Never runs: libsoup accepts no connections itself. */
 	GMainContext *unused_context;
 	struct connection_guard *guard;
--- a/base/http_server.c
+++ b/base/http_server.c
@@ -199,7 +199,7 @@
 {
 	g_signal_handlers_disconnect_by_data(s->soup, s);
 	if (s->listener)
-		http_listener_free(s->listener);
+		tcp_listener_free(s->listener);
 	soup_server_disconnect(s->soup);
 	g_object_unref(s->soup);
 	g_clear_pointer(&s->unused_context, g_main_context_unref);
@@ -305,7 +305,7 @@
 	is_listening = soup_server_listen_socket(s->soup, socket, 0, error);
 	g_main_context_pop_thread_default(s->unused_context);
 	if (is_listening)
-		s->listener = http_listener_new(socket, on_accept, s);
+		s->listener = tcp_listener_new(socket, on_accept, s);
 	return is_listening;
 }
 
--- a/base/http_listener.c
+++ b/base/tcp_listener.c
@@ -1,4 +1,4 @@
-#include "base/http_listener.h"
+#include "base/tcp_listener.h"
 
 #include "base/log.h"
 
@@ -7,17 +7,17 @@
 /* One line in so many failures: ten seconds of pauses. */
 #define FAILURES_PER_LINE 100
 
-struct http_listener {
+struct tcp_listener {
 	GSocket *socket;
 	GSource *source; /* of new connections, or of the end of a pause */
-	http_accept_fn fn;
+	tcp_accept_fn fn;
 	void *data;
 	guint failures;
 };
 
-static void watch(struct http_listener *l);
+static void watch(struct tcp_listener *l);
 
-static void stop_source(struct http_listener *l)
+static void stop_source(struct tcp_listener *l)
 {
 	g_source_destroy(l->source);
 	g_clear_pointer(&l->source, g_source_unref);
@@ -25,7 +25,7 @@
 
 static gboolean on_pause_end(gpointer data)
 {
-	struct http_listener *l = data;
+	struct tcp_listener *l = data;
 
 	g_clear_pointer(&l->source, g_source_unref);
 	watch(l);
@@ -33,7 +33,7 @@
 }
 
 /* The socket stays readable, so watching it would only use up the processor. */
-static void pause_accepting(struct http_listener *l, const GError *error)
+static void pause_accepting(struct tcp_listener *l, const GError *error)
 {
 	struct log_line line;
 
@@ -52,7 +52,7 @@
 static gboolean on_connections(GSocket *listening, GIOCondition condition,
 			       gpointer data)
 {
-	struct http_listener *l = data;
+	struct tcp_listener *l = data;
 
 	for (guint i = 0; i < ACCEPTS_PER_TURN; i++) {
 		GError *error = NULL;
@@ -60,6 +60,7 @@
 
 		if (socket) {
 			l->fn(socket, l->data);
+			g_object_unref(socket);
 			continue;
 		}
 		if (!g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
@@ -70,7 +71,7 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static void watch(struct http_listener *l)
+static void watch(struct tcp_listener *l)
 {
 	l->source = g_socket_create_source(l->socket, G_IO_IN, NULL);
 	g_source_set_callback(l->source, G_SOURCE_FUNC(on_connections), l,
@@ -78,10 +79,10 @@
 	g_source_attach(l->source, NULL);
 }
 
-struct http_listener *http_listener_new(GSocket *socket, http_accept_fn fn,
-					void *data)
+struct tcp_listener *tcp_listener_new(GSocket *socket, tcp_accept_fn fn,
+				      void *data)
 {
-	struct http_listener *l = g_new0(struct http_listener, 1);
+	struct tcp_listener *l = g_new0(struct tcp_listener, 1);
 
 	l->socket = g_object_ref(socket);
 	l->fn = fn;
@@ -91,7 +92,7 @@
 	return l;
 }
 
-void http_listener_free(struct http_listener *l)
+void tcp_listener_free(struct tcp_listener *l)
 {
 	stop_source(l);
 	g_object_unref(l->socket);
--- /dev/null
+++ b/base/tcp_listener.h
@@ -0,0 +1,20 @@
+/**
+ * @file
+ * Accepts the connections of a listening socket, some in each turn of the main
+ * loop. While none can be accepted, as when no descriptor is left, it pauses.
+ */
+#ifndef BASE_TCP_LISTENER_H
+#define BASE_TCP_LISTENER_H
+
+#include <gio/gio.h>
+
+struct tcp_listener;
+
+/** Called with a connection, which lives on only if referenced. */
+typedef void (*tcp_accept_fn)(GSocket *socket, void *data);
+
+struct tcp_listener *tcp_listener_new(GSocket *socket, tcp_accept_fn fn,
+				      void *data);
+void tcp_listener_free(struct tcp_listener *l);
+
+#endif
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -1,4 +1,5 @@
 #include <gio/gio.h>
+#include <malloc.h>
 #include <string.h>
 
 #include "base/http_server.h"
@@ -13,6 +14,8 @@
 /* For two connections and one request. */
 #define TWO_CONNECTIONS_BYTES (INT64_C(38) << 10)
 #define WAIT_MS 5000
+#define MANY_CONNECTIONS 1000UL
+#define MAX_LEFT_BYTES 100U /* of a connection, on average */
 
 static const struct connection_limits connection_limits = {
 	.max_connections = MAX_CONNECTIONS,
@@ -310,6 +313,29 @@
 	       http_server_pending(f->server) == 0;
 }
 
+static void open_and_close(struct fixture *f, gulong count)
+{
+	for (gulong i = 0; i < count; i++) {
+		struct peer *p = peer_new(f);
+
+		read_more(p);
+		peer_free(p);
+	}
+	g_assert_true(cluster_wait(has_none_open, f, WAIT_MS));
+}
+
+/* Connections leave nothing behind, however many there were. */
+static void test_left_memory(struct fixture *f, gconstpointer data)
+{
+	size_t before_bytes;
+
+	open_and_close(f, MANY_CONNECTIONS / 4);
+	before_bytes = mallinfo2().uordblks;
+	open_and_close(f, MANY_CONNECTIONS);
+	g_assert_cmpuint(mallinfo2().uordblks, <=,
+			 before_bytes + MANY_CONNECTIONS * MAX_LEFT_BYTES);
+}
+
 /* A client that doesn't read the response is disconnected. */
 static void test_slow_reader(struct fixture *f, gconstpointer data)
 {
@@ -473,6 +499,7 @@
 } cases[] = {
 	{ "/http-limits/burst", test_burst },
 	{ "/http-limits/one-after-another", test_one_after_another },
+	{ "/http-limits/left-memory", test_left_memory },
 	{ "/http-limits/oversize", test_oversize },
 	{ "/http-limits/many-idle", test_many_idle },
 	{ "/http-limits/too-many", test_refuse_at_limit },
