Links and delegates: pause when a connection can't be accepted

Operators saw a core in use and a log that grows without end while a process had no descriptor left: GSocketService tries again in each turn of the main loop and prints a warning. csgated with 128 descriptors and 400 connections: 49,979 warnings (5 MB) and 4.0 s of processor time in 4 s.

These ports use tcp_listener now, as the HTTP ports do: it pauses for 100 ms and logs one of 100 failures.

--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -30,7 +30,7 @@
 	struct service base;
 	struct platform *platform;
 	const struct entry_settings *settings;
-	GSocketService *listener;
+	struct tcp_listener *listener; /* NULL until started */
 	struct link_poll *poll;
 	struct link_traffic traffic;
 	struct http_client *client;
@@ -356,10 +356,11 @@
 	g_hash_table_remove(s->holders, oldest);
 }
 
-static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
-			    GObject *source, gpointer data)
+static void on_accept(GSocket *socket, void *data)
 {
 	struct delegate *s = data;
+	GSocketConnection *stream =
+		g_socket_connection_factory_create_connection(socket);
 	struct holder_link *l;
 
 	if (g_hash_table_size(s->holders) >= MAX_HOLDERS)
@@ -373,7 +374,7 @@
 	link_connection_limit_frames(l->connection,
 				     LINK_HANDSHAKE_MAX_BODY_BYTES);
 	g_hash_table_add(s->holders, l);
-	return TRUE;
+	g_object_unref(stream);
 }
 
 static json_object *encode_row(const struct delegate *s)
@@ -408,11 +409,9 @@
 	s->unauthenticated_logged_ms = -UNAUTHENTICATED_LOG_INTERVAL_MS;
 	if (!s->settings->internal)
 		return STATUS_OK;
-	status = link_listen(s->listener, s->settings->internal);
+	status = link_listen(s->settings->internal, on_accept, s, &s->listener);
 	if (status != STATUS_OK)
 		return status;
-	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
-	g_socket_service_start(s->listener);
 	s->row = encode_row(s);
 	register_delegate(s);
 	return STATUS_OK;
@@ -451,11 +450,9 @@
 		g_source_remove(s->timer);
 	if (s->platform)
 		platform_forget(s->platform, s);
-	g_socket_service_stop(s->listener);
-	g_socket_listener_close(G_SOCKET_LISTENER(s->listener));
+	g_clear_pointer(&s->listener, tcp_listener_free);
 	g_hash_table_unref(s->holders);
 	http_client_free(s->client);
-	g_object_unref(s->listener);
 	link_poll_free(s->poll);
 	json_object_put(s->row);
 	g_free(s->token);
@@ -474,7 +471,6 @@
 	struct delegate *s = g_new0(struct delegate, 1);
 
 	s->base.class = &delegate_class;
-	s->listener = g_socket_service_new();
 	s->poll = link_poll_new();
 	s->client = http_client_new(MAX_CALLS, WORKER_MAX_CONNECTIONS);
 	s->holders = g_hash_table_new_full(NULL, NULL, holder_link_free, NULL);
--- a/link/link_listen.h
+++ b/link/link_listen.h
@@ -8,6 +8,7 @@
 #include <gio/gio.h>
 
 #include "base/status.h"
+#include "base/tcp_listener.h"
 
 /**
  * Limit of inbound links, and of connections that wait to be accepted: after a
@@ -16,12 +17,15 @@
 #define LINK_MAX_INBOUND 512
 
 /**
- * Adds a listening address to a socket service.
+ * Listens at an address.
  *
  * @param address	"IP:PORT"
+ * @param fn		called with each connection
+ * @param listener	set if it listens; release it with tcp_listener_free()
  * @return	STATUS_OK, STATUS_INVALID if the address is malformed, or
  *		STATUS_UNAVAILABLE if it can't be bound, such as one in use
  */
-enum status link_listen(GSocketService *service, const char *address);
+enum status link_listen(const char *address, tcp_accept_fn fn, void *data,
+			struct tcp_listener **listener);
 
 #endif
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -33,7 +33,7 @@
 	struct service base;
 	struct link_identity self;
 	const char *secret;
-	GSocketService *listener;
+	struct tcp_listener *listener; /* NULL until started */
 	struct link_poll *poll;
 	guint max_inbound;
 	int64_t limit_logged_ms;
@@ -121,8 +121,7 @@
 	return oldest && g_hash_table_remove(s->inbound, oldest);
 }
 
-static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
-			    GObject *source, gpointer data)
+static void on_accept(GSocket *socket, void *data)
 {
 	struct link_service *s = data;
 	struct link_inbound_spec spec = {
@@ -136,9 +135,13 @@
 		.data = s,
 	};
 
-	if (has_room(s))
-		g_hash_table_add(s->inbound, link_inbound_new(&spec, stream));
-	return TRUE;
+	GSocketConnection *stream;
+
+	if (!has_room(s))
+		return;
+	stream = g_socket_connection_factory_create_connection(socket);
+	g_hash_table_add(s->inbound, link_inbound_new(&spec, stream));
+	g_object_unref(stream);
 }
 
 static void on_peer_up(struct link_peer *peer, void *data)
@@ -195,11 +198,9 @@
 	s->max_inbound =
 		process_limits_links(&settings_of(k)->limits, LINK_MAX_INBOUND);
 	s->limit_logged_ms = -LIMIT_LOG_INTERVAL_MS;
-	status = link_listen(s->listener, settings_of(k)->link);
+	status = link_listen(settings_of(k)->link, on_accept, s, &s->listener);
 	if (status != STATUS_OK)
 		return status;
-	g_signal_connect(s->listener, "incoming", G_CALLBACK(on_incoming), s);
-	g_socket_service_start(s->listener);
 	s->tick_timer = g_timeout_add_seconds(TICK_INTERVAL_S, on_tick, s);
 	return STATUS_OK;
 }
@@ -210,13 +211,11 @@
 
 	if (s->tick_timer)
 		g_source_remove(s->tick_timer);
-	g_socket_service_stop(s->listener);
-	g_socket_listener_close(G_SOCKET_LISTENER(s->listener));
+	g_clear_pointer(&s->listener, tcp_listener_free);
 	g_ptr_array_unref(s->peers);
 	g_hash_table_unref(s->inbound);
 	for (guint i = 0; i < CLOSE_ITERATIONS; i++)
 		g_main_context_iteration(NULL, FALSE);
-	g_object_unref(s->listener);
 	link_poll_free(s->poll);
 	g_array_unref(s->up_subscribers);
 	link_identity_clear(&s->self);
@@ -234,7 +233,6 @@
 	struct link_service *s = g_new0(struct link_service, 1);
 
 	s->base.class = &link_service_class;
-	s->listener = g_socket_service_new();
 	s->poll = link_poll_new();
 	s->peers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)link_peer_free);
--- a/tests/test_worker_calls.c
+++ b/tests/test_worker_calls.c
@@ -151,7 +151,7 @@
 /* A delegate that accepts a holder and records the last call, which it never
  * answers. */
 struct fake_delegate {
-	GSocketService *service;
+	struct tcp_listener *listener;
 	struct link_poll *poll;
 	struct link_traffic traffic;
 	struct link_connection *connection;
@@ -188,15 +188,16 @@
 	((struct fake_delegate *)data)->connection = NULL;
 }
 
-static gboolean on_incoming(GSocketService *service, GSocketConnection *stream,
-			    GObject *source, gpointer data)
+static void on_accept(GSocket *socket, void *data)
 {
 	struct fake_delegate *d = data;
+	GSocketConnection *stream =
+		g_socket_connection_factory_create_connection(socket);
 
 	d->connection =
 		link_connection_new(stream, d->poll, &d->traffic,
 				    on_delegate_frame, on_delegate_closed, d);
-	return TRUE;
+	g_object_unref(stream);
 }
 
 static void fake_delegate_init(struct fake_delegate *d, char **address)
@@ -205,20 +206,15 @@
 
 	*address = cluster_reserve_address();
 	d->poll = link_poll_new();
-	d->service = g_socket_service_new();
-	status = link_listen(d->service, *address);
+	status = link_listen(*address, on_accept, d, &d->listener);
 	g_assert_cmpint(status, ==, STATUS_OK);
-	g_signal_connect(d->service, "incoming", G_CALLBACK(on_incoming), d);
-	g_socket_service_start(d->service);
 }
 
 static void fake_delegate_clear(struct fake_delegate *d)
 {
 	if (d->connection)
 		link_connection_close(d->connection);
-	g_socket_service_stop(d->service);
-	g_socket_listener_close(G_SOCKET_LISTENER(d->service));
-	g_object_unref(d->service);
+	tcp_listener_free(d->listener);
 	link_poll_free(d->poll);
 }
 
