Keep the shares of the ports within the descriptors that the kernel allows

Where the kernel allows fewer descriptors than the setting (4,096 by default; a limit of 1,024 is usual), the shares of the ports added up to more than there are: a crowd of connections took all of them, and calls to the store and to workers failed.

The process raises its own limit to the setting. If the kernel refuses, the setting is lowered to what it allows, which is logged (descriptors_limited).

Two cases of test_client_limits with 128 descriptors, and a bound of the log for crowds that send nothing.

--- a/base/process_limits.c
+++ b/base/process_limits.c
@@ -1,5 +1,11 @@
 #include "base/process_limits.h"
 
+#include <errno.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include "base/log.h"
+
 /* Shares of the process's memory for what its clients make it hold: requests
  * and responses, bytes kept by the kernel, and one body while it is parsed. The
  * rest is for the process itself. */
@@ -28,6 +34,41 @@
 	return MIN(by_memory, by_descriptors);
 }
 
+static void log_descriptors(const struct process_limits *l, int64_t allowed,
+			    int error)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "descriptors_limited");
+	log_int(&line, "setting", l->descriptors);
+	log_int(&line, "allowed", allowed);
+	if (error)
+		log_str(&line, "reason", strerror(error));
+	log_end(&line);
+}
+
+void process_limits_apply(struct process_limits *l)
+{
+	rlim_t wanted = (rlim_t)l->descriptors;
+	struct rlimit kernel;
+	int error = 0;
+
+	if (getrlimit(RLIMIT_NOFILE, &kernel) < 0) {
+		log_descriptors(l, -1, errno);
+		return;
+	}
+	if (kernel.rlim_cur >= wanted)
+		return;
+	kernel.rlim_cur = MIN(wanted, kernel.rlim_max);
+	if (setrlimit(RLIMIT_NOFILE, &kernel) < 0)
+		error = errno;
+	getrlimit(RLIMIT_NOFILE, &kernel);
+	if (kernel.rlim_cur >= wanted)
+		return;
+	log_descriptors(l, (int64_t)kernel.rlim_cur, error);
+	l->descriptors = (int64_t)kernel.rlim_cur;
+}
+
 struct http_limits process_limits_http(const struct process_limits *l,
 				       double share)
 {
--- a/base/process_limits.h
+++ b/base/process_limits.h
@@ -20,6 +20,12 @@
 	int64_t descriptors;
 };
 
+/**
+ * Has the kernel allow as many descriptors as the limits tell. If it doesn't
+ * allow so many, they are lowered, so that the shares of the ports fit.
+ */
+void process_limits_apply(struct process_limits *l);
+
 /**
  * Returns the limits of an HTTP server.
  *
--- a/cli/csentryd.c
+++ b/cli/csentryd.c
@@ -66,6 +66,7 @@
 	if (is_good) {
 		struct entry_settings old = *source->settings;
 
+		process_limits_apply(&fresh.limits);
 		*source->settings = fresh;
 		fresh = old;
 	}
@@ -98,6 +99,7 @@
 	int code;
 
 	log_open_stdout(s->node, LOG_LEVEL_INFO);
+	process_limits_apply(&s->limits);
 	kernel_set_reload_handler(k, on_reload, &source);
 	poll_id = g_timeout_add(SETTINGS_POLL_MS, on_settings_poll, &source);
 	kernel_register(k, entry_store_new(s));
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -22,12 +22,13 @@
 	return is_good;
 }
 
-static int run(const struct daemon_spec *spec, const struct settings *s)
+static int run(const struct daemon_spec *spec, struct settings *s)
 {
 	struct kernel *k = kernel_new(s->drain_timeout_ms);
 	struct log_line line;
 
 	log_open(s->node, (enum log_level)s->log_level);
+	process_limits_apply(&s->limits);
 	kernel_register(k, settings_service_new(s));
 	kernel_register(k, http_service_new());
 	kernel_register(k, heap_service_new());
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 
 #include "base/util.h"
 
@@ -158,10 +159,21 @@
 	return g_strdup_printf("127.0.0.1:%u", port);
 }
 
+static guint max_descriptors; /* of processes started from now on, or 0 */
+
+void cluster_limit_descriptors(guint max)
+{
+	max_descriptors = max;
+}
+
 /* Runs in the child process, which must not outlive an aborted test. */
 static void on_child_setup(gpointer data)
 {
+	const struct rlimit limit = { max_descriptors, max_descriptors };
+
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (max_descriptors)
+		setrlimit(RLIMIT_NOFILE, &limit);
 }
 
 static struct cluster_process *spawn(struct cluster *c, const char *log_name,
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -99,6 +99,9 @@
 				      const char *log_name,
 				      const char *const *args);
 
+/** Limits the descriptors of processes started from now on; 0: no limit. */
+void cluster_limit_descriptors(guint max);
+
 /** Writes a settings file from @node and starts a daemon with it. */
 struct cluster_process *
 cluster_spawn_node(struct cluster *c, const char *program,
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -4,6 +4,7 @@
  * kernel holds for it, and its descriptors, and answer a request afterwards.
  */
 #include <gio/gio.h>
+#include <glib/gstdio.h>
 #include <string.h>
 
 #include "tests/crowd.h"
@@ -11,6 +12,8 @@
 
 #define MEMORY_MB 32
 #define DESCRIPTORS 256
+#define FEW_DESCRIPTORS 128
+#define MAX_LOG_BYTES 65536
 #define KB_PER_MB INT64_C(1024)
 #define MAX_PORTS 4
 #define FRAME_BYTES ((gsize)4 << 20)
@@ -42,6 +45,7 @@
 	guint ports; /* set of bits, 1 << enum port */
 	guint connections;
 	message_fn make;
+	guint max_descriptors; /* of the kernel, or 0 */
 };
 
 /* The program under test and the processes that it needs. */
@@ -218,51 +222,56 @@
 
 static const struct limit_case cases[] = {
 	{ "/client-limits/endless-head", ENTRY, FRONTEND, 600,
-	  make_endless_head },
+	  make_endless_head, 0 },
 	{ "/client-limits/endless-line", ENTRY, FRONTEND, 600,
-	  make_endless_line },
-	{ "/client-limits/empty-lines", ENTRY, FRONTEND, 600,
-	  make_empty_lines },
-	{ "/client-limits/many-fields", ENTRY, FRONTEND, 100,
-	  make_many_fields },
+	  make_endless_line, 0 },
+	{ "/client-limits/empty-lines", ENTRY, FRONTEND, 600, make_empty_lines,
+	  0 },
+	{ "/client-limits/many-fields", ENTRY, FRONTEND, 100, make_many_fields,
+	  0 },
 	{ "/client-limits/unfinished-bodies", ENTRY, FRONTEND, 100,
-	  make_unfinished_body },
+	  make_unfinished_body, 0 },
 	{ "/client-limits/unfinished-forwarded", ENTRY, FORWARD, 100,
-	  make_unfinished_body },
+	  make_unfinished_body, 0 },
 	{ "/client-limits/unfinished-readiness", ENTRY, READINESS, 100,
-	  make_unfinished_body },
-	{ "/client-limits/endless-body", ENTRY, FRONTEND, 20,
-	  make_endless_body },
-	{ "/client-limits/untaken-answers", ENTRY, FRONTEND, 50,
-	  make_pipeline },
-	{ "/client-limits/untaken-metrics", ENTRY, READINESS, 50,
-	  make_pipeline },
+	  make_unfinished_body, 0 },
+	{ "/client-limits/endless-body", ENTRY, FRONTEND, 20, make_endless_body,
+	  0 },
+	{ "/client-limits/untaken-answers", ENTRY, FRONTEND, 50, make_pipeline,
+	  0 },
+	{ "/client-limits/untaken-metrics", ENTRY, READINESS, 50, make_pipeline,
+	  0 },
 	{ "/client-limits/connections", ENTRY,
-	  FRONTEND | FORWARD | READINESS | INTERNAL, 150, make_nothing },
-	{ "/client-limits/long-name", ENTRY, FRONTEND, 1, make_long_name },
+	  FRONTEND | FORWARD | READINESS | INTERNAL, 150, make_nothing, 0 },
+	{ "/client-limits/long-name", ENTRY, FRONTEND, 1, make_long_name, 0 },
 	{ "/client-limits/empty-objects", ENTRY, FRONTEND, 1,
-	  make_empty_objects },
+	  make_empty_objects, 0 },
 	{ "/client-limits/many-findings", ENTRY, FRONTEND, 20,
-	  make_many_findings },
-	{ "/client-limits/map-frame", ENTRY, INTERNAL, 1, make_map_frame },
+	  make_many_findings, 0 },
+	{ "/client-limits/map-frame", ENTRY, INTERNAL, 1, make_map_frame, 0 },
 	{ "/client-limits/unfinished-frames", ENTRY, INTERNAL, 16,
-	  make_unfinished_frame },
+	  make_unfinished_frame, 0 },
 	{ "/client-limits/gateway/many-fields", GATEWAY, HTTP, 100,
-	  make_many_fields },
+	  make_many_fields, 0 },
 	{ "/client-limits/gateway/unfinished-bodies", GATEWAY, HTTP, 100,
-	  make_unfinished_body },
+	  make_unfinished_body, 0 },
 	{ "/client-limits/gateway/empty-objects", GATEWAY, HTTP, 1,
-	  make_empty_objects },
+	  make_empty_objects, 0 },
 	{ "/client-limits/gateway/connections", GATEWAY, HTTP | LINK, 300,
-	  make_nothing },
-	{ "/client-limits/gateway/map-frame", GATEWAY, LINK, 1,
-	  make_map_frame },
+	  make_nothing, 0 },
+	{ "/client-limits/gateway/map-frame", GATEWAY, LINK, 1, make_map_frame,
+	  0 },
 	{ "/client-limits/gateway/unfinished-frames", GATEWAY, LINK, 16,
-	  make_unfinished_frame },
+	  make_unfinished_frame, 0 },
+	{ "/client-limits/few-descriptors", ENTRY,
+	  FRONTEND | FORWARD | READINESS | INTERNAL, 150, make_nothing,
+	  FEW_DESCRIPTORS },
+	{ "/client-limits/gateway/few-descriptors", GATEWAY, HTTP | LINK, 300,
+	  make_nothing, FEW_DESCRIPTORS },
 	{ "/client-limits/scheduler/unfinished-bodies", SCHEDULER, HTTP, 100,
-	  make_unfinished_body },
+	  make_unfinished_body, 0 },
 	{ "/client-limits/scheduler/unfinished-frames", SCHEDULER, LINK, 16,
-	  make_unfinished_frame },
+	  make_unfinished_frame, 0 },
 };
 
 static void target_start_entry(struct target *t)
@@ -335,12 +344,24 @@
 	site_assert_state(t->site, 0, "00000000000000ff", "completed");
 }
 
-static void assert_within_limits(const struct process_usage_peak *peak)
+/* Limits that are reached are logged now and then, other than requests. */
+static void assert_log_is_short(const struct target *t)
 {
+	GStatBuf info;
+
+	g_assert_cmpint(g_stat(t->process->log_path, &info), ==, 0);
+	g_assert_cmpint(info.st_size, <=, MAX_LOG_BYTES);
+}
+
+static void assert_within_limits(const struct limit_case *c,
+				 const struct process_usage_peak *peak)
+{
+	guint max = c->max_descriptors ? c->max_descriptors - 1 : DESCRIPTORS;
+
 	g_test_message("memory %" G_GINT64_FORMAT
 		       " KB, kernel %" G_GINT64_FORMAT " KB, descriptors %u",
 		       peak->memory_kb, peak->queued_kb, peak->descriptors);
-	g_assert_cmpuint(peak->descriptors, <=, DESCRIPTORS);
+	g_assert_cmpuint(peak->descriptors, <=, max);
 #ifndef __SANITIZE_ADDRESS__ /* keeps freed blocks and adds its own data */
 	g_assert_cmpint(peak->memory_kb + peak->queued_kb, <=,
 			MEMORY_MB * KB_PER_MB);
@@ -357,10 +378,12 @@
 	struct target t = { 0 };
 	guint n = 0;
 
+	cluster_limit_descriptors(c->max_descriptors);
 	if (g_str_equal(c->program, ENTRY))
 		target_start_entry(&t);
 	else
 		target_start_node(&t, c->program);
+	cluster_limit_descriptors(0);
 	for (guint i = 0; i < PORT_COUNT; i++) {
 		if (c->ports & (1U << i))
 			addresses[n++] = t.addresses[i];
@@ -369,7 +392,9 @@
 	repeat_block(message.block);
 	peak = crowd_run(addresses, c->connections, &message, t.process);
 	assert_answers(&t);
-	assert_within_limits(&peak);
+	assert_within_limits(c, &peak);
+	if (c->make == make_nothing)
+		assert_log_is_short(&t);
 	g_string_free(message.start, TRUE);
 	g_string_free(message.block, TRUE);
 	target_clear(&t);
