--- a/base/connection_guard.c
+++ b/base/connection_guard.c
@@ -15,7 +15,6 @@
  * cause one each. */
 #define MIN_SWEEP_INTERVAL_MS 100
 #define TCP_STATE_CLOSE_WAIT 8 /* the peer has closed, we have not */
-#define LOG_INTERVAL_MS 10000
 /* A connection that has read or responded for less is not closed for another,
  * so that an ordinary client has the time for its request. */
 #define MIN_EVICTION_AGE_MS 1000
@@ -48,7 +47,7 @@
 	struct connection_limits limits;
 	struct connection_counts counts;
 	struct connection_counts logged; /* in the last line */
-	int64_t logged_ms;
+	struct log_pace log_pace;
 	GHashTable *connections; /* GSocket to struct guarded_connection */
 	/* Of struct guarded_connection, in the order of state_since_ms. */
 	GQueue idle;
@@ -195,7 +194,8 @@
 	const struct connection_counts *c = &g->counts;
 	struct log_line line;
 
-	if (!has_reached_limit(g) || now_ms - g->logged_ms < LOG_INTERVAL_MS)
+	if (!has_reached_limit(g) ||
+	    !log_pace_is_due(&g->log_pace, now_ms, LOG_LIMIT_INTERVAL_MS))
 		return;
 	log_begin(&line, LOG_LEVEL_WARN, "client_limits");
 	log_str(&line, "port", g->name);
@@ -211,7 +211,6 @@
 	log_int(&line, "unserved", (int64_t)(c->unserved - g->logged.unserved));
 	log_end(&line);
 	g->logged = *c;
-	g->logged_ms = now_ms;
 }
 
 static gboolean on_sweep(gpointer data)
@@ -240,7 +239,6 @@
 
 	g->name = g_strdup(name);
 	g->limits = *limits;
-	g->logged_ms = -LOG_INTERVAL_MS;
 	g->connections = g_hash_table_new_full(NULL, NULL, NULL,
 					       guarded_connection_free);
 	g->sweep_timer = g_timeout_add(
--- a/base/log.c
+++ b/base/log.c
@@ -162,6 +162,15 @@
 		now_us / US_PER_MS, now_us % US_PER_MS);
 }
 
+gboolean log_pace_is_due(struct log_pace *p, int64_t now_ms,
+			 int64_t interval_ms)
+{
+	if (now_ms < p->next_ms)
+		return FALSE;
+	p->next_ms = now_ms + interval_ms;
+	return TRUE;
+}
+
 void log_begin(struct log_line *line, enum log_level level, const char *event)
 {
 	line->level = level;
--- a/base/log.h
+++ b/base/log.h
@@ -42,6 +42,18 @@
 uint64_t log_lines_dropped(void);
 void log_close(void);
 
+/** Shortest interval of lines that tell of a reached limit. */
+#define LOG_LIMIT_INTERVAL_MS 10000
+
+/** Bounds how often a line is written; zeroed at first. */
+struct log_pace {
+	int64_t next_ms; /**< monotonic time from which it may be written */
+};
+
+/** Returns TRUE if the line is due; then it isn't for an interval. */
+gboolean log_pace_is_due(struct log_pace *p, int64_t now_ms,
+			 int64_t interval_ms);
+
 /** Starts a line for an event, such as "route" or "lease_acquired". */
 void log_begin(struct log_line *line, enum log_level level, const char *event);
 
--- a/entry/delegate.c
+++ b/entry/delegate.c
@@ -22,7 +22,6 @@
 /* The holder, and former ones that have not noticed the loss of the lease, or
  * whose VM was lost without closing its connection. */
 #define MAX_HOLDERS 16
-#define UNAUTHENTICATED_LOG_INTERVAL_MS 10000
 /* Headers of a delegated call, each a name and a value. */
 #define MAX_HEADER_PAIRS 4
 
@@ -44,7 +43,7 @@
 	struct counter *expired;
 	struct counter *unauthenticated;
 	int64_t unauthenticated_count;
-	int64_t unauthenticated_logged_ms;
+	struct log_pace unauthenticated_pace;
 };
 
 /* An incoming connection of a holder. */
@@ -271,15 +270,13 @@
 /* Counts peers without the token, and logs them once in a while. */
 static void record_unauthenticated(struct delegate *s)
 {
-	int64_t now_ms = util_monotonic_ms();
 	struct log_line line;
 
 	s->unauthenticated_count++;
 	counter_add(s->unauthenticated, 1);
-	if (now_ms - s->unauthenticated_logged_ms <
-	    UNAUTHENTICATED_LOG_INTERVAL_MS)
+	if (!log_pace_is_due(&s->unauthenticated_pace, util_monotonic_ms(),
+			     LOG_LIMIT_INTERVAL_MS))
 		return;
-	s->unauthenticated_logged_ms = now_ms;
 	log_begin(&line, LOG_LEVEL_WARN, "delegate_unauthenticated");
 	log_int(&line, "count", s->unauthenticated_count);
 	log_int(&line, "refused_frames", s->traffic.refused_frames);
@@ -406,7 +403,6 @@
 	s->unauthenticated = counters_counter(
 		kernel_counters(k), "cs_delegate_unauthenticated_total",
 		"Connections and greetings of peers without the token");
-	s->unauthenticated_logged_ms = -UNAUTHENTICATED_LOG_INTERVAL_MS;
 	if (!s->settings->internal)
 		return STATUS_OK;
 	status = link_listen(s->settings->internal, on_accept, s, &s->listener);
--- a/entry/pool_holder.c
+++ b/entry/pool_holder.c
@@ -75,7 +75,7 @@
 	int64_t awake_ms;	  /* when the process was last known to run */
 	int64_t last_plan_end_ms; /* on the monotonic clock */
 	int64_t last_plan_duration_ms;
-	int64_t plan_logged_ms; /* last log line on a plan that was too short */
+	struct log_pace plan_pace; /* of lines on plans that were too short */
 	struct histogram *plan_time;
 	struct counter *plans_cut;
 	struct counter *units_postponed;
@@ -171,9 +171,8 @@
 		return;
 	counter_add(s->plans_cut, 1);
 	counter_add(s->units_postponed, stats->units_postponed);
-	if (now_ms - s->plan_logged_ms < PLAN_LOG_INTERVAL_MS)
+	if (!log_pace_is_due(&s->plan_pace, now_ms, PLAN_LOG_INTERVAL_MS))
 		return;
-	s->plan_logged_ms = now_ms;
 	log_begin(&line, LOG_LEVEL_WARN, "plan_cut");
 	log_int(&line, "took_ms", s->last_plan_duration_ms);
 	log_int(&line, "units_tried", stats->units_tried);
--- a/link/link_service.c
+++ b/link/link_service.c
@@ -12,7 +12,6 @@
 /** Number of values of the type byte of a frame. */
 #define FRAME_TYPE_COUNT (UINT8_MAX + 1)
 #define TICK_INTERVAL_S 1
-#define LIMIT_LOG_INTERVAL_MS 10000
 /**
  * Main loop iterations at shutdown that let closed connections and cancelled
  * connects finish.
@@ -36,7 +35,7 @@
 	struct tcp_listener *listener; /* NULL until started */
 	struct link_poll *poll;
 	guint max_inbound;
-	int64_t limit_logged_ms;
+	struct log_pace limit_pace;
 	guint tick_timer;
 	GPtrArray *peers;	/**< of struct link_peer */
 	GHashTable *inbound;	/**< set of struct link_inbound */
@@ -87,12 +86,11 @@
 /* Logs how many links were closed or refused at the limit, once in a while. */
 static void log_limit(struct link_service *s)
 {
-	int64_t now_ms = util_monotonic_ms();
 	struct log_line line;
 
-	if (now_ms - s->limit_logged_ms < LIMIT_LOG_INTERVAL_MS)
+	if (!log_pace_is_due(&s->limit_pace, util_monotonic_ms(),
+			     LOG_LIMIT_INTERVAL_MS))
 		return;
-	s->limit_logged_ms = now_ms;
 	log_begin(&line, LOG_LEVEL_WARN, "link_limit");
 	log_int(&line, "inbound", g_hash_table_size(s->inbound));
 	log_int(&line, "limited", s->traffic.limited_links);
@@ -134,7 +132,6 @@
 		.on_ended = on_ended,
 		.data = s,
 	};
-
 	GSocketConnection *stream;
 
 	if (!has_room(s))
@@ -197,7 +194,6 @@
 	set_self(s, k);
 	s->max_inbound =
 		process_limits_links(&settings_of(k)->limits, LINK_MAX_INBOUND);
-	s->limit_logged_ms = -LIMIT_LOG_INTERVAL_MS;
 	status = link_listen(settings_of(k)->link, on_accept, s, &s->listener);
 	if (status != STATUS_OK)
 		return status;
