One tcp_listen() for HTTP ports, links and delegates

base/http_server.c and link/link_listen.c each opened a listening socket and set its buffer sizes, with the same log line. tcp_listen() does it for both, beside the listener that accepts from it. Sizes and backlogs are the same. If the kernel refuses the size for reading, the one for sending is now tried all the same, and each refusal is logged. test_link 5, test_link_connection 4, test_worker_calls 3 and test_http_limits 29 pass.

--- a/base/http_server.c
+++ b/base/http_server.c
@@ -3,10 +3,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "base/http_internal.h"
-#include "base/log.h"
 
 struct route {
 	char *method;
@@ -220,44 +218,6 @@
 	g_ptr_array_add(s->routes, r);
 }
 
-/*
- * Accepted sockets inherit the sizes, which the kernel doubles for its own
- * data. Without them it keeps megabytes for each connection.
- */
-static void set_buffer_sizes(GSocket *socket, const struct http_limits *limits)
-{
-	GError *error = NULL;
-	struct log_line line;
-
-	if (g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
-				(gint)limits->socket_read_bytes, &error) &&
-	    g_socket_set_option(socket, SOL_SOCKET, SO_SNDBUF,
-				(gint)limits->socket_send_bytes, &error))
-		return;
-	log_begin(&line, LOG_LEVEL_WARN, "socket_buffers_unlimited");
-	log_str(&line, "reason", error->message);
-	log_end(&line);
-	g_error_free(error);
-}
-
-static GSocket *listening_socket(GSocketAddress *address,
-				 const struct http_limits *limits,
-				 GError **error)
-{
-	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
-				       G_SOCKET_TYPE_STREAM,
-				       G_SOCKET_PROTOCOL_TCP, error);
-
-	if (!socket)
-		return NULL;
-	set_buffer_sizes(socket, limits);
-	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
-	if (!g_socket_bind(socket, address, TRUE, error) ||
-	    !g_socket_listen(socket, error))
-		g_clear_object(&socket);
-	return socket;
-}
-
 /* Hands an accepted connection to libsoup, with limits. */
 static void on_accept(GSocket *socket, void *data)
 {
@@ -312,6 +272,11 @@
 enum status http_server_listen(struct http_server *s, const char *host,
 			       uint16_t port)
 {
+	const struct tcp_listen_spec spec = {
+		.backlog = LISTEN_BACKLOG,
+		.read_bytes = s->limits.socket_read_bytes,
+		.send_bytes = s->limits.socket_send_bytes,
+	};
 	GSocketAddress *address =
 		g_inet_socket_address_new_from_string(host, port);
 	GSocket *socket = NULL;
@@ -321,7 +286,7 @@
 	if (!address)
 		return status_fail(STATUS_INVALID, "%s is not an IP address",
 				   host);
-	socket = listening_socket(address, &s->limits, &error);
+	socket = tcp_listen(address, &spec, &error);
 	if (!socket || !listen_at(s, socket, &error)) {
 		status = status_fail(STATUS_UNAVAILABLE,
 				     "can't listen at %s:%u: %s", host, port,
--- a/base/tcp_listener.c
+++ b/base/tcp_listener.c
@@ -1,5 +1,7 @@
 #include "base/tcp_listener.h"
 
+#include <sys/socket.h>
+
 #include "base/log.h"
 
 #define ACCEPTS_PER_TURN 64
@@ -79,6 +81,39 @@
 	g_source_attach(l->source, NULL);
 }
 
+static void set_buffer_size(GSocket *socket, gint option, guint bytes)
+{
+	GError *error = NULL;
+	struct log_line line;
+
+	if (g_socket_set_option(socket, SOL_SOCKET, option, (gint)bytes,
+				&error))
+		return;
+	log_begin(&line, LOG_LEVEL_WARN, "socket_buffers_unlimited");
+	log_str(&line, "reason", error->message);
+	log_end(&line);
+	g_error_free(error);
+}
+
+GSocket *tcp_listen(GSocketAddress *address, const struct tcp_listen_spec *spec,
+		    GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, error);
+
+	if (!socket)
+		return NULL;
+	set_buffer_size(socket, SO_RCVBUF, spec->read_bytes);
+	if (spec->send_bytes)
+		set_buffer_size(socket, SO_SNDBUF, spec->send_bytes);
+	g_socket_set_listen_backlog(socket, spec->backlog);
+	if (!g_socket_bind(socket, address, TRUE, error) ||
+	    !g_socket_listen(socket, error))
+		g_clear_object(&socket);
+	return socket;
+}
+
 struct tcp_listener *tcp_listener_new(GSocket *socket, tcp_accept_fn fn,
 				      void *data)
 {
--- a/base/tcp_listener.h
+++ b/base/tcp_listener.h
@@ -10,6 +10,20 @@
 
 struct tcp_listener;
 
+struct tcp_listen_spec {
+	int backlog;	  /**< connections that wait to be accepted */
+	guint read_bytes; /**< unread bytes kept by the kernel */
+	guint send_bytes; /**< untaken bytes kept by the kernel, 0: its own */
+};
+
+/**
+ * Returns a listening socket, or NULL with @error set. Accepted sockets inherit
+ * the sizes, which the kernel doubles for its own data; without them it keeps
+ * megabytes for each.
+ */
+GSocket *tcp_listen(GSocketAddress *address, const struct tcp_listen_spec *spec,
+		    GError **error);
+
 /** Called with a connection, which lives on only if referenced. */
 typedef void (*tcp_accept_fn)(GSocket *socket, void *data);
 
--- a/link/link_listen.c
+++ b/link/link_listen.c
@@ -1,47 +1,17 @@
 #include "link/link_listen.h"
 
-#include <sys/socket.h>
-
-#include "base/log.h"
 #include "base/util.h"
 
 /* Unread bytes that the kernel keeps for each connection. */
 #define LINK_READ_BUFFER_BYTES (64 << 10)
 
-/* Accepted sockets inherit the size; the kernel doubles it. */
-static void limit_read_buffer(GSocket *socket)
-{
-	GError *error = NULL;
-	struct log_line line;
-
-	if (g_socket_set_option(socket, SOL_SOCKET, SO_RCVBUF,
-				LINK_READ_BUFFER_BYTES, &error))
-		return;
-	log_begin(&line, LOG_LEVEL_WARN, "socket_buffers_unlimited");
-	log_str(&line, "reason", error->message);
-	log_end(&line);
-	g_error_free(error);
-}
-
-static GSocket *listening_socket(GSocketAddress *address, GError **error)
-{
-	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
-				       G_SOCKET_TYPE_STREAM,
-				       G_SOCKET_PROTOCOL_TCP, error);
-
-	if (!socket)
-		return NULL;
-	limit_read_buffer(socket);
-	g_socket_set_listen_backlog(socket, LINK_MAX_INBOUND);
-	if (!g_socket_bind(socket, address, TRUE, error) ||
-	    !g_socket_listen(socket, error))
-		g_clear_object(&socket);
-	return socket;
-}
-
 enum status link_listen(const char *address, tcp_accept_fn fn, void *data,
 			struct tcp_listener **listener)
 {
+	static const struct tcp_listen_spec spec = {
+		.backlog = LINK_MAX_INBOUND,
+		.read_bytes = LINK_READ_BUFFER_BYTES,
+	};
 	enum status status = STATUS_OK;
 	GSocketAddress *inet = NULL;
 	GSocket *socket = NULL;
@@ -53,7 +23,7 @@
 		return status_fail(STATUS_INVALID,
 				   "bad address %s, expected IP:PORT", address);
 	inet = g_inet_socket_address_new_from_string(host, port);
-	socket = listening_socket(inet, &error);
+	socket = tcp_listen(inet, &spec, &error);
 	if (socket) {
 		*listener = tcp_listener_new(socket, fn, data);
 		g_object_unref(socket);
