The fields memory_mb and descriptors of the settings are described once

The tables of csentryd and of csgated and csschedd had the same two entries with the same bounds and defaults. PROCESS_LIMIT_FIELDS(), beside these bounds, stands for both.

--- a/base/process_limits.h
+++ b/base/process_limits.h
@@ -20,6 +20,21 @@
 	int64_t descriptors;
 };
 
+/* Settings (base/schema.h) of a struct that has process_limits as "limits". */
+#define PROCESS_LIMIT_FIELDS(struct_)                                   \
+	{ .name = "memory_mb",                                          \
+	  .type = FIELD_INT,                                            \
+	  .offset = offsetof(struct struct_, limits.memory_mb),         \
+	  .min = PROCESS_MIN_MEMORY_MB,                                 \
+	  .max = INT32_MAX,                                             \
+	  .fallback = PROCESS_DEFAULT_MEMORY_MB },                      \
+	{                                                               \
+		.name = "descriptors", .type = FIELD_INT,               \
+		.offset = offsetof(struct struct_, limits.descriptors), \
+		.min = PROCESS_MIN_DESCRIPTORS, .max = INT32_MAX,       \
+		.fallback = PROCESS_DEFAULT_DESCRIPTORS                 \
+	}
+
 /**
  * Has the kernel allow as many descriptors as the limits tell. If it doesn't
  * allow so many, they are lowered, so that the shares of the ports fit.
