Parsing JSON no longer copies the text

The copy served the lines of findings, which only files and their check ask for; each request's body was copied too, up to 1 MB that the held limit doesn't count. The text is borrowed now, and json_text_load() keeps the contents of its file. test_base (lines of findings) and test_csctl pass; test_base in the sanitizer build too.

--- a/base/json_text.c
+++ b/base/json_text.c
@@ -251,7 +251,7 @@
 	t->name = g_strdup(name);
 	if (len > G_MAXINT || !parse(t, text, len, dialect, findings))
 		return FALSE;
-	t->source = g_strndup(text, len);
+	t->source = text;
 	t->source_bytes = len;
 	scan(&s, text, len);
 	return !s.has_duplicate;
@@ -312,14 +312,15 @@
 		return FALSE;
 	}
 	is_good = json_text_parse(t, file_name, text, len, dialect, findings);
-	g_free(text);
+	t->loaded = text;
 	return is_good;
 }
 
 void json_text_clear(struct json_text *t)
 {
 	g_clear_pointer(&t->name, g_free);
-	g_clear_pointer(&t->source, g_free);
+	g_clear_pointer(&t->loaded, g_free);
+	t->source = NULL;
 	g_clear_pointer(&t->root, json_object_put);
 }
 
--- a/base/json_text.h
+++ b/base/json_text.h
@@ -22,13 +22,16 @@
 struct json_text {
 	char *name;	   /**< file name, or "body" */
 	json_object *root; /**< NULL if the text could not be parsed */
-	char *source;	   /**< the parsed text, for the lines of findings */
+	/** The parsed text, for the lines of findings; not owned, or NULL. */
+	const char *source;
 	gsize source_bytes;
+	char *loaded; /**< contents of the file, if it is from one */
 };
 
 /**
  * Parses a text. Problems are added to @findings with name, line and path.
  *
+ * @param text	must stay valid while json_text_source() is used
  * @return	TRUE if the text is valid; call json_text_clear() in any case
  */
 gboolean json_text_parse(struct json_text *t, const char *name,
