Tests of client limits: write repeated requests and bodies once

Three makers of long bodies differed in their texts only, and the smallest request stood in test_http_limits five times.

--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -141,53 +141,46 @@
 	m->bytes = 8 << 20;
 }
 
-static void finish_post(struct crowd_message *m, const char *path,
-			const GString *body)
+/* Makes a request with a body of a start, a repeated element and an end. */
+static void make_long_body(struct crowd_message *m, const char *path,
+			   const char *start, const char *element, guint count,
+			   const char *end)
 {
+	GString *body = g_string_new(start);
+
+	for (guint i = 0; i < count; i++)
+		g_string_append(body, element);
+	g_string_append(body, end);
 	start_post(m, path);
 	g_string_append_printf(m->start, "Content-Length: %zu\r\n\r\n",
 			       body->len);
 	g_string_append_len(m->start, body->str, (gssize)body->len);
 	m->bytes = m->start->len;
+	g_string_free(body, TRUE);
 }
 
 /* A job with one more member, whose name is long and whose value is a list. */
 static void make_long_name(struct crowd_message *m, const char *path)
 {
 	char *name = g_strnfill(30000, 'a');
-	GString *body =
-		g_string_new("{\"Spec\":\"\",\"Steps\":[{\"Count\":1}]");
-
-	g_string_append_printf(body, ",\"%s\":[0", name);
-	for (guint i = 0; i < 15000; i++)
-		g_string_append(body, ",0");
-	g_string_append(body, "]}");
-	finish_post(m, path, body);
-	g_string_free(body, TRUE);
+	char *start = g_strdup_printf(
+		"{\"Spec\":\"\",\"Steps\":[{\"Count\":1}],\"%s\":[0", name);
+
+	make_long_body(m, path, start, ",0", 15000, "]}");
+	g_free(start);
 	g_free(name);
 }
 
 static void make_empty_objects(struct crowd_message *m, const char *path)
 {
-	GString *body = g_string_new("{\"Spec\":\"\",\"Steps\":[{}");
-
-	for (guint i = 0; i < 300000; i++)
-		g_string_append(body, ",{}");
-	g_string_append(body, "]}");
-	finish_post(m, path, body);
-	g_string_free(body, TRUE);
+	make_long_body(m, path, "{\"Spec\":\"\",\"Steps\":[{}", ",{}", 300000,
+		       "]}");
 }
 
 /* One problem in each of many members, all in the answer. */
 static void make_many_findings(struct crowd_message *m, const char *path)
 {
-	GString *body = g_string_new("{\"a\":0");
-
-	for (guint i = 0; i < 100000; i++)
-		g_string_append(body, ",\"a\":0");
-	g_string_append(body, "}");
-	finish_post(m, path, body);
-	g_string_free(body, TRUE);
+	make_long_body(m, path, "{\"a\":0", ",\"a\":0", 100000, "}");
 }
 
 /* A frame with an array of empty maps, each of one byte. */
--- a/tests/test_http_limits.c
+++ b/tests/test_http_limits.c
@@ -188,9 +188,7 @@
 	{ "/http-limits/half-body",
 	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{", "",
 	  1200 },
-	{ "/http-limits/whole",
-	  "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}",
-	  "HTTP/1.1 200", 0 },
+	{ "/http-limits/whole", EMPTY_REQUEST, "HTTP/1.1 200", 0 },
 	{ "/http-limits/most-lines", WHOLE_HEAD "{}", "HTTP/1.1 200", 0 },
 	{ "/http-limits/too-many-lines", LONG_HEAD, "HTTP/1.1 431", 1200 },
 	{ "/http-limits/second-head", WHOLE_HEAD "{}" LONG_HEAD, "HTTP/1.1 200",
@@ -244,8 +242,7 @@
 	}
 	last = peer_new(f);
 	read_more(last);
-	peer_send(last, "POST /echo HTTP/1.1\r\nHost: a\r\n"
-			"Content-Length: 2\r\n\r\n{}");
+	peer_send(last, EMPTY_REQUEST);
 	g_assert_true(cluster_wait(is_closed, idle[0], 300));
 	g_assert_false(idle[1]->is_closed);
 	cluster_sleep(50);
@@ -292,8 +289,7 @@
 		struct peer *p = peer_new(f);
 
 		read_more(p);
-		peer_send(p, "POST /echo HTTP/1.1\r\nHost: a\r\n"
-			     "Content-Length: 2\r\n\r\n{}");
+		peer_send(p, EMPTY_REQUEST);
 		g_assert_true(cluster_wait(is_answered, p, WAIT_MS));
 		peer_free(p);
 		cluster_sleep(5);
@@ -430,9 +426,7 @@
 
 static void assert_small_request_served(struct fixture *f)
 {
-	struct peer *p =
-		peer_new_sending(f, "POST /echo HTTP/1.1\r\nHost: a\r\n"
-				    "Content-Length: 2\r\n\r\n{}");
+	struct peer *p = peer_new_sending(f, EMPTY_REQUEST);
 
 	assert_answered(p, "HTTP/1.1 200");
 	peer_free(p);
