--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,5 +8,5 @@
 mkdir -p target/review-3
 gcc -std=gnu11 -g -O2 -Wall -Wextra -Wno-unused-parameter -I. \
 	$(pkg-config --cflags $libs) review/tool-4/site.c \
-	review/tool-4/scenarios.c target/libcorianderstep.a \
+	review/tool-4/scenarios.c review/tool-4/proxy.c target/libcorianderstep.a \
 	$(pkg-config --libs $libs) -lm -o target/review-3/site
--- a/review/tool-4/scenarios.c
+++ b/review/tool-4/scenarios.c
@@ -1,8 +1,10 @@
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/json_member.h"
 #include "base/util.h"
+#include "review/tool-4/proxy.h"
 #include "review/tool-4/site.h"
 
 #define WATCH_MS 20
@@ -776,6 +778,151 @@
 	site_after(s, 4000, hand_in_apart);
 }
 
+/* ---- stale: a zone is cut off, and the holder outside it freezes ---- */
+
+#define CUT_MS 5500
+#define FREEZE_MS 1640
+#define CYCLE_MS 9500
+#define STALE_MS 85000
+#define OUTER 1 /* from this one on, entries are in the zone that is cut off */
+
+static int64_t stale_from_ms;
+static guint stale_jobs;
+static GPid frozen;
+
+static void setup_stale(struct site *s)
+{
+	s->has_zones = TRUE;
+	for (guint i = OUTER; i < ENTRIES; i++)
+		s->entries[i].zone = "tov-b";
+	site_configure(s, one_queue, G_N_ELEMENTS(one_queue));
+	add_runners(s, SERVICE, "a", "r1-1", 4);
+	for (guint i = 0; i < 4; i++) {
+		static char ids[4][16];
+		struct runner_spec spec = {
+			.id = ids[i],
+			.service = SERVICE,
+			.kind = "a",
+			.rack = "r2-1",
+			.zone = "tov-b",
+			.millicores = 32000,
+			.memory_mb = 65536,
+			.accelerators = 8,
+		};
+
+		g_snprintf(ids[i], sizeof(ids[0]), "i-%08x", 0x62b11cb0u + i);
+		site_add_runner(s, &spec);
+	}
+}
+
+static gboolean hand_in_stale(gpointer data)
+{
+	struct site *s = data;
+	char *path;
+
+	if (s->code >= 0 ||
+	    util_monotonic_ms() > stale_from_ms + STALE_MS - 5000)
+		return G_SOURCE_REMOVE;
+	s->first_entry = (s->first_entry + 1) % ENTRIES;
+	for (guint i = 0; i < 3 && stale_jobs; i++) {
+		path = g_strdup_printf(
+			QUEUE "%016x",
+			0x10000 + g_random_int_range(1, (gint)stale_jobs + 1));
+		site_call(s, 0, (guint)g_random_int_range(0, ENTRIES), "GET",
+			  path, NULL, NULL, NULL);
+		g_free(path);
+	}
+	path = g_strdup_printf(QUEUE "%016x", 0x10000 + ++stale_jobs);
+	site_submit(s, 0, path,
+		    "{\"Spec\":\"work=2500 cpu=3700 gpu=2\",\"Steps\":[{"
+		    "\"Count\":3,\"Cpu\":3700,\"MemMb\":1000,\"Gpu\":2,"
+		    "\"EstimateMs\":2500}]}",
+		    NULL, NULL);
+	g_free(path);
+	return G_SOURCE_CONTINUE;
+}
+
+static void thaw(struct site *s)
+{
+	site_note(s, "SIGCONT to the frozen process");
+	kill(frozen, SIGCONT);
+}
+
+static void refuse_store(struct site *s, gboolean is_refusing)
+{
+	for (guint i = OUTER; i < ENTRIES; i++)
+		proxy_refuse(s->entries[i].path, is_refusing);
+}
+
+static void heal(struct site *s)
+{
+	site_note(s, "the zone is back");
+	s->is_zone_cut = FALSE;
+	refuse_store(s, FALSE);
+}
+
+/* Returns the entry whose log has the highest epoch of an acquired lease. */
+static guint find_leader(struct site *s)
+{
+	guint best = 0;
+	int64_t most = 0;
+
+	for (guint i = 0; i < ENTRIES; i++) {
+		char *text = NULL;
+		const char *at;
+
+		g_file_get_contents(s->entries[i].log, &text, NULL, NULL);
+		at = text ? g_strrstr(text, "event=lease_acquired epoch=")
+			  : NULL;
+		if (at) {
+			int64_t epoch = g_ascii_strtoll(
+				strstr(at, "epoch=") + 6, NULL, 10);
+
+			if (epoch > most) {
+				most = epoch;
+				best = i;
+			}
+		}
+		g_free(text);
+	}
+	return best;
+}
+
+static void cycle(struct site *s)
+{
+	guint leader = find_leader(s);
+
+	if (util_monotonic_ms() > stale_from_ms + STALE_MS - CYCLE_MS) {
+		site_after(s, 8000, cycle);
+		if (util_monotonic_ms() > stale_from_ms + STALE_MS)
+			site_finish(s, s->twice ? 1 : 0,
+				    s->twice ? "TWICE: two runs of one work "
+					       "unit at the same time"
+					     : "each work unit ran once");
+		return;
+	}
+	site_note(s, "csentryd %u leads", leader);
+	if (s->has_trouble) {
+		site_note(s, "zone tov-b is cut off: new connections are "
+			     "refused");
+		s->is_zone_cut = TRUE;
+		refuse_store(s, TRUE);
+		site_note(s, "SIGSTOP to csentryd %u", leader);
+		frozen = s->entries[leader].pid;
+		kill(frozen, SIGSTOP);
+		site_after(s, FREEZE_MS, thaw);
+		site_after(s, CUT_MS, heal);
+	}
+	site_after(s, CYCLE_MS, cycle);
+}
+
+static void play_stale(struct site *s)
+{
+	stale_from_ms = util_monotonic_ms();
+	g_timeout_add(120, hand_in_stale, s);
+	site_after(s, 4000, cycle);
+}
+
 const struct scenario scenarios[] = {
 	{ "long", AOL_BOUNDS, 115000, setup_long, play_long },
 	{ "restart", AOL_BOUNDS, 115000, setup_restart, play_restart },
@@ -786,5 +933,6 @@
 	{ "hopeless", AOL_BOUNDS, 115000, setup_hopeless, play_hopeless },
 	{ "guarantee", AOL_BOUNDS, 115000, setup_urgent, play_guarantee },
 	{ "apart", AOL_BOUNDS, 115000, setup_apart, play_apart },
+	{ "stale", AOL_BOUNDS, 115000, setup_stale, play_stale },
 	{ 0 },
 };
--- a/review/tool-4/site.c
+++ b/review/tool-4/site.c
@@ -17,6 +17,7 @@
 #include "base/http_server.h"
 #include "base/json_member.h"
 #include "base/util.h"
+#include "review/tool-4/proxy.h"
 
 #define API "/corianderstep"
 #define MAX_BODY_BYTES ((gsize)4 << 20)
@@ -369,6 +370,37 @@
 	g_free(run);
 }
 
+static const char *zone_name(const char *zone)
+{
+	return zone ? zone : "tov-a";
+}
+
+/* A caller's connection is refused during a cut between their zones. */
+static gboolean admits_caller(GPid caller, void *data)
+{
+	struct runner *r = data;
+	struct site *s = r->site;
+
+	for (guint i = 0; i < ENTRIES; i++) {
+		if (s->entries[i].pid == caller)
+			return !s->is_zone_cut ||
+			       g_str_equal(zone_name(s->entries[i].zone),
+					   zone_name(r->spec.zone));
+	}
+	return !s->is_zone_cut;
+}
+
+static struct site *the_site;
+
+GPid site_caller(guint16 port)
+{
+	GPid pids[ENTRIES];
+
+	for (guint i = 0; i < ENTRIES; i++)
+		pids[i] = the_site->entries[i].pid;
+	return proxy_owner(port, pids, ENTRIES);
+}
+
 static void register_runner(struct runner *r)
 {
 	int64_t left_ms = r->leave_ms ? r->leave_ms - util_monotonic_ms() : 0;
@@ -379,13 +411,15 @@
 						r->site->bounds.drain_ms))
 				  : g_strdup("");
 	char *text = g_strdup_printf(
-		"{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"tov-a\","
+		"{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
 		"\"Version\":\"v1\",\"Slots\":8,\"State\":\"%s\",%s"
 		"\"ColdLeftMs\":0,\"Capacity\":{\"Cpu\":%" G_GINT64_FORMAT
 		",\"MemMb\":%" G_GINT64_FORMAT ",\"Gpu\":%" G_GINT64_FORMAT
 		"},\"Labels\":[\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
 		",\"Sequence\":1}",
-		r->spec.service, r->address, r->leave_ms ? "draining" : "ready",
+		r->spec.service,
+		r->path ? proxy_address(r->path) : r->address,
+		zone_name(r->spec.zone), r->leave_ms ? "draining" : "ready",
 		drain, r->spec.millicores, r->spec.memory_mb,
 		r->spec.accelerators, r->spec.kind, r->spec.rack, r->born_ms);
 
@@ -618,6 +652,10 @@
 			g_hash_table_replace(s->starts, g_strdup(task), starts);
 		}
 		++*starts;
+		if (site_running(s, task, NULL)) {
+			s->twice++;
+			site_note(s, "TWICE: %s runs elsewhere", task);
+		}
 		run = g_new0(struct run, 1);
 		run->task = g_strdup(task);
 		run->number = number;
@@ -714,6 +752,8 @@
 		site_finish(s, 2, "a runner can't listen");
 	r->address =
 		g_strdup_printf("127.0.0.1:%u", http_server_port(r->server));
+	if (s->has_zones)
+		r->path = proxy_new(r->address, admits_caller, r);
 	s->runners[s->runner_count++] = r;
 	register_runner(r);
 	return r;
@@ -877,20 +917,25 @@
 
 /* ---- the processes of csentryd ---- */
 
+/* Returns a free address. Its port is below those that the kernel gives to
+ * outgoing connections, and none is returned twice. */
 static char *free_address(void)
 {
+	static int port;
 	struct sockaddr_in a = { .sin_family = AF_INET };
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	char *text;
+	gboolean is_free = FALSE;
 
+	if (!port)
+		port = g_random_int_range(12000, 30000);
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&a, len) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&a, &len) < 0)
-		exit(2);
-	text = g_strdup_printf("127.0.0.1:%u", ntohs(a.sin_port));
-	close(fd);
-	return text;
+	while (!is_free && ++port < 32000) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		a.sin_port = htons((uint16_t)port);
+		is_free = bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+		close(fd);
+	}
+	return g_strdup_printf("127.0.0.1:%d", port);
 }
 
 static void before_exec(gpointer data)
@@ -913,17 +958,22 @@
 
 	e->frontend = free_address();
 	e->readiness = free_address();
+	/* The store is in the first zone. */
+	if (s->has_zones && e->zone)
+		e->path = proxy_new(s->store_address, NULL, NULL);
 	/* The template of the deploy file, filled in. */
 	text = g_strdup_printf(
-		"{\"node\":\"edge-tov-a-%u\",\"failure_domain\":\"tov-a\","
+		"{\"node\":\"edge-%s-%u\",\"failure_domain\":\"%s\","
 		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
 		"\"forward\":\"%s\",\"cpu_share\":0.25,\"memory_mb\":260,"
 		"\"descriptors\":4100,\"store\":{\"address\":\"%s\","
 		"\"writes_per_s\":800,\"reads_per_s\":2000,"
 		"\"row_bytes\":65536},\"bounds\":{\"lease_ms\":%" G_GINT64_FORMAT
 		",\"grace_s\":6,\"status_s\":120}}",
-		i + 1, e->frontend, e->readiness, internal, forward,
-		s->store_address, s->bounds.hold_max_ms);
+		zone_name(e->zone), i + 1, zone_name(e->zone), e->frontend,
+		e->readiness, internal, forward,
+		e->path ? proxy_address(e->path) : s->store_address,
+		s->bounds.hold_max_ms);
 	is_good = g_file_set_contents(name, text, -1, NULL);
 	env = g_environ_setenv(env, "CORIANDERSTEP_SETTINGS", name, TRUE);
 	e->log = g_strdup_printf("%s/node-%u.log", s->folder, i);
@@ -1017,6 +1067,7 @@
 
 struct submission {
 	guint tenant;
+	guint first; /* entry of the first try */
 	char *path;
 	char *body;
 	guint tries;
@@ -1051,7 +1102,7 @@
 
 static void try_submit(struct submission *u)
 {
-	site_call(u->site, u->tenant, u->tries % ENTRIES, "POST", u->path, u->body,
+	site_call(u->site, u->tenant, (u->first + u->tries) % ENTRIES, "POST", u->path, u->body,
 		  on_submitted, u);
 }
 
@@ -1064,6 +1115,7 @@
 
 	u->site = s;
 	u->tenant = tenant;
+	u->first = s->first_entry;
 	u->path = g_strdup(path);
 	u->body = g_strdup(body);
 	u->fn = fn;
@@ -1224,6 +1276,7 @@
 	s.has_trouble = !trouble || !g_str_equal(trouble, "0");
 	s.bounds = chosen->bounds;
 	s.begin_ms = util_monotonic_ms();
+	the_site = &s;
 	s.starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 g_free);
 	s.end_ms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/review/tool-4/site.h
+++ b/review/tool-4/site.h
@@ -62,6 +62,7 @@
 	const char *service;
 	const char *kind;
 	const char *rack;
+	const char *zone; /**< NULL for "tov-a" */
 	int64_t millicores;
 	int64_t memory_mb;
 	int64_t accelerators;
@@ -72,6 +73,7 @@
 	struct site *site;
 	struct http_server *server; /**< NULL once it has left */
 	char *address;
+	struct proxy *path; /**< callers come through it, or NULL */
 	GPtrArray *runs;      /**< of struct run */
 	GPtrArray *ends;      /**< of struct run_end, not acknowledged */
 	GHashTable *last_run; /**< task to the highest run ended or stopped */
@@ -96,8 +98,9 @@
 	GPid pid;
 	char *frontend;
 	char *readiness;
-	char *settings;
 	char *log;
+	const char *zone; /**< NULL for "tov-a" */
+	struct proxy *path; /**< to the store, NULL for a direct one */
 };
 
 struct site {
@@ -119,6 +122,11 @@
 	char *folder;
 	GMainLoop *loop;
 	int code;	      /**< exit status; -1 while open */
+	/** Connections between zones are refused now. */
+	gboolean is_zone_cut;
+	guint first_entry; /**< that clients hand their jobs in at */
+	gboolean has_zones; /**< connections between zones use proxies */
+	guint twice;	    /**< runs of a work unit that began beside another */
 	/** Age at which the Nth run (from 1) of a task fails, 0 for never. */
 	int64_t (*fail_ms)(struct site *s, const char *task, guint nth);
 };
