--- a/review/tool-4/proxy.c
+++ b/review/tool-4/proxy.c
@@ -3,25 +3,28 @@
 #include <gio/gio.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
 
 struct proxy {
 	char *address;
 	char *target;
 	guint16 port;
 	GSocketService *service; /* NULL while it refuses */
-	proxy_admits admits;	 /* NULL to let all through */
-	void *data;
+	GHashTable *pairs; /* set of struct pair that are connected */
 };
 
 /* The two directions of a connection. */
 struct pair {
+	struct proxy *proxy;
 	GSocketConnection *sides[2];
 	guint open;
 };
 
-extern GPid site_caller(guint16 port);
+static void shut_down(struct pair *p)
+{
+	for (guint i = 0; i < 2; i++)
+		g_socket_shutdown(g_socket_connection_get_socket(p->sides[i]),
+				  TRUE, TRUE, NULL);
+}
 
 static void on_spliced(GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -29,11 +32,10 @@
 
 	g_output_stream_splice_finish(G_OUTPUT_STREAM(source), result, NULL);
 	/* An end of one direction ends the connection, as HTTP needs both. */
-	for (guint i = 0; i < 2; i++)
-		g_socket_shutdown(g_socket_connection_get_socket(p->sides[i]),
-				  TRUE, TRUE, NULL);
+	shut_down(p);
 	if (--p->open)
 		return;
+	g_hash_table_remove(p->proxy->pairs, p);
 	g_object_unref(p->sides[0]);
 	g_object_unref(p->sides[1]);
 	g_free(p);
@@ -63,31 +65,19 @@
 		return;
 	}
 	p->open = 2;
+	g_hash_table_add(p->proxy->pairs, p);
 	splice(p, 0);
 	splice(p, 1);
 }
 
-static guint16 peer_port(GSocketConnection *c)
-{
-	GSocketAddress *a = g_socket_connection_get_remote_address(c, NULL);
-	guint16 port = a ? g_inet_socket_address_get_port(
-				   G_INET_SOCKET_ADDRESS(a))
-			 : 0;
-
-	g_clear_object(&a);
-	return port;
-}
-
 static gboolean on_incoming(GSocketService *service, GSocketConnection *c,
 			    GObject *source, gpointer data)
 {
 	struct proxy *p = data;
-	struct pair *pair;
+	struct pair *pair = g_new0(struct pair, 1);
 	GSocketClient *client;
 
-	if (p->admits && !p->admits(site_caller(peer_port(c)), p->data))
-		return TRUE; /* closes it */
-	pair = g_new0(struct pair, 1);
+	pair->proxy = p;
 	pair->sides[0] = g_object_ref(c);
 	client = g_socket_client_new();
 	g_socket_client_set_enable_proxy(client, FALSE);
@@ -116,13 +106,12 @@
 	g_object_unref(a);
 }
 
-struct proxy *proxy_new(const char *target, proxy_admits admits, void *data)
+struct proxy *proxy_new(const char *target)
 {
 	struct proxy *p = g_new0(struct proxy, 1);
 
 	p->target = g_strdup(target);
-	p->admits = admits;
-	p->data = data;
+	p->pairs = g_hash_table_new(NULL, NULL);
 	listen_at(p);
 	p->address = g_strdup_printf("127.0.0.1:%u", p->port);
 	return p;
@@ -146,57 +135,13 @@
 	}
 }
 
-/* Returns the inode of the socket with this local port, 0 if there is none. */
-static unsigned long socket_inode(guint16 port)
-{
-	FILE *f = fopen("/proc/self/net/tcp", "r");
-	unsigned long found = 0;
-	char line[512];
-
-	while (f && !found && fgets(line, sizeof(line), f)) {
-		unsigned int local;
-		unsigned long inode;
-
-		if (sscanf(line, " %*d: %*8X:%4X %*s %*s %*s %*s %*s %*s %*s %lu",
-			   &local, &inode) == 2 &&
-		    local == port)
-			found = inode;
-	}
-	if (f)
-		fclose(f);
-	return found;
-}
-
-static gboolean has_socket(GPid pid, unsigned long inode)
+void proxy_cut(struct proxy *p)
 {
-	char *folder = g_strdup_printf("/proc/%d/fd", pid);
-	char *wanted = g_strdup_printf("socket:[%lu]", inode);
-	GDir *dir = g_dir_open(folder, 0, NULL);
-	gboolean is_found = FALSE;
-	const char *name;
-
-	while (dir && !is_found && (name = g_dir_read_name(dir))) {
-		char *path = g_strdup_printf("%s/%s", folder, name);
-		char link[64] = "";
-
-		if (readlink(path, link, sizeof(link) - 1) > 0)
-			is_found = g_str_equal(link, wanted);
-		g_free(path);
-	}
-	if (dir)
-		g_dir_close(dir);
-	g_free(wanted);
-	g_free(folder);
-	return is_found;
-}
+	GHashTableIter iter;
+	gpointer pair;
 
-GPid proxy_owner(guint16 port, const GPid *pids, guint count)
-{
-	unsigned long inode = socket_inode(port);
-
-	for (guint i = 0; inode && i < count; i++) {
-		if (pids[i] && has_socket(pids[i], inode))
-			return pids[i];
-	}
-	return 0;
+	proxy_refuse(p, TRUE);
+	g_hash_table_iter_init(&iter, p->pairs);
+	while (g_hash_table_iter_next(&iter, &pair, NULL))
+		shut_down(pair);
 }
--- a/review/tool-4/proxy.h
+++ b/review/tool-4/proxy.h
@@ -1,7 +1,6 @@
 /**
  * @file
- * A TCP proxy of a stand-in that can refuse new connections while the open ones
- * go on, for all callers or for the processes of another zone.
+ * A TCP proxy that can end its connections and refuse new ones.
  */
 #ifndef REVIEW_PROXY_H
 #define REVIEW_PROXY_H
@@ -10,19 +9,16 @@
 
 struct proxy;
 
-/** Returns TRUE if a connection from this process is let through. */
-typedef gboolean (*proxy_admits)(GPid caller, void *data);
-
-/** Listens at a free port; exits with status 2 if that can't be done. */
-struct proxy *proxy_new(const char *target, proxy_admits admits, void *data);
+/** Listens at a free port; ends the script with status 2 if that fails. */
+struct proxy *proxy_new(const char *target);
 
 /** Returns the address to call. */
 const char *proxy_address(const struct proxy *p);
 
-/** Refuses new connections of all callers, or accepts them again. */
+/** Refuses new connections, or accepts them again. */
 void proxy_refuse(struct proxy *p, gboolean is_refusing);
 
-/** Finds which of these processes owns the local end at a loopback port. */
-GPid proxy_owner(guint16 port, const GPid *pids, guint count);
+/** Ends all connections, and refuses new ones until proxy_refuse(). */
+void proxy_cut(struct proxy *p);
 
 #endif
--- a/review/tool-4/site.c
+++ b/review/tool-4/site.c
@@ -245,8 +245,20 @@
 				json_member_text(o, "part"),
 				json_member_text(o, "Key"), NULL);
 	}
-	http_request_reply(r, 200, store_answer(s, NULL));
 	answer_feeds(s);
+	for (size_t i = 0; sets && i < json_object_array_length(sets); i++) {
+		json_object *o = json_object_array_get_idx(sets, i);
+
+		if (g_strcmp0(s->lost_job, json_member_text(o, "Key")) != 0 ||
+		    !s->lost_job)
+			continue;
+		site_note(s, "the store has stored job %s; its answer is lost",
+			  s->lost_job);
+		s->lost_job = NULL;
+		s->on_lost(s);
+		return;
+	}
+	http_request_reply(r, 200, store_answer(s, NULL));
 }
 
 static void handle_get(struct http_request *r, void *data)
@@ -319,9 +331,14 @@
 
 void site_configure(struct site *s, const struct queue *queues, guint count)
 {
-	GString *text = g_string_new("{\"Version\":7,\"Routes\":[");
+	GString *text = g_string_new(NULL);
 	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
 
+	s->config_version += 7;
+	g_string_append_printf(text,
+			       "{\"Version\":%" G_GINT64_FORMAT
+			       ",\"Routes\":[",
+			       s->config_version);
 	for (guint i = 0; i < count; i++)
 		g_string_append_printf(
 			text,
@@ -352,7 +369,9 @@
 			text,
 			"%s{\"Name\":\"%s\",\"ApiKeys\":[\"%s\"],"
 			"\"Priority\":1,\"Guaranteed\":{\"Gpu\":%d}}",
-			i ? "," : "", site_tenants[i].name, site_tenants[i].key,
+			i ? "," : "", site_tenants[i].name,
+			s->is_key_revoked && i == 0 ? "9pz2c41mk7d0q8x5vt3e"
+						    : site_tenants[i].key,
 			site_tenants[i].guaranteed);
 	g_string_append(text, "]}");
 	site_put_row(s, "op", "config", text->str);
@@ -370,37 +389,6 @@
 	g_free(run);
 }
 
-static const char *zone_name(const char *zone)
-{
-	return zone ? zone : "tov-a";
-}
-
-/* A caller's connection is refused during a cut between their zones. */
-static gboolean admits_caller(GPid caller, void *data)
-{
-	struct runner *r = data;
-	struct site *s = r->site;
-
-	for (guint i = 0; i < ENTRIES; i++) {
-		if (s->entries[i].pid == caller)
-			return !s->is_zone_cut ||
-			       g_str_equal(zone_name(s->entries[i].zone),
-					   zone_name(r->spec.zone));
-	}
-	return !s->is_zone_cut;
-}
-
-static struct site *the_site;
-
-GPid site_caller(guint16 port)
-{
-	GPid pids[ENTRIES];
-
-	for (guint i = 0; i < ENTRIES; i++)
-		pids[i] = the_site->entries[i].pid;
-	return proxy_owner(port, pids, ENTRIES);
-}
-
 static void register_runner(struct runner *r)
 {
 	int64_t left_ms = r->leave_ms ? r->leave_ms - util_monotonic_ms() : 0;
@@ -411,15 +399,13 @@
 						r->site->bounds.drain_ms))
 				  : g_strdup("");
 	char *text = g_strdup_printf(
-		"{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
+		"{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"tov-a\","
 		"\"Version\":\"v1\",\"Slots\":8,\"State\":\"%s\",%s"
 		"\"ColdLeftMs\":0,\"Capacity\":{\"Cpu\":%" G_GINT64_FORMAT
 		",\"MemMb\":%" G_GINT64_FORMAT ",\"Gpu\":%" G_GINT64_FORMAT
 		"},\"Labels\":[\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
 		",\"Sequence\":1}",
-		r->spec.service,
-		r->path ? proxy_address(r->path) : r->address,
-		zone_name(r->spec.zone), r->leave_ms ? "draining" : "ready",
+		r->spec.service, r->address, r->leave_ms ? "draining" : "ready",
 		drain, r->spec.millicores, r->spec.memory_mb,
 		r->spec.accelerators, r->spec.kind, r->spec.rack, r->born_ms);
 
@@ -652,10 +638,6 @@
 			g_hash_table_replace(s->starts, g_strdup(task), starts);
 		}
 		++*starts;
-		if (site_running(s, task, NULL)) {
-			s->twice++;
-			site_note(s, "TWICE: %s runs elsewhere", task);
-		}
 		run = g_new0(struct run, 1);
 		run->task = g_strdup(task);
 		run->number = number;
@@ -752,8 +734,6 @@
 		site_finish(s, 2, "a runner can't listen");
 	r->address =
 		g_strdup_printf("127.0.0.1:%u", http_server_port(r->server));
-	if (s->has_zones)
-		r->path = proxy_new(r->address, admits_caller, r);
 	s->runners[s->runner_count++] = r;
 	register_runner(r);
 	return r;
@@ -943,58 +923,72 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
+static gboolean spawn_entry(struct site *s, guint i)
+{
+	struct entry *e = &s->entries[i];
+	char *argv[] = { (char *)"target/bin/csentryd", NULL };
+	char **env = g_environ_setenv(g_get_environ(),
+				      "CORIANDERSTEP_SETTINGS", e->settings,
+				      TRUE);
+	int log = g_open(e->log, O_CREAT | O_WRONLY | O_APPEND, 0600);
+	GError *error = NULL;
+	gboolean is_good = log >= 0 &&
+			   g_spawn_async_with_fds(
+				   NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
+				   before_exec, NULL, &e->pid, -1, log, log,
+				   &error);
+
+	if (!is_good)
+		site_note(s, "csentryd can't be started: %s",
+			  error ? error->message : "no log file");
+	g_clear_error(&error);
+	if (log >= 0)
+		close(log);
+	g_strfreev(env);
+	return is_good;
+}
+
 static gboolean start_entry(struct site *s, guint i)
 {
 	struct entry *e = &s->entries[i];
 	char *internal = free_address();
 	char *forward = free_address();
-	char *name = g_strdup_printf("%s/node-%u.json", s->folder, i);
-	char *text;
-	char *argv[] = { (char *)"target/bin/csentryd", NULL };
-	char **env = g_get_environ();
 	gboolean is_good;
-	GError *error = NULL;
-	int log;
+	char *text;
 
 	e->frontend = free_address();
 	e->readiness = free_address();
-	/* The store is in the first zone. */
-	if (s->has_zones && e->zone)
-		e->path = proxy_new(s->store_address, NULL, NULL);
+	e->settings = g_strdup_printf("%s/node-%u.json", s->folder, i);
+	e->log = g_strdup_printf("%s/node-%u.log", s->folder, i);
+	if (s->has_paths)
+		e->path = proxy_new(s->store_address);
 	/* The template of the deploy file, filled in. */
 	text = g_strdup_printf(
-		"{\"node\":\"edge-%s-%u\",\"failure_domain\":\"%s\","
+		"{\"node\":\"edge-tov-a-%u\",\"failure_domain\":\"tov-a\","
 		"\"frontend\":\"%s\",\"readiness\":\"%s\",\"internal\":\"%s\","
 		"\"forward\":\"%s\",\"cpu_share\":0.25,\"memory_mb\":260,"
 		"\"descriptors\":4100,\"store\":{\"address\":\"%s\","
 		"\"writes_per_s\":800,\"reads_per_s\":2000,"
 		"\"row_bytes\":65536},\"bounds\":{\"lease_ms\":%" G_GINT64_FORMAT
 		",\"grace_s\":6,\"status_s\":120}}",
-		zone_name(e->zone), i + 1, zone_name(e->zone), e->frontend,
-		e->readiness, internal, forward,
+		i + 1, e->frontend, e->readiness, internal, forward,
 		e->path ? proxy_address(e->path) : s->store_address,
 		s->bounds.hold_max_ms);
-	is_good = g_file_set_contents(name, text, -1, NULL);
-	env = g_environ_setenv(env, "CORIANDERSTEP_SETTINGS", name, TRUE);
-	e->log = g_strdup_printf("%s/node-%u.log", s->folder, i);
-	log = g_open(e->log, O_CREAT | O_WRONLY | O_TRUNC, 0600);
-	is_good = is_good && log >= 0 &&
-		  g_spawn_async_with_fds(NULL, argv, env,
-					 G_SPAWN_DO_NOT_REAP_CHILD, before_exec,
-					 NULL, &e->pid, -1, log, log, &error);
-	if (!is_good)
-		site_note(s, "csentryd can't be started: %s",
-			  error ? error->message : "no settings file");
-	if (log >= 0)
-		close(log);
-	g_strfreev(env);
+	is_good = g_file_set_contents(e->settings, text, -1, NULL) &&
+		  spawn_entry(s, i);
 	g_free(text);
-	g_free(name);
 	g_free(internal);
 	g_free(forward);
 	return is_good;
 }
 
+void site_restart_entry(struct site *s, guint i)
+{
+	site_note(s, "csentryd %u starts again", i);
+	if (!spawn_entry(s, i))
+		site_finish(s, 2, "csentryd can't be started");
+}
+
 gboolean site_start_entries(struct site *s)
 {
 	for (guint i = 0; i < ENTRIES; i++) {
@@ -1276,7 +1270,6 @@
 	s.has_trouble = !trouble || !g_str_equal(trouble, "0");
 	s.bounds = chosen->bounds;
 	s.begin_ms = util_monotonic_ms();
-	the_site = &s;
 	s.starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 g_free);
 	s.end_ms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/review/tool-4/site.h
+++ b/review/tool-4/site.h
@@ -62,7 +62,6 @@
 	const char *service;
 	const char *kind;
 	const char *rack;
-	const char *zone; /**< NULL for "tov-a" */
 	int64_t millicores;
 	int64_t memory_mb;
 	int64_t accelerators;
@@ -73,7 +72,6 @@
 	struct site *site;
 	struct http_server *server; /**< NULL once it has left */
 	char *address;
-	struct proxy *path; /**< callers come through it, or NULL */
 	GPtrArray *runs;      /**< of struct run */
 	GPtrArray *ends;      /**< of struct run_end, not acknowledged */
 	GHashTable *last_run; /**< task to the highest run ended or stopped */
@@ -98,8 +96,8 @@
 	GPid pid;
 	char *frontend;
 	char *readiness;
+	char *settings;
 	char *log;
-	const char *zone; /**< NULL for "tov-a" */
 	struct proxy *path; /**< to the store, NULL for a direct one */
 };
 
@@ -122,11 +120,13 @@
 	char *folder;
 	GMainLoop *loop;
 	int code;	      /**< exit status; -1 while open */
-	/** Connections between zones are refused now. */
-	gboolean is_zone_cut;
 	guint first_entry; /**< that clients hand their jobs in at */
-	gboolean has_zones; /**< connections between zones use proxies */
-	guint twice;	    /**< runs of a work unit that began beside another */
+	gboolean has_paths; /**< each process has a proxy to the store */
+	int64_t config_version;
+	gboolean is_key_revoked; /**< of the first tenant */
+	/** The write of this job is done but not answered; then on_lost(). */
+	const char *lost_job;
+	void (*on_lost)(struct site *s);
 	/** Age at which the Nth run (from 1) of a task fails, 0 for never. */
 	int64_t (*fail_ms)(struct site *s, const char *task, guint nth);
 };
@@ -141,6 +141,7 @@
 void site_drain_runner(struct runner *r);
 gboolean site_start_entries(struct site *s);
 void site_kill_entry(struct site *s, guint i);
+void site_restart_entry(struct site *s, guint i);
 
 typedef void (*answer_fn)(struct site *s, guint code, json_object *body,
 			  void *data);
