--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -2,225 +2,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "sched/fleet_scheduler.h"
-
-#define SERVICE "salkhi"
-#define MAX_ORDERS 64
-#define T0_MS INT64_C(1000000)
-#define LEASE_MS 10000
-
-struct order {
-	gboolean is_start;
-	char *worker;
-	char *task;
-	int64_t run;
-};
-
-struct world {
-	struct fleet_scheduler s;
-	struct fleet_config config;
-	struct order orders[MAX_ORDERS];
-	guint order_count;
-	int64_t now_ms;
-};
-
-static void add_order(struct world *w, gboolean is_start, const char *worker,
-		      const char *task, int64_t run)
-{
-	struct order *o = &w->orders[w->order_count++];
-
-	g_assert_cmpuint(w->order_count, <=, MAX_ORDERS);
-	o->is_start = is_start;
-	o->worker = g_strdup(worker);
-	o->task = g_strdup(task);
-	o->run = run;
-}
-
-static void port_start(void *data, struct fleet_worker *worker,
-		       const struct start_order *order)
-{
-	add_order(data, TRUE, worker->id, order->task, order->run);
-}
-
-static void port_stop(void *data, struct fleet_worker *worker, const char *task,
-		      int64_t run)
-{
-	add_order(data, FALSE, worker->id, task, run);
-}
-
-static void add_route(struct world *w, const char *name, int64_t priority)
-{
-	struct queue_route route = {
-		.name = g_strdup(name),
-		.host = g_strdup("h"),
-		.path_prefix = g_strdup("/"),
-		.service = g_strdup(SERVICE),
-		.priority = priority,
-		.max_attempts = 2,
-		.stretch = 3,
-		.objective_ms = 1000,
-	};
-
-	g_array_append_val(w->config.routes, route);
-}
-
-static void world_init(struct world *w)
-{
-	const struct fleet_bounds bounds = {
-		.lease_ms = LEASE_MS,
-	};
-	const struct fleet_ports ports = {
-		.start = port_start,
-		.stop = port_stop,
-		.data = w,
-	};
-
-	memset(w, 0, sizeof(*w));
-	w->now_ms = T0_MS;
-	w->config.routes = g_array_new(FALSE, TRUE, sizeof(struct queue_route));
-	add_route(w, "urgent", 0);
-	add_route(w, "bulk", 2);
-	fleet_scheduler_init(&w->s, &bounds, &ports);
-	w->s.config = &w->config;
-	fleet_scheduler_begin(&w->s, 7, 0);
-}
-
-static void clear_orders(struct world *w)
-{
-	for (guint i = 0; i < w->order_count; i++) {
-		g_free(w->orders[i].worker);
-		g_free(w->orders[i].task);
-	}
-	w->order_count = 0;
-}
-
-static void world_clear(struct world *w)
-{
-	clear_orders(w);
-	fleet_scheduler_clear(&w->s);
-	fleet_config_clear(&w->config);
-}
-
-static void report_incarnation(struct world *w, const char *id,
-			       int64_t start_ms, GArray *running, GArray *ended)
-{
-	struct run_report r = {
-		.clock_ms = w->now_ms,
-		.incarnation_start_ms = start_ms,
-		.running = running ? running
-				   : g_array_new(FALSE, TRUE,
-						 sizeof(struct running_entry)),
-		.ended = ended ? ended
-			       : g_array_new(FALSE, TRUE,
-					     sizeof(struct ended_entry)),
-	};
-
-	fleet_scheduler_apply_report(&w->s, fleet_worker(&w->s.fleet, id), &r,
-				     w->now_ms, w->now_ms);
-	run_report_clear(&r);
-}
-
-static void report(struct world *w, const char *id, GArray *running,
-		   GArray *ended)
-{
-	report_incarnation(w, id, 0, running, ended);
-}
-
-static GArray *running_list(const char *task, int64_t run)
-{
-	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct running_entry));
-	struct running_entry e = { .task = task, .run = run, .checkpoint = "" };
-
-	g_array_append_val(list, e);
-	return list;
-}
-
-static GArray *ended_list(int64_t number, const char *task, int64_t run,
-			  enum run_end end)
-{
-	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct ended_entry));
-	struct ended_entry e = { number, task, run, end, "" };
-
-	g_array_append_val(list, e);
-	return list;
-}
-
-static void register_incarnation(struct world *w, const char *id,
-				 const char *rack, int64_t start_ms)
-{
-	struct worker_registration reg = {
-		.service = g_strdup(SERVICE),
-		.address = g_strdup("127.0.0.1:1"),
-		.failure_domain = g_strdup("tov-a"),
-		.rack = g_strdup(rack),
-		.capacity = { 64000, 131072, 8 },
-		.incarnation_start_ms = start_ms,
-	};
-
-	fleet_scheduler_update_worker(&w->s, id, &reg, w->now_ms);
-	fleet_worker(&w->s.fleet, id)->is_use_stored = TRUE;
-}
-
-static void register_worker(struct world *w, const char *id, const char *rack)
-{
-	register_incarnation(w, id, rack, 0);
-}
-
-static void add_worker(struct world *w, const char *id, const char *rack)
-{
-	register_worker(w, id, rack);
-	report(w, id, NULL, NULL);
-}
-
-static struct fleet_job *add_job(struct world *w, const char *id,
-				 const char *route, int64_t tasks,
-				 int64_t accelerators, gboolean is_gang)
-{
-	struct job_spec spec = { 0 };
-	struct step_spec step = {
-		.task_count = tasks,
-		.millicores = 1000,
-		.memory_mb = 1000,
-		.accelerators = accelerators,
-		.estimate_ms = 5000,
-		.is_gang = is_gang,
-		.is_one_rack = is_gang,
-	};
-	struct fleet_job *job;
-
-	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
-	g_array_append_val(spec.steps, step);
-	job = fleet_add_job(&w->s.fleet, id, route, NULL, &spec);
-	job->accepted_ms = w->now_ms;
-	job->is_active_stored = TRUE;
-	fleet_job_add_occurrence(job);
-	return job;
-}
-
-/* The specification of a job's only step, to be changed before it is placed. */
-static struct step_spec *step_spec_of(struct fleet_job *job)
-{
-	return &g_array_index(job->spec.steps, struct step_spec, 0);
-}
-
-static guint count_orders(const struct world *w, gboolean is_start,
-			  const char *task_prefix)
-{
-	guint n = 0;
-
-	for (guint i = 0; i < w->order_count; i++) {
-		if (w->orders[i].is_start == is_start &&
-		    g_str_has_prefix(w->orders[i].task, task_prefix))
-			n++;
-	}
-	return n;
-}
-
-static void plan_after(struct world *w, int64_t ms)
-{
-	w->now_ms += ms;
-	fleet_scheduler_plan(&w->s, w->now_ms);
-}
+#include "tests/sched_world.h"
 
 /* Responses to a start order and to its retry, and what follows. */
 struct start_answer_case {
@@ -244,13 +26,13 @@
  * stop or the end of its lease. */
 static void assert_stop_releases(struct world *w, struct fleet_task *t)
 {
-	plan_after(w, 2000);
+	world_plan_after(w, 2000);
 	g_assert_nonnull(t->worker);
-	g_assert_cmpuint(count_orders(w, FALSE, "job"), >=, 1);
+	g_assert_cmpuint(world_count_orders(w, FALSE, "job"), >=, 1);
 	fleet_scheduler_stop_answered(&w->s, "w1", "job.0.0.0", t->run,
 				      ORDER_DONE, w->now_ms);
 	w->now_ms++;
-	report(w, "w1", NULL, NULL);
+	world_report(w, "w1", NULL, NULL);
 	g_assert_null(t->worker);
 }
 
@@ -262,15 +44,15 @@
 	struct order first;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_job(&w, "job", "bulk", 1, 1, FALSE);
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_plan_after(&w, 1);
 	g_assert_cmpuint(w.order_count, ==, 1);
 	first = w.orders[0];
 	fleet_scheduler_start_answered(&w.s, "w1", first.task, first.run,
 				       c->first, REFUSAL_OTHER, w.now_ms);
 	if (c->has_second) {
-		plan_after(&w, 150);
+		world_plan_after(&w, 150);
 		fleet_scheduler_start_answered(&w.s, "w1", first.task,
 					       first.run, c->second,
 					       REFUSAL_OTHER, w.now_ms);
@@ -289,15 +71,15 @@
 	struct world w = { 0 };
 
 	world_init(&w);
-	register_worker(&w, "w1", "r1");
-	report(&w, "w1", running_list("gone.0.0.0", 3), NULL);
-	g_assert_cmpuint(count_orders(&w, FALSE, "gone"), ==, 1);
-	add_job(&w, "job", "bulk", 1, 8, FALSE);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
-	report(&w, "w1", NULL, NULL);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	world_register_worker(&w, "w1", "r1");
+	world_report(&w, "w1", world_running_list("gone.0.0.0", 3), NULL);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "gone"), ==, 1);
+	world_add_job(&w, "job", "bulk", 1, 8, FALSE);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 0);
+	world_report(&w, "w1", NULL, NULL);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 1);
 	world_clear(&w);
 }
 
@@ -310,20 +92,22 @@
 	json_object *row;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_job(&w, "job", "bulk", 1, 1, FALSE);
-	plan_after(&w, 1);
-	report(&w, "w1", NULL,
-	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
+	world_add_worker(&w, "w1", "r1");
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_plan_after(&w, 1);
+	world_report(
+		&w, "w1", NULL,
+		world_ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
 	job = fleet_job(&w.s.fleet, "job");
 	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	/* The successor reads the row and the worker reports the end again. */
 	fleet_scheduler_begin(&w.s, 8, 0);
-	add_worker(&w, "w1", "r1");
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_add_worker(&w, "w1", "r1");
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
-	report(&w, "w1", NULL,
-	       ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
+	world_report(
+		&w, "w1", NULL,
+		world_ended_list(1, "job.0.0.0", w.orders[0].run, RUN_FAILED));
 	g_assert_cmpint(job->state, !=, FLEET_JOB_FAILED);
 	g_assert_cmpuint(
 		run_set_count(&fleet_task(&w.s.fleet, "job.0.0.0")->failed), ==,
@@ -343,12 +127,14 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r1");
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
-	report(&w, "w2", NULL, ended_list(1, "job.0.0.0", 12, RUN_FAILED));
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r1");
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_report(&w, "w2", NULL,
+		     world_ended_list(1, "job.0.0.0", 12, RUN_FAILED));
 	g_assert_cmpint(job->state, !=, FLEET_JOB_FAILED);
-	report(&w, "w1", NULL, ended_list(1, "job.0.0.0", 11, RUN_FAILED));
+	world_report(&w, "w1", NULL,
+		     world_ended_list(1, "job.0.0.0", 11, RUN_FAILED));
 	g_assert_cmpint(job->state, ==, FLEET_JOB_FAILED);
 	world_clear(&w);
 }
@@ -376,27 +162,28 @@
 	struct world w = { 0 };
 
 	world_init(&w);
-	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
-	add_worker(&w, "w1", "r1");
+	fleet_scheduler_begin(&w.s, 8, WORLD_T0_MS + 14000);
+	world_add_worker(&w, "w1", "r1");
 	if (c->is_registered)
-		register_worker(&w, "w2", "r1");
+		world_register_worker(&w, "w2", "r1");
 	if (c->has_answered)
-		report(&w, "w2", NULL, NULL);
+		world_report(&w, "w2", NULL, NULL);
 	w.s.has_unregistered_workers = !c->is_registered;
-	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	json_object_object_add(
 		row, "state",
 		json_object_new_string(c->was_active ? "active" : "queued"));
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
-	plan_after(&w, 1);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, c->starts ? 1 : 0);
+	world_plan_after(&w, 1);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==,
+			 c->starts ? 1 : 0);
 	if (!c->starts) {
 		/* The leases of the previous holder have expired by then. */
-		plan_after(&w, 16000);
-		report(&w, "w1", NULL, NULL);
-		plan_after(&w, 1);
-		g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+		world_plan_after(&w, 16000);
+		world_report(&w, "w1", NULL, NULL);
+		world_plan_after(&w, 1);
+		g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 1);
 	}
 	json_object_put(row);
 	world_clear(&w);
@@ -413,23 +200,24 @@
 	struct world w = { 0 };
 
 	world_init(&w);
-	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
-	add_worker(&w, "w1", "r1");
-	register_worker(&w, "w2", "r1");
-	add_job(&w, "job", "bulk", 1, 1, FALSE);
+	fleet_scheduler_begin(&w.s, 8, WORLD_T0_MS + 14000);
+	world_add_worker(&w, "w1", "r1");
+	world_register_worker(&w, "w2", "r1");
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	json_object_object_add(row, "state", json_object_new_string("active"));
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
-	plan_after(&w, 1);
+	world_plan_after(&w, 1);
 	w.now_ms += 16000;
 	fleet_scheduler_resume(&w.s, w.now_ms);
-	plan_after(&w, 0);
-	report(&w, "w1", NULL, NULL);
-	plan_after(&w, 3);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
-	report(&w, "w2", NULL, ended_list(1, "job.0.0.0", 7, RUN_DONE));
+	world_plan_after(&w, 0);
+	world_report(&w, "w1", NULL, NULL);
+	world_plan_after(&w, 3);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 0);
+	world_report(&w, "w2", NULL,
+		     world_ended_list(1, "job.0.0.0", 7, RUN_DONE));
 	for (guint i = 0; i < 10; i++)
-		plan_after(&w, 100);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 0);
+		world_plan_after(&w, 100);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 0);
 	g_assert_true(fleet_job_has_ended(fleet_job(&w.s.fleet, "job")));
 	json_object_put(row);
 	world_clear(&w);
@@ -448,17 +236,17 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
-	add_worker(&w, "w1", "r1");
-	register_worker(&w, "w2", "r1");
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	fleet_scheduler_begin(&w.s, 8, WORLD_T0_MS + 14000);
+	world_add_worker(&w, "w1", "r1");
+	world_register_worker(&w, "w2", "r1");
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	job->is_active_stored = FALSE;
-	plan_after(&w, 1);
+	world_plan_after(&w, 1);
 	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
 	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 1);
 	json_object_put(row);
 	world_clear(&w);
 }
@@ -470,16 +258,16 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_add_worker(&w, "w1", "r1");
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	job->is_active_stored = FALSE;
-	plan_after(&w, 1);
+	world_plan_after(&w, 1);
 	g_assert_cmpuint(w.order_count, ==, 0);
 	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
 	g_assert_true(job->is_dirty);
 	job->is_active_stored = TRUE;
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "job"), ==, 1);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "job"), ==, 1);
 	world_clear(&w);
 }
 
@@ -493,11 +281,11 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	job->state = FLEET_JOB_ACTIVE;
 	row = job_progress_encode(job, G_MAXSIZE, &cut);
 	fleet_scheduler_begin(&w.s, 8, 0);
-	job = add_job(&w, "job", "bulk", 1, 1, FALSE);
+	job = world_add_job(&w, "job", "bulk", 1, 1, FALSE);
 	fleet_scheduler_merge_progress(&w.s, "job", row, 5);
 	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
 	g_assert_false(job->has_started);
@@ -537,11 +325,11 @@
 	struct world w = { 0 };
 
 	world_init(&w);
-	fleet_scheduler_begin(&w.s, 8, T0_MS + 14000);
-	register_worker(&w, "w1", "r1");
+	fleet_scheduler_begin(&w.s, 8, WORLD_T0_MS + 14000);
+	world_register_worker(&w, "w1", "r1");
 	worker = fleet_worker(&w.s.fleet, "w1");
 	if (c->is_fenced) {
-		report(&w, "w1", NULL, NULL);
+		world_report(&w, "w1", NULL, NULL);
 		fleet_scheduler_lease_end(&w.s, worker, w.now_ms);
 	}
 	worker->reg.is_draining = c->was_draining;
@@ -552,19 +340,6 @@
 	world_clear(&w);
 }
 
-/* Confirms all start orders. */
-static void confirm_starts(struct world *w)
-{
-	for (guint i = 0; i < w->order_count; i++) {
-		const struct order *o = &w->orders[i];
-
-		if (o->is_start)
-			fleet_scheduler_start_answered(
-				&w->s, o->worker, o->task, o->run, ORDER_DONE,
-				REFUSAL_OTHER, w->now_ms);
-	}
-}
-
 /*
  * A gang that needs two whole workers preempts single tasks on a full rack:
  * only the tasks of two workers are stopped, not the cheapest ones of the whole
@@ -576,13 +351,13 @@
 		char id[8];
 
 		g_snprintf(id, sizeof(id), "w%u", i);
-		add_worker(w, id, "r1");
+		world_add_worker(w, id, "r1");
 	}
-	add_job(w, "small", "bulk", 32, 1, FALSE);
-	plan_after(w, 1);
-	g_assert_cmpuint(count_orders(w, TRUE, "small"), ==, 32);
-	confirm_starts(w);
-	clear_orders(w);
+	world_add_job(w, "small", "bulk", 32, 1, FALSE);
+	world_plan_after(w, 1);
+	g_assert_cmpuint(world_count_orders(w, TRUE, "small"), ==, 32);
+	world_confirm_starts(w);
+	world_clear_orders(w);
 }
 
 static void test_preemption(void)
@@ -591,13 +366,13 @@
 
 	world_init(&w);
 	fill_pool(&w);
-	add_job(&w, "large", "urgent", 2, 8, TRUE);
-	plan_after(&w, 500);
-	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
+	world_add_job(&w, "large", "urgent", 2, 8, TRUE);
+	world_plan_after(&w, 500);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "small"), ==, 16);
 	/* No further stops while these are in flight. */
-	plan_after(&w, 100);
-	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
-	g_assert_cmpuint(count_orders(&w, TRUE, "large"), ==, 0);
+	world_plan_after(&w, 100);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "small"), ==, 16);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "large"), ==, 0);
 	world_clear(&w);
 }
 
@@ -613,24 +388,19 @@
 
 	world_init(&w);
 	fill_pool(&w);
-	job = add_job(&w, "large", "urgent", 2, 8, TRUE);
+	job = world_add_job(&w, "large", "urgent", 2, 8, TRUE);
 	job->is_active_stored = FALSE;
-	plan_after(&w, 500);
-	g_assert_cmpuint(count_orders(&w, FALSE, "small"), ==, 16);
+	world_plan_after(&w, 500);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "small"), ==, 16);
 	g_assert_cmpint(job->state, ==, FLEET_JOB_ACTIVE);
 	g_assert_true(job->is_dirty);
 	g_assert_false(job->has_started);
 	job->is_active_stored = TRUE;
-	plan_after(&w, 100);
-	g_assert_cmpuint(count_orders(&w, TRUE, "large"), ==, 0);
+	world_plan_after(&w, 100);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "large"), ==, 0);
 	world_clear(&w);
 }
 
-static struct step_spec *step_of(const struct fleet_job *job)
-{
-	return &g_array_index(job->spec.steps, struct step_spec, 0);
-}
-
 /*
  * A gang and a set of single tasks, both with checkpoints, fill one rack each.
  * An urgent task preempts single tasks and not the gang, whichever rack comes
@@ -643,24 +413,24 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r1");
-	add_worker(&w, "w3", "r2");
-	add_worker(&w, "w4", "r2");
-	job = add_job(&w, "gang", "bulk", 2, 8, TRUE);
-	step_of(job)->is_checkpointed = TRUE;
-	step_of(job)->data_rack = g_strdup(gang_rack);
-	plan_after(&w, 1);
-	job = add_job(&w, "single", "bulk", 16, 1, FALSE);
-	step_of(job)->is_checkpointed = TRUE;
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r1");
+	world_add_worker(&w, "w3", "r2");
+	world_add_worker(&w, "w4", "r2");
+	job = world_add_job(&w, "gang", "bulk", 2, 8, TRUE);
+	world_step_spec(job)->is_checkpointed = TRUE;
+	world_step_spec(job)->data_rack = g_strdup(gang_rack);
+	world_plan_after(&w, 1);
+	job = world_add_job(&w, "single", "bulk", 16, 1, FALSE);
+	world_step_spec(job)->is_checkpointed = TRUE;
+	world_plan_after(&w, 1);
 	g_assert_cmpuint(w.order_count, ==, 18);
-	confirm_starts(&w);
-	clear_orders(&w);
-	add_job(&w, "large", "urgent", 1, 8, FALSE);
-	plan_after(&w, 500);
-	g_assert_cmpuint(count_orders(&w, FALSE, "gang"), ==, 0);
-	g_assert_cmpuint(count_orders(&w, FALSE, "single"), ==, 8);
+	world_confirm_starts(&w);
+	world_clear_orders(&w);
+	world_add_job(&w, "large", "urgent", 1, 8, FALSE);
+	world_plan_after(&w, 500);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "gang"), ==, 0);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "single"), ==, 8);
 	world_clear(&w);
 }
 
@@ -675,19 +445,19 @@
 		char id[8];
 
 		g_snprintf(id, sizeof(id), "w%u", i);
-		add_worker(&w, id, "r1");
+		world_add_worker(&w, id, "r1");
 	}
-	add_job(&w, "one", "bulk", 40, 1, FALSE);
-	add_job(&w, "two", "bulk", 40, 1, FALSE);
-	plan_after(&w, 1);
-	first = count_orders(&w, TRUE, "");
-	g_assert_cmpuint(first, ==, MAX_ORDERS);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, ""), ==, first);
-	confirm_starts(&w);
-	clear_orders(&w);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, ""), ==, 80 - first);
+	world_add_job(&w, "one", "bulk", 40, 1, FALSE);
+	world_add_job(&w, "two", "bulk", 40, 1, FALSE);
+	world_plan_after(&w, 1);
+	first = world_count_orders(&w, TRUE, "");
+	g_assert_cmpuint(first, ==, WORLD_MAX_ORDERS);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, ""), ==, first);
+	world_confirm_starts(&w);
+	world_clear_orders(&w);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, ""), ==, 80 - first);
 	world_clear(&w);
 }
 
@@ -701,39 +471,39 @@
 	struct order urgent;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r1");
-	add_job(&w, "urgent", "urgent", 1, 8, FALSE);
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r1");
+	world_add_job(&w, "urgent", "urgent", 1, 8, FALSE);
+	world_plan_after(&w, 1);
 	urgent = w.orders[0];
-	report(&w, urgent.worker, NULL,
-	       ended_list(1, urgent.task, urgent.run, RUN_DONE));
-	add_job(&w, "bulk", "bulk", 16, 1, FALSE);
-	plan_after(&w, 100);
-	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), <=, 9);
-	confirm_starts(&w);
+	world_report(&w, urgent.worker, NULL,
+		     world_ended_list(1, urgent.task, urgent.run, RUN_DONE));
+	world_add_job(&w, "bulk", "bulk", 16, 1, FALSE);
+	world_plan_after(&w, 100);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "bulk"), <=, 9);
+	world_confirm_starts(&w);
 	w.now_ms += 40000;
-	report(&w, "w1", NULL, NULL);
-	report(&w, "w2", NULL, NULL);
-	clear_orders(&w);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), ==, 16);
+	world_report(&w, "w1", NULL, NULL);
+	world_report(&w, "w2", NULL, NULL);
+	world_clear_orders(&w);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "bulk"), ==, 16);
 	world_clear(&w);
 }
 
 /* Runs urgent jobs on @workers whole workers and ends them immediately. */
 static void run_urgent_jobs(struct world *w, guint workers)
 {
-	add_job(w, "before", "urgent", workers, 8, FALSE);
-	plan_after(w, 1);
-	g_assert_cmpuint(count_orders(w, TRUE, "before"), ==, workers);
+	world_add_job(w, "before", "urgent", workers, 8, FALSE);
+	world_plan_after(w, 1);
+	g_assert_cmpuint(world_count_orders(w, TRUE, "before"), ==, workers);
 	for (guint i = 0; i < w->order_count; i++) {
 		const struct order *o = &w->orders[i];
 
-		report(w, o->worker, NULL,
-		       ended_list(1, o->task, o->run, RUN_DONE));
+		world_report(w, o->worker, NULL,
+			     world_ended_list(1, o->task, o->run, RUN_DONE));
 	}
-	clear_orders(w);
+	world_clear_orders(w);
 }
 
 /* Jobs beside a gang of priority 2 that needs all accelerators of a rack. */
@@ -781,7 +551,7 @@
 		e.task = name;
 		g_array_append_val(list, e);
 	}
-	report(w, worker->id, list, NULL);
+	world_report(w, worker->id, list, NULL);
 	fleet_scheduler_renewal_end(&w->s, worker, w->now_ms);
 	g_ptr_array_unref(names);
 }
@@ -814,28 +584,29 @@
 	world_init(&w);
 	/* Jobs don't get late, so the gang is the more urgent one. */
 	g_array_index(w.config.routes, struct queue_route, 1).stretch = 1000;
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r1");
-	add_worker(&w, "w3", "r1");
-	add_worker(&w, "w4", "r1");
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r1");
+	world_add_worker(&w, "w3", "r1");
+	world_add_worker(&w, "w4", "r1");
 	if (c->has_service) {
-		job = add_job(&w, "service", "bulk", 4, 1, FALSE);
-		step_spec_of(job)->is_service = TRUE;
-		step_spec_of(job)->max_per_worker = 1;
-		plan_after(&w, 1);
+		job = world_add_job(&w, "service", "bulk", 4, 1, FALSE);
+		world_step_spec(job)->is_service = TRUE;
+		world_step_spec(job)->max_per_worker = 1;
+		world_plan_after(&w, 1);
 	}
 	if (c->busy) {
-		job = add_job(&w, "busy", "bulk", 4, c->busy, FALSE);
-		step_spec_of(job)->max_per_worker = 1;
-		step_spec_of(job)->is_checkpointed = TRUE;
-		plan_after(&w, 1);
+		job = world_add_job(&w, "busy", "bulk", 4, c->busy, FALSE);
+		world_step_spec(job)->max_per_worker = 1;
+		world_step_spec(job)->is_checkpointed = TRUE;
+		world_plan_after(&w, 1);
 	}
-	add_job(&w, "gang", "bulk", 4, 8, TRUE);
+	world_add_job(&w, "gang", "bulk", 4, 8, TRUE);
 	pass_time(&w, c->waited_ms);
-	g_assert_cmpuint(count_orders(&w, TRUE, "gang"), ==, 0);
-	add_job(&w, "other", "bulk", 1, c->accelerators, FALSE);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "gang"), ==, 0);
+	world_add_job(&w, "other", "bulk", 1, c->accelerators, FALSE);
 	pass_time(&w, 500);
-	g_assert_cmpuint(count_orders(&w, TRUE, "other"), ==, c->is_started);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "other"), ==,
+			 c->is_started);
 	world_clear(&w);
 }
 
@@ -864,15 +635,15 @@
 	guint on_reserve = 0;
 
 	world_init(&w);
-	add_worker(&w, "w0", "r1");
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r2");
-	add_worker(&w, "w3", "r2");
+	world_add_worker(&w, "w0", "r1");
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r2");
+	world_add_worker(&w, "w3", "r2");
 	if (c->urgent)
 		run_urgent_jobs(&w, c->urgent);
-	add_job(&w, "bulk", "bulk", 2, 8, c->is_gang);
-	plan_after(&w, 10);
-	g_assert_cmpuint(count_orders(&w, TRUE, "bulk"), ==, 2);
+	world_add_job(&w, "bulk", "bulk", 2, 8, c->is_gang);
+	world_plan_after(&w, 10);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "bulk"), ==, 2);
 	for (guint i = 0; i < w.order_count; i++)
 		on_reserve += w.orders[i].worker[1] < '2';
 	if (c->avoids_reserve)
@@ -887,18 +658,19 @@
 	int64_t run;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_job(&w, "job", "bulk", 1, 1, FALSE);
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE);
+	world_plan_after(&w, 1);
 	run = w.orders[0].run;
 	for (guint i = 0; i < 4; i++) {
-		report(&w, "w1", running_list("job.0.0.0", run), NULL);
-		plan_after(&w, 700);
+		world_report(&w, "w1", world_running_list("job.0.0.0", run),
+			     NULL);
+		world_plan_after(&w, 700);
 	}
-	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 0);
-	report(&w, "w1", running_list("job.0.0.0", run), NULL);
-	plan_after(&w, 700);
-	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 1);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "job"), ==, 0);
+	world_report(&w, "w1", world_running_list("job.0.0.0", run), NULL);
+	world_plan_after(&w, 700);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "job"), ==, 1);
 	world_clear(&w);
 }
 
@@ -918,7 +690,7 @@
 {
 	const struct drain_case *c = data;
 	struct worker_registration reg = {
-		.service = g_strdup(SERVICE),
+		.service = g_strdup(WORLD_SERVICE),
 		.address = g_strdup("127.0.0.1:1"),
 		.capacity = { 64000, 131072, 8 },
 		.is_draining = TRUE,
@@ -927,15 +699,15 @@
 	struct world w = { 0 };
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_job(&w, "job", "bulk", 1, 1, FALSE); /* estimate: 5 s */
-	plan_after(&w, 1);
-	confirm_starts(&w);
+	world_add_worker(&w, "w1", "r1");
+	world_add_job(&w, "job", "bulk", 1, 1, FALSE); /* estimate: 5 s */
+	world_plan_after(&w, 1);
+	world_confirm_starts(&w);
 	fleet_scheduler_update_worker(&w.s, "w1", &reg, w.now_ms);
-	add_job(&w, "late", "bulk", 1, 1, FALSE);
-	plan_after(&w, 10);
-	g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, c->stops);
-	g_assert_cmpuint(count_orders(&w, TRUE, "late"), ==, 0);
+	world_add_job(&w, "late", "bulk", 1, 1, FALSE);
+	world_plan_after(&w, 10);
+	g_assert_cmpuint(world_count_orders(&w, FALSE, "job"), ==, c->stops);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "late"), ==, 0);
 	world_clear(&w);
 }
 
@@ -949,22 +721,23 @@
 	struct fleet_step *step;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_worker(&w, "w2", "r1");
-	job = add_job(&w, "job", "bulk", 2, 8, TRUE);
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w2", "r1");
+	job = world_add_job(&w, "job", "bulk", 2, 8, TRUE);
+	world_plan_after(&w, 1);
 	g_assert_cmpuint(w.order_count, ==, 2);
 	g_assert_cmpint(w.orders[0].run, ==, w.orders[1].run);
-	report(&w, w.orders[0].worker, NULL,
-	       ended_list(1, w.orders[0].task, w.orders[0].run, end));
+	world_report(
+		&w, w.orders[0].worker, NULL,
+		world_ended_list(1, w.orders[0].task, w.orders[0].run, end));
 	step = fleet_job_step(job, 0, 0);
 	if (end == RUN_DONE) {
 		g_assert_cmpint(job->state, ==, FLEET_JOB_COMPLETED);
-		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 0);
+		g_assert_cmpuint(world_count_orders(&w, FALSE, "job"), ==, 0);
 	} else {
 		g_assert_cmpuint(run_set_count(&step->gang_failed), ==,
 				 end == RUN_FAILED ? 1 : 0);
-		g_assert_cmpuint(count_orders(&w, FALSE, "job"), ==, 1);
+		g_assert_cmpuint(world_count_orders(&w, FALSE, "job"), ==, 1);
 	}
 	world_clear(&w);
 }
@@ -1015,29 +788,30 @@
 	struct order o;
 
 	world_init(&w);
-	register_incarnation(&w, "w1", "r1", OLD_START_MS);
-	report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
-	add_job(&w, "one", "urgent", 1, 8, FALSE);
-	plan_after(&w, 1);
+	world_register_incarnation(&w, "w1", "r1", OLD_START_MS);
+	world_report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
+	world_add_job(&w, "one", "urgent", 1, 8, FALSE);
+	world_plan_after(&w, 1);
 	g_assert_cmpuint(w.order_count, ==, 1);
 	o = w.orders[0];
 	fleet_scheduler_start_answered(&w.s, o.worker, o.task, o.run,
 				       ORDER_DONE, REFUSAL_OTHER, w.now_ms);
 	w.now_ms += 10;
 	if (c->was_listed)
-		report_incarnation(&w, "w1", OLD_START_MS,
-				   running_list(o.task, o.run), NULL);
+		world_report_incarnation(&w, "w1", OLD_START_MS,
+					 world_running_list(o.task, o.run),
+					 NULL);
 	if (!c->is_by_report)
-		register_incarnation(&w, "w1", "r1", NEW_START_MS);
-	plan_after(&w, 10);
-	report_incarnation(&w, "w1", NEW_START_MS,
-			   c->is_in_new ? running_list(o.task, o.run) : NULL,
-			   NULL);
+		world_register_incarnation(&w, "w1", "r1", NEW_START_MS);
+	world_plan_after(&w, 10);
+	world_report_incarnation(
+		&w, "w1", NEW_START_MS,
+		c->is_in_new ? world_running_list(o.task, o.run) : NULL, NULL);
 	/* The registration may arrive after the worker's report. */
-	register_incarnation(&w, "w1", "r1",
-			     c->is_by_report ? OLD_START_MS : NEW_START_MS);
-	plan_after(&w, 10);
-	g_assert_cmpuint(count_orders(&w, TRUE, "one"), ==, c->starts);
+	world_register_incarnation(
+		&w, "w1", "r1", c->is_by_report ? OLD_START_MS : NEW_START_MS);
+	world_plan_after(&w, 10);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "one"), ==, c->starts);
 	world_clear(&w);
 }
 
@@ -1050,17 +824,18 @@
 	struct order o;
 
 	world_init(&w);
-	register_incarnation(&w, "w1", "r1", OLD_START_MS);
-	report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
-	register_incarnation(&w, "w1", "r1", NEW_START_MS);
-	report_incarnation(&w, "w1", OLD_START_MS, NULL,
-			   ended_list(50, "other.0.0.0", 1, RUN_DONE));
-	job = add_job(&w, "one", "urgent", 1, 8, FALSE);
-	report_incarnation(&w, "w1", NEW_START_MS, NULL, NULL);
-	plan_after(&w, 1);
+	world_register_incarnation(&w, "w1", "r1", OLD_START_MS);
+	world_report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
+	world_register_incarnation(&w, "w1", "r1", NEW_START_MS);
+	world_report_incarnation(
+		&w, "w1", OLD_START_MS, NULL,
+		world_ended_list(50, "other.0.0.0", 1, RUN_DONE));
+	job = world_add_job(&w, "one", "urgent", 1, 8, FALSE);
+	world_report_incarnation(&w, "w1", NEW_START_MS, NULL, NULL);
+	world_plan_after(&w, 1);
 	o = w.orders[0];
-	report_incarnation(&w, "w1", NEW_START_MS, NULL,
-			   ended_list(1, o.task, o.run, RUN_DONE));
+	world_report_incarnation(&w, "w1", NEW_START_MS, NULL,
+				 world_ended_list(1, o.task, o.run, RUN_DONE));
 	g_assert_cmpint(job->state, ==, FLEET_JOB_COMPLETED);
 	world_clear(&w);
 }
@@ -1086,9 +861,10 @@
 		struct fleet_worker *worker;
 
 		world_init(&w);
-		register_incarnation(&w, "w1", "r1", OLD_START_MS);
-		report_incarnation(&w, "w1", OLD_START_MS, NULL,
-				   ended_list(5, "other.0.0.0", 1, RUN_DONE));
+		world_register_incarnation(&w, "w1", "r1", OLD_START_MS);
+		world_report_incarnation(
+			&w, "w1", OLD_START_MS, NULL,
+			world_ended_list(5, "other.0.0.0", 1, RUN_DONE));
 		worker = fleet_worker(&w.s.fleet, "w1");
 		worker->saved_end = worker->processed_end;
 		worker->has_failed_renewal = ack_cases[i].has_failed_renewal;
@@ -1096,10 +872,10 @@
 		g_assert_cmpint(fleet_worker_end_to_ack(worker, w.now_ms), ==,
 				ack_cases[i].ack);
 		/* A report of the same incarnation allows it again. */
-		report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
+		world_report_incarnation(&w, "w1", OLD_START_MS, NULL, NULL);
 		g_assert_cmpint(fleet_worker_end_to_ack(worker, w.now_ms), ==,
 				5);
-		report_incarnation(&w, "w1", NEW_START_MS, NULL, NULL);
+		world_report_incarnation(&w, "w1", NEW_START_MS, NULL, NULL);
 		g_assert_cmpint(fleet_worker_end_to_ack(worker, w.now_ms), ==,
 				0);
 		world_clear(&w);
@@ -1116,12 +892,13 @@
 };
 
 static const struct gone_case gone_cases[] = {
-	{ "/fleet/gone/silent", FALSE, FALSE, LEASE_MS - 1000, 1 },
-	{ "/fleet/gone/silent-late", FALSE, FALSE, LEASE_MS + 3000, 2 },
-	{ "/fleet/gone/drained", TRUE, FALSE, LEASE_MS - 1000, 1 },
-	{ "/fleet/gone/drained-late", TRUE, FALSE, LEASE_MS + 3000, 2 },
-	{ "/fleet/gone/answering", FALSE, TRUE, LEASE_MS + 3000, 1 },
-	{ "/fleet/gone/draining-answering", TRUE, TRUE, LEASE_MS + 3000, 1 },
+	{ "/fleet/gone/silent", FALSE, FALSE, WORLD_LEASE_MS - 1000, 1 },
+	{ "/fleet/gone/silent-late", FALSE, FALSE, WORLD_LEASE_MS + 3000, 2 },
+	{ "/fleet/gone/drained", TRUE, FALSE, WORLD_LEASE_MS - 1000, 1 },
+	{ "/fleet/gone/drained-late", TRUE, FALSE, WORLD_LEASE_MS + 3000, 2 },
+	{ "/fleet/gone/answering", FALSE, TRUE, WORLD_LEASE_MS + 3000, 1 },
+	{ "/fleet/gone/draining-answering", TRUE, TRUE, WORLD_LEASE_MS + 3000,
+	  1 },
 };
 
 #define RENEWAL_MS 500
@@ -1139,16 +916,16 @@
 	struct order o;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
-	add_job(&w, "one", "urgent", 1, 8, FALSE);
-	plan_after(&w, 1);
+	world_add_worker(&w, "w1", "r1");
+	world_add_job(&w, "one", "urgent", 1, 8, FALSE);
+	world_plan_after(&w, 1);
 	o = w.orders[0];
 	fleet_scheduler_start_answered(&w.s, o.worker, o.task, o.run,
 				       ORDER_DONE, REFUSAL_OTHER, w.now_ms);
-	report(&w, "w1", running_list(o.task, o.run), NULL);
+	world_report(&w, "w1", world_running_list(o.task, o.run), NULL);
 	worker = fleet_worker(&w.s.fleet, "w1");
 	worker->reg.is_draining = c->was_draining;
-	worker->drain_until_ms = w.now_ms + INT64_C(4) * LEASE_MS;
+	worker->drain_until_ms = w.now_ms + INT64_C(4) * WORLD_LEASE_MS;
 	fleet_scheduler_update_worker(&w.s, "w1", NULL, w.now_ms);
 	for (int64_t ms = 0; ms < c->after_ms; ms += RENEWAL_MS) {
 		/* Removed once nothing can run there any more. */
@@ -1157,13 +934,14 @@
 			fleet_scheduler_renewal_end(&w.s, worker, w.now_ms);
 		if (worker && !c->is_answering)
 			worker->has_failed_renewal = TRUE;
-		plan_after(&w, RENEWAL_MS);
-		add_worker(&w, "w2", "r1");
+		world_plan_after(&w, RENEWAL_MS);
+		world_add_worker(&w, "w2", "r1");
 		if (c->is_answering)
-			report(&w, "w1", running_list(o.task, o.run), NULL);
+			world_report(&w, "w1",
+				     world_running_list(o.task, o.run), NULL);
 	}
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "one"), ==, c->starts);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "one"), ==, c->starts);
 	world_clear(&w);
 }
 
@@ -1176,7 +954,7 @@
 	struct fleet_job *job;
 
 	world_init(&w);
-	add_worker(&w, "w1", "r1");
+	world_add_worker(&w, "w1", "r1");
 	spec.steps = g_array_new(FALSE, TRUE, sizeof(struct step_spec));
 	for (guint i = 0; i < 64; i++) {
 		struct step_spec step = {
@@ -1194,8 +972,8 @@
 	job->accepted_ms = w.now_ms;
 	job->is_active_stored = TRUE;
 	fleet_job_add_occurrence(job);
-	plan_after(&w, 1);
-	g_assert_cmpuint(count_orders(&w, TRUE, "dense"), ==, 1);
+	world_plan_after(&w, 1);
+	g_assert_cmpuint(world_count_orders(&w, TRUE, "dense"), ==, 1);
 	world_clear(&w);
 }
 
