A rejection is withheld while another attempt may have stored the job

Cause: the VM's write of the job took effect without an answer. The VM handed the request over, and another VM, whose newer configuration lacked the key, rejected it. Each attempt knows only what it did itself, but may_have_run was looked at only when no VM had answered. The same held when an earlier peer's answer was lost, when a peer received the request twice, when the VM decided itself after lost answers of its peers, and for cancels.

Change: one rule for each answer that leaves a VM. Once an attempt at a change may have taken effect, a rejection becomes 504 at once; confirmations, and 410 for a cancel, are passed on. The forwarder tells of open attempts together with the answer. Logs: rejection_withheld, and may_have_run of each request.

--- a/entry/client_call.c
+++ b/entry/client_call.c
@@ -44,6 +44,7 @@
 	log_str(&line, "reason", reason);
 	log_int(&line, "took_ms", util_monotonic_ms() - c->began_ms);
 	log_int(&line, "is_forwarded", c->is_from_peer);
+	log_int(&line, "may_have_run", c->may_have_run);
 	log_end(&line);
 }
 
@@ -57,8 +58,44 @@
 					      "close");
 }
 
+/* Returns TRUE if an answer tells that the request has had no effect and never
+ * will. After DELETE, 410 tells that there is nothing to cancel. */
+static gboolean is_rejection(const struct client_call *c, guint code)
+{
+	return code >= SOUP_STATUS_BAD_REQUEST &&
+	       code != SOUP_STATUS_GATEWAY_TIMEOUT && code != SOUP_STATUS_GONE;
+}
+
+/*
+ * Returns TRUE if a rejection of a change could be false: each attempt at it
+ * (by this VM, by the peers it was handed over to, by a peer that received it
+ * twice) tells only what that attempt did. Once one of them may have stored the
+ * job, or its cancel, only an answer that confirms the effect is certain.
+ */
+static gboolean must_withhold(const struct client_call *c, guint code)
+{
+	return c->kind->is_change && c->may_have_run && is_rejection(c, code);
+}
+
+static void log_withheld(const struct client_call *c, guint code,
+			 const char *reason)
+{
+	struct log_line line;
+
+	log_begin(&line, LOG_LEVEL_WARN, "rejection_withheld");
+	log_str(&line, "job", c->id);
+	log_int(&line, "code", code);
+	log_str(&line, "reason", reason);
+	log_end(&line);
+}
+
 void client_call_answer(struct client_call *c, guint code, const char *reason)
 {
+	if (must_withhold(c, code)) {
+		log_withheld(c, code, reason);
+		code = SOUP_STATUS_GATEWAY_TIMEOUT;
+		reason = "it is not known whether the request was accepted\n";
+	}
 	log_call(c, code, reason);
 	if (code == SOUP_STATUS_SERVICE_UNAVAILABLE ||
 	    code == HTTP_TOO_MANY_REQUESTS)
@@ -90,6 +127,10 @@
 /* Passes on the answer of another VM. */
 static void pass_on(struct client_call *c, const struct http_reply *reply)
 {
+	if (must_withhold(c, reply->code)) {
+		client_call_answer(c, reply->code, "answered by another VM");
+		return;
+	}
 	log_call(c, reply->code, "answered by another VM");
 	add_close_header(c);
 	if (reply->body)
@@ -103,29 +144,17 @@
 
 static void serve(struct client_call *c);
 
-/* Neither this VM nor another one could serve the request. */
-static void answer_unserved(struct client_call *c, const char *reason)
-{
-	if (c->may_have_run && c->kind->is_change)
-		client_call_answer(
-			c, SOUP_STATUS_GATEWAY_TIMEOUT,
-			"it is not known whether the request was accepted\n");
-	else
-		client_call_answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE, reason);
-}
-
-static void on_forwarded(enum forward_outcome outcome,
-			 const struct http_reply *reply, void *data)
+static void on_forwarded(const struct http_reply *reply, gboolean may_have_run,
+			 void *data)
 {
 	struct client_call *c = data;
 
-	if (outcome == FORWARD_ANSWERED) {
+	c->may_have_run |= may_have_run;
+	if (reply)
 		pass_on(c, reply);
-		return;
-	}
-	c->may_have_run |= outcome == FORWARD_UNKNOWN;
-	if (c->was_served)
-		answer_unserved(c, "the store can't be reached\n");
+	else if (c->was_served)
+		client_call_answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE,
+				   "the store can't be reached\n");
 	else
 		serve(c);
 }
@@ -157,7 +186,7 @@
 {
 	c->may_have_run |= may_have_run;
 	if (!forward(c))
-		answer_unserved(c, reason);
+		client_call_answer(c, SOUP_STATUS_SERVICE_UNAVAILABLE, reason);
 }
 
 /* Serves a request on this VM. */
--- a/entry/client_call.h
+++ b/entry/client_call.h
@@ -67,7 +67,11 @@
 		       struct http_request *r, const struct call_kind *kind,
 		       gboolean is_from_peer);
 
-/** Replies with a status code and a reason as plain text; frees the call. */
+/**
+ * Replies with a status code and a reason as plain text; frees the call. A
+ * rejection is replaced by 504 if an attempt at the change may have taken
+ * effect: the caller must not be told that the request has not run.
+ */
 void client_call_answer(struct client_call *c, guint code, const char *reason);
 
 /** Replies with a JSON body and frees the body and the call. */
--- a/entry/forwarder.c
+++ b/entry/forwarder.c
@@ -76,13 +76,12 @@
 	g_free(f);
 }
 
-static void finish(struct forward *f, enum forward_outcome outcome,
-		   const struct http_reply *reply)
+static void finish(struct forward *f, const struct http_reply *reply)
 {
 	struct forwarder *s = f->forwarder;
 	struct log_line line;
 
-	if (outcome == FORWARD_ANSWERED) {
+	if (reply) {
 		s->pause_ms = FIRST_PAUSE_MS;
 	} else {
 		s->paused_until_ms = util_monotonic_ms() + s->pause_ms;
@@ -98,7 +97,7 @@
 	log_int(&line, "may_have_run", f->may_have_run);
 	log_end(&line);
 	g_hash_table_steal(s->forwards, f);
-	f->fn(outcome, reply, f->data);
+	f->fn(reply, f->may_have_run, f->data);
 	forward_free(f);
 }
 
@@ -128,11 +127,13 @@
 	struct forward *f = data;
 
 	if (is_definite(reply)) {
+		/* The peer has decided on the last copy that it received. */
+		f->may_have_run |= reply->was_resent;
 		if (reply->header)
 			f->forwarder->seen_version =
 				MAX(f->forwarder->seen_version,
 				    g_ascii_strtoll(reply->header, NULL, 10));
-		finish(f, FORWARD_ANSWERED, reply);
+		finish(f, reply);
 		return;
 	}
 	peer_list_avoid(&f->forwarder->peers,
@@ -140,8 +141,7 @@
 			util_monotonic_ms() + AVOID_MS);
 	f->may_have_run |= !is_without_effect(reply);
 	if (!attempt(f))
-		finish(f, f->may_have_run ? FORWARD_UNKNOWN : FORWARD_REFUSED,
-		       NULL);
+		finish(f, NULL);
 }
 
 /* Returns the least configuration version that may decide on a request. */
--- a/entry/forwarder.h
+++ b/entry/forwarder.h
@@ -23,15 +23,14 @@
  */
 #define FORWARD_VERSION_HEADER "Cs-Config-Version"
 
-enum forward_outcome {
-	FORWARD_ANSWERED, /**< a peer has answered for good */
-	FORWARD_REFUSED,  /**< certainly no peer has acted on the request */
-	FORWARD_UNKNOWN,  /**< a peer may have acted on it */
-};
-
-/** @param reply	the peer's answer, NULL unless FORWARD_ANSWERED */
-typedef void (*forward_fn)(enum forward_outcome outcome,
-			   const struct http_reply *reply, void *data);
+/**
+ * @param reply		the answer of the peer that decided on the request, or
+ *			NULL if none did
+ * @param may_have_run	an attempt without a definite answer may have taken
+ *			effect; @reply knows nothing of it
+ */
+typedef void (*forward_fn)(const struct http_reply *reply,
+			   gboolean may_have_run, void *data);
 
 struct service *forwarder_new(void);
 
--- a/standin/cs-standin-steppe.c
+++ b/standin/cs-standin-steppe.c
@@ -59,7 +59,8 @@
 	int64_t forgotten_version; /* the feed has lost changes up to this */
 	int64_t lose_answers;	   /* commits left to apply without a reply */
 	gboolean is_down;	   /* closes connections without a reply */
-	int64_t mute_jobs;   /* job commits left to apply and never answer */
+	int64_t mute_jobs; /* job commits left to apply and never answer */
+	gboolean is_down_after_mute; /* is_down is set by the next of these */
 	int64_t refuse_jobs; /* job commits left to refuse, after mute_jobs */
 	int64_t commits;     /* applied */
 };
@@ -294,6 +295,8 @@
 	apply_commit(p, body);
 	if (writes_job(body) && p->mute_jobs > 0) {
 		p->mute_jobs--;
+		p->is_down |= p->is_down_after_mute;
+		p->is_down_after_mute = FALSE;
 	} else if (p->lose_answers > 0) {
 		p->lose_answers--;
 		http_request_close_connection(r);
@@ -455,6 +458,9 @@
 		p->lose_answers = json_member_int(body, "lose_answers");
 	if (json_member(body, "mute_jobs"))
 		p->mute_jobs = json_member_int(body, "mute_jobs");
+	if (json_member(body, "down_after_mute"))
+		p->is_down_after_mute = json_object_get_boolean(
+			json_member(body, "down_after_mute"));
 	if (json_member(body, "refuse_jobs"))
 		p->refuse_jobs = json_member_int(body, "refuse_jobs");
 	if (json_member(body, "down"))
