Guarantees take back other accounts' urgent work beyond their guarantees

Cause: preemption looked at priorities only. A guarantee decided on the order in which waiting work was tried; nothing told which placed urgent work is within its account's guarantee, so that no urgent work could be taken back.

Steps that are partly covered are placed in two parts, and as many tasks as find room; gangs whole or not at all. Lower priorities stop first, then what loses the least work: a gang's loss counts once, and stops that prove needless are dropped. Covered work doesn't wait for a rack in which nothing can be freed.

--- a/sched/fleet_place.c
+++ b/sched/fleet_place.c
@@ -1,3 +1,4 @@
+#include "sched/fleet_guarantee.h"
 #include "sched/fleet_internal.h"
 #include "sched/fleet_preempt.h"
 #include "sched/fleet_reserve.h"
@@ -90,6 +91,12 @@
 	return options;
 }
 
+/* Returns TRUE if a unit may be placed in several racks at once. */
+static gboolean has_any_rack(GPtrArray *options)
+{
+	return g_ptr_array_find(options, NULL, NULL);
+}
+
 /*
  * Starts as many tasks of a step without a gang as fit. Returns TRUE if all
  * @allowed tasks were started, which are counted down.
@@ -133,25 +140,21 @@
 	return TRUE;
 }
 
-/* Starts a unit or takes capacity for it. Returns FALSE if it found none for
- * some of its tasks. */
-static gboolean place_unit(struct fleet_round *r, struct fleet_unit *u)
+/* Starts a unit in one of the racks, or takes capacity there for it. Returns
+ * FALSE if it found none for some of its tasks. */
+static gboolean place_in_racks(struct fleet_round *r, struct fleet_unit *u,
+			       const GPtrArray *options, guint *allowed)
 {
-	GPtrArray *options = rack_options(r, u);
 	struct worker_choice c = { g_array_new(FALSE, FALSE, sizeof(guint)),
 				   0 };
-	guint allowed = fleet_urgent_allowed(r, u);
-	gboolean is_placed = FALSE;
+	gboolean is_placed = TRUE;
 
-	if (!allowed || (u->step->spec->is_gang && allowed < u->tasks->len))
-		goto out;
-	is_placed = TRUE;
-	if (start_now(r, u, options, &allowed, &c))
+	if (start_now(r, u, options, allowed, &c))
 		goto out;
 	/* Nothing waits for a reserved rack beside idle workers. */
 	if (r->reservations && r->is_lightly_used) {
 		r->uses_reserved = TRUE;
-		is_placed = start_now(r, u, options, &allowed, &c);
+		is_placed = start_now(r, u, options, allowed, &c);
 		r->uses_reserved = FALSE;
 		if (is_placed)
 			goto out;
@@ -161,15 +164,39 @@
 		fleet_round_allocate(r, u, &c);
 		prepare_start(r, u);
 	} else if (u->priority == 0) {
-		is_placed = fleet_preempt(r, u, options, &c);
-		if (is_placed)
+		guint placed = fleet_preempt(r, u, options, &c);
+
+		if (placed)
 			prepare_start(r, u);
+		g_ptr_array_remove_range(u->tasks, 0, placed);
+		is_placed = !u->tasks->len;
 	} else {
 		is_placed = u->step->spec->is_gang &&
 			    fleet_reserve_rack(r, u, options);
 	}
 out:
 	g_array_unref(c.workers);
+	return is_placed;
+}
+
+/* Places a unit, preferably in the racks where it runs fastest. Returns FALSE
+ * if it found no capacity for some of its tasks. */
+static gboolean place_unit(struct fleet_round *r, struct fleet_unit *u)
+{
+	GPtrArray *options = rack_options(r, u);
+	guint allowed = fleet_urgent_allowed(r, u);
+	gboolean is_placed = FALSE;
+
+	if (!allowed || (u->step->spec->is_gang && allowed < u->tasks->len))
+		goto out;
+	is_placed = place_in_racks(r, u, options, &allowed);
+	/* A guarantee is claimed now, so it doesn't wait for a rack. */
+	if (!is_placed && u->is_guaranteed && !has_any_rack(options)) {
+		g_ptr_array_set_size(options, 0);
+		g_ptr_array_add(options, NULL);
+		is_placed = place_in_racks(r, u, options, &allowed);
+	}
+out:
 	g_ptr_array_unref(options);
 	return is_placed;
 }
@@ -224,11 +251,13 @@
 	r.workers = g_array_new(FALSE, TRUE, sizeof(struct fleet_round_worker));
 	r.racks = g_array_new(FALSE, TRUE, sizeof(struct fleet_rack));
 	fleet_round_collect(&r);
+	r.accounts = fleet_accounts_new(s);
 	units = fleet_units_collect(&r);
 	fleet_urgent_update(&r, units);
 	place_units(&r, units);
 	s->is_pass_open = s->plan.units_postponed || s->plan.jobs_postponed;
 	g_ptr_array_unref(units);
+	g_hash_table_unref(r.accounts);
 	g_array_unref(r.racks);
 	g_array_unref(r.workers);
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -41,6 +41,7 @@
 	int64_t end_us;		/**< by fleet_ports::clock_us, 0 for no limit */
 	GArray *workers;	/**< of struct fleet_round_worker, by rack */
 	GArray *racks;		/**< of struct fleet_rack */
+	GHashTable *accounts;	/**< see fleet_accounts_new() */
 	guint reservations;	/**< racks reserved in this round */
 	gboolean uses_reserved; /**< what is reserved may be taken too */
 	guint orders_in_flight; /**< starts and stops in flight */
@@ -137,6 +138,14 @@
  */
 GPtrArray *fleet_units_collect(struct fleet_round *r);
 
+/**
+ * Divides the unit of a step without a gang.
+ *
+ * @param count		number of tasks that stay in @u
+ * @return		a unit with the others
+ */
+struct fleet_unit *fleet_unit_divide(struct fleet_unit *u, guint count);
+
 /** Returns TRUE if the time of the round is over. */
 gboolean fleet_round_is_over(const struct fleet_round *r);
 
--- a/sched/fleet_unit.c
+++ b/sched/fleet_unit.c
@@ -1,5 +1,6 @@
 #include "sched/fleet_round.h"
 
+#include "sched/fleet_guarantee.h"
 #include "sched/fleet_internal.h"
 
 int64_t fleet_step_expected_ms(const struct fleet_scheduler *s,
@@ -93,6 +94,18 @@
 	return u;
 }
 
+struct fleet_unit *fleet_unit_divide(struct fleet_unit *u, guint count)
+{
+	struct fleet_unit *rest = g_new(struct fleet_unit, 1);
+
+	*rest = *u;
+	rest->tasks = g_ptr_array_new();
+	for (guint i = count; i < u->tasks->len; i++)
+		g_ptr_array_add(rest->tasks, u->tasks->pdata[i]);
+	g_ptr_array_set_size(u->tasks, (gint)count);
+	return rest;
+}
+
 static void collect_step(const struct fleet_round *r, struct fleet_step *step,
 			 struct chains *chains, GPtrArray *units)
 {
@@ -186,54 +199,6 @@
 	return x->step->index < y->step->index ? -1 : 1;
 }
 
-/* Returns the counter of accelerators for an account's jobs of priority 0. */
-static int64_t *account_accelerators(GHashTable *uses, const char *account)
-{
-	int64_t *use = g_hash_table_lookup(uses, account);
-
-	if (!use) {
-		use = g_new0(int64_t, 1);
-		g_hash_table_insert(uses, (gpointer)account, use);
-	}
-	return use;
-}
-
-/* Marks units within their accounts' guarantees, in order of acceptance. */
-static void mark_guaranteed(const struct fleet_round *r, GPtrArray *units)
-{
-	GHashTable *uses =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	GHashTableIter iter;
-	gpointer item;
-
-	g_hash_table_iter_init(&iter, r->s->fleet.workers);
-	while (g_hash_table_iter_next(&iter, NULL, &item)) {
-		const struct fleet_worker *w = item;
-
-		for (guint i = 0; i < w->tasks->len; i++) {
-			const struct fleet_task *t = w->tasks->pdata[i];
-			const struct fleet_job *job = t->step->job;
-
-			if (job->account && fleet_job_priority(r->s, job) == 0)
-				*account_accelerators(uses, job->account) +=
-					t->step->spec->accelerators;
-		}
-	}
-	for (guint i = 0; i < units->len; i++) {
-		struct fleet_unit *u = units->pdata[i];
-		const char *account = u->step->job->account;
-		int64_t *use;
-
-		if (u->priority != 0 || !account)
-			continue;
-		use = account_accelerators(uses, account);
-		*use += u->step->spec->accelerators * u->tasks->len;
-		u->is_guaranteed =
-			*use <= fleet_config_guaranteed(r->s->config, account);
-	}
-	g_hash_table_unref(uses);
-}
-
 /* Within a priority, guaranteed units come first, then those that can still
  * meet their objective before those that are late anyway. */
 static gint compare_urgency(gconstpointer a, gconstpointer b)
@@ -257,7 +222,7 @@
 	GPtrArray *units = collect(r);
 
 	g_ptr_array_sort(units, compare_accepted);
-	mark_guaranteed(r, units);
+	fleet_accounts_cover(r, units);
 	g_ptr_array_sort(units, compare_urgency);
 	return units;
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -500,6 +500,123 @@
 	pool_free(pool);
 }
 
+#define RECLAIM_JOBS 5
+
+struct reclaim_job {
+	const char *id;
+	const char *account;
+	int64_t class;
+	struct shape shape;
+	gboolean is_stopped; /* expected for the last job */
+};
+
+/*
+ * What a claim takes back once earlier jobs have filled the pool. Accounts a
+ * and b have a guarantee each, c has none. The last job claims.
+ */
+struct reclaim_case {
+	const char *name;
+	struct shape guarantees[2];
+	struct reclaim_job jobs[RECLAIM_JOBS];
+	enum status status;
+};
+
+static const struct reclaim_case reclaim_cases[] = {
+	/* Urgent work beyond another account's guarantee (review, case 12). */
+	{ "/pool/reclaim/urgent",
+	  { { 2, 8, 8, 1024, 0 }, { 1, 8, 8, 1024, 0 } },
+	  { { "b1", "b", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE },
+	    { "b2", "b", JOB_CLASS_URGENT, { 3, 8, 8, 1024, 0 }, TRUE },
+	    { "a", "a", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 0 }, FALSE } },
+	  STATUS_OK },
+	{ "/pool/reclaim/own-guarantee-kept",
+	  { { 2, 8, 8, 1024, 0 }, { 2, 8, 8, 1024, 0 } },
+	  { { "b1", "b", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 0 }, FALSE },
+	    { "c", "c", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 0 }, TRUE },
+	    { "a", "a", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 0 }, FALSE } },
+	  STATUS_OK },
+	{ "/pool/reclaim/lower-class-first",
+	  { { 1, 8, 8, 1024, 0 }, { 1, 8, 8, 1024, 0 } },
+	  { { "b1", "b", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE },
+	    { "c1", "c", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE },
+	    { "c2", "c", JOB_CLASS_NORMAL, { 2, 8, 8, 1024, 0 }, TRUE },
+	    { "a", "a", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE } },
+	  STATUS_OK },
+	/* A gang in one rack, and a wide job on one worker. */
+	{ "/pool/reclaim/rack",
+	  { { 2, 8, 8, 1024, ADJACENCY_RACK }, { 1, 8, 8, 1024, 0 } },
+	  { { "c1", "c", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 1 }, TRUE },
+	    { "c2", "c", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 1 }, FALSE },
+	    { "a", "a", JOB_CLASS_URGENT, { 2, 8, 8, 1024, 1 }, FALSE } },
+	  STATUS_OK },
+	{ "/pool/reclaim/wide",
+	  { { 8, 1, 1, 1024, ADJACENCY_WORKER }, { 1, 8, 8, 1024, 0 } },
+	  { { "c1", "c", JOB_CLASS_URGENT, { 3, 8, 8, 1024, 0 }, FALSE },
+	    { "c2", "c", JOB_CLASS_URGENT, { 8, 1, 1, 1024, 2 }, TRUE },
+	    { "a", "a", JOB_CLASS_URGENT, { 8, 1, 1, 1024, 2 }, FALSE } },
+	  STATUS_OK },
+	/* Urgent work beyond its guarantee stops no other urgent work. */
+	{ "/pool/reclaim/beyond",
+	  { { 1, 8, 8, 1024, 0 }, { 1, 8, 8, 1024, 0 } },
+	  { { "a1", "a", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE },
+	    { "c", "c", JOB_CLASS_URGENT, { 3, 8, 8, 1024, 0 }, FALSE },
+	    { "a", "a", JOB_CLASS_URGENT, { 1, 8, 8, 1024, 0 }, FALSE } },
+	  STATUS_FULL },
+};
+
+/* Places a job by the policy and assigns it. */
+static enum status place(struct pool *pool, struct placement_policy *policy,
+			 const struct reclaim_job *j, int64_t now_ms,
+			 struct placement *p)
+{
+	struct pool_job job =
+		new_job(j->id, j->account, j->shape.members,
+			j->shape.accelerators, j->shape.adjacency);
+	enum status status;
+
+	job.class = j->class;
+	job.shape = j->shape;
+	status = placement_policy_place(policy, pool, &job, now_ms, p);
+	if (status == STATUS_OK)
+		g_assert_cmpint(pool_assign(pool, &job, p, now_ms), ==,
+				STATUS_OK);
+	return status;
+}
+
+static gboolean lists(const GPtrArray *ids, const char *id)
+{
+	return g_ptr_array_find_with_equal_func((GPtrArray *)ids, id,
+						g_str_equal, NULL);
+}
+
+static void test_reclaim(gconstpointer data)
+{
+	const struct reclaim_case *c = data;
+	struct pool *pool = new_pool();
+	struct placement_policy *policy =
+		placement_policy_new(PLACEMENT_POLICY_DEFAULT);
+	int64_t last = 0;
+
+	set_guarantees(pool, &c->guarantees[0], &c->guarantees[1]);
+	while (last + 1 < RECLAIM_JOBS && c->jobs[last + 1].id)
+		last++;
+	for (int64_t i = 0; i <= last; i++) {
+		struct placement p;
+		enum status status;
+
+		placement_init(&p);
+		status = place(pool, policy, &c->jobs[i], (i + 1) * 1000, &p);
+		g_assert_cmpint(status, ==, i < last ? STATUS_OK : c->status);
+		for (int64_t k = 0; k < last; k++)
+			g_assert_cmpint(lists(p.preempt, c->jobs[k].id), ==,
+					i == last && c->jobs[k].is_stopped);
+		placement_clear(&p);
+	}
+	assert_no_findings(pool);
+	placement_policy_free(policy);
+	pool_free(pool);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -513,5 +630,8 @@
 	g_test_add_func("/queue/impossible-later", test_queue_impossible_later);
 	g_test_add_func("/queue/run-time", test_queue_run_time);
 	g_test_add_func("/queue/moves-end", test_moves_end);
+	for (guint i = 0; i < G_N_ELEMENTS(reclaim_cases); i++)
+		g_test_add_data_func(reclaim_cases[i].name, &reclaim_cases[i],
+				     test_reclaim);
 	return g_test_run();
 }
