The search for stops counts the tasks that it gives to a worker

Cause: the check of max_per_worker knew the tasks that run on a worker, not those that the same search had given to it. All tasks went to one idle worker, and the start failed on the limit in each plan.

--- a/sched/fleet_preempt.c
+++ b/sched/fleet_preempt.c
@@ -276,6 +276,7 @@
 	gboolean is_known;
 	gboolean fits; /* possibly after stops */
 	double cost;
+	guint chosen; /* tasks of the unit that this search has placed there */
 };
 
 /* Returns the worker on which one more task costs the least, by the known
@@ -298,11 +299,11 @@
 
 		if (!c->is_known) {
 			c->is_known = TRUE;
-			c->fits =
-				fleet_round_capacity(
-					r, u, rw, &rw->worker->reg.capacity) &&
-				find_stops_for_task(r, u, rw, victims, scratch,
-						    &c->cost);
+			c->fits = fleet_round_capacity(
+					  r, u, rw, &rw->worker->reg.capacity) >
+					  c->chosen &&
+				  find_stops_for_task(r, u, rw, victims,
+						      scratch, &c->cost);
 		}
 		if (!c->fits ||
 		    (best && (c->cost > best_cost ||
@@ -364,6 +365,12 @@
 	return has_gang;
 }
 
+static void forget_costs(struct task_cost *costs, guint count)
+{
+	for (guint i = 0; i < count; i++)
+		costs[i].is_known = FALSE;
+}
+
 /* Returns TRUE if capacity for some tasks of a unit is worth stops. */
 static gboolean may_place_part(const struct fleet_unit *u)
 {
@@ -406,8 +413,9 @@
 		index = (guint)(rw - (struct fleet_round_worker *)(void *)
 					     r->workers->data);
 		if (add_victims(r, u, more, victims))
-			memset(costs, 0, count * sizeof(*costs));
+			forget_costs(costs, count);
 		costs[index - begin].is_known = FALSE;
+		costs[index - begin].chosen++;
 		demand_subtract(&rw->free_after_stops, &d);
 		demand_subtract(&rw->free, &d);
 		g_array_append_val(c->workers, index);
--- a/tests/test_fleet_guarantees.c
+++ b/tests/test_fleet_guarantees.c
@@ -22,6 +22,7 @@
 	LASTS = 1 << 3,	    /* runs until it is cancelled */
 	NEW = 1 << 4,	    /* handed in once the others run */
 	CANCELLED = 1 << 5, /* cancelled together with the new jobs */
+	APART = 1 << 6,	    /* one task on each worker at the most */
 };
 
 struct job_case {
@@ -211,6 +212,28 @@
 	  { { "b", "b", "urgent", 16, 1, 0, 8, 0 },
 	    { "a", "a", "urgent", 1, 8, NEW, 0, 1 },
 	    { "c", "c", "urgent", 1, 8, NEW, 0, 0 } } },
+	/* Tasks that must be apart need workers beside the idle ones (review,
+	 * case 13). */
+	{ "/fleet-guarantees/apart/gang",
+	  4,
+	  { 8, 0 },
+	  { { "bulk", "b", "bulk", 16, 1, 0, 4, 4 },
+	    { "a", "a", "urgent", 4, 2, NEW | GANG | APART, 0, 4 } } },
+	{ "/fleet-guarantees/apart/tasks",
+	  4,
+	  { 8, 0 },
+	  { { "bulk", "b", "bulk", 16, 1, 0, 4, 4 },
+	    { "a", "a", "urgent", 4, 2, NEW | APART, 0, 4 } } },
+	{ "/fleet-guarantees/apart/borrowed",
+	  4,
+	  { 8, 0 },
+	  { { "b", "b", "urgent", 32, 1, 0, 8, 0 },
+	    { "a", "a", "urgent", 4, 2, NEW | GANG | APART, 0, 4 } } },
+	{ "/fleet-guarantees/apart/too-few-workers",
+	  2,
+	  { 8, 0 },
+	  { { "b", "b", "urgent", 16, 1, 0, 0, 0 },
+	    { "a", "a", "urgent", 4, 2, NEW | GANG | APART, 0, 0 } } },
 	/* No rack can be freed whole, as each holds another account's own. */
 	{ "/fleet-guarantees/gang-over-racks",
 	  4,
@@ -257,6 +280,7 @@
 	job->account = g_strdup(j->account);
 	job->accepted_version = version;
 	spec->is_one_rack = (j->flags & ONE_RACK) != 0;
+	spec->max_per_worker = (j->flags & APART) != 0;
 	spec->is_checkpointed = (j->flags & SAVES) != 0;
 	spec->is_service = (j->flags & LASTS) != 0;
 }
