Guarantees: odd sizes are cut, a gang's cost is summed in one place

A row of another writer may name more accelerators than 64-bit sums hold. No change of decisions: test_fleet_guarantees (33), test_fleet_scheduler (63), test_plan_limits (9) and test_fleet_mutation (2) pass in the sanitizer build.

--- a/entry/client_call.c
+++ b/entry/client_call.c
@@ -58,9 +58,10 @@
 					      "close");
 }
 
-/* Returns TRUE if an answer tells that the request has had no effect and never
- * will. After DELETE, 410 tells that there is nothing to cancel. */
-static gboolean is_rejection(const struct client_call *c, guint code)
+/* Returns TRUE if an answer tells that a change has had no effect and never
+ * will. Only a cancel is answered 410, which tells that there is nothing to
+ * cancel. */
+static gboolean is_rejection(guint code)
 {
 	return code >= SOUP_STATUS_BAD_REQUEST &&
 	       code != SOUP_STATUS_GATEWAY_TIMEOUT && code != SOUP_STATUS_GONE;
@@ -74,7 +75,7 @@
  */
 static gboolean must_withhold(const struct client_call *c, guint code)
 {
-	return c->kind->is_change && c->may_have_run && is_rejection(c, code);
+	return c->kind->is_change && c->may_have_run && is_rejection(code);
 }
 
 static void log_withheld(const struct client_call *c, guint code,
--- a/sched/fleet_guarantee.c
+++ b/sched/fleet_guarantee.c
@@ -2,8 +2,8 @@
 
 #include "sched/fleet_internal.h"
 
-/* Larger guarantees are cut to this, so that sums stay within 64 bits. */
-#define MAX_GUARANTEE (INT64_C(1) << 40)
+/* Larger guarantees and tasks are cut to this: sums stay within 64 bits. */
+#define MAX_ACCELERATORS (INT64_C(1) << 40)
 /* Name that stands for jobs without an account, which have no guarantee. */
 #define NO_ACCOUNT ""
 
@@ -42,17 +42,22 @@
 	if (!a) {
 		a = g_new0(struct fleet_account, 1);
 		a->guaranteed = CLAMP(fleet_config_guaranteed(s->config, name),
-				      0, MAX_GUARANTEE);
+				      0, MAX_ACCELERATORS);
 		a->placed = g_array_new(FALSE, FALSE, sizeof(int64_t));
 		g_hash_table_insert(accounts, (gpointer)name, a);
 	}
 	return a;
 }
 
+static int64_t task_accelerators(const struct fleet_step *step)
+{
+	return CLAMP(step->spec->accelerators, 0, MAX_ACCELERATORS);
+}
+
 /* Returns the accelerators of a task, or of its whole gang. */
 static int64_t unit_accelerators(const struct fleet_step *step)
 {
-	int64_t each = step->spec->accelerators;
+	int64_t each = task_accelerators(step);
 
 	return step->spec->is_gang ? each * step->task_count : each;
 }
@@ -75,7 +80,7 @@
 
 	if (t->state == TASK_DONE || fleet_job_has_ended(step->job))
 		return;
-	a->claimed += step->spec->accelerators;
+	a->claimed += task_accelerators(step);
 	if (t->is_stop_ordered || size > a->guaranteed ||
 	    (step->spec->is_gang && !is_first_placed(t)))
 		return;
@@ -133,7 +138,7 @@
 static guint covered_tasks(const struct fleet_account *a,
 			   const struct fleet_unit *u)
 {
-	int64_t each = u->step->spec->accelerators;
+	int64_t each = task_accelerators(u->step);
 	int64_t left = a->guaranteed - a->claimed;
 	guint count = u->tasks->len;
 
@@ -162,7 +167,7 @@
 		if (covered < u->tasks->len)
 			g_ptr_array_add(units, fleet_unit_divide(u, covered));
 		u->is_guaranteed = TRUE;
-		a->claimed += u->step->spec->accelerators * covered;
+		a->claimed += task_accelerators(u->step) * covered;
 	}
 }
 
--- a/sched/fleet_guarantee.h
+++ b/sched/fleet_guarantee.h
@@ -3,14 +3,18 @@
  * Accounts' guarantees of accelerators for urgent work, in one placement round.
  *
  * For any shape of jobs and any order of events:
+ *
  * - A guarantee covers the account's urgent work (priority 0) up to its number
  *   of accelerators: what is placed first, then what waits, in the order of
  *   acceptance. It covers a gang whole or not at all, other steps by task.
- * - Covered work that waits may take capacity back from the urgent work of
- * other accounts that is beyond their guarantees. Work of lower priority is
- * stopped first, as for all urgent work.
+ *
+ * - Covered work that waits may take capacity back from other accounts' urgent
+ *   work beyond their guarantees. Lower priorities are stopped first, as for
+ *   all urgent work, and of each priority the work that loses the least.
+ *
  * - An account keeps as many accelerators as its guarantee covers of its placed
  *   work. A gang that is larger than the guarantee is beyond it as a whole.
+ *
  * - Urgent work that isn't covered stops only work of lower priority.
  */
 #ifndef SCHED_FLEET_GUARANTEE_H
--- a/sched/fleet_preempt.c
+++ b/sched/fleet_preempt.c
@@ -32,16 +32,14 @@
 	return cores * (double)(done_ms + RESTART_MS);
 }
 
-/* Returns the cost of stopping a task, or all running members if it is in a
- * gang. */
+/* Returns the cost of stopping a task, or of all placed members of its gang. */
 static double stop_cost(const struct fleet_round *r, const struct fleet_task *t)
 {
 	const struct fleet_step *step = t->step;
-	double cost = 0;
+	guint members = step->spec->is_gang ? step->task_count : 0;
+	double cost = members ? 0 : lost_work(t, r->now_ms);
 
-	if (!step->spec->is_gang)
-		cost = lost_work(t, r->now_ms);
-	for (guint i = 0; i < step->task_count && step->spec->is_gang; i++) {
+	for (guint i = 0; i < members; i++) {
 		if (step->tasks[i].worker)
 			cost += lost_work(&step->tasks[i], r->now_ms);
 	}
@@ -359,6 +357,7 @@
 		struct fleet_task *t = more->pdata[i];
 
 		has_gang |= t->step->spec->is_gang != 0;
+		/* The search has checked that it may be taken. */
 		take(r, u, t);
 		add_victim(r, t, victims);
 	}
