--- a/tests/entry_site.c
+++ b/tests/entry_site.c
@@ -164,6 +164,20 @@
 	return code;
 }
 
+void site_commit(struct site *s, const char *sets, const char *removals)
+{
+	char *body = g_strdup_printf(
+		"{\"ExpectedRev\":[],\"SetKeys\":[%s],\"Remove\":[%s]}", sets,
+		removals);
+	struct cluster_reply r = cluster_call(s->cluster, "POST", s->store,
+					      "/corianderstep/rows-tx", body,
+					      NULL, CLUSTER_CALL_TIMEOUT_MS);
+
+	g_assert_cmpuint(r.code, ==, 200);
+	cluster_reply_clear(&r);
+	g_free(body);
+}
+
 guint site_submit(struct site *s, guint entry, const char *id, guint run_ms)
 {
 	char *body = g_strdup_printf(
--- a/tests/entry_site.h
+++ b/tests/entry_site.h
@@ -80,6 +80,14 @@
 guint site_call(struct site *s, guint entry, const char *method, const char *id,
 		const char *body, char **text);
 
+/**
+ * Commits rows to the store as another writer would; asserts that it is done.
+ *
+ * @param sets		JSON of the entries to set, separated by commas; or ""
+ * @param removals	the same for the entries to remove
+ */
+void site_commit(struct site *s, const char *sets, const char *removals);
+
 /** Submits a gang of two tasks; returns the HTTP status. */
 guint site_submit(struct site *s, guint entry, const char *id, guint run_ms);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -617,16 +617,8 @@
 {
 	char *set = delegate_row_entry(entry, c->set);
 	char *removal = delegate_row_entry(entry, c->removal);
-	char *body = g_strdup_printf(
-		"{\"ExpectedRev\":[],\"SetKeys\":[%s],\"Remove\":[%s]}", set,
-		removal);
-	struct cluster_reply r = cluster_call(s->cluster, "POST", s->store,
-					      "/corianderstep/rows-tx", body,
-					      NULL, CLUSTER_CALL_TIMEOUT_MS);
-
-	g_assert_cmpuint(r.code, ==, 200);
-	cluster_reply_clear(&r);
-	g_free(body);
+
+	site_commit(s, set, removal);
 	g_free(removal);
 	g_free(set);
 }
--- a/tests/test_entry_answers.c
+++ b/tests/test_entry_answers.c
@@ -267,18 +267,12 @@
 				    "\"forward\":\"127.0.0.1:%u\"}",
 				    port);
 	char *value = g_base64_encode((const guchar *)row, strlen(row));
-	char *body = g_strdup_printf(
-		"{\"ExpectedRev\":[],\"Remove\":[],\"SetKeys\":[{\"Table\":"
-		"\"delegates\",\"part\":\"\",\"Key\":\"p%u\",\"Value\":\"%s\""
-		"}]}",
-		index, value);
-	struct cluster_reply r = cluster_call(s->cluster, "POST", s->store,
-					      "/corianderstep/rows-tx", body,
-					      NULL, CLUSTER_CALL_TIMEOUT_MS);
+	char *set = g_strdup_printf("{\"Table\":\"delegates\",\"part\":\"\","
+				    "\"Key\":\"p%u\",\"Value\":\"%s\"}",
+				    index, value);
 
-	g_assert_cmpuint(r.code, ==, 200);
-	cluster_reply_clear(&r);
-	g_free(body);
+	site_commit(s, set, "");
+	g_free(set);
 	g_free(value);
 	g_free(row);
 }
