tests: one look-up of KNOWN-RED.txt; an include that is not used any more

Found when the change was read again: is_known() and fails_at_times() differed in one word, and string.h went with the world of test_fleet_scheduler. No check changes: test_fleet_scheduler passes (63), and run_tests.sh counts a program that prints the listed case as failed, as passed, and another case as failed, as before.

--- a/tests/run_tests.sh
+++ b/tests/run_tests.sh
@@ -13,20 +13,17 @@
 mkdir -p "$logs"
 rm -rf "${logs:?}"/*
 
-is_known() {
-	[ -f KNOWN-RED.txt ] && grep -qx "test: $1" KNOWN-RED.txt
-}
-
-fails_at_times() {
-	[ -f KNOWN-RED.txt ] && grep -qx "test at times: $1" KNOWN-RED.txt
+# is_listed KIND NAME: whether KNOWN-RED.txt has a line for a test.
+is_listed() {
+	[ -f KNOWN-RED.txt ] && grep -qx "$1: $2" KNOWN-RED.txt
 }
 
 count_result() {
 	local name=$1 result=$2
-	if fails_at_times "$name"; then
+	if is_listed "test at times" "$name"; then
 		echo "KNOWN RED at times $name: $result"
 		known=$((known + 1))
-	elif is_known "$name"; then
+	elif is_listed test "$name"; then
 		if [ "$result" = ok ]; then
 			echo "FAILED $name: listed in KNOWN-RED.txt but passes"
 			failed=$((failed + 1))
--- a/tests/test_fleet_scheduler.c
+++ b/tests/test_fleet_scheduler.c
@@ -1,6 +1,5 @@
 /* Table-driven tests of the fleet scheduler with simulated workers. */
 #include <glib.h>
-#include <string.h>
 
 #include "tests/sched_world.h"
 
