Scheduler: a job is never dated as started before its submission

The row of such a job has started_ms before submitted_ms.

Cause: scheduler_tick() took the offset of the wall clock from two readings in whole milliseconds. The remainders of both are lost, so that scheduler_wall_ms() could be 1 ms behind util_wall_ms() of the same moment, which dates the submission.

Change: util_wall_at_ms() takes the offset in microseconds and rounds up.

--- a/base/util.c
+++ b/base/util.c
@@ -31,6 +31,17 @@
 	return g_get_real_time();
 }
 
+int64_t util_wall_at_ms(int64_t monotonic_ms)
+{
+	/* In this order, a pause between the readings dates it later. */
+	int64_t monotonic_us = g_get_monotonic_time();
+	int64_t offset_us = util_wall_us() - monotonic_us;
+
+	/* Both readings are rounded down, so the offset may lack 1 us. */
+	offset_us++;
+	return monotonic_ms + (offset_us + US_PER_MS - 1) / US_PER_MS;
+}
+
 char *util_random_id(void)
 {
 	GString *id = g_string_sized_new(RANDOM_ID_DIGITS);
--- a/base/util.h
+++ b/base/util.h
@@ -26,6 +26,12 @@
 /** Returns the wall-clock time in microseconds since the Unix epoch. */
 int64_t util_wall_us(void);
 
+/**
+ * Converts a time of util_monotonic_ms() to wall-clock time in milliseconds.
+ * Rounds up: an event must not be dated before an earlier util_wall_ms().
+ */
+int64_t util_wall_at_ms(int64_t monotonic_ms);
+
 /** Returns a random identifier of 32 hex digits; free it with g_free(). */
 char *util_random_id(void);
 
--- a/daemon/pool_runner.c
+++ b/daemon/pool_runner.c
@@ -418,7 +418,7 @@
 	if (p->role == POOL_ROLE_HOLDER && !p->is_scanning &&
 	    now_ms >= p->pace.next_ms)
 		start_scan(p);
-	scheduler_tick(p->scheduler, now_ms, util_wall_ms());
+	scheduler_tick(p->scheduler, now_ms, util_wall_at_ms(now_ms));
 }
 
 int64_t pool_runner_due_ms(const struct pool_runner *p, int64_t now_ms)
--- a/job/scheduler.h
+++ b/job/scheduler.h
@@ -180,7 +180,7 @@
  * Handles expired deadlines; call after events and at scheduler_due_ms().
  *
  * @param now_ms	monotonic clock
- * @param wall_ms	wall clock, for the times in rows
+ * @param wall_ms	wall clock at @now_ms rounded up, for the times in rows
  */
 void scheduler_tick(struct scheduler *s, int64_t now_ms, int64_t wall_ms);
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -8,6 +8,8 @@
 #include "base/util.h"
 
 #define LIST_LENGTH 2000
+#define WALL_SAMPLES 2000
+#define WALL_PHASES_US 1500
 
 struct sample {
 	char *name;
@@ -196,6 +198,31 @@
 	}
 }
 
+/*
+ * Guards against rows and logs in which a job starts before its submission: an
+ * offset of the clocks that is taken first may not date a later event before
+ * util_wall_ms(), at any phase of the two clocks' milliseconds.
+ */
+static void test_wall_at(void)
+{
+	for (int i = 0; i < WALL_SAMPLES; i++) {
+		int64_t start_us = g_get_monotonic_time();
+		int64_t now_ms = util_monotonic_ms();
+		int64_t offset_ms = util_wall_at_ms(now_ms) - now_ms;
+		int64_t taken_us = g_get_monotonic_time() - start_us;
+		int64_t wall_ms;
+		int64_t event_ms;
+
+		while (g_get_monotonic_time() - start_us < i % WALL_PHASES_US)
+			;
+		wall_ms = util_wall_ms();
+		event_ms = util_monotonic_ms() + offset_ms;
+		g_assert_cmpint(event_ms, >=, wall_ms);
+		g_assert_cmpint(event_ms, <=,
+				util_wall_ms() + 1 + taken_us / US_PER_MS + 1);
+	}
+}
+
 static void test_log_line(void)
 {
 	struct log_line line;
@@ -226,6 +253,7 @@
 	g_test_add_func("/base/json-value", test_json_value);
 	g_test_add_func("/base/json-parsed-bytes", test_json_parsed_bytes);
 	g_test_add_func("/base/addresses", test_addresses);
+	g_test_add_func("/base/wall-at", test_wall_at);
 	g_test_add_func("/base/log-line", test_log_line);
 	return g_test_run();
 }
